Cut every message of every link, and check what must hold

Cause: nothing had yet made the path fail. Random choices now come from one seeded source. Before: a dispatch that the engine never answered was called 'has run in part or whole'; after: 'outcome unknown'.

--- a/pkg/app/process.go
+++ b/pkg/app/process.go
@@ -15,6 +15,7 @@
 	"quaydock/pkg/network"
 	"quaydock/pkg/operators"
 	"quaydock/pkg/platform"
+	"quaydock/pkg/random"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/telemetry"
@@ -53,6 +54,7 @@
 		Network: reach,
 		Metrics: metrics,
 		Tracer:  tracing.Tracer,
+		Random:  random.NewSource(s.Seed),
 		Check:   invariant.NewChecker(log, metrics.Violations, s.StrictInvariants),
 	}
 	p.table = platform.NewTable(reach, s.Platform.Table, s.Platform.TimeoutMS)
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -8,6 +8,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/invariant"
 	"quaydock/pkg/network"
+	"quaydock/pkg/random"
 	"quaydock/pkg/telemetry"
 )
 
@@ -19,4 +20,5 @@
 	Metrics *telemetry.Metrics
 	Tracer  trace.Tracer
 	Check   *invariant.Checker
+	Random  *random.Source
 }
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -150,6 +150,9 @@
 		return neverDispatched{}
 	}
 	if response.StatusCode == http.StatusGone {
+		if r.state == lifecycle.Sent {
+			return ended{refusal.Unknown()}
+		}
 		return ended{refusal.Cut()}
 	}
 	return broken{fmt.Errorf("the agent refused with status %d", response.StatusCode)}
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -75,17 +74,11 @@
 		}
 		s.Metrics.Links.Add("session_lost", 1)
 		s.Log.WithError(err).Debug("no session with the agent")
-		pause(ctx, jitter(backoff))
+		pause(ctx, s.Random.Jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// jitter draws from half of wait to the whole, so that many entries do not
-// come back at the same moment.
-func jitter(wait clock.Millis) clock.Millis {
-	return wait/2 + clock.Millis(rand.Int64N(int64(wait/2)+1))
-}
-
 // pause waits, or returns early when ctx ends.
 func pause(ctx context.Context, wait clock.Millis) {
 	timer := time.NewTimer(wait.Duration())
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 
 	"quaydock/pkg/balance"
 	"quaydock/pkg/clock"
@@ -60,7 +59,7 @@
 		if n+1 == maxRounds {
 			return gaveUp{refusal.NoTarget(minRetryAfter)}
 		}
-		pause(ctx, jitter(roundBackoff<<n))
+		pause(ctx, t.Random.Jitter(roundBackoff<<n))
 	}
 }
 
@@ -79,8 +78,7 @@
 		reached = append(reached, s)
 		candidates = append(candidates, c)
 	}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	for _, i := range balance.Order(random, candidates, t.asked) {
+	for _, i := range balance.Order(t.Random.Fork(), candidates, t.asked) {
 		next.untried = append(next.untried, reached[i])
 	}
 	return next
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -18,6 +18,8 @@
 	Trace         Trace             `json:"trace"`
 	Operators     Operators         `json:"operators"`
 	Platform      Platform          `json:"platform"`
+	// Seed makes the random choices of a trial repeatable; 0 draws a seed.
+	Seed uint64 `json:"seed,omitempty"`
 	// StrictInvariants stops the process at a violated invariant.
 	StrictInvariants bool `json:"strict_invariants"`
 	// Entry is set on an entry VM.
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -36,6 +36,7 @@
 	order     []string
 	runs      map[string]int
 	stepping  bool
+	steps     sync.WaitGroup
 }
 
 // sequence is one request in the engine.
@@ -145,7 +146,7 @@
 	e.active = append(e.active, s)
 	if !e.stepping {
 		e.stepping = true
-		go e.run()
+		e.steps.Go(e.run)
 	}
 }
 
@@ -297,6 +298,12 @@
 	s.changed.Broadcast()
 }
 
+// Close breaks every answer and waits for the engine to stand still.
+func (e *Engine) Close() {
+	e.CutAll()
+	e.steps.Wait()
+}
+
 // CutAll breaks every answer under way for good, as an engine that dies does.
 func (e *Engine) CutAll() {
 	e.mu.Lock()
--- /dev/null
+++ b/pkg/testbed/bed.go
@@ -0,0 +1,280 @@
+// Package testbed puts the real processes of a small deployment on an
+// in-memory network, for tests and experiments in virtual time.
+package testbed
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quaydock/pkg/app"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/declaration"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
+	"quaydock/pkg/platform"
+	"quaydock/pkg/settings"
+	"quaydock/pkg/standin"
+)
+
+// Names and addresses of a bed.
+const (
+	Key          = "test-key"
+	Model        = "chart-small"
+	PlainService = "depths"
+	tableAddress = "10.0.0.1:80"
+)
+
+// EntryAddress is the callers' port of entry i.
+func EntryAddress(i int) string { return fmt.Sprintf("10.0.1.%d:80", i+1) }
+
+// ControlAddress is the control port of the agent of target i.
+func ControlAddress(i int) string { return fmt.Sprintf("10.0.2.%d:81", i+1) }
+
+// DataAddress is the data port of the agent of target i.
+func DataAddress(i int) string { return fmt.Sprintf("10.0.2.%d:82", i+1) }
+
+// TargetAddress is the port of target i itself.
+func TargetAddress(i int) string { return fmt.Sprintf("10.0.3.%d:80", i+1) }
+
+// TargetName names target i.
+func TargetName(i int) ids.Target { return ids.Target(fmt.Sprintf("target-%d", i+1)) }
+
+// Options say what a bed has. Engines come first among the targets, then one
+// plain service if Plain is set.
+type Options struct {
+	Entries int
+	Engines []settings.EngineStandIn
+	Plain   bool
+	Slots   int
+	// Seed repeats the random choices of a run.
+	Seed   uint64
+	Faults *network.Faults
+	// Adjust may change the settings of a process before it is built.
+	Adjust func(*settings.Settings)
+	// Declare may change the declarations.
+	Declare func(*declaration.Set)
+	// Logs is where processes log; nil drops the lines.
+	Logs io.Writer
+}
+
+// Bed is a running deployment.
+type Bed struct {
+	Network *network.Memory
+	Table   *standin.Table
+	Engines []*standin.Engine
+	Plain   *standin.Service
+	Entries []*app.Process
+	Agents  []*app.Process
+	options Options
+	servers []*http.Server
+}
+
+// Start builds and starts a bed; its parts are separate processes in all but
+// their memory.
+func Start(o Options) (*Bed, error) {
+	if o.Logs == nil {
+		o.Logs = io.Discard
+	}
+	var wrap network.WrapFunc
+	if o.Faults != nil {
+		wrap = o.Faults.Wrap
+	}
+	b := &Bed{Network: network.NewMemory(wrap), Table: standin.NewTable(), options: o}
+	if err := b.startTargets(); err != nil {
+		return nil, err
+	}
+	if err := b.declare(); err != nil {
+		return nil, err
+	}
+	for i := range b.targets() {
+		p, err := b.StartAgent(i)
+		if err != nil {
+			return nil, err
+		}
+		b.Agents = append(b.Agents, p)
+	}
+	for i := range o.Entries {
+		p, err := b.StartEntry(i)
+		if err != nil {
+			return nil, err
+		}
+		b.Entries = append(b.Entries, p)
+	}
+	return b, nil
+}
+
+func (b *Bed) targets() int {
+	n := len(b.options.Engines)
+	if b.options.Plain {
+		n++
+	}
+	return n
+}
+
+func (b *Bed) startTargets() error {
+	if err := b.serve(tableAddress, b.Table.Handler()); err != nil {
+		return err
+	}
+	for i, e := range b.options.Engines {
+		engine := standin.NewEngine(e)
+		b.Engines = append(b.Engines, engine)
+		if err := b.serve(TargetAddress(i), engine.Handler()); err != nil {
+			return err
+		}
+	}
+	if !b.options.Plain {
+		return nil
+	}
+	b.Plain = standin.NewService()
+	return b.serve(TargetAddress(len(b.options.Engines)), b.Plain)
+}
+
+func (b *Bed) serve(address string, handler http.Handler) error {
+	listener, err := b.Network.Listen(address)
+	if err != nil {
+		return fmt.Errorf("listening at %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler}
+	b.servers = append(b.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Declarations returns what the bed declares.
+func (b *Bed) Declarations() declaration.Set {
+	sum := sha256.Sum256([]byte(Key))
+	set := declaration.Set{
+		Tiers: []declaration.Tier{
+			{Name: "pilot", DeadlineMS: 10 * clock.Second},
+			{Name: "notice", DeadlineMS: 60 * clock.Second},
+			{Name: "summary", DeadlineMS: 30 * clock.Second},
+			{Name: "tag", DeadlineMS: 20 * clock.Second},
+		},
+		Accounts: []declaration.Account{{
+			Name: "test", KeyHashes: []string{hex.EncodeToString(sum[:])}, HighestTier: "pilot", DefaultTier: "summary",
+		}},
+		Services: []declaration.Service{
+			{Name: Model, Kind: declaration.ServiceModel},
+			{Name: PlainService, Kind: declaration.ServicePlain},
+		},
+	}
+	for i := range b.targets() {
+		plain := i >= len(b.options.Engines)
+		set.Targets = append(set.Targets, declaration.Target{
+			Name: TargetName(i), Address: "http://" + TargetAddress(i),
+			AgentControl: ControlAddress(i), AgentData: DataAddress(i),
+			FailureDomain: "a", HardwareGeneration: 1, Slots: max(1, b.options.Slots), Resumes: !plain,
+		})
+		p := declaration.Placement{Service: Model, Target: TargetName(i), Model: Model}
+		if plain {
+			p = declaration.Placement{Service: PlainService, Target: TargetName(i)}
+		}
+		set.Placements = append(set.Placements, p)
+	}
+	if b.options.Declare != nil {
+		b.options.Declare(&set)
+	}
+	return set
+}
+
+func (b *Bed) declare() error {
+	const first = 1
+	value, err := json.Marshal(b.Declarations())
+	if err != nil {
+		return fmt.Errorf("declarations: %w", err)
+	}
+	head, err := json.Marshal(platform.Head{Revision: first})
+	if err != nil {
+		return fmt.Errorf("head: %w", err)
+	}
+	b.Table.Commit(platform.Transaction{Writes: []platform.Write{
+		{Key: platform.KeySet(first), Value: value},
+		{Key: platform.KeyHead, Value: head},
+	}})
+	return nil
+}
+
+func (b *Bed) startProcess(name string, fill func(*settings.Settings)) (*app.Process, error) {
+	s := settings.Default()
+	s.Process = ids.Process(name)
+	s.FailureDomain = "a"
+	s.Operators.Listen = name
+	s.Platform.Table = "http://" + tableAddress
+	s.StrictInvariants = true
+	s.Seed = b.options.Seed + xxhash.Sum64String(name)
+	fill(&s)
+	if b.options.Adjust != nil {
+		b.options.Adjust(&s)
+	}
+	p, err := app.NewProcess(s, b.Network, b.options.Logs)
+	if err != nil {
+		return nil, fmt.Errorf("process %s: %w", name, err)
+	}
+	if err := p.Start(); err != nil {
+		return nil, fmt.Errorf("process %s: %w", name, err)
+	}
+	return p, nil
+}
+
+// StartAgent starts an agent beside target i, in place of an earlier one.
+func (b *Bed) StartAgent(i int) (*app.Process, error) {
+	return b.startProcess(fmt.Sprintf("agent-%d", i+1), func(s *settings.Settings) {
+		a := settings.DefaultAgent()
+		a.Target = TargetName(i)
+		a.Control = ControlAddress(i)
+		a.Data = DataAddress(i)
+		s.Agents = []settings.Agent{a}
+	})
+}
+
+// StartEntry starts entry i.
+func (b *Bed) StartEntry(i int) (*app.Process, error) {
+	return b.startProcess(fmt.Sprintf("entry-%d", i+1), func(s *settings.Settings) {
+		e := settings.DefaultEntry()
+		e.Listen = EntryAddress(i)
+		s.Entry = &e
+	})
+}
+
+// Runs returns how often the targets were given a request, all together.
+func (b *Bed) Runs(request string) int {
+	n := 0
+	for _, e := range b.Engines {
+		n += e.Runs(request)
+	}
+	if b.Plain != nil {
+		n += b.Plain.Runs(request)
+	}
+	return n
+}
+
+// Close stops every part at once.
+func (b *Bed) Close() {
+	for _, p := range b.Entries {
+		p.Close()
+	}
+	for _, p := range b.Agents {
+		p.Close()
+	}
+	for _, e := range b.Engines {
+		e.Close()
+	}
+	for _, s := range b.servers {
+		// An error says only that it was closed before.
+		_ = s.Close()
+	}
+}
+
+// Drain stops a process as SIGTERM does, and returns when it has ended.
+func Drain(ctx context.Context, p *app.Process) error {
+	err := p.Drain(ctx)
+	p.Close()
+	return err
+}
--- /dev/null
+++ b/pkg/testbed/cut_test.go
@@ -0,0 +1,111 @@
+package testbed_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/network"
+	"quaydock/pkg/settings"
+	"quaydock/pkg/testbed"
+)
+
+func engines(n int) []settings.EngineStandIn {
+	list := make([]settings.EngineStandIn, n)
+	for i := range list {
+		list[i] = settings.EngineStandIn{Model: testbed.Model, StepMS: 4, PrefillPerStep: 512}
+	}
+	return list
+}
+
+// checkTruth checks what must hold whatever has failed.
+func checkTruth(t *testing.T, bed *testbed.Bed, answer testbed.Answer) {
+	t.Helper()
+	runs := bed.Runs(answer.Request)
+	if answer.Request != "" && runs > 1 {
+		t.Errorf("request %s ran %d times", answer.Request, runs)
+	}
+	if answer.Ending == testbed.NotRun && runs != 0 {
+		t.Errorf("request %s was told not run and ran %d times", answer.Request, runs)
+	}
+	if answer.Ending == testbed.Crossed {
+		t.Errorf("request %s got an answer that is not its own: %s", answer.Request, answer.Body)
+	}
+	for _, e := range bed.Engines {
+		for id, n := range e.AllRuns() {
+			if total := bed.Runs(id); total > 1 {
+				t.Errorf("request %s ran %d times, %d on one engine", id, total, n)
+			}
+		}
+	}
+}
+
+// TestCutAtEveryMessage breaks a connection before and after every message of
+// every link, one at a time, until the fault no longer strikes.
+func TestCutAtEveryMessage(t *testing.T) {
+	links := []struct {
+		name    string
+		address string
+	}{
+		{"caller to entry", testbed.EntryAddress(0)},
+		{"entry to agent, control", testbed.ControlAddress(0)},
+		{"entry to agent, data", testbed.DataAddress(0)},
+		{"agent to engine", testbed.TargetAddress(0)},
+	}
+	for _, link := range links {
+		for _, direction := range []network.Direction{network.Request, network.Reply} {
+			for _, effect := range []network.Effect{network.CutBefore, network.CutAfter} {
+				t.Run(fmt.Sprintf("%s/%v/%v", link.name, direction, effect), func(t *testing.T) {
+					sweep(t, network.Fault{Address: link.address, Direction: direction, Effect: effect})
+				})
+			}
+		}
+	}
+}
+
+const maxMessages = 60
+
+func sweep(t *testing.T, fault network.Fault) {
+	endings := make(map[testbed.Ending]int)
+	for fault.Message = 0; fault.Message < maxMessages; fault.Message++ {
+		faults := network.NewFaults(fault)
+		synctest.Test(t, func(t *testing.T) {
+			endings[cutOnce(t, faults, fault.Message)]++
+		})
+		if faults.Struck() == 0 {
+			break
+		}
+	}
+	t.Logf("%d messages struck: %v", fault.Message, endings)
+	if fault.Message == 0 {
+		t.Error("the fault never struck")
+	}
+}
+
+func cutOnce(t *testing.T, faults *network.Faults, message int) testbed.Ending {
+	bed, err := testbed.Start(testbed.Options{Entries: 1, Engines: engines(1), Slots: 4, Faults: faults})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer bed.Close()
+	time.Sleep(5 * time.Second)
+	caller := testbed.NewCaller(bed.Network, testbed.EntryAddress(0))
+	defer caller.Close()
+	stream := message%2 == 0
+	before := faults.Struck()
+	struck := caller.Chat(context.Background(), "struck", 6, stream, nil)
+	time.Sleep(30 * time.Second)
+	checkTruth(t, bed, struck)
+	after := caller.Chat(context.Background(), "after", 3, true, nil)
+	checkTruth(t, bed, after)
+	if after.Ending != testbed.Whole && faults.Struck() > before && struck.Ending == testbed.Whole {
+		// The fault may have struck this request in place of the one before.
+		after = caller.Chat(context.Background(), "after", 3, true, nil)
+	}
+	if after.Ending != testbed.Whole {
+		t.Errorf("message %d: a later request ended %v: %+v", message, after.Ending, after)
+	}
+	return struck.Ending
+}
