--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,27 +116,34 @@
 	if r.ContentLength > limits.BodyBytes {
 		return nil, refusal.BodyTooLarge(limits.BodyBytes)
 	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	controller := http.NewResponseController(w)
-	// A writer without deadlines, as in tests, has no slow sender.
-	_ = controller.SetReadDeadline(time.Now().Add(limits.BodyTimeoutMS.Duration()))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes), r.ContentLength)
 	var tooLarge *http.MaxBytesError
+	var failed net.Error
 	switch {
 	case err == nil:
+		setReadDeadline(w, time.Time{})
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, refusal.BodyTooLarge(limits.BodyBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.As(err, &failed) && failed.Timeout():
 		return nil, refusal.SlowSender()
 	default:
 		return nil, refusal.Malformed("", "the body could not be read")
 	}
 }
 
+// boundBody bounds the time for the body. The bound is lifted only when the
+// body has been read: after a refusal the server itself reads what is left, and
+// a slow sender must not hold it.
+func boundBody(w http.ResponseWriter, limits settings.EntryLimits) {
+	setReadDeadline(w, time.Now().Add(limits.BodyTimeoutMS.Duration()))
+}
+
+func setReadDeadline(w http.ResponseWriter, at time.Time) {
+	// A writer without deadlines, as in tests, has no slow sender.
+	_ = http.NewResponseController(w).SetReadDeadline(at)
+}
+
 // readAll reads to the end; length is what was announced, or -1.
 func readAll(from io.Reader, length int64) ([]byte, error) {
 	if length < 0 || length > firstBodyBytes {
--- a/pkg/entry/callers_controller.go
+++ b/pkg/entry/callers_controller.go
@@ -43,6 +43,7 @@
 
 // arrive gives the request its id and checks the caller's terms.
 func (e *Entry) arrive(w http.ResponseWriter, r *http.Request) (arrival, *refusal.Refusal) {
+	boundBody(w, e.settings.Limits)
 	a := arrival{id: ids.NewRequest(), book: e.book()}
 	w.Header()[HeaderRequestID] = []string{string(a.id)}
 	if a.book == nil {
@@ -54,6 +55,7 @@
 }
 
 func (e *Entry) nothing(w http.ResponseWriter, r *http.Request) {
+	boundBody(w, e.settings.Limits)
 	w.Header()[HeaderRequestID] = []string{string(ids.NewRequest())}
 	e.refuse(newAnswerWriter(w, e.settings.Limits.WriteTimeoutMS), "", refusal.NotFound(r.Method, r.URL.Path))
 }
