Guard a test's replacement of an agent by a wait group

The test itself replaced an agent from a timer's goroutine while the end of the test read the list of agents. Change: the test waits for the replacement.

--- a/pkg/testbed/failure_test.go
+++ b/pkg/testbed/failure_test.go
@@ -83,7 +83,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		bed := started(t, testbed.Options{Entries: 1, Engines: engines(1), Slots: 2})
 		caller := callerOf(t, bed)
-		time.AfterFunc(20*time.Millisecond, func() {
+		var replacing sync.WaitGroup
+		replacing.Go(func() {
+			time.Sleep(20 * time.Millisecond)
 			bed.Agents[0].Close()
 			next, err := bed.StartAgent(0)
 			if err != nil {
@@ -95,6 +97,7 @@
 		answers := parallel(8, func(i int) testbed.Answer {
 			return caller.Chat(context.Background(), fmt.Sprint("request ", i), 8, true, nil)
 		})
+		replacing.Wait()
 		endings := checkAll(t, bed, answers)
 		if endings[testbed.Whole] < 6 {
 			t.Errorf("endings %v, want at least the 6 that waited to be whole", endings)
