Refuse a tier only while nothing below it is served; bound control writes

Cause, one: a test of shedding failed in 1 of 6 runs: a pilot's request was refused although tag requests still ran at both targets. The gate compared only waiting work; and the refusals of two targets could lie apart in time. Cause, two: an agent that freezes while its kernel's buffers are full left its entry hanging in net/rpc's write, which no context bounds. Cause, three: the race detector crashed (SIGSEGV in timer.modify, 3 of 6 runs) on timers of no length in virtual time, which the pipe library starts. Ruled out: our own timers (all have a length), the order of tests. Change: the gate counts what is out and running by tier and declines a tier as full only if nothing below it waits, is granted or runs; the entry sheds only on refusals of the last second, for which agents keep lower tiers out (2 s at least, checked). Writes of control messages end after 2 s and break the connection. The in-memory connection is our own.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/gate"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
 	"quaydock/pkg/settings"
 )
 
@@ -143,7 +144,7 @@
 		a.Log.WithError(err).Error("messages not registered")
 		return
 	}
-	server.ServeConn(conn)
+	server.ServeConn(network.LimitWrites(conn, control.WriteLimit))
 	a.closeSession(s)
 }
 
@@ -259,6 +260,9 @@
 const drainLook = 20 * clock.Millisecond
 
 func pause(ctx context.Context, wait clock.Millis) {
+	if wait <= 0 {
+		return
+	}
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
 	select {
--- a/pkg/control/client.go
+++ b/pkg/control/client.go
@@ -7,6 +7,9 @@
 	"net/rpc"
 
 	"github.com/juju/errors"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/network"
 )
 
 // ServiceName is the name under which an agent's messages are registered.
@@ -20,6 +23,9 @@
 	methodCancel  = ServiceName + ".Cancel"
 )
 
+// WriteLimit bounds one write of a message, on both sides.
+const WriteLimit = 2 * clock.Second
+
 // Client sends messages to one agent over one connection. After an error of
 // the connection it stays broken; make a new one.
 type Client struct {
@@ -28,7 +34,7 @@
 
 // NewClient returns a client on conn, which it owns.
 func NewClient(conn net.Conn) *Client {
-	return &Client{rpc: rpc.NewClient(conn)}
+	return &Client{rpc: rpc.NewClient(network.LimitWrites(conn, WriteLimit))}
 }
 
 // Close ends the connection; calls under way return errors.
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -81,6 +81,9 @@
 
 // pause waits, or returns early when ctx ends.
 func pause(ctx context.Context, wait clock.Millis) {
+	if wait <= 0 {
+		return
+	}
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
 	select {
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -17,7 +17,10 @@
 const (
 	// maxRounds bounds how often all targets of a service are asked when some
 	// could not be reached.
-	maxRounds     = 5
+	maxRounds = 5
+	// freshRefusal is how long a refusal may be relied on. It is below the time
+	// for which agents keep lower tiers out after one (settings floor_hold_ms).
+	freshRefusal  = clock.Second
 	roundBackoff  = 100 * clock.Millisecond
 	minRetryAfter = clock.Second
 	maxRetryAfter = clock.Minute
@@ -39,6 +42,8 @@
 	// unreached counts those that gave no answer or are leaving.
 	full      []*session
 	unreached int
+	// refusedAt is when the first of full declined.
+	refusedAt clock.Millis
 }
 
 // wait returns a grant, or why there is none. When it returns, no ticket of
@@ -53,7 +58,7 @@
 		if result != nil {
 			return result
 		}
-		if current.unreached == 0 && len(current.full) > 0 {
+		if current.unreached == 0 && t.agreed(current) {
 			return gaveUp{refusal.Overloaded(retryAfter(current.full))}
 		}
 		if n+1 == maxRounds {
@@ -63,6 +68,13 @@
 	}
 }
 
+// agreed reports whether all targets of the round are full of work that goes
+// before the request. Each agent that declines takes no lower tier for a while;
+// what the first said holds as long as that while lasts.
+func (t *ticketing) agreed(current *round) bool {
+	return len(current.full) > 0 && t.Clock.Now()-current.refusedAt <= freshRefusal
+}
+
 // newRound puts the targets of the request's service in the order in which to
 // ask them.
 func (t *ticketing) newRound(r *request) *round {
@@ -95,7 +107,7 @@
 		select {
 		case event := <-r.events:
 			delete(current.out, event.session)
-			if result := current.take(event); result != nil {
+			if result := current.take(t.Clock.Now(), event); result != nil {
 				return result
 			}
 		case <-ctx.Done():
@@ -123,13 +135,16 @@
 }
 
 // take notes the end of one ticket; it returns a result if it was a grant.
-func (o *round) take(event ticketEvent) waitResult {
+func (o *round) take(now clock.Millis, event ticketEvent) waitResult {
 	switch {
 	case event.lost:
 		o.unreached++
 	case event.verdict.Kind == control.Granted:
 		return granted{session: event.session, grant: event.verdict.Grant}
 	case event.verdict.Reason == control.Full:
+		if len(o.full) == 0 {
+			o.refusedAt = now
+		}
 		o.full = append(o.full, event.session)
 	default:
 		o.unreached++
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -40,6 +40,7 @@
 	request  ids.Request
 	session  Session
 	work     ids.Tokens
+	tier     ids.TierRank
 	fate     control.Fate
 	open     bool // may still be used
 	running  bool
@@ -62,6 +63,7 @@
 	forget     []forgetting   // oldest first
 	dispatched map[ids.Request]ids.Grant
 	openCount  int
+	inside     []int // by tier: grants that are out or running
 	runCount   int
 	runWork    ids.Tokens
 
@@ -162,13 +164,39 @@
 	case g.floorAt(now).Higher(ticket.Tier):
 		return control.Full
 	}
-	if g.queue.WorkAtOrAbove(ticket.Tier)+ticket.Work() > g.queueLimit() && g.queue.Len() > 0 {
+	if g.full(ticket) && !g.servesBelow(ticket.Tier) {
 		g.raiseFloor(now, ticket.Tier)
 		return control.Full
 	}
 	return control.NoReason
 }
 
+// full reports whether work of the ticket's tier and above fills the queue.
+func (g *Gate) full(ticket *control.Ticket) bool {
+	return g.queue.Len() > 0 && g.queue.WorkAtOrAbove(ticket.Tier)+ticket.Work() > g.queueLimit()
+}
+
+// servesBelow reports whether work below tier waits, is granted or runs. While
+// it does, no ticket of tier is refused, even beyond the bound of the queue:
+// what runs is not cut to make room, but it is not served in the place of a
+// higher tier either.
+func (g *Gate) servesBelow(tier ids.TierRank) bool {
+	for i, n := range g.inside {
+		if n > 0 && tier.Higher(ids.TierRank(i)) {
+			return true
+		}
+	}
+	lowest, waits := g.queue.lowestTier()
+	return waits && tier.Higher(lowest)
+}
+
+func (g *Gate) enter(tier ids.TierRank) {
+	for len(g.inside) <= int(tier) {
+		g.inside = append(g.inside, 0)
+	}
+	g.inside[tier]++
+}
+
 // raiseFloor keeps lower tiers out for a while after a tier was refused, so
 // that what was refused does not see lower work served in its place.
 func (g *Gate) raiseFloor(now clock.Millis, tier ids.TierRank) {
@@ -233,12 +261,14 @@
 		request:  ticket.Request,
 		session:  session,
 		work:     ticket.Work(),
+		tier:     ticket.Tier,
 		open:     true,
 		deadline: now + g.limits.GrantLife,
 	}
 	g.grants[r.grant] = r
 	g.open = append(g.open, r)
 	g.openCount++
+	g.enter(ticket.Tier)
 	return control.Verdict{Request: ticket.Request, Kind: control.Granted, Grant: r.grant}
 }
 
@@ -276,6 +306,7 @@
 	}
 	r.running = false
 	g.runCount--
+	g.inside[r.tier]--
 	g.runWork -= r.work
 	if reached {
 		g.drain.finished(now, r.work, g.runCount == 0)
@@ -296,6 +327,7 @@
 	r.open = false
 	r.fate = control.FateNever
 	g.openCount--
+	g.inside[r.tier]--
 	g.retire(now, r)
 }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -173,6 +173,16 @@
 	return nil
 }
 
+// lowestTier returns the lowest tier that waits, and whether any does.
+func (q *Queue) lowestTier() (ids.TierRank, bool) {
+	for i := len(q.tiers) - 1; i >= 0; i-- {
+		if len(q.tiers[i].lanes) > 0 {
+			return ids.TierRank(i), true
+		}
+	}
+	return 0, false
+}
+
 // highest returns the highest tier that waits, and whether any does.
 func (q *Queue) highest() (ids.TierRank, bool) {
 	for i, t := range q.tiers {
--- a/pkg/network/faults.go
+++ b/pkg/network/faults.go
@@ -78,7 +78,7 @@
 
 // Wrap makes conn subject to the faults of its address.
 func (f *Faults) Wrap(address string, conn net.Conn) net.Conn {
-	return &faultyConn{Conn: conn, faults: f, address: address}
+	return &faultyConn{Conn: conn, faults: f, address: address, turn: make(chan struct{}, 1)}
 }
 
 // next counts a message and returns the fault that strikes it, if any.
@@ -102,11 +102,22 @@
 	net.Conn
 	faults  *Faults
 	address string
+	// turn is held by who uses what follows. It is a channel, since virtual
+	// time stands still while a goroutine waits for a mutex.
+	turn    chan struct{}
+	held    []byte
+	holding bool
 }
 
 // Write sends a message, or has it struck.
 func (c *faultyConn) Write(p []byte) (int, error) {
 	fault := c.faults.next(c.address, Request)
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+	if c.holding {
+		c.held = append(c.held, p...)
+		return len(p), nil
+	}
 	if fault == nil {
 		return c.Conn.Write(p)
 	}
@@ -120,11 +131,24 @@
 		}
 		return n, c.cut()
 	default:
-		time.Sleep(fault.Length.Duration())
-		return c.Conn.Write(p)
+		// As in a kernel's buffers, the writer goes on.
+		c.holding = true
+		c.held = append(c.held, p...)
+		time.AfterFunc(fault.Length.Duration(), c.release)
+		return len(p), nil
 	}
 }
 
+// release sends what was held back.
+func (c *faultyConn) release() {
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+	c.holding = false
+	// The connection may be closed by now; its users have been told.
+	_, _ = c.Conn.Write(c.held)
+	c.held = nil
+}
+
 // Read takes a message, or has it struck.
 func (c *faultyConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/pkg/network/memory.go
+++ b/pkg/network/memory.go
@@ -7,16 +7,16 @@
 	"sync"
 
 	"github.com/juju/errors"
-	"google.golang.org/grpc/test/bufconn"
 )
 
-const memoryBufferBytes = 64 << 10
+// backlog is how many connections may wait to be accepted.
+const backlog = 1024
 
 // Memory is a network inside one process, for tests. Its connections buffer as
 // a kernel's would and work in the virtual time of testing/synctest.
 type Memory struct {
 	mu        sync.Mutex
-	listeners map[string]*bufconn.Listener
+	listeners map[string]*memoryListener
 	wrap      WrapFunc
 }
 
@@ -26,7 +26,7 @@
 
 // NewMemory returns a network without listeners. A nil wrap changes nothing.
 func NewMemory(wrap WrapFunc) *Memory {
-	return &Memory{listeners: make(map[string]*bufconn.Listener), wrap: wrap}
+	return &Memory{listeners: make(map[string]*memoryListener), wrap: wrap}
 }
 
 // Dial connects to the listener at address. The error is of kind
@@ -38,9 +38,13 @@
 	if listener == nil {
 		return nil, fmt.Errorf("no listener at %s: %w", address, errors.NotFound)
 	}
-	conn, err := listener.DialContext(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("dialling %s: %w", address, err)
+	conn, accepted := newPipe(address)
+	select {
+	case listener.arriving <- accepted:
+	case <-listener.closed:
+		return nil, fmt.Errorf("listener at %s closed: %w", address, errors.NotFound)
+	case <-ctx.Done():
+		return nil, fmt.Errorf("dialling %s: %w", address, ctx.Err())
 	}
 	if m.wrap != nil {
 		conn = m.wrap(address, conn)
@@ -50,9 +54,49 @@
 
 // Listen takes connections at address, in place of any earlier listener there.
 func (m *Memory) Listen(address string) (net.Listener, error) {
-	listener := bufconn.Listen(memoryBufferBytes)
+	listener := &memoryListener{
+		address:  memoryAddr(address),
+		arriving: make(chan net.Conn, backlog),
+		closed:   make(chan struct{}),
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listeners[address] = listener
 	return listener, nil
 }
+
+type memoryListener struct {
+	address  memoryAddr
+	arriving chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept returns the next connection.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.arriving:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses further connections, and breaks those not yet accepted.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		for {
+			select {
+			case conn := <-l.arriving:
+				_ = conn.Close()
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+// Addr returns the listener's address.
+func (l *memoryListener) Addr() net.Addr { return l.address }
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -10,6 +10,10 @@
 	"quaydock/pkg/declaration"
 )
 
+// minFloorHold is the least time for which a refusal of a tier keeps lower
+// tiers out; entries rely on refusals for half of it.
+const minFloorHold = 2 * clock.Second
+
 var exporters = []string{"none", "file", "otlp"}
 
 // Check returns one error that names every fault with its path, or nil.
@@ -83,7 +87,7 @@
 	positive(f, path+".queue_time_ms", a.QueueTimeMS)
 	positive(f, path+".queue_min_tokens", a.QueueMinTokens)
 	positive(f, path+".grant_life_ms", a.GrantLifeMS)
-	f.Unless(a.FloorHoldMS >= 0, path+".floor_hold_ms", "must not be below 0")
+	f.Unless(a.FloorHoldMS >= minFloorHold, path+".floor_hold_ms", "must be %d or more", minFloorHold)
 	f.Unless(a.RememberMS >= a.GrantLifeMS, path+".remember_ms", "must not be below grant_life_ms")
 	positive(f, path+".answer_bytes", a.AnswerBytes)
 	positive(f, path+".body_bytes", a.BodyBytes)
--- a/pkg/testbed/cut_test.go
+++ b/pkg/testbed/cut_test.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// TestCutPlainService breaks the connection to a plain service at every message
+// of calls that HTTP libraries take to be repeatable. None is sent twice.
+func TestCutPlainService(t *testing.T) {
+	for _, direction := range []network.Direction{network.Request, network.Reply} {
+		for _, effect := range []network.Effect{network.CutBefore, network.CutAfter} {
+			for message := range 4 {
+				faults := network.NewFaults(network.Fault{
+					Address: testbed.TargetAddress(0), Direction: direction, Effect: effect, Message: message,
+				})
+				synctest.Test(t, func(t *testing.T) {
+					bed := started(t, testbed.Options{Entries: 1, Plain: true, Slots: 1, Faults: faults})
+					caller := callerOf(t, bed)
+					for range 4 {
+						answer := caller.Do(context.Background(), "GET", "/services/depths/berths/4", "", nil)
+						checkTruth(t, bed, answer)
+						if answer.Ending == testbed.Whole && bed.Runs(answer.Request) != 1 {
+							t.Errorf("an answered call ran %d times", bed.Runs(answer.Request))
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 const maxMessages = 60
 
 func sweep(t *testing.T, fault network.Fault) {
--- a/pkg/testbed/failure_test.go
+++ b/pkg/testbed/failure_test.go
@@ -17,6 +17,9 @@
 // started starts a bed in the test's bubble and waits until it is connected.
 func started(t *testing.T, o testbed.Options) *testbed.Bed {
 	t.Helper()
+	// Virtual time goes on for ever while something hangs.
+	guard := time.AfterFunc(time.Hour, func() { panic("the test hangs") })
+	t.Cleanup(func() { guard.Stop() })
 	bed, err := testbed.Start(o)
 	if err != nil {
 		t.Fatal(err)
@@ -145,6 +148,28 @@
 	}
 }
 
+// An engine ends its streams in good order, but early, as one that is stopped
+// may do. The answer is not taken for whole.
+func TestEngineEndsEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bed := started(t, testbed.Options{Entries: 1, Engines: engines(1), Slots: 1})
+		listener, err := bed.Network.Listen(testbed.TargetAddress(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = w.Write([]byte("data: {\"delta\":1}\n\n"))
+		})}
+		t.Cleanup(func() { _ = server.Close() })
+		go func() { _ = server.Serve(listener) }()
+		answer := callerOf(t, bed).Chat(context.Background(), "early", 1, true, nil)
+		if answer.Ending != testbed.Cut || !strings.Contains(answer.Body, `"code":"answer_cut"`) {
+			t.Errorf("ended %v: %q", answer.Ending, answer.Body)
+		}
+	})
+}
+
 // A caller leaves at each step of its request. What has not been dispatched
 // never runs, and the room is free for the next.
 func TestCallerLeaves(t *testing.T) {
