--- a/pkg/gate/heaps.go
+++ b/pkg/gate/heaps.go
@@ -1,10 +1,16 @@
 package gate
 
-// deadlineHeap has the earliest deadline first.
+// deadlineHeap has the earliest deadline first; of equal ones, the first to
+// arrive.
 type deadlineHeap []*waiting
 
-func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].deadline < h[j].deadline }
+func (h deadlineHeap) Len() int { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool {
+	if h[i].deadline != h[j].deadline {
+		return h[i].deadline < h[j].deadline
+	}
+	return h[i].arrival < h[j].arrival
+}
 func (h deadlineHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -19,6 +19,7 @@
 	ticket   control.Ticket
 	session  Session
 	deadline clock.Millis
+	arrival  uint64
 	index    int
 	lane     *lane
 }
@@ -30,6 +31,7 @@
 	byID     map[ids.Request]*waiting
 	work     ids.Tokens
 	tierWork []ids.Tokens
+	arrivals uint64
 }
 
 // NewQueue returns an empty queue.
@@ -101,7 +103,8 @@
 		l.service = max(l.service, t.virtual)
 		heap.Push(&t.lanes, l)
 	}
-	w := &waiting{ticket: ticket, session: session, deadline: deadline, lane: l}
+	q.arrivals++
+	w := &waiting{ticket: ticket, session: session, deadline: deadline, arrival: q.arrivals, lane: l}
 	heap.Push(&l.tickets, w)
 	q.byID[ticket.Request] = w
 	q.work += ticket.Work()
