--- /dev/null
+++ b/pkg/ctl/ctl.go
@@ -0,0 +1,90 @@
+// Package ctl is the operator's command-line tool.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+)
+
+// Exit codes of the tool.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitInvalid = 3
+)
+
+// errUsage marks a command line that cannot be read.
+var errUsage = errors.New("command line")
+
+// errInvalid marks a document that does not pass its checks.
+var errInvalid = errors.New("not valid")
+
+// command is one command of the tool.
+type command struct {
+	name    string
+	summary string
+	run     func(ctx context.Context, args []string, out, errs io.Writer) error
+}
+
+func commands() []command {
+	return []command{
+		{"check", "check a declarations file: quayctl check FILE", check},
+		{"status", "show readiness and metrics of a process: quayctl status -at IP:PORT", status},
+		{"load", "send bounded load to a loopback address and measure it", sendLoad},
+	}
+}
+
+// Main runs the tool with the given arguments and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	ctx, release := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer release()
+	err := dispatch(ctx, args, out, errs)
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.Is(err, errUsage):
+		report(errs, err)
+		return ExitUsage
+	case errors.Is(err, errInvalid):
+		report(errs, err)
+		return ExitInvalid
+	default:
+		report(errs, err)
+		return ExitFailed
+	}
+}
+
+// report writes a line to the operator; there is nobody to tell if that fails.
+func report(to io.Writer, what any) {
+	_, _ = fmt.Fprintln(to, what)
+}
+
+func dispatch(ctx context.Context, args []string, out, errs io.Writer) error {
+	if len(args) > 0 {
+		for _, c := range commands() {
+			if c.name == args[0] {
+				return c.run(ctx, args[1:], out, errs)
+			}
+		}
+	}
+	for _, c := range commands() {
+		report(errs, fmt.Sprintf("  %-8s %s", c.name, c.summary))
+	}
+	return fmt.Errorf("%w: one of these commands is required", errUsage)
+}
+
+// parse reads a command's flags.
+func parse(flags *flag.FlagSet, args []string, errs io.Writer) error {
+	flags.SetOutput(errs)
+	err := flags.Parse(args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/load/generator.go
@@ -0,0 +1,180 @@
+// Package load sends bounded load to an OpenAI interface and measures what
+// comes back. It takes addresses on the loopback only.
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+)
+
+const (
+	maxLatency  = time.Minute
+	significant = 3
+	maxRequests = 5_000_000
+)
+
+// Plan says what is sent.
+type Plan struct {
+	URL         string
+	Key         string
+	Model       string
+	Requests    int
+	Concurrency int
+	MaxTokens   int
+	PromptBytes int
+	Stream      bool
+}
+
+// Result is what was measured. Latencies are in microseconds.
+type Result struct {
+	Requests  int64
+	Failed    int64
+	Elapsed   time.Duration
+	Latency   *hdrhistogram.Histogram
+	FirstByte *hdrhistogram.Histogram
+}
+
+// PerSecond is the rate of whole answers.
+func (r *Result) PerSecond() float64 {
+	return float64(r.Requests-r.Failed) / r.Elapsed.Seconds()
+}
+
+// Check refuses plans without bounds and addresses off this machine.
+func (p *Plan) Check() error {
+	u, err := url.Parse(p.URL)
+	if err != nil {
+		return fmt.Errorf("url: %w", err)
+	}
+	ip := net.ParseIP(u.Hostname())
+	if ip == nil || !ip.IsLoopback() {
+		return errors.NotValidf("host %q: load goes to the loopback only", u.Hostname())
+	}
+	if p.Requests < 1 || p.Requests > maxRequests || p.Concurrency < 1 {
+		return errors.NotValidf("%d requests by %d callers", p.Requests, p.Concurrency)
+	}
+	return nil
+}
+
+// Run sends the load, each caller one request after the other.
+func Run(ctx context.Context, p Plan) (*Result, error) {
+	if err := p.Check(); err != nil {
+		return nil, fmt.Errorf("plan: %w", err)
+	}
+	g := &generator{plan: p, body: p.body(), left: int64(p.Requests)}
+	g.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: p.Concurrency,
+		DisableCompression:  true,
+	}}
+	defer g.client.CloseIdleConnections()
+	callers := make([]*caller, p.Concurrency)
+	begun := time.Now()
+	var running sync.WaitGroup
+	for i := range callers {
+		callers[i] = newCaller(g)
+		running.Go(func() { callers[i].run(ctx) })
+	}
+	running.Wait()
+	return g.sum(callers, time.Since(begun)), nil
+}
+
+func (p *Plan) body() []byte {
+	prompt := bytes.Repeat([]byte("x"), p.PromptBytes)
+	return fmt.Appendf(nil, `{"model":%q,"stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"%s"}]}`,
+		p.Model, p.Stream, p.MaxTokens, prompt)
+}
+
+type generator struct {
+	plan   Plan
+	body   []byte
+	left   int64
+	client *http.Client
+}
+
+func (g *generator) sum(callers []*caller, elapsed time.Duration) *Result {
+	r := &Result{Elapsed: elapsed, Latency: newHistogram(), FirstByte: newHistogram()}
+	for _, c := range callers {
+		r.Requests += c.sent
+		r.Failed += c.failed
+		r.Latency.Merge(c.latency)
+		r.FirstByte.Merge(c.firstByte)
+	}
+	return r
+}
+
+// caller is one caller with figures of its own, so that callers share nothing.
+type caller struct {
+	*generator
+	sent, failed int64
+	latency      *hdrhistogram.Histogram
+	firstByte    *hdrhistogram.Histogram
+	buffer       []byte
+}
+
+const readBytes = 16 << 10
+
+func newCaller(g *generator) *caller {
+	return &caller{generator: g, latency: newHistogram(), firstByte: newHistogram(), buffer: make([]byte, readBytes)}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), significant)
+}
+
+func (c *caller) run(ctx context.Context) {
+	for atomic.AddInt64(&c.left, -1) >= 0 && ctx.Err() == nil {
+		c.sent++
+		if err := c.call(ctx); err != nil {
+			c.failed++
+		}
+	}
+}
+
+func (c *caller) call(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.plan.URL, bytes.NewReader(c.body))
+	if err != nil {
+		return fmt.Errorf("building the call: %w", err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.plan.Key)
+	request.Header.Set("Content-Type", "application/json")
+	begun := time.Now()
+	response, err := c.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("calling: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	first := true
+	for {
+		n, err := response.Body.Read(c.buffer)
+		if first && n > 0 {
+			first = false
+			record(c.firstByte, time.Since(begun))
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	record(c.latency, time.Since(begun))
+	return nil
+}
+
+func record(h *hdrhistogram.Histogram, latency time.Duration) {
+	// A latency above the histogram's bound counts as the bound.
+	_ = h.RecordValue(min(latency, maxLatency).Microseconds())
+}
--- a/pkg/operators/port.go
+++ b/pkg/operators/port.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
@@ -18,6 +19,10 @@
 	PathHealth  = "/healthz"
 	PathReady   = "/readyz"
 	PathMetrics = "/debug/vars"
+	// PathProfile takes a processor profile for ?seconds=N.
+	PathProfile    = "/debug/pprof/profile"
+	PathHeap       = "/debug/pprof/heap"
+	PathGoroutines = "/debug/pprof/goroutine"
 )
 
 // Port serves operators.
@@ -42,6 +47,9 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.Handle("GET "+PathMetrics, c.Metrics)
+	mux.HandleFunc("GET "+PathProfile, pprof.Profile)
+	mux.Handle("GET "+PathHeap, pprof.Handler("heap"))
+	mux.Handle("GET "+PathGoroutines, pprof.Handler("goroutine"))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout.Duration()}
 	return &Port{Common: c, address: address, server: server}
 }
