--- a/pkg/agent/answer_log.go
+++ b/pkg/agent/answer_log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/juju/errors"
@@ -24,6 +25,7 @@
 	mu      sync.Mutex
 	changed sync.Cond
 	status  int         // 0 before the target's header
+	stated  int64       // the length that the header states, or -1
 	header  http.Header // the target's
 	data    []byte      // from offset start on
 	start   int64
@@ -45,10 +47,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.status = status
+	l.stated = statedLength(header)
 	l.header = header
 	l.changed.Broadcast()
 }
 
+// statedLength returns the length of the body by its header, or -1.
+func statedLength(header http.Header) int64 {
+	n, err := strconv.ParseInt(header.Get("Content-Length"), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
 // append adds bytes, after waiting for a reader that is behind. It returns
 // errCut if the log was ended meanwhile.
 func (l *answerLog) append(p []byte) error {
@@ -157,7 +169,9 @@
 		n := copy(p, l.data[offset-l.start:])
 		l.read = max(l.read, offset+int64(n))
 		l.changed.Broadcast()
-		return n, !l.done && l.read == l.size(), nil
+		// Once the stated length is reached the end follows at once, and is
+		// better sent with the last bytes.
+		return n, !l.done && l.read == l.size() && l.size() != l.stated, nil
 	case l.failure != nil:
 		return 0, false, l.failure
 	default:
--- a/pkg/agent/streams_controller.go
+++ b/pkg/agent/streams_controller.go
@@ -114,6 +114,7 @@
 	}
 	h[control.HeaderStatus] = []string{strconv.Itoa(status)}
 	h["Trailer"] = []string{control.TrailerEnd}
+	h["Date"] = nil // between our own processes it only costs
 	w.WriteHeader(http.StatusOK)
 	size, err := relay(w, from, reader, offset)
 	if !errors.Is(err, io.EOF) {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -114,6 +114,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("building the call: %w", err)
 	}
+	call.Header["User-Agent"] = nil // between our own processes it only costs
 	call.Header[control.HeaderRequest] = []string{string(r.id)}
 	call.Header[control.HeaderGrant] = []string{bound.grant.String()}
 	return call, nil
