--- a/pkg/agent/control_session.go
+++ b/pkg/agent/control_session.go
@@ -12,7 +12,7 @@
 
 // maxNoticeWait bounds how long an empty Notices call is held, whatever the
 // entry asks for.
-const maxNoticeWait = 10 * clock.Second
+const maxNoticeWait = clock.Minute
 
 // controlSession is the agent's side of the link to one entry. Its exported
 // methods are the messages of package control, served by net/rpc.
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -19,12 +19,16 @@
 	// maxFlights is how many Place calls may be under way on one session.
 	// While they are, further tickets gather into the next call.
 	maxFlights = 4
-	// noticeWait is how long an agent holds an empty Notices call; with
-	// noticeGrace for the way it is also how a dead connection is found.
-	noticeWait  = 2 * clock.Second
+	// noticeWait is how long an agent holds an empty Notices call. It is long,
+	// since an idle session should cost next to nothing.
+	noticeWait  = 30 * clock.Second
 	noticeGrace = 2 * clock.Second
-	minBackoff  = 50 * clock.Millisecond
-	maxBackoff  = 2 * clock.Second
+	// probeEvery is how often a session on which tickets wait asks its agent
+	// whether it is still there; an answer takes no longer than placeTimeout.
+	probeEvery   = 2 * clock.Second
+	placeTimeout = 2 * clock.Second
+	minBackoff   = 50 * clock.Millisecond
+	maxBackoff   = 2 * clock.Second
 )
 
 // session is an entry's side of the link to one agent: tickets out, verdicts
@@ -42,6 +46,7 @@
 	tickets     []control.Ticket
 	withdrawn   []ids.Request
 	flights     int
+	probing     bool // the next flight goes even with nothing to send
 	load        control.Load
 	known       bool
 	outstanding ids.Tokens
@@ -66,7 +71,9 @@
 		client, err := s.connect(ctx)
 		if err == nil {
 			backoff = minBackoff
+			probing := time.AfterFunc(probeEvery.Duration(), func() { s.probe(client) })
 			err = s.follow(ctx, client)
+			probing.Stop()
 			s.disconnect(client)
 		}
 		if ctx.Err() != nil {
@@ -127,6 +134,20 @@
 	}
 }
 
+// probe finds out an agent that has frozen or is cut off while tickets wait.
+func (s *session) probe(client *control.Client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.client != client {
+		return
+	}
+	if len(s.waiting) > 0 && s.flights == 0 {
+		s.probing = true
+		s.startFlight()
+	}
+	time.AfterFunc(probeEvery.Duration(), func() { s.probe(client) })
+}
+
 // disconnect ends a connection; the tickets on it are lost.
 func (s *session) disconnect(client *control.Client) {
 	client.Close()
@@ -202,7 +223,9 @@
 		if args == nil {
 			return
 		}
-		reply, err := client.Place(context.Background(), args)
+		ctx, cancel := context.WithTimeout(context.Background(), placeTimeout.Duration())
+		reply, err := client.Place(ctx, args)
+		cancel()
 		if err != nil {
 			s.Log.WithError(err).Debug("tickets not placed")
 			s.disconnect(client)
@@ -216,13 +239,14 @@
 func (s *session) gather(client *control.Client) *control.PlaceArgs {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.client != client || len(s.tickets)+len(s.withdrawn) == 0 {
+	if s.client != client || len(s.tickets)+len(s.withdrawn) == 0 && !s.probing {
 		s.flights--
 		return nil
 	}
 	args := &control.PlaceArgs{Tickets: s.tickets, Withdrawn: s.withdrawn}
 	s.tickets = nil
 	s.withdrawn = nil
+	s.probing = false
 	return args
 }
 
--- a/pkg/network/faults.go
+++ b/pkg/network/faults.go
@@ -78,7 +78,7 @@
 
 // Wrap makes conn subject to the faults of its address.
 func (f *Faults) Wrap(address string, conn net.Conn) net.Conn {
-	return &faultyConn{Conn: conn, faults: f, address: address, turn: make(chan struct{}, 1)}
+	return &faultyConn{Conn: conn, faults: f, address: address, turn: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // next counts a message and returns the fault that strikes it, if any.
@@ -107,6 +107,8 @@
 	turn    chan struct{}
 	held    []byte
 	holding bool
+	once    sync.Once
+	closed  chan struct{}
 }
 
 // Write sends a message, or has it struck.
@@ -166,11 +168,21 @@
 		_ = c.cut()
 		return n, nil
 	default:
-		time.Sleep(fault.Length.Duration())
-		return n, nil
+		select {
+		case <-time.After(fault.Length.Duration()):
+			return n, nil
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
 	}
 }
 
+// Close ends the connection, and with it a message that is held back.
+func (c *faultyConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 func (c *faultyConn) cut() error {
 	_ = c.Close()
 	return errCut
