Work out the users' size from measured slopes, by one command

Change: pkg/capacity measures slopes of decisions, tickets, fates, configuration and sessions; scripts/capacity adds processor time of the path from separate processes and rewrites the page's tables.

--- /dev/null
+++ b/pkg/capacity/page.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// PathCosts are the costs of the request path, measured with separate
+// processes by scripts/capacity.
+type PathCosts struct {
+	// EntryRequest and AgentRequest are microseconds of processor time a
+	// request; EntryToken and AgentToken a streamed token.
+	EntryRequest, AgentRequest float64
+	EntryToken, AgentToken     float64
+	// EntryWaiting is the bytes of a waiting request at its entry.
+	EntryWaiting float64
+}
+
+// Measured is all that the page is made of.
+type Measured struct {
+	Path     PathCosts
+	Choose   Slope
+	Decide   Slope
+	Tickets  Slope
+	Fates    Slope
+	Book     Slope
+	BookSent Slope
+	BookTime Slope
+	Sessions sessionCosts
+}
+
+// Measure takes all slopes. It takes about a minute.
+func Measure(path PathCosts) (Measured, error) {
+	sessions, err := measureSessions()
+	if err != nil {
+		return Measured{}, fmt.Errorf("sessions: %w", err)
+	}
+	return Measured{
+		Path: path, Sessions: sessions,
+		Choose: chooseSlope(), Decide: decideSlope(), Tickets: ticketSlope(), Fates: fateSlope(),
+		Book: bookMemorySlope(), BookSent: bookBytesSlope(), BookTime: bookTimeSlope(),
+	}, nil
+}
+
+const (
+	beginMark = "<!-- measured: begin -->"
+	endMark   = "<!-- measured: end -->"
+)
+
+// Rewrite puts the tables of m between the marks of the page at path.
+func Rewrite(path string, m Measured) error {
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("reading the page: %w", err)
+	}
+	head, rest, found := strings.Cut(string(page), beginMark)
+	if !found {
+		return errors.NotFoundf("mark %q in %s", beginMark, path)
+	}
+	_, tail, found := strings.Cut(rest, endMark)
+	if !found {
+		return errors.NotFoundf("mark %q in %s", endMark, path)
+	}
+	text := head + beginMark + "\n\n" + m.tables(Users()) + "\n" + endMark + tail
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return fmt.Errorf("writing the page: %w", err)
+	}
+	return nil
+}
+
+// tables are the measured part of the page.
+func (m Measured) tables(size TargetSize) string {
+	return m.fleetTable(size) + "\n" + m.roleTables(size) + "\n" + m.slopeTable()
+}
+
+func (m Measured) slopes() []Slope {
+	return []Slope{m.Choose, m.Decide, m.Tickets, m.Fates, m.Book, m.BookSent, m.BookTime, m.Sessions.Tickets, m.Sessions.Memory}
+}
+
+func (m Measured) slopeTable() string {
+	var b strings.Builder
+	b.WriteString("## Slopes\n\nLeast squares through the points; R² says how straight they lie.\n\n")
+	b.WriteString("| what | unit | points (size: cost) | base | each | R² |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range m.slopes() {
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, fmt.Sprintf("%.0f: %.0f", p.Size, p.Cost))
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %.0f | %.1f | %.3f |\n", s.Name, s.Unit, strings.Join(points, ", "), s.Base, s.Each, s.Fit)
+	}
+	fmt.Fprintf(&b, "\nAn empty Notices call and its reply: %.0f bytes.\n", m.Sessions.Notices)
+	return b.String()
+}
--- /dev/null
+++ b/pkg/capacity/roles.go
@@ -0,0 +1,107 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	kilobyte      = 1000.0
+	megabyte      = 1e6
+	noticeSeconds = 30.0 // entry.noticeWait
+	pollSeconds   = 2.0  // settings platform.poll_ms
+	tableReads    = 2000.0
+	// frameBytes are the TCP and IP headers of one packet, which a message and
+	// its reply each take; acknowledgements ride along.
+	frameBytes = 2 * 40
+	percent    = 100
+	nanosecond = 1e-9
+	microsec   = 1e-6
+	ticketsOut = 2 // settings entry.tickets_per_request
+)
+
+// idleSession is the bytes a second of a session on which nothing waits.
+func (m Measured) idleSession() float64 {
+	return (m.Sessions.Notices + frameBytes) / noticeSeconds
+}
+
+// fleetTable lists what grows with the whole fleet in a single node.
+func (m Measured) fleetTable(t TargetSize) string {
+	engines := float64(t.Engines)
+	processes := engines + float64(t.Nodes)
+	perSession := m.Sessions.Memory.Each / 2
+	resend := m.BookSent.At(engines) * t.ChangesPerSecond()
+	perTarget := m.BookSent.Each * t.ChangesPerSecond()
+	reads := processes * (1/pollSeconds + t.ChangesPerSecond())
+	var b strings.Builder
+	b.WriteString("## What grows with the whole fleet in a single node\n\n")
+	b.WriteString("| what | at the users' size | budget | breaks at | what replaces it |\n| --- | --- | --- | --- | --- |\n")
+	row := func(format string, args ...any) { fmt.Fprintf(&b, format, args...) }
+	row("| sessions of an entry with every agent, idle traffic | %.1f KB/s for %d | %.0f KB/s | %.0f targets | each entry keeps sessions with a subset: a few targets of each model, by rendezvous hashing over failure domains |\n",
+		engines*m.idleSession()/kilobyte, t.Engines, t.ControlBytes/kilobyte, t.ControlBytes/m.idleSession())
+	row("| the same, memory | %.0f MB | %.0f MB | %.0f targets | the same |\n",
+		engines*perSession/megabyte, t.ControlMB, t.ControlMB*megabyte/perSession)
+	row("| sessions of an agent with every entry, memory | %.1f MB for %d | %.0f MB | not within the size | the same subsets: an agent then sees about a tenth of the entries |\n",
+		float64(t.Nodes)*perSession/megabyte, t.Nodes, t.ControlMB)
+	row("| each change sends the whole configuration to each process | %.0f KB/s | %.0f KB/s | %.0f targets | one row a change, sent on along the sessions; a process holds what it serves |\n",
+		resend/kilobyte, t.ControlBytes/kilobyte, t.ControlBytes/perTarget)
+	row("| reading a change | %.2f %% of a core | %.1f %% | %.0f targets | the same |\n",
+		m.BookTime.At(engines)*nanosecond*t.ChangesPerSecond()*percent, t.ControlCore*percent, t.ControlCore/(m.BookTime.Each*nanosecond*t.ChangesPerSecond()))
+	row("| every process polls the table | %.0f reads/s | about %.0f for all uses | %.0f processes | one poller for each failure domain, the rest by push |\n",
+		reads, tableReads, tableReads/(1/pollSeconds+t.ChangesPerSecond()))
+	row("| the configuration itself, memory | %.1f MB | %.0f MB | not within the size | none needed |\n",
+		m.Book.At(engines)/megabyte, t.ControlMB)
+	perModel := engines / float64(t.Models)
+	row("| ordering the targets of a service for one request | %.0f µs for %.0f, %.0f µs for all %d | | | only a sample is drawn from the subset |\n",
+		m.Choose.At(perModel)*nanosecond/microsec, perModel, m.Choose.At(engines)*nanosecond/microsec, t.Engines)
+	return b.String()
+}
+
+// roleTables give state, messages, processor time and memory of each role.
+func (m Measured) roleTables(t TargetSize) string {
+	return m.entryTable(t) + "\n" + m.agentTable(t) + "\n" + m.platformTable(t)
+}
+
+const roleHead = "| what | figure | mechanism |\n| --- | --- | --- |\n"
+
+func (m Measured) entryTable(t TargetSize) string {
+	requests, tokens := t.EntryRequests(), t.EntryTokens()
+	ticketBytes := m.Sessions.Tickets.Each * ticketsOut
+	var b strings.Builder
+	fmt.Fprintf(&b, "## An entry: %.0f requests/s, %.0f tokens/s\n\n%s", requests, tokens, roleHead)
+	row := func(what, mechanism, format string, args ...any) {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", what, fmt.Sprintf(format, args...), mechanism)
+	}
+	row("processor, requests", "admission, tickets, one exchange a request", "%.1f %% of a core (%.0f µs each)", requests*m.Path.EntryRequest*microsec*percent, m.Path.EntryRequest)
+	row("processor, tokens", "relay of whole events", "%.1f %% of a core (%.1f µs each)", tokens*m.Path.EntryToken*microsec*percent, m.Path.EntryToken)
+	row("messages, tickets", "batched Place calls; part of the request path, not of the control budget", "%.1f KB/s (%.0f bytes a request with %d tickets)", requests*ticketBytes/kilobyte, ticketBytes, ticketsOut)
+	row("memory, waiting requests", "one goroutine and one connection each", "%.0f KB each; 256 MB hold %.0f", m.Path.EntryWaiting/kilobyte, t.ControlMB*megabyte/max(m.Path.EntryWaiting, 1))
+	row("memory, sessions", "one net/rpc connection a target", "%.1f KB each", m.Sessions.Memory.Each/2/kilobyte)
+	return b.String()
+}
+
+func (m Measured) agentTable(t TargetSize) string {
+	const rememberSeconds = 30
+	requests, tokens := t.AgentRequests(), t.AgentTokens()
+	var b strings.Builder
+	fmt.Fprintf(&b, "## An agent: %.0f requests/s, %.0f tokens/s\n\n%s", requests, tokens, roleHead)
+	row := func(what, mechanism, format string, args ...any) {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", what, fmt.Sprintf(format, args...), mechanism)
+	}
+	row("processor, requests", "gate, one exchange with the target", "%.2f %% of a core (%.0f µs each)", requests*m.Path.AgentRequest*microsec*percent, m.Path.AgentRequest)
+	row("processor, tokens", "bounded answer log", "%.1f %% of a core (%.1f µs each)", tokens*m.Path.AgentToken*microsec*percent, m.Path.AgentToken)
+	row("decision on a ticket", "heaps by tier, account, deadline", "%.1f µs with 1,000 waiting", m.Decide.At(1000)*nanosecond/microsec)
+	row("memory, tickets", "no goroutine a ticket", "%.0f bytes each", m.Tickets.Each)
+	row("memory, fates of grants", "kept for 30 s", "%.2f MB (%.0f bytes each)", requests*rememberSeconds*m.Fates.Each/megabyte, m.Fates.Each)
+	row("memory, answers kept for a resume", "bounded by bytes", "16 MB at most, and 256 KB for each answer under way")
+	return b.String()
+}
+
+func (m Measured) platformTable(t TargetSize) string {
+	processes := float64(t.Engines + t.Nodes)
+	var b strings.Builder
+	b.WriteString("## The platform's table\n\n" + roleHead)
+	fmt.Fprintf(&b, "| reads | %.0f/s for polls, %.0f/s for changes | every process polls the head every 2 s |\n", processes/pollSeconds, processes*t.ChangesPerSecond())
+	fmt.Fprintf(&b, "| writes | %.2f/s for changes | one transaction a change, conditional on the head |\n", t.ChangesPerSecond())
+	return b.String()
+}
--- /dev/null
+++ b/pkg/capacity/slopes.go
@@ -0,0 +1,239 @@
+package capacity
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"gonum.org/v1/gonum/stat"
+
+	"quaydock/pkg/balance"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/control"
+	"quaydock/pkg/declaration"
+	"quaydock/pkg/gate"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/invariant"
+)
+
+// Point is one measurement: a cost at a size.
+type Point struct {
+	Size float64
+	Cost float64
+}
+
+// Slope is a straight line through points, by least squares.
+type Slope struct {
+	Name   string
+	Unit   string
+	Points []Point
+	// Base and Each give cost = Base + Each × size; Fit is R².
+	Base, Each, Fit float64
+}
+
+// At returns the cost at a size, by the line.
+func (s Slope) At(size float64) float64 { return s.Base + s.Each*size }
+
+func fit(name, unit string, points []Point) Slope {
+	var sizes, costs []float64
+	for _, p := range points {
+		sizes = append(sizes, p.Size)
+		costs = append(costs, p.Cost)
+	}
+	base, each := stat.LinearRegression(sizes, costs, nil, false)
+	return Slope{
+		Name: name, Unit: unit, Points: points, Base: base, Each: each,
+		Fit: stat.RSquared(sizes, costs, nil, base, each),
+	}
+}
+
+// sweep measures cost at each size.
+func sweep(name, unit string, sizes []int, cost func(size int) float64) Slope {
+	var points []Point
+	for _, n := range sizes {
+		points = append(points, Point{Size: float64(n), Cost: cost(n)})
+	}
+	return fit(name, unit, points)
+}
+
+// nanoseconds times one operation.
+func nanoseconds(operation func()) float64 {
+	r := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			operation()
+		}
+	})
+	return float64(r.T.Nanoseconds()) / float64(r.N)
+}
+
+// liveBytes measures the live heap that build adds. What it builds stays live
+// until the measurement is over.
+func liveBytes(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// chooseSlope is the time to put candidate targets in order.
+func chooseSlope() Slope {
+	random := rand.New(rand.NewPCG(1, 1))
+	return sweep("ordering candidate targets (`balance.Order`)", "ns", []int{1, 10, 100, 1000, 4000}, func(n int) float64 {
+		candidates := make([]balance.Candidate, n)
+		for i := range candidates {
+			candidates[i].Known = true
+			candidates[i].Load.Queued = ids.Tokens(random.IntN(1000))
+		}
+		return nanoseconds(func() { balance.Order(random, candidates, 2) })
+	})
+}
+
+const service ids.Service = "m"
+
+func newGate() *gate.Gate {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	check := invariant.NewChecker(logrus.NewEntry(log), new(expvar.Map).Init(), false)
+	g := gate.New(1, gate.Limits{QueueTime: clock.Minute, QueueMin: 1 << 40, GrantLife: clock.Minute, FloorHold: clock.Second, Remember: clock.Minute}, check)
+	g.SetServices([]ids.Service{service}, 1)
+	return g
+}
+
+func ticketNumber(i int) control.Ticket {
+	return control.Ticket{
+		Request: ids.Request(fmt.Sprintf("%032d", i)), Service: service,
+		Account: ids.Account(fmt.Sprintf("account-%d", i%260)), Tier: ids.TierRank(i % 4), Decode: 100, Remaining: clock.Minute,
+	}
+}
+
+func fill(g *gate.Gate, n int) {
+	for i := range n {
+		g.Place(0, 1, ticketNumber(i))
+	}
+}
+
+// decideSlope is the time to place a ticket and take it back while others wait.
+func decideSlope() Slope {
+	return sweep("deciding on a ticket (`gate.Place`, `Withdraw`) while tickets wait", "ns", []int{1, 100, 1000, 10_000}, func(n int) float64 {
+		g := newGate()
+		fill(g, n)
+		t := ticketNumber(n + 1)
+		return nanoseconds(func() {
+			g.Place(0, 1, t)
+			g.Withdraw(0, 1, t.Request)
+		})
+	})
+}
+
+// ticketSlope is the memory of waiting tickets at an agent.
+func ticketSlope() Slope {
+	return sweep("memory of tickets waiting at an agent", "bytes", []int{1000, 4000, 16_000}, func(n int) float64 {
+		return liveBytes(func() any {
+			g := newGate()
+			fill(g, n)
+			return g
+		})
+	})
+}
+
+// fateSlope is the memory of remembered fates at an agent.
+func fateSlope() Slope {
+	return sweep("memory of fates of grants at an agent", "bytes", []int{1000, 4000, 16_000}, func(n int) float64 {
+		return liveBytes(func() any {
+			g := newGate()
+			for i := range n {
+				t := ticketNumber(i)
+				v := g.Place(0, 1, t)
+				g.Use(0, v.Grant, t.Request)
+				g.Finish(0, v.Grant, true)
+			}
+			return g
+		})
+	})
+}
+
+// setOf returns declarations with n targets, and accounts and models in the
+// proportions of the users' size.
+func setOf(n int) declaration.Set {
+	set := declaration.Set{}
+	for i := range 4 {
+		set.Tiers = append(set.Tiers, declaration.Tier{Name: ids.Tier(fmt.Sprint("tier-", i)), DeadlineMS: clock.Minute})
+	}
+	for i := range max(1, n*260/3600) {
+		set.Accounts = append(set.Accounts, declaration.Account{
+			Name: ids.Account(fmt.Sprint("account-", i)), KeyHashes: []string{fmt.Sprintf("%064x", i)},
+			HighestTier: "tier-0", DefaultTier: "tier-2",
+		})
+	}
+	models := max(1, n*32/3600)
+	for i := range models {
+		set.Services = append(set.Services, declaration.Service{Name: ids.Service(fmt.Sprint("model-", i)), Kind: declaration.ServiceModel})
+	}
+	for i := range n {
+		name := ids.Target(fmt.Sprint("target-", i))
+		address := fmt.Sprintf("10.%d.%d.%d", i>>16, i>>8&255, i&255)
+		set.Targets = append(set.Targets, declaration.Target{
+			Name: name, Address: "http://" + address + ":8000", AgentControl: address + ":81", AgentData: address + ":82",
+			FailureDomain: "domain", HardwareGeneration: 1, Slots: 64,
+		})
+		model := ids.Service(fmt.Sprint("model-", i%models))
+		set.Placements = append(set.Placements, declaration.Placement{Service: model, Target: name, Model: string(model), Version: "1"})
+	}
+	return set
+}
+
+var bookSizes = []int{100, 400, 1600}
+
+func mustBook(set declaration.Set) *declaration.Book {
+	book, err := declaration.NewBook(1, set)
+	if err != nil {
+		panic(err) // the set is made above
+	}
+	return book
+}
+
+// bookMemorySlope is the memory of a configuration, by targets.
+func bookMemorySlope() Slope {
+	return sweep("memory of a configuration, by targets", "bytes", bookSizes, func(n int) float64 {
+		return liveBytes(func() any { return mustBook(setOf(n)) })
+	})
+}
+
+// bookBytesSlope is the size of a configuration as it is sent.
+func bookBytesSlope() Slope {
+	return sweep("bytes of a whole configuration as sent, by targets", "bytes", bookSizes, func(n int) float64 {
+		document, err := json.Marshal(setOf(n))
+		if err != nil {
+			panic(err) // plain structs always marshal
+		}
+		return float64(len(document))
+	})
+}
+
+// bookTimeSlope is the time to read, check and index a configuration.
+func bookTimeSlope() Slope {
+	return sweep("reading, checking and indexing a configuration, by targets", "ns", bookSizes, func(n int) float64 {
+		document, err := json.Marshal(setOf(n))
+		if err != nil {
+			panic(err) // plain structs always marshal
+		}
+		return nanoseconds(func() {
+			var set declaration.Set
+			if err := json.Unmarshal(document, &set); err != nil {
+				panic(err) // the document was made above
+			}
+			mustBook(set)
+		})
+	})
+}
