--- /dev/null
+++ b/pkg/balance/chooser.go
@@ -0,0 +1,90 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/control"
+	"quaydock/pkg/ids"
+)
+
+// Chooser applies a policy and keeps what the policy has to remember from one
+// request to the next.
+type Chooser struct {
+	policy Policy
+	asked  int
+	lag    clock.Millis
+
+	mu      sync.Mutex
+	turns   map[ids.Service]int
+	reports map[ids.Target]report
+}
+
+// report is a load as a baseline knows it.
+type report struct {
+	load control.Load
+	at   clock.Millis
+}
+
+// NewChooser returns a chooser. Asked is how many targets are asked at once;
+// lag is how old the load is that a baseline decides on.
+func NewChooser(policy Policy, asked int, lag clock.Millis) *Chooser {
+	return &Chooser{
+		policy: policy, asked: asked, lag: lag,
+		turns: make(map[ids.Service]int), reports: make(map[ids.Target]report),
+	}
+}
+
+// Order returns the indexes of the candidates in the order in which to ask
+// them.
+func (c *Chooser) Order(now clock.Millis, random *rand.Rand, service ids.Service, candidates []Candidate) []int {
+	switch c.policy.(type) {
+	case RoundRobin:
+		return c.inTurn(service, len(candidates))
+	case LeastLoad:
+		return sortedByLoad(random.Perm(len(candidates)), len(candidates), c.reported(now, candidates))
+	case PowerOfTwo:
+		const drawn = 2
+		return sortedByLoad(random.Perm(len(candidates)), drawn, c.reported(now, candidates))
+	default:
+		return Order(random, candidates, c.asked)
+	}
+}
+
+func (c *Chooser) inTurn(service ids.Service, n int) []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.turns[service]
+	c.turns[service]++
+	order := make([]int, n)
+	for i := range order {
+		order[i] = (first + i) % n
+	}
+	return order
+}
+
+// reported returns the candidates' running and queued work as last reported.
+func (c *Chooser) reported(now clock.Millis, candidates []Candidate) []ids.Tokens {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loads := make([]ids.Tokens, len(candidates))
+	for i := range candidates {
+		r, known := c.reports[candidates[i].Target]
+		if !known || now-r.at >= c.lag {
+			r = report{load: candidates[i].Load, at: now}
+			c.reports[candidates[i].Target] = r
+		}
+		loads[i] = r.load.Queued + r.load.Running
+	}
+	return loads
+}
+
+// sortedByLoad puts the first drawn of order in the order of their loads.
+func sortedByLoad(order []int, drawn int, loads []ids.Tokens) []int {
+	slices.SortStableFunc(order[:min(drawn, len(order))], func(i, j int) int {
+		return int(loads[i] - loads[j])
+	})
+	return order
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"quaydock/pkg/balance"
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/refusal"
@@ -38,12 +39,16 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{Common: c, settings: s, use: newAccountUse(), stop: stop}
 	e.pool = newSessionPool(ctx, c, s.DialTimeoutMS)
+	if _, late := policyOf(s).(balance.LateBinding); !late {
+		e.pool.reports = s.ReportLagMS
+	}
 	e.dispatcher = &dispatcher{
 		Common: c,
 		ticketing: &ticketing{
 			Common: c,
 			pool:   e.pool,
 			book:   e.book,
+			choose: balance.NewChooser(policyOf(s), s.TicketsPerRequest, s.ReportLagMS),
 			asked:  s.TicketsPerRequest,
 		},
 		exchange:       newExchange(c, s.DialTimeoutMS),
@@ -58,6 +63,15 @@
 	return e
 }
 
+// policyOf returns the policy that the settings name; their check knows it.
+func policyOf(s settings.Entry) balance.Policy {
+	policy, err := balance.ParsePolicy(s.Policy)
+	if err != nil {
+		return balance.LateBinding{}
+	}
+	return policy
+}
+
 func (e *Entry) book() *declaration.Book {
 	return e.current.Load()
 }
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -39,6 +39,9 @@
 	controlAt   string
 	dataAt      string
 	dialTimeout clock.Millis
+	// reports, if set, has the load asked for at this interval even while no
+	// ticket waits, as the baselines need it.
+	reports clock.Millis
 
 	mu          sync.Mutex
 	client      *control.Client // nil while there is no connection
@@ -71,7 +74,7 @@
 		client, err := s.connect(ctx)
 		if err == nil {
 			backoff = minBackoff
-			probing := time.AfterFunc(probeEvery.Duration(), func() { s.probe(client) })
+			probing := time.AfterFunc(s.probeInterval().Duration(), func() { s.probe(client) })
 			err = s.follow(ctx, client)
 			probing.Stop()
 			s.disconnect(client)
@@ -141,11 +144,18 @@
 	if s.client != client {
 		return
 	}
-	if len(s.waiting) > 0 && s.flights == 0 {
+	if (len(s.waiting) > 0 || s.reports > 0) && s.flights == 0 {
 		s.probing = true
 		s.startFlight()
 	}
-	time.AfterFunc(probeEvery.Duration(), func() { s.probe(client) })
+	time.AfterFunc(s.probeInterval().Duration(), func() { s.probe(client) })
+}
+
+func (s *session) probeInterval() clock.Millis {
+	if s.reports > 0 {
+		return s.reports
+	}
+	return probeEvery
 }
 
 // disconnect ends a connection; the tickets on it are lost.
--- a/pkg/entry/session_pool.go
+++ b/pkg/entry/session_pool.go
@@ -15,6 +15,7 @@
 	common.Common
 	ctx         context.Context
 	dialTimeout clock.Millis
+	reports     clock.Millis // see session
 
 	mu       sync.RWMutex
 	sessions map[ids.Target]*pooled
@@ -53,6 +54,7 @@
 func (p *sessionPool) start(t *declaration.Target) {
 	ctx, stop := context.WithCancel(p.ctx)
 	s := newSession(p.Common, t.Name, t.AgentControl, t.AgentData, p.dialTimeout)
+	s.reports = p.reports
 	p.sessions[t.Name] = &pooled{session: s, stop: stop}
 	p.done.Go(func() { s.run(ctx) })
 }
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -29,9 +29,10 @@
 // ticketing places a request's tickets and waits for a grant.
 type ticketing struct {
 	common.Common
-	pool  *sessionPool
-	book  func() *declaration.Book
-	asked int
+	pool   *sessionPool
+	choose *balance.Chooser
+	book   func() *declaration.Book
+	asked  int
 }
 
 // round is one pass over the targets of a service.
@@ -90,7 +91,7 @@
 		reached = append(reached, s)
 		candidates = append(candidates, c)
 	}
-	for _, i := range balance.Order(t.Random.Fork(), candidates, t.asked) {
+	for _, i := range t.choose.Order(t.Clock.Now(), t.Random.Fork(), r.service, candidates) {
 		next.untried = append(next.untried, reached[i])
 	}
 	return next
--- /dev/null
+++ b/pkg/experiment/result.go
@@ -0,0 +1,101 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"quaydock/pkg/ids"
+)
+
+const (
+	maxFirstMS  = 600_000
+	significant = 3
+	percent     = 100
+)
+
+// Result is what came of a scenario under one policy.
+type Result struct {
+	Scenario string
+	Policy   string
+	order    []ids.Tier
+	Tiers    map[ids.Tier]*TierResult
+	Refusals map[string]int
+	// Prompt tokens that engines computed, and of those the ones of requests
+	// that got no whole answer.
+	ComputedPrompt, WastedPrompt int
+	Violations                   int
+}
+
+// TierResult is the part of one tier.
+type TierResult struct {
+	Offered, Good             int
+	OfferedTokens, GoodTokens int
+	// First is the time to the first token at the engine, in milliseconds.
+	First *hdrhistogram.Histogram
+}
+
+func newResult(s *Scenario, policy string) *Result {
+	r := &Result{Scenario: s.Name, Policy: policy, Tiers: make(map[ids.Tier]*TierResult), Refusals: make(map[string]int)}
+	for _, c := range s.Classes {
+		if r.Tiers[c.Tier] == nil {
+			r.order = append(r.order, c.Tier)
+			r.Tiers[c.Tier] = &TierResult{First: hdrhistogram.New(1, maxFirstMS, significant)}
+		}
+	}
+	return r
+}
+
+// Goodput is the share of a tier's requests answered in time.
+func (t *TierResult) Goodput() float64 {
+	return percent * float64(t.Good) / float64(max(1, t.Offered))
+}
+
+// TokenGoodput is the share of all offered answer tokens that were answered in
+// time.
+func (r *Result) TokenGoodput() float64 {
+	var good, offered int
+	for _, t := range r.Tiers {
+		good += t.GoodTokens
+		offered += t.OfferedTokens
+	}
+	return percent * float64(good) / float64(max(1, offered))
+}
+
+// Wasted is the share of computed prompt tokens that was thrown away.
+func (r *Result) Wasted() float64 {
+	return percent * float64(r.WastedPrompt) / float64(max(1, r.ComputedPrompt))
+}
+
+// Table shows results of one scenario, a row for each policy.
+func Table(results []*Result) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "### %s\n\n| policy |", results[0].Scenario)
+	for _, tier := range results[0].order {
+		fmt.Fprintf(&b, " %s %% (p95 first, ms) |", tier)
+	}
+	b.WriteString(" tokens in time % | wasted prompt % | refusals | violations |\n|")
+	b.WriteString(strings.Repeat(" --- |", len(results[0].order)+5) + "\n")
+	for _, r := range results {
+		b.WriteString(r.row())
+	}
+	return b.String()
+}
+
+func (r *Result) row() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s |", r.Policy)
+	for _, tier := range r.order {
+		t := r.Tiers[tier]
+		fmt.Fprintf(&b, " %.1f (%d) |", t.Goodput(), t.First.ValueAtQuantile(95))
+	}
+	var refusals []string
+	for code, n := range r.Refusals {
+		refusals = append(refusals, fmt.Sprintf("%s: %d", code, n))
+	}
+	slices.Sort(refusals)
+	fmt.Fprintf(&b, " %.1f | %.1f | %s | %d |\n", r.TokenGoodput(), r.Wasted(), strings.Join(refusals, ", "), r.Violations)
+	return b.String()
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/balance"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/declaration"
 )
@@ -60,6 +61,9 @@
 	f.Address("entry.listen", e.Listen)
 	positive(f, "entry.tickets_per_request", e.TicketsPerRequest)
 	positive(f, "entry.outcome_timeout_ms", e.OutcomeTimeoutMS)
+	_, err := balance.ParsePolicy(e.Policy)
+	f.Unless(err == nil, "entry.policy", "%q is not a policy", e.Policy)
+	positive(f, "entry.report_lag_ms", e.ReportLagMS)
 	positive(f, "entry.dial_timeout_ms", e.DialTimeoutMS)
 	f.Unless(e.SettleMS >= 0, "entry.settle_ms", "must not be below 0")
 	l := e.Limits
--- a/pkg/settings/defaults.go
+++ b/pkg/settings/defaults.go
@@ -24,6 +24,8 @@
 func DefaultEntry() Entry {
 	return Entry{
 		TicketsPerRequest: 2,
+		Policy:            "late-binding",
+		ReportLagMS:       clock.Second,
 		OutcomeTimeoutMS:  10 * clock.Second,
 		DialTimeoutMS:     clock.Second,
 		SettleMS:          2 * clock.Second,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -74,6 +74,11 @@
 	Limits EntryLimits `json:"limits"`
 	// TicketsPerRequest is how many agents are asked at once.
 	TicketsPerRequest int `json:"tickets_per_request"`
+	// Policy is how targets are chosen: "late-binding", or a baseline for
+	// comparison: "round-robin", "least-load" or "power-of-two".
+	Policy string `json:"policy"`
+	// ReportLagMS is how old the load is that a baseline decides on.
+	ReportLagMS clock.Millis `json:"report_lag_ms"`
 	// OutcomeTimeoutMS bounds the search for the outcome of a broken dispatch.
 	OutcomeTimeoutMS clock.Millis `json:"outcome_timeout_ms"`
 	// DialTimeoutMS bounds the making of a connection to an agent.
@@ -148,6 +153,9 @@
 	StepMS clock.Millis `json:"step_ms"`
 	// PrefillPerStep is how many prompt tokens one step takes.
 	PrefillPerStep int `json:"prefill_per_step"`
+	// MaxBatch bounds the requests that run at once; others queue in the engine
+	// in order of arrival. 0 means no bound.
+	MaxBatch int `json:"max_batch,omitempty"`
 }
 
 // ServiceStandIn is a plain service.
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +23,7 @@
 	usualTokens   = 16
 	bytesPerToken = 4
 	// keptSequences bounds the finished answers kept for a resume.
-	keptSequences = 4096
+	keptSequences = 1 << 16
 )
 
 // Engine is a model engine that batches continuously: each step takes some
@@ -32,6 +33,10 @@
 
 	mu        sync.Mutex
 	active    []*sequence
+	queued    []*sequence
+	slowdown  int // steps take so many times as long
+	firsts    map[string]time.Time
+	computed  int // prompt tokens
 	sequences map[string]*sequence
 	order     []string
 	runs      map[string]int
@@ -57,7 +62,24 @@
 
 // NewEngine returns an idle engine.
 func NewEngine(s settings.EngineStandIn) *Engine {
-	return &Engine{settings: s, sequences: make(map[string]*sequence), runs: make(map[string]int)}
+	return &Engine{settings: s, sequences: make(map[string]*sequence), runs: make(map[string]int), firsts: make(map[string]time.Time), slowdown: 1}
+}
+
+// SlowDown makes steps take factor times as long, as an engine does without
+// warning.
+func (e *Engine) SlowDown(factor int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slowdown = factor
+}
+
+// FirstToken returns when the engine made the first token of a request's
+// answer, and whether it has.
+func (e *Engine) FirstToken(request string) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at, made := e.firsts[request]
+	return at, made
 }
 
 // Runs returns how often the engine was given a request.
@@ -95,9 +117,9 @@
 	MaxTokens int    `json:"max_tokens"`
 }
 
-// FirstToken is the first token of the answer to a body, by which a test tells
+// OwnToken is the first token of the answer to a body, by which a test tells
 // whose answer it got.
-func FirstToken(body []byte) string {
+func OwnToken(body []byte) string {
 	return strconv.FormatUint(xxhash.Sum64(body), 16)
 }
 
@@ -119,7 +141,7 @@
 		prefill: len(body) / bytesPerToken,
 		left:    call.MaxTokens,
 		stream:  call.Stream,
-		text:    FirstToken(body),
+		text:    OwnToken(body),
 	}
 	s.changed.L = &s.mu
 	e.begin(s)
@@ -135,6 +157,7 @@
 	if len(e.order) > keptSequences {
 		delete(e.sequences, e.order[0])
 		delete(e.runs, e.order[0])
+		delete(e.firsts, e.order[0])
 		e.order = e.order[1:]
 	}
 	if e.settings.StepMS == 0 {
@@ -143,7 +166,7 @@
 		}
 		return
 	}
-	e.active = append(e.active, s)
+	e.queued = append(e.queued, s)
 	if !e.stepping {
 		e.stepping = true
 		e.steps.Go(e.run)
@@ -153,23 +176,44 @@
 // run steps until no sequence is active.
 func (e *Engine) run() {
 	for {
-		time.Sleep(e.settings.StepMS.Duration())
+		time.Sleep(e.stepTime())
 		if !e.step() {
 			return
 		}
 	}
 }
 
+func (e *Engine) stepTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.settings.StepMS.Duration() * time.Duration(e.slowdown)
+}
+
+// admit moves queued sequences into the batch while it has room; the lock is
+// held.
+func (e *Engine) admit() {
+	for len(e.queued) > 0 && (e.settings.MaxBatch == 0 || len(e.active) < e.settings.MaxBatch) {
+		if !e.queued[0].ended() {
+			e.active = append(e.active, e.queued[0])
+		}
+		e.queued[0] = nil
+		e.queued = e.queued[1:]
+	}
+}
+
 func (e *Engine) step() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.admit()
 	prompt := e.settings.PrefillPerStep
 	kept := e.active[:0]
 	for _, s := range e.active {
 		taken := min(prompt, s.prefill)
 		s.prefill -= taken
 		prompt -= taken
+		e.computed += taken
 		if s.prefill == 0 {
+			e.noteFirst(s)
 			s.emit()
 		}
 		if !s.ended() {
@@ -178,10 +222,16 @@
 	}
 	clear(e.active[len(kept):])
 	e.active = kept
-	e.stepping = len(kept) > 0
+	e.stepping = len(kept)+len(e.queued) > 0
 	return e.stepping
 }
 
+func (e *Engine) noteFirst(s *sequence) {
+	if _, made := e.firsts[s.id]; !made {
+		e.firsts[s.id] = time.Now()
+	}
+}
+
 func (s *sequence) ended() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -304,11 +354,18 @@
 	e.steps.Wait()
 }
 
+// Computed returns how many prompt tokens the engine has computed.
+func (e *Engine) Computed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.computed
+}
+
 // CutAll breaks every answer under way for good, as an engine that dies does.
 func (e *Engine) CutAll() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, s := range e.active {
+	for _, s := range slices.Concat(e.active, e.queued) {
 		s.abort()
 	}
 	e.sequences = make(map[string]*sequence)
--- a/pkg/testbed/caller.go
+++ b/pkg/testbed/caller.go
@@ -128,7 +128,7 @@
 // judge tells a whole answer of its own from a cut or crossed one, as an
 // OpenAI client would, by the closing event and the tokens.
 func (a *Answer) judge(sent string, stream bool, tokens int) {
-	own := standin.FirstToken([]byte(sent))
+	own := standin.OwnToken([]byte(sent))
 	if !stream {
 		a.Tokens = 1 + strings.Count(a.Body, " t")
 		if !strings.Contains(a.Body, own) || a.Tokens != tokens {
