Give up what cannot be on time before it runs; ask faster targets first

Cause: at 120% load 66 requests, at 200% 1,768, ran until their deadline and were cut; thousands of tags waited out their deadlines though nothing could serve them in time. And the order of targets knew waits, not speeds: a free slow engine was as good as a free fast one. Change: a gate learns how long a request runs for each token of its work; it declines as late what would not be done in time, when placed and again when it is next, and as full what the work before it makes hopeless (with the same guard: never while lower work is served). The entry then asks the others, and tells the caller at once if all decline. Targets are ordered by the expected end. Waste counts the prompt tokens really computed.

--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -39,17 +39,17 @@
 
 // Order returns the indexes of the candidates in the order in which to ask
 // them.
-func (c *Chooser) Order(now clock.Millis, random *rand.Rand, service ids.Service, candidates []Candidate) []int {
+func (c *Chooser) Order(now clock.Millis, random *rand.Rand, job Job, candidates []Candidate) []int {
 	switch c.policy.(type) {
 	case RoundRobin:
-		return c.inTurn(service, len(candidates))
+		return c.inTurn(job.Service, len(candidates))
 	case LeastLoad:
 		return sortedByLoad(random.Perm(len(candidates)), len(candidates), c.reported(now, candidates))
 	case PowerOfTwo:
 		const drawn = 2
 		return sortedByLoad(random.Perm(len(candidates)), drawn, c.reported(now, candidates))
 	default:
-		return Order(random, candidates, c.asked)
+		return Order(random, job, candidates, c.asked)
 	}
 }
 
--- a/pkg/balance/order.go
+++ b/pkg/balance/order.go
@@ -22,6 +22,21 @@
 	Outstanding ids.Tokens
 }
 
+// Job is what is to be placed.
+type Job struct {
+	Service ids.Service
+	// Work is the estimated work of the request.
+	Work ids.Tokens
+}
+
+const microsPerSecond = 1e6
+
+// expectedEnd estimates in seconds how long the job takes at the candidate:
+// its wait, and its run at the measured speed.
+func (c *Candidate) expectedEnd(job Job) float64 {
+	return c.expectedWait() + float64(job.Work)*float64(c.Load.UnitMicros)/microsPerSecond
+}
+
 // expectedWait estimates in seconds how long new work waits, by queue and
 // measured drain rate.
 func (c *Candidate) expectedWait() float64 {
@@ -39,29 +54,29 @@
 
 // Order returns the indexes of the candidates in the order in which to ask
 // them. Of twice as many as will be asked, drawn at random, the ones with the
-// least expected wait go first: reports are stale, so that always asking the
+// earliest expected end go first: reports are stale, so that always asking the
 // best would make all entries crowd the same target.
-func Order(random *rand.Rand, candidates []Candidate, asked int) []int {
+func Order(random *rand.Rand, job Job, candidates []Candidate, asked int) []int {
 	order := random.Perm(len(candidates))
 	drawn := min(2*asked, len(order))
 	slices.SortStableFunc(order[:drawn], func(i, j int) int {
-		return compare(&candidates[i], &candidates[j])
+		return compare(&candidates[i], &candidates[j], job)
 	})
 	return order
 }
 
-func compare(a, b *Candidate) int {
+func compare(a, b *Candidate, job Job) int {
 	if a.Load.Leaving != b.Load.Leaving {
 		if a.Load.Leaving {
 			return 1
 		}
 		return -1
 	}
-	waitA, waitB := a.expectedWait(), b.expectedWait()
+	endA, endB := a.expectedEnd(job), b.expectedEnd(job)
 	switch {
-	case waitA < waitB:
+	case endA < endB:
 		return -1
-	case waitA > waitB:
+	case endA > endB:
 		return 1
 	default:
 		return b.Load.Free - a.Load.Free
--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -95,7 +95,7 @@
 			candidates[i].Known = true
 			candidates[i].Load.Queued = ids.Tokens(random.IntN(1000))
 		}
-		return nanoseconds(func() { balance.Order(random, candidates, 2) })
+		return nanoseconds(func() { balance.Order(random, balance.Job{Work: 100}, candidates, 2) })
 	})
 }
 
--- a/pkg/control/enums_string.go
+++ b/pkg/control/enums_string.go
@@ -32,13 +32,13 @@
 	_ = x[Full-1]
 	_ = x[Leaving-2]
 	_ = x[NotPlaced-3]
-	_ = x[Expired-4]
+	_ = x[Late-4]
 	_ = x[Replaced-5]
 }
 
-const _RefuseReason_name = "NoReasonFullLeavingNotPlacedExpiredReplaced"
+const _RefuseReason_name = "NoReasonFullLeavingNotPlacedLateReplaced"
 
-var _RefuseReason_index = [...]uint8{0, 8, 12, 19, 28, 35, 43}
+var _RefuseReason_index = [...]uint8{0, 8, 12, 19, 28, 32, 40}
 
 func (i RefuseReason) String() string {
 	idx := int(i) - 0
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -79,6 +79,9 @@
 	Floor ids.TierRank
 	// DrainPerSecond is the measured work done a second.
 	DrainPerSecond ids.Tokens
+	// UnitMicros is the measured time that a request runs for each token of its
+	// work, in microseconds; 0 before it is known.
+	UnitMicros int64
 	// Leaving says that the agent takes no new work.
 	Leaving bool
 	// Revision is the configuration that the agent has in force.
@@ -113,8 +116,8 @@
 	Leaving
 	// NotPlaced: the service is not placed on this target.
 	NotPlaced
-	// Expired: the deadline passed in the queue.
-	Expired
+	// Late: the request could not be answered by its deadline here.
+	Late
 	// Replaced: a duplicate of a ticket already held.
 	Replaced
 )
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -40,8 +40,10 @@
 	untried []*session
 	out     map[*session]bool
 	// full lists those that declined since higher or equal tiers fill them;
-	// unreached counts those that gave no answer or are leaving.
+	// late counts those that could not answer by the deadline, unreached those
+	// that gave no answer or are leaving.
 	full      []*session
+	late      int
 	unreached int
 	// refusedAt is when the first of full declined.
 	refusedAt clock.Millis
@@ -62,6 +64,9 @@
 		if current.unreached == 0 && t.agreed(current) {
 			return gaveUp{refusal.Overloaded(retryAfter(current.full))}
 		}
+		if current.unreached == 0 && len(current.full) == 0 && current.late > 0 {
+			return gaveUp{refusal.DeadlineNotRun()}
+		}
 		if n+1 == maxRounds {
 			return gaveUp{refusal.NoTarget(minRetryAfter)}
 		}
@@ -91,7 +96,10 @@
 		reached = append(reached, s)
 		candidates = append(candidates, c)
 	}
-	for _, i := range t.choose.Order(t.Clock.Now(), t.Random.Fork(), r.service, candidates) {
+	now := t.Clock.Now()
+	described := r.ticket(now, "")
+	job := balance.Job{Service: r.service, Work: described.Work()}
+	for _, i := range t.choose.Order(now, t.Random.Fork(), job, candidates) {
 		next.untried = append(next.untried, reached[i])
 	}
 	return next
@@ -142,6 +150,8 @@
 		o.unreached++
 	case event.verdict.Kind == control.Granted:
 		return granted{session: event.session, grant: event.verdict.Grant}
+	case event.verdict.Reason == control.Late:
+		o.late++
 	case event.verdict.Reason == control.Full:
 		if len(o.full) == 0 {
 			o.refusedAt = now
--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -151,13 +151,18 @@
 	if answer.Code != "" {
 		r.result.Refusals[answer.Code+" ("+answer.Ending.String()+")"]++
 	}
-	if answer.Ending != testbed.Whole && runs > 0 {
-		r.result.WastedPrompt += class.PromptBytes / bytesPerToken
+	if answer.Ending != testbed.Whole {
+		r.noteWaste(answer.Request)
 	}
 	r.noteFirst(t, answer.Request, begun)
 }
 
-const bytesPerToken = 4
+// noteWaste counts the prompt work of a request that got no whole answer.
+func (r *run) noteWaste(request string) {
+	for _, e := range r.bed.Engines {
+		r.result.WastedPrompt += e.ComputedFor(request)
+	}
+}
 
 func (r *run) noteFirst(t *TierResult, request string, begun time.Time) {
 	for _, e := range r.bed.Engines {
--- a/pkg/experiment/workload.go
+++ b/pkg/experiment/workload.go
@@ -13,7 +13,6 @@
 	at     clock.Millis
 	tokens int
 	entry  int
-	prompt string
 }
 
 // arrivals draws the requests of a scenario: Poisson in time, exponential in
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -45,6 +45,7 @@
 	open     bool // may still be used
 	running  bool
 	deadline clock.Millis // of the grant while open
+	begun    clock.Millis // of the dispatch
 }
 
 // Gate is the one way to a target. It is not safe for concurrent use; its
@@ -70,6 +71,7 @@
 	floor      ids.TierRank
 	floorUntil clock.Millis
 	drain      drainMeter
+	unit       unitMeter
 	notices    []Notice
 }
 
@@ -158,13 +160,16 @@
 	case !g.services[ticket.Service]:
 		return control.NotPlaced
 	case ticket.Remaining <= 0:
-		return control.Expired
+		return control.Late
 	case g.queue.Has(ticket.Request):
 		return control.Replaced
 	case g.floorAt(now).Higher(ticket.Tier):
 		return control.Full
 	}
-	if g.full(ticket) && !g.servesBelow(ticket.Tier) {
+	if g.unit.least(ticket.Work()) >= ticket.Remaining {
+		return control.Late
+	}
+	if (g.full(ticket) || g.hopeless(ticket)) && !g.servesBelow(ticket.Tier) {
 		g.raiseFloor(now, ticket.Tier)
 		return control.Full
 	}
@@ -176,6 +181,17 @@
 	return g.queue.Len() > 0 && g.queue.WorkAtOrAbove(ticket.Tier)+ticket.Work() > g.queueLimit()
 }
 
+// hopeless reports whether the work that goes before the ticket takes longer
+// than its deadline allows, even if nothing of a higher tier arrives any more.
+func (g *Gate) hopeless(ticket *control.Ticket) bool {
+	if g.drain.perSecond <= 0 || g.queue.Len() == 0 {
+		return false
+	}
+	before := float64(g.queue.WorkAtOrAbove(ticket.Tier)) / g.drain.perSecond
+	left := ticket.Remaining - g.unit.least(ticket.Work())
+	return before*float64(clock.Second) > float64(left)
+}
+
 // servesBelow reports whether work below tier waits, is granted or runs. While
 // it does, no ticket of tier is refused, even beyond the bound of the queue:
 // what runs is not cut to make room, but it is not served in the place of a
@@ -246,8 +262,8 @@
 		w := g.queue.pop()
 		g.check.That(w.ticket.Tier == highest, invariant.TierOrder,
 			"granted tier %d while tier %d waits", w.ticket.Tier, highest)
-		if now >= w.deadline {
-			g.notify(w.session, control.Verdict{Request: w.ticket.Request, Kind: control.Declined, Reason: control.Expired})
+		if now+g.unit.least(w.ticket.Work()) >= w.deadline {
+			g.notify(w.session, control.Verdict{Request: w.ticket.Request, Kind: control.Declined, Reason: control.Late})
 			continue
 		}
 		g.notify(w.session, g.grant(now, w.session, &w.ticket))
@@ -288,6 +304,7 @@
 	}
 	r.open = false
 	r.running = true
+	r.begun = now
 	r.fate = control.FateDispatched
 	g.dispatched[request] = grant
 	g.openCount--
@@ -310,6 +327,7 @@
 	g.runWork -= r.work
 	if reached {
 		g.drain.finished(now, r.work, g.runCount == 0)
+		g.unit.learn(now-r.begun, r.work)
 	} else {
 		r.fate = control.FateNever
 		delete(g.dispatched, r.request)
@@ -413,6 +431,7 @@
 		Running:        g.runWork,
 		Floor:          g.floorAt(now),
 		DrainPerSecond: ids.Tokens(g.drain.perSecond),
+		UnitMicros:     int64(g.unit.micros),
 		Leaving:        g.leaving,
 	}
 }
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -46,12 +46,13 @@
 
 // sequence is one request in the engine.
 type sequence struct {
-	prefill int
-	left    int
-	made    int
-	stream  bool
-	id      string
-	text    string // the first token: tells whose answer it is
+	prefill  int
+	computed int // of prefill; guarded by the engine's lock
+	left     int
+	made     int
+	stream   bool
+	id       string
+	text     string // the first token: tells whose answer it is
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -212,6 +213,7 @@
 		s.prefill -= taken
 		prompt -= taken
 		e.computed += taken
+		s.computed += taken
 		if s.prefill == 0 {
 			e.noteFirst(s)
 			s.emit()
@@ -361,6 +363,17 @@
 	return e.computed
 }
 
+// ComputedFor returns how many prompt tokens of a request it has computed.
+func (e *Engine) ComputedFor(request string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.sequences[request]
+	if s == nil {
+		return 0
+	}
+	return s.computed
+}
+
 // CutAll breaks every answer under way for good, as an engine that dies does.
 func (e *Engine) CutAll() {
 	e.mu.Lock()
