Send long prompts where they are held; count only the wait that a tier has

Cause: with long shared prompts two thirds of all prompt work was done again. Then by profile of the choice: a full target's wait was taken as the time for all its running work, though the next place is free after a share of it (55.3%); and work of lower tiers counted as a pilot's wait. Change: fingerprints of a prompt's blocks, a bounded memory of what this entry sent where, weighted rendezvous homes, one ticket for a long prompt and more after 300 ms; agents report queued work by tier and their slots; engine stand-ins cache prompts.

--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -8,6 +9,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/prefix"
 )
 
 // Chooser applies a policy and keeps what the policy has to remember from one
@@ -16,6 +18,8 @@
 	policy Policy
 	asked  int
 	lag    clock.Millis
+	// holdings is what this entry has lately sent where.
+	holdings *prefix.Holdings
 
 	mu      sync.Mutex
 	turns   map[ids.Service]int
@@ -32,7 +36,7 @@
 // lag is how old the load is that a baseline decides on.
 func NewChooser(policy Policy, asked int, lag clock.Millis) *Chooser {
 	return &Chooser{
-		policy: policy, asked: asked, lag: lag,
+		policy: policy, asked: asked, lag: lag, holdings: prefix.NewHoldings(),
 		turns: make(map[ids.Service]int), reports: make(map[ids.Target]report),
 	}
 }
@@ -49,10 +53,28 @@
 		const drawn = 2
 		return sortedByLoad(random.Perm(len(candidates)), drawn, c.reported(now, candidates))
 	default:
+		if len(job.Prefix) > 0 && len(candidates) > 0 {
+			return c.affine(random, job, candidates)
+		}
 		return Order(random, job, candidates, c.asked)
 	}
 }
 
+// Asked returns how many targets to ask at once. A job with a long prompt is
+// placed with one, since the first of several to have room is rarely the one
+// that holds the prompt.
+func (c *Chooser) Asked(job Job) int {
+	if len(job.Prefix) > 0 {
+		return 1
+	}
+	return c.asked
+}
+
+// Bound notes that a job was bound to a target.
+func (c *Chooser) Bound(target ids.Target, job Job) {
+	c.holdings.Note(target, job.Prefix)
+}
+
 func (c *Chooser) inTurn(service ids.Service, n int) []int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,6 +87,9 @@
 	return order
 }
 
+// lowestTier stands below every tier.
+const lowestTier = ids.TierRank(math.MaxInt32)
+
 // reported returns the candidates' running and queued work as last reported.
 func (c *Chooser) reported(now clock.Millis, candidates []Candidate) []ids.Tokens {
 	c.mu.Lock()
@@ -76,7 +101,7 @@
 			r = report{load: candidates[i].Load, at: now}
 			c.reports[candidates[i].Target] = r
 		}
-		loads[i] = r.load.Queued + r.load.Running
+		loads[i] = r.load.QueuedBefore(lowestTier) + r.load.Running
 	}
 	return loads
 }
--- /dev/null
+++ b/pkg/balance/chooser_test.go
@@ -0,0 +1,71 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"quaydock/pkg/balance"
+	"quaydock/pkg/control"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/prefix"
+)
+
+func candidate(name ids.Target, free int, queued, running ids.Tokens, unitMicros int64) balance.Candidate {
+	return balance.Candidate{Target: name, Known: true, Load: control.Load{
+		Free: free, Slots: 8, Queued: []ids.Tokens{0, queued}, Running: running, DrainPerSecond: 1000, UnitMicros: unitMicros,
+	}}
+}
+
+func TestOrder(t *testing.T) {
+	long := []prefix.Fingerprint{1, 2, 3, 4, 5, 6, 7, 8}
+	scenarios := []struct {
+		name       string
+		job        balance.Job
+		held       ids.Target // holds the job's prompt
+		candidates []balance.Candidate
+		first      ids.Target
+	}{
+		{
+			name: "the shorter wait", job: balance.Job{Tier: 1, Work: 10},
+			candidates: []balance.Candidate{candidate("busy", 0, 5000, 100, 3000), candidate("idle", 4, 0, 100, 3000)}, first: "idle",
+		},
+		{
+			name: "of free ones the faster", job: balance.Job{Tier: 1, Work: 100},
+			candidates: []balance.Candidate{candidate("slow", 8, 0, 0, 8000), candidate("fast", 1, 0, 0, 3000)}, first: "fast",
+		},
+		{
+			name: "lower tiers do not stand in the way", job: balance.Job{Tier: 0, Work: 100},
+			candidates: []balance.Candidate{candidate("fast", 0, 5000, 100, 3000), candidate("slow", 1, 0, 0, 8000)}, first: "fast",
+		},
+		{
+			name: "a leaving target last", job: balance.Job{Tier: 1, Work: 10},
+			candidates: []balance.Candidate{
+				{Target: "leaving", Known: true, Load: control.Load{Free: 8, Slots: 8, Leaving: true}}, candidate("busy", 0, 500, 100, 3000),
+			}, first: "busy",
+		},
+		{
+			name: "the holder of a long prompt, though another is free", job: balance.Job{Tier: 1, Work: 100, Remaining: 60_000, Prefix: long}, held: "holder",
+			candidates: []balance.Candidate{candidate("free", 8, 0, 0, 3000), candidate("holder", 0, 100, 800, 3000)}, first: "holder",
+		},
+		{
+			name: "not if waiting for it takes longer than computing", job: balance.Job{Tier: 1, Work: 100, Remaining: 60_000, Prefix: long}, held: "holder",
+			candidates: []balance.Candidate{candidate("free", 8, 0, 0, 3000), candidate("holder", 0, 5000, 800, 3000)}, first: "free",
+		},
+		{
+			name: "not if it is too slow for the deadline", job: balance.Job{Tier: 1, Work: 1000, Remaining: 9000, Prefix: long}, held: "holder",
+			candidates: []balance.Candidate{candidate("free", 8, 0, 0, 3000), candidate("holder", 8, 0, 0, 8000)}, first: "free",
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			c := balance.NewChooser(balance.LateBinding{}, 2, 0)
+			c.Bound(s.held, balance.Job{Prefix: s.job.Prefix})
+			for seed := range uint64(20) {
+				order := c.Order(0, rand.New(rand.NewPCG(seed, 0)), s.job, s.candidates)
+				if got := s.candidates[order[0]].Target; got != s.first {
+					t.Fatalf("seed %d: %s first, want %s", seed, got, s.first)
+				}
+			}
+		})
+	}
+}
--- a/pkg/balance/order.go
+++ b/pkg/balance/order.go
@@ -7,8 +7,10 @@
 	"math/rand/v2"
 	"slices"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/prefix"
 )
 
 // Candidate is a target that could serve a request, as its entry last heard of
@@ -25,8 +27,13 @@
 // Job is what is to be placed.
 type Job struct {
 	Service ids.Service
+	Tier    ids.TierRank
 	// Work is the estimated work of the request.
 	Work ids.Tokens
+	// Remaining is the time to its deadline.
+	Remaining clock.Millis
+	// Prefix is the chain of the prompt's blocks; empty for a short prompt.
+	Prefix []prefix.Fingerprint
 }
 
 const microsPerSecond = 1e6
@@ -34,20 +41,22 @@
 // expectedEnd estimates in seconds how long the job takes at the candidate:
 // its wait, and its run at the measured speed.
 func (c *Candidate) expectedEnd(job Job) float64 {
-	return c.expectedWait() + float64(job.Work)*float64(c.Load.UnitMicros)/microsPerSecond
+	return c.expectedWait(job.Tier) + float64(job.Work)*float64(c.Load.UnitMicros)/microsPerSecond
 }
 
-// expectedWait estimates in seconds how long new work waits, by queue and
-// measured drain rate.
-func (c *Candidate) expectedWait() float64 {
+// expectedWait estimates in seconds how long new work of a tier waits, by the
+// queue before it and the measured drain rate.
+func (c *Candidate) expectedWait(tier ids.TierRank) float64 {
 	const unknownDrain = 1000
 	drain := float64(c.Load.DrainPerSecond)
 	if drain <= 0 {
 		drain = unknownDrain
 	}
-	work := float64(c.Load.Queued + c.Outstanding)
+	work := float64(c.Load.QueuedBefore(tier) + c.Outstanding)
 	if c.Load.Free == 0 {
-		work += float64(c.Load.Running)
+		// The next of the running requests ends after about its share of the
+		// time in which all of them end.
+		work += float64(c.Load.Running) / float64(max(1, c.Load.Slots))
 	}
 	return work / drain
 }
--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -93,7 +93,7 @@
 		candidates := make([]balance.Candidate, n)
 		for i := range candidates {
 			candidates[i].Known = true
-			candidates[i].Load.Queued = ids.Tokens(random.IntN(1000))
+			candidates[i].Load.Queued = []ids.Tokens{ids.Tokens(random.IntN(1000))}
 		}
 		return nanoseconds(func() { balance.Order(random, balance.Job{Work: 100}, candidates, 2) })
 	})
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -70,10 +70,13 @@
 // Load is what an agent says of itself on each reply.
 type Load struct {
 	Agent ids.Incarnation
-	// Free is how many requests could be granted at once.
-	Free int
-	// Queued is the estimated work that waits, Running that on the engine.
-	Queued  ids.Tokens
+	// Free is how many requests could be granted at once, of Slots in all.
+	Free  int
+	Slots int
+	// Queued is, for each tier, the estimated work that waits in it and in the
+	// tiers above. Tiers below the last one have the last figure.
+	Queued []ids.Tokens
+	// Running is the estimated work on the engine.
 	Running ids.Tokens
 	// Floor is the lowest tier still taken.
 	Floor ids.TierRank
@@ -88,6 +91,14 @@
 	Revision declaration.Revision
 }
 
+// QueuedBefore returns the work that waits before a new ticket of a tier.
+func (l *Load) QueuedBefore(tier ids.TierRank) ids.Tokens {
+	if len(l.Queued) == 0 {
+		return 0
+	}
+	return l.Queued[min(int(tier), len(l.Queued)-1)]
+}
+
 // VerdictKind is what became of a ticket.
 type VerdictKind int
 
--- a/pkg/entry/callers_controller.go
+++ b/pkg/entry/callers_controller.go
@@ -93,6 +93,7 @@
 				service: call.Model,
 				prefill: call.Prefill,
 				decode:  call.Decode,
+				prefix:  call.Prefix,
 				path:    r.URL.Path,
 				header:  modelHeader(r.Header),
 				model:   true,
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 
+	"quaydock/pkg/balance"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/invariant"
 	"quaydock/pkg/lifecycle"
+	"quaydock/pkg/prefix"
 )
 
 // request is one caller's request while the entry holds it. Only the goroutine
@@ -21,6 +23,7 @@
 	deadline clock.Millis
 	prefill  ids.Tokens
 	decode   ids.Tokens
+	prefix   []prefix.Fingerprint
 
 	method string
 	path   string
@@ -49,6 +52,12 @@
 	r.state = next
 }
 
+// job describes the request to the choice of targets.
+func (r *request) job(now clock.Millis) balance.Job {
+	t := r.ticket(now, "")
+	return balance.Job{Service: r.service, Tier: r.tier, Work: t.Work(), Remaining: t.Remaining, Prefix: r.prefix}
+}
+
 // ticket describes the request to an agent.
 func (r *request) ticket(now clock.Millis, traceParent string) control.Ticket {
 	return control.Ticket{
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"quaydock/pkg/balance"
 	"quaydock/pkg/clock"
@@ -20,7 +21,10 @@
 	maxRounds = 5
 	// freshRefusal is how long a refusal may be relied on. It is below the time
 	// for which agents keep lower tiers out after one (settings floor_hold_ms).
-	freshRefusal  = clock.Second
+	freshRefusal = clock.Second
+	// hedgeAfter is when a request that was placed with fewer agents than usual
+	// is placed with more. A ticket may be hedged, a dispatch never.
+	hedgeAfter    = 300 * clock.Millisecond
 	roundBackoff  = 100 * clock.Millisecond
 	minRetryAfter = clock.Second
 	maxRetryAfter = clock.Minute
@@ -38,6 +42,7 @@
 // round is one pass over the targets of a service.
 type round struct {
 	untried []*session
+	asked   int // how many tickets are to be out at once
 	out     map[*session]bool
 	// full lists those that declined since higher or equal tiers fill them;
 	// late counts those that could not answer by the deadline, unreached those
@@ -62,7 +67,7 @@
 			return result
 		}
 		if current.unreached == 0 && t.agreed(current) {
-			return gaveUp{refusal.Overloaded(retryAfter(current.full))}
+			return gaveUp{refusal.Overloaded(retryAfter(current.full, r.tier))}
 		}
 		if current.unreached == 0 && len(current.full) == 0 && current.late > 0 {
 			return gaveUp{refusal.DeadlineNotRun()}
@@ -97,8 +102,8 @@
 		candidates = append(candidates, c)
 	}
 	now := t.Clock.Now()
-	described := r.ticket(now, "")
-	job := balance.Job{Service: r.service, Work: described.Work()}
+	job := r.job(now)
+	next.asked = t.choose.Asked(job)
 	for _, i := range t.choose.Order(now, t.Random.Fork(), job, candidates) {
 		next.untried = append(next.untried, reached[i])
 	}
@@ -108,6 +113,8 @@
 // waitRound returns nil if every target of the round declined or was lost.
 func (t *ticketing) waitRound(ctx context.Context, r *request, current *round) waitResult {
 	defer t.takeBack(r, current)
+	hedge := time.NewTimer(hedgeAfter.Duration())
+	defer hedge.Stop()
 	for {
 		t.ask(ctx, r, current)
 		if len(current.out) == 0 {
@@ -117,8 +124,11 @@
 		case event := <-r.events:
 			delete(current.out, event.session)
 			if result := current.take(t.Clock.Now(), event); result != nil {
+				t.choose.Bound(event.session.target, r.job(t.Clock.Now()))
 				return result
 			}
+		case <-hedge.C:
+			current.asked = max(current.asked, t.asked)
 		case <-ctx.Done():
 			return interrupted(ctx)
 		}
@@ -135,7 +145,7 @@
 
 // ask places tickets until enough are out.
 func (t *ticketing) ask(ctx context.Context, r *request, current *round) {
-	for len(current.out) < t.asked && len(current.untried) > 0 {
+	for len(current.out) < current.asked && len(current.untried) > 0 {
 		s := current.untried[0]
 		current.untried = current.untried[1:]
 		current.out[s] = true
@@ -183,14 +193,14 @@
 
 // retryAfter is the time in which the least loaded of the full targets drains
 // half of its queue.
-func retryAfter(full []*session) clock.Millis {
+func retryAfter(full []*session, tier ids.TierRank) clock.Millis {
 	best := maxRetryAfter
 	for _, s := range full {
 		load := s.lastLoad()
 		if load.DrainPerSecond <= 0 {
 			continue
 		}
-		best = min(best, drainTime(load.Queued/2, load.DrainPerSecond))
+		best = min(best, drainTime(load.QueuedBefore(tier)/2, load.DrainPerSecond))
 	}
 	return max(best, minRetryAfter)
 }
--- a/pkg/experiment/result.go
+++ b/pkg/experiment/result.go
@@ -23,9 +23,9 @@
 	order    []ids.Tier
 	Tiers    map[ids.Tier]*TierResult
 	Refusals map[string]int
-	// Prompt tokens that engines computed, and of those the ones of requests
-	// that got no whole answer.
-	ComputedPrompt, WastedPrompt int
+	// Prompt tokens that engines computed, and those that the whole answers
+	// needed with every shared text computed once.
+	ComputedPrompt, NeededPrompt int
 	Violations                   int
 }
 
@@ -64,9 +64,10 @@
 	return percent * float64(good) / float64(max(1, offered))
 }
 
-// Wasted is the share of computed prompt tokens that was thrown away.
+// Wasted is the share of computed prompt tokens that was thrown away or
+// computed again.
 func (r *Result) Wasted() float64 {
-	return percent * float64(r.WastedPrompt) / float64(max(1, r.ComputedPrompt))
+	return percent * max(0, 1-float64(r.NeededPrompt)/float64(max(1, r.ComputedPrompt)))
 }
 
 // Table shows results of one scenario, a row for each policy.
--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/declaration"
+	"quaydock/pkg/ids"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/testbed"
 )
@@ -34,11 +34,12 @@
 	callers  []*testbed.Caller
 	result   *Result
 	mu       sync.Mutex
+	shared   map[sharedText]bool
 }
 
 // Run runs a scenario under a policy. It is to be called in virtual time.
 func Run(s Scenario, policy string, seed uint64) (*Result, error) {
-	r := &run{scenario: s, policy: policy, result: newResult(&s, policy)}
+	r := &run{scenario: s, policy: policy, result: newResult(&s, policy), shared: make(map[sharedText]bool)}
 	if err := r.start(seed); err != nil {
 		return nil, err
 	}
@@ -122,7 +123,7 @@
 		"Quaydock-Tier":        {string(class.Tier)},
 		"Quaydock-Deadline-Ms": {fmt.Sprint(int64(class.DeadlineMS))},
 	}
-	prompt := fmt.Sprint("request ", i, " ") + strings.Repeat("x", class.PromptBytes)
+	prompt := a.prompt(i, class)
 	begun := time.Now()
 	answer := r.callers[a.entry].Chat(context.Background(), prompt, a.tokens, false, header)
 	r.note(a, answer, begun, time.Since(begun))
@@ -151,19 +152,36 @@
 	if answer.Code != "" {
 		r.result.Refusals[answer.Code+" ("+answer.Ending.String()+")"]++
 	}
-	if answer.Ending != testbed.Whole {
-		r.noteWaste(answer.Request)
+	if answer.Ending == testbed.Whole {
+		r.noteNeeded(a, class)
 	}
 	r.noteFirst(t, answer.Request, begun)
 }
 
-// noteWaste counts the prompt work of a request that got no whole answer.
-func (r *run) noteWaste(request string) {
-	for _, e := range r.bed.Engines {
-		r.result.WastedPrompt += e.ComputedFor(request)
+// noteNeeded counts the prompt work that a whole answer needed: its own part of
+// the prompt, and the shared part once for each text.
+func (r *run) noteNeeded(a arrival, class *Class) {
+	needed := formBytes + class.PromptBytes - class.SharedBytes
+	key := sharedText{class.Tier, a.family}
+	if a.family >= 0 && !r.shared[key] {
+		r.shared[key] = true
+		needed += class.SharedBytes
 	}
+	r.result.NeededPrompt += needed / bytesPerToken
+}
+
+// sharedText names one text that prompts begin with.
+type sharedText struct {
+	tier   ids.Tier
+	family int
 }
 
+const (
+	bytesPerToken = 4
+	// formBytes is what the form of a chat adds to a prompt.
+	formBytes = len(`[{"role":"user","content":" request 1000 "}]`)
+)
+
 func (r *run) noteFirst(t *TierResult, request string, begun time.Time) {
 	for _, e := range r.bed.Engines {
 		if at, made := e.FirstToken(request); made {
--- a/pkg/experiment/scenario.go
+++ b/pkg/experiment/scenario.go
@@ -32,6 +32,7 @@
 	StepMS         clock.Millis `json:"step_ms"`
 	PrefillPerStep int          `json:"prefill_per_step"`
 	MaxBatch       int          `json:"max_batch"`
+	CacheTokens    int          `json:"cache_tokens,omitempty"`
 }
 
 // Class is one kind of request.
@@ -41,6 +42,9 @@
 	// Share is the part of all requests.
 	Share       float64 `json:"share"`
 	PromptBytes int     `json:"prompt_bytes"`
+	// SharedBytes at the beginning of a prompt are one of Families texts.
+	SharedBytes int `json:"shared_bytes,omitempty"`
+	Families    int `json:"families,omitempty"`
 	// Tokens is the mean length of an answer; lengths are exponential.
 	Tokens     float64      `json:"tokens"`
 	DeadlineMS clock.Millis `json:"deadline_ms"`
@@ -78,7 +82,7 @@
 	for _, g := range s.Engines {
 		for range g.Count {
 			list = append(list, settings.EngineStandIn{
-				Model: testbed.Model, StepMS: g.StepMS, PrefillPerStep: g.PrefillPerStep, MaxBatch: g.MaxBatch,
+				Model: testbed.Model, StepMS: g.StepMS, PrefillPerStep: g.PrefillPerStep, MaxBatch: g.MaxBatch, CacheTokens: g.CacheTokens,
 			})
 		}
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -426,8 +426,9 @@
 func (g *Gate) Load(now clock.Millis) control.Load {
 	return control.Load{
 		Agent:          g.agent,
+		Slots:          g.limits.Slots,
 		Free:           max(0, g.free()-g.queue.Len()),
-		Queued:         g.queue.Work(),
+		Queued:         g.queue.workByTier(),
 		Running:        g.runWork,
 		Floor:          g.floorAt(now),
 		DrainPerSecond: ids.Tokens(g.drain.perSecond),
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -89,6 +89,17 @@
 	return sum
 }
 
+// workByTier returns, for each tier, the work that waits in it and above.
+func (q *Queue) workByTier() []ids.Tokens {
+	sums := make([]ids.Tokens, len(q.tierWork))
+	var sum ids.Tokens
+	for i, w := range q.tierWork {
+		sum += w
+		sums[i] = sum
+	}
+	return sums
+}
+
 // push adds a ticket.
 func (q *Queue) push(session Session, ticket control.Ticket, deadline clock.Millis) {
 	t := q.tier(ticket.Tier)
--- a/pkg/openai/body.go
+++ b/pkg/openai/body.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"quaydock/pkg/ids"
+	"quaydock/pkg/prefix"
 	"quaydock/pkg/refusal"
 )
 
@@ -23,6 +24,8 @@
 	// Prefill estimates the prompt, Decode the answer, in tokens.
 	Prefill ids.Tokens
 	Decode  ids.Tokens
+	// Prefix is the chain of the prompt's blocks.
+	Prefix []prefix.Fingerprint
 }
 
 // body has the fields that are read. The prompt is only measured.
@@ -52,7 +55,7 @@
 	if !startsWith(b.Messages, '[') {
 		return Call{}, refusal.Malformed("messages", "messages must be an array")
 	}
-	return b.call(len(b.Messages))
+	return b.call(b.Messages)
 }
 
 // ReadCompletion reads the body of a completion.
@@ -64,7 +67,7 @@
 	if !startsWith(b.Prompt, '"') && !startsWith(b.Prompt, '[') {
 		return Call{}, refusal.Malformed("prompt", "prompt must be a string or an array")
 	}
-	return b.call(len(b.Prompt))
+	return b.call(b.Prompt)
 }
 
 func read(document []byte) (*body, *refusal.Refusal) {
@@ -82,7 +85,7 @@
 	return len(value) > 0 && value[0] == first
 }
 
-func (b *body) call(promptBytes int) (Call, *refusal.Refusal) {
+func (b *body) call(prompt []byte) (Call, *refusal.Refusal) {
 	decode := int64(usualDecode)
 	for _, bound := range []*int64{b.MaxTokens, b.MaxCompletionTokens} {
 		if bound == nil {
@@ -96,7 +99,8 @@
 	return Call{
 		Model:   ids.Service(b.Model),
 		Stream:  b.Stream,
-		Prefill: ids.Tokens(promptBytes / bytesPerToken),
+		Prefill: ids.Tokens(len(prompt) / bytesPerToken),
+		Prefix:  prefix.Chain(prompt),
 		Decode:  ids.Tokens(decode),
 	}, nil
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -153,6 +153,9 @@
 	StepMS clock.Millis `json:"step_ms"`
 	// PrefillPerStep is how many prompt tokens one step takes.
 	PrefillPerStep int `json:"prefill_per_step"`
+	// CacheTokens is how many prompt tokens the engine keeps for requests with
+	// the same beginning.
+	CacheTokens int `json:"cache_tokens,omitempty"`
 	// MaxBatch bounds the requests that run at once; others queue in the engine
 	// in order of arrival. 0 means no bound.
 	MaxBatch int `json:"max_batch,omitempty"`
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -37,6 +37,7 @@
 	slowdown  int // steps take so many times as long
 	firsts    map[string]time.Time
 	computed  int // prompt tokens
+	cache     *promptCache
 	sequences map[string]*sequence
 	order     []string
 	runs      map[string]int
@@ -46,13 +47,13 @@
 
 // sequence is one request in the engine.
 type sequence struct {
-	prefill  int
-	computed int // of prefill; guarded by the engine's lock
-	left     int
-	made     int
-	stream   bool
-	id       string
-	text     string // the first token: tells whose answer it is
+	prefill int
+	blocks  []uint64 // of the prompt
+	left    int
+	made    int
+	stream  bool
+	id      string
+	text    string // the first token: tells whose answer it is
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -63,7 +64,7 @@
 
 // NewEngine returns an idle engine.
 func NewEngine(s settings.EngineStandIn) *Engine {
-	return &Engine{settings: s, sequences: make(map[string]*sequence), runs: make(map[string]int), firsts: make(map[string]time.Time), slowdown: 1}
+	return &Engine{settings: s, sequences: make(map[string]*sequence), runs: make(map[string]int), firsts: make(map[string]time.Time), slowdown: 1, cache: newPromptCache(s.CacheTokens)}
 }
 
 // SlowDown makes steps take factor times as long, as an engine does without
@@ -113,9 +114,11 @@
 
 // engineCall is what the engine reads of a body.
 type engineCall struct {
-	Model     string `json:"model"`
-	Stream    bool   `json:"stream"`
-	MaxTokens int    `json:"max_tokens"`
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
 }
 
 // OwnToken is the first token of the answer to a body, by which a test tells
@@ -139,7 +142,8 @@
 	}
 	s := &sequence{
 		id:      r.Header.Get("X-Request-Id"),
-		prefill: len(body) / bytesPerToken,
+		prefill: (len(call.Messages) + len(call.Prompt)) / bytesPerToken,
+		blocks:  promptBlocks(append(call.Messages, call.Prompt...)),
 		left:    call.MaxTokens,
 		stream:  call.Stream,
 		text:    OwnToken(body),
@@ -195,6 +199,7 @@
 func (e *Engine) admit() {
 	for len(e.queued) > 0 && (e.settings.MaxBatch == 0 || len(e.active) < e.settings.MaxBatch) {
 		if !e.queued[0].ended() {
+			e.queued[0].prefill -= e.cache.held(e.queued[0].blocks)
 			e.active = append(e.active, e.queued[0])
 		}
 		e.queued[0] = nil
@@ -209,12 +214,11 @@
 	prompt := e.settings.PrefillPerStep
 	kept := e.active[:0]
 	for _, s := range e.active {
-		taken := min(prompt, s.prefill)
+		taken := max(0, min(prompt, s.prefill))
 		s.prefill -= taken
 		prompt -= taken
 		e.computed += taken
-		s.computed += taken
-		if s.prefill == 0 {
+		if s.prefill <= 0 {
 			e.noteFirst(s)
 			s.emit()
 		}
@@ -231,6 +235,7 @@
 func (e *Engine) noteFirst(s *sequence) {
 	if _, made := e.firsts[s.id]; !made {
 		e.firsts[s.id] = time.Now()
+		e.cache.add(s.blocks)
 	}
 }
 
@@ -363,17 +368,6 @@
 	return e.computed
 }
 
-// ComputedFor returns how many prompt tokens of a request it has computed.
-func (e *Engine) ComputedFor(request string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s := e.sequences[request]
-	if s == nil {
-		return 0
-	}
-	return s.computed
-}
-
 // CutAll breaks every answer under way for good, as an engine that dies does.
 func (e *Engine) CutAll() {
 	e.mu.Lock()
