Random histories with faults, separate processes by script, one trace through all hops

Cause: faults had been tried one at a time; nothing ran the daemon as separate processes in a test; the trace context stopped at the entry, so that an agent's spans stood alone. Three things stood twice: heaps, pauses, HTTP transports.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/control"
@@ -21,6 +23,7 @@
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
 	"quaydock/pkg/settings"
+	"quaydock/pkg/telemetry"
 )
 
 // Agent stands beside one target.
@@ -200,12 +203,27 @@
 	}
 	verdicts := make([]control.Verdict, 0, len(args.Tickets))
 	for _, t := range args.Tickets {
-		verdicts = append(verdicts, a.gate.Place(now, session, t))
+		v := a.gate.Place(now, session, t)
+		a.tracePlace(&t, v)
+		verdicts = append(verdicts, v)
 	}
 	a.settle()
 	return verdicts, a.loadLocked(now)
 }
 
+// tracePlace shows a sampled ticket's decision as a span.
+func (a *Agent) tracePlace(t *control.Ticket, v control.Verdict) {
+	if t.TraceParent == "" {
+		return
+	}
+	_, span := a.Tracer.Start(telemetry.WithTraceParent(context.Background(), t.TraceParent), "agent.place")
+	span.SetAttributes(
+		attribute.String("quaydock.target", string(a.settings.Target)),
+		attribute.String("quaydock.verdict", v.Kind.String()),
+	)
+	span.End()
+}
+
 func (a *Agent) load() control.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -249,7 +267,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("draining the target: %w", ctx.Err())
 		}
-		pause(ctx, drainLook)
+		clock.Pause(ctx, drainLook)
 	}
 	if err := a.server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("draining streams: %w", err)
@@ -259,18 +277,6 @@
 
 const drainLook = 20 * clock.Millisecond
 
-func pause(ctx context.Context, wait clock.Millis) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (a *Agent) idle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/agent/streams_controller.go
+++ b/pkg/agent/streams_controller.go
@@ -16,6 +16,7 @@
 
 	"quaydock/pkg/control"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/telemetry"
 )
 
 const relayBytes = 8 << 10
@@ -43,7 +44,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	started, fate := a.start(r.Context(), grant, c)
+	ctx := telemetry.WithTraceParent(r.Context(), r.Header.Get(control.HeaderTrace))
+	started, fate := a.start(ctx, grant, c)
 	if started == nil {
 		a.refuse(w, grant, fate)
 		return
--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -15,8 +15,10 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
+	"quaydock/pkg/control"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
 	"quaydock/pkg/telemetry"
 )
 
@@ -26,7 +28,6 @@
 const (
 	// headerTargetRequest carries the request id to the target.
 	headerTargetRequest = "X-Request-Id"
-	headerTraceParent   = "Traceparent"
 	// pathStreams is where a target that resumes keeps its answers: GET with
 	// a Range goes on with one, DELETE cancels it.
 	pathStreams   = "/streams/"
@@ -46,19 +47,12 @@
 
 func newTargetClient(c common.Common) *targetClient {
 	t := &targetClient{Common: c}
-	t.transport = &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, targetDial.Duration())
-			defer cancel()
-			conn, err := c.Network.Dial(ctx, address)
-			if err != nil {
-				return nil, fmt.Errorf("%w: %w", errNotReached, err)
-			}
-			return &writeMarkingConn{Conn: conn}, nil
-		},
-		MaxIdleConnsPerHost: targetConns,
-		DisableCompression:  true,
-	}
+	t.transport = network.NewTransport(c.Network, network.TransportOptions{
+		DialTimeout: targetDial,
+		DialError:   errNotReached,
+		IdlePerHost: targetConns,
+		Wrap:        func(conn net.Conn) net.Conn { return &writeMarkingConn{Conn: conn} },
+	})
 	return t
 }
 
@@ -123,7 +117,7 @@
 	}
 	for n := 0; err != nil && target.Resumes && n < maxResumes && ctx.Err() == nil; n++ {
 		t.Metrics.Links.Add("target_resumes", 1)
-		pause(ctx, resumeBackoff<<n)
+		clock.Pause(ctx, resumeBackoff<<n)
 		err = t.resume(ctx, target, c.request, p)
 	}
 	if ctx.Err() != nil && target.Resumes {
@@ -149,7 +143,7 @@
 	}
 	request.Header[headerTargetRequest] = []string{string(c.request)}
 	if parent := telemetry.TraceParent(ctx); parent != "" {
-		request.Header.Set(headerTraceParent, parent)
+		request.Header.Set(control.HeaderTrace, parent)
 	}
 	response, err := t.transport.RoundTrip(request)
 	switch {
--- a/pkg/app/app_test.go
+++ b/pkg/app/app_test.go
@@ -7,11 +7,13 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"quaydock/pkg/app"
+	"quaydock/pkg/ctl"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"quaydock": func() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"quayctl":  func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
 
@@ -21,7 +23,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			root, err := os.Getwd()
-			env.Setenv("EXAMPLES", root+"/../../examples")
+			env.Setenv("ROOT", root+"/../..")
 			return err
 		},
 	})
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -2,7 +2,10 @@
 // decisions, messages and settings.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Millis is a count of milliseconds: a length of time, or a moment counted
 // from the Unix epoch.
@@ -38,3 +41,16 @@
 func (Clock) Now() Millis {
 	return Millis(time.Now().UnixMilli())
 }
+
+// Pause waits, or returns early when ctx ends.
+func Pause(ctx context.Context, wait Millis) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -14,6 +14,8 @@
 const (
 	HeaderRequest = "Quaydock-Request-Id"
 	HeaderGrant   = "Quaydock-Grant-Id"
+	// HeaderTrace carries the W3C trace context of a sampled request.
+	HeaderTrace = "Traceparent"
 	// HeaderFate is set by the agent on a refusal of a dispatch. Its only
 	// value is FateNeverDispatched.
 	HeaderFate = "Quaydock-Fate"
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -18,12 +18,14 @@
 // status shows readiness and metrics of one process.
 func status(ctx context.Context, args []string, out, errs io.Writer) error {
 	flags := flag.NewFlagSet("quayctl status", flag.ContinueOnError)
+	wait := flags.Duration("wait", 0, "how long to wait for the process to be ready")
 	at := flags.String("at", "127.0.0.1:7401", "the operators' `address` of the process")
 	if err := parse(flags, args, errs); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	ctx, cancel := context.WithTimeout(ctx, *wait+statusTimeout)
 	defer cancel()
+	awaitReady(ctx, *at, *wait)
 	ready, _, err := get(ctx, *at, operators.PathReady)
 	if err != nil {
 		return fmt.Errorf("readiness: %w", err)
@@ -40,6 +42,16 @@
 	return nil
 }
 
+// awaitReady returns when the process is ready or the time is over.
+func awaitReady(ctx context.Context, at string, wait time.Duration) {
+	const look = 50 * time.Millisecond
+	for until := time.Now().Add(wait); time.Now().Before(until); time.Sleep(look) {
+		if code, _, err := get(ctx, at, operators.PathReady); err == nil && code == http.StatusNoContent {
+			return
+		}
+	}
+}
+
 func get(ctx context.Context, at, path string) (code int, body []byte, err error) {
 	request, err := sling.New().Base("http://" + at).Get(path).Request()
 	if err != nil {
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -137,7 +137,7 @@
 		if err == nil {
 			return fate
 		}
-		pause(ctx, d.Random.Jitter(backoff))
+		clock.Pause(ctx, d.Random.Jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return control.FateUnknown
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/netutil"
 
 	"quaydock/pkg/balance"
+	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/refusal"
@@ -117,7 +118,7 @@
 // answer to end or for ctx.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.leaving.Store(true)
-	pause(ctx, e.settings.SettleMS)
+	clock.Pause(ctx, e.settings.SettleMS)
 	err := e.server.Shutdown(ctx)
 	e.Close()
 	if err != nil {
--- a/pkg/entry/exchange.go
+++ b/pkg/entry/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,7 +19,9 @@
 	"quaydock/pkg/control"
 	"quaydock/pkg/invariant"
 	"quaydock/pkg/lifecycle"
+	"quaydock/pkg/network"
 	"quaydock/pkg/refusal"
+	"quaydock/pkg/telemetry"
 )
 
 const (
@@ -43,20 +44,12 @@
 func newExchange(c common.Common, dialTimeout clock.Millis) *exchange {
 	x := &exchange{Common: c}
 	x.buffers.New = func() any { return new([copyBytes]byte) }
-	x.transport = &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
-			defer cancel()
-			conn, err := c.Network.Dial(ctx, address)
-			if err != nil {
-				return nil, fmt.Errorf("%w: %w", errNotSent, err)
-			}
-			return conn, nil
-		},
-		MaxIdleConnsPerHost: idleStreams,
-		IdleConnTimeout:     idleStreamAfter.Duration(),
-		DisableCompression:  true,
-	}
+	x.transport = network.NewTransport(c.Network, network.TransportOptions{
+		DialTimeout: dialTimeout,
+		DialError:   errNotSent,
+		IdlePerHost: idleStreams,
+		IdleAfter:   idleStreamAfter,
+	})
 	return x
 }
 
@@ -117,6 +110,9 @@
 	call.Header["User-Agent"] = nil // between our own processes it only costs
 	call.Header[control.HeaderRequest] = []string{string(r.id)}
 	call.Header[control.HeaderGrant] = []string{bound.grant.String()}
+	if parent := telemetry.TraceParent(ctx); parent != "" {
+		call.Header[control.HeaderTrace] = []string{parent}
+	}
 	return call, nil
 }
 
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -84,24 +84,11 @@
 		}
 		s.Metrics.Links.Add("session_lost", 1)
 		s.Log.WithError(err).Debug("no session with the agent")
-		pause(ctx, s.Random.Jitter(backoff))
+		clock.Pause(ctx, s.Random.Jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, wait clock.Millis) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *session) connect(ctx context.Context) (*control.Client, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.dialTimeout.Duration())
 	defer cancel()
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -75,7 +75,7 @@
 		if n+1 == maxRounds {
 			return gaveUp{refusal.NoTarget(minRetryAfter)}
 		}
-		pause(ctx, t.Random.Jitter(roundBackoff<<n))
+		clock.Pause(ctx, t.Random.Jitter(roundBackoff<<n))
 	}
 }
 
--- a/pkg/gate/heaps.go
+++ b/pkg/gate/heaps.go
@@ -1,65 +1,57 @@
 package gate
 
-// deadlineHeap has the earliest deadline first; of equal ones, the first to
-// arrive.
-type deadlineHeap []*waiting
-
-func (h deadlineHeap) Len() int { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool {
-	if h[i].deadline != h[j].deadline {
-		return h[i].deadline < h[j].deadline
-	}
-	return h[i].arrival < h[j].arrival
+// element is what an indexedHeap holds: it has an order, and knows its place,
+// so that it can be taken out from anywhere.
+type element[T any] interface {
+	before(T) bool
+	setIndex(int)
 }
-func (h deadlineHeap) Swap(i, j int) {
+
+// indexedHeap is a heap for container/heap, the first by order at its top.
+type indexedHeap[T element[T]] []T
+
+func (h indexedHeap[T]) Len() int           { return len(h) }
+func (h indexedHeap[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h indexedHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	h[i].setIndex(i)
+	h[j].setIndex(j)
 }
 
-// Push adds a *waiting; it is called by container/heap.
-func (h *deadlineHeap) Push(x any) {
-	w := x.(*waiting)
-	w.index = len(*h)
-	*h = append(*h, w)
+// Push adds an element; it is called by container/heap.
+func (h *indexedHeap[T]) Push(x any) {
+	added := x.(T)
+	added.setIndex(len(*h))
+	*h = append(*h, added)
 }
 
-// Pop takes the last; it is called by container/heap.
-func (h *deadlineHeap) Pop() any {
+// Pop takes the last element; it is called by container/heap.
+func (h *indexedHeap[T]) Pop() any {
 	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
+	taken := (*h)[last]
+	var none T
+	(*h)[last] = none
 	*h = (*h)[:last]
-	return w
+	return taken
 }
 
-// laneHeap has the least served account first; names decide a tie, so that the
-// same tickets always give the same order.
-type laneHeap []*lane
-
-func (h laneHeap) Len() int { return len(h) }
-func (h laneHeap) Less(i, j int) bool {
-	if h[i].service != h[j].service {
-		return h[i].service < h[j].service
+// before puts the earliest deadline first; of equal ones, the first to arrive.
+func (w *waiting) before(other *waiting) bool {
+	if w.deadline != other.deadline {
+		return w.deadline < other.deadline
 	}
-	return h[i].account < h[j].account
-}
-func (h laneHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	return w.arrival < other.arrival
 }
 
-// Push adds a *lane; it is called by container/heap.
-func (h *laneHeap) Push(x any) {
-	l := x.(*lane)
-	l.index = len(*h)
-	*h = append(*h, l)
-}
+func (w *waiting) setIndex(i int) { w.index = i }
 
-// Pop takes the last; it is called by container/heap.
-func (h *laneHeap) Pop() any {
-	last := len(*h) - 1
-	l := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return l
+// before puts the least served account first; names decide a tie, so that the
+// same tickets always give the same order.
+func (l *lane) before(other *lane) bool {
+	if l.service != other.service {
+		return l.service < other.service
+	}
+	return l.account < other.account
 }
+
+func (l *lane) setIndex(i int) { l.index = i }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -41,7 +41,7 @@
 
 // tierQueue holds the lanes of one tier, the least served first.
 type tierQueue struct {
-	lanes   laneHeap
+	lanes   indexedHeap[*lane]
 	byName  map[ids.Account]*lane
 	virtual float64
 }
@@ -51,7 +51,7 @@
 type lane struct {
 	account ids.Account
 	service float64
-	tickets deadlineHeap
+	tickets indexedHeap[*waiting]
 	index   int
 }
 
--- /dev/null
+++ b/pkg/gate/refusal.go
@@ -0,0 +1,102 @@
+package gate
+
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/control"
+	"quaydock/pkg/ids"
+)
+
+func (g *Gate) refusal(now clock.Millis, ticket *control.Ticket) control.RefuseReason {
+	switch {
+	case g.leaving:
+		return control.Leaving
+	case !g.services[ticket.Service]:
+		return control.NotPlaced
+	case ticket.Remaining <= 0:
+		return control.Late
+	case g.queue.Has(ticket.Request):
+		return control.Replaced
+	case g.floorAt(now).Higher(ticket.Tier):
+		return control.Full
+	}
+	if g.unit.least(ticket.Work()) >= ticket.Remaining {
+		return control.Late
+	}
+	if (g.full(ticket) || g.hopeless(ticket)) && !g.servesBelow(ticket.Tier) {
+		g.raiseFloor(now, ticket.Tier)
+		return control.Full
+	}
+	return control.NoReason
+}
+
+// full reports whether work of the ticket's tier and above fills the queue.
+func (g *Gate) full(ticket *control.Ticket) bool {
+	return g.queue.Len() > 0 && g.queue.WorkAtOrAbove(ticket.Tier)+ticket.Work() > g.queueLimit()
+}
+
+// hopeless reports whether the work that goes before the ticket takes longer
+// than its deadline allows, even if nothing of a higher tier arrives any more.
+func (g *Gate) hopeless(ticket *control.Ticket) bool {
+	if g.drain.perSecond <= 0 || g.queue.Len() == 0 {
+		return false
+	}
+	before := float64(g.queue.WorkAtOrAbove(ticket.Tier)) / g.drain.perSecond
+	left := ticket.Remaining - g.unit.least(ticket.Work())
+	return before*float64(clock.Second) > float64(left)
+}
+
+// servesBelow reports whether work below tier waits, is granted or runs. While
+// it does, no ticket of tier is refused, even beyond the bound of the queue:
+// what runs is not cut to make room, but it is not served in the place of a
+// higher tier either.
+func (g *Gate) servesBelow(tier ids.TierRank) bool {
+	for i, n := range g.inside {
+		if n > 0 && tier.Higher(ids.TierRank(i)) {
+			return true
+		}
+	}
+	lowest, waits := g.queue.lowestTier()
+	return waits && tier.Higher(lowest)
+}
+
+func (g *Gate) enter(tier ids.TierRank) {
+	for len(g.inside) <= int(tier) {
+		g.inside = append(g.inside, 0)
+	}
+	g.inside[tier]++
+}
+
+// raiseFloor keeps lower tiers out for a while after a tier was refused, so
+// that what was refused does not see lower work served in its place.
+func (g *Gate) raiseFloor(now clock.Millis, tier ids.TierRank) {
+	if tier.Higher(g.floorAt(now)) {
+		g.floor = tier
+	}
+	g.floorUntil = now + g.limits.FloorHold
+	for w := g.queue.lowest(); w != nil && tier.Higher(w.ticket.Tier); w = g.queue.lowest() {
+		g.handBack(w, control.Full)
+	}
+}
+
+func (g *Gate) floorAt(now clock.Millis) ids.TierRank {
+	if now >= g.floorUntil {
+		return NoFloor
+	}
+	return g.floor
+}
+
+func (g *Gate) queueLimit() ids.Tokens {
+	measured := g.drain.perSecond * float64(g.limits.QueueTime) / float64(clock.Second)
+	return max(g.limits.QueueMin, ids.Tokens(measured))
+}
+
+// evict hands back lower tiers until the queue is within its bound.
+func (g *Gate) evict(tier ids.TierRank) {
+	for g.queue.Work() > g.queueLimit() {
+		w := g.queue.lowest()
+		if w == nil || !tier.Higher(w.ticket.Tier) {
+			return
+		}
+		g.handBack(w, control.Full)
+	}
+}
--- a/pkg/network/faults.go
+++ b/pkg/network/faults.go
@@ -76,6 +76,13 @@
 	return f.struck
 }
 
+// Heal drops the faults that have not struck yet.
+func (f *Faults) Heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = nil
+}
+
 // Wrap makes conn subject to the faults of its address.
 func (f *Faults) Wrap(address string, conn net.Conn) net.Conn {
 	return &faultyConn{Conn: conn, faults: f, address: address, turn: make(chan struct{}, 1), closed: make(chan struct{})}
--- a/pkg/platform/table.go
+++ b/pkg/platform/table.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 
 	"github.com/dghubble/sling"
@@ -62,18 +61,8 @@
 
 // NewTable returns a client of the table at base that gives each call the time
 // timeout.
-func NewTable(net network.Network, base string, timeout clock.Millis) *Table {
-	return &Table{base: base, client: &http.Client{Transport: Transport(net)}, timeout: timeout}
-}
-
-// Transport returns an HTTP transport over the given network.
-func Transport(reach network.Network) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return reach.Dial(ctx, address)
-		},
-		DisableCompression: true,
-	}
+func NewTable(reach network.Network, base string, timeout clock.Millis) *Table {
+	return &Table{base: base, client: &http.Client{Transport: network.NewTransport(reach, network.TransportOptions{})}, timeout: timeout}
 }
 
 // Read returns the row at key. The error is of kind errors.NotFound if there
--- a/pkg/testbed/caller.go
+++ b/pkg/testbed/caller.go
@@ -10,7 +10,6 @@
 	"strings"
 
 	"quaydock/pkg/network"
-	"quaydock/pkg/platform"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/standin"
 )
@@ -53,7 +52,7 @@
 
 // NewCaller returns a caller of the entry at address.
 func NewCaller(reach network.Network, address string) *Caller {
-	return &Caller{client: &http.Client{Transport: platform.Transport(reach)}, base: "http://" + address}
+	return &Caller{client: &http.Client{Transport: network.NewTransport(reach, network.TransportOptions{})}, base: "http://" + address}
 }
 
 // Close drops the caller's connections.
--- a/pkg/testbed/grant_test.go
+++ b/pkg/testbed/grant_test.go
@@ -13,7 +13,6 @@
 	"quaydock/pkg/control"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
-	"quaydock/pkg/platform"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/testbed"
 )
@@ -31,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &link{t: t, control: control.NewClient(conn), data: &http.Client{Transport: platform.Transport(reach)}}
+	l := &link{t: t, control: control.NewClient(conn), data: &http.Client{Transport: network.NewTransport(reach, network.TransportOptions{})}}
 	t.Cleanup(func() {
 		l.control.Close()
 		l.data.CloseIdleConnections()
--- /dev/null
+++ b/pkg/testbed/random_test.go
@@ -0,0 +1,156 @@
+package testbed_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/network"
+	"quaydock/pkg/settings"
+	"quaydock/pkg/testbed"
+)
+
+var seeds = flag.Uint64("seeds", 25, "how many random histories to run")
+
+// TestRandomHistories runs bursts of requests while messages are cut and held
+// back, engines slow down and break their streams, and agents die and are
+// replaced, all drawn from a seed. Whatever comes of a request, what it is told
+// is true, and afterwards the system serves again.
+func TestRandomHistories(t *testing.T) {
+	endings := make(map[testbed.Ending]int)
+	for seed := uint64(1); seed <= *seeds; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := &randomHistory{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 2))}
+			for ending, n := range h.run() {
+				endings[ending] += n
+			}
+			if t.Failed() {
+				t.Logf("seed %d", seed)
+			}
+		})
+	}
+	t.Logf("%d histories: %v", *seeds, endings)
+}
+
+type randomHistory struct {
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	bed    *testbed.Bed
+}
+
+const (
+	randomEngines = 3
+	randomEntries = 2
+	historyLength = 20 * time.Second
+)
+
+func (h *randomHistory) run() map[testbed.Ending]int {
+	faults := network.NewFaults(h.faults()...)
+	h.bed = started(h.t, testbed.Options{
+		Entries: randomEntries, Engines: engines(randomEngines), Slots: 2, Seed: h.seed,
+		Faults: faults,
+		Adjust: func(s *settings.Settings) {
+			for i := range s.Agents {
+				s.Agents[i].QueueMinTokens = 200
+				s.Agents[i].QueueTimeMS = 100
+			}
+		},
+	})
+	var strikes sync.WaitGroup
+	strikes.Go(h.strike)
+	answers := h.burst(60)
+	strikes.Wait()
+	faults.Heal()
+	time.Sleep(time.Minute)
+	endings := checkAll(h.t, h.bed, answers)
+	after := callerOf(h.t, h.bed).Chat(context.Background(), "after", 3, true, nil)
+	checkTruth(h.t, h.bed, after)
+	if after.Ending != testbed.Whole {
+		h.t.Errorf("seed %d: a later request ended %v: %s", h.seed, after.Ending, after.Body)
+	}
+	return endings
+}
+
+// faults draws messages to cut or hold back, on any link.
+func (h *randomHistory) faults() []network.Fault {
+	var addresses []string
+	for i := range randomEngines {
+		addresses = append(addresses, testbed.ControlAddress(i), testbed.DataAddress(i), testbed.TargetAddress(i))
+	}
+	faults := make([]network.Fault, 12)
+	for i := range faults {
+		faults[i] = network.Fault{
+			Address:   addresses[h.random.IntN(len(addresses))],
+			Direction: network.Direction(h.random.IntN(2)),
+			Message:   h.random.IntN(80),
+			Effect:    network.Effect(h.random.IntN(3)),
+			Length:    clock.Millis(h.random.IntN(20_000)),
+		}
+	}
+	return faults
+}
+
+// strike breaks engines and replaces agents while requests run.
+func (h *randomHistory) strike() {
+	random := rand.New(rand.NewPCG(h.seed, 3))
+	for range 5 {
+		time.Sleep(time.Duration(random.Int64N(int64(historyLength / 5))))
+		i := random.IntN(randomEngines)
+		switch random.IntN(3) {
+		case 0:
+			h.bed.Engines[i].CutAll()
+		case 1:
+			h.bed.Engines[i].SlowDown(1 + random.IntN(20))
+		default:
+			h.bed.Agents[i].Close()
+			next, err := h.bed.StartAgent(i)
+			if err != nil {
+				h.t.Error(err)
+				return
+			}
+			h.bed.Agents[i] = next
+		}
+	}
+	for _, e := range h.bed.Engines {
+		e.SlowDown(1)
+	}
+}
+
+// burst sends requests of all tiers, some of whose callers leave.
+func (h *randomHistory) burst(n int) []testbed.Answer {
+	tiers := []string{"pilot", "notice", "summary", "tag"}
+	callers := make([]*testbed.Caller, randomEntries)
+	for i := range callers {
+		callers[i] = testbed.NewCaller(h.bed.Network, testbed.EntryAddress(i))
+		h.t.Cleanup(callers[i].Close)
+	}
+	type draw struct {
+		at, patience time.Duration
+		tier         string
+		tokens       int
+	}
+	draws := make([]draw, n)
+	for i := range draws {
+		draws[i] = draw{
+			at:       time.Duration(h.random.Int64N(int64(historyLength))),
+			patience: time.Duration(h.random.Int64N(int64(2 * historyLength))),
+			tier:     tiers[h.random.IntN(len(tiers))],
+			tokens:   1 + h.random.IntN(300),
+		}
+	}
+	return parallel(n, func(i int) testbed.Answer {
+		time.Sleep(draws[i].at)
+		ctx, leave := context.WithTimeout(context.Background(), draws[i].patience)
+		defer leave()
+		header := http.Header{"Quaydock-Tier": {draws[i].tier}}
+		return callers[i%randomEntries].Chat(ctx, fmt.Sprint("request ", i), draws[i].tokens, i%3 == 0, header)
+	})
+}
