Claim calls with an idempotency key in the table before they run

Change: a row for each key, inserted if absent before tickets are placed, many to a transaction; a lost answer is settled by reading back; an attempt that did not run frees its claim by compare-and-set. The stand-in of the table can be away. The in-memory network no longer loses a connection made while its listener closes. A repeat does not attach to the first answer yet, rows are not removed, and writes a second are not measured.

--- a/pkg/app/process.go
+++ b/pkg/app/process.go
@@ -64,7 +64,7 @@
 		p.agents = append(p.agents, agent.New(p.Common, a))
 	}
 	if s.Entry != nil {
-		p.entry = entry.New(p.Common, *s.Entry)
+		p.entry = entry.New(p.Common, s.Process, *s.Entry, p.table)
 	}
 	p.port = operators.NewPort(p.Common, s.Operators.Listen, p.ready)
 	return p, nil
--- a/pkg/entry/callers_controller.go
+++ b/pkg/entry/callers_controller.go
@@ -160,6 +160,7 @@
 func (e *Entry) complete(made *request, a arrival) {
 	made.id = a.id
 	made.account = a.terms.account.Name
+	made.key = a.terms.key
 	made.weight = a.terms.account.Weight
 	made.tier = a.terms.tier
 	made.deadline = e.Clock.Now() + a.terms.deadline
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"quaydock/pkg/claim"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/control"
@@ -26,6 +27,7 @@
 	common.Common
 	ticketing      *ticketing
 	exchange       *exchange
+	claimer        *claim.Claimer
 	outcomeTimeout clock.Millis
 }
 
@@ -33,6 +35,31 @@
 // was whole or the caller has gone, else why there is no whole answer. It
 // returns only when the request has ended.
 func (d *dispatcher) serve(ctx context.Context, r *request, out *answerWriter) *refusal.Refusal {
+	if r.key == "" {
+		return d.bind(ctx, r, out)
+	}
+	won, err := d.claimer.Claim(ctx, r.account, r.key, r.id)
+	if won {
+		why := d.bind(ctx, r, out)
+		if r.state == lifecycle.Refused {
+			d.claimer.Free(r.account, r.key, r.id)
+		}
+		return why
+	}
+	r.become(lifecycle.Refused)
+	if err == nil {
+		return refusal.KeyTaken()
+	}
+	// A claim that was written though nobody could say so is given back.
+	d.claimer.Free(r.account, r.key, r.id)
+	if gave, ok := interrupted(ctx).(gaveUp); ok {
+		return gave.refusal
+	}
+	return nil
+}
+
+// bind takes a request that may run from waiting to its end.
+func (d *dispatcher) bind(ctx context.Context, r *request, out *answerWriter) *refusal.Refusal {
 	for range maxBindings {
 		switch waited := d.ticketing.wait(ctx, r).(type) {
 		case granted:
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -14,9 +14,12 @@
 	"golang.org/x/net/netutil"
 
 	"quaydock/pkg/balance"
+	"quaydock/pkg/claim"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/platform"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/settings"
 )
@@ -35,8 +38,8 @@
 	leaving    atomic.Bool
 }
 
-// New returns an entry that has not started.
-func New(c common.Common, s settings.Entry) *Entry {
+// New returns an entry that has not started. It keeps claims in table.
+func New(c common.Common, name ids.Process, s settings.Entry, table *platform.Table) *Entry {
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{Common: c, settings: s, use: newAccountUse(), stop: stop}
 	e.pool = newSessionPool(ctx, c, s.DialTimeoutMS)
@@ -52,6 +55,7 @@
 			choose: balance.NewChooser(policyOf(s), s.TicketsPerRequest, s.ReportLagMS),
 			asked:  s.TicketsPerRequest,
 		},
+		claimer:        claim.NewClaimer(c, name, table),
 		exchange:       newExchange(c, s.DialTimeoutMS),
 		outcomeTimeout: s.OutcomeTimeoutMS,
 	}
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -17,6 +17,7 @@
 type request struct {
 	id       ids.Request
 	account  ids.Account
+	key      string // idempotency key, empty if none
 	weight   float64
 	service  ids.Service
 	tier     ids.TierRank
--- a/pkg/network/memory.go
+++ b/pkg/network/memory.go
@@ -46,6 +46,12 @@
 	case <-ctx.Done():
 		return nil, fmt.Errorf("dialling %s: %w", address, ctx.Err())
 	}
+	select {
+	case <-listener.closed:
+		// It closed at the same moment, and may not have seen the connection.
+		_ = accepted.Close()
+	default:
+	}
 	if m.wrap != nil {
 		conn = m.wrap(address, conn)
 	}
--- a/pkg/refusal/codes.go
+++ b/pkg/refusal/codes.go
@@ -123,6 +123,12 @@
 	return r
 }
 
+// KeyTaken refuses a repeat of a call that another attempt has claimed. The
+// repeat itself did not run, but the call may have.
+func KeyTaken() *Refusal {
+	return unknown(http.StatusConflict, CodeKeyInUse, "another request with this idempotency key was taken in; it runs, has run, or its outcome is not known; this repeat was not run")
+}
+
 // DeadlineUnknown ends a request whose deadline passed after it was sent.
 func DeadlineUnknown() *Refusal {
 	return unknown(http.StatusGatewayTimeout, CodeDeadline, "the deadline passed after the request was sent; it may have run")
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -13,6 +13,7 @@
 type Table struct {
 	mu   sync.Mutex
 	rows map[platform.Key]platform.Row
+	down bool
 }
 
 // NewTable returns an empty table.
@@ -25,7 +26,25 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathRows, t.read)
 	mux.HandleFunc("POST "+platform.PathTransactions, t.commit)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.isDown() {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// SetDown takes the table away, or brings it back.
+func (t *Table) SetDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+func (t *Table) isDown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.down
 }
 
 func (t *Table) read(w http.ResponseWriter, r *http.Request) {
--- a/pkg/testbed/bed.go
+++ b/pkg/testbed/bed.go
@@ -28,7 +28,7 @@
 	Key          = "test-key"
 	Model        = "chart-small"
 	PlainService = "depths"
-	tableAddress = "10.0.0.1:80"
+	TableAddress = "10.0.0.1:80"
 )
 
 // EntryAddress is the callers' port of entry i.
@@ -119,7 +119,7 @@
 }
 
 func (b *Bed) startTargets() error {
-	if err := b.serve(tableAddress, b.Table.Handler()); err != nil {
+	if err := b.serve(TableAddress, b.Table.Handler()); err != nil {
 		return err
 	}
 	for i, e := range b.options.Engines {
@@ -206,7 +206,7 @@
 	s.Process = ids.Process(name)
 	s.FailureDomain = "a"
 	s.Operators.Listen = name
-	s.Platform.Table = "http://" + tableAddress
+	s.Platform.Table = "http://" + TableAddress
 	s.StrictInvariants = true
 	s.HeapReserveMB = 0
 	s.Seed = b.options.Seed + xxhash.Sum64String(name)
