A row a change: configuration whose size on the wire no longer grows with the fleet

Cause: by docs/CAPACITY.md, sending the whole configuration at each change broke the 2 KB/s of a node at 40 targets; and there was no way to change a configuration at all. The page's poll is measured, not assumed. Two operators racing with each of 96 messages to the table cut: exactly one change each time, each told the truth. What breaks next are idle sessions at 390 targets and polls of the table at 3,021 processes.

--- a/pkg/app/stand_ins.go
+++ b/pkg/app/stand_ins.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -55,7 +54,7 @@
 		return fmt.Errorf("declarations %s: %w", p.Declarations, err)
 	}
 	table := standin.NewTable()
-	transaction, err := firstRevision(set)
+	transaction, err := platform.FirstRevision(set)
 	if err != nil {
 		return fmt.Errorf("first revision: %w", err)
 	}
@@ -63,25 +62,6 @@
 	return s.serve(p.Listen, table.Handler())
 }
 
-func firstRevision(set declaration.Set) (platform.Transaction, error) {
-	const first = 1
-	head, err := json.Marshal(platform.Head{Revision: first})
-	if err != nil {
-		return platform.Transaction{}, fmt.Errorf("head: %w", err)
-	}
-	value, err := json.Marshal(set)
-	if err != nil {
-		return platform.Transaction{}, fmt.Errorf("set: %w", err)
-	}
-	return platform.Transaction{
-		Conditions: []platform.Condition{{Key: platform.KeyHead}},
-		Writes: []platform.Write{
-			{Key: platform.KeySet(first), Value: value},
-			{Key: platform.KeyHead, Value: head},
-		},
-	}, nil
-}
-
 func (s *standIns) serve(address string, handler http.Handler) error {
 	listener, err := s.Network.Listen(address)
 	if err != nil {
--- a/pkg/capacity/page.go
+++ b/pkg/capacity/page.go
@@ -29,6 +29,7 @@
 	Book     Slope
 	BookSent Slope
 	BookTime Slope
+	Change   float64 // bytes
 	Sessions sessionCosts
 }
 
@@ -41,7 +42,7 @@
 	return Measured{
 		Path: path, Sessions: sessions,
 		Choose: chooseSlope(), Decide: decideSlope(), Tickets: ticketSlope(), Fates: fateSlope(),
-		Book: bookMemorySlope(), BookSent: bookBytesSlope(), BookTime: bookTimeSlope(),
+		Book: bookMemorySlope(), BookSent: bookBytesSlope(), BookTime: bookTimeSlope(), Change: changeBytes(),
 	}, nil
 }
 
@@ -91,6 +92,6 @@
 		}
 		fmt.Fprintf(&b, "| %s | %s | %s | %.0f | %.1f | %.3f |\n", s.Name, s.Unit, strings.Join(points, ", "), s.Base, s.Each, s.Fit)
 	}
-	fmt.Fprintf(&b, "\nAn empty Notices call and its reply: %.0f bytes.\n", m.Sessions.Notices)
+	fmt.Fprintf(&b, "\nAn empty Notices call and its reply: %.0f bytes. A change of one target as sent: %.0f bytes.\n", m.Sessions.Notices, m.Change)
 	return b.String()
 }
--- a/pkg/capacity/roles.go
+++ b/pkg/capacity/roles.go
@@ -30,8 +30,6 @@
 	engines := float64(t.Engines)
 	processes := engines + float64(t.Nodes)
 	perSession := m.Sessions.Memory.Each / 2
-	resend := m.BookSent.At(engines) * t.ChangesPerSecond()
-	perTarget := m.BookSent.Each * t.ChangesPerSecond()
 	reads := processes * (1/pollSeconds + t.ChangesPerSecond())
 	var b strings.Builder
 	b.WriteString("## What grows with the whole fleet in a single node\n\n")
@@ -43,8 +41,11 @@
 		engines*perSession/megabyte, t.ControlMB, t.ControlMB*megabyte/perSession)
 	row("| sessions of an agent with every entry, memory | %.1f MB for %d | %.0f MB | not within the size | the same subsets: an agent then sees about a tenth of the entries |\n",
 		float64(t.Nodes)*perSession/megabyte, t.Nodes, t.ControlMB)
-	row("| each change sends the whole configuration to each process | %.0f KB/s | %.0f KB/s | %.0f targets | one row a change, sent on along the sessions; a process holds what it serves |\n",
-		resend/kilobyte, t.ControlBytes/kilobyte, t.ControlBytes/perTarget)
+	row("| each change goes to each process (a row a change) | %.2f KB/s | %.0f KB/s | not with the fleet: at %.0f changes a day | none needed |\n",
+		m.Change*t.ChangesPerSecond()/kilobyte, t.ControlBytes/kilobyte, t.ControlBytes/m.Change*secondsPerDay)
+	row("| polls of the head by each process | %.2f KB/s | %.0f KB/s | not with the fleet | push along the sessions |\n",
+		(m.Sessions.Poll+frameBytes)/pollSeconds/kilobyte, t.ControlBytes/kilobyte)
+	row("| the snapshot that a new process reads | %.1f MB | | | a process holds what it serves |\n", m.BookSent.At(engines)/megabyte)
 	row("| reading a change | %.2f %% of a core | %.1f %% | %.0f targets | the same |\n",
 		m.BookTime.At(engines)*nanosecond*t.ChangesPerSecond()*percent, t.ControlCore*percent, t.ControlCore/(m.BookTime.Each*nanosecond*t.ChangesPerSecond()))
 	row("| every process polls the table | %.0f reads/s | about %.0f for all uses | %.0f processes | one poller for each failure domain, the rest by push |\n",
--- a/pkg/capacity/sessions.go
+++ b/pkg/capacity/sessions.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/network"
+	"quaydock/pkg/platform"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/testbed"
 )
@@ -40,6 +42,8 @@
 	Tickets Slope
 	// Memory is heap and stacks of both sides, by sessions.
 	Memory Slope
+	// Poll is the bytes of a look at the head row and its answer.
+	Poll float64
 }
 
 // measureSessions runs a real agent on an in-memory network.
@@ -56,10 +60,42 @@
 	if costs.Notices, costs.Tickets, err = measureMessages(bed.Network); err != nil {
 		return sessionCosts{}, err
 	}
+	if costs.Poll, err = measurePoll(bed.Network); err != nil {
+		return sessionCosts{}, err
+	}
 	costs.Memory, err = measureSessionMemory(bed.Network)
 	return costs, err
 }
 
+// countingNetwork counts the bytes of the connections that it makes.
+type countingNetwork struct {
+	network.Network
+	bytes *atomic.Int64
+}
+
+// Dial connects to address and counts.
+func (n countingNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: conn, bytes: n.bytes}, nil
+}
+
+func measurePoll(reach network.Network) (float64, error) {
+	var count atomic.Int64
+	const timeout = 5 * clock.Second
+	table := platform.NewTable(countingNetwork{reach, &count}, "http://"+testbed.TableAddress, timeout)
+	defer table.Close()
+	const polls = 20
+	for range polls {
+		if _, err := table.Read(context.Background(), platform.KeyHead); err != nil {
+			return 0, fmt.Errorf("polling: %w", err)
+		}
+	}
+	return float64(count.Load()) / polls, nil
+}
+
 func dial(reach network.Network, count *atomic.Int64) (*control.Client, error) {
 	conn, err := reach.Dial(context.Background(), testbed.ControlAddress(0))
 	if err != nil {
--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -221,6 +221,19 @@
 	})
 }
 
+// changeBytes is the size of the change of one target, as it is sent.
+func changeBytes() float64 {
+	from, to := setOf(100), setOf(100)
+	to.Targets[7].Slots++
+	change := declaration.Diff(from, to)
+	change.ID, change.Who, change.Why = string(ids.NewRequest()), "operator", "a reason in a few words"
+	document, err := json.Marshal(change)
+	if err != nil {
+		panic(err) // plain structs always marshal
+	}
+	return float64(len(document))
+}
+
 // bookTimeSlope is the time to read, check and index a configuration.
 func bookTimeSlope() Slope {
 	return sweep("reading, checking and indexing a configuration, by targets", "ns", bookSizes, func(n int) float64 {
--- /dev/null
+++ b/pkg/ctl/apply.go
@@ -0,0 +1,115 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/declaration"
+	"quaydock/pkg/network"
+	"quaydock/pkg/platform"
+)
+
+const (
+	applyTimeout = 30 * time.Second
+	tableTimeout = 5 * clock.Second
+	historyShown = 20
+)
+
+// apply publishes a declarations file as the next revision.
+func apply(ctx context.Context, args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("quayctl apply", flag.ContinueOnError)
+	base := flags.String("table", "", "the base `URL` of the platform's table; required")
+	file := flags.String("file", "", "the declarations `file`; required")
+	who := flags.String("who", os.Getenv("USER"), "who makes the change")
+	why := flags.String("why", "", "why it is made; required")
+	plan := flags.Bool("plan", false, "show what would change, and change nothing")
+	if err := parse(flags, args, errs); err != nil {
+		return err
+	}
+	if *base == "" || *file == "" || (*why == "" && !*plan) {
+		return fmt.Errorf("%w: apply needs -table, -file and -why", errUsage)
+	}
+	set, err := loadDeclarations(*file)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	table := platform.NewTable(network.NewTCP(), *base, tableTimeout)
+	defer table.Close()
+	state, err := table.Configuration(ctx)
+	if err != nil {
+		return fmt.Errorf("reading the configuration: %w", err)
+	}
+	change := declaration.Diff(state.Set, set)
+	describe(out, state.Head.Revision, &change)
+	if *plan || change.Empty() {
+		return nil
+	}
+	change.Who, change.Why, change.At = *who, *why, clock.New().Now()
+	revision, err := table.Publish(ctx, state, change)
+	if err != nil {
+		return fmt.Errorf("publishing: %w", err)
+	}
+	report(out, fmt.Sprintf("revision %d accepted", revision))
+	return nil
+}
+
+// describe shows a change to the operator.
+func describe(out io.Writer, upon declaration.Revision, c *declaration.Change) {
+	if c.Empty() {
+		report(out, fmt.Sprintf("no change upon revision %d", upon))
+		return
+	}
+	report(out, fmt.Sprintf("upon revision %d:", upon))
+	if len(c.Set.Tiers) > 0 {
+		report(out, fmt.Sprintf("  tiers: %d, the whole order", len(c.Set.Tiers)))
+	}
+	show(out, "account", c.Set.Accounts, func(a declaration.Account) any { return a.Name }, c.Removed.Accounts)
+	show(out, "service", c.Set.Services, func(s declaration.Service) any { return s.Name }, c.Removed.Services)
+	show(out, "target", c.Set.Targets, func(t declaration.Target) any { return t.Name }, c.Removed.Targets)
+	show(out, "placement", c.Set.Placements, func(p declaration.Placement) any { return fmt.Sprintf("%s on %s", p.Service, p.Target) }, c.Removed.Placements)
+}
+
+func show[T, K any](out io.Writer, kind string, changed []T, name func(T) any, removed []K) {
+	for _, item := range changed {
+		report(out, fmt.Sprintf("  + %s %v", kind, name(item)))
+	}
+	for _, key := range removed {
+		report(out, fmt.Sprintf("  - %s %v", kind, key))
+	}
+}
+
+// history shows the newest changes, the newest first.
+func history(ctx context.Context, args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("quayctl history", flag.ContinueOnError)
+	base := flags.String("table", "", "the base `URL` of the platform's table; required")
+	if err := parse(flags, args, errs); err != nil {
+		return err
+	}
+	if *base == "" {
+		return fmt.Errorf("%w: history needs -table", errUsage)
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	table := platform.NewTable(network.NewTCP(), *base, tableTimeout)
+	defer table.Close()
+	state, err := table.Configuration(ctx)
+	if err != nil {
+		return fmt.Errorf("reading the configuration: %w", err)
+	}
+	report(out, fmt.Sprintf("revision %d is the newest", state.Head.Revision))
+	for r := state.Head.Revision; r > max(1, state.Head.Revision-historyShown); r-- {
+		c, err := table.Change(ctx, r)
+		if err != nil {
+			return fmt.Errorf("history: %w", err)
+		}
+		report(out, fmt.Sprintf("%d  %s  %s: %s", r, time.UnixMilli(int64(c.At)).UTC().Format(time.RFC3339), c.Who, c.Why))
+	}
+	return nil
+}
--- a/pkg/declaration/book.go
+++ b/pkg/declaration/book.go
@@ -73,6 +73,11 @@
 	}
 }
 
+// Set returns what was declared. It must not be changed.
+func (b *Book) Set() Set {
+	return b.set
+}
+
 // Account returns the account that key belongs to, or nil.
 func (b *Book) Account(key string) *Account {
 	return b.accounts[sha256.Sum256([]byte(key))]
--- /dev/null
+++ b/pkg/declaration/change.go
@@ -0,0 +1,124 @@
+package declaration
+
+import (
+	"reflect"
+	"slices"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// Change is the step from one revision to the next. It names only what differs,
+// so that its size does not grow with the fleet.
+type Change struct {
+	Revision Revision `json:"revision"`
+	// ID is drawn by who made the change, so that after a lost answer the maker
+	// can tell its own change from another's.
+	ID  string       `json:"id"`
+	Who string       `json:"who"`
+	Why string       `json:"why"`
+	At  clock.Millis `json:"at"`
+	// Set has what is new or different. Tiers are an order: they are there all
+	// or not at all.
+	Set Set `json:"set"`
+	// Removed names what is gone.
+	Removed Removed `json:"removed"`
+}
+
+// Removed names declarations that are gone.
+type Removed struct {
+	Accounts   []ids.Account  `json:"accounts,omitempty"`
+	Services   []ids.Service  `json:"services,omitempty"`
+	Targets    []ids.Target   `json:"targets,omitempty"`
+	Placements []PlacementKey `json:"placements,omitempty"`
+}
+
+// PlacementKey names a placement.
+type PlacementKey struct {
+	Service ids.Service `json:"service"`
+	Target  ids.Target  `json:"target"`
+}
+
+func accountKey(a Account) ids.Account      { return a.Name }
+func serviceKey(s Service) ids.Service      { return s.Name }
+func targetKey(t Target) ids.Target         { return t.Name }
+func placementKey(p Placement) PlacementKey { return PlacementKey{p.Service, p.Target} }
+
+// Diff returns the change that turns one set into another.
+func Diff(from, to Set) Change {
+	var c Change
+	if !reflect.DeepEqual(from.Tiers, to.Tiers) {
+		c.Set.Tiers = to.Tiers
+	}
+	c.Set.Accounts, c.Removed.Accounts = diffList(from.Accounts, to.Accounts, accountKey)
+	c.Set.Services, c.Removed.Services = diffList(from.Services, to.Services, serviceKey)
+	c.Set.Targets, c.Removed.Targets = diffList(from.Targets, to.Targets, targetKey)
+	c.Set.Placements, c.Removed.Placements = diffList(from.Placements, to.Placements, placementKey)
+	return c
+}
+
+// Empty reports whether the change does nothing.
+func (c *Change) Empty() bool {
+	return reflect.DeepEqual(c.Set, Set{}) && reflect.DeepEqual(c.Removed, Removed{})
+}
+
+// Apply returns the set that the change makes of another.
+func (c *Change) Apply(to Set) Set {
+	made := Set{
+		Tiers:      to.Tiers,
+		Accounts:   applyList(to.Accounts, c.Set.Accounts, c.Removed.Accounts, accountKey),
+		Services:   applyList(to.Services, c.Set.Services, c.Removed.Services, serviceKey),
+		Targets:    applyList(to.Targets, c.Set.Targets, c.Removed.Targets, targetKey),
+		Placements: applyList(to.Placements, c.Set.Placements, c.Removed.Placements, placementKey),
+	}
+	if len(c.Set.Tiers) > 0 {
+		made.Tiers = c.Set.Tiers
+	}
+	return made
+}
+
+// diffList returns what is new or different in to, and the keys that it lacks.
+func diffList[T any, K comparable](from, to []T, key func(T) K) (changed []T, removed []K) {
+	before := make(map[K]T, len(from))
+	for _, item := range from {
+		before[key(item)] = item
+	}
+	for _, item := range to {
+		old, known := before[key(item)]
+		if !known || !reflect.DeepEqual(old, item) {
+			changed = append(changed, item)
+		}
+		delete(before, key(item))
+	}
+	for _, item := range from {
+		if _, gone := before[key(item)]; gone {
+			removed = append(removed, key(item))
+		}
+	}
+	return changed, removed
+}
+
+// applyList puts changed items in their places, new ones at the end, and drops
+// the removed.
+func applyList[T any, K comparable](list, changed []T, removed []K, key func(T) K) []T {
+	if len(changed) == 0 && len(removed) == 0 {
+		return list
+	}
+	places := make(map[K]int, len(list))
+	made := slices.Clone(list)
+	for i, item := range made {
+		places[key(item)] = i
+	}
+	for _, item := range changed {
+		if i, known := places[key(item)]; known {
+			made[i] = item
+			continue
+		}
+		made = append(made, item)
+	}
+	gone := make(map[K]bool, len(removed))
+	for _, k := range removed {
+		gone[k] = true
+	}
+	return slices.DeleteFunc(made, func(item T) bool { return gone[key(item)] })
+}
--- /dev/null
+++ b/pkg/declaration/change_test.go
@@ -0,0 +1,52 @@
+package declaration_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quaydock/pkg/declaration"
+	"quaydock/pkg/ids"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// A change turns the one set into the other, up to the order of its lists.
+func TestDiffAndApply(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		from, to := drawSet(r), drawSet(r)
+		change := declaration.Diff(from, to)
+		made := change.Apply(from)
+		if rest := declaration.Diff(made, to); !rest.Empty() {
+			t.Fatalf("after the change %+v still differs: %+v", change, rest)
+		}
+		if change.Empty() != reflect.DeepEqual(declaration.Diff(to, from), declaration.Change{}) {
+			t.Fatalf("change %+v is empty one way only", change)
+		}
+	})
+}
+
+func drawSet(r *rapid.T) declaration.Set {
+	var s declaration.Set
+	for i := range rapid.IntRange(1, 3).Draw(r, "tiers") {
+		s.Tiers = append(s.Tiers, declaration.Tier{Name: ids.Tier(fmt.Sprint("tier", i)), DeadlineMS: 1})
+	}
+	for i := range 4 {
+		if rapid.Bool().Draw(r, "target") {
+			name := ids.Target(fmt.Sprint("t", i))
+			s.Targets = append(s.Targets, declaration.Target{Name: name, Slots: rapid.IntRange(1, 2).Draw(r, "slots")})
+			s.Placements = append(s.Placements, declaration.Placement{Service: "m", Target: name})
+		}
+	}
+	return s
+}
--- a/pkg/platform/follower.go
+++ b/pkg/platform/follower.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -14,22 +12,6 @@
 	"quaydock/pkg/invariant"
 )
 
-// Rows of the configuration.
-const (
-	KeyHead   Key = "config/head"
-	prefixSet Key = "config/set/"
-)
-
-// Head is the value of the row KeyHead.
-type Head struct {
-	Revision declaration.Revision `json:"revision"`
-}
-
-// KeySet returns the row that holds the set of a revision.
-func KeySet(revision declaration.Revision) Key {
-	return prefixSet + Key(strconv.FormatInt(int64(revision), 10))
-}
-
 // Follower keeps the highest configuration that it has seen. It only moves
 // upwards, whatever a lagging read says.
 type Follower struct {
@@ -77,28 +59,32 @@
 }
 
 func (f *Follower) look(ctx context.Context) error {
-	row, err := f.table.Read(ctx, KeyHead)
-	if err != nil {
-		return fmt.Errorf("head: %w", err)
-	}
 	var head Head
-	if err := json.Unmarshal(row.Value, &head); err != nil {
+	if err := f.table.readValue(ctx, KeyHead, &head); err != nil {
 		return fmt.Errorf("head: %w", err)
 	}
 	if current := f.Book(); current != nil && head.Revision <= current.Revision {
 		return nil
 	}
-	return f.fetch(ctx, head.Revision)
+	return f.fetch(ctx, head)
 }
 
-func (f *Follower) fetch(ctx context.Context, revision declaration.Revision) error {
-	row, err := f.table.Read(ctx, KeySet(revision))
-	if err != nil {
-		return fmt.Errorf("revision %d: %w", revision, err)
+// fetch moves to a higher revision, by the changes since the one in force or
+// since the newest snapshot.
+func (f *Follower) fetch(ctx context.Context, head Head) error {
+	revision, set := head.Snapshot, declaration.Set{}
+	if current := f.Book(); current != nil && current.Revision >= head.Snapshot {
+		revision, set = current.Revision, current.Set()
+	} else if err := f.table.readValue(ctx, keySet(head.Snapshot), &set); err != nil {
+		return fmt.Errorf("snapshot %d: %w", head.Snapshot, err)
 	}
-	var set declaration.Set
-	if err := json.Unmarshal(row.Value, &set); err != nil {
-		return fmt.Errorf("revision %d: %w", revision, err)
+	for revision < head.Revision {
+		var change declaration.Change
+		if err := f.table.readValue(ctx, keyChange(revision+1), &change); err != nil {
+			return fmt.Errorf("change %d: %w", revision+1, err)
+		}
+		set = change.Apply(set)
+		revision++
 	}
 	book, err := declaration.NewBook(revision, set)
 	if err != nil {
--- a/pkg/platform/table.go
+++ b/pkg/platform/table.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// readValue reads the value of a row.
+func (t *Table) readValue(ctx context.Context, key Key, into any) error {
+	row, err := t.Read(ctx, key)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(row.Value, into); err != nil {
+		return fmt.Errorf("value of row %s: %w", key, err)
+	}
+	return nil
+}
+
 // Commit makes a transaction. An error of kind errors.AlreadyExists says that
 // a condition did not hold and nothing was written. After any other error the
 // writes may or may not have been made; read them back.
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +15,9 @@
 	mu   sync.Mutex
 	rows map[platform.Key]platform.Row
 	down bool
+	// While lagging is set, reads show old.
+	lagging bool
+	old     map[platform.Key]platform.Row
 }
 
 // NewTable returns an empty table.
@@ -41,6 +45,21 @@
 	t.down = down
 }
 
+// Remember keeps the table as it is now, for ShowRemembered.
+func (t *Table) Remember() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.old = maps.Clone(t.rows)
+}
+
+// ShowRemembered makes reads show the remembered state, as a replica that lags
+// does; or lets them show the table as it is.
+func (t *Table) ShowRemembered(lagging bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lagging = lagging
+}
+
 func (t *Table) isDown() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -50,7 +69,11 @@
 func (t *Table) read(w http.ResponseWriter, r *http.Request) {
 	key := platform.Key(strings.TrimPrefix(r.URL.Path, platform.PathRows))
 	t.mu.Lock()
-	row, found := t.rows[key]
+	rows := t.rows
+	if t.lagging {
+		rows = t.old
+	}
+	row, found := rows[key]
 	t.mu.Unlock()
 	if !found {
 		http.NotFound(w, r)
--- a/pkg/testbed/bed.go
+++ b/pkg/testbed/bed.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -185,19 +184,11 @@
 }
 
 func (b *Bed) declare() error {
-	const first = 1
-	value, err := json.Marshal(b.Declarations())
+	transaction, err := platform.FirstRevision(b.Declarations())
 	if err != nil {
-		return fmt.Errorf("declarations: %w", err)
+		return fmt.Errorf("first revision: %w", err)
 	}
-	head, err := json.Marshal(platform.Head{Revision: first})
-	if err != nil {
-		return fmt.Errorf("head: %w", err)
-	}
-	b.Table.Commit(platform.Transaction{Writes: []platform.Write{
-		{Key: platform.KeySet(first), Value: value},
-		{Key: platform.KeyHead, Value: head},
-	}})
+	b.Table.Commit(transaction)
 	return nil
 }
 
--- /dev/null
+++ b/pkg/testbed/configuration_test.go
@@ -0,0 +1,209 @@
+package testbed_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/declaration"
+	"quaydock/pkg/network"
+	"quaydock/pkg/platform"
+	"quaydock/pkg/testbed"
+)
+
+// operator is somebody who changes the configuration.
+type operator struct {
+	t     *testing.T
+	table *platform.Table
+}
+
+func newOperator(t *testing.T, bed *testbed.Bed) *operator {
+	t.Helper()
+	table := platform.NewTable(bed.Network, "http://"+testbed.TableAddress, 2*clock.Second)
+	t.Cleanup(table.Close)
+	return &operator{t: t, table: table}
+}
+
+func (o *operator) read() platform.State {
+	o.t.Helper()
+	state, err := o.table.Configuration(context.Background())
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return state
+}
+
+// removePlacement plans the change that takes target i out of service.
+func removePlacement(state platform.State, i int, who string) declaration.Change {
+	set := state.Set
+	var kept []declaration.Placement
+	for _, p := range set.Placements {
+		if p.Target != testbed.TargetName(i) {
+			kept = append(kept, p)
+		}
+	}
+	set.Placements = kept
+	change := declaration.Diff(state.Set, set)
+	change.Who = who
+	return change
+}
+
+func (o *operator) publish(upon platform.State, change declaration.Change) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_, err := o.table.Publish(ctx, upon, change)
+	return err
+}
+
+// A target that is taken out of service gets no new work 3 s later, and nothing
+// that it runs is cut. Reads that lag behind do not bring it back.
+func TestTargetTakenOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bed := started(t, testbed.Options{Entries: 2, Engines: engines(2), Slots: 4})
+		callers := callersOf(t, bed)
+		var running sync.WaitGroup
+		running.Go(func() {
+			for _, a := range parallel(8, func(i int) testbed.Answer {
+				return callers[i%2].Chat(context.Background(), fmt.Sprint("running ", i), 1200, true, nil)
+			}) {
+				if a.Ending != testbed.Whole {
+					t.Errorf("a running request ended %v: %s", a.Ending, a.Code)
+				}
+			}
+		})
+		o := newOperator(t, bed)
+		if err := o.publish(o.read(), removePlacement(o.read(), 0, "one")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		before := len(bed.Engines[0].AllRuns())
+		answers := parallel(20, func(i int) testbed.Answer {
+			return callers[i%2].Chat(context.Background(), fmt.Sprint("after ", i), 5, true, nil)
+		})
+		if endings := checkAll(t, bed, answers); endings[testbed.Whole] != len(answers) {
+			t.Errorf("endings %v, want all whole", endings)
+		}
+		running.Wait()
+		if got := len(bed.Engines[0].AllRuns()); got != before {
+			t.Errorf("the target got %d new requests", got-before)
+		}
+	})
+}
+
+// A reader that sees an old state of the table keeps the newer revision that it
+// has (the program itself checks that no revision falls).
+func TestLaggingReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bed := started(t, testbed.Options{Entries: 1, Engines: engines(2), Slots: 4})
+		caller := callerOf(t, bed)
+		o := newOperator(t, bed)
+		state := o.read()
+		bed.Table.Remember()
+		if err := o.publish(state, removePlacement(state, 0, "one")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		bed.Table.ShowRemembered(true) // the head before the change
+		time.Sleep(10 * time.Second)
+		bed.Table.SetDown(true)
+		time.Sleep(10 * time.Second)
+		before := len(bed.Engines[0].AllRuns())
+		answers := parallel(10, func(i int) testbed.Answer {
+			return caller.Chat(context.Background(), fmt.Sprint("after ", i), 5, true, nil)
+		})
+		if endings := checkAll(t, bed, answers); endings[testbed.Whole] != len(answers) {
+			t.Errorf("endings %v without the table, want all whole", endings)
+		}
+		if got := len(bed.Engines[0].AllRuns()); got != before {
+			t.Errorf("the target that was taken out got %d requests", got-before)
+		}
+	})
+}
+
+// Two operators change the same state at the same moment, with every message to
+// and from the table cut in turn: exactly one change is made, and each operator
+// is told the truth.
+func TestTwoOperators(t *testing.T) {
+	for _, direction := range []network.Direction{network.Request, network.Reply} {
+		for _, effect := range []network.Effect{network.CutBefore, network.CutAfter} {
+			for message := range 24 {
+				faults := network.NewFaults(network.Fault{Address: testbed.TableAddress, Direction: direction, Effect: effect, Message: message})
+				synctest.Test(t, func(t *testing.T) { raceOperators(t, faults) })
+			}
+		}
+	}
+}
+
+func raceOperators(t *testing.T, faults *network.Faults) {
+	bed := started(t, testbed.Options{Entries: 1, Engines: engines(2), Slots: 4, Faults: faults})
+	operators := []*operator{newOperator(t, bed), newOperator(t, bed)}
+	var state platform.State
+	for tries := 0; ; tries++ {
+		var err error
+		if state, err = operators[0].table.Configuration(context.Background()); err == nil {
+			break
+		}
+		if tries == 2 {
+			t.Fatal(err)
+		}
+	}
+	failures := make([]error, len(operators))
+	var racing sync.WaitGroup
+	for i, o := range operators {
+		racing.Go(func() { failures[i] = o.publish(state, removePlacement(state, i, fmt.Sprint("operator ", i))) })
+	}
+	racing.Wait()
+	faults.Heal()
+	newest := operators[0].read()
+	if newest.Head.Revision != state.Head.Revision+1 {
+		t.Fatalf("revision %d after %d", newest.Head.Revision, state.Head.Revision)
+	}
+	made, err := operators[0].table.Change(context.Background(), newest.Head.Revision)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, failure := range failures {
+		var conflict *platform.ConflictError
+		won := made.Who == fmt.Sprint("operator ", i)
+		if won != (failure == nil) || (!won && !errors.As(failure, &conflict)) {
+			t.Errorf("%s made the change; operator %d was told %v", made.Who, i, failure)
+		}
+	}
+}
+
+// A process that starts late reads the newest snapshot and the changes since.
+func TestManyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bed := started(t, testbed.Options{Entries: 1, Engines: engines(1), Slots: 4})
+		o := newOperator(t, bed)
+		for n := range 120 {
+			state := o.read()
+			set := state.Set
+			set.Accounts = append([]declaration.Account(nil), set.Accounts...)
+			set.Accounts[0].Weight = float64(n + 1)
+			change := declaration.Diff(state.Set, set)
+			if err := o.publish(state, change); err != nil {
+				t.Fatal(err)
+			}
+		}
+		state := o.read()
+		if state.Head.Revision != 121 || state.Set.Accounts[0].Weight != 120 || state.Head.Snapshot != 101 {
+			t.Errorf("head %+v, weight %v", state.Head, state.Set.Accounts[0].Weight)
+		}
+		bed.Entries[0].Close()
+		next, err := bed.StartEntry(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bed.Entries[0] = next
+		time.Sleep(time.Second)
+		if answer := callerOf(t, bed).Chat(context.Background(), "late", 3, true, nil); answer.Ending != testbed.Whole {
+			t.Errorf("ended %v: %s", answer.Ending, answer.Body)
+		}
+	})
+}
