--- a/pkg/balance/chooser_test.go
+++ b/pkg/balance/chooser_test.go
@@ -11,7 +11,7 @@
 )
 
 func candidate(name ids.Target, free int, queued, running ids.Tokens, unitMicros int64) balance.Candidate {
-	return balance.Candidate{Target: name, Known: true, Load: control.Load{
+	return balance.Candidate{Target: name, Load: control.Load{
 		Free: free, Slots: 8, Queued: []ids.Tokens{0, queued}, Running: running, DrainPerSecond: 1000, UnitMicros: unitMicros,
 	}}
 }
@@ -40,7 +40,7 @@
 		{
 			name: "a leaving target last", job: balance.Job{Tier: 1, Work: 10},
 			candidates: []balance.Candidate{
-				{Target: "leaving", Known: true, Load: control.Load{Free: 8, Slots: 8, Leaving: true}}, candidate("busy", 0, 500, 100, 3000),
+				{Target: "leaving", Load: control.Load{Free: 8, Slots: 8, Leaving: true}}, candidate("busy", 0, 500, 100, 3000),
 			}, first: "busy",
 		},
 		{
--- a/pkg/balance/order.go
+++ b/pkg/balance/order.go
@@ -18,8 +18,6 @@
 type Candidate struct {
 	Target ids.Target
 	Load   control.Load
-	// Known is false before the first reply of the target's agent.
-	Known bool
 	// Outstanding is the work of this entry's tickets placed since that reply.
 	Outstanding ids.Tokens
 }
--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -92,7 +92,6 @@
 	return sweep("ordering candidate targets (`balance.Order`)", "ns", []int{1, 10, 100, 1000, 4000}, func(n int) float64 {
 		candidates := make([]balance.Candidate, n)
 		for i := range candidates {
-			candidates[i].Known = true
 			candidates[i].Load.Queued = []ids.Tokens{ids.Tokens(random.IntN(1000))}
 		}
 		return nanoseconds(func() { balance.Order(random, balance.Job{Work: 100}, candidates, 2) })
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -23,11 +23,6 @@
 	return time.Duration(m) * time.Millisecond
 }
 
-// FromDuration rounds d down to whole milliseconds.
-func FromDuration(d time.Duration) Millis {
-	return Millis(d / time.Millisecond)
-}
-
 // Clock reads the time. It is a value to be handed in, so that no package
 // keeps a clock of its own. Tests run it in virtual time by testing/synctest.
 type Clock struct{}
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"quaydock/pkg/clock"
 )
@@ -11,8 +10,3 @@
 	fmt.Println((2 * clock.Second).Duration())
 	// Output: 2s
 }
-
-func ExampleFromDuration() {
-	fmt.Println(clock.FromDuration(1500 * time.Microsecond))
-	// Output: 1
-}
--- a/pkg/ctl/apply.go
+++ b/pkg/ctl/apply.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	applyTimeout = 30 * time.Second
-	tableTimeout = 5 * clock.Second
-	historyShown = 20
+	applyTimeout = 30 * time.Second // also for history
+	tableTimeout = 5 * clock.Second // one call
 )
 
 // apply publishes a declarations file as the next revision.
@@ -40,7 +39,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	table := platform.NewTable(network.NewTCP(), *base, tableTimeout)
+	table := openTable(*base)
 	defer table.Close()
 	state, err := table.Configuration(ctx)
 	if err != nil {
@@ -60,6 +59,11 @@
 	return nil
 }
 
+// openTable returns a client of the platform's table at base.
+func openTable(base string) *platform.Table {
+	return platform.NewTable(network.NewTCP(), base, tableTimeout)
+}
+
 // describe shows a change to the operator.
 func describe(out io.Writer, upon declaration.Revision, c *declaration.Change) {
 	if c.Empty() {
@@ -84,32 +88,3 @@
 		report(out, fmt.Sprintf("  - %s %v", kind, key))
 	}
 }
-
-// history shows the newest changes, the newest first.
-func history(ctx context.Context, args []string, out, errs io.Writer) error {
-	flags := flag.NewFlagSet("quayctl history", flag.ContinueOnError)
-	base := flags.String("table", "", "the base `URL` of the platform's table; required")
-	if err := parse(flags, args, errs); err != nil {
-		return err
-	}
-	if *base == "" {
-		return fmt.Errorf("%w: history needs -table", errUsage)
-	}
-	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
-	defer cancel()
-	table := platform.NewTable(network.NewTCP(), *base, tableTimeout)
-	defer table.Close()
-	state, err := table.Configuration(ctx)
-	if err != nil {
-		return fmt.Errorf("reading the configuration: %w", err)
-	}
-	report(out, fmt.Sprintf("revision %d is the newest", state.Head.Revision))
-	for r := state.Head.Revision; r > max(1, state.Head.Revision-historyShown); r-- {
-		c, err := table.Change(ctx, r)
-		if err != nil {
-			return fmt.Errorf("history: %w", err)
-		}
-		report(out, fmt.Sprintf("%d  %s  %s: %s", r, time.UnixMilli(int64(c.At)).UTC().Format(time.RFC3339), c.Who, c.Why))
-	}
-	return nil
-}
--- /dev/null
+++ b/pkg/ctl/history.go
@@ -0,0 +1,40 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+)
+
+const historyShown = 20
+
+// history shows the newest changes, the newest first.
+func history(ctx context.Context, args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("quayctl history", flag.ContinueOnError)
+	base := flags.String("table", "", "the base `URL` of the platform's table; required")
+	if err := parse(flags, args, errs); err != nil {
+		return err
+	}
+	if *base == "" {
+		return fmt.Errorf("%w: history needs -table", errUsage)
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	table := openTable(*base)
+	defer table.Close()
+	state, err := table.Configuration(ctx)
+	if err != nil {
+		return fmt.Errorf("reading the configuration: %w", err)
+	}
+	report(out, fmt.Sprintf("revision %d is the newest", state.Head.Revision))
+	for r := state.Head.Revision; r > max(1, state.Head.Revision-historyShown); r-- {
+		c, err := table.Change(ctx, r)
+		if err != nil {
+			return fmt.Errorf("history: %w", err)
+		}
+		report(out, fmt.Sprintf("%d  %s  %s: %s", r, time.UnixMilli(int64(c.At)).UTC().Format(time.RFC3339), c.Who, c.Why))
+	}
+	return nil
+}
--- a/pkg/entry/callers_controller.go
+++ b/pkg/entry/callers_controller.go
@@ -12,6 +12,7 @@
 
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/invariant"
 	"quaydock/pkg/lifecycle"
 	"quaydock/pkg/openai"
 	"quaydock/pkg/refusal"
@@ -185,6 +186,8 @@
 	e.Metrics.Requests.Add(r.state.String(), 1)
 	switch {
 	case why != nil:
+		e.Check.That(why.Outcome != refusal.NotRun || r.state.NotRunMayBeSaid(), invariant.NotRunIsTrue,
+			"request %s is told not run in state %v", r.id, r.state)
 		e.refuse(out, r.id, why)
 	case r.state != lifecycle.Answered:
 		// The caller seems to be gone. Should it not be, an empty or cut answer
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -51,7 +51,6 @@
 	flights     int
 	probing     bool // the next flight goes even with nothing to send
 	load        control.Load
-	known       bool
 	outstanding ids.Tokens
 }
 
@@ -154,7 +153,6 @@
 		return
 	}
 	s.client = nil
-	s.known = false
 	s.tickets = nil
 	s.withdrawn = nil
 	s.outstanding = 0
@@ -273,7 +271,6 @@
 // learn notes an agent's load; the lock is held.
 func (s *session) learn(load control.Load) {
 	s.load = load
-	s.known = true
 	s.outstanding = 0
 }
 
@@ -282,7 +279,7 @@
 func (s *session) candidate() (balance.Candidate, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := balance.Candidate{Target: s.target, Load: s.load, Known: s.known, Outstanding: s.outstanding}
+	c := balance.Candidate{Target: s.target, Load: s.load, Outstanding: s.outstanding}
 	return c, s.client != nil
 }
 
--- a/pkg/lifecycle/state.go
+++ b/pkg/lifecycle/state.go
@@ -51,10 +51,5 @@
 
 // NotRunMayBeSaid reports whether a caller may be told "not run" in state s.
 func (s State) NotRunMayBeSaid() bool {
-	return s == Waiting || s == Bound
-}
-
-// Ended reports whether nothing more can happen to a request in state s.
-func (s State) Ended() bool {
-	return len(legal[s]) == 0
+	return s == Waiting || s == Bound || s == Refused
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -18,8 +18,6 @@
 	Tickets *expvar.Map
 	// Dispatches counts dispatches at an agent by how they ended.
 	Dispatches *expvar.Map
-	// Tokens counts estimated work: computed, and thrown away.
-	Tokens *expvar.Map
 	// Links counts connections and resumes, made and lost.
 	Links *expvar.Map
 	// Configuration has the revision in force and what became of polls.
@@ -36,7 +34,6 @@
 	m.Refusals = m.group("refusals")
 	m.Tickets = m.group("tickets")
 	m.Dispatches = m.group("dispatches")
-	m.Tokens = m.group("tokens")
 	m.Links = m.group("links")
 	m.Configuration = m.group("configuration")
 	m.Violations = m.group("violations")
