Hold evicted tickets, and each tier by itself, to the promise of shedding

Cause: a new check from outside (three entries, three engines, four tiers, every shed request compared with all that were served at that moment) found two holes. Ruled out: refusals of two agents that lie apart in time. Change: a ticket is evicted only while nothing below its tier waits, is granted or runs; every refusal and eviction keeps lower tiers out for the whole hold, by tier; a closing agent cuts its links before its work, and opens no further session.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -49,6 +49,7 @@
 	revision declaration.Revision
 	timer    *time.Timer
 	listener net.Listener
+	closed   bool // no further session is opened
 }
 
 // New returns an agent that has not started.
@@ -127,7 +128,7 @@
 	for {
 		conn, err := messages.Accept()
 		if err != nil {
-			if a.ctx.Err() == nil {
+			if !errors.Is(err, net.ErrClosed) {
 				a.Log.WithError(err).Error("control port failed")
 			}
 			return
@@ -158,6 +159,9 @@
 	s := newControlSession(ctx, a, a.nextID)
 	a.sessions[s.id] = s
 	a.conns[s.id] = conn
+	if a.closed {
+		_ = conn.Close()
+	}
 	return s
 }
 
@@ -284,15 +288,16 @@
 	return a.gate.Idle()
 }
 
-// Close stops at once.
+// Close stops at once. Links to entries go first: the end of running work makes
+// room, and a grant for it would come from an agent that is no more.
 func (a *Agent) Close() {
-	a.stop()
 	// Errors say only that something was closed before.
 	_ = a.server.Close()
 	if a.listener != nil {
 		_ = a.listener.Close()
 	}
 	a.mu.Lock()
+	a.closed = true
 	for _, conn := range a.conns {
 		_ = conn.Close()
 	}
@@ -300,6 +305,7 @@
 		a.timer.Stop()
 	}
 	a.mu.Unlock()
+	a.stop()
 	a.running.Wait()
 	a.target.close()
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -68,11 +68,10 @@
 	runCount   int
 	runWork    ids.Tokens
 
-	floor      ids.TierRank
-	floorUntil clock.Millis
-	drain      drainMeter
-	unit       unitMeter
-	notices    []Notice
+	shedUntil []clock.Millis // by tier: until when lower ones stay out
+	drain     drainMeter
+	unit      unitMeter
+	notices   []Notice
 }
 
 type forgetting struct {
@@ -90,7 +89,6 @@
 		services:   make(map[ids.Service]bool),
 		grants:     make(map[ids.Grant]*grantRecord),
 		dispatched: make(map[ids.Request]ids.Grant),
-		floor:      NoFloor,
 	}
 }
 
@@ -148,7 +146,7 @@
 		return g.grant(now, session, &ticket)
 	}
 	g.queue.push(session, ticket, now+ticket.Remaining)
-	g.evict(ticket.Tier)
+	g.evict(now, ticket.Tier)
 	g.pump(now)
 	return control.Verdict{Request: ticket.Request, Kind: control.Queued}
 }
--- a/pkg/gate/refusal.go
+++ b/pkg/gate/refusal.go
@@ -17,6 +17,7 @@
 	case g.queue.Has(ticket.Request):
 		return control.Replaced
 	case g.floorAt(now).Higher(ticket.Tier):
+		g.raiseFloor(now, ticket.Tier)
 		return control.Full
 	}
 	if g.unit.least(ticket.Work()) >= ticket.Remaining {
@@ -66,23 +67,25 @@
 	g.inside[tier]++
 }
 
-// raiseFloor keeps lower tiers out for a while after a tier was refused, so
-// that what was refused does not see lower work served in its place.
+// raiseFloor keeps tiers below one out for a while after a ticket of it was shed,
+// so that what was shed does not see lower work served in its place. Each tier has
+// a time of its own: a tier that is shed only because a higher one was a moment ago
+// still needs the whole while for itself.
 func (g *Gate) raiseFloor(now clock.Millis, tier ids.TierRank) {
-	if tier.Higher(g.floorAt(now)) {
-		g.floor = tier
-	}
-	g.floorUntil = now + g.limits.FloorHold
-	for w := g.queue.lowest(); w != nil && tier.Higher(w.ticket.Tier); w = g.queue.lowest() {
-		g.handBack(w, control.Full)
+	for len(g.shedUntil) <= int(tier) {
+		g.shedUntil = append(g.shedUntil, 0)
 	}
+	g.shedUntil[tier] = now + g.limits.FloorHold
 }
 
+// floorAt returns the lowest tier that is still taken.
 func (g *Gate) floorAt(now clock.Millis) ids.TierRank {
-	if now >= g.floorUntil {
-		return NoFloor
+	for i, until := range g.shedUntil {
+		if now < until {
+			return ids.TierRank(i)
+		}
 	}
-	return g.floor
+	return NoFloor
 }
 
 func (g *Gate) queueLimit() ids.Tokens {
@@ -90,13 +93,17 @@
 	return max(g.limits.QueueMin, ids.Tokens(measured))
 }
 
-// evict hands back lower tiers until the queue is within its bound.
-func (g *Gate) evict(tier ids.TierRank) {
+// evict hands back lower tiers until the queue is within its bound. What is
+// handed back is shed as much as what is refused on arrival, so that the same
+// holds for it: not while anything below it is served, and nothing below it is
+// taken for a while.
+func (g *Gate) evict(now clock.Millis, tier ids.TierRank) {
 	for g.queue.Work() > g.queueLimit() {
 		w := g.queue.lowest()
-		if w == nil || !tier.Higher(w.ticket.Tier) {
+		if w == nil || !tier.Higher(w.ticket.Tier) || g.servesBelow(w.ticket.Tier) {
 			return
 		}
+		g.raiseFloor(now, w.ticket.Tier)
 		g.handBack(w, control.Full)
 	}
 }
--- /dev/null
+++ b/pkg/testbed/shedding_test.go
@@ -0,0 +1,96 @@
+package testbed_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/settings"
+	"quaydock/pkg/testbed"
+)
+
+// served is one request as seen from outside: when it was answered or refused,
+// and when its engine made its first token.
+type served struct {
+	answer testbed.Answer
+	tier   int
+	first  time.Time // zero if never
+	end    time.Time
+}
+
+// Several entries and engines are overloaded with all tiers at once. At the
+// moment at which a request is shed, no engine serves a lower tier.
+func TestNoTierIsShedAboveServedWork(t *testing.T) {
+	tiers := []string{"pilot", "notice", "summary", "tag"}
+	shed := 0
+	for seed := uint64(1); seed <= 6; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			bed := started(t, testbed.Options{Entries: 3, Engines: engines(3), Slots: 2, Seed: seed, Adjust: func(s *settings.Settings) {
+				for i := range s.Agents {
+					s.Agents[i].QueueMinTokens = 150
+					s.Agents[i].QueueTimeMS = 100
+				}
+			}})
+			callers := callersOf(t, bed)
+			random := rand.New(rand.NewPCG(seed, 4))
+			all := make([]served, 240)
+			delays := make([]time.Duration, len(all))
+			tokens := make([]int, len(all))
+			for i := range all {
+				delays[i] = time.Duration(random.Int64N(int64(4 * time.Second)))
+				tokens[i] = 5 + random.IntN(120)
+				all[i].tier = random.IntN(len(tiers))
+			}
+			parallel(len(all), func(i int) testbed.Answer {
+				time.Sleep(delays[i])
+				header := http.Header{"Quaydock-Tier": {tiers[all[i].tier]}}
+				all[i].answer = callers[i%len(callers)].Chat(context.Background(), fmt.Sprint("request ", i), tokens[i], false, header)
+				all[i].end = time.Now()
+				all[i].first = firstToken(bed, all[i].answer.Request)
+				return all[i].answer
+			})
+			shed += checkShedding(t, bed, all)
+		})
+	}
+	if shed == 0 {
+		t.Error("nothing above the lowest tier was shed")
+	}
+	t.Logf("%d requests above the lowest tier were shed", shed)
+}
+
+func firstToken(bed *testbed.Bed, request string) time.Time {
+	for _, e := range bed.Engines {
+		if at, made := e.FirstToken(request); made {
+			return at
+		}
+	}
+	return time.Time{}
+}
+
+// checkShedding compares each shed request with all that were served at that
+// moment. It returns how many above the lowest tier were shed.
+func checkShedding(t *testing.T, bed *testbed.Bed, all []served) int {
+	t.Helper()
+	shed := 0
+	for _, refused := range all {
+		checkTruth(t, bed, refused.answer)
+		if refused.answer.Code != "overloaded" {
+			continue
+		}
+		if refused.tier < 3 {
+			shed++
+		}
+		for _, other := range all {
+			running := !other.first.IsZero() && other.first.Before(refused.end) && other.end.After(refused.end)
+			if running && other.tier > refused.tier {
+				t.Errorf("tier %d was shed at %v while tier %d was served from %v to %v",
+					refused.tier, refused.end, other.tier, other.first, other.end)
+			}
+		}
+	}
+	return shed
+}
