One backoff, one rank below all tiers, no timer where nothing can be hedged

Cause: reading the whole change again: the doubling wait with jitter stood four times (sessions, outcomes, claims, freeing of claims); the rank below every tier was a constant of the gate and again of the choice of targets; reading the configuration stood in apply and in history; every wait for a grant started a timer for hedging even where the usual number of tickets was out already; the whole job was made again to note a prefix; a state was handed over that is always Unknown. Change: random.Backoff, ids.BelowAllTiers, withConfiguration in quayctl; the timer is started only for requests that were placed with fewer agents than usual; Bound takes the prefix. In claims a wait now grows only when there was one; before, it also grew where a freed claim was taken over at once. Left: the entry's own memory of idempotency keys stands beside the claims; taking it out would change what a repeat at the same entry is told.

--- a/pkg/balance/chooser.go
+++ b/pkg/balance/chooser.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -70,9 +69,9 @@
 	return c.asked
 }
 
-// Bound notes that a job was bound to a target.
-func (c *Chooser) Bound(target ids.Target, job Job) {
-	c.holdings.Note(target, job.Prefix)
+// Bound notes that a job with the given prefix was bound to a target.
+func (c *Chooser) Bound(target ids.Target, chain []prefix.Fingerprint) {
+	c.holdings.Note(target, chain)
 }
 
 func (c *Chooser) inTurn(service ids.Service, n int) []int {
@@ -87,9 +86,6 @@
 	return order
 }
 
-// lowestTier stands below every tier.
-const lowestTier = ids.TierRank(math.MaxInt32)
-
 // reported returns the candidates' running and queued work as last reported.
 func (c *Chooser) reported(now clock.Millis, candidates []Candidate) []ids.Tokens {
 	c.mu.Lock()
@@ -101,7 +97,7 @@
 			r = report{load: candidates[i].Load, at: now}
 			c.reports[candidates[i].Target] = r
 		}
-		loads[i] = r.load.QueuedBefore(lowestTier) + r.load.Running
+		loads[i] = r.load.QueuedBefore(ids.BelowAllTiers) + r.load.Running
 	}
 	return loads
 }
--- a/pkg/balance/order.go
+++ b/pkg/balance/order.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -79,13 +80,8 @@
 		}
 		return -1
 	}
-	endA, endB := a.expectedEnd(job), b.expectedEnd(job)
-	switch {
-	case endA < endB:
-		return -1
-	case endA > endB:
-		return 1
-	default:
-		return b.Load.Free - a.Load.Free
+	if sooner := cmp.Compare(a.expectedEnd(job), b.expectedEnd(job)); sooner != 0 {
+		return sooner
 	}
+	return b.Load.Free - a.Load.Free
 }
--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -39,7 +39,8 @@
 func (c *Claimer) Claim(ctx context.Context, account ids.Account, key string, request ids.Request) (bool, error) {
 	row := rowOf(account, key)
 	var version platform.Version
-	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+	backoff := c.Random.NewBackoff(minBackoff, maxBackoff)
+	for {
 		err := c.put(ctx, row, version, Claim{Request: request})
 		if err == nil {
 			return true, nil
@@ -51,7 +52,7 @@
 		case readErr != nil, !found:
 			// The write may still take effect: only the next try can tell.
 			version = 0
-			clock.Pause(ctx, c.Random.Jitter(backoff))
+			backoff.Pause(ctx)
 		case held.claim.Request == request:
 			// The write took effect and its answer was lost.
 			return true, nil
@@ -73,7 +74,8 @@
 func (c *Claimer) free(row platform.Key, request ids.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTime.Duration())
 	defer cancel()
-	for backoff := minBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
+	backoff := c.Random.NewBackoff(minBackoff, maxBackoff)
+	for ctx.Err() == nil {
 		held, found, err := c.read(ctx, row)
 		if err == nil && found && held.claim.Request != request {
 			return
@@ -81,7 +83,7 @@
 		if err == nil && found && c.put(ctx, row, held.version, Claim{Request: request, Free: true}) == nil {
 			return
 		}
-		clock.Pause(ctx, c.Random.Jitter(backoff))
+		backoff.Pause(ctx)
 	}
 }
 
--- a/pkg/ctl/apply.go
+++ b/pkg/ctl/apply.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	applyTimeout = 30 * time.Second // also for history
-	tableTimeout = 5 * clock.Second // one call
+	commandTimeout = 30 * time.Second
+	tableTimeout   = 5 * clock.Second // one call
 )
 
 // apply publishes a declarations file as the next revision.
@@ -37,31 +37,34 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	return withConfiguration(ctx, *base, func(ctx context.Context, table *platform.Table, state platform.State) error {
+		change := declaration.Diff(state.Set, set)
+		describe(out, state.Head.Revision, &change)
+		if *plan || change.Empty() {
+			return nil
+		}
+		change.Who, change.Why, change.At = *who, *why, clock.New().Now()
+		revision, err := table.Publish(ctx, state, change)
+		if err != nil {
+			return fmt.Errorf("publishing: %w", err)
+		}
+		report(out, fmt.Sprintf("revision %d accepted", revision))
+		return nil
+	})
+}
+
+// withConfiguration calls use with the table at base and the configuration that
+// stands in it, within the time of one command.
+func withConfiguration(ctx context.Context, base string, use func(context.Context, *platform.Table, platform.State) error) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	table := openTable(*base)
+	table := platform.NewTable(network.NewTCP(), base, tableTimeout)
 	defer table.Close()
 	state, err := table.Configuration(ctx)
 	if err != nil {
 		return fmt.Errorf("reading the configuration: %w", err)
 	}
-	change := declaration.Diff(state.Set, set)
-	describe(out, state.Head.Revision, &change)
-	if *plan || change.Empty() {
-		return nil
-	}
-	change.Who, change.Why, change.At = *who, *why, clock.New().Now()
-	revision, err := table.Publish(ctx, state, change)
-	if err != nil {
-		return fmt.Errorf("publishing: %w", err)
-	}
-	report(out, fmt.Sprintf("revision %d accepted", revision))
-	return nil
-}
-
-// openTable returns a client of the platform's table at base.
-func openTable(base string) *platform.Table {
-	return platform.NewTable(network.NewTCP(), base, tableTimeout)
+	return use(ctx, table, state)
 }
 
 // describe shows a change to the operator.
--- a/pkg/ctl/history.go
+++ b/pkg/ctl/history.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"quaydock/pkg/platform"
 )
 
 const historyShown = 20
@@ -20,14 +22,12 @@
 	if *base == "" {
 		return fmt.Errorf("%w: history needs -table", errUsage)
 	}
-	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
-	defer cancel()
-	table := openTable(*base)
-	defer table.Close()
-	state, err := table.Configuration(ctx)
-	if err != nil {
-		return fmt.Errorf("reading the configuration: %w", err)
-	}
+	return withConfiguration(ctx, *base, func(ctx context.Context, table *platform.Table, state platform.State) error {
+		return showChanges(ctx, out, table, state)
+	})
+}
+
+func showChanges(ctx context.Context, out io.Writer, table *platform.Table, state platform.State) error {
 	report(out, fmt.Sprintf("revision %d is the newest", state.Head.Revision))
 	for r := state.Head.Revision; r > max(1, state.Head.Revision-historyShown); r-- {
 		c, err := table.Change(ctx, r)
--- a/pkg/entry/dispatcher.go
+++ b/pkg/entry/dispatcher.go
@@ -88,17 +88,17 @@
 		r.become(lifecycle.Answered)
 		return nil
 	case ended:
-		d.leaveBehind(r, bound, lifecycle.Unknown)
+		d.leaveBehind(r, bound)
 		return result.refusal
 	default:
-		d.leaveBehind(r, bound, lifecycle.Unknown)
+		d.leaveBehind(r, bound)
 		return nil
 	}
 }
 
 // leaveBehind ends a request whose work may still run, and has it stopped.
-func (d *dispatcher) leaveBehind(r *request, bound granted, state lifecycle.State) {
-	r.become(state)
+func (d *dispatcher) leaveBehind(r *request, bound granted) {
+	r.become(lifecycle.Unknown)
 	bound.session.cancel(r.id, bound.grant)
 }
 
@@ -158,14 +158,13 @@
 // time for it is over.
 func (d *dispatcher) resolve(ctx context.Context, r *request, bound granted) control.Fate {
 	until := d.Clock.Now() + d.outcomeTimeout
-	backoff := minBackoff
+	backoff := d.Random.NewBackoff(minBackoff, maxBackoff)
 	for ctx.Err() == nil && d.Clock.Now() < until {
 		fate, err := bound.session.outcome(ctx, r.id, bound.grant)
 		if err == nil {
 			return fate
 		}
-		clock.Pause(ctx, d.Random.Jitter(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff.Pause(ctx)
 	}
 	return control.FateUnknown
 }
--- a/pkg/entry/session.go
+++ b/pkg/entry/session.go
@@ -68,11 +68,11 @@
 
 // run keeps the session connected until ctx ends.
 func (s *session) run(ctx context.Context) {
-	backoff := minBackoff
+	backoff := s.Random.NewBackoff(minBackoff, maxBackoff)
 	for ctx.Err() == nil {
 		client, err := s.connect(ctx)
 		if err == nil {
-			backoff = minBackoff
+			backoff.Reset()
 			probing := time.AfterFunc(s.probeInterval().Duration(), func() { s.probe(client) })
 			err = s.follow(ctx, client)
 			probing.Stop()
@@ -83,8 +83,7 @@
 		}
 		s.Metrics.Links.Add("session_lost", 1)
 		s.Log.WithError(err).Debug("no session with the agent")
-		clock.Pause(ctx, s.Random.Jitter(backoff))
-		backoff = min(2*backoff, maxBackoff)
+		backoff.Pause(ctx)
 	}
 }
 
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -113,8 +113,12 @@
 // waitRound returns nil if every target of the round declined or was lost.
 func (t *ticketing) waitRound(ctx context.Context, r *request, current *round) waitResult {
 	defer t.takeBack(r, current)
-	hedge := time.NewTimer(hedgeAfter.Duration())
-	defer hedge.Stop()
+	var hedge <-chan time.Time // never ready where the usual number is out at once
+	if current.asked < t.asked {
+		timer := time.NewTimer(hedgeAfter.Duration())
+		defer timer.Stop()
+		hedge = timer.C
+	}
 	for {
 		t.ask(ctx, r, current)
 		if len(current.out) == 0 {
@@ -124,11 +128,11 @@
 		case event := <-r.events:
 			delete(current.out, event.session)
 			if result := current.take(t.Clock.Now(), event); result != nil {
-				t.choose.Bound(event.session.target, r.job(t.Clock.Now()))
+				t.choose.Bound(event.session.target, r.prefix)
 				return result
 			}
-		case <-hedge.C:
-			current.asked = max(current.asked, t.asked)
+		case <-hedge:
+			current.asked = t.asked
 		case <-ctx.Done():
 			return interrupted(ctx)
 		}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -1,17 +1,12 @@
 package gate
 
 import (
-	"math"
-
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/invariant"
 )
 
-// NoFloor is the shed floor of an agent that takes every tier.
-const NoFloor = ids.TierRank(math.MaxInt32)
-
 // Limits bound what a gate holds.
 type Limits struct {
 	// Slots is how many requests the target runs at once.
--- a/pkg/gate/refusal.go
+++ b/pkg/gate/refusal.go
@@ -78,14 +78,15 @@
 	g.shedUntil[tier] = now + g.limits.FloorHold
 }
 
-// floorAt returns the lowest tier that is still taken.
+// floorAt returns the lowest tier that is still taken; ids.BelowAllTiers if every
+// tier is.
 func (g *Gate) floorAt(now clock.Millis) ids.TierRank {
 	for i, until := range g.shedUntil {
 		if now < until {
 			return ids.TierRank(i)
 		}
 	}
-	return NoFloor
+	return ids.BelowAllTiers
 }
 
 func (g *Gate) queueLimit() ids.Tokens {
--- a/pkg/ids/ids.go
+++ b/pkg/ids/ids.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -31,6 +32,9 @@
 // TierRank orders tiers: 0 is the highest.
 type TierRank int
 
+// BelowAllTiers is a rank that stands below every tier.
+const BelowAllTiers = TierRank(math.MaxInt32)
+
 // Higher reports whether r goes before other.
 func (r TierRank) Higher(other TierRank) bool {
 	return r < other
