--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -26,6 +26,7 @@
 
 // options are the command line.
 type options struct {
+	role     string
 	settings string
 	check    bool
 }
@@ -39,6 +40,9 @@
 	if err != nil {
 		return ExitUsage
 	}
+	if o.role != "" {
+		return runRole(o.role, out)
+	}
 	s, err := settings.Load(o.settings)
 	if err != nil {
 		report(logs, err)
@@ -56,6 +60,21 @@
 }
 
 // report writes a line to the operator; there is nobody to tell if that fails.
+// The roles of a process on the platform.
+const roleEntry = "entry"
+
+func runRole(role string, logs io.Writer) int {
+	if role != roleEntry {
+		report(logs, "unknown role "+role)
+		return ExitUsage
+	}
+	if err := runEntry(logs); err != nil {
+		report(logs, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
 func report(to io.Writer, what any) {
 	_, _ = fmt.Fprintln(to, what)
 }
@@ -65,10 +84,14 @@
 	flags := flag.NewFlagSet("quaydock", flag.ContinueOnError)
 	flags.SetOutput(usage)
 	flags.StringVar(&o.settings, "settings", "", "the settings `file` (JSON); required")
+	flags.StringVar(&o.role, "role", "", "the `role` to take on the platform, whose settings the environment names: "+roleEntry)
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
 	if err := flags.Parse(args); err != nil {
 		return options{}, fmt.Errorf("command line: %w", err)
 	}
+	if o.role != "" && o.settings == "" && flags.NArg() == 0 {
+		return o, nil
+	}
 	if o.settings == "" || flags.NArg() > 0 {
 		flags.Usage()
 		return options{}, errors.New("command line: -settings is required, and nothing else is taken")
--- /dev/null
+++ b/pkg/app/deployment.go
@@ -0,0 +1,226 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/ingress"
+	"quaydock/pkg/invariant"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/network"
+	"quaydock/pkg/quota"
+	"quaydock/pkg/random"
+	"quaydock/pkg/roster"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+	"quaydock/pkg/telemetry"
+	"quaydock/pkg/view"
+	"quaydock/platform"
+)
+
+// Times of an entry on the platform.
+const (
+	// configurationWait is how long the store holds a question for a newer
+	// configuration; the proof that keys are good is that old at the most.
+	configurationWait = 1200 * clock.Millisecond
+	membersWait       = 20 * clock.Second
+	storeAnswer       = 800 * clock.Millisecond
+	// configurationReread bounds how long a change could stay unseen that the
+	// store failed to tell.
+	configurationReread = 10 * clock.Second
+	pruneEvery          = clock.Second
+	headerTimeout       = 10 * clock.Second
+	idleTimeout         = 60 * clock.Second
+	// endMargin is kept from the time at which the platform kills a process.
+	endMargin = 400 * clock.Millisecond
+	// leaveTime is how long a process that is stopped goes on taking new
+	// connections, until the balancer has seen that it is not ready.
+	leaveTime = 2600 * clock.Millisecond
+)
+
+// entryProcess is an entry on the platform, all parts wired together.
+type entryProcess struct {
+	common.Common
+	settings   platform.Settings
+	store      *platform.Store
+	view       *view.View
+	members    *membership.Members
+	pool       *forward.Pool
+	controller *ingress.Controller
+	allowance  *quota.Allowance
+	callers    *http.Server
+	readiness  *http.Server
+	leaving    atomic.Bool
+}
+
+// runEntry runs an entry on the platform until SIGTERM.
+func runEntry(logs io.Writer) error {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	limitMemory(s.Limits.MemoryMB)
+	c := newCommon(s.Node, logs)
+	p := newEntryProcess(c, s)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	if err := p.start(ctx); err != nil {
+		return err
+	}
+	c.Log.Info("started")
+	for received := range signals {
+		c.Log.WithField("signal", received.String()).Info("signal")
+		if received != syscall.SIGHUP {
+			break
+		}
+	}
+	p.drain()
+	return nil
+}
+
+// limitMemory keeps the heap well under what the VM gives.
+func limitMemory(megabytes int) {
+	const part = 0.6
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(part * float64(megabytes) * mebibyte))
+	}
+}
+
+// newCommon builds what all parts share, for processes on the platform.
+func newCommon(name ids.Process, logs io.Writer) common.Common {
+	logger := logrus.New()
+	logger.SetOutput(logs)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	log := logger.WithField("process", string(name))
+	metrics := telemetry.NewMetrics()
+	return common.Common{
+		Log:     log,
+		Clock:   clock.New(),
+		Network: network.NewTCP(),
+		Metrics: metrics,
+		Random:  random.NewSource(0),
+		Check:   invariant.NewChecker(log, metrics.Violations, false),
+	}
+}
+
+func newEntryProcess(c common.Common, s platform.Settings) *entryProcess {
+	p := &entryProcess{Common: c, settings: s, store: platform.NewStore(c.Network, s.Store.Address), view: view.New(c.Check)}
+	p.members = membership.New(c, s.Node, s.InternalAddress(0), p.store.Table(platform.TableMembers))
+	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
+	p.allowance = quota.NewAllowance()
+	p.controller = ingress.NewController(ingress.Parts{
+		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: schedule.NewLocal(c, p.view),
+		Pool: p.pool, Allowance: p.allowance, Shares: p.members, RevokeBound: s.Bounds.Revoke,
+		Retries: quota.NewRetryBudget(quota.RetryBounds{
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: clock.Millis(s.Bounds.RetryWindowSeconds * float64(clock.Second)),
+		}),
+	})
+	p.callers = &http.Server{
+		Handler: p.controller, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ErrorLog: nil,
+	}
+	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration()}
+	return p
+}
+
+func (p *entryProcess) start(ctx context.Context) error {
+	if err := p.serve(p.readiness, p.settings.Listen.Ready); err != nil {
+		return fmt.Errorf("readiness: %w", err)
+	}
+	if err := p.serve(p.callers, p.settings.Listen.Callers); err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied}
+	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
+	targets := roster.New(p.Common, platform.ParseTarget, p.view.SetDirectory)
+	go p.follower(platform.TableTargets, targets, follow.Options{Wait: roster.WaitForChanges, Answer: storeAnswer}).Run(ctx)
+	go p.members.Register(ctx)
+	go p.follower(platform.TableMembers, p.members, follow.Options{Wait: membersWait, Answer: storeAnswer}).Run(ctx)
+	go p.prune(ctx)
+	return nil
+}
+
+func (p *entryProcess) follower(table string, handler follow.Handler, options follow.Options) *follow.Follower {
+	c := p.Common
+	c.Log = c.Log.WithField("table", table)
+	return follow.NewFollower(c, p.store.Table(table), handler, options)
+}
+
+func (p *entryProcess) serve(server *http.Server, address string) error {
+	listener, err := p.Network.Listen(address)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.Log.WithError(err).Error("server failed")
+		}
+	}()
+	return nil
+}
+
+// applied forgets what belongs to accounts that are gone.
+func (p *entryProcess) applied(c *routing.Catalog) {
+	known := make(map[ids.Account]bool)
+	for _, a := range c.Accounts() {
+		known[a.Name] = true
+	}
+	p.allowance.Forget(func(name ids.Account) bool { return known[name] })
+}
+
+func (p *entryProcess) prune(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Pause(ctx, pruneEvery)
+		if d := p.view.Directory(); d != nil {
+			p.pool.Prune(d)
+		}
+	}
+}
+
+// ready answers the balancer: an entry takes connections while it knows a
+// configuration and is not stopping.
+func (p *entryProcess) ready(w http.ResponseWriter, _ *http.Request) {
+	if p.leaving.Load() || p.view.Catalog() == nil || p.view.Directory() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// drain stops the entry without cutting a request: it is not ready any more,
+// goes on serving until the balancer has noticed, and ends when nothing runs,
+// or just before it would be killed.
+func (p *entryProcess) drain() {
+	p.leaving.Store(true)
+	p.controller.Leave()
+	began := p.Clock.Now()
+	end := began + clock.Millis(p.settings.Bounds.GraceSeconds*float64(clock.Second)) - endMargin
+	for {
+		now := p.Clock.Now()
+		if now >= end || now-began >= leaveTime && p.controller.Running() == 0 {
+			break
+		}
+		time.Sleep(drainPoll.Duration())
+	}
+	p.Log.WithField("running", p.controller.Running()).Info("stopped")
+}
+
+const drainPoll = 20 * clock.Millisecond
--- a/pkg/app/process.go
+++ b/pkg/app/process.go
@@ -14,10 +14,10 @@
 	"quaydock/pkg/invariant"
 	"quaydock/pkg/network"
 	"quaydock/pkg/operators"
-	"quaydock/pkg/platform"
 	"quaydock/pkg/random"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/settings"
+	"quaydock/pkg/table"
 	"quaydock/pkg/telemetry"
 )
 
@@ -27,8 +27,8 @@
 	settings settings.Settings
 	tracing  *telemetry.Tracing
 	standIns *standIns
-	table    *platform.Table
-	follower *platform.Follower
+	table    *table.Table
+	follower *table.Follower
 	agents   []*agent.Agent
 	entry    *entry.Entry
 	port     *operators.Port
@@ -58,8 +58,8 @@
 		Random:  random.NewSource(s.Seed),
 		Check:   invariant.NewChecker(log, metrics.Violations, s.StrictInvariants),
 	}
-	p.table = platform.NewTable(reach, s.Platform.Table, s.Platform.TimeoutMS)
-	p.follower = platform.NewFollower(p.Common, p.table, s.Platform.PollMS, p.apply)
+	p.table = table.NewTable(reach, s.Platform.Table, s.Platform.TimeoutMS)
+	p.follower = table.NewFollower(p.Common, p.table, s.Platform.PollMS, p.apply)
 	for _, a := range s.Agents {
 		p.agents = append(p.agents, agent.New(p.Common, a))
 	}
--- a/pkg/app/stand_ins.go
+++ b/pkg/app/stand_ins.go
@@ -9,9 +9,9 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
-	"quaydock/pkg/platform"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/standin"
+	"quaydock/pkg/table"
 )
 
 const standInHeaderTimeout = 10 * clock.Second
@@ -53,13 +53,13 @@
 	if err != nil {
 		return fmt.Errorf("declarations %s: %w", p.Declarations, err)
 	}
-	table := standin.NewTable()
-	transaction, err := platform.FirstRevision(set)
+	transaction, err := table.FirstRevision(set)
 	if err != nil {
 		return fmt.Errorf("first revision: %w", err)
 	}
-	table.Commit(transaction)
-	return s.serve(p.Listen, table.Handler())
+	stored := standin.NewTable()
+	stored.Commit(transaction)
+	return s.serve(p.Listen, stored.Handler())
 }
 
 func (s *standIns) serve(address string, handler http.Handler) error {
--- a/pkg/capacity/sessions.go
+++ b/pkg/capacity/sessions.go
@@ -11,7 +11,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/network"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/testbed"
 )
@@ -85,11 +85,11 @@
 func measurePoll(reach network.Network) (float64, error) {
 	var count atomic.Int64
 	const timeout = 5 * clock.Second
-	table := platform.NewTable(countingNetwork{reach, &count}, "http://"+testbed.TableAddress, timeout)
-	defer table.Close()
+	rows := table.NewTable(countingNetwork{reach, &count}, "http://"+testbed.TableAddress, timeout)
+	defer rows.Close()
 	const polls = 20
 	for range polls {
-		if _, err := table.Read(context.Background(), platform.KeyHead); err != nil {
+		if _, err := rows.Read(context.Background(), table.KeyHead); err != nil {
 			return 0, fmt.Errorf("polling: %w", err)
 		}
 	}
--- a/pkg/claim/batcher.go
+++ b/pkg/claim/batcher.go
@@ -7,7 +7,7 @@
 
 	jujuerrors "github.com/juju/errors"
 
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 )
 
 // maxBatch bounds the claims of one transaction.
@@ -15,24 +15,24 @@
 
 // step is one conditional write.
 type step struct {
-	condition platform.Condition
-	write     platform.Write
+	condition table.Condition
+	write     table.Write
 	done      chan error
 }
 
 // batcher puts the writes that come while a transaction is under way into the
 // next one, since the table takes only several hundred transactions a second.
 type batcher struct {
-	table *platform.Table
+	table *table.Table
 
 	mu      sync.Mutex
 	waiting []step
 	running bool
 }
 
-// commit makes one conditional write; see platform.Table.Commit for its errors.
+// commit makes one conditional write; see table.Table.Commit for its errors.
 // It goes on in the background if ctx ends first.
-func (b *batcher) commit(ctx context.Context, condition platform.Condition, write platform.Write) error {
+func (b *batcher) commit(ctx context.Context, condition table.Condition, write table.Write) error {
 	s := step{condition: condition, write: write, done: make(chan error, 1)}
 	b.add(s)
 	select {
@@ -75,7 +75,7 @@
 // write makes a batch's transaction. If a condition fails, the halves are tried
 // apart until the one that is at fault stands alone.
 func (b *batcher) write(batch []step) {
-	var transaction platform.Transaction
+	var transaction table.Transaction
 	for _, s := range batch {
 		transaction.Conditions = append(transaction.Conditions, s.condition)
 		transaction.Writes = append(transaction.Writes, s.write)
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -11,7 +11,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 )
 
 // Claim is the value of a claim's row.
@@ -31,20 +31,20 @@
 
 // rowOf names the row of an account's idempotency key. The key itself is a
 // caller's text and goes in as a sum.
-func rowOf(account ids.Account, key string) platform.Key {
+func rowOf(account ids.Account, key string) table.Key {
 	sum := sha256.Sum256([]byte(string(account) + "\x00" + key))
-	return platform.Key(keyPrefix + hex.EncodeToString(sum[:]))
+	return table.Key(keyPrefix + hex.EncodeToString(sum[:]))
 }
 
-func (c Claim) write(key platform.Key) (platform.Write, error) {
+func (c Claim) write(key table.Key) (table.Write, error) {
 	value, err := json.Marshal(c)
 	if err != nil {
-		return platform.Write{}, fmt.Errorf("writing a claim: %w", err)
+		return table.Write{}, fmt.Errorf("writing a claim: %w", err)
 	}
-	return platform.Write{Key: key, Value: value}, nil
+	return table.Write{Key: key, Value: value}, nil
 }
 
-func readClaim(row platform.Row) (Claim, error) {
+func readClaim(row table.Row) (Claim, error) {
 	var c Claim
 	if err := json.Unmarshal(row.Value, &c); err != nil {
 		return Claim{}, fmt.Errorf("reading a claim: %w", err)
--- a/pkg/claim/claimer.go
+++ b/pkg/claim/claimer.go
@@ -10,7 +10,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 )
 
 const (
@@ -24,12 +24,12 @@
 type Claimer struct {
 	common.Common
 	entry   ids.Process
-	table   *platform.Table
+	table   *table.Table
 	batcher *batcher
 }
 
 // NewClaimer returns a claimer for the entry of the given name.
-func NewClaimer(c common.Common, entry ids.Process, table *platform.Table) *Claimer {
+func NewClaimer(c common.Common, entry ids.Process, table *table.Table) *Claimer {
 	return &Claimer{Common: c, entry: entry, table: table, batcher: &batcher{table: table}}
 }
 
@@ -38,7 +38,7 @@
 // means that the table could not say, and then the request must not run.
 func (c *Claimer) Claim(ctx context.Context, account ids.Account, key string, request ids.Request) (bool, error) {
 	row := rowOf(account, key)
-	var version platform.Version
+	var version table.Version
 	backoff := c.Random.NewBackoff(minBackoff, maxBackoff)
 	for {
 		err := c.put(ctx, row, version, Claim{Request: request})
@@ -71,7 +71,7 @@
 	go c.free(rowOf(account, key), request)
 }
 
-func (c *Claimer) free(row platform.Key, request ids.Request) {
+func (c *Claimer) free(row table.Key, request ids.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTime.Duration())
 	defer cancel()
 	backoff := c.Random.NewBackoff(minBackoff, maxBackoff)
@@ -87,23 +87,23 @@
 	}
 }
 
-func (c *Claimer) put(ctx context.Context, row platform.Key, version platform.Version, claim Claim) error {
+func (c *Claimer) put(ctx context.Context, row table.Key, version table.Version, claim Claim) error {
 	claim.Entry = c.entry
 	claim.At = c.Clock.Now()
 	write, err := claim.write(row)
 	if err != nil {
 		return err
 	}
-	return c.batcher.commit(ctx, platform.Condition{Key: row, Version: version}, write)
+	return c.batcher.commit(ctx, table.Condition{Key: row, Version: version}, write)
 }
 
 // holding is a claim as it stands in the table.
 type holding struct {
 	claim   Claim
-	version platform.Version
+	version table.Version
 }
 
-func (c *Claimer) read(ctx context.Context, key platform.Key) (held holding, found bool, err error) {
+func (c *Claimer) read(ctx context.Context, key table.Key) (held holding, found bool, err error) {
 	row, err := c.table.Read(ctx, key)
 	if errors.Is(err, jujuerrors.NotFound) {
 		return holding{}, false, nil
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -1,5 +1,4 @@
-// Package clock is the project's own time type: whole milliseconds, as used in
-// decisions, messages and settings.
+// Package clock has the one type for lengths of time and moments: milliseconds.
 package clock
 
 import (
@@ -7,37 +6,41 @@
 	"time"
 )
 
-// Millis is a count of milliseconds: a length of time, or a moment counted
-// from the Unix epoch.
+// Millis is a length of time or a moment, in milliseconds. Moments count from
+// the Unix epoch of the machine that made them; only their difference within
+// one process means anything.
 type Millis int64
 
-// Common lengths of time.
+// Lengths of time.
 const (
 	Millisecond Millis = 1
 	Second             = 1000 * Millisecond
 	Minute             = 60 * Second
 )
 
-// Duration converts m for calls into the standard library.
+// Duration returns m in the standard library's type.
 func (m Millis) Duration() time.Duration {
 	return time.Duration(m) * time.Millisecond
 }
 
-// Clock reads the time. It is a value to be handed in, so that no package
-// keeps a clock of its own. Tests run it in virtual time by testing/synctest.
-type Clock struct{}
+// Clock tells the time. It is read once from the time of day and runs on the
+// steady clock from then on, since the time of day of a VM may jump. Under
+// testing/synctest it runs in virtual time.
+type Clock struct {
+	start time.Time
+}
 
-// New returns the clock of this process.
+// New returns the clock of this machine.
 func New() Clock {
-	return Clock{}
+	return Clock{start: time.Now()}
 }
 
-// Now returns the milliseconds since the Unix epoch.
-func (Clock) Now() Millis {
-	return Millis(time.Now().UnixMilli())
+// Now returns the present moment.
+func (c Clock) Now() Millis {
+	return Millis(c.start.UnixMilli()) + Millis(time.Since(c.start).Milliseconds())
 }
 
-// Pause waits, or returns early when ctx ends.
+// Pause waits for a length of time, or returns early when ctx ends.
 func Pause(ctx context.Context, wait Millis) {
 	if wait <= 0 {
 		return
--- a/pkg/ctl/apply.go
+++ b/pkg/ctl/apply.go
@@ -11,7 +11,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/network"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 )
 
 const (
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	return withConfiguration(ctx, *base, func(ctx context.Context, table *platform.Table, state platform.State) error {
+	return withConfiguration(ctx, *base, func(ctx context.Context, table *table.Table, state table.State) error {
 		change := declaration.Diff(state.Set, set)
 		describe(out, state.Head.Revision, &change)
 		if *plan || change.Empty() {
@@ -55,10 +55,10 @@
 
 // withConfiguration calls use with the table at base and the configuration that
 // stands in it, within the time of one command.
-func withConfiguration(ctx context.Context, base string, use func(context.Context, *platform.Table, platform.State) error) error {
+func withConfiguration(ctx context.Context, base string, use func(context.Context, *table.Table, table.State) error) error {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	table := platform.NewTable(network.NewTCP(), base, tableTimeout)
+	table := table.NewTable(network.NewTCP(), base, tableTimeout)
 	defer table.Close()
 	state, err := table.Configuration(ctx)
 	if err != nil {
--- a/pkg/ctl/history.go
+++ b/pkg/ctl/history.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 )
 
 const historyShown = 20
@@ -22,12 +22,12 @@
 	if *base == "" {
 		return fmt.Errorf("%w: history needs -table", errUsage)
 	}
-	return withConfiguration(ctx, *base, func(ctx context.Context, table *platform.Table, state platform.State) error {
+	return withConfiguration(ctx, *base, func(ctx context.Context, table *table.Table, state table.State) error {
 		return showChanges(ctx, out, table, state)
 	})
 }
 
-func showChanges(ctx context.Context, out io.Writer, table *platform.Table, state platform.State) error {
+func showChanges(ctx context.Context, out io.Writer, table *table.Table, state table.State) error {
 	report(out, fmt.Sprintf("revision %d is the newest", state.Head.Revision))
 	for r := state.Head.Revision; r > max(1, state.Head.Revision-historyShown); r-- {
 		c, err := table.Change(ctx, r)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -19,7 +19,7 @@
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/settings"
 )
@@ -39,7 +39,7 @@
 }
 
 // New returns an entry that has not started. It keeps claims in table.
-func New(c common.Common, name ids.Process, s settings.Entry, table *platform.Table) *Entry {
+func New(c common.Common, name ids.Process, s settings.Entry, table *table.Table) *Entry {
 	ctx, stop := context.WithCancel(context.Background())
 	e := &Entry{Common: c, settings: s, use: newAccountUse(), stop: stop}
 	e.pool = newSessionPool(ctx, c, s.DialTimeoutMS)
--- /dev/null
+++ b/pkg/follow/follower.go
@@ -0,0 +1,164 @@
+// Package follow keeps a process's picture of a table of the platform's store
+// current: a whole read, then the changes since, and a whole read again when
+// the store has forgotten them. It decides when to ask and what an answer
+// proves; what the rows mean is up to the handler.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/random"
+)
+
+// ErrForgotten is returned by a source that no longer has the changes since the
+// version asked for.
+var ErrForgotten = errors.New("the store has forgotten these changes")
+
+// Row is one row of a table, or the mark of its end.
+type Row struct {
+	Key   string
+	Value []byte
+	Gone  bool
+}
+
+// Batch is an answer of a source.
+type Batch struct {
+	Rows []Row
+	// Version is what the table has been read up to.
+	Version int64
+	// StoreTime is the source's own steady clock when it answered.
+	StoreTime clock.Millis
+}
+
+// Source reads one table.
+type Source interface {
+	// Whole reads all rows.
+	Whole(ctx context.Context) (Batch, error)
+	// Changes returns the rows changed after a version as soon as there are
+	// any, or none after the wait.
+	Changes(ctx context.Context, after int64, wait clock.Millis) (Batch, error)
+}
+
+// Handler takes what a follower has read. Its methods are called by one
+// goroutine.
+type Handler interface {
+	// Whole replaces all rows. ProvenAt is a moment at which they were current.
+	Whole(rows []Row, provenAt clock.Millis)
+	// Changed applies changes; an empty list only renews the proof.
+	Changed(rows []Row, provenAt clock.Millis)
+	// Lost says that the store could not be read.
+	Lost(err error)
+}
+
+// Options are a follower's times.
+type Options struct {
+	// Wait is how long the source may hold a question for changes.
+	Wait clock.Millis
+	// Answer bounds the time an answer may take beyond the wait.
+	Answer clock.Millis
+	// Reread, if set, is how often the table is read whole although changes
+	// were followed: a store that loses a change is then found out.
+	Reread clock.Millis
+}
+
+// The pauses after a failed read.
+const (
+	minBackoff = 50 * clock.Millisecond
+	maxBackoff = 400 * clock.Millisecond
+)
+
+// Follower follows one table.
+type Follower struct {
+	common.Common
+	source  Source
+	handler Handler
+	options Options
+
+	version   int64
+	known     bool
+	wholeAt   clock.Millis
+	lag       clock.Millis // the least seen between the store's clock and ours
+	lagKnown  bool
+	connected bool
+}
+
+// NewFollower returns a follower that has read nothing.
+func NewFollower(c common.Common, source Source, handler Handler, options Options) *Follower {
+	return &Follower{Common: c, source: source, handler: handler, options: options}
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := f.Random.NewBackoff(minBackoff, maxBackoff)
+	for ctx.Err() == nil {
+		f.step(ctx, backoff)
+	}
+}
+
+func (f *Follower) step(ctx context.Context, backoff *random.Backoff) {
+	err := f.read(ctx)
+	switch {
+	case err == nil:
+		backoff.Reset()
+		f.connected = true
+	case ctx.Err() != nil:
+	case errors.Is(err, ErrForgotten):
+		f.known = false
+		f.Log.WithError(err).Warn("reading the whole table")
+	default:
+		if f.connected {
+			f.Log.WithError(err).Warn("store not read; going on with what is known")
+		}
+		f.connected = false
+		f.handler.Lost(err)
+		backoff.Pause(ctx)
+	}
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	asked := f.Clock.Now()
+	if !f.known || f.options.Reread > 0 && asked-f.wholeAt >= f.options.Reread {
+		return f.readWhole(ctx, asked)
+	}
+	ctx, cancel := context.WithTimeout(ctx, (f.options.Wait + f.options.Answer).Duration())
+	defer cancel()
+	batch, err := f.source.Changes(ctx, f.version, f.options.Wait)
+	if err != nil {
+		return fmt.Errorf("reading changes: %w", err)
+	}
+	f.version = max(f.version, batch.Version)
+	f.handler.Changed(batch.Rows, f.proof(asked, batch.StoreTime))
+	return nil
+}
+
+func (f *Follower) readWhole(ctx context.Context, asked clock.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.Answer.Duration())
+	defer cancel()
+	batch, err := f.source.Whole(ctx)
+	if err != nil {
+		return fmt.Errorf("reading the table: %w", err)
+	}
+	f.version = batch.Version
+	f.known = true
+	f.wholeAt = asked
+	f.proof(asked, batch.StoreTime)
+	f.handler.Whole(batch.Rows, asked)
+	return nil
+}
+
+// proof returns a moment, by our clock, at which an answer was current: the
+// store's own time, put on our clock by the quickest answer seen so far, and
+// never before the question or after the answer.
+func (f *Follower) proof(asked, storeTime clock.Millis) clock.Millis {
+	now := f.Clock.Now()
+	lag := now - storeTime
+	if !f.lagKnown || lag < f.lag {
+		f.lag = lag
+		f.lagKnown = true
+	}
+	return min(now, max(asked, storeTime+f.lag))
+}
--- /dev/null
+++ b/pkg/forward/connection.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"quaydock/pkg/clock"
+)
+
+const readBuffer = 4 << 10
+
+// connection is one connection to a target. It carries one request at a time.
+type connection struct {
+	net.Conn
+	reader    *bufio.Reader
+	reused    bool
+	goodUntil clock.Millis
+}
+
+func newConnection(c net.Conn) *connection {
+	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
+}
+
+// quiet reports whether an idle connection is still open and has nothing to be
+// read: what a target sends between two requests belongs to neither.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true // a network in memory; a failure shows when it is used
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(descriptor), one[:])
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepFor returns how long the connection may rest after an answer.
+func keepFor(h http.Header) clock.Millis {
+	limit := idleLimit
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			limit = min(limit, clock.Millis(seconds)*clock.Second-idleMargin)
+		}
+	}
+	return limit
+}
--- /dev/null
+++ b/pkg/forward/exchange.go
@@ -0,0 +1,180 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"quaydock/pkg/routing"
+)
+
+// errStray says that a target kept answering other requests.
+var errStray = errors.New("answers to other requests only")
+
+// exchange is one request on one connection.
+type exchange struct {
+	pool     *Pool
+	target   *routing.Target
+	conn     *connection
+	request  *Request
+	stop     func() bool  // takes back the closing at the end of the context
+	written  atomic.Int64 // bytes of the request
+	writeEnd chan error
+}
+
+// Send makes one exchange. When ctx ends, the connection is closed.
+func (p *Pool) Send(ctx context.Context, t *routing.Target, r *Request) Result {
+	conn := p.take(t.ID)
+	if conn == nil {
+		var err error
+		if conn, err = p.dial(ctx, t); err != nil {
+			return unreached(t, err)
+		}
+	}
+	e := &exchange{pool: p, target: t, conn: conn, request: r, writeEnd: make(chan error, 1)}
+	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	go e.write()
+	return e.read()
+}
+
+// write sends the request. It runs beside the reading, since a target may
+// answer before it has read a long body.
+func (e *exchange) write() {
+	var head bytes.Buffer
+	r := e.request
+	head.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	err := r.Header.Write(&head)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	head.Write(r.Body)
+	if err == nil {
+		var n int
+		n, err = e.conn.Write(head.Bytes())
+		e.written.Store(int64(n))
+	}
+	e.writeEnd <- err
+}
+
+func (e *exchange) read() Result {
+	for range maxStrays {
+		response, err := e.head()
+		if err != nil {
+			return e.failed(err)
+		}
+		marks := e.pool.marks(response.Header)
+		if marks.ID != "" && marks.ID != e.request.ID {
+			if err := e.passOver(response); err != nil {
+				return e.failed(err)
+			}
+			continue
+		}
+		if marks.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
+			return e.declined(response, marks)
+		}
+		return e.answer(response, marks)
+	}
+	return e.failed(errStray)
+}
+
+// head reads the head of the next answer that is not an interim one.
+func (e *exchange) head() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
+		if err != nil {
+			return nil, fmt.Errorf("reading the head: %w", err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// passOver skips an answer that belongs to another request.
+func (e *exchange) passOver(response *http.Response) error {
+	e.pool.Metrics.Links.Add("stray_answers", 1)
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return errStray // its end is the connection's
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return fmt.Errorf("passing over an answer: %w", err)
+	}
+	return nil
+}
+
+// failed ends an exchange without an answer. Only if the write itself failed
+// before its first byte is it sure that nothing was sent.
+func (e *exchange) failed(err error) Result {
+	e.stop()
+	e.pool.discard(e.target.ID, e.conn)
+	writeErr := <-e.writeEnd
+	if writeErr != nil && e.written.Load() == 0 {
+		return unreached(e.target, writeErr)
+	}
+	return Broken{fmt.Errorf("target %s, reused connection %t: %w", e.target.ID, e.conn.reused, err)}
+}
+
+func (e *exchange) declined(response *http.Response, marks Marks) Result {
+	_, err := io.Copy(io.Discard, response.Body)
+	e.finish(response, err == nil)
+	return Declined{Status: response.StatusCode, Load: marks.Load}
+}
+
+func (e *exchange) answer(response *http.Response, marks Marks) Result {
+	return &Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+		Load:   marks.Load,
+		body:   &body{exchange: e, response: response},
+	}
+}
+
+// finish ends an exchange whose answer has been read; the connection is kept
+// if both sides are through with it.
+func (e *exchange) finish(response *http.Response, whole bool) {
+	stopped := e.stop()
+	written := false
+	select {
+	case err := <-e.writeEnd:
+		written = err == nil
+	default: // the rest of a body is still due on this connection
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	keep := keepFor(response.Header)
+	if whole && stopped && written && framed && !response.Close && keep > 0 {
+		e.pool.rest(e.target.ID, e.conn, keep)
+		return
+	}
+	e.pool.discard(e.target.ID, e.conn)
+}
+
+// body is the body of an answer.
+type body struct {
+	exchange *exchange
+	response *http.Response
+	ended    bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.response.Body.Read(p)
+	if err != nil && !b.ended {
+		b.ended = true
+		b.exchange.finish(b.response, errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+func (b *body) close() {
+	if !b.ended {
+		b.ended = true
+		b.exchange.finish(b.response, false)
+	}
+}
--- /dev/null
+++ b/pkg/forward/pool.go
@@ -0,0 +1,119 @@
+// Package forward carries a request to a target and its answer back, in one
+// hop. It tells apart what surely did not run from what may have run, and it
+// trusts no byte of a target further than the answer's own framing and id.
+package forward
+
+import (
+	"context"
+	"sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+)
+
+// Pool keeps connections to targets.
+type Pool struct {
+	common.Common
+	marks func(header map[string][]string) Marks
+
+	mu   sync.Mutex
+	idle map[ids.Target][]*connection
+	open map[ids.Target]int
+}
+
+// NewPool returns a pool without connections. The function marks reads the head
+// of an answer.
+func NewPool(c common.Common, marks func(header map[string][]string) Marks) *Pool {
+	return &Pool{Common: c, marks: marks, idle: make(map[ids.Target][]*connection), open: make(map[ids.Target]int)}
+}
+
+// take returns an idle connection to a target, or nil.
+func (p *Pool) take(t ids.Target) *connection {
+	now := p.Clock.Now()
+	for {
+		c := p.pop(t)
+		if c == nil {
+			return nil
+		}
+		if now < c.goodUntil && c.quiet() {
+			c.reused = true
+			return c
+		}
+		p.discard(t, c)
+	}
+}
+
+func (p *Pool) pop(t ids.Target) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[t]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[t] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, t *routing.Target) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout.Duration())
+	defer cancel()
+	c, err := p.Network.Dial(ctx, t.Address)
+	if err != nil {
+		return nil, err
+	}
+	p.Metrics.Links.Add("target_connections", 1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[t.ID]++
+	return newConnection(c), nil
+}
+
+// rest keeps a connection for the next request.
+func (p *Pool) rest(t ids.Target, c *connection, keep clock.Millis) {
+	c.goodUntil = p.Clock.Now() + keep
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[t] = append(p.idle[t], c)
+}
+
+func (p *Pool) discard(t ids.Target, c *connection) {
+	// The connection is not used again, whatever closing it says.
+	_ = c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[t]--; p.open[t] <= 0 {
+		delete(p.open, t)
+	}
+}
+
+// Prune closes the idle connections that are too old or whose targets are
+// gone.
+func (p *Pool) Prune(known *routing.Directory) {
+	now := p.Clock.Now()
+	var old []*connection
+	var of []ids.Target
+	p.mu.Lock()
+	for t, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now < c.goodUntil && known.Target(t) != nil {
+				kept = append(kept, c)
+				continue
+			}
+			old = append(old, c)
+			of = append(of, t)
+		}
+		clear(list[len(kept):])
+		p.idle[t] = kept
+		if len(kept) == 0 {
+			delete(p.idle, t)
+		}
+	}
+	p.mu.Unlock()
+	for i, c := range old {
+		p.discard(of[i], c)
+	}
+}
--- /dev/null
+++ b/pkg/ingress/admission.go
@@ -0,0 +1,160 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/quota"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/view"
+)
+
+// Ages of the proof that the configuration is the newest.
+const (
+	// freshFor is how old the proof may be for an answer that says that
+	// something does not exist. Beyond it, the entry says to come back.
+	freshFor = 2500 * clock.Millisecond
+	// revokePart is the part of the bound on keys taken away after which keys
+	// are no longer trusted without proof.
+	revokePart = 0.62
+	// comeBack is when to come back to an entry that does not know enough.
+	comeBack = 300 * clock.Millisecond
+)
+
+// Shares tells what part of an account's allowance this entry holds, and how
+// many entries there are.
+type Shares interface {
+	Share(account ids.Account) float64
+	Entries() int
+}
+
+// admission decides whether a request may pass.
+type admission struct {
+	common.Common
+	view      *view.View
+	dialect   Dialect
+	allowance *quota.Allowance
+	shares    Shares
+	keyTrust  clock.Millis
+}
+
+// admit reads a request and checks route, key, size and allowance.
+func (a *admission) admit(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
+	arrived := a.Clock.Now()
+	q := &request{Call: a.dialect.Describe(r.Header), http: r, arrived: arrived, draw: a.Random.Fork().Float64()}
+	if refusal := a.resolve(q); refusal != nil {
+		return q, refusal
+	}
+	held := q.route.Timeout
+	if q.Deadline > 0 && (held <= 0 || q.Deadline < held) {
+		held = q.Deadline
+	}
+	q.deadline = arrived + held
+	if refusal := a.read(w, q); refusal != nil {
+		return q, refusal
+	}
+	if q.account != nil {
+		units := q.account.Units(q.Prompt + q.MostOut)
+		taken, wait := a.allowance.Take(a.Clock.Now(), q.account, a.shares.Share(q.account.Name), units)
+		if !taken {
+			return q, &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
+		}
+	}
+	return q, nil
+}
+
+// resolve finds the route and the account of a request in the configuration in
+// force. It is called again before each exchange, since both may have gone
+// while the request waited.
+func (a *admission) resolve(q *request) *Refusal {
+	catalog := a.view.Catalog()
+	if catalog == nil || a.view.Directory() == nil {
+		return notRun(CauseStarting, comeBack)
+	}
+	age := a.view.Age(a.Clock.Now())
+	route := catalog.Route(host(q.http.Host), q.http.URL.Path)
+	if route == nil {
+		return a.missing(http.StatusNotFound, CauseNoRoute, age)
+	}
+	q.route = route
+	q.service = route.Pick(q.draw)
+	q.account = nil
+	if !catalog.Keyed() || route.Anonymous {
+		return nil
+	}
+	if age > a.keyTrust {
+		return notRun(CauseStaleKeys, comeBack)
+	}
+	if q.account = catalog.Account(q.Key); q.account == nil {
+		return a.missing(http.StatusUnauthorized, CauseUnknownKey, age)
+	}
+	return nil
+}
+
+// missing refuses what the configuration does not have. If it may be old, the
+// caller is told to come back instead.
+func (a *admission) missing(status int, cause Cause, age clock.Millis) *Refusal {
+	if age > freshFor {
+		return notRun(cause, comeBack)
+	}
+	return refuse(status, cause)
+}
+
+// read reads the whole body, so that what is sent on is whole.
+func (a *admission) read(w http.ResponseWriter, q *request) *Refusal {
+	if q.http.Body == nil || q.http.Body == http.NoBody {
+		return nil
+	}
+	limit := a.view.Catalog().Limits.BodyBytes
+	if limit > 0 && q.http.ContentLength > limit {
+		return refuse(http.StatusRequestEntityTooLarge, CauseTooLarge)
+	}
+	reader := q.http.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(w, reader, limit)
+	}
+	control := http.NewResponseController(w)
+	deadline := a.Clock.Now() + max(q.deadline-a.Clock.Now(), clock.Second)
+	// A writer without deadlines, as in tests, is bounded by the caller alone.
+	_ = control.SetReadDeadline(a.wall(deadline))
+	body, err := readAll(reader, q.http.ContentLength)
+	_ = control.SetReadDeadline(noDeadline)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, CauseTooLarge)
+	case err != nil:
+		return &Refusal{Status: http.StatusBadRequest, Cause: CauseBadBody, Err: err}
+	}
+	q.body = body
+	return nil
+}
+
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+// host returns the name of a host without a port.
+func host(field string) string {
+	if name, _, err := net.SplitHostPort(field); err == nil {
+		return name
+	}
+	return field
+}
+
+// refund gives back the allowance of a request that has not run.
+func (a *admission) refund(q *request, account *routing.Account) {
+	if account != nil {
+		a.allowance.Return(account, account.Units(q.Prompt+q.MostOut))
+	}
+}
--- /dev/null
+++ b/pkg/ingress/answer_writer.go
@@ -0,0 +1,45 @@
+package ingress
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"quaydock/pkg/forward"
+)
+
+// answerWriter writes one final answer to a caller.
+type answerWriter struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+// head writes the head of a target's answer. A length of -1 is a body whose end
+// shows by its framing.
+func (o *answerWriter) head(d Dialect, a *forward.Answer, length int64) {
+	o.started = true
+	h := o.writer.Header()
+	d.Answer(a.Header, h)
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // so that none is guessed
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	o.writer.WriteHeader(a.Status)
+}
+
+func (o *answerWriter) body(p []byte) error {
+	if _, err := o.writer.Write(p); err != nil {
+		return fmt.Errorf("writing to the caller: %w", err)
+	}
+	return nil
+}
+
+func (o *answerWriter) flush() error {
+	if err := o.control.Flush(); err != nil {
+		return fmt.Errorf("writing to the caller: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/ingress/delivery.go
@@ -0,0 +1,202 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/quota"
+	"quaydock/pkg/schedule"
+)
+
+// delivery takes an admitted request to a target and its answer back.
+type delivery struct {
+	common.Common
+	admission *admission
+	dialect   Dialect
+	scheduler schedule.Scheduler
+	pool      *forward.Pool
+	retries   *quota.RetryBudget
+	shares    Shares
+}
+
+const (
+	// maxSends bounds the exchanges of one request, those included that surely
+	// did not run.
+	maxSends = 4
+	// minLeft is the least time for which it is worth asking a target.
+	minLeft = 20 * clock.Millisecond
+	// retryDeclined is when to come back if targets had no room.
+	retryDeclined = 500 * clock.Millisecond
+)
+
+// attempt is how one exchange ended: completed, declined or lost.
+type attempt interface{ attempt() }
+
+type (
+	// completed: the caller has its answer.
+	completed struct{}
+	// declined: the target surely did not run the request.
+	declined struct{ err error }
+	// lost: the target may have run the request.
+	lost struct{ err error }
+	// callerGone: the caller can no longer be written to.
+	callerGone struct{ err error }
+)
+
+func (completed) attempt()  {}
+func (declined) attempt()   {}
+func (lost) attempt()       {}
+func (callerGone) attempt() {}
+
+// run serves a request. It returns why there is no whole answer, or nil.
+func (d *delivery) run(ctx context.Context, q *request, out *answerWriter) *Refusal {
+	admitted := q.account
+	d.retries.Request(d.Clock.Now(), q.service)
+	refusal := d.tries(ctx, q, out)
+	if refusal != nil && q.sent == 0 {
+		d.admission.refund(q, admitted)
+	}
+	return refusal
+}
+
+func (d *delivery) tries(ctx context.Context, q *request, out *answerWriter) *Refusal {
+	for {
+		place, refusal := d.acquire(ctx, q)
+		if refusal != nil {
+			return d.giveUp(ctx, q, refusal)
+		}
+		switch result := d.exchange(ctx, q, out, place).(type) {
+		case completed:
+			return nil
+		case callerGone:
+			return &Refusal{Cause: CauseLeft, Err: result.err}
+		case declined:
+			q.declines++
+			if !d.again(q) {
+				return d.giveUp(ctx, q, &Refusal{Status: http.StatusServiceUnavailable, Cause: CauseDeclined, RetryAfter: retryDeclined, Err: result.err})
+			}
+		case lost:
+			q.sent++
+			if ctx.Err() != nil || !d.repeatable(q, out) || !d.again(q) {
+				return d.giveUp(ctx, q, &Refusal{Status: http.StatusBadGateway, Cause: CauseLost, Err: result.err})
+			}
+		}
+	}
+}
+
+// acquire waits for a place on a target. What the request was admitted under
+// is looked up again once there is one.
+func (d *delivery) acquire(ctx context.Context, q *request) (schedule.Place, *Refusal) {
+	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{
+		ID: q.ID, Service: q.service, Account: q.accountName(), Tier: q.tier(),
+		Prompt: q.Prompt, Output: q.output(),
+		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline,
+		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Exclude: q.tried,
+	})
+	switch {
+	case err != nil:
+		return nil, &Refusal{Status: http.StatusGatewayTimeout, Cause: CauseDeadline}
+	case refused != nil && refused.Overloaded:
+		return nil, notRun(CauseOverloaded, refused.RetryAfter)
+	case refused != nil:
+		return nil, notRun(CauseNoTarget, refused.RetryAfter)
+	}
+	if refusal := d.recheck(q, place); refusal != nil {
+		place.Done(schedule.Abandoned)
+		return nil, refusal
+	}
+	return place, nil
+}
+
+// recheck looks up route and key once more before a request is sent.
+func (d *delivery) recheck(q *request, place schedule.Place) *Refusal {
+	account := q.account
+	if refusal := d.admission.resolve(q); refusal != nil {
+		// It was allowed when it came: it may come back and be judged anew.
+		return notRun(refusal.Cause, comeBack)
+	}
+	if account != nil && q.account == nil || !q.route.Leads(place.Target().Service) {
+		return notRun(CauseNoRoute, comeBack)
+	}
+	return nil
+}
+
+// repeatable reports whether a request that may have run may be sent again.
+func (d *delivery) repeatable(q *request, out *answerWriter) bool {
+	if !q.route.Idempotent() || q.sent >= q.route.Attempts {
+		return false
+	}
+	return !out.started || q.route.Resumable
+}
+
+// again reports whether one more exchange is within the bounds.
+func (d *delivery) again(q *request) bool {
+	now := d.Clock.Now()
+	if q.sends >= maxSends || q.deadline-now < minLeft {
+		return false
+	}
+	return d.retries.Repeat(now, q.service, d.shares.Entries())
+}
+
+// giveUp is the final word on a request, given how far it got.
+func (d *delivery) giveUp(ctx context.Context, q *request, refusal *Refusal) *Refusal {
+	ended := ctx.Err() != nil
+	switch {
+	case ended && !errors.Is(context.Cause(ctx), errDeadline):
+		return &Refusal{Cause: CauseLeft, Err: refusal.Err}
+	case ended && q.sent > 0:
+		return &Refusal{Status: http.StatusGatewayTimeout, Cause: CauseDeadline, Err: refusal.Err}
+	case ended:
+		return notRun(CauseDeadline, comeBack)
+	case q.sent > 0:
+		return &Refusal{Status: http.StatusBadGateway, Cause: CauseLost, Err: refusal.Err}
+	default:
+		return refusal
+	}
+}
+
+// exchange sends the request to the target of a place and relays the answer.
+func (d *delivery) exchange(ctx context.Context, q *request, out *answerWriter, place schedule.Place) attempt {
+	target := place.Target()
+	now := d.Clock.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	onward := Onward{Target: target.ID, Account: q.accountName(), Remaining: q.deadline - now, LastEvent: q.resumeAt()}
+	result := d.pool.Send(ctx, target, &forward.Request{
+		ID: q.ID, Method: q.http.Method, Path: q.http.RequestURI, Host: q.http.Host,
+		Header: d.dialect.Onward(q.http.Header, onward), Body: q.body,
+	})
+	q.tried = append(q.tried, target.ID)
+	switch result := result.(type) {
+	case forward.NotSent:
+		place.Done(schedule.Unreached)
+		return declined{result.Err}
+	case forward.Declined:
+		q.sends++
+		if result.Status == http.StatusMisdirectedRequest {
+			place.Done(schedule.Moved)
+		} else {
+			place.Done(schedule.Full)
+		}
+		return declined{}
+	case *forward.Answer:
+		q.sends++
+		return d.relay(ctx, q, out, place, result)
+	default:
+		q.sends++
+		place.Done(ended(ctx, schedule.Failed))
+		return lost{result.(forward.Broken).Err}
+	}
+}
+
+// ended tells a target's failure from the end of the request's own time.
+func ended(ctx context.Context, otherwise schedule.Outcome) schedule.Outcome {
+	if ctx.Err() != nil {
+		return schedule.Abandoned
+	}
+	return otherwise
+}
--- /dev/null
+++ b/pkg/ingress/relay.go
@@ -0,0 +1,151 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"quaydock/pkg/forward"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+)
+
+// wholeLimit is up to which size an answer is read whole before any of it goes
+// to the caller, so that a broken one may be tried again.
+const wholeLimit = 1 << 20
+
+var errEncoded = errors.New("the answer is encoded, which was not asked for")
+
+// resumeAt is the event behind which a stream goes on, if any.
+func (q *request) resumeAt() string {
+	if q.hasEvent {
+		return strconv.FormatInt(q.lastEvent, 10)
+	}
+	return q.LastEvent
+}
+
+// relay hands a target's answer to the caller.
+func (d *delivery) relay(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
+	defer a.Close()
+	if a.Header.Get("Content-Encoding") != "" {
+		place.Done(schedule.Failed)
+		return lost{errEncoded}
+	}
+	success := a.Status < http.StatusMultipleChoices
+	if q.route.Kind == routing.Stream && success {
+		return d.relayStream(ctx, q, out, place, a)
+	}
+	return d.relayWhole(ctx, q, out, place, a)
+}
+
+// relayWhole hands over an answer that is not a stream.
+func (d *delivery) relayWhole(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
+	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
+	if err != nil {
+		place.Done(ended(ctx, schedule.Failed))
+		return lost{fmt.Errorf("reading the answer: %w", err)}
+	}
+	place.Began()
+	failed := a.Status >= http.StatusInternalServerError
+	if failed && q.sent+1 < q.route.Attempts && d.mayRepeatFailure(q, out) {
+		place.Done(schedule.Failed)
+		return lost{fmt.Errorf("target %s answered with status %d", place.Target().ID, a.Status)}
+	}
+	if out.started {
+		place.Done(schedule.Failed)
+		return lost{fmt.Errorf("status %d in the middle of a stream", a.Status)}
+	}
+	out.head(d.dialect, a, a.Length)
+	err = out.body(body)
+	if err == nil {
+		err = d.relayRest(out, a)
+	}
+	q.sent++
+	if err != nil {
+		place.Done(ended(ctx, schedule.Failed))
+		return callerGone{err}
+	}
+	if failed {
+		place.Done(schedule.Failed)
+	} else {
+		place.Done(schedule.Served)
+	}
+	return completed{}
+}
+
+// mayRepeatFailure reports whether a failure that the target itself answered is
+// better tried elsewhere than handed over.
+func (d *delivery) mayRepeatFailure(q *request, out *answerWriter) bool {
+	left := q.deadline - d.Clock.Now()
+	return d.repeatable(q, out) && left > minLeft
+}
+
+// relayRest hands over what lies behind the part that was read whole.
+func (d *delivery) relayRest(out *answerWriter, a *forward.Answer) error {
+	buffer := make([]byte, eventBuffer)
+	for {
+		n, err := a.Read(buffer)
+		if n > 0 {
+			if err := out.body(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return fmt.Errorf("reading the answer: %w", err)
+		}
+	}
+}
+
+// relayStream hands over a stream event by event. Only whole events go out, so
+// that a resumable stream can go on elsewhere behind the last one.
+func (d *delivery) relayStream(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
+	events := newEventReader(a)
+	for first := true; ; first = false {
+		e, err := events.next()
+		whole := errors.Is(err, io.EOF)
+		if err != nil && !whole {
+			place.Done(ended(ctx, schedule.Failed))
+			return lost{err}
+		}
+		if first {
+			place.Began()
+			if !out.started {
+				out.head(d.dialect, a, -1)
+			}
+		}
+		if err := d.passEvent(q, out, e, whole || !events.buffered()); err != nil {
+			place.Done(schedule.Abandoned)
+			q.sent++
+			return callerGone{err}
+		}
+		if whole {
+			place.Done(schedule.Served)
+			q.sent++
+			return completed{}
+		}
+	}
+}
+
+// passEvent hands over one event, unless the caller has it already.
+func (d *delivery) passEvent(q *request, out *answerWriter, e event, flush bool) error {
+	if e.has && q.hasEvent && e.id <= q.lastEvent {
+		return nil
+	}
+	if e.has {
+		q.lastEvent = e.id
+		q.hasEvent = true
+	}
+	if err := out.body(e.raw); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return out.flush()
+}
--- /dev/null
+++ b/pkg/quota/allowance.go
@@ -0,0 +1,89 @@
+// Package quota bounds, at one entry, what must hold over all entries together:
+// what a client account may have run, and how often requests are repeated. Each
+// entry spends its own share, so that nothing need be asked at a request. It
+// does no I/O and reads no clock.
+package quota
+
+import (
+	"math"
+	"sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+)
+
+// bucket is what one account may still have run at this entry.
+type bucket struct {
+	level    float64 // units; below zero after a request larger than the rest
+	capacity float64
+	at       clock.Millis
+}
+
+// Allowance keeps the accounts' buckets.
+type Allowance struct {
+	mu      sync.Mutex
+	buckets map[ids.Account]*bucket
+}
+
+// NewAllowance returns an allowance without history.
+func NewAllowance() *Allowance {
+	return &Allowance{buckets: make(map[ids.Account]*bucket)}
+}
+
+// startFill is how full a bucket is at first: an entry that has just started
+// cannot know what its earlier run has spent.
+const startFill = 0.5
+
+// Take counts units against an account's allowance, of which this entry holds a
+// share between 0 and 1. If the share is spent it returns false and when to come
+// back. A request larger than what is left is taken while anything is left, and
+// leaves a debt, so that large requests are not starved.
+func (a *Allowance) Take(now clock.Millis, account *routing.Account, share, units float64) (bool, clock.Millis) {
+	if account.PerSecond <= 0 {
+		return true, 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.fill(now, account, share)
+	if b.level <= 0 {
+		perMilli := account.PerSecond * share / float64(clock.Second)
+		return false, clock.Millis(math.Ceil((units/2 - b.level) / perMilli))
+	}
+	b.level -= units
+	return true, 0
+}
+
+// Return gives back units that were not run after all.
+func (a *Allowance) Return(account *routing.Account, units float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.buckets[account.Name]; b != nil {
+		b.level = min(b.capacity, b.level+units)
+	}
+}
+
+// fill brings an account's bucket up to now; the lock is held.
+func (a *Allowance) fill(now clock.Millis, account *routing.Account, share float64) *bucket {
+	capacity := account.Burst * share
+	b := a.buckets[account.Name]
+	if b == nil {
+		b = &bucket{level: capacity * startFill, at: now}
+		a.buckets[account.Name] = b
+	}
+	b.capacity = capacity
+	b.level = min(capacity, b.level+float64(now-b.at)*account.PerSecond*share/float64(clock.Second))
+	b.at = now
+	return b
+}
+
+// Forget drops the buckets of accounts that are gone.
+func (a *Allowance) Forget(known func(ids.Account) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name := range a.buckets {
+		if !known(name) {
+			delete(a.buckets, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/quota/retry_budget.go
@@ -0,0 +1,92 @@
+package quota
+
+import (
+	"sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// RetryBounds bound the repeats at a service in a window, over all entries:
+// Ratio of the requests for it, and Slack on top.
+type RetryBounds struct {
+	Ratio  float64
+	Slack  float64
+	Window clock.Millis
+}
+
+// part is how much of the bounds is used: repeats are counted at the target,
+// where a window may gather what entries sent in two of theirs.
+const part = 0.7
+
+// steps is into how many steps a window is divided.
+const steps = 10
+
+// RetryBudget counts requests and repeats by service. Each entry may repeat in
+// proportion to its own requests, so that the sum over all entries keeps the
+// bounds without a word between them; the slack is divided by their number.
+type RetryBudget struct {
+	bounds RetryBounds
+
+	mu       sync.Mutex
+	services map[ids.Service]*tally
+}
+
+type tally struct {
+	step     clock.Millis
+	requests [steps]float64
+	repeats  [steps]float64
+}
+
+// NewRetryBudget returns a budget with nothing spent.
+func NewRetryBudget(bounds RetryBounds) *RetryBudget {
+	return &RetryBudget{bounds: bounds, services: make(map[ids.Service]*tally)}
+}
+
+// Request counts a caller's request for a service.
+func (b *RetryBudget) Request(now clock.Millis, service ids.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.at(now, service)
+	t.requests[t.step%steps]++
+}
+
+// Repeat reports whether a request may be sent to one more target of a service,
+// and counts it if so.
+func (b *RetryBudget) Repeat(now clock.Millis, service ids.Service, entries int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.at(now, service)
+	allowed := part * (b.bounds.Ratio*sum(&t.requests) + b.bounds.Slack/float64(max(1, entries)))
+	if sum(&t.repeats)+1 > allowed {
+		return false
+	}
+	t.repeats[t.step%steps]++
+	return true
+}
+
+func (b *RetryBudget) at(now clock.Millis, service ids.Service) *tally {
+	t := b.services[service]
+	step := now / max(1, b.bounds.Window/steps)
+	if t == nil {
+		t = &tally{step: step}
+		b.services[service] = t
+	}
+	if step-t.step >= steps {
+		*t = tally{step: step}
+	}
+	for t.step < step {
+		t.step++
+		t.requests[t.step%steps] = 0
+		t.repeats[t.step%steps] = 0
+	}
+	return t
+}
+
+func sum(list *[steps]float64) float64 {
+	total := 0.0
+	for _, x := range list {
+		total += x
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,156 @@
+// Package roster keeps the list of targets right across outages of the store,
+// in which the entries of sound targets may lapse.
+package roster
+
+import (
+	"sync"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+)
+
+const (
+	// awayAfter is how long the store must have been out of reach for entries
+	// to have lapsed for no other reason.
+	awayAfter = 700 * clock.Millisecond
+	// returnTime is how long after the store's return a sound target's entry is
+	// back: targets write theirs again within about two seconds.
+	returnTime = 2200 * clock.Millisecond
+)
+
+// Parse reads a target's row.
+type Parse func(id string, document []byte) (*routing.Target, error)
+
+// Roster is the list of targets at one process. It handles what a follower
+// reads.
+type Roster struct {
+	common.Common
+	parse   Parse
+	changed func(*routing.Directory)
+
+	mu          sync.Mutex
+	targets     map[ids.Target]*routing.Target
+	missing     map[ids.Target]clock.Millis // lapsed: until when they are kept
+	lastContact clock.Millis
+	settledAt   clock.Millis // until then, missing entries may come back
+	known       bool
+}
+
+var _ follow.Handler = (*Roster)(nil)
+
+// New returns an empty roster; changed is told of each new list.
+func New(c common.Common, parse Parse, changed func(*routing.Directory)) *Roster {
+	return &Roster{
+		Common: c, parse: parse, changed: changed,
+		targets: make(map[ids.Target]*routing.Target), missing: make(map[ids.Target]clock.Millis),
+	}
+}
+
+// Whole replaces the list.
+func (r *Roster) Whole(rows []follow.Row, _ clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.contact()
+	present := make(map[ids.Target]bool, len(rows))
+	for _, row := range rows {
+		present[ids.Target(row.Key)] = true
+		r.put(row)
+	}
+	for id := range r.targets {
+		if !present[id] {
+			r.drop(now, id)
+		}
+	}
+	r.known = true
+	r.publish()
+}
+
+// Changed applies changes.
+func (r *Roster) Changed(rows []follow.Row, _ clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.contact()
+	for _, row := range rows {
+		if row.Gone {
+			r.drop(now, ids.Target(row.Key))
+			continue
+		}
+		r.put(row)
+	}
+	if len(rows) > 0 {
+		r.publish()
+	}
+}
+
+// Lost does nothing: the list stays as it is while the store is away.
+func (r *Roster) Lost(error) {}
+
+// contact notes that the store has answered.
+func (r *Roster) contact() clock.Millis {
+	now := r.Clock.Now()
+	if r.known && now-r.lastContact > awayAfter+maxSilence {
+		r.settledAt = now + returnTime
+	}
+	r.lastContact = now
+	return now
+}
+
+// maxSilence is how long the store may hold a question for changes.
+const maxSilence = WaitForChanges
+
+// WaitForChanges is how long a question for changes of targets is held.
+const WaitForChanges = 3 * clock.Second
+
+func (r *Roster) put(row follow.Row) {
+	target, err := r.parse(row.Key, row.Value)
+	if err != nil {
+		r.Log.WithError(err).Warn("a target's row is passed over")
+		return
+	}
+	before := r.targets[target.ID]
+	if before == nil || before.Leaving != target.Leaving {
+		r.Log.WithField("target", string(target.ID)).WithField("leaving", target.Leaving).Info("target listed")
+	}
+	r.targets[target.ID] = target
+	delete(r.missing, target.ID)
+}
+
+// drop takes a target off the list, or keeps it for a while if its entry may
+// have lapsed because of the store.
+func (r *Roster) drop(now clock.Millis, id ids.Target) {
+	if r.targets[id] == nil || r.missing[id] > 0 {
+		return
+	}
+	if now >= r.settledAt {
+		delete(r.targets, id)
+		r.Log.WithField("target", string(id)).Info("target gone")
+		return
+	}
+	r.missing[id] = r.settledAt
+	time.AfterFunc((r.settledAt - now).Duration(), func() { r.expire(id) })
+}
+
+// expire takes away a target whose entry did not come back.
+func (r *Roster) expire(id ids.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.missing[id] == 0 {
+		return
+	}
+	delete(r.missing, id)
+	delete(r.targets, id)
+	r.Log.WithField("target", string(id)).Info("target gone: its entry did not come back")
+	r.publish()
+}
+
+func (r *Roster) publish() {
+	list := make([]*routing.Target, 0, len(r.targets))
+	for _, t := range r.targets {
+		list = append(list, t)
+	}
+	r.changed(routing.NewDirectory(list))
+}
--- /dev/null
+++ b/pkg/routing/catalog.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// Revision numbers configurations; it only rises.
+type Revision int64
+
+// Account is a client account with its rank and its allowance over all
+// entries together.
+type Account struct {
+	Name ids.Account
+	Tier ids.TierRank
+	Keys []string
+	// PerSecond and Burst bound what the account may have run, in units (tokens
+	// or requests); a PerSecond of 0 is no bound.
+	PerSecond float64
+	Burst     float64
+	// CountsTokens says that a unit is a token; a request that names no tokens
+	// counts PlainTokens.
+	CountsTokens bool
+	PlainTokens  float64
+}
+
+// Units returns what a request counts against the allowance.
+func (a *Account) Units(tokens ids.Tokens) float64 {
+	switch {
+	case !a.CountsTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	default:
+		return a.PlainTokens
+	}
+}
+
+// Service is a set of like targets.
+type Service struct {
+	Name ids.Service
+	// Connections is how many connections one target takes from all entries.
+	Connections int
+	// Engine is set for services of model engines.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots int
+	// Memory is how many tokens fit into one engine.
+	Memory ids.Tokens
+	// EventTokens is how many tokens one event of a stream holds.
+	EventTokens int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  clock.Millis
+	IdleTime    clock.Millis
+}
+
+// Catalog is one whole configuration. It does not change once built.
+type Catalog struct {
+	Revision Revision
+	Limits   Limits
+	services map[ids.Service]*Service
+	hosts    map[string][]*Route // the longest prefix first
+	keys     map[string]*Account
+	accounts []*Account
+}
+
+// NewCatalog builds a catalog.
+func NewCatalog(revision Revision, limits Limits, routes []*Route, services []*Service, accounts []*Account) *Catalog {
+	c := &Catalog{
+		Revision: revision,
+		Limits:   limits,
+		services: make(map[ids.Service]*Service, len(services)),
+		hosts:    make(map[string][]*Route),
+		keys:     make(map[string]*Account),
+		accounts: accounts,
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	for _, r := range routes {
+		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+	}
+	for _, list := range c.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, a := range accounts {
+		for _, key := range a.Keys {
+			c.keys[key] = a
+		}
+	}
+	return c
+}
+
+// Route returns the route with the longest prefix of path, or nil.
+func (c *Catalog) Route(host, path string) *Route {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the account that holds a key, or nil.
+func (c *Catalog) Account(key string) *Account {
+	return c.keys[key]
+}
+
+// Accounts lists all client accounts.
+func (c *Catalog) Accounts() []*Account {
+	return c.accounts
+}
+
+// Keyed reports whether requests need a key.
+func (c *Catalog) Keyed() bool {
+	return len(c.accounts) > 0
+}
+
+// Service returns a service, or nil.
+func (c *Catalog) Service(name ids.Service) *Service {
+	return c.services[name]
+}
--- /dev/null
+++ b/pkg/schedule/local.go
@@ -0,0 +1,113 @@
+package schedule
+
+import (
+	"context"
+	"sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/view"
+)
+
+// Local places requests by what this entry alone knows. It serves targets
+// without an agent, and everything while no agent can be reached.
+type Local struct {
+	common.Common
+	view *view.View
+
+	mu      sync.Mutex
+	targets map[ids.Target]*record
+}
+
+// record is what is known of one target.
+type record struct {
+	running   int
+	health    health
+	firstTime float64 // smoothed time to the first event or the answer, in ms
+}
+
+// NewLocal returns a scheduler that has placed nothing.
+func NewLocal(c common.Common, v *view.View) *Local {
+	return &Local{Common: c, view: v, targets: make(map[ids.Target]*record)}
+}
+
+const noTargetRetry = 500 * clock.Millisecond
+
+// Acquire gives the least loaded target at once.
+func (l *Local) Acquire(ctx context.Context, ask Ask) (Place, *Refused, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	target := l.best(ask)
+	if target == nil {
+		return nil, &Refused{RetryAfter: noTargetRetry}, nil
+	}
+	l.record(target.ID).running++
+	return &localPlace{local: l, target: target, since: l.Clock.Now()}, nil, nil
+}
+
+func (l *Local) record(id ids.Target) *record {
+	r := l.targets[id]
+	if r == nil {
+		r = &record{}
+		l.targets[id] = r
+	}
+	return r
+}
+
+// best returns the target with the least work for its slots. Targets set aside
+// are taken only if there are no others.
+func (l *Local) best(ask Ask) *routing.Target {
+	now := l.Clock.Now()
+	random := l.Random.Fork()
+	var best *routing.Target
+	var least float64
+	for _, t := range l.view.Directory().Serving(ask.Service) {
+		r := l.record(t.ID)
+		cost := (float64(r.running) + random.Float64()/2) / float64(max(1, t.Slots))
+		if r.health.aside(now) {
+			const setAside = 1000
+			cost += setAside
+		}
+		if excluded(ask.Exclude, t.ID) {
+			const tried = 2000
+			cost += tried
+		}
+		if best == nil || cost < least {
+			best, least = t, cost
+		}
+	}
+	return best
+}
+
+func excluded(list []ids.Target, id ids.Target) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+type localPlace struct {
+	local  *Local
+	target *routing.Target
+	since  clock.Millis
+}
+
+func (p *localPlace) Target() *routing.Target { return p.target }
+
+func (p *localPlace) Began() {}
+
+func (p *localPlace) Done(o Outcome) {
+	l := p.local
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(p.target.ID)
+	r.running--
+	r.health.note(l.Clock.Now(), o)
+}
--- /dev/null
+++ b/pkg/schedule/schedule.go
@@ -0,0 +1,77 @@
+// Package schedule decides which target gets a request, when, and who is told
+// to come back later.
+package schedule
+
+import (
+	"context"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+)
+
+// Ask is a request that wants a place on a target.
+type Ask struct {
+	ID      string
+	Service ids.Service
+	Account ids.Account
+	// Tier is the rank among all requests.
+	Tier ids.TierRank
+	// Prompt and Output estimate the size of a generation, 0 for other calls.
+	Prompt ids.Tokens
+	Output ids.Tokens
+	// Arrived is when the request came, Objective the time within which it
+	// earns its whole credit, Deadline the moment after which it is useless.
+	Arrived   clock.Millis
+	Objective clock.Millis
+	Deadline  clock.Millis
+	// Returned says that the request was refused before and came back.
+	Returned bool
+	// Exclude lists targets that have been tried.
+	Exclude []ids.Target
+}
+
+// Place is a place on a target. Exactly one of its ends is called.
+type Place interface {
+	Target() *routing.Target
+	// Began notes that the target has begun to answer: a whole answer, or the
+	// first event of a stream.
+	Began()
+	// Done gives the place back.
+	Done(Outcome)
+}
+
+// Outcome is how a target did with a request.
+type Outcome int
+
+//go:generate stringer -type=Outcome -output=outcome_string.go
+
+// The outcomes.
+const (
+	// Served: the answer was whole.
+	Served Outcome = iota
+	// Failed: the target ran the request, and failed.
+	Failed
+	// Unreached: the target could not be reached.
+	Unreached
+	// Full: the target said that it has no room.
+	Full
+	// Moved: another target has the address.
+	Moved
+	// Abandoned: the caller left or its time was over.
+	Abandoned
+)
+
+// Refused says that there is no place.
+type Refused struct {
+	// Overloaded is false if the service has no target at all.
+	Overloaded bool
+	RetryAfter clock.Millis
+}
+
+// Scheduler gives out places.
+type Scheduler interface {
+	// Acquire waits for a place. It returns an error if ctx ended first, and a
+	// refusal if the request should come back later.
+	Acquire(ctx context.Context, ask Ask) (Place, *Refused, error)
+}
--- a/pkg/standin/table.go
+++ b/pkg/standin/table.go
@@ -7,29 +7,29 @@
 	"strings"
 	"sync"
 
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 )
 
 // Table is the platform's transactional table.
 type Table struct {
 	mu   sync.Mutex
-	rows map[platform.Key]platform.Row
+	rows map[table.Key]table.Row
 	down bool
 	// While lagging is set, reads show old.
 	lagging bool
-	old     map[platform.Key]platform.Row
+	old     map[table.Key]table.Row
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[platform.Key]platform.Row)}
+	return &Table{rows: make(map[table.Key]table.Row)}
 }
 
 // Handler returns the table's HTTP interface.
 func (t *Table) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathRows, t.read)
-	mux.HandleFunc("POST "+platform.PathTransactions, t.commit)
+	mux.HandleFunc("GET "+table.PathRows, t.read)
+	mux.HandleFunc("POST "+table.PathTransactions, t.commit)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if t.isDown() {
 			panic(http.ErrAbortHandler)
@@ -67,7 +67,7 @@
 }
 
 func (t *Table) read(w http.ResponseWriter, r *http.Request) {
-	key := platform.Key(strings.TrimPrefix(r.URL.Path, platform.PathRows))
+	key := table.Key(strings.TrimPrefix(r.URL.Path, table.PathRows))
 	t.mu.Lock()
 	rows := t.rows
 	if t.lagging {
@@ -84,7 +84,7 @@
 }
 
 func (t *Table) commit(w http.ResponseWriter, r *http.Request) {
-	var transaction platform.Transaction
+	var transaction table.Transaction
 	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -95,7 +95,7 @@
 }
 
 // Commit makes a transaction; it reports false if a condition does not hold.
-func (t *Table) Commit(transaction platform.Transaction) bool {
+func (t *Table) Commit(transaction table.Transaction) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range transaction.Conditions {
@@ -105,7 +105,7 @@
 	}
 	for _, write := range transaction.Writes {
 		version := t.rows[write.Key].Version + 1
-		t.rows[write.Key] = platform.Row{Key: write.Key, Version: version, Value: write.Value}
+		t.rows[write.Key] = table.Row{Key: write.Key, Version: version, Value: write.Value}
 	}
 	return true
 }
--- a/pkg/platform/follower.go
+++ b/pkg/table/follower.go
@@ -1,4 +1,4 @@
-package platform
+package table
 
 import (
 	"context"
--- a/pkg/platform/table.go
+++ b/pkg/table/table.go
@@ -1,6 +1,6 @@
-// Package platform reaches the platform's services: the transactional table
+// Package table reaches the platform's services: the transactional table
 // that keeps what must last.
-package platform
+package table
 
 import (
 	"context"
--- a/pkg/testbed/bed.go
+++ b/pkg/testbed/bed.go
@@ -17,7 +17,7 @@
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/standin"
 )
@@ -186,7 +186,7 @@
 }
 
 func (b *Bed) declare() error {
-	transaction, err := platform.FirstRevision(b.Declarations())
+	transaction, err := table.FirstRevision(b.Declarations())
 	if err != nil {
 		return fmt.Errorf("first revision: %w", err)
 	}
--- a/pkg/testbed/configuration_test.go
+++ b/pkg/testbed/configuration_test.go
@@ -12,24 +12,24 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/network"
-	"quaydock/pkg/platform"
+	"quaydock/pkg/table"
 	"quaydock/pkg/testbed"
 )
 
 // operator is somebody who changes the configuration.
 type operator struct {
 	t     *testing.T
-	table *platform.Table
+	table *table.Table
 }
 
 func newOperator(t *testing.T, bed *testbed.Bed) *operator {
 	t.Helper()
-	table := platform.NewTable(bed.Network, "http://"+testbed.TableAddress, 2*clock.Second)
+	table := table.NewTable(bed.Network, "http://"+testbed.TableAddress, 2*clock.Second)
 	t.Cleanup(table.Close)
 	return &operator{t: t, table: table}
 }
 
-func (o *operator) read() platform.State {
+func (o *operator) read() table.State {
 	o.t.Helper()
 	state, err := o.table.Configuration(context.Background())
 	if err != nil {
@@ -39,7 +39,7 @@
 }
 
 // removePlacement plans the change that takes target i out of service.
-func removePlacement(state platform.State, i int, who string) declaration.Change {
+func removePlacement(state table.State, i int, who string) declaration.Change {
 	set := state.Set
 	var kept []declaration.Placement
 	for _, p := range set.Placements {
@@ -53,7 +53,7 @@
 	return change
 }
 
-func (o *operator) publish(upon platform.State, change declaration.Change) error {
+func (o *operator) publish(upon table.State, change declaration.Change) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	_, err := o.table.Publish(ctx, upon, change)
@@ -142,7 +142,7 @@
 func raceOperators(t *testing.T, faults *network.Faults) {
 	bed := started(t, testbed.Options{Entries: 1, Engines: engines(2), Slots: 4, Faults: faults})
 	operators := []*operator{newOperator(t, bed), newOperator(t, bed)}
-	var state platform.State
+	var state table.State
 	for tries := 0; ; tries++ {
 		var err error
 		if state, err = operators[0].table.Configuration(context.Background()); err == nil {
@@ -168,7 +168,7 @@
 		t.Fatal(err)
 	}
 	for i, failure := range failures {
-		var conflict *platform.ConflictError
+		var conflict *table.ConflictError
 		won := made.Who == fmt.Sprint("operator ", i)
 		if won != (failure == nil) || (!won && !errors.As(failure, &conflict)) {
 			t.Errorf("%s made the change; operator %d was told %v", made.Who, i, failure)
--- /dev/null
+++ b/pkg/view/view.go
@@ -0,0 +1,63 @@
+// Package view holds what an entry believes of the deployment: the
+// configuration, the targets, and how old the proof of each is.
+package view
+
+import (
+	"sync/atomic"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/invariant"
+	"quaydock/pkg/routing"
+)
+
+// View is read by every request and written by the followers of the store.
+type View struct {
+	check     *invariant.Checker
+	catalog   atomic.Pointer[routing.Catalog]
+	directory atomic.Pointer[routing.Directory]
+	provenAt  atomic.Int64
+}
+
+// New returns an empty view.
+func New(check *invariant.Checker) *View {
+	return &View{check: check}
+}
+
+// Catalog returns the configuration in force, or nil before the first.
+func (v *View) Catalog() *routing.Catalog {
+	return v.catalog.Load()
+}
+
+// Directory returns the targets, or nil before the first list.
+func (v *View) Directory() *routing.Directory {
+	return v.directory.Load()
+}
+
+// SetCatalog puts a configuration in force unless it is older than the present
+// one; it reports whether it did.
+func (v *View) SetCatalog(c *routing.Catalog) bool {
+	before := v.catalog.Load()
+	if before != nil && before.Revision >= c.Revision {
+		return false
+	}
+	swapped := v.catalog.Swap(c)
+	v.check.That(swapped == nil || swapped.Revision < c.Revision, invariant.RevisionUpward, "revision %d", c.Revision)
+	return true
+}
+
+// SetDirectory replaces the list of targets.
+func (v *View) SetDirectory(d *routing.Directory) {
+	v.directory.Store(d)
+}
+
+// Proven notes that the configuration in force was the newest at a moment.
+func (v *View) Proven(at clock.Millis) {
+	if v.provenAt.Load() < int64(at) {
+		v.provenAt.Store(int64(at))
+	}
+}
+
+// Age is how long ago the configuration in force was surely the newest.
+func (v *View) Age(now clock.Millis) clock.Millis {
+	return now - clock.Millis(v.provenAt.Load())
+}
