Keep each account's allowance at one home entry

Ruled out: shares that follow demand; they lag bursts by their own averaging. Change: membership (rows in the store, greetings), metering (claims to the home, a margin of one's own while it is silent).

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -23,7 +24,9 @@
 	"quaydock/pkg/ingress"
 	"quaydock/pkg/invariant"
 	"quaydock/pkg/membership"
+	"quaydock/pkg/metering"
 	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/random"
 	"quaydock/pkg/roster"
@@ -63,7 +66,8 @@
 	members    *membership.Members
 	pool       *forward.Pool
 	controller *ingress.Controller
-	allowance  *quota.Allowance
+	link       *packets.Link
+	meter      *metering.Meter
 	callers    *http.Server
 	readiness  *http.Server
 	leaving    atomic.Bool
@@ -77,7 +81,10 @@
 	}
 	limitMemory(s.Limits.MemoryMB)
 	c := newCommon(s.Node, logs)
-	p := newEntryProcess(c, s)
+	p, err := newEntryProcess(c, s)
+	if err != nil {
+		return err
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	signals := make(chan os.Signal, 4)
@@ -121,16 +128,27 @@
 	}
 }
 
-func newEntryProcess(c common.Common, s platform.Settings) *entryProcess {
+func newEntryProcess(c common.Common, s platform.Settings) (*entryProcess, error) {
+	address, err := netip.ParseAddrPort(s.InternalAddress(0))
+	if err != nil {
+		return nil, fmt.Errorf("internal address: %w", err)
+	}
+	link, err := packets.Open(c, address.String())
+	if err != nil {
+		return nil, err
+	}
 	p := &entryProcess{Common: c, settings: s, store: platform.NewStore(c.Network, s.Store.Address), view: view.New(c.Check)}
-	p.members = membership.New(c, s.Node, s.InternalAddress(0), p.store.Table(platform.TableMembers))
+	p.link = link
+	p.members = membership.New(c, s.Node, address, p.store.Table(platform.TableMembers), link)
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
-	p.allowance = quota.NewAllowance()
+	p.meter = metering.New(c, metering.Bounds{
+		Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack, Window: seconds(s.Bounds.QuotaWindowSeconds),
+	}, p.view, p.members, link)
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: schedule.NewLocal(c, p.view),
-		Pool: p.pool, Allowance: p.allowance, Shares: p.members, RevokeBound: s.Bounds.Revoke,
+		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{
-			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: clock.Millis(s.Bounds.RetryWindowSeconds * float64(clock.Second)),
+			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: seconds(s.Bounds.RetryWindowSeconds),
 		}),
 	})
 	p.callers = &http.Server{
@@ -138,7 +156,11 @@
 		ErrorLog: nil,
 	}
 	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration()}
-	return p
+	return p, nil
+}
+
+func seconds(s float64) clock.Millis {
+	return clock.Millis(s * float64(clock.Second))
 }
 
 func (p *entryProcess) start(ctx context.Context) error {
@@ -152,7 +174,8 @@
 	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
 	targets := roster.New(p.Common, platform.ParseTarget, p.view.SetDirectory)
 	go p.follower(platform.TableTargets, targets, follow.Options{Wait: roster.WaitForChanges, Answer: storeAnswer}).Run(ctx)
-	go p.members.Register(ctx)
+	go p.link.Run(ctx)
+	go p.members.Run(ctx)
 	go p.follower(platform.TableMembers, p.members, follow.Options{Wait: membersWait, Answer: storeAnswer}).Run(ctx)
 	go p.prune(ctx)
 	return nil
@@ -183,7 +206,7 @@
 	for _, a := range c.Accounts() {
 		known[a.Name] = true
 	}
-	p.allowance.Forget(func(name ids.Account) bool { return known[name] })
+	p.meter.Forget(func(name ids.Account) bool { return known[name] })
 }
 
 func (p *entryProcess) prune(ctx context.Context) {
@@ -212,7 +235,7 @@
 	p.leaving.Store(true)
 	p.controller.Leave()
 	began := p.Clock.Now()
-	end := began + clock.Millis(p.settings.Bounds.GraceSeconds*float64(clock.Second)) - endMargin
+	end := began + seconds(p.settings.Bounds.GraceSeconds) - endMargin
 	for {
 		now := p.Clock.Now()
 		if now >= end || now-began >= leaveTime && p.controller.Running() == 0 {
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -8,8 +9,6 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
-	"quaydock/pkg/ids"
-	"quaydock/pkg/quota"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/view"
 )
@@ -26,21 +25,24 @@
 	comeBack = 300 * clock.Millisecond
 )
 
-// Shares tells what part of an account's allowance this entry holds, and how
-// many entries there are.
-type Shares interface {
-	Share(account ids.Account) float64
+// Meter bounds what client accounts may have run over all entries together.
+type Meter interface {
+	Take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis)
+	Return(account *routing.Account, units float64)
+}
+
+// Entries tells how many entries there are.
+type Entries interface {
 	Entries() int
 }
 
 // admission decides whether a request may pass.
 type admission struct {
 	common.Common
-	view      *view.View
-	dialect   Dialect
-	allowance *quota.Allowance
-	shares    Shares
-	keyTrust  clock.Millis
+	view     *view.View
+	dialect  Dialect
+	meter    Meter
+	keyTrust clock.Millis
 }
 
 // admit reads a request and checks route, key, size and allowance.
@@ -60,7 +62,7 @@
 	}
 	if q.account != nil {
 		units := q.account.Units(q.Prompt + q.MostOut)
-		taken, wait := a.allowance.Take(a.Clock.Now(), q.account, a.shares.Share(q.account.Name), units)
+		taken, wait := a.meter.Take(r.Context(), q.account, units)
 		if !taken {
 			return q, &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
 		}
@@ -155,6 +157,6 @@
 // refund gives back the allowance of a request that has not run.
 func (a *admission) refund(q *request, account *routing.Account) {
 	if account != nil {
-		a.allowance.Return(account, account.Units(q.Prompt+q.MostOut))
+		a.meter.Return(account, account.Units(q.Prompt+q.MostOut))
 	}
 }
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -31,9 +31,9 @@
 	Dialect   Dialect
 	Scheduler schedule.Scheduler
 	Pool      *forward.Pool
-	Allowance *quota.Allowance
+	Meter     Meter
 	Retries   *quota.RetryBudget
-	Shares    Shares
+	Entries   Entries
 	// RevokeBound is how long after its removal a key may still be used.
 	RevokeBound clock.Millis
 }
@@ -50,12 +50,12 @@
 // NewController returns a controller over its parts.
 func NewController(p Parts) *Controller {
 	a := &admission{
-		Common: p.Common, view: p.View, dialect: p.Dialect, allowance: p.Allowance, shares: p.Shares,
+		Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter,
 		keyTrust: clock.Millis(float64(p.RevokeBound) * revokePart),
 	}
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
-		pool: p.Pool, retries: p.Retries, shares: p.Shares,
+		pool: p.Pool, retries: p.Retries, entries: p.Entries,
 	}
 	return &Controller{Common: p.Common, admission: a, delivery: d}
 }
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -20,7 +20,7 @@
 	scheduler schedule.Scheduler
 	pool      *forward.Pool
 	retries   *quota.RetryBudget
-	shares    Shares
+	entries   Entries
 }
 
 const (
@@ -139,7 +139,7 @@
 	if q.sends >= maxSends || q.deadline-now < minLeft {
 		return false
 	}
-	return d.retries.Repeat(now, q.service, d.shares.Entries())
+	return d.retries.Repeat(now, q.service, d.entries.Entries())
 }
 
 // giveUp is the final word on a request, given how far it got.
--- /dev/null
+++ b/pkg/membership/listing.go
@@ -0,0 +1,74 @@
+package membership
+
+import (
+	"context"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// listEvery is how often the rows are compared with what is heard.
+const listEvery = clock.Second
+
+// keepListed writes this entry's row whenever it is missing, and takes out the
+// rows of entries that have been silent for long. An entry whose row was taken
+// out by mistake sees it and writes it again.
+func (m *Members) keepListed(ctx context.Context) {
+	m.write(ctx)
+	for ctx.Err() == nil {
+		clock.Pause(ctx, listEvery)
+		if !m.isListed() {
+			m.write(ctx)
+		}
+		for _, name := range m.silent() {
+			m.remove(ctx, name)
+		}
+	}
+}
+
+func (m *Members) isListed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
+func (m *Members) write(ctx context.Context) {
+	backoff := m.Random.NewBackoff(minBackoff, maxBackoff)
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
+		err := m.rows.Put(limited, string(m.self), []byte(m.address.String()))
+		cancel()
+		if err == nil {
+			return
+		}
+		m.Log.WithError(err).Warn("not yet listed among the entries")
+		backoff.Pause(ctx)
+	}
+}
+
+// silent lists the entries to be taken out, if that is up to this one: the
+// first by name of those alive does it.
+func (m *Members) silent() []ids.Process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	m.refresh(now)
+	if m.alive[0] != m.self {
+		return nil
+	}
+	var names []ids.Process
+	for name, other := range m.list {
+		if name != m.self && now-max(other.heardAt, other.listed) > forgetAfter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (m *Members) remove(ctx context.Context, name ids.Process) {
+	limited, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
+	defer cancel()
+	if err := m.rows.Remove(limited, string(name)); err != nil {
+		m.Log.WithError(err).WithField("entry", string(name)).Warn("silent entry still listed")
+	}
+}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -1,95 +1,249 @@
-// Package membership knows the entries of a deployment: how many may be
-// serving, and what share of each account's allowance this one holds.
+// Package membership knows the entries of a deployment: which are listed in the
+// platform's store, which were heard of lately, and which of them keeps the
+// books of a client account.
 package membership
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/packets"
 )
 
 // Rows writes rows of the table of members.
 type Rows interface {
 	Put(ctx context.Context, key string, value []byte) error
+	Remove(ctx context.Context, key string) error
+}
+
+const (
+	// helloEvery is how often entries greet one another; it grows with their
+	// number beyond helloPeers, so that the greetings of one stay bounded.
+	helloEvery = 150 * clock.Millisecond
+	helloPeers = 8
+	// heardFor is for how many greetings' time an entry counts as alive: two
+	// may be lost.
+	heardFor = 3
+	// forgetAfter is after what silence an entry's row is taken out of the
+	// store. It is above the time after which an entry without the store stops
+	// serving keyed requests.
+	forgetAfter = 8 * clock.Second
+
+	writeTimeout = clock.Second
+	minBackoff   = 50 * clock.Millisecond
+	maxBackoff   = clock.Second
+)
+
+// member is one listed entry.
+type member struct {
+	name    ids.Process
+	address netip.AddrPort
+	heardAt clock.Millis
+	listed  clock.Millis // when it was first seen listed
+	// circle is the fingerprint of the entries that it took for alive.
+	circle uint64
+}
+
+// hello is a greeting.
+type hello struct {
+	_      struct{} `cbor:",toarray"`
+	Name   ids.Process
+	Circle uint64
 }
 
 // Members is the list of entries. It handles what a follower reads.
 type Members struct {
 	common.Common
 	self    ids.Process
-	address string
+	address netip.AddrPort
 	rows    Rows
+	link    *packets.Link
 
-	mu   sync.Mutex
-	list map[ids.Process]string
+	mu     sync.Mutex
+	list   map[ids.Process]*member
+	listed bool // this entry's own row is there
+	alive  []ids.Process
+	circle uint64
 }
 
 var _ follow.Handler = (*Members)(nil)
 
 // New returns a list with this entry alone.
-func New(c common.Common, self ids.Process, address string, rows Rows) *Members {
-	return &Members{Common: c, self: self, address: address, rows: rows, list: map[ids.Process]string{self: address}}
+func New(c common.Common, self ids.Process, address netip.AddrPort, rows Rows, link *packets.Link) *Members {
+	m := &Members{Common: c, self: self, address: address, rows: rows, link: link, list: make(map[ids.Process]*member)}
+	m.refresh(c.Clock.Now())
+	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
+	return m
 }
 
-const (
-	writeTimeout = clock.Second
-	minBackoff   = 50 * clock.Millisecond
-	maxBackoff   = clock.Second
-)
-
-// Register writes this entry's row until the store has taken it.
-func (m *Members) Register(ctx context.Context) {
-	backoff := m.Random.NewBackoff(minBackoff, maxBackoff)
+// Run keeps this entry listed and greets the others until ctx ends.
+func (m *Members) Run(ctx context.Context) {
+	go m.keepListed(ctx)
 	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
-		err := m.rows.Put(limited, string(m.self), []byte(m.address))
-		cancel()
-		if err == nil {
-			return
+		m.greet()
+		clock.Pause(ctx, m.interval())
+	}
+}
+
+func (m *Members) interval() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.every()
+}
+
+func (m *Members) every() clock.Millis {
+	return helloEvery * clock.Millis(max(1, len(m.list)/helloPeers))
+}
+
+// greet sends a greeting to all others.
+func (m *Members) greet() {
+	m.mu.Lock()
+	m.refresh(m.Clock.Now())
+	message := hello{Name: m.self, Circle: m.circle}
+	var to []netip.AddrPort
+	for name, other := range m.list {
+		if name != m.self {
+			to = append(to, other.address)
 		}
-		m.Log.WithError(err).Warn("not yet listed among the entries")
-		backoff.Pause(ctx)
+	}
+	m.mu.Unlock()
+	for _, address := range to {
+		m.link.Send(address, packets.KindHello, message)
 	}
 }
 
-// Whole replaces the list.
-func (m *Members) Whole(rows []follow.Row, _ clock.Millis) {
+func (m *Members) greeted(from netip.AddrPort, message *hello) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.list = map[ids.Process]string{m.self: m.address}
-	for _, r := range rows {
-		m.list[ids.Process(r.Key)] = string(r.Value)
+	other := m.list[message.Name]
+	if other == nil || other.address != from {
+		return // its row has not been read yet
 	}
+	other.heardAt = m.Clock.Now()
+	other.circle = message.Circle
 }
 
-// Changed applies changes.
-func (m *Members) Changed(rows []follow.Row, _ clock.Millis) {
+// refresh works out who is alive; the lock is held.
+func (m *Members) refresh(now clock.Millis) {
+	m.alive = m.alive[:0]
+	m.alive = append(m.alive, m.self)
+	for name, other := range m.list {
+		if name != m.self && m.lively(now, other) {
+			m.alive = append(m.alive, name)
+		}
+	}
+	slices.Sort(m.alive)
+	digest := xxhash.New()
+	for _, name := range m.alive {
+		_, _ = digest.WriteString(string(name) + "\n") // a digest takes everything
+	}
+	m.circle = digest.Sum64()
+}
+
+func (m *Members) lively(now clock.Millis, other *member) bool {
+	return other.heardAt > 0 && now-other.heardAt <= heardFor*m.every()+helloEvery/2
+}
+
+// Home returns the entry that keeps the books of an account, and whether it is
+// this one. All entries that take the same ones for alive agree on it.
+func (m *Members) Home(account ids.Account) (netip.AddrPort, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, r := range rows {
-		if r.Gone {
-			delete(m.list, ids.Process(r.Key))
-		} else {
-			m.list[ids.Process(r.Key)] = string(r.Value)
+	m.refresh(m.Clock.Now())
+	best, most := m.self, uint64(0)
+	for _, name := range m.alive {
+		if weight := xxhash.Sum64String(string(name) + "\x00" + string(account)); weight >= most {
+			best, most = name, weight
 		}
 	}
+	if best == m.self {
+		return m.address, true
+	}
+	return m.list[best].address, false
 }
 
-// Lost does nothing: the list stays.
-func (m *Members) Lost(error) {}
+// Backing is the part of all listed entries that surely takes this one for the
+// home wherever it takes itself for it: those heard lately with the same idea
+// of who is alive. A home gives out no more than this part of an allowance, so
+// that two homes on two sides of a cut never give out more than the whole.
+func (m *Members) Backing() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	m.refresh(now)
+	count := 1
+	for name, other := range m.list {
+		if name != m.self && m.lively(now, other) && other.circle == m.circle {
+			count++
+		}
+	}
+	return float64(count) / float64(m.entries())
+}
 
 // Entries is how many entries may be serving.
 func (m *Members) Entries() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(1, len(m.list))
+	return m.entries()
 }
 
-// Share is the part of an account's allowance that this entry holds.
-func (m *Members) Share(ids.Account) float64 {
-	return 1 / float64(m.Entries())
+func (m *Members) entries() int {
+	n := len(m.list)
+	if m.list[m.self] == nil {
+		n++
+	}
+	return n
 }
+
+// Whole replaces the list.
+func (m *Members) Whole(rows []follow.Row, _ clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.list
+	m.list = make(map[ids.Process]*member, len(rows))
+	for _, row := range rows {
+		m.put(row, before[ids.Process(row.Key)])
+	}
+	m.listed = m.list[m.self] != nil
+}
+
+// Changed applies changes.
+func (m *Members) Changed(rows []follow.Row, _ clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, row := range rows {
+		name := ids.Process(row.Key)
+		if row.Gone {
+			delete(m.list, name)
+			m.Log.WithField("entry", row.Key).Info("entry no longer listed")
+			continue
+		}
+		m.put(row, m.list[name])
+	}
+	m.listed = m.list[m.self] != nil
+}
+
+func (m *Members) put(row follow.Row, before *member) {
+	address, err := netip.ParseAddrPort(string(row.Value))
+	if err != nil {
+		m.Log.WithError(err).WithField("entry", row.Key).Warn("an entry's row is passed over")
+		return
+	}
+	if before != nil && before.address == address {
+		m.list[before.name] = before
+		return
+	}
+	m.Log.WithField("entry", row.Key).Info("entry listed")
+	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, listed: m.Clock.Now()}
+}
+
+// Lost does nothing: the list stays.
+func (m *Members) Lost(error) {}
--- /dev/null
+++ b/pkg/metering/meter.go
@@ -0,0 +1,245 @@
+// Package metering keeps what client accounts may have run within its bound
+// over all entries together. Each account has a home among the entries, which
+// keeps its one bucket; an entry asks it before a request runs. While no home
+// answers, an entry spends a small share of its own, which is taken from the
+// margin between the allowance and the bound.
+package metering
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/quota"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/view"
+)
+
+// Bounds say how far the sum over all entries may go beyond an account's
+// allowance.
+type Bounds struct {
+	// Over is a part of the allowance, Slack is in units, both for any Window.
+	Over   float64
+	Slack  float64
+	Window clock.Millis
+}
+
+const (
+	// askAgain is after what time an unanswered claim is sent once more, askFor
+	// for how long an answer is awaited in all: a home is one hop away.
+	askAgain = 12 * clock.Millisecond
+	askFor   = 36 * clock.Millisecond
+	// marginPart is the part of the margin that entries spend on their own.
+	marginPart = 0.6
+	// silentFor is how long a home that did not answer is not asked again.
+	silentFor = 150 * clock.Millisecond
+)
+
+// claim asks the home of an account whether units may run.
+type claim struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Account ids.Account
+	Units   float64
+}
+
+// reply is the home's answer. Wait says when to come back if not taken.
+type reply struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Taken  bool
+	Wait   clock.Millis
+}
+
+// giveBack says that units that were taken did not run.
+type giveBack struct {
+	_       struct{} `cbor:",toarray"`
+	Account ids.Account
+	Units   float64
+}
+
+// Meter is one entry's part in the bookkeeping.
+type Meter struct {
+	common.Common
+	bounds  Bounds
+	view    *view.View
+	members *membership.Members
+	link    *packets.Link
+	books   *quota.Allowance // of the accounts whose home this entry is
+	own     *quota.Allowance // spent while no home answers
+
+	mu     sync.Mutex
+	number uint64
+	asked  map[uint64]chan reply
+	silent map[netip.AddrPort]clock.Millis // homes not to be asked until
+	given  map[uint64]reply                // answers given to claims, by asker and number
+	order  []uint64
+}
+
+// New returns a meter with nothing spent.
+func New(c common.Common, bounds Bounds, v *view.View, members *membership.Members, link *packets.Link) *Meter {
+	m := &Meter{
+		Common: c, bounds: bounds, view: v, members: members, link: link,
+		books: quota.NewAllowance(), own: quota.NewAllowance(),
+		number: c.Random.Fork().Uint64(),
+		asked:  make(map[uint64]chan reply), silent: make(map[netip.AddrPort]clock.Millis), given: make(map[uint64]reply),
+	}
+	link.Handle(packets.KindClaim, packets.Receive(link, m.claimed))
+	link.Handle(packets.KindReply, packets.Receive(link, m.replied))
+	link.Handle(packets.KindReturn, packets.Receive(link, m.returned))
+	return m
+}
+
+// Take counts units against an account's allowance. If it may not run them, it
+// returns when to come back.
+func (m *Meter) Take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis) {
+	if account.PerSecond <= 0 {
+		return true, 0
+	}
+	home, self := m.members.Home(account.Name)
+	if self {
+		return m.book(account, units)
+	}
+	if answer, answered := m.ask(ctx, home, claim{Account: account.Name, Units: units}); answered {
+		return answer.Taken, answer.Wait
+	}
+	m.Metrics.Links.Add("quota_homes_silent", 1)
+	return m.spendOwn(account, units)
+}
+
+// Return gives back units that were taken and did not run.
+func (m *Meter) Return(account *routing.Account, units float64) {
+	home, self := m.members.Home(account.Name)
+	if self {
+		m.books.Return(account.Name, units)
+		return
+	}
+	m.link.Send(home, packets.KindReturn, giveBack{Account: account.Name, Units: units})
+}
+
+// Forget drops the buckets of accounts that are gone.
+func (m *Meter) Forget(known func(ids.Account) bool) {
+	m.books.Forget(known)
+	m.own.Forget(known)
+}
+
+// book counts at the home. A home that only some entries take for it gives out
+// only their part.
+func (m *Meter) book(account *routing.Account, units float64) (bool, clock.Millis) {
+	return m.books.Take(m.Clock.Now(), account, m.members.Backing(), units)
+}
+
+// spendOwn counts against this entry's share of the margin.
+func (m *Meter) spendOwn(account *routing.Account, units float64) (bool, clock.Millis) {
+	seconds := float64(m.bounds.Window) / float64(clock.Second)
+	window := account.PerSecond*seconds + account.Burst
+	margin := marginPart * (m.bounds.Over*window + m.bounds.Slack)
+	// Half of the margin flows over the window, half may go at once.
+	alone := *account
+	alone.PerSecond = margin / 2 / seconds
+	alone.Burst = margin / 2
+	return m.own.Take(m.Clock.Now(), &alone, 1/float64(m.members.Entries()), units)
+}
+
+// ask sends a claim to a home and waits for its answer.
+func (m *Meter) ask(ctx context.Context, home netip.AddrPort, c claim) (reply, bool) {
+	answer, number, worth := m.begin(home)
+	if !worth {
+		return reply{}, false
+	}
+	c.Number = number
+	defer m.end(number)
+	limited, cancel := context.WithTimeout(ctx, askFor.Duration())
+	defer cancel()
+	for {
+		m.link.Send(home, packets.KindClaim, c)
+		again, stop := context.WithTimeout(limited, askAgain.Duration())
+		select {
+		case got := <-answer:
+			stop()
+			return got, true
+		case <-again.Done():
+			stop()
+		}
+		if limited.Err() != nil {
+			m.unanswered(ctx, home)
+			return reply{}, false
+		}
+	}
+}
+
+func (m *Meter) begin(home netip.AddrPort) (chan reply, uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Clock.Now() < m.silent[home] {
+		return nil, 0, false
+	}
+	m.number++
+	answer := make(chan reply, 1)
+	m.asked[m.number] = answer
+	return answer, m.number, true
+}
+
+func (m *Meter) end(number uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asked, number)
+}
+
+func (m *Meter) unanswered(ctx context.Context, home netip.AddrPort) {
+	if ctx.Err() != nil {
+		return // the caller left first
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silent[home] = m.Clock.Now() + silentFor
+}
+
+func (m *Meter) replied(_ netip.AddrPort, message *reply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if answer := m.asked[message.Number]; answer != nil {
+		delete(m.asked, message.Number)
+		answer <- *message
+	}
+}
+
+// remembered is how many answers a home keeps, so that a claim that is sent
+// again is not counted again. Numbers begin at a random one at each entry.
+const remembered = 4096
+
+func (m *Meter) claimed(from netip.AddrPort, message *claim) {
+	catalog := m.view.Catalog()
+	if catalog == nil {
+		return // the asker spends its own share meanwhile
+	}
+	answer, known := m.given[message.Number]
+	if !known {
+		answer = reply{Number: message.Number, Taken: true}
+		if account := catalog.AccountNamed(message.Account); account != nil {
+			answer.Taken, answer.Wait = m.book(account, message.Units)
+		}
+		m.remember(answer)
+	}
+	m.link.Send(from, packets.KindReply, answer)
+}
+
+// remember is called by the link's goroutine alone, as given and order are
+// used by it alone.
+func (m *Meter) remember(answer reply) {
+	m.given[answer.Number] = answer
+	m.order = append(m.order, answer.Number)
+	if len(m.order) > remembered {
+		delete(m.given, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func (m *Meter) returned(_ netip.AddrPort, message *giveBack) {
+	m.books.Return(message.Account, message.Units)
+}
--- /dev/null
+++ b/pkg/packets/kinds.go
@@ -0,0 +1,11 @@
+package packets
+
+// The kinds of messages between processes of the system.
+const (
+	KindHello  Kind = iota + 1 // entry to entry: alive, and whom it takes for alive
+	KindClaim                  // entry to the home of an account: may this run?
+	KindReply                  // the home's answer
+	KindReturn                 // entry to home: this did not run
+	KindAsk                    // entry to agent: tickets, withdrawals, ends
+	KindTell                   // agent to entry: verdicts and load
+)
--- a/pkg/quota/allowance.go
+++ b/pkg/quota/allowance.go
@@ -55,10 +55,10 @@
 }
 
 // Return gives back units that were not run after all.
-func (a *Allowance) Return(account *routing.Account, units float64) {
+func (a *Allowance) Return(account ids.Account, units float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if b := a.buckets[account.Name]; b != nil {
+	if b := a.buckets[account]; b != nil {
 		b.level = min(b.capacity, b.level+units)
 	}
 }
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -117,6 +117,16 @@
 	return c.keys[key]
 }
 
+// AccountNamed returns the account of a name, or nil.
+func (c *Catalog) AccountNamed(name ids.Account) *Account {
+	for _, a := range c.accounts {
+		if a.Name == name {
+			return a
+		}
+	}
+	return nil
+}
+
 // Accounts lists all client accounts.
 func (c *Catalog) Accounts() []*Account {
 	return c.accounts
