Take no request late in a planned stop

Change: after the balancer's time the server is shut down, which closes what rests and waits for what runs.

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -12,7 +12,6 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -229,21 +228,18 @@
 }
 
 // drain stops the entry without cutting a request: it is not ready any more,
-// goes on serving until the balancer has noticed, and ends when nothing runs,
-// or just before it would be killed.
+// goes on serving until the balancer has noticed, then takes nothing more and
+// ends when nothing runs, or just before it would be killed.
 func (p *entryProcess) drain() {
 	p.leaving.Store(true)
 	p.controller.Leave()
 	began := p.Clock.Now()
 	end := began + seconds(p.settings.Bounds.GraceSeconds) - endMargin
-	for {
-		now := p.Clock.Now()
-		if now >= end || now-began >= leaveTime && p.controller.Running() == 0 {
-			break
-		}
-		time.Sleep(drainPoll.Duration())
-	}
-	p.Log.WithField("running", p.controller.Running()).Info("stopped")
+	clock.Pause(context.Background(), leaveTime)
+	limited, cancel := context.WithTimeout(context.Background(), (end - p.Clock.Now()).Duration())
+	defer cancel()
+	// Shutdown closes the listener and what rests, so that no request is taken
+	// that could not be ended in time.
+	err := p.callers.Shutdown(limited)
+	p.Log.WithError(err).WithField("running", p.controller.Running()).Info("stopped")
 }
-
-const drainPoll = 20 * clock.Millisecond
