Count the return of the store from the question that it answered

Ruled out: a late change feed (the change came 5 ms after its write). Change: an answer carries when it was asked; an outage is what a failed read says, not a long silence.

--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/routing"
@@ -17,18 +16,18 @@
 }
 
 // Whole takes the configuration from the operators' rows.
-func (h *configurationHandler) Whole(rows []follow.Row, provenAt clock.Millis) {
-	h.Changed(rows, provenAt)
+func (h *configurationHandler) Whole(rows []follow.Row, proof follow.Proof) {
+	h.Changed(rows, proof)
 }
 
 // Changed takes a newer configuration, if there is one.
-func (h *configurationHandler) Changed(rows []follow.Row, provenAt clock.Millis) {
+func (h *configurationHandler) Changed(rows []follow.Row, proof follow.Proof) {
 	for _, row := range rows {
 		if row.Key == platform.KeyConfiguration && !row.Gone && !h.take(row) {
 			return // no proof without a configuration that can be read
 		}
 	}
-	h.view.Proven(provenAt)
+	h.view.Proven(proof.CurrentAt)
 }
 
 func (h *configurationHandler) take(row follow.Row) bool {
--- a/pkg/capacity/sessions.go
+++ b/pkg/capacity/sessions.go
@@ -11,8 +11,8 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
 	"quaydock/pkg/network"
-	"quaydock/pkg/table"
 	"quaydock/pkg/settings"
+	"quaydock/pkg/table"
 	"quaydock/pkg/testbed"
 )
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -19,9 +19,9 @@
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
-	"quaydock/pkg/table"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/settings"
+	"quaydock/pkg/table"
 )
 
 // Entry serves callers.
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -43,13 +43,22 @@
 	Changes(ctx context.Context, after int64, wait clock.Millis) (Batch, error)
 }
 
+// Proof says when an answer of the store was true.
+type Proof struct {
+	// AskedAt is when the question was sent: the store was in reach from about
+	// then on.
+	AskedAt clock.Millis
+	// CurrentAt is a moment at which the rows were current.
+	CurrentAt clock.Millis
+}
+
 // Handler takes what a follower has read. Its methods are called by one
 // goroutine.
 type Handler interface {
-	// Whole replaces all rows. ProvenAt is a moment at which they were current.
-	Whole(rows []Row, provenAt clock.Millis)
+	// Whole replaces all rows.
+	Whole(rows []Row, proof Proof)
 	// Changed applies changes; an empty list only renews the proof.
-	Changed(rows []Row, provenAt clock.Millis)
+	Changed(rows []Row, proof Proof)
 	// Lost says that the store could not be read.
 	Lost(err error)
 }
@@ -131,7 +140,7 @@
 		return fmt.Errorf("reading changes: %w", err)
 	}
 	f.version = max(f.version, batch.Version)
-	f.handler.Changed(batch.Rows, f.proof(asked, batch.StoreTime))
+	f.handler.Changed(batch.Rows, Proof{AskedAt: asked, CurrentAt: f.current(asked, batch.StoreTime)})
 	return nil
 }
 
@@ -145,15 +154,15 @@
 	f.version = batch.Version
 	f.known = true
 	f.wholeAt = asked
-	f.proof(asked, batch.StoreTime)
-	f.handler.Whole(batch.Rows, asked)
+	f.current(asked, batch.StoreTime)
+	f.handler.Whole(batch.Rows, Proof{AskedAt: asked, CurrentAt: asked})
 	return nil
 }
 
-// proof returns a moment, by our clock, at which an answer was current: the
+// current returns a moment, by our clock, at which an answer was current: the
 // store's own time, put on our clock by the quickest answer seen so far, and
 // never before the question or after the answer.
-func (f *Follower) proof(asked, storeTime clock.Millis) clock.Millis {
+func (f *Follower) current(asked, storeTime clock.Millis) clock.Millis {
 	now := f.Clock.Now()
 	lag := now - storeTime
 	if !f.lagKnown || lag < f.lag {
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -204,7 +204,7 @@
 }
 
 // Whole replaces the list.
-func (m *Members) Whole(rows []follow.Row, _ clock.Millis) {
+func (m *Members) Whole(rows []follow.Row, _ follow.Proof) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.list
@@ -216,7 +216,7 @@
 }
 
 // Changed applies changes.
-func (m *Members) Changed(rows []follow.Row, _ clock.Millis) {
+func (m *Members) Changed(rows []follow.Row, _ follow.Proof) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, row := range rows {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// awayAfter is how long the store must have been out of reach for entries
-	// to have lapsed for no other reason.
-	awayAfter = 700 * clock.Millisecond
 	// returnTime is how long after the store's return a sound target's entry is
 	// back: targets write theirs again within about two seconds.
 	returnTime = 2200 * clock.Millisecond
@@ -32,12 +29,11 @@
 	parse   Parse
 	changed func(*routing.Directory)
 
-	mu          sync.Mutex
-	targets     map[ids.Target]*routing.Target
-	missing     map[ids.Target]clock.Millis // lapsed: until when they are kept
-	lastContact clock.Millis
-	settledAt   clock.Millis // until then, missing entries may come back
-	known       bool
+	mu        sync.Mutex
+	targets   map[ids.Target]*routing.Target
+	missing   map[ids.Target]clock.Millis // lapsed: until when they are kept
+	away      bool                        // the store could not be read
+	settledAt clock.Millis                // until then, missing entries may come back
 }
 
 var _ follow.Handler = (*Roster)(nil)
@@ -51,10 +47,10 @@
 }
 
 // Whole replaces the list.
-func (r *Roster) Whole(rows []follow.Row, _ clock.Millis) {
+func (r *Roster) Whole(rows []follow.Row, proof follow.Proof) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.contact()
+	now := r.contact(proof)
 	present := make(map[ids.Target]bool, len(rows))
 	for _, row := range rows {
 		present[ids.Target(row.Key)] = true
@@ -65,15 +61,14 @@
 			r.drop(now, id)
 		}
 	}
-	r.known = true
 	r.publish()
 }
 
 // Changed applies changes.
-func (r *Roster) Changed(rows []follow.Row, _ clock.Millis) {
+func (r *Roster) Changed(rows []follow.Row, proof follow.Proof) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.contact()
+	now := r.contact(proof)
 	for _, row := range rows {
 		if row.Gone {
 			r.drop(now, ids.Target(row.Key))
@@ -86,22 +81,23 @@
 	}
 }
 
-// Lost does nothing: the list stays as it is while the store is away.
-func (r *Roster) Lost(error) {}
+// Lost notes that the store is away; the list stays as it is.
+func (r *Roster) Lost(error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = true
+}
 
-// contact notes that the store has answered.
-func (r *Roster) contact() clock.Millis {
-	now := r.Clock.Now()
-	if r.known && now-r.lastContact > awayAfter+maxSilence {
-		r.settledAt = now + returnTime
+// contact notes that the store has answered. After an outage, it was back by
+// the time of the question.
+func (r *Roster) contact(proof follow.Proof) clock.Millis {
+	if r.away {
+		r.settledAt = proof.AskedAt + returnTime
 	}
-	r.lastContact = now
-	return now
+	r.away = false
+	return r.Clock.Now()
 }
 
-// maxSilence is how long the store may hold a question for changes.
-const maxSilence = WaitForChanges
-
 // WaitForChanges is how long a question for changes of targets is held.
 const WaitForChanges = 3 * clock.Second
 
--- a/pkg/testbed/bed.go
+++ b/pkg/testbed/bed.go
@@ -17,9 +17,9 @@
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
-	"quaydock/pkg/table"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/standin"
+	"quaydock/pkg/table"
 )
 
 // Names and addresses of a bed.
