One planner for each service, at a home entry that any other can replace

Change: pkg/planner (pure: queue by tier and urgency, cost by learned speeds, health, refusals), pkg/dispatch (asks, steps and syncs by datagram to the home; own counts while no home answers).

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -17,6 +17,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
+	"quaydock/pkg/dispatch"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/ids"
@@ -67,6 +68,7 @@
 	controller *ingress.Controller
 	link       *packets.Link
 	meter      *metering.Meter
+	dispatcher *dispatch.Dispatcher
 	callers    *http.Server
 	readiness  *http.Server
 	leaving    atomic.Bool
@@ -143,8 +145,9 @@
 	p.meter = metering.New(c, metering.Bounds{
 		Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack, Window: seconds(s.Bounds.QuotaWindowSeconds),
 	}, p.view, p.members, link)
+	p.dispatcher = dispatch.New(c, address, p.view, p.members, link, schedule.NewLocal(c, p.view))
 	p.controller = ingress.NewController(ingress.Parts{
-		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: schedule.NewLocal(c, p.view),
+		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.dispatcher,
 		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{
 			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: seconds(s.Bounds.RetryWindowSeconds),
@@ -175,6 +178,7 @@
 	go p.follower(platform.TableTargets, targets, follow.Options{Wait: roster.WaitForChanges, Answer: storeAnswer}).Run(ctx)
 	go p.link.Run(ctx)
 	go p.members.Run(ctx)
+	go p.dispatcher.Run(ctx)
 	go p.follower(platform.TableMembers, p.members, follow.Options{Wait: membersWait, Answer: storeAnswer}).Run(ctx)
 	go p.prune(ctx)
 	return nil
--- /dev/null
+++ b/pkg/dispatch/dispatcher.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	gosync "sync"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+	"quaydock/pkg/view"
+)
+
+const (
+	// askAgain is after what time an ask without an answer is sent again, and
+	// maxAsks how often before the entry places by its own counts.
+	askAgain = 15 * clock.Millisecond
+	maxAsks  = 3
+	// pollEvery is how often an entry asks for a request that waits.
+	pollEvery = 60 * clock.Millisecond
+	// syncEvery is how often an entry lists what it has on the targets.
+	syncEvery = 250 * clock.Millisecond
+)
+
+// Dispatcher is an entry's way to the planners. It implements
+// schedule.Scheduler.
+type Dispatcher struct {
+	common.Common
+	view    *view.View
+	members *membership.Members
+	link    *packets.Link
+	address netip.AddrPort
+	home    *Home
+	local   schedule.Scheduler
+
+	mu      gosync.Mutex
+	number  uint64
+	waiting map[uint64]chan answer
+	running map[uint64]*place
+	homes   map[ids.Service]netip.AddrPort // as of the last sync
+}
+
+var _ schedule.Scheduler = (*Dispatcher)(nil)
+
+// New returns a dispatcher of an entry at an address; local places while there
+// is no home.
+func New(c common.Common, address netip.AddrPort, v *view.View, members *membership.Members, link *packets.Link, local schedule.Scheduler) *Dispatcher {
+	d := &Dispatcher{
+		Common: c, view: v, members: members, link: link, address: address, local: local,
+		number:  c.Random.Fork().Uint64(),
+		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place), homes: make(map[ids.Service]netip.AddrPort),
+	}
+	d.home = newHome(c, v, members, d.sendAnswer)
+	link.Handle(packets.KindAsk, packets.Receive(link, d.home.asked))
+	link.Handle(packets.KindStep, packets.Receive(link, d.home.stepped))
+	link.Handle(packets.KindSync, packets.Receive(link, d.home.synced))
+	link.Handle(packets.KindAnswer, packets.Receive(link, d.answered))
+	return d
+}
+
+// Run keeps the homes informed until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	go d.home.run(ctx)
+	for ctx.Err() == nil {
+		clock.Pause(ctx, syncEvery)
+		d.syncAll()
+	}
+}
+
+func (d *Dispatcher) sendAnswer(to netip.AddrPort, a answer) {
+	if to == d.address {
+		d.answered(to, &a)
+		return
+	}
+	d.link.Send(to, packets.KindAnswer, a)
+}
+
+// toHome sends a message to the home of a service, or hands it over if that is
+// here.
+func toHome[M any](d *Dispatcher, service ids.Service, kind packets.Kind, take func(netip.AddrPort, *M), message *M) netip.AddrPort {
+	home, self := d.members.Home(matter(service))
+	if self {
+		take(d.address, message)
+	} else {
+		d.link.Send(home, kind, message)
+	}
+	return home
+}
+
+// Acquire waits for a place.
+func (d *Dispatcher) Acquire(ctx context.Context, want schedule.Ask) (schedule.Place, *schedule.Refused, error) {
+	number, answers := d.enter()
+	defer d.leave(number)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+	unanswered := 0
+	var asked netip.AddrPort
+	for {
+		home := d.ask(number, &want)
+		if home != asked {
+			asked, unanswered = home, 0
+		}
+		unanswered++
+		wait := askAgain
+		if unanswered <= 0 {
+			wait = pollEvery
+		}
+		timer.Reset(wait.Duration())
+		for waiting := true; waiting; {
+			select {
+			case a := <-answers:
+				if a.Verdict != queued {
+					return d.final(number, &want, a)
+				}
+				unanswered = -maxPolls
+			case <-timer.C:
+				waiting = false
+			case <-ctx.Done():
+				d.step(step{Number: number, Service: want.Service, Progress: withdrawn})
+				return nil, nil, context.Cause(ctx)
+			}
+		}
+		if unanswered >= maxAsks {
+			return d.alone(ctx, number, &want)
+		}
+	}
+}
+
+// maxPolls is how many polls of a waiting request may stay without an answer.
+const maxPolls = 3
+
+func (d *Dispatcher) enter() (uint64, chan answer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.number++
+	answers := make(chan answer, 8)
+	d.waiting[d.number] = answers
+	return d.number, answers
+}
+
+func (d *Dispatcher) leave(number uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, number)
+}
+
+func (d *Dispatcher) ask(number uint64, want *schedule.Ask) netip.AddrPort {
+	now := d.Clock.Now()
+	return toHome(d, want.Service, packets.KindAsk, d.home.asked, &ask{
+		Number: number, Service: want.Service, Account: want.Account, Tier: want.Tier,
+		Prompt: want.Prompt, Output: want.Output,
+		Waited: now - want.Arrived, Objective: want.Objective, Remaining: want.Deadline - now,
+		Returned: want.Returned, Exclude: want.Exclude,
+	})
+}
+
+func (d *Dispatcher) step(s step) {
+	toHome(d, s.Service, packets.KindStep, d.home.stepped, &s)
+}
+
+// answered takes a home's answer.
+func (d *Dispatcher) answered(_ netip.AddrPort, a *answer) {
+	d.mu.Lock()
+	answers, waits := d.waiting[a.Number]
+	_, runs := d.running[a.Number]
+	if waits {
+		select {
+		case answers <- *a:
+		default: // earlier ones have not been taken yet
+		}
+	}
+	d.mu.Unlock()
+	if a.Verdict == granted && !waits && !runs {
+		d.Metrics.Links.Add("grants_too_late", 1)
+	}
+}
+
+// final acts on an answer that ends the wait.
+func (d *Dispatcher) final(number uint64, want *schedule.Ask, a answer) (schedule.Place, *schedule.Refused, error) {
+	switch a.Verdict {
+	case granted:
+		if t := d.view.Directory().Target(a.Target); t != nil {
+			return d.begin(number, want, t, nil), nil, nil
+		}
+		d.step(step{Number: number, Service: want.Service, Progress: withdrawn})
+		return nil, &schedule.Refused{RetryAfter: a.RetryAfter}, nil
+	case refused:
+		return nil, &schedule.Refused{Overloaded: true, RetryAfter: a.RetryAfter}, nil
+	default:
+		return nil, &schedule.Refused{RetryAfter: a.RetryAfter}, nil
+	}
+}
+
+// alone places a request by this entry's own counts. The home learns of it by
+// the next sync.
+func (d *Dispatcher) alone(ctx context.Context, number uint64, want *schedule.Ask) (schedule.Place, *schedule.Refused, error) {
+	d.Metrics.Links.Add("placed_alone", 1)
+	d.step(step{Number: number, Service: want.Service, Progress: withdrawn})
+	p, refused, err := d.local.Acquire(ctx, *want)
+	if p == nil {
+		return nil, refused, err
+	}
+	// A new number: the home may still act on the old one.
+	return d.begin(d.fresh(), want, p.Target(), p), nil, nil
+}
+
+func (d *Dispatcher) fresh() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.number++
+	return d.number
+}
+
+func (d *Dispatcher) begin(number uint64, want *schedule.Ask, t *routing.Target, own schedule.Place) *place {
+	p := &place{dispatcher: d, number: number, target: t, want: want, own: own}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[number] = p
+	return p
+}
+
+// place is a request on a target.
+type place struct {
+	dispatcher *Dispatcher
+	number     uint64
+	target     *routing.Target
+	want       *schedule.Ask
+	own        schedule.Place // if it was placed by the entry's own counts
+	begun      bool           // guarded by the dispatcher's lock
+}
+
+func (p *place) Target() *routing.Target { return p.target }
+
+func (p *place) Began() {
+	p.dispatcher.mu.Lock()
+	p.begun = true
+	p.dispatcher.mu.Unlock()
+	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: begun})
+}
+
+func (p *place) Done(outcome planner.Outcome, events int) {
+	p.dispatcher.mu.Lock()
+	delete(p.dispatcher.running, p.number)
+	p.dispatcher.mu.Unlock()
+	if p.own != nil {
+		p.own.Done(outcome, events)
+	}
+	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome, Events: events})
+}
+
+// syncAll lists to each home what this entry has on its targets.
+func (d *Dispatcher) syncAll() {
+	lists := make(map[ids.Service][]item)
+	d.mu.Lock()
+	for _, p := range d.running {
+		w := p.want
+		lists[w.Service] = append(lists[w.Service], item{
+			Number: p.number, Target: p.target.ID, Begun: p.begun,
+			Tier: w.Tier, Prompt: w.Prompt, Output: w.Output, Account: w.Account,
+		})
+	}
+	d.mu.Unlock()
+	for service, items := range lists {
+		pages := uint64(len(items)/pageItems + 1)
+		byPage := make([][]item, pages)
+		for _, it := range items {
+			byPage[it.Number%pages] = append(byPage[it.Number%pages], it)
+		}
+		for page, list := range byPage {
+			toHome(d, service, packets.KindSync, d.home.synced, &sync{Service: service, Page: uint64(page), Pages: pages, Items: list})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/home.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	gosync "sync"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/view"
+)
+
+const (
+	// tickEvery is how often planners look after what only time changes.
+	tickEvery = 25 * clock.Millisecond
+	// silentAfter is after what silence an entry's requests are forgotten.
+	silentAfter = 1500 * clock.Millisecond
+)
+
+// hosted is the planner of one group of targets.
+type hosted struct {
+	planner   *planner.Planner
+	directory *routing.Directory
+	heard     map[string]clock.Millis // entries
+}
+
+// Home runs the planners that this entry is in charge of.
+type Home struct {
+	common.Common
+	view    *view.View
+	members *membership.Members
+	// send hands an answer to an entry, this one included.
+	send func(to netip.AddrPort, a answer)
+
+	mu     gosync.Mutex
+	groups map[ids.Service]*hosted
+}
+
+func newHome(c common.Common, v *view.View, members *membership.Members, send func(netip.AddrPort, answer)) *Home {
+	return &Home{Common: c, view: v, members: members, send: send, groups: make(map[ids.Service]*hosted)}
+}
+
+func matter(service ids.Service) string {
+	return "targets/" + string(service)
+}
+
+// group returns the planner of a service, brought up to date, or nil if
+// another entry is in charge of it. The lock is held.
+func (h *Home) group(now clock.Millis, service ids.Service, from netip.AddrPort) *hosted {
+	directory := h.view.Directory()
+	if _, self := h.members.Home(matter(service)); !self || directory == nil {
+		return nil
+	}
+	g := h.groups[service]
+	if g == nil {
+		g = &hosted{planner: planner.New(h.Random.Fork()), heard: make(map[string]clock.Millis)}
+		h.groups[service] = g
+		h.Log.WithField("service", string(service)).Info("planning for a service")
+	}
+	if g.directory != directory {
+		g.directory = directory
+		g.planner.SetTargets(now, directory.Serving(service))
+	}
+	g.heard[from.String()] = now
+	return g
+}
+
+// asked takes an ask and answers it, at once or later.
+func (h *Home) asked(from netip.AddrPort, a *ask) {
+	now := h.Clock.Now()
+	h.mu.Lock()
+	g := h.group(now, a.Service, from)
+	if g == nil {
+		h.mu.Unlock()
+		return
+	}
+	job := a.job(from, now)
+	g.planner.Submit(now, job)
+	decided := g.planner.Decisions()
+	if !about(decided, job.ID) {
+		decided = append(decided, standing{id: job.ID, at: placeOf(g.planner, job.ID)})
+	}
+	h.mu.Unlock()
+	h.tell(decided)
+}
+
+// standing repeats what is known of a job: where it is, or that it waits.
+type standing struct {
+	planner.Decision
+	id planner.JobID
+	at ids.Target
+}
+
+func placeOf(p *planner.Planner, id planner.JobID) ids.Target {
+	at, _ := p.Granted(id)
+	return at
+}
+
+func about(decided []planner.Decision, id planner.JobID) bool {
+	for _, d := range decided {
+		switch d := d.(type) {
+		case planner.Grant:
+			if d.ID == id {
+				return true
+			}
+		case planner.Refuse:
+			if d.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (h *Home) tell(decided []planner.Decision) {
+	for _, d := range decided {
+		switch d := d.(type) {
+		case planner.Grant:
+			h.answer(d.ID, answer{Verdict: granted, Target: d.Target})
+		case planner.Refuse:
+			kind := refused
+			if d.Empty {
+				kind = noTarget
+			}
+			h.answer(d.ID, answer{Verdict: kind, RetryAfter: d.RetryAfter})
+		case standing:
+			kind := queued
+			if d.at != "" {
+				kind = granted
+			}
+			h.answer(d.id, answer{Verdict: kind, Target: d.at})
+		}
+	}
+}
+
+func (h *Home) answer(id planner.JobID, a answer) {
+	to, err := netip.ParseAddrPort(id.Entry)
+	if err != nil {
+		h.Log.WithError(err).Error("an entry without an address")
+		return
+	}
+	a.Number = id.Number
+	h.send(to, a)
+}
+
+// stepped takes the progress of a request.
+func (h *Home) stepped(from netip.AddrPort, s *step) {
+	now := h.Clock.Now()
+	id := planner.JobID{Entry: from.String(), Number: s.Number}
+	h.with(now, s.Service, from, func(p *planner.Planner) {
+		switch s.Progress {
+		case begun:
+			p.Begin(now, id)
+		case done:
+			p.Finish(now, id, s.Outcome, s.Events)
+		case withdrawn:
+			p.Withdraw(now, id)
+		}
+	})
+}
+
+// synced compares what an entry has with what is known here.
+func (h *Home) synced(from netip.AddrPort, s *sync) {
+	now := h.Clock.Now()
+	h.with(now, s.Service, from, func(p *planner.Planner) {
+		listed := make(map[uint64]bool, len(s.Items))
+		for i := range s.Items {
+			it := &s.Items[i]
+			listed[it.Number] = true
+			id := planner.JobID{Entry: from.String(), Number: it.Number}
+			p.Restore(now, planner.Job{ID: id, Account: it.Account, Tier: it.Tier, Prompt: it.Prompt, Output: it.Output}, it.Target, it.Begun)
+			if it.Begun {
+				p.Begin(now, id)
+			}
+		}
+		p.Keep(now, from.String(), func(id planner.JobID) bool {
+			return id.Number%max(1, s.Pages) != s.Page || listed[id.Number]
+		})
+	})
+}
+
+// with runs do on the planner of a service and tells what it decided.
+func (h *Home) with(now clock.Millis, service ids.Service, from netip.AddrPort, do func(*planner.Planner)) {
+	h.mu.Lock()
+	g := h.group(now, service, from)
+	if g == nil {
+		h.mu.Unlock()
+		return
+	}
+	do(g.planner)
+	decided := g.planner.Decisions()
+	h.mu.Unlock()
+	h.tell(decided)
+}
+
+// run looks after the planners until ctx ends.
+func (h *Home) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Pause(ctx, tickEvery)
+		h.tell(h.tick())
+	}
+}
+
+func (h *Home) tick() []planner.Decision {
+	now := h.Clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var decided []planner.Decision
+	for service, g := range h.groups {
+		if _, self := h.members.Home(matter(service)); !self {
+			delete(h.groups, service)
+			h.Log.WithField("service", string(service)).Info("another entry plans for a service")
+			continue
+		}
+		for entry, at := range g.heard {
+			if now-at > silentAfter {
+				delete(g.heard, entry)
+				g.planner.Drop(now, entry)
+			}
+		}
+		if directory := h.view.Directory(); g.directory != directory {
+			g.directory = directory
+			g.planner.SetTargets(now, directory.Serving(service))
+		}
+		g.planner.Tick(now)
+		decided = append(decided, g.planner.Decisions()...)
+	}
+	return decided
+}
--- /dev/null
+++ b/pkg/dispatch/messages.go
@@ -0,0 +1,102 @@
+// Package dispatch brings the requests of all entries before one planner for
+// each group of targets. The planner of a group runs at its home, one of the
+// entries; it keeps nothing that its entries could not tell it again, so that
+// another entry takes over within a few greetings. An entry without a home
+// places by its own counts.
+package dispatch
+
+import (
+	"net/netip"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
+)
+
+// ask wants a target for a request. Times are lengths, since the clocks of two
+// VMs differ. It is sent again while there is no final answer.
+type ask struct {
+	_         struct{} `cbor:",toarray"`
+	Number    uint64
+	Service   ids.Service
+	Account   ids.Account
+	Tier      ids.TierRank
+	Prompt    ids.Tokens
+	Output    ids.Tokens
+	Waited    clock.Millis
+	Objective clock.Millis
+	Remaining clock.Millis
+	Returned  bool
+	Exclude   []ids.Target
+}
+
+func (a *ask) job(from netip.AddrPort, now clock.Millis) planner.Job {
+	return planner.Job{
+		ID: planner.JobID{Entry: from.String(), Number: a.Number}, Account: a.Account, Tier: a.Tier,
+		Prompt: a.Prompt, Output: a.Output, Arrived: now - a.Waited, Objective: a.Objective,
+		Deadline: now + a.Remaining, Returned: a.Returned, Exclude: a.Exclude,
+	}
+}
+
+// verdict is the kind of an answer.
+type verdict int
+
+const (
+	queued verdict = iota
+	granted
+	refused
+	noTarget
+)
+
+// answer is the home's word on an ask.
+type answer struct {
+	_          struct{} `cbor:",toarray"`
+	Number     uint64
+	Verdict    verdict
+	Target     ids.Target
+	RetryAfter clock.Millis
+}
+
+// progress is how far a request has come.
+type progress int
+
+const (
+	begun progress = iota
+	done
+	withdrawn
+)
+
+// step tells the progress of a request.
+type step struct {
+	_        struct{} `cbor:",toarray"`
+	Number   uint64
+	Service  ids.Service
+	Progress progress
+	Outcome  planner.Outcome
+	Events   int
+}
+
+// sync lists what an entry has on the targets of a service; a request whose
+// number modulo Pages is Page stands on this page.
+type sync struct {
+	_       struct{} `cbor:",toarray"`
+	Service ids.Service
+	Page    uint64
+	Pages   uint64
+	Items   []item
+}
+
+// item is one request on a target.
+type item struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Target  ids.Target
+	Begun   bool
+	Tier    ids.TierRank
+	Prompt  ids.Tokens
+	Output  ids.Tokens
+	Account ids.Account
+}
+
+// pageItems is how many items surely fit into one datagram.
+const pageItems = 16
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -8,6 +8,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/forward"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/schedule"
 )
@@ -106,7 +107,7 @@
 		return nil, notRun(CauseNoTarget, refused.RetryAfter)
 	}
 	if refusal := d.recheck(q, place); refusal != nil {
-		place.Done(schedule.Abandoned)
+		place.Done(planner.Abandoned, 0)
 		return nil, refusal
 	}
 	return place, nil
@@ -173,14 +174,14 @@
 	q.tried = append(q.tried, target.ID)
 	switch result := result.(type) {
 	case forward.NotSent:
-		place.Done(schedule.Unreached)
+		place.Done(planner.Unreached, 0)
 		return declined{result.Err}
 	case forward.Declined:
 		q.sends++
 		if result.Status == http.StatusMisdirectedRequest {
-			place.Done(schedule.Moved)
+			place.Done(planner.Moved, 0)
 		} else {
-			place.Done(schedule.Full)
+			place.Done(planner.Full, 0)
 		}
 		return declined{}
 	case *forward.Answer:
@@ -188,15 +189,15 @@
 		return d.relay(ctx, q, out, place, result)
 	default:
 		q.sends++
-		place.Done(ended(ctx, schedule.Failed))
+		place.Done(ended(ctx, planner.Failed), 0)
 		return lost{result.(forward.Broken).Err}
 	}
 }
 
 // ended tells a target's failure from the end of the request's own time.
-func ended(ctx context.Context, otherwise schedule.Outcome) schedule.Outcome {
+func ended(ctx context.Context, otherwise planner.Outcome) planner.Outcome {
 	if ctx.Err() != nil {
-		return schedule.Abandoned
+		return planner.Abandoned
 	}
 	return otherwise
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"quaydock/pkg/forward"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
 )
@@ -31,7 +32,7 @@
 func (d *delivery) relay(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	defer a.Close()
 	if a.Header.Get("Content-Encoding") != "" {
-		place.Done(schedule.Failed)
+		place.Done(planner.Failed, 0)
 		return lost{errEncoded}
 	}
 	success := a.Status < http.StatusMultipleChoices
@@ -45,17 +46,17 @@
 func (d *delivery) relayWhole(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
 	if err != nil {
-		place.Done(ended(ctx, schedule.Failed))
+		place.Done(ended(ctx, planner.Failed), 0)
 		return lost{fmt.Errorf("reading the answer: %w", err)}
 	}
 	place.Began()
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && q.sent+1 < q.route.Attempts && d.mayRepeatFailure(q, out) {
-		place.Done(schedule.Failed)
+		place.Done(planner.Failed, 0)
 		return lost{fmt.Errorf("target %s answered with status %d", place.Target().ID, a.Status)}
 	}
 	if out.started {
-		place.Done(schedule.Failed)
+		place.Done(planner.Failed, 0)
 		return lost{fmt.Errorf("status %d in the middle of a stream", a.Status)}
 	}
 	out.head(d.dialect, a, a.Length)
@@ -65,13 +66,13 @@
 	}
 	q.sent++
 	if err != nil {
-		place.Done(ended(ctx, schedule.Failed))
+		place.Done(ended(ctx, planner.Failed), 0)
 		return callerGone{err}
 	}
 	if failed {
-		place.Done(schedule.Failed)
+		place.Done(planner.Failed, 0)
 	} else {
-		place.Done(schedule.Served)
+		place.Done(planner.Served, 0)
 	}
 	return completed{}
 }
@@ -106,26 +107,26 @@
 // that a resumable stream can go on elsewhere behind the last one.
 func (d *delivery) relayStream(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	events := newEventReader(a)
-	for first := true; ; first = false {
+	for n := 0; ; n++ {
 		e, err := events.next()
 		whole := errors.Is(err, io.EOF)
 		if err != nil && !whole {
-			place.Done(ended(ctx, schedule.Failed))
+			place.Done(ended(ctx, planner.Failed), n)
 			return lost{err}
 		}
-		if first {
+		if n == 0 {
 			place.Began()
 			if !out.started {
 				out.head(d.dialect, a, -1)
 			}
 		}
 		if err := d.passEvent(q, out, e, whole || !events.buffered()); err != nil {
-			place.Done(schedule.Abandoned)
+			place.Done(planner.Abandoned, n)
 			q.sent++
 			return callerGone{err}
 		}
 		if whole {
-			place.Done(schedule.Served)
+			place.Done(planner.Served, n)
 			q.sent++
 			return completed{}
 		}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -1,6 +1,6 @@
 // Package membership knows the entries of a deployment: which are listed in the
-// platform's store, which were heard of lately, and which of them keeps the
-// books of a client account.
+// platform's store, which were heard of lately, and which of them is in
+// charge of a matter, such as the books of a client account.
 package membership
 
 import (
@@ -152,15 +152,15 @@
 	return other.heardAt > 0 && now-other.heardAt <= heardFor*m.every()+helloEvery/2
 }
 
-// Home returns the entry that keeps the books of an account, and whether it is
-// this one. All entries that take the same ones for alive agree on it.
-func (m *Members) Home(account ids.Account) (netip.AddrPort, bool) {
+// Home returns the entry that is in charge of a matter, and whether it is this
+// one. All entries that take the same ones for alive agree on it.
+func (m *Members) Home(matter string) (netip.AddrPort, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh(m.Clock.Now())
 	best, most := m.self, uint64(0)
 	for _, name := range m.alive {
-		if weight := xxhash.Sum64String(string(name) + "\x00" + string(account)); weight >= most {
+		if weight := xxhash.Sum64String(string(name) + "\x00" + matter); weight >= most {
 			best, most = name, weight
 		}
 	}
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -101,7 +101,7 @@
 	if account.PerSecond <= 0 {
 		return true, 0
 	}
-	home, self := m.members.Home(account.Name)
+	home, self := m.members.Home(matter(account.Name))
 	if self {
 		return m.book(account, units)
 	}
@@ -114,7 +114,7 @@
 
 // Return gives back units that were taken and did not run.
 func (m *Meter) Return(account *routing.Account, units float64) {
-	home, self := m.members.Home(account.Name)
+	home, self := m.members.Home(matter(account.Name))
 	if self {
 		m.books.Return(account.Name, units)
 		return
@@ -128,6 +128,10 @@
 	m.own.Forget(known)
 }
 
+func matter(account ids.Account) string {
+	return "account/" + string(account)
+}
+
 // book counts at the home. A home that only some entries take for it gives out
 // only their part.
 func (m *Meter) book(account *routing.Account, units float64) (bool, clock.Millis) {
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -6,6 +6,8 @@
 	KindClaim                  // entry to the home of an account: may this run?
 	KindReply                  // the home's answer
 	KindReturn                 // entry to home: this did not run
-	KindAsk                    // entry to agent: tickets, withdrawals, ends
-	KindTell                   // agent to entry: verdicts and load
+	KindAsk                    // entry to the home of a group of targets: a place, please
+	KindAnswer                 // the home's answer
+	KindStep                   // entry to home: begun, done or withdrawn
+	KindSync                   // entry to home: all that it has on the targets
 )
--- a/pkg/schedule/health.go
+++ b/pkg/planner/health.go
@@ -1,9 +1,9 @@
-package schedule
+package planner
 
 import "quaydock/pkg/clock"
 
-// health says whether a target is set aside, and for how long.
-type health struct {
+// Health says whether a target is set aside, and for how long.
+type Health struct {
 	failures int // in a row, weighed
 	until    clock.Millis
 }
@@ -19,8 +19,8 @@
 	maxFailures     = 8
 )
 
-// note takes the outcome of a request.
-func (h *health) note(now clock.Millis, o Outcome) {
+// Note takes the outcome of a request.
+func (h *Health) Note(now clock.Millis, o Outcome) {
 	switch o {
 	case Served:
 		h.failures = 0
@@ -39,7 +39,16 @@
 	}
 }
 
-// aside reports whether the target should get no request now.
-func (h *health) aside(now clock.Millis) bool {
+// Aside reports whether the target should get no request now.
+func (h *Health) Aside(now clock.Millis) bool {
 	return now < h.until
 }
+
+// suspectTime is how long a target that seems stuck is set aside; it is
+// renewed while it seems so.
+const suspectTime = 600 * clock.Millisecond
+
+// Suspect sets a target aside for a short time without counting a failure.
+func (h *Health) Suspect(now clock.Millis) {
+	h.until = max(h.until, now+suspectTime)
+}
--- /dev/null
+++ b/pkg/planner/job.go
@@ -0,0 +1,79 @@
+// Package planner decides, for one group of targets, which waiting request gets
+// which target, when, and who is told to come back later. All requests for the
+// group pass through one planner, which so knows what every target carries. It
+// does no I/O, starts no goroutine and reads no clock: the time is an argument,
+// and what it has decided is taken from it.
+package planner
+
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// JobID names a request: the entry that holds it, and the entry's number for it.
+type JobID struct {
+	Entry  string
+	Number uint64
+}
+
+// Job is a request that wants a target, without its body.
+type Job struct {
+	ID      JobID
+	Account ids.Account
+	Tier    ids.TierRank
+	// Prompt and Output estimate the size of a generation in tokens, 0 for other
+	// calls.
+	Prompt ids.Tokens
+	Output ids.Tokens
+	// Arrived is when the request came to its entry, Objective the time within
+	// which its answer, or the first event of it, is in time; Deadline is the
+	// moment after which it is useless.
+	Arrived   clock.Millis
+	Objective clock.Millis
+	Deadline  clock.Millis
+	// Returned says that the request was refused once and has come back.
+	Returned bool
+	// Exclude lists targets that it is not to get again.
+	Exclude []ids.Target
+}
+
+// Decision is what the planner says of a job: Grant or Refuse.
+type Decision interface{ decision() }
+
+// Grant gives a job a target.
+type Grant struct {
+	ID     JobID
+	Target ids.Target
+}
+
+// Refuse sends a job away. It has not run.
+type Refuse struct {
+	ID         JobID
+	RetryAfter clock.Millis
+	// Empty says that the group has no target at all.
+	Empty bool
+}
+
+func (Grant) decision()  {}
+func (Refuse) decision() {}
+
+// Outcome is how a target did with a request.
+type Outcome int
+
+//go:generate stringer -type=Outcome -output=outcome_string.go
+
+// The outcomes.
+const (
+	// Served: the answer was whole.
+	Served Outcome = iota
+	// Failed: the target ran the request, and failed.
+	Failed
+	// Unreached: the target could not be reached.
+	Unreached
+	// Full: the target said that it has no room.
+	Full
+	// Moved: another target has the address.
+	Moved
+	// Abandoned: the caller left, or its time was over.
+	Abandoned
+)
--- /dev/null
+++ b/pkg/planner/planner.go
@@ -0,0 +1,212 @@
+package planner
+
+import (
+	"math/rand/v2"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+)
+
+// Planner plans for one group of targets. It is not safe for concurrent use.
+type Planner struct {
+	random    *rand.Rand
+	targets   map[ids.Target]*target
+	list      []*target // those offered
+	queue     queue
+	runs      map[JobID]*run
+	speeds    speeds
+	releases  rate
+	decisions []Decision
+}
+
+// New returns a planner without targets.
+func New(random *rand.Rand) *Planner {
+	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run)}
+}
+
+// SetTargets says which targets may get work. What runs on others goes on.
+func (p *Planner) SetTargets(now clock.Millis, offered []*routing.Target) {
+	for _, t := range p.targets {
+		t.offered = false
+	}
+	p.list = p.list[:0]
+	for _, o := range offered {
+		t := p.targets[o.ID]
+		if t == nil {
+			t = &target{runs: make(map[JobID]*run)}
+			p.targets[o.ID] = t
+		}
+		t.Target = o
+		t.offered = true
+		p.list = append(p.list, t)
+	}
+	for id, t := range p.targets {
+		if !t.offered && len(t.runs) == 0 {
+			delete(p.targets, id)
+		}
+	}
+	p.place(now)
+}
+
+// Submit takes a job, unless it is known. Decisions follow.
+func (p *Planner) Submit(now clock.Millis, job Job) {
+	if p.runs[job.ID] != nil {
+		return
+	}
+	if i := p.queue.find(job.ID); i >= 0 {
+		p.queue.jobs[i].seen = now
+		return
+	}
+	if len(p.list) == 0 {
+		p.decide(Refuse{ID: job.ID, RetryAfter: emptyRetry, Empty: true})
+		return
+	}
+	w := &waiting{Job: job, committed: job.Returned, seen: now}
+	w.useful = job.Arrived + job.Objective - p.leastFirst(&job)
+	p.queue.jobs = append(p.queue.jobs, w)
+	p.place(now)
+	p.review(now, w)
+}
+
+// Granted returns the target that a job has been given, if any.
+func (p *Planner) Granted(id JobID) (ids.Target, bool) {
+	if r := p.runs[id]; r != nil {
+		return r.target.ID, true
+	}
+	return "", false
+}
+
+// Withdraw takes back a job that waits, or ends one that was granted.
+func (p *Planner) Withdraw(now clock.Millis, id JobID) {
+	if i := p.queue.find(id); i >= 0 {
+		p.queue.remove(i)
+		return
+	}
+	p.Finish(now, id, Abandoned, 0)
+}
+
+// Begin notes the first event of a job's answer.
+func (p *Planner) Begin(now clock.Millis, id JobID) {
+	r := p.runs[id]
+	if r == nil || r.begun {
+		return
+	}
+	r.target.begin(now, r)
+	p.speeds.learnFirst(&r.target.factor, r.ahead, now-r.since)
+}
+
+// minEvents is how many events a stream needs to tell a pace.
+const minEvents = 4
+
+// Finish ends a granted job; events is how many events its answer had.
+func (p *Planner) Finish(now clock.Millis, id JobID, outcome Outcome, events int) {
+	r := p.runs[id]
+	if r == nil {
+		return
+	}
+	t := r.target
+	if r.begun && events >= minEvents {
+		p.speeds.learnPause(&t.factor, (r.beside+len(t.runs))/2, float64(now-r.beganAt)/float64(events))
+	}
+	t.health.Note(now, outcome)
+	t.trial = outcome != Served && (t.trial || t.health.Aside(now))
+	delete(p.runs, id)
+	t.end(r)
+	p.releases.add(now)
+	if !t.offered && len(t.runs) == 0 {
+		delete(p.targets, t.ID)
+	}
+	p.place(now)
+}
+
+// Restore takes in a job that has a target already, as when a planner begins
+// anew. Of what it did before nothing is known.
+func (p *Planner) Restore(now clock.Millis, job Job, at ids.Target, begun bool) {
+	if p.runs[job.ID] != nil {
+		return
+	}
+	if i := p.queue.find(job.ID); i >= 0 {
+		p.queue.remove(i)
+	}
+	t := p.targets[at]
+	if t == nil {
+		return // it is gone
+	}
+	r := t.start(now, job)
+	p.runs[job.ID] = r
+	if begun {
+		t.begin(now, r)
+	}
+}
+
+// fresh is for how long a grant may be on its way to its entry.
+const fresh = 150 * clock.Millisecond
+
+// Keep ends the jobs of an entry for which keep is false, but for those granted
+// just now.
+func (p *Planner) Keep(now clock.Millis, entry string, keep func(JobID) bool) {
+	for id, r := range p.runs {
+		if id.Entry == entry && now-r.since > fresh && !keep(id) {
+			p.Finish(now, id, Abandoned, 0)
+		}
+	}
+}
+
+// Drop forgets an entry that has gone silent.
+func (p *Planner) Drop(now clock.Millis, entry string) {
+	for i := len(p.queue.jobs) - 1; i >= 0; i-- {
+		if p.queue.jobs[i].ID.Entry == entry {
+			p.queue.remove(i)
+		}
+	}
+	for id := range p.runs {
+		if id.Entry == entry {
+			p.Finish(now, id, Abandoned, 0)
+		}
+	}
+}
+
+// Tick looks after what only time changes.
+func (p *Planner) Tick(now clock.Millis) {
+	for _, t := range p.list {
+		if t.stuck(now, &p.speeds) {
+			t.health.Suspect(now)
+			t.trial = true
+		}
+	}
+	p.place(now)
+	for i := len(p.queue.jobs) - 1; i >= 0; i-- {
+		w := p.queue.jobs[i]
+		if now >= w.Deadline || now-w.seen > forgottenAfter {
+			p.queue.remove(i)
+			continue
+		}
+		p.review(now, w)
+	}
+}
+
+// forgottenAfter is after what silence a waiting job is dropped: its entry asks
+// for it again and again while it waits.
+const forgottenAfter = 400 * clock.Millisecond
+
+// Decisions takes what was decided since the last call.
+func (p *Planner) Decisions() []Decision {
+	taken := p.decisions
+	p.decisions = nil
+	return taken
+}
+
+// Waiting is how many jobs wait.
+func (p *Planner) Waiting() int {
+	return len(p.queue.jobs)
+}
+
+// Running is how many jobs have a target.
+func (p *Planner) Running() int {
+	return len(p.runs)
+}
+
+func (p *Planner) decide(d Decision) {
+	p.decisions = append(p.decisions, d)
+}
--- /dev/null
+++ b/pkg/planner/queue.go
@@ -0,0 +1,79 @@
+package planner
+
+import (
+	"slices"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// waiting is a job in the queue.
+type waiting struct {
+	Job
+	// useful is the last moment at which it could be granted and still be in
+	// time.
+	useful    clock.Millis
+	committed bool         // it is not refused any more
+	seen      clock.Millis // when its entry last asked for it
+}
+
+// queue holds the jobs that wait. It is short: what cannot be in time is
+// refused soon after it came.
+type queue struct {
+	jobs []*waiting
+}
+
+func (q *queue) find(id JobID) int {
+	return slices.IndexFunc(q.jobs, func(w *waiting) bool { return w.ID == id })
+}
+
+func (q *queue) remove(i int) {
+	q.jobs = slices.Delete(q.jobs, i, i+1)
+}
+
+// sort puts the jobs in the order in which they are served: by tier; in a tier
+// first those that can still be in time, the most urgent first, and those that
+// came back before those that came for the first time; then the late ones, the
+// shortest first.
+func (q *queue) sort(now clock.Millis) {
+	slices.SortStableFunc(q.jobs, func(a, b *waiting) int { return order(now, a, b) })
+}
+
+func order(now clock.Millis, a, b *waiting) int {
+	switch {
+	case a.Tier != b.Tier:
+		return int(a.Tier - b.Tier)
+	case a.late(now) != b.late(now):
+		return either(b.late(now))
+	case a.late(now):
+		return int((a.Prompt + a.Output) - (b.Prompt + b.Output))
+	case a.Returned != b.Returned:
+		return either(a.Returned)
+	default:
+		return int(a.useful - b.useful)
+	}
+}
+
+// either orders the one for which a property holds first.
+func either(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+func (w *waiting) late(now clock.Millis) bool {
+	return now > w.useful
+}
+
+// ahead counts the jobs that would go before a job of a tier, late ones left
+// out: they give way to it.
+func (q *queue) ahead(now clock.Millis, tier ids.TierRank, self JobID) int {
+	n := 0
+	for _, w := range q.jobs {
+		if w.ID != self && (w.Tier < tier || w.Tier == tier && !w.late(now)) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/planner/refusal.go
@@ -0,0 +1,64 @@
+package planner
+
+import "quaydock/pkg/clock"
+
+const (
+	// emptyRetry is when to come back if there is no target.
+	emptyRetry = 500 * clock.Millisecond
+	// decideWithin is the part of the objective within which a refusal is told:
+	// later ones are of little use to the caller.
+	decideWithin = 0.2
+	// leastRetry is when to come back at the soonest.
+	leastRetry = 300 * clock.Millisecond
+	// returnPart is the part of the time left after which a caller comes back
+	// at the latest.
+	returnPart = 0.32
+)
+
+// review refuses a job that waits and will hardly be in time, as long as that
+// is of use to the caller. One that has waited longer stays until it is served.
+func (p *Planner) review(now clock.Millis, w *waiting) {
+	i := p.queue.find(w.ID)
+	if w.committed || i < 0 {
+		return
+	}
+	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
+	wait := p.wait(now, w)
+	if now+wait <= w.useful {
+		w.committed = now >= latest
+		return
+	}
+	if now > latest {
+		w.committed = true
+		return
+	}
+	p.queue.remove(i)
+	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait)})
+}
+
+// wait estimates how long a job will wait for a target.
+func (p *Planner) wait(now clock.Millis, w *waiting) clock.Millis {
+	ahead := float64(p.queue.ahead(now, w.Tier, w.ID) + 1)
+	return clock.Millis(ahead * float64(clock.Second) / p.perSecond(now))
+}
+
+// perSecond is how many jobs a second end, as measured, or as the slots and the
+// expected run times say while little has been seen.
+func (p *Planner) perSecond(now clock.Millis) float64 {
+	const guessRun = 1000.0 // ms
+	return max(p.releases.perSecond(now), minReleases, float64(p.slots())*float64(clock.Second)/guessRun*unseenPart)
+}
+
+const (
+	minReleases = 1.0
+	// unseenPart is how much of the guessed rate is relied on.
+	unseenPart = 0.2
+)
+
+// retryAfter says when to come back: after what waits has been served, spread
+// so that not all come back at once.
+func (p *Planner) retryAfter(now clock.Millis, w *waiting, wait clock.Millis) clock.Millis {
+	most := clock.Millis(returnPart * float64(w.Deadline-now))
+	soonest := min(most, max(leastRetry, wait, most/2))
+	return soonest + clock.Millis(p.random.Float64()*float64(most-soonest))
+}
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/view"
 )
@@ -23,9 +25,8 @@
 
 // record is what is known of one target.
 type record struct {
-	running   int
-	health    health
-	firstTime float64 // smoothed time to the first event or the answer, in ms
+	running int
+	health  planner.Health
 }
 
 // NewLocal returns a scheduler that has placed nothing.
@@ -47,7 +48,7 @@
 		return nil, &Refused{RetryAfter: noTargetRetry}, nil
 	}
 	l.record(target.ID).running++
-	return &localPlace{local: l, target: target, since: l.Clock.Now()}, nil, nil
+	return &localPlace{local: l, target: target}, nil, nil
 }
 
 func (l *Local) record(id ids.Target) *record {
@@ -69,11 +70,11 @@
 	for _, t := range l.view.Directory().Serving(ask.Service) {
 		r := l.record(t.ID)
 		cost := (float64(r.running) + random.Float64()/2) / float64(max(1, t.Slots))
-		if r.health.aside(now) {
+		if r.health.Aside(now) {
 			const setAside = 1000
 			cost += setAside
 		}
-		if excluded(ask.Exclude, t.ID) {
+		if slices.Contains(ask.Exclude, t.ID) {
 			const tried = 2000
 			cost += tried
 		}
@@ -84,30 +85,20 @@
 	return best
 }
 
-func excluded(list []ids.Target, id ids.Target) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 type localPlace struct {
 	local  *Local
 	target *routing.Target
-	since  clock.Millis
 }
 
 func (p *localPlace) Target() *routing.Target { return p.target }
 
 func (p *localPlace) Began() {}
 
-func (p *localPlace) Done(o Outcome) {
+func (p *localPlace) Done(o planner.Outcome, _ int) {
 	l := p.local
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record(p.target.ID)
 	r.running--
-	r.health.note(l.Clock.Now(), o)
+	r.health.Note(l.Clock.Now(), o)
 }
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -7,6 +7,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 )
 
@@ -37,31 +38,10 @@
 	// Began notes that the target has begun to answer: a whole answer, or the
 	// first event of a stream.
 	Began()
-	// Done gives the place back.
-	Done(Outcome)
+	// Done gives the place back; events is how many events the answer had.
+	Done(outcome planner.Outcome, events int)
 }
 
-// Outcome is how a target did with a request.
-type Outcome int
-
-//go:generate stringer -type=Outcome -output=outcome_string.go
-
-// The outcomes.
-const (
-	// Served: the answer was whole.
-	Served Outcome = iota
-	// Failed: the target ran the request, and failed.
-	Failed
-	// Unreached: the target could not be reached.
-	Unreached
-	// Full: the target said that it has no room.
-	Full
-	// Moved: another target has the address.
-	Moved
-	// Abandoned: the caller left or its time was over.
-	Abandoned
-)
-
 // Refused says that there is no place.
 type Refused struct {
 	// Overloaded is false if the service has no target at all.
