Reckon waits with what comes before a request, and hold none to its end

Change: the rate at which higher tiers come is taken from the rate of releases; at 0.45 of its time a waiting request is told.

--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -17,12 +17,13 @@
 	runs      map[JobID]*run
 	speeds    speeds
 	releases  rate
+	arrivals  map[ids.TierRank]*rate
 	decisions []Decision
 }
 
 // New returns a planner without targets.
 func New(random *rand.Rand) *Planner {
-	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run)}
+	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), arrivals: make(map[ids.TierRank]*rate)}
 }
 
 // SetTargets says which targets may get work. What runs on others goes on.
@@ -62,6 +63,7 @@
 		p.decide(Refuse{ID: job.ID, RetryAfter: emptyRetry, Empty: true})
 		return
 	}
+	p.arrived(now, job.Tier)
 	w := &waiting{Job: job, committed: job.Returned, seen: now}
 	w.useful = job.Arrived + job.Objective - p.leastFirst(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
@@ -69,6 +71,15 @@
 	p.review(now, w)
 }
 
+func (p *Planner) arrived(now clock.Millis, tier ids.TierRank) {
+	r := p.arrivals[tier]
+	if r == nil {
+		r = &rate{}
+		p.arrivals[tier] = r
+	}
+	r.add(now)
+}
+
 // Granted returns the target that a job has been given, if any.
 func (p *Planner) Granted(id JobID) (ids.Target, bool) {
 	if r := p.runs[id]; r != nil {
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -1,6 +1,9 @@
 package planner
 
-import "quaydock/pkg/clock"
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
 
 const (
 	// emptyRetry is when to come back if there is no target.
@@ -16,30 +19,58 @@
 )
 
 // review refuses a job that waits and will hardly be in time, as long as that
-// is of use to the caller. One that has waited longer stays until it is served.
+// is of use to the caller. One that has waited longer stays until it is served,
+// or until so much of its time is gone that it has to be told.
 func (p *Planner) review(now clock.Millis, w *waiting) {
 	i := p.queue.find(w.ID)
-	if w.committed || i < 0 {
+	if i < 0 {
 		return
 	}
-	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
 	wait := p.wait(now, w)
-	if now+wait <= w.useful {
-		w.committed = now >= latest
+	if w.committed {
+		if now-w.Arrived > clock.Millis(holdPart*float64(w.Deadline-w.Arrived)) {
+			p.refuse(now, i, wait)
+		}
 		return
 	}
-	if now > latest {
+	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
+	switch {
+	case now+wait <= w.useful:
+		w.committed = now >= latest
+	case now > latest:
 		w.committed = true
-		return
+	default:
+		p.refuse(now, i, wait)
 	}
+}
+
+func (p *Planner) refuse(now clock.Millis, i int, wait clock.Millis) {
+	w := p.queue.jobs[i]
 	p.queue.remove(i)
 	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait)})
 }
 
-// wait estimates how long a job will wait for a target.
+// holdPart is the part of its time for which a job waits at the most.
+const holdPart = 0.45
+
+// wait estimates how long a job will wait for a target: until those that go
+// before it have been served, and those that come meanwhile and go before it
+// too.
 func (p *Planner) wait(now clock.Millis, w *waiting) clock.Millis {
 	ahead := float64(p.queue.ahead(now, w.Tier, w.ID) + 1)
-	return clock.Millis(ahead * float64(clock.Second) / p.perSecond(now))
+	left := p.perSecond(now) - p.arrivalsAbove(now, w.Tier)
+	return clock.Millis(ahead * float64(clock.Second) / max(minReleases, left))
+}
+
+// arrivalsAbove is how many jobs a second come that go before a tier.
+func (p *Planner) arrivalsAbove(now clock.Millis, tier ids.TierRank) float64 {
+	sum := 0.0
+	for t, r := range p.arrivals {
+		if t < tier {
+			sum += r.perSecond(now)
+		}
+	}
+	return sum
 }
 
 // perSecond is how many jobs a second end, as measured, or as the slots and the
