--- /dev/null
+++ b/pkg/dispatch/dispatcher_test.go
@@ -0,0 +1,230 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/dispatch"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+	"quaydock/pkg/view"
+)
+
+type noRows struct{}
+
+func (noRows) Put(context.Context, string, []byte) error { return nil }
+func (noRows) Remove(context.Context, string) error      { return nil }
+
+// bed is a few entries before a few targets of two slots each.
+type bed struct {
+	common.Common
+	net     *packets.Memory
+	entries []*dispatch.Dispatcher
+	members []*membership.Members
+	stops   []context.CancelFunc
+
+	mu      sync.Mutex
+	running map[ids.Target]int
+	most    int
+	served  int
+	failed  int
+}
+
+const (
+	entryCount  = 3
+	targetCount = 4
+	slots       = 2
+)
+
+func address(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1))
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{Common: commontest.New(network.NewMemory(nil)), net: packets.NewMemory(), running: make(map[ids.Target]int)}
+	var rows []follow.Row
+	for i := range entryCount {
+		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: []byte(address(i).String())})
+	}
+	var targets []*routing.Target
+	for i := range targetCount {
+		targets = append(targets, &routing.Target{ID: ids.Target(fmt.Sprint("t", i)), Service: "s", Slots: slots})
+	}
+	for i := range entryCount {
+		ctx, stop := context.WithCancel(context.Background())
+		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
+		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), noRows{}, link)
+		m.Whole(rows, follow.Proof{})
+		v := view.New(b.Check)
+		v.SetDirectory(routing.NewDirectory(targets))
+		d := dispatch.New(b.Common, address(i), v, m, link, schedule.NewLocal(b.Common, v))
+		go link.Run(ctx)
+		go m.Run(ctx)
+		go d.Run(ctx)
+		b.entries = append(b.entries, d)
+		b.members = append(b.members, m)
+		b.stops = append(b.stops, stop)
+	}
+	t.Cleanup(func() {
+		for _, stop := range b.stops {
+			stop()
+		}
+		time.Sleep(time.Second)
+	})
+	time.Sleep(time.Second)
+	return b
+}
+
+// home is the entry that plans, as the others see it.
+func (b *bed) home(except int) int {
+	for i, m := range b.members {
+		if i == except {
+			continue
+		}
+		at, _ := m.Home("targets/s")
+		for j := range entryCount {
+			if at == address(j) {
+				return j
+			}
+		}
+	}
+	return -1
+}
+
+// request runs one request that takes a while at its target.
+func (b *bed) request(ctx context.Context, entry int, length time.Duration) {
+	now := b.Clock.Now()
+	ask := schedule.Ask{ID: "x", Service: "s", Arrived: now, Objective: 200 * clock.Second, Deadline: now + 400*clock.Second}
+	p, refused, err := b.entries[entry].Acquire(ctx, ask)
+	if refused != nil || err != nil {
+		b.mu.Lock()
+		b.failed++
+		b.mu.Unlock()
+		return
+	}
+	id := p.Target().ID
+	b.mu.Lock()
+	b.running[id]++
+	b.most = max(b.most, b.running[id])
+	b.mu.Unlock()
+	time.Sleep(length / 4)
+	p.Began()
+	time.Sleep(length * 3 / 4)
+	b.mu.Lock()
+	b.running[id]--
+	b.served++
+	b.mu.Unlock()
+	p.Done(planner.Served, 1)
+}
+
+// load runs n requests from the given entries, one each pause, and waits.
+func (b *bed) load(entries []int, n int, pause, length time.Duration) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() { b.request(context.Background(), entries[i%len(entries)], length) })
+		time.Sleep(pause)
+	}
+	all.Wait()
+}
+
+func TestAllEntriesTogetherFillNoTargetBeyondItsSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.load([]int{0, 1, 2}, 90, 5*time.Millisecond, 200*time.Millisecond)
+		if b.most > slots || b.served != 90 {
+			t.Errorf("%d served, up to %d at once in %d slots", b.served, b.most, slots)
+		}
+	})
+}
+
+func TestLostMessagesDelayButLoseNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		random := b.Random.Fork()
+		var mu sync.Mutex
+		b.net.Lose(func(_, _ netip.AddrPort, _ packets.Kind) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.Float64() < 0.05
+		})
+		b.load([]int{0, 1, 2}, 200, 20*time.Millisecond, 100*time.Millisecond)
+		if b.served != 200 {
+			t.Errorf("%d of 200 served", b.served)
+		}
+		// A request placed by an entry's own counts may go beyond the slots
+		// until the next sync, by one or two.
+		if b.most > slots+2 {
+			t.Errorf("up to %d at once in %d slots", b.most, slots)
+		}
+	})
+}
+
+func TestAnotherEntryTakesOverFromAHomeThatDied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		home := b.home(-1)
+		others := []int{(home + 1) % entryCount, (home + 2) % entryCount}
+		go b.load(others, 60, 20*time.Millisecond, 600*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		b.stops[home]()
+		dead := address(home)
+		b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == dead || to == dead })
+		time.Sleep(time.Second)
+		if now := b.home(home); now == home || now < 0 {
+			t.Fatalf("home is %d, was %d", now, home)
+		}
+		// What the new home did not grant itself it has been told of.
+		b.mu.Lock()
+		b.most = 0
+		b.mu.Unlock()
+		b.load(others, 60, 20*time.Millisecond, 150*time.Millisecond)
+		time.Sleep(15 * time.Second)
+		if b.served != 120 {
+			t.Errorf("%d of 120 served", b.served)
+		}
+		if b.most > slots {
+			t.Errorf("up to %d at once in %d slots after the take-over", b.most, slots)
+		}
+	})
+}
+
+func TestAnEntryCutOffPlacesByItsOwnCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.net.Lose(func(_, _ netip.AddrPort, _ packets.Kind) bool { return true })
+		b.load([]int{0}, 8, 50*time.Millisecond, 100*time.Millisecond)
+		if b.served != 8 {
+			t.Errorf("%d of 8 served", b.served)
+		}
+	})
+}
+
+func TestACallerWhoLeavesGivesUpItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		go b.load([]int{0}, slots*targetCount, 0, time.Second)
+		time.Sleep(100 * time.Millisecond)
+		ctx, leave := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer leave()
+		b.request(ctx, 1, time.Second) // it waits, and leaves
+		time.Sleep(time.Second)
+		b.load([]int{1, 2}, slots*targetCount, 0, 100*time.Millisecond)
+		if b.served != 2*slots*targetCount || b.failed != 1 || b.most > slots {
+			t.Errorf("%d served, %d left, up to %d at once", b.served, b.failed, b.most)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/follow/follower_test.go
@@ -0,0 +1,151 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/network"
+)
+
+// source is a table whose answers are scripted.
+type source struct {
+	whole   func() (follow.Batch, error)
+	changes func(after int64, wait clock.Millis) (follow.Batch, error)
+}
+
+func (s *source) Whole(context.Context) (follow.Batch, error) { return s.whole() }
+
+func (s *source) Changes(_ context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
+	return s.changes(after, wait)
+}
+
+type handler struct {
+	wholes  int
+	changed []string
+	proofs  []follow.Proof
+	lost    int
+}
+
+func (h *handler) Whole(_ []follow.Row, p follow.Proof) {
+	h.wholes++
+	h.proofs = append(h.proofs, p)
+}
+
+func (h *handler) Changed(rows []follow.Row, p follow.Proof) {
+	for _, r := range rows {
+		h.changed = append(h.changed, r.Key)
+	}
+	h.proofs = append(h.proofs, p)
+}
+
+func (h *handler) Lost(error) { h.lost++ }
+
+func run(s *source, h *handler, options follow.Options, length time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), length)
+	defer stop()
+	follow.NewFollower(commontest.New(network.NewMemory(nil)), s, h, options).Run(ctx)
+}
+
+var options = follow.Options{Wait: clock.Second, Answer: 500}
+
+func TestChangesAreFollowedFromTheWholeTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked []int64
+		s := &source{
+			whole: func() (follow.Batch, error) { return follow.Batch{Version: 7}, nil },
+			changes: func(after int64, wait clock.Millis) (follow.Batch, error) {
+				asked = append(asked, after)
+				time.Sleep(wait.Duration())
+				return follow.Batch{Version: after + 1, Rows: []follow.Row{{Key: "x"}}}, nil
+			},
+		}
+		h := &handler{}
+		run(s, h, options, 3500*time.Millisecond)
+		if h.wholes != 1 || len(asked) < 3 || asked[0] != 7 || asked[2] != 9 {
+			t.Errorf("wholes %d, asked after %v", h.wholes, asked)
+		}
+	})
+}
+
+func TestAForgetfulStoreIsReadWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		s := &source{
+			whole: func() (follow.Batch, error) { return follow.Batch{Version: 1}, nil },
+			changes: func(int64, clock.Millis) (follow.Batch, error) {
+				calls++
+				time.Sleep(time.Second)
+				if calls == 2 {
+					return follow.Batch{}, follow.ErrForgotten
+				}
+				return follow.Batch{Version: 1}, nil
+			},
+		}
+		h := &handler{}
+		run(s, h, options, 5*time.Second)
+		if h.wholes != 2 || h.lost != 0 {
+			t.Errorf("wholes %d, lost %d", h.wholes, h.lost)
+		}
+	})
+}
+
+func TestAnOutageIsToldAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		s := &source{
+			whole: func() (follow.Batch, error) { return follow.Batch{Version: 1}, nil },
+			changes: func(int64, clock.Millis) (follow.Batch, error) {
+				if time.Since(began) < 4*time.Second {
+					return follow.Batch{}, errors.New("down")
+				}
+				time.Sleep(time.Second)
+				return follow.Batch{Version: 1}, nil
+			},
+		}
+		h := &handler{}
+		run(s, h, options, 8*time.Second)
+		if h.lost < 8 || h.lost > 40 {
+			t.Errorf("told %d times in 4 s", h.lost)
+		}
+		if len(h.proofs) < 3 {
+			t.Errorf("%d answers", len(h.proofs))
+		}
+	})
+}
+
+// TestProofIsNeverTooNew has the store answer late, and checks that what an
+// answer proves lies between the question and the moment the store spoke.
+func TestProofIsNeverTooNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		storeNow := func() clock.Millis { return clock.Millis(time.Since(began).Milliseconds()) + 5000 }
+		var spoke []clock.Millis
+		c := commontest.New(network.NewMemory(nil))
+		s := &source{
+			whole: func() (follow.Batch, error) {
+				return follow.Batch{Version: 1, StoreTime: storeNow()}, nil
+			},
+			changes: func(int64, clock.Millis) (follow.Batch, error) {
+				at := storeNow()
+				spoke = append(spoke, c.Clock.Now())
+				time.Sleep(900 * time.Millisecond) // the answer is long under way
+				return follow.Batch{Version: 1, StoreTime: at}, nil
+			},
+		}
+		h := &handler{}
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		follow.NewFollower(c, s, h, options).Run(ctx)
+		for i, at := range spoke {
+			if i+1 < len(h.proofs) && h.proofs[i+1].CurrentAt > at {
+				t.Errorf("answer %d proves %d ms too much", i, h.proofs[i+1].CurrentAt-at)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/forward/exchange_test.go
@@ -0,0 +1,247 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
+	"quaydock/pkg/routing"
+)
+
+const at = "10.0.0.9:80"
+
+// engine answers with scripted bytes. It is called for each request that it has
+// read, with the number of the connection and the request's id.
+type engine func(c net.Conn, connection int, id string)
+
+// serve runs an engine at the address until the test ends.
+func serve(t *testing.T, reach network.Network, e engine) {
+	t.Helper()
+	listener, err := reach.Listen(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go converse(c, n, e)
+		}
+	}()
+}
+
+func converse(c net.Conn, n int, e engine) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if request.Header.Get("Early") == "" {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
+		e(c, n, request.Header.Get("Id"))
+		if request.Header.Get("Early") != "" {
+			time.Sleep(time.Minute) // the rest of the body is not read
+		}
+	}
+}
+
+func marks(h map[string][]string) forward.Marks {
+	header := http.Header(h)
+	return forward.Marks{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) *forward.Request {
+	return &forward.Request{ID: id, Method: "POST", Path: "/p/q?x=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("question")}
+}
+
+var target = &routing.Target{ID: "t", Address: at}
+
+// outcome is a result in one word, with the body of a whole answer.
+func outcome(r forward.Result) string {
+	switch r := r.(type) {
+	case forward.NotSent:
+		return "not sent"
+	case forward.Declined:
+		return fmt.Sprint("declined ", r.Status)
+	case *forward.Answer:
+		defer r.Close()
+		body, err := io.ReadAll(r)
+		if err != nil {
+			return "cut"
+		}
+		return fmt.Sprint(r.Status, " ", string(body))
+	default:
+		return "broken"
+	}
+}
+
+func TestExchange(t *testing.T) {
+	write := func(text string) engine {
+		return func(c net.Conn, _ int, id string) {
+			_, _ = io.WriteString(c, strings.ReplaceAll(text, "{id}", id))
+		}
+	}
+	writeAndClose := func(text string) engine {
+		return func(c net.Conn, n int, id string) {
+			write(text)(c, n, id)
+			_ = c.Close()
+		}
+	}
+	scenarios := []struct {
+		name   string
+		engine engine
+		want   string
+	}{
+		{"a whole answer", write(answer("{id}", "yes")), "200 yes"},
+		{"an answer in chunks", write("HTTP/1.1 200 OK\r\nId: {id}\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n"), "200 yes"},
+		{"an answer that ends with its connection", writeAndClose("HTTP/1.1 200 OK\r\nId: {id}\r\n\r\nyes"), "200 yes"},
+		{"an interim answer first", write("HTTP/1.1 103 Early Hints\r\n\r\n" + answer("{id}", "yes")), "200 yes"},
+		{"its own failure", write("HTTP/1.1 500 No\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"), "500 "},
+		{"an answer to another request first", write(answer("other", "no") + answer("{id}", "yes")), "200 yes"},
+		{"answers to other requests only", writeAndClose(answer("other", "no")), "broken"},
+		{"an unframed answer to another request", writeAndClose("HTTP/1.1 200 OK\r\nId: other\r\n\r\nno"), "broken"},
+		{"a refusal that it did not run", write("HTTP/1.1 503 Full\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), "declined 503"},
+		{"another target at the address", write("HTTP/1.1 421 Moved\r\nContent-Length: 0\r\n\r\n"), "declined 421"},
+		{"a refusal that does not say so", write("HTTP/1.1 503 Full\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"), "503 "},
+		{"a closed connection", writeAndClose(""), "broken"},
+		{"bytes that are no answer", writeAndClose("\x00\x01garbage\r\n\r\n"), "broken"},
+		{"half a head", writeAndClose("HTTP/1.1 200 OK\r\nId: "), "broken"},
+		{"an answer cut short", writeAndClose("HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 9\r\n\r\nyes"), "cut"},
+		{"chunks cut short", writeAndClose("HTTP/1.1 200 OK\r\nId: {id}\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n"), "cut"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reach := network.NewMemory(nil)
+				serve(t, reach, s.engine)
+				pool := forward.NewPool(commontest.New(reach), marks)
+				defer pool.Close()
+				if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != s.want {
+					t.Errorf("%s, want %s", got, s.want)
+				}
+			})
+		})
+	}
+}
+
+func TestNothingIsSentToNobody(t *testing.T) {
+	pool := forward.NewPool(commontest.New(network.NewMemory(nil)), marks)
+	if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "not sent" {
+		t.Error(got)
+	}
+}
+
+// TestNoRequestIsRepeated counts what reaches a target that closes connections
+// without a word, also ones that were used before: a library would send again.
+func TestNoRequestIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reach := network.NewMemory(nil)
+		seen := map[string]int{}
+		serve(t, reach, func(c net.Conn, _ int, id string) {
+			seen[id]++
+			if id == "r2" {
+				_ = c.Close()
+				return
+			}
+			_, _ = io.WriteString(c, answer(id, "yes"))
+		})
+		pool := forward.NewPool(commontest.New(reach), marks)
+		defer pool.Close()
+		for _, id := range []string{"r1", "r2", "r3"} {
+			outcome(pool.Send(context.Background(), target, request(id)))
+		}
+		for id, n := range seen {
+			if n != 1 {
+				t.Errorf("request %s arrived %d times", id, n)
+			}
+		}
+	})
+}
+
+func TestConnections(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		answer string
+		header http.Header
+		rest   time.Duration
+		want   int // connections for two requests
+	}{
+		{"one is used again", answer("{id}", "yes"), nil, 0, 1},
+		{"not one with surplus bytes", answer("{id}", "yes") + answer("{id}", "again"), nil, 0, 2},
+		{"not one that the target closes", "HTTP/1.1 200 OK\r\nId: {id}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", nil, 0, 2},
+		{"not one that has rested for long", answer("{id}", "yes"), nil, 5 * time.Second, 2},
+		{"not beyond what the target says", "HTTP/1.1 200 OK\r\nId: {id}\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n", nil, time.Second, 2},
+		{"not one on which a body is still due", answer("{id}", "yes"), http.Header{"Early": {"1"}}, 0, 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reach := network.NewMemory(nil)
+				most := 0
+				serve(t, reach, func(c net.Conn, n int, id string) {
+					most = max(most, n)
+					_, _ = io.WriteString(c, strings.ReplaceAll(s.answer, "{id}", id))
+				})
+				pool := forward.NewPool(commontest.New(reach), marks)
+				defer pool.Close()
+				for _, id := range []string{"r1", "r2"} {
+					r := request(id)
+					for name, values := range s.header {
+						r.Header[name] = values
+						r.Body = make([]byte, 4<<20) // more than any buffer takes
+					}
+					if got := outcome(pool.Send(context.Background(), target, r)); !strings.HasPrefix(got, "200") {
+						t.Fatalf("%s: %s", id, got)
+					}
+					time.Sleep(s.rest)
+				}
+				if most != s.want {
+					t.Errorf("%d connections, want %d", most, s.want)
+				}
+				time.Sleep(2 * time.Minute) // until the target is through
+			})
+		})
+	}
+}
+
+func TestACallerWhoLeavesClosesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reach := network.NewMemory(nil)
+		closed := make(chan time.Time, 1)
+		serve(t, reach, func(c net.Conn, _ int, _ string) {
+			_, _ = c.Read(make([]byte, 1)) // returns when the connection ends
+			closed <- time.Now()
+		})
+		pool := forward.NewPool(commontest.New(reach), marks)
+		defer pool.Close()
+		ctx, leave := context.WithTimeout(context.Background(), time.Second)
+		defer leave()
+		began := time.Now()
+		if got := outcome(pool.Send(ctx, target, request("r1"))); got != "broken" {
+			t.Error(got)
+		}
+		if at := <-closed; at.Sub(began) > 1100*time.Millisecond {
+			t.Errorf("closed after %v", at.Sub(began))
+		}
+	})
+}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -117,3 +117,16 @@
 		p.discard(of[i], c)
 	}
 }
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[ids.Target][]*connection)
+	p.mu.Unlock()
+	for t, list := range idle {
+		for _, c := range list {
+			p.discard(t, c)
+		}
+	}
+}
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -38,17 +38,17 @@
 // Broken.
 type Result interface{ result() }
 
-// NotSent: no byte of the request was written, so that the target cannot have
-// run it.
+// NotSent says that no byte of the request was written, so that the target
+// cannot have run it.
 type NotSent struct{ Err error }
 
-// Declined: the target says that it did not run the request.
+// Declined says that the target told it did not run the request.
 type Declined struct {
 	Status int
 	Load   *Load
 }
 
-// Broken: the exchange failed, and the target may have run the request.
+// Broken says that the exchange failed, and that the target may have run the request.
 type Broken struct{ Err error }
 
 func (NotSent) result()  {}
--- /dev/null
+++ b/pkg/ingress/bed_test.go
@@ -0,0 +1,310 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/ingress"
+	"quaydock/pkg/network"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/quota"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+	"quaydock/pkg/view"
+)
+
+// dialect is a plain language for the headers of tests.
+type dialect struct{}
+
+func (dialect) Describe(h http.Header) ingress.Call {
+	wait, _ := strconv.Atoi(h.Get("Wait"))
+	return ingress.Call{ID: h.Get("Id"), Key: h.Get("Key"), Deadline: clock.Millis(wait), LastEvent: h.Get("Last")}
+}
+
+func (dialect) Onward(h http.Header, to ingress.Onward) http.Header {
+	onward := h.Clone()
+	onward.Del("Key")
+	onward.Set("Account", string(to.Account))
+	onward.Set("Target", string(to.Target))
+	onward.Set("Left", strconv.Itoa(int(to.Remaining)))
+	if to.LastEvent != "" {
+		onward.Set("Last", to.LastEvent)
+	}
+	return onward
+}
+
+func (dialect) Marks(h http.Header) forward.Marks {
+	return forward.Marks{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+func (dialect) Answer(from, to http.Header) {
+	for _, name := range []string{"Id", "Seal", "Content-Type"} {
+		if v := from.Get(name); v != "" {
+			to.Set(name, v)
+		}
+	}
+}
+
+// freely is a meter that refuses the accounts it names.
+type freely map[ids.Account]bool
+
+func (f freely) Take(_ context.Context, a *routing.Account, _ float64) (bool, clock.Millis) {
+	return !f[a.Name], 1500
+}
+func (freely) Return(*routing.Account, float64) {}
+func (freely) Entries() int                     { return 1 }
+
+// inOrder places requests on the targets in order, passing over those tried.
+type inOrder struct {
+	b      *bed
+	delay  time.Duration // before each place
+	refuse bool
+	mu     sync.Mutex
+	ends   []string // target and outcome of each place
+}
+
+func (s *inOrder) Acquire(ctx context.Context, ask schedule.Ask) (schedule.Place, *schedule.Refused, error) {
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return nil, nil, context.Cause(ctx)
+	}
+	if s.refuse {
+		return nil, &schedule.Refused{Overloaded: true, RetryAfter: 2500}, nil
+	}
+next:
+	for _, t := range s.b.targets {
+		for _, x := range ask.Exclude {
+			if x == t.ID {
+				continue next
+			}
+		}
+		return &orderedPlace{s, t}, nil, nil
+	}
+	return nil, &schedule.Refused{RetryAfter: 500}, nil
+}
+
+type orderedPlace struct {
+	s *inOrder
+	t *routing.Target
+}
+
+func (p *orderedPlace) Target() *routing.Target { return p.t }
+func (p *orderedPlace) Began()                  {}
+func (p *orderedPlace) Done(o planner.Outcome, _ int) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	p.s.ends = append(p.s.ends, string(p.t.ID)+" "+o.String())
+}
+
+// arrival is a request as a target saw it.
+type arrival struct {
+	target string
+	header http.Header
+	body   string
+	at     time.Time
+}
+
+// bed is an entry's controller between callers and scripted targets.
+type bed struct {
+	t          *testing.T
+	reach      *network.Memory
+	view       *view.View
+	scheduler  *inOrder
+	controller *ingress.Controller
+	targets    []*routing.Target
+	clock      clock.Clock
+	routes     []*routing.Route
+	accounts   []*routing.Account
+	keep       bool // callers ask for kept connections
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// engine answers one request; the connection is closed when it returns false.
+type engine func(c net.Conn, r *http.Request) bool
+
+const entryAt = "10.0.0.1:80"
+
+func newBed(t *testing.T, meter freely, engines ...engine) *bed {
+	b := &bed{t: t, reach: network.NewMemory(nil)}
+	c := commontest.New(b.reach)
+	b.clock = c.Clock
+	b.view = view.New(c.Check)
+	b.scheduler = &inOrder{b: b}
+	for i, e := range engines {
+		b.serve(i, e)
+	}
+	b.view.SetDirectory(routing.NewDirectory(b.targets))
+	b.routes = []*routing.Route{
+		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.Unsafe, Timeout: 5000, Objective: 500, Attempts: 1},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Timeout: 5000, Objective: 500, Attempts: 2},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, Timeout: 5000, Objective: 500, Attempts: 1},
+		{Name: "resume", Host: "h", Prefix: "/resume/", Kind: routing.Stream, Timeout: 5000, Objective: 500, Attempts: 2, Resumable: true},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: routing.Safe, Timeout: 5000, Objective: 500, Attempts: 1, Anonymous: true},
+	}
+	for _, r := range b.routes {
+		r.Split = []routing.Share{{Service: "s", Weight: 1}}
+	}
+	b.accounts = []*routing.Account{{Name: "acme", Keys: []string{"key"}}, {Name: "full", Keys: []string{"fullkey"}}}
+	b.configure(1)
+	b.view.Proven(b.clock.Now())
+	pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) })
+	b.controller = ingress.NewController(ingress.Parts{
+		Common: c, View: b.view, Dialect: dialect{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
+		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}), RevokeBound: 5000,
+	})
+	server := &http.Server{Handler: b.controller}
+	listener, err := b.reach.Listen(entryAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		pool.Close()
+		time.Sleep(10 * time.Second) // until all targets are through
+	})
+	return b
+}
+
+func (b *bed) configure(revision routing.Revision) {
+	b.view.SetCatalog(routing.NewCatalog(revision, routing.Limits{BodyBytes: 1 << 16}, b.routes, nil, b.accounts))
+}
+
+func (b *bed) serve(i int, e engine) {
+	address := fmt.Sprintf("10.0.1.%d:80", i+1)
+	target := &routing.Target{ID: ids.Target(fmt.Sprint("t", i+1)), Service: "s", Address: address, Slots: 4}
+	b.targets = append(b.targets, target)
+	if e == nil {
+		return // nobody listens
+	}
+	listener, err := b.reach.Listen(address)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go b.converse(c, string(target.ID), e)
+		}
+	}()
+}
+
+func (b *bed) converse(c net.Conn, target string, e engine) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		b.mu.Lock()
+		b.arrivals = append(b.arrivals, arrival{target: target, header: r.Header, body: string(body), at: time.Now()})
+		b.mu.Unlock()
+		if !e(c, r) {
+			return
+		}
+	}
+}
+
+func (b *bed) arrived() []arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arrivals
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	whole  bool
+	closes bool // the connection, after the answer
+	took   time.Duration
+}
+
+// call makes one request on a connection of its own.
+func (b *bed) call(ctx context.Context, path string, header map[string]string) reply {
+	transport := &http.Transport{
+		DisableKeepAlives: !b.keep,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return b.reach.Dial(ctx, entryAt)
+		},
+	}
+	defer transport.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, strings.NewReader("question"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "key")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	began := time.Now()
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return reply{took: time.Since(began)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), whole: err == nil, closes: response.Close, took: time.Since(began)}
+}
+
+// The engines of the scenarios.
+
+func says(status int, header, body string) engine {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nSeal: s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), header, len(body), body)
+		return true
+	}
+}
+
+func closes(net.Conn, *http.Request) bool { return false }
+
+func silent(c net.Conn, _ *http.Request) bool {
+	_, _ = c.Read(make([]byte, 1)) // until the connection ends
+	return false
+}
+
+// streams sends events from one behind the last that the caller has up to the
+// tenth; it breaks off in the middle of the event numbered cut.
+func streams(cut int) engine {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"), cut)
+		last, _ := strconv.Atoi(r.Header.Get("Last"))
+		for n := last + 1; n <= 10; n++ {
+			text := fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n)
+			if n == cut {
+				text = text[:len(text)/2]
+			}
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+			if n == cut {
+				return false
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/ingress/controller_test.go
@@ -0,0 +1,260 @@
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/routing"
+)
+
+func TestAnswers(t *testing.T) {
+	yes := says(200, "", "yes")
+	failing := says(500, "", "no")
+	full := says(503, "Not-Run: 1\r\n", "")
+	moved := says(421, "", "")
+	encoded := says(200, "Content-Encoding: gzip\r\n", "zip")
+	whole := strings.Join(events(1, 10), "")
+	scenarios := []struct {
+		name    string
+		path    string
+		engines []engine
+		status  int
+		body    string // compared if the status is 200
+		whole   bool
+		arrive  int
+	}{
+		{"a call", "/unsafe/a", []engine{yes}, 200, "yes", true, 1},
+		{"a failure of the target's own goes back", "/unsafe/a", []engine{failing, yes}, 500, "", true, 1},
+		{"a safe call that failed is tried elsewhere", "/safe/a", []engine{failing, yes}, 200, "yes", true, 2},
+		{"but no more often than allowed", "/safe/a", []engine{failing, failing, yes}, 500, "", true, 2},
+		{"a target without room", "/unsafe/a", []engine{full, yes}, 200, "yes", true, 2},
+		{"another target at the address", "/unsafe/a", []engine{moved, yes}, 200, "yes", true, 2},
+		{"nobody at the address", "/unsafe/a", []engine{nil, yes}, 200, "yes", true, 1},
+		{"no room anywhere is told as not run", "/unsafe/a", []engine{full}, 503, "", true, 1},
+		{"what may have run is not sent again", "/unsafe/a", []engine{closes, yes}, 502, "", true, 1},
+		{"unless it is safe", "/safe/a", []engine{closes, yes}, 200, "yes", true, 2},
+		{"an answer that cannot be the target's", "/unsafe/a", []engine{encoded, yes}, 502, "", true, 1},
+		{"a stream", "/stream/a", []engine{streams(0)}, 200, whole, true, 1},
+		{"a broken stream does not look whole", "/stream/a", []engine{streams(4), streams(0)}, 200, strings.Join(events(1, 3), ""), false, 1},
+		{"a resumable one goes on elsewhere", "/resume/a", []engine{streams(4), streams(0)}, 200, whole, true, 2},
+		{"a stream that broke before its first event", "/resume/a", []engine{streams(1), streams(0)}, 200, whole, true, 2},
+		{"a resumable one that breaks again", "/resume/a", []engine{streams(4), streams(7), streams(0)}, 200, strings.Join(events(1, 6), ""), false, 2},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{}, s.engines...)
+				got := b.call(context.Background(), s.path, nil)
+				if got.status != s.status || got.whole != s.whole {
+					t.Errorf("status %d, whole %t", got.status, got.whole)
+				}
+				if s.status == 200 && got.body != s.body {
+					t.Errorf("body %q", got.body)
+				}
+				if n := len(b.arrived()); n != s.arrive {
+					t.Errorf("%d arrivals at targets, want %d", n, s.arrive)
+				}
+			})
+		})
+	}
+}
+
+func events(from, to int) []string {
+	var list []string
+	for n := from; n <= to; n++ {
+		list = append(list, fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n))
+	}
+	return list
+}
+
+func TestAResumedAnswerKeepsTheFirstHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, streams(4), streams(0))
+		got := b.call(context.Background(), "/resume/a", nil)
+		if got.header.Get("Seal") != "s4" {
+			t.Errorf("seal %q", got.header.Get("Seal"))
+		}
+		if last := b.arrived()[1].header.Get("Last"); last != "3" {
+			t.Errorf("resumed behind %q", last)
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	old := func(b *bed) { time.Sleep(4 * time.Second) }
+	scenarios := []struct {
+		name    string
+		path    string
+		header  map[string]string
+		prepare func(b *bed)
+		status  int
+		retry   bool
+	}{
+		{"no such route", "/none/a", nil, nil, 404, false},
+		{"no such route, as far as is known", "/none/a", nil, old, 503, true},
+		{"no such key", "/unsafe/a", map[string]string{"Key": "wrong"}, nil, 401, false},
+		{"a key without proof that it still holds", "/unsafe/a", nil, old, 503, true},
+		{"no key is needed there", "/open/a", map[string]string{"Key": ""}, old, 200, false},
+		{"over the allowance", "/unsafe/a", map[string]string{"Key": "fullkey"}, nil, 429, true},
+		{"refused under load", "/unsafe/a", nil, func(b *bed) { b.scheduler.refuse = true }, 503, true},
+		{"no target", "/unsafe/a", nil, func(b *bed) { b.targets = nil }, 503, true},
+		{"never placed in its time", "/unsafe/a", map[string]string{"Wait": "800"}, func(b *bed) { b.scheduler.delay = time.Hour }, 503, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{"full": true}, says(200, "", "yes"))
+				if s.prepare != nil {
+					s.prepare(b)
+				}
+				got := b.call(context.Background(), s.path, s.header)
+				if got.status != s.status || !got.whole {
+					t.Errorf("status %d, whole %t", got.status, got.whole)
+				}
+				if (got.header.Get("Retry-After") != "") != s.retry {
+					t.Errorf("Retry-After %q", got.header.Get("Retry-After"))
+				}
+				if s.status != 200 && len(b.arrived()) > 0 {
+					t.Error("it reached a target")
+				}
+			})
+		})
+	}
+}
+
+func TestTimeIsKept(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		path   string
+		wait   string
+		engine engine
+		status int
+		took   time.Duration
+	}{
+		{"a silent target, to the route's time", "/unsafe/a", "60000", silent, 504, 5 * time.Second},
+		{"a silent target, to the caller's time", "/unsafe/a", "1000", silent, 504, time.Second},
+		{"a stream without an event", "/resume/a", "1000", silent, 504, time.Second},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{}, s.engine)
+				got := b.call(context.Background(), s.path, map[string]string{"Wait": s.wait})
+				if got.status != s.status || got.took < s.took || got.took > s.took+100*time.Millisecond {
+					t.Errorf("status %d after %v", got.status, got.took)
+				}
+				if left := b.arrived()[0].header.Get("Left"); left != fmt.Sprint(s.took.Milliseconds()) {
+					t.Errorf("the target was given %s ms", left)
+				}
+			})
+		})
+	}
+}
+
+func TestTheKeyStaysHereAndTheAccountGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(200, "", "yes"))
+		b.call(context.Background(), "/unsafe/a", map[string]string{"Account": "forged"})
+		got := b.arrived()[0]
+		if got.header.Get("Key") != "" || got.header.Get("Account") != "acme" || got.body != "question" {
+			t.Errorf("arrived with %v and %q", got.header, got.body)
+		}
+	})
+}
+
+func TestAKeyTakenAwayWhileItsRequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(200, "", "yes"))
+		b.scheduler.delay = time.Second
+		time.AfterFunc(500*time.Millisecond, func() {
+			b.accounts = []*routing.Account{{Name: "acme", Keys: []string{"another"}}}
+			b.configure(2)
+			b.view.Proven(b.clock.Now())
+		})
+		got := b.call(context.Background(), "/unsafe/a", nil)
+		if got.status != http.StatusServiceUnavailable || len(b.arrived()) != 0 {
+			t.Errorf("status %d, %d arrivals", got.status, len(b.arrived()))
+		}
+	})
+}
+
+// TestAFrozenEntryDoesNotTrustItsKeys wakes an entry after 6 s without news: the
+// request that was waiting in it must not run.
+func TestAFrozenEntryDoesNotTrustItsKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(200, "", "yes"))
+		b.scheduler.delay = 4500 * time.Millisecond
+		got := b.call(context.Background(), "/unsafe/a", nil)
+		if got.status != http.StatusServiceUnavailable || len(b.arrived()) != 0 {
+			t.Errorf("status %d, %d arrivals", got.status, len(b.arrived()))
+		}
+	})
+}
+
+func TestACallerWhoLeavesEndsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Time, 1)
+		b := newBed(t, freely{}, func(c net.Conn, r *http.Request) bool {
+			silent(c, r)
+			ended <- time.Now()
+			return false
+		})
+		ctx, leave := context.WithTimeout(context.Background(), time.Second)
+		defer leave()
+		began := time.Now()
+		b.call(ctx, "/resume/a", nil)
+		if at := <-ended; at.Sub(began) > 1200*time.Millisecond {
+			t.Errorf("the target worked on for %v", at.Sub(began))
+		}
+		time.Sleep(time.Second)
+		if n := len(b.arrived()); n != 1 {
+			t.Errorf("%d arrivals", n)
+		}
+	})
+}
+
+func TestALeavingEntryClosesItsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(200, "", "yes"))
+		b.keep = true // or the caller itself would have them closed
+		b.controller.Leave()
+		if got := b.call(context.Background(), "/unsafe/a", nil); got.status != 200 || !got.closes {
+			t.Errorf("status %d, closes %t", got.status, got.closes)
+		}
+	})
+}
+
+func TestRunningCountsWhatIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, silent)
+		time.AfterFunc(clock.Second.Duration(), func() {
+			if n := b.controller.Running(); n != 1 {
+				t.Errorf("%d running", n)
+			}
+		})
+		b.call(context.Background(), "/unsafe/a", nil)
+		time.Sleep(time.Second)
+		if n := b.controller.Running(); n != 0 {
+			t.Errorf("%d running at the end", n)
+		}
+	})
+}
+
+func TestPlacesAreGivenBackWithTheirOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, nil, says(503, "Not-Run: 1\r\n", ""), says(421, "", ""), says(200, "", "yes"))
+		b.call(context.Background(), "/safe/a", nil)
+		want := []string{"t1 Unreached", "t2 Full", "t3 Moved", "t4 Served"}
+		if !slices.Equal(b.scheduler.ends, want) {
+			t.Errorf("ends %v, want %v", b.scheduler.ends, want)
+		}
+	})
+}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -189,15 +189,15 @@
 		return d.relay(ctx, q, out, place, result)
 	default:
 		q.sends++
-		place.Done(ended(ctx, planner.Failed), 0)
+		place.Done(failure(ctx), 0)
 		return lost{result.(forward.Broken).Err}
 	}
 }
 
-// ended tells a target's failure from the end of the request's own time.
-func ended(ctx context.Context, otherwise planner.Outcome) planner.Outcome {
+// failure tells a target's failure from the end of the request's own time.
+func failure(ctx context.Context) planner.Outcome {
 	if ctx.Err() != nil {
 		return planner.Abandoned
 	}
-	return otherwise
+	return planner.Failed
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -46,7 +46,7 @@
 func (d *delivery) relayWhole(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
 	if err != nil {
-		place.Done(ended(ctx, planner.Failed), 0)
+		place.Done(failure(ctx), 0)
 		return lost{fmt.Errorf("reading the answer: %w", err)}
 	}
 	place.Began()
@@ -66,7 +66,7 @@
 	}
 	q.sent++
 	if err != nil {
-		place.Done(ended(ctx, planner.Failed), 0)
+		place.Done(failure(ctx), 0)
 		return callerGone{err}
 	}
 	if failed {
@@ -111,7 +111,7 @@
 		e, err := events.next()
 		whole := errors.Is(err, io.EOF)
 		if err != nil && !whole {
-			place.Done(ended(ctx, planner.Failed), n)
+			place.Done(failure(ctx), n)
 			return lost{err}
 		}
 		if n == 0 {
--- /dev/null
+++ b/pkg/metering/meter_test.go
@@ -0,0 +1,211 @@
+package metering_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/metering"
+	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/view"
+)
+
+const (
+	entries   = 4
+	perSecond = 10_000.0
+	burst     = 10_000.0
+	window    = 8 * clock.Second
+)
+
+var bounds = metering.Bounds{Over: 0.1, Slack: 20_000, Window: window}
+
+// noRows is a store that takes everything and tells nothing.
+type noRows struct{}
+
+func (noRows) Put(context.Context, string, []byte) error { return nil }
+func (noRows) Remove(context.Context, string) error      { return nil }
+
+// deployment is a few entries that meter one account.
+type deployment struct {
+	common.Common
+	net     *packets.Memory
+	account *routing.Account
+	meters  []*metering.Meter
+	members []*membership.Members
+}
+
+func address(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1))
+}
+
+func deploy(ctx context.Context) *deployment {
+	d := &deployment{
+		Common:  commontest.New(network.NewMemory(nil)),
+		net:     packets.NewMemory(),
+		account: &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: perSecond, Burst: burst, CountsTokens: true},
+	}
+	var rows []follow.Row
+	for i := range entries {
+		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: []byte(address(i).String())})
+	}
+	for i := range entries {
+		link := packets.NewLink(d.Common, d.net.Socket(address(i)))
+		m := membership.New(d.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), noRows{}, link)
+		m.Whole(rows, follow.Proof{})
+		v := view.New(d.Check)
+		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, []*routing.Account{d.account}))
+		d.meters = append(d.meters, metering.New(d.Common, bounds, v, m, link))
+		d.members = append(d.members, m)
+		go link.Run(ctx)
+		go m.Run(ctx)
+	}
+	time.Sleep(time.Second)
+	return d
+}
+
+// demand has each entry take as fast as it can for a while, and returns when
+// and what was taken.
+func (d *deployment) demand(ctx context.Context, length time.Duration) []take {
+	const units = 100
+	results := make(chan take, 100_000)
+	limited, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	ended := make(chan struct{})
+	for _, m := range d.meters {
+		go func() {
+			for limited.Err() == nil {
+				if ok, _ := m.Take(limited, d.account, units); ok {
+					results <- take{d.Clock.Now(), units}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			ended <- struct{}{}
+		}()
+	}
+	for range d.meters {
+		<-ended
+	}
+	close(results)
+	var all []take
+	for r := range results {
+		all = append(all, r)
+	}
+	return all
+}
+
+type take struct {
+	at    clock.Millis
+	units float64
+}
+
+// worst is the most taken in any window.
+func worst(all []take) float64 {
+	most := 0.0
+	for _, from := range all {
+		sum := 0.0
+		for _, x := range all {
+			if x.at >= from.at && x.at < from.at+window {
+				sum += x.units
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func bound() float64 {
+	const seconds = 8
+	return (perSecond*seconds+burst)*(1+bounds.Over) + bounds.Slack
+}
+
+func TestTheSumOverAllEntriesHolds(t *testing.T) {
+	scenarios := []struct {
+		name string
+		lose func(from, to netip.AddrPort, kind packets.Kind) bool
+		// least is what must be taken in some window, as a part of the
+		// allowance: an entry that refuses everything keeps every bound.
+		least float64
+	}{
+		{"calm", nil, 0.94}, // a fresh bucket is half full: 8.5 of 9 s of the rate
+		{"cut in two halves", func(from, to netip.AddrPort, _ packets.Kind) bool { return half(from) != half(to) }, 0.5},
+		{"one entry cut off", func(from, to netip.AddrPort, _ packets.Kind) bool {
+			return from == address(0) || to == address(0)
+		}, 0.6},
+		{"one way cut", func(from, _ netip.AddrPort, _ packets.Kind) bool { return from == address(1) }, 0.5},
+		{"nothing gets through", func(_, _ netip.AddrPort, _ packets.Kind) bool { return true }, 0.1},
+		{"claims are lost", func(_, _ netip.AddrPort, kind packets.Kind) bool { return kind == packets.KindClaim }, 0.1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				d := deploy(ctx)
+				all := d.demand(ctx, 3*time.Second)
+				d.net.Lose(s.lose)
+				all = append(all, d.demand(ctx, 9*time.Second)...)
+				d.net.Lose(nil)
+				all = append(all, d.demand(ctx, 3*time.Second)...)
+				got := worst(all)
+				if got > bound() {
+					t.Errorf("%.0f taken in a window, bound %.0f", got, bound())
+				}
+				if least := s.least * (perSecond*8 + burst); got < least {
+					t.Errorf("%.0f taken in the fullest window, want %.0f at the least", got, least)
+				}
+			})
+		})
+	}
+}
+
+func half(a netip.AddrPort) bool {
+	return a == address(0) || a == address(1)
+}
+
+func TestARepeatedClaimCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		d := deploy(ctx)
+		// Every first answer is lost, so that each claim is sent again.
+		replies := 0
+		d.net.Lose(func(_, _ netip.AddrPort, kind packets.Kind) bool {
+			if kind == packets.KindReply {
+				replies++
+			}
+			return kind == packets.KindReply && replies%2 == 1
+		})
+		all := d.demand(ctx, 5*time.Second)
+		if got, least := worst(all), 0.9*(perSecond*5); got < least {
+			t.Errorf("%.0f taken, want %.0f: claims are counted more than once", got, least)
+		}
+	})
+}
+
+func TestTheDeadAreNotWaitedForForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		d := deploy(ctx)
+		dead := address(3)
+		d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == dead || to == dead })
+		time.Sleep(2 * time.Second)
+		if home, _ := d.members[0].Home("account/a"); home == dead {
+			t.Error("a dead entry is still the home")
+		}
+		if got := d.members[0].Backing(); got != 0.75 {
+			t.Errorf("backing %.2f with three of four alive", got)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/packets/memory.go
@@ -0,0 +1,79 @@
+package packets
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Memory is a network of datagrams inside one process, for tests. It works in
+// the virtual time of testing/synctest.
+type Memory struct {
+	mu      sync.Mutex
+	sockets map[netip.AddrPort]*memorySocket
+	// loses reports whether a datagram is lost.
+	loses func(from, to netip.AddrPort, kind Kind) bool
+}
+
+// NewMemory returns a network without sockets that loses nothing.
+func NewMemory() *Memory {
+	return &Memory{sockets: make(map[netip.AddrPort]*memorySocket)}
+}
+
+// Lose sets which datagrams are lost; nil loses none.
+func (m *Memory) Lose(loses func(from, to netip.AddrPort, kind Kind) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loses = loses
+}
+
+// Socket opens a socket at an address, in place of any earlier one there.
+func (m *Memory) Socket(at netip.AddrPort) Socket {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	const room = 4096
+	s := &memorySocket{net: m, at: at, arriving: make(chan memoryDatagram, room), closed: make(chan struct{})}
+	m.sockets[at] = s
+	return s
+}
+
+type memoryDatagram struct {
+	from netip.AddrPort
+	body []byte
+}
+
+type memorySocket struct {
+	net      *Memory
+	at       netip.AddrPort
+	arriving chan memoryDatagram
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (s *memorySocket) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
+	select {
+	case d := <-s.arriving:
+		return copy(b, d.body), d.from, nil
+	case <-s.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+func (s *memorySocket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
+	s.net.mu.Lock()
+	peer, loses := s.net.sockets[to], s.net.loses
+	s.net.mu.Unlock()
+	if peer == nil || loses != nil && loses(s.at, to, Kind(b[0])) {
+		return len(b), nil
+	}
+	select {
+	case peer.arriving <- memoryDatagram{from: s.at, body: append([]byte(nil), b...)}:
+	default: // as a full buffer loses it
+	}
+	return len(b), nil
+}
+
+func (s *memorySocket) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -42,7 +42,7 @@
 	var best *target
 	var least float64
 	for _, t := range p.list {
-		if !t.room(now, job) || careful && t.health.Aside(now) {
+		if !t.room(job) || careful && t.health.Aside(now) {
 			continue
 		}
 		// A little chance spreads what is equal.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -208,6 +208,11 @@
 	return taken
 }
 
+// Waits reports whether a job waits.
+func (p *Planner) Waits(id JobID) bool {
+	return p.queue.find(id) >= 0
+}
+
 // Waiting is how many jobs wait.
 func (p *Planner) Waiting() int {
 	return len(p.queue.jobs)
--- /dev/null
+++ b/pkg/planner/planner_test.go
@@ -0,0 +1,373 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+)
+
+const start = clock.Millis(1_000_000)
+
+func newPlanner(slots ...int) *planner.Planner {
+	p := planner.New(rand.New(rand.NewPCG(1, 2)))
+	p.SetTargets(start, targets(slots...))
+	return p
+}
+
+func targets(slots ...int) []*routing.Target {
+	list := make([]*routing.Target, 0, len(slots))
+	for i, n := range slots {
+		list = append(list, &routing.Target{ID: ids.Target(fmt.Sprintf("t%d", i)), Service: "s", Slots: n})
+	}
+	return list
+}
+
+func job(number uint64, tier ids.TierRank) planner.Job {
+	return planner.Job{
+		ID: planner.JobID{Entry: "e", Number: number}, Tier: tier,
+		Arrived: start, Objective: clock.Second, Deadline: start + 10*clock.Second,
+	}
+}
+
+func granted(list []planner.Decision) []uint64 {
+	var numbers []uint64
+	for _, d := range list {
+		if g, ok := d.(planner.Grant); ok {
+			numbers = append(numbers, g.ID.Number)
+		}
+	}
+	return numbers
+}
+
+func refused(list []planner.Decision) []planner.Refuse {
+	var all []planner.Refuse
+	for _, d := range list {
+		if r, ok := d.(planner.Refuse); ok {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func TestWhatWaitsIsServedInOrder(t *testing.T) {
+	late := func(j planner.Job) planner.Job {
+		j.Arrived -= 2 * clock.Second
+		j.Returned = true // so that it is not refused
+		return j
+	}
+	returned := func(j planner.Job) planner.Job {
+		j.Returned = true
+		return j
+	}
+	scenarios := []struct {
+		name string
+		jobs []planner.Job
+		want []uint64
+	}{
+		{"a higher tier goes first", []planner.Job{job(1, 2), job(2, 1), job(3, 0)}, []uint64{3, 2, 1}},
+		{"in a tier, what came back goes first", []planner.Job{job(1, 1), returned(job(2, 1))}, []uint64{2, 1}},
+		{"in a tier, what can be in time goes before what is late", []planner.Job{late(job(1, 1)), job(2, 1)}, []uint64{2, 1}},
+		{"a late job of a higher tier goes before a lower tier", []planner.Job{job(1, 2), late(job(2, 1))}, []uint64{2, 1}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			p := newPlanner(1)
+			measure(p, 50, 20) // all at start: the pace is known, nothing is refused
+			p.Submit(start, job(100, 0))
+			if got := granted(p.Decisions()); !slices.Equal(got, []uint64{100}) {
+				t.Fatalf("first grant %v", got)
+			}
+			for _, j := range s.jobs {
+				p.Submit(start, j)
+			}
+			var order []uint64
+			last := uint64(100)
+			for range s.jobs {
+				p.Finish(start, planner.JobID{Entry: "e", Number: last}, planner.Served, 0)
+				got := granted(p.Decisions())
+				if len(got) != 1 {
+					t.Fatalf("grants %v after %d", got, last)
+				}
+				last = got[0]
+				order = append(order, last)
+			}
+			if !slices.Equal(order, s.want) {
+				t.Errorf("order %v, want %v", order, s.want)
+			}
+		})
+	}
+}
+
+// measure lets n jobs of a group run one after another for a while, so that the
+// planner knows its pace.
+func measure(p *planner.Planner, n int, each clock.Millis) clock.Millis {
+	now := start - clock.Millis(n)*each
+	for i := range n {
+		j := job(uint64(1000+i), 9)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		now += each
+		p.Begin(now, j.ID)
+		p.Finish(now, j.ID, planner.Served, 0)
+	}
+	p.Decisions()
+	return now
+}
+
+func TestWhatCannotBeInTimeIsRefusedEarly(t *testing.T) {
+	p := newPlanner(1)
+	now := measure(p, 10, 200)
+	var refusals []planner.Refuse
+	for i := range 30 {
+		j := job(uint64(i), 1)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		refusals = append(refusals, refused(p.Decisions())...)
+	}
+	if len(refusals) < 15 || len(refusals) > 28 {
+		t.Fatalf("%d of 30 refused at a pace of five a second and an objective of one", len(refusals))
+	}
+	for _, r := range refusals {
+		if r.RetryAfter < 300 || r.RetryAfter > 3200 {
+			t.Errorf("retry after %d ms", r.RetryAfter)
+		}
+	}
+}
+
+func TestALowTierIsRefusedWhileHigherOnesKeepComing(t *testing.T) {
+	p := newPlanner(1)
+	now := measure(p, 10, 200)
+	// Higher tiers come as fast as the target serves.
+	for i := range 10 {
+		j := job(uint64(2000+i), 0)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		now += 200
+		p.Finish(now, j.ID, planner.Served, 0)
+	}
+	running := job(1, 0)
+	running.Arrived, running.Deadline = now, now+10*clock.Second
+	p.Submit(now, running)
+	p.Decisions()
+	low := job(2, 5)
+	low.Arrived, low.Deadline = now, now+10*clock.Second
+	p.Submit(now, low)
+	if len(refused(p.Decisions())) != 1 {
+		t.Error("a job was taken that would wait behind all that comes")
+	}
+}
+
+func TestAReturnedJobWaitsButNotToItsEnd(t *testing.T) {
+	p := newPlanner(1)
+	now := measure(p, 10, 500)
+	block := job(1, 0)
+	block.Arrived, block.Deadline = now, now+20*clock.Second
+	p.Submit(now, block)
+	back := job(2, 0)
+	back.Arrived, back.Deadline, back.Returned = now, now+10*clock.Second, true
+	for range 10 {
+		p.Submit(now, back)
+	}
+	p.Decisions()
+	for at := now; at < now+10*clock.Second; at += 50 {
+		p.Submit(at, back) // its entry asks for it while it waits
+		p.Tick(at)
+		if len(refused(p.Decisions())) > 0 {
+			if waited := at - now; waited < 4*clock.Second || waited > 5*clock.Second {
+				t.Errorf("refused after %d ms of 10 s", waited)
+			}
+			return
+		}
+	}
+	t.Error("held to its end")
+}
+
+func TestAStuckTargetIsSetAside(t *testing.T) {
+	p := newPlanner(4, 4)
+	now := measure(p, 20, 20)
+	stuck := map[ids.Target]int{}
+	for i := range 40 {
+		j := job(uint64(i), 0)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		for _, d := range p.Decisions() {
+			g, ok := d.(planner.Grant)
+			if !ok {
+				continue
+			}
+			if g.Target == "t1" {
+				stuck["t1"]++ // it never begins
+				continue
+			}
+			p.Begin(now+20, g.ID)
+			p.Finish(now+20, g.ID, planner.Served, 0)
+		}
+		now += 100
+		p.Tick(now)
+	}
+	if stuck["t1"] > 4 {
+		t.Errorf("a silent target got %d requests", stuck["t1"])
+	}
+}
+
+func TestAFasterTargetGetsMore(t *testing.T) {
+	p := newPlanner(8, 8)
+	now := start
+	given := map[ids.Target]int{}
+	type ending struct {
+		id planner.JobID
+		at clock.Millis
+	}
+	var open []ending
+	for i := range 600 {
+		j := job(uint64(i), 0)
+		j.Prompt, j.Output = 500, 60
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		for _, d := range p.Decisions() {
+			g, ok := d.(planner.Grant)
+			if !ok {
+				continue
+			}
+			given[g.Target]++
+			slow := clock.Millis(1)
+			if g.Target == "t1" {
+				slow = 5
+			}
+			p.Begin(now+20*slow, g.ID)
+			open = append(open, ending{id: g.ID, at: now + 120*slow})
+		}
+		now += 50
+		open = slices.DeleteFunc(open, func(e ending) bool {
+			if e.at > now {
+				return false
+			}
+			p.Finish(now, e.id, planner.Served, 10)
+			return true
+		})
+	}
+	if given["t0"] < 2*given["t1"] {
+		t.Errorf("five times faster target got %d, the other %d", given["t0"], given["t1"])
+	}
+}
+
+func TestAPlannerThatBeginsAnewLearnsWhatRuns(t *testing.T) {
+	p := newPlanner(2)
+	p.Restore(start, job(1, 0), "t0", true)
+	p.Restore(start, job(2, 0), "t0", false)
+	p.Submit(start, job(3, 0))
+	if got := granted(p.Decisions()); len(got) != 0 {
+		t.Fatalf("granted %v on a target that others fill", got)
+	}
+	later := start + clock.Second
+	p.Submit(later, job(3, 0))
+	p.Keep(later, "e", func(id planner.JobID) bool { return id.Number == 1 })
+	if got := granted(p.Decisions()); !slices.Equal(got, []uint64{3}) {
+		t.Errorf("granted %v after a request was no longer listed", got)
+	}
+}
+
+func TestWithoutTargetsNothingWaits(t *testing.T) {
+	p := newPlanner()
+	p.Submit(start, job(1, 0))
+	got := refused(p.Decisions())
+	if len(got) != 1 || !got[0].Empty || got[0].RetryAfter <= 0 {
+		t.Errorf("decided %+v", got)
+	}
+}
+
+// TestRandomHistories checks, over random histories, that no target runs more
+// than its slots, that no job is granted twice, and that none is granted while
+// one of a higher tier that could have had the place waits.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := []int{2, 3, 1}
+		p := newPlanner(slots...)
+		now := start
+		h := history{t: t, p: p, running: map[uint64]ids.Target{}, load: map[ids.Target]int{}, tiers: map[uint64]ids.TierRank{}, waiting: map[uint64]bool{}}
+		for i := range rapid.IntRange(20, 120).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 80).Draw(t, "pause"))
+			h.step(now, uint64(i+1))
+			h.check(slots)
+		}
+	})
+}
+
+type history struct {
+	t       *rapid.T
+	p       *planner.Planner
+	running map[uint64]ids.Target
+	load    map[ids.Target]int
+	tiers   map[uint64]ids.TierRank
+	waiting map[uint64]bool
+}
+
+func (h *history) step(now clock.Millis, number uint64) {
+	switch rapid.IntRange(0, 4).Draw(h.t, "do") {
+	case 0, 1:
+		j := job(number, ids.TierRank(rapid.IntRange(0, 2).Draw(h.t, "tier")))
+		j.Arrived, j.Deadline = now, now+5*clock.Second
+		h.tiers[number] = j.Tier
+		h.waiting[number] = true
+		h.p.Submit(now, j)
+	case 2:
+		for n := range h.running {
+			h.p.Begin(now, planner.JobID{Entry: "e", Number: n})
+			break
+		}
+	case 3:
+		for n, at := range h.running {
+			outcome := planner.Outcome(rapid.IntRange(0, 5).Draw(h.t, "outcome"))
+			delete(h.running, n)
+			h.load[at]--
+			h.p.Finish(now, planner.JobID{Entry: "e", Number: n}, outcome, 5)
+			break
+		}
+	case 4:
+		h.p.Tick(now)
+	}
+	h.take()
+}
+
+func (h *history) take() {
+	for _, d := range h.p.Decisions() {
+		switch d := d.(type) {
+		case planner.Grant:
+			if _, twice := h.running[d.ID.Number]; twice || !h.waiting[d.ID.Number] {
+				h.t.Fatalf("job %d granted though it does not wait", d.ID.Number)
+			}
+			delete(h.waiting, d.ID.Number)
+			for n := range h.waiting {
+				if h.tiers[n] < h.tiers[d.ID.Number] && !h.decidedSoon(n) {
+					h.t.Fatalf("job %d of tier %d granted while %d of tier %d waits", d.ID.Number, h.tiers[d.ID.Number], n, h.tiers[n])
+				}
+			}
+			h.running[d.ID.Number] = d.Target
+			h.load[d.Target]++
+		case planner.Refuse:
+			delete(h.waiting, d.ID.Number)
+		}
+	}
+}
+
+// decidedSoon reports whether the planner no longer holds a job: it was dropped
+// as its entry stopped asking.
+func (h *history) decidedSoon(number uint64) bool {
+	return !h.p.Waits(planner.JobID{Entry: "e", Number: number})
+}
+
+func (h *history) check(slots []int) {
+	for i, n := range slots {
+		if got := h.load[ids.Target(fmt.Sprintf("t%d", i))]; got > n {
+			h.t.Fatalf("target t%d runs %d in %d slots", i, got, n)
+		}
+	}
+}
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -39,7 +39,7 @@
 )
 
 // room reports whether a target can take a job now.
-func (t *target) room(now clock.Millis, job *Job) bool {
+func (t *target) room(job *Job) bool {
 	if !t.offered || len(t.runs) >= t.limit() || slices.Contains(job.Exclude, t.ID) {
 		return false
 	}
--- /dev/null
+++ b/pkg/quota/quota_test.go
@@ -0,0 +1,141 @@
+package quota_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/quota"
+	"quaydock/pkg/routing"
+)
+
+const start = clock.Millis(1_000_000)
+
+// TestAllowanceHoldsInEveryWindow takes at random times and sizes, and checks
+// each window against rate x window + burst, and one request on top.
+func TestAllowanceHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := &routing.Account{Name: "a", PerSecond: 1000, Burst: 500, CountsTokens: true}
+		share := rapid.Float64Range(0.1, 1).Draw(t, "share")
+		const largest, window = 300.0, 4 * clock.Second
+		a := quota.NewAllowance()
+		type taken struct {
+			at    clock.Millis
+			units float64
+		}
+		var all []taken
+		now := start
+		for range rapid.IntRange(10, 200).Draw(t, "requests") {
+			now += clock.Millis(rapid.IntRange(0, 200).Draw(t, "pause"))
+			units := rapid.Float64Range(1, largest).Draw(t, "units")
+			ok, wait := a.Take(now, account, share, units)
+			if ok {
+				all = append(all, taken{now, units})
+			} else if wait <= 0 {
+				t.Fatalf("refused without a time to come back")
+			}
+		}
+		for i := range all {
+			sum := 0.0
+			for _, x := range all[i:] {
+				if x.at-all[i].at > window {
+					break
+				}
+				sum += x.units
+			}
+			bound := share*(account.PerSecond*4+account.Burst) + largest
+			if sum > bound+1e-6 {
+				t.Fatalf("%.0f in a window, bound %.0f", sum, bound)
+			}
+		}
+	})
+}
+
+func TestAllowance(t *testing.T) {
+	account := &routing.Account{Name: "a", PerSecond: 100, Burst: 100, CountsTokens: true}
+	free := &routing.Account{Name: "free"}
+	scenarios := []struct {
+		name    string
+		account *routing.Account
+		takes   []float64
+		pause   clock.Millis
+		want    []bool
+	}{
+		{"without a rate there is no bound", free, []float64{1e9, 1e9}, 0, []bool{true, true}},
+		{"a fresh bucket is half full", account, []float64{50, 1}, 0, []bool{true, false}},
+		{"a large request leaves a debt", account, []float64{250, 1, 1}, clock.Second, []bool{true, false, false}},
+		{"the rate fills it again", account, []float64{50, 50, 50}, clock.Second / 2, []bool{true, true, true}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			a := quota.NewAllowance()
+			now := start
+			for i, units := range s.takes {
+				if got, _ := a.Take(now, s.account, 1, units); got != s.want[i] {
+					t.Errorf("take %d: %t", i, got)
+				}
+				now += s.pause
+			}
+		})
+	}
+}
+
+func TestWhatIsGivenBackMayBeTakenAgain(t *testing.T) {
+	account := &routing.Account{Name: "a", PerSecond: 1, Burst: 100, CountsTokens: true}
+	a := quota.NewAllowance()
+	a.Take(start, account, 1, 50)
+	a.Return("a", 50)
+	if ok, _ := a.Take(start, account, 1, 50); !ok {
+		t.Error("what did not run still counts")
+	}
+}
+
+// TestRetriesOfAllEntriesHoldTheBound lets several entries repeat whenever they
+// may, and checks the sum in each window against ratio x requests + slack.
+func TestRetriesOfAllEntriesHoldTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bounds := quota.RetryBounds{Ratio: 0.2, Slack: 20, Window: 10 * clock.Second}
+		const entries = 3
+		budgets := make([]*quota.RetryBudget, entries)
+		for i := range budgets {
+			budgets[i] = quota.NewRetryBudget(bounds)
+		}
+		var requests, repeats []clock.Millis
+		now := start
+		for range rapid.IntRange(50, 400).Draw(t, "events") {
+			now += clock.Millis(rapid.IntRange(0, 100).Draw(t, "pause"))
+			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
+			if rapid.Bool().Draw(t, "repeat") {
+				if b.Repeat(now, "s", entries) {
+					repeats = append(repeats, now)
+				}
+				continue
+			}
+			b.Request(now, "s")
+			requests = append(requests, now)
+		}
+		for _, from := range repeats {
+			bound := bounds.Ratio*float64(most(requests, from, bounds.Window)) + bounds.Slack
+			if got := within(repeats, from, from+bounds.Window); float64(got) > bound {
+				t.Fatalf("%d repeats in a window, bound %.1f", got, bound)
+			}
+		}
+	})
+}
+
+// most is how many requests count for a window: its own, those of the window
+// before, or of the one half a window before.
+func most(list []clock.Millis, from, window clock.Millis) int {
+	return max(within(list, from, from+window), within(list, from-window, from), within(list, from-window/2, from+window/2))
+}
+
+func within(list []clock.Millis, from, to clock.Millis) int {
+	n := 0
+	for _, at := range list {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/roster/roster_test.go
@@ -0,0 +1,132 @@
+package roster_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
+	"quaydock/pkg/roster"
+	"quaydock/pkg/routing"
+)
+
+func parse(id string, document []byte) (*routing.Target, error) {
+	if len(document) == 0 {
+		return nil, errors.New("empty")
+	}
+	return &routing.Target{ID: ids.Target(id), Service: "s", Leaving: string(document) == "leaving"}, nil
+}
+
+type bed struct {
+	common.Common
+	*roster.Roster
+	directory *routing.Directory
+}
+
+func newBed() *bed {
+	b := &bed{Common: commontest.New(network.NewMemory(nil))}
+	b.Roster = roster.New(b.Common, parse, func(d *routing.Directory) { b.directory = d })
+	return b
+}
+
+func (b *bed) now() follow.Proof {
+	return follow.Proof{AskedAt: b.Clock.Now(), CurrentAt: b.Clock.Now()}
+}
+
+func (b *bed) lists(id ids.Target) bool {
+	for _, t := range b.directory.Serving("s") {
+		if t.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func up(ids ...string) []follow.Row {
+	var rows []follow.Row
+	for _, id := range ids {
+		rows = append(rows, follow.Row{Key: id, Value: []byte("up")})
+	}
+	return rows
+}
+
+func gone() []follow.Row {
+	return []follow.Row{{Key: "a", Gone: true}}
+}
+
+func TestRoster(t *testing.T) {
+	away := errors.New("away")
+	scenarios := []struct {
+		name string
+		do   func(b *bed)
+		want bool // whether "a" may get work at the end
+	}{
+		{"a target that leaves gets nothing more", func(b *bed) {
+			b.Changed([]follow.Row{{Key: "a", Value: []byte("leaving")}}, b.now())
+		}, false},
+		{"a target that is gone is off at once", func(b *bed) {
+			b.Changed(gone(), b.now())
+		}, false},
+		{"a target missing in the whole list is off at once", func(b *bed) {
+			b.Whole(up("b"), b.now())
+		}, false},
+		{"an entry that lapsed in an outage is kept for a while", func(b *bed) {
+			b.Lost(away)
+			b.Changed(gone(), b.now())
+			time.Sleep(2 * time.Second)
+		}, true},
+		{"it is gone if it does not come back", func(b *bed) {
+			b.Lost(away)
+			b.Whole(up("b"), b.now())
+			time.Sleep(2500 * time.Millisecond)
+		}, false},
+		{"it stays if it comes back", func(b *bed) {
+			b.Lost(away)
+			b.Changed(gone(), b.now())
+			time.Sleep(time.Second)
+			b.Changed(up("a"), b.now())
+			time.Sleep(5 * time.Second)
+		}, true},
+		{"long after the outage, gone is gone", func(b *bed) {
+			b.Lost(away)
+			b.Changed(nil, b.now())
+			time.Sleep(3 * time.Second)
+			b.Changed(gone(), b.now())
+		}, false},
+		// Regression (acocarta-quay hunt-fd76-3): the first question after an
+		// outage was held for 3 s, and the target that left in that time was
+		// kept for another 2.2 s.
+		{"the store was back when the question was sent", func(b *bed) {
+			b.Lost(away)
+			asked := b.Clock.Now()
+			time.Sleep(3 * time.Second)
+			b.Changed(gone(), follow.Proof{AskedAt: asked, CurrentAt: b.Clock.Now()})
+		}, false},
+		{"a row that cannot be read changes nothing", func(b *bed) {
+			b.Changed([]follow.Row{{Key: "a"}}, b.now())
+		}, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed()
+				b.Whole(up("a", "b"), b.now())
+				time.Sleep(clock.Second.Duration())
+				s.do(b)
+				synctest.Wait()
+				if got := b.lists("a"); got != s.want {
+					t.Errorf("offered: %t", got)
+				}
+				if !b.lists("b") {
+					t.Error("another target was lost")
+				}
+			})
+		})
+	}
+}
