Use no target that the entry itself knows to be leaving

Ruled out: late news at the asking entry (it logged the change 2 s before). Change: an entry declines a grant for a target that it knows to be leaving or does not know, tells the home, and asks on under a new number. Acquire is split up.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	gosync "sync"
 	"time"
 
@@ -93,56 +94,84 @@
 	return home
 }
 
+// pending is a request that has no place yet.
+type pending struct {
+	want    schedule.Ask
+	number  uint64
+	answers chan answer
+	home    netip.AddrPort // whom it was last asked of
+	// silence counts the asks since the home was last heard. It begins below
+	// zero while the home is known to hold the request.
+	silence int
+}
+
 // Acquire waits for a place.
 func (d *Dispatcher) Acquire(ctx context.Context, want schedule.Ask) (schedule.Place, *schedule.Refused, error) {
-	number, answers := d.enter()
-	defer d.leave(number)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	<-timer.C
-	unanswered := 0
-	var asked netip.AddrPort
+	p := &pending{want: want}
+	d.enter(p)
+	defer func() { d.leave(p.number) }()
 	for {
-		home := d.ask(number, &want)
-		if home != asked {
-			asked, unanswered = home, 0
-		}
-		unanswered++
-		wait := askAgain
-		if unanswered <= 0 {
-			wait = pollEvery
-		}
-		timer.Reset(wait.Duration())
-		for waiting := true; waiting; {
-			select {
-			case a := <-answers:
-				if a.Verdict != queued {
-					return d.final(number, &want, a)
-				}
-				unanswered = -maxPolls
-			case <-timer.C:
-				waiting = false
-			case <-ctx.Done():
-				d.step(step{Number: number, Service: want.Service, Progress: withdrawn})
-				return nil, nil, context.Cause(ctx)
+		a, err := d.askOnce(ctx, p)
+		switch {
+		case err != nil:
+			d.step(step{Number: p.number, Service: want.Service, Progress: withdrawn})
+			return nil, nil, err
+		case a == nil && p.silence >= maxAsks:
+			return d.alone(ctx, p)
+		case a == nil:
+		case a.Verdict == refused, a.Verdict == noTarget:
+			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, RetryAfter: a.RetryAfter}, nil
+		case a.Verdict == granted:
+			if t := d.offered(a.Target); t != nil {
+				return d.begin(p.number, &p.want, t, nil), nil, nil
 			}
+			d.decline(p, a.Target)
 		}
-		if unanswered >= maxAsks {
-			return d.alone(ctx, number, &want)
+	}
+}
+
+// askOnce asks the home and returns its next final answer, or nil if it is time
+// to ask again.
+func (d *Dispatcher) askOnce(ctx context.Context, p *pending) (*answer, error) {
+	home := d.ask(p)
+	if home != p.home {
+		p.home, p.silence = home, 0
+	}
+	wait := askAgain
+	if p.silence < 0 {
+		wait = pollEvery
+	}
+	p.silence++
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-p.answers:
+			if a.Verdict != queued {
+				return &a, nil
+			}
+			p.silence = -maxPolls
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
 		}
 	}
 }
 
-// maxPolls is how many polls of a waiting request may stay without an answer.
+// maxPolls is how many polls of a waiting request may stay without an answer
+// before the home counts as silent.
 const maxPolls = 3
 
-func (d *Dispatcher) enter() (uint64, chan answer) {
+// enter gives a request a number under which the home knows it.
+func (d *Dispatcher) enter(p *pending) {
+	const room = 8 // answers that have not been looked at
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.number++
-	answers := make(chan answer, 8)
-	d.waiting[d.number] = answers
-	return d.number, answers
+	p.number = d.number
+	p.answers = make(chan answer, room)
+	d.waiting[p.number] = p.answers
 }
 
 func (d *Dispatcher) leave(number uint64) {
@@ -151,13 +180,14 @@
 	delete(d.waiting, number)
 }
 
-func (d *Dispatcher) ask(number uint64, want *schedule.Ask) netip.AddrPort {
+func (d *Dispatcher) ask(p *pending) netip.AddrPort {
 	now := d.Clock.Now()
-	return toHome(d, want.Service, packets.KindAsk, d.home.asked, &ask{
-		Number: number, Service: want.Service, Account: want.Account, Tier: want.Tier,
-		Prompt: want.Prompt, Output: want.Output,
-		Waited: now - want.Arrived, Objective: want.Objective, Remaining: want.Deadline - now,
-		Returned: want.Returned, Exclude: want.Exclude,
+	w := &p.want
+	return toHome(d, w.Service, packets.KindAsk, d.home.asked, &ask{
+		Number: p.number, Service: w.Service, Account: w.Account, Tier: w.Tier,
+		Prompt: w.Prompt, Output: w.Output,
+		Waited: now - w.Arrived, Objective: w.Objective, Remaining: w.Deadline - now,
+		Returned: w.Returned, Exclude: w.Exclude,
 	})
 }
 
@@ -182,33 +212,38 @@
 	}
 }
 
-// final acts on an answer that ends the wait.
-func (d *Dispatcher) final(number uint64, want *schedule.Ask, a answer) (schedule.Place, *schedule.Refused, error) {
-	switch a.Verdict {
-	case granted:
-		if t := d.view.Directory().Target(a.Target); t != nil {
-			return d.begin(number, want, t, nil), nil, nil
-		}
-		d.step(step{Number: number, Service: want.Service, Progress: withdrawn})
-		return nil, &schedule.Refused{RetryAfter: a.RetryAfter}, nil
-	case refused:
-		return nil, &schedule.Refused{Overloaded: true, RetryAfter: a.RetryAfter}, nil
-	default:
-		return nil, &schedule.Refused{RetryAfter: a.RetryAfter}, nil
+// offered returns a target if it may get work as far as this entry knows, or
+// nil. A home that is cut off from the store may not have heard that it leaves.
+func (d *Dispatcher) offered(id ids.Target) *routing.Target {
+	t := d.view.Directory().Target(id)
+	if t == nil || t.Leaving {
+		return nil
 	}
+	return t
+}
+
+// decline gives back a grant for a target that is not to be used. The request
+// goes on under a new number.
+func (d *Dispatcher) decline(p *pending, id ids.Target) {
+	d.Metrics.Links.Add("grants_declined", 1)
+	d.leave(p.number)
+	d.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: planner.Moved})
+	p.want.Exclude = append(slices.Clone(p.want.Exclude), id)
+	p.silence = 0
+	d.enter(p)
 }
 
 // alone places a request by this entry's own counts. The home learns of it by
 // the next sync.
-func (d *Dispatcher) alone(ctx context.Context, number uint64, want *schedule.Ask) (schedule.Place, *schedule.Refused, error) {
+func (d *Dispatcher) alone(ctx context.Context, p *pending) (schedule.Place, *schedule.Refused, error) {
 	d.Metrics.Links.Add("placed_alone", 1)
-	d.step(step{Number: number, Service: want.Service, Progress: withdrawn})
-	p, refused, err := d.local.Acquire(ctx, *want)
-	if p == nil {
+	d.step(step{Number: p.number, Service: p.want.Service, Progress: withdrawn})
+	own, refused, err := d.local.Acquire(ctx, p.want)
+	if own == nil {
 		return nil, refused, err
 	}
 	// A new number: the home may still act on the old one.
-	return d.begin(d.fresh(), want, p.Target(), p), nil, nil
+	return d.begin(d.fresh(), &p.want, own.Target(), own), nil, nil
 }
 
 func (d *Dispatcher) fresh() uint64 {
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -34,6 +34,8 @@
 	common.Common
 	net     *packets.Memory
 	entries []*dispatch.Dispatcher
+	views   []*view.View
+	targets []*routing.Target
 	members []*membership.Members
 	stops   []context.CancelFunc
 
@@ -60,9 +62,8 @@
 	for i := range entryCount {
 		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: []byte(address(i).String())})
 	}
-	var targets []*routing.Target
 	for i := range targetCount {
-		targets = append(targets, &routing.Target{ID: ids.Target(fmt.Sprint("t", i)), Service: "s", Slots: slots})
+		b.targets = append(b.targets, &routing.Target{ID: ids.Target(fmt.Sprint("t", i)), Service: "s", Slots: slots})
 	}
 	for i := range entryCount {
 		ctx, stop := context.WithCancel(context.Background())
@@ -70,13 +71,14 @@
 		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), noRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		v := view.New(b.Check)
-		v.SetDirectory(routing.NewDirectory(targets))
+		v.SetDirectory(routing.NewDirectory(b.targets))
 		d := dispatch.New(b.Common, address(i), v, m, link, schedule.NewLocal(b.Common, v))
 		go link.Run(ctx)
 		go m.Run(ctx)
 		go d.Run(ctx)
 		b.entries = append(b.entries, d)
 		b.members = append(b.members, m)
+		b.views = append(b.views, v)
 		b.stops = append(b.stops, stop)
 	}
 	t.Cleanup(func() {
@@ -228,3 +230,29 @@
 		}
 	})
 }
+
+// Regression (vcn-quay hunt-c21e-3): the home was cut off from the store, and
+// granted a target that its askers knew to be leaving.
+func TestATargetThatLeavesIsNotUsedThoughTheHomeOffersIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		home := b.home(-1)
+		var known []*routing.Target
+		for i, target := range b.targets {
+			copied := *target
+			copied.Leaving = i != 0
+			known = append(known, &copied)
+		}
+		asker := (home + 1) % entryCount
+		b.views[asker].SetDirectory(routing.NewDirectory(known))
+		b.load([]int{asker}, 20, 100*time.Millisecond, 50*time.Millisecond)
+		if b.served != 20 {
+			t.Errorf("%d of 20 served", b.served)
+		}
+		for id := range b.running {
+			if id != "t0" {
+				t.Errorf("%s was used though it is leaving", id)
+			}
+		}
+	})
+}
