Give a job only a target on which it is in time, and report what planners believe

Cause: targets differ 5 times in speed (factors 0.6 to 3.9 in the new log line); a free slow one got the next job, however long its prompt, and a long prompt there pauses every answer beyond its gap. Change: a job leaves room on which it would be late to those behind it, as long as another target would have it in time; a prompt whose reading breaks the pause of others costs; events and the longest pause go with the ask.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -185,7 +185,7 @@
 	w := &p.want
 	return toHome(d, w.Service, packets.KindAsk, d.home.asked, &ask{
 		Number: p.number, Service: w.Service, Account: w.Account, Tier: w.Tier,
-		Prompt: w.Prompt, Output: w.Output,
+		Prompt: w.Prompt, Events: w.Events, Gap: w.Gap,
 		Waited: now - w.Arrived, Objective: w.Objective, Remaining: w.Deadline - now,
 		Returned: w.Returned, Exclude: w.Exclude,
 	})
@@ -298,7 +298,7 @@
 		w := p.want
 		lists[w.Service] = append(lists[w.Service], item{
 			Number: p.number, Target: p.target.ID, Begun: p.begun,
-			Tier: w.Tier, Prompt: w.Prompt, Output: w.Output, Account: w.Account,
+			Tier: w.Tier, Prompt: w.Prompt, Events: w.Events, Account: w.Account,
 		})
 	}
 	d.mu.Unlock()
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	gosync "sync"
 
+	"github.com/sirupsen/logrus"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
@@ -26,6 +29,7 @@
 	planner   *planner.Planner
 	directory *routing.Directory
 	heard     map[string]clock.Millis // entries
+	reported  clock.Millis
 }
 
 // Home runs the planners that this entry is in charge of.
@@ -172,7 +176,7 @@
 			it := &s.Items[i]
 			listed[it.Number] = true
 			id := planner.JobID{Entry: from.String(), Number: it.Number}
-			p.Restore(now, planner.Job{ID: id, Account: it.Account, Tier: it.Tier, Prompt: it.Prompt, Output: it.Output}, it.Target, it.Begun)
+			p.Restore(now, planner.Job{ID: id, Account: it.Account, Tier: it.Tier, Prompt: it.Prompt, Events: it.Events}, it.Target, it.Begun)
 			if it.Begun {
 				p.Begin(now, id)
 			}
@@ -227,7 +231,39 @@
 			g.planner.SetTargets(now, directory.Serving(service))
 		}
 		g.planner.Tick(now)
+		h.report(now, service, g)
 		decided = append(decided, g.planner.Decisions()...)
 	}
 	return decided
 }
+
+// reportEvery is how often a planner's beliefs are logged.
+const reportEvery = 5 * clock.Second
+
+func (h *Home) report(now clock.Millis, service ids.Service, g *hosted) {
+	if now-g.reported < reportEvery {
+		return
+	}
+	g.reported = now
+	s := g.planner.Summary(now)
+	h.Log.WithFields(logrus.Fields{
+		"service": string(service), "targets": s.Targets, "aside": s.Aside, "slots": s.Slots, "running": s.Running,
+		"waiting": s.Waiting, "per_second": round(s.PerSecond),
+		"first_ms": round(s.FirstBase), "first_per_1000_tokens_ms": round(s.FirstPerThousand),
+		"pause_ms": round(s.PauseBase), "pause_per_run_ms": round(s.PausePerRun), "factors": factors(s.Factors),
+	}).Info("planning")
+}
+
+// round keeps a tenth, for logs.
+func round(x float64) float64 {
+	const tenth = 10
+	return math.Round(x*tenth) / tenth
+}
+
+func factors(m map[ids.Target]float64) map[string]float64 {
+	rounded := make(map[string]float64, len(m))
+	for id, f := range m {
+		rounded[string(id)] = round(f)
+	}
+	return rounded
+}
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -22,7 +22,8 @@
 	Account   ids.Account
 	Tier      ids.TierRank
 	Prompt    ids.Tokens
-	Output    ids.Tokens
+	Events    int
+	Gap       clock.Millis
 	Waited    clock.Millis
 	Objective clock.Millis
 	Remaining clock.Millis
@@ -33,7 +34,7 @@
 func (a *ask) job(from netip.AddrPort, now clock.Millis) planner.Job {
 	return planner.Job{
 		ID: planner.JobID{Entry: from.String(), Number: a.Number}, Account: a.Account, Tier: a.Tier,
-		Prompt: a.Prompt, Output: a.Output, Arrived: now - a.Waited, Objective: a.Objective,
+		Prompt: a.Prompt, Events: a.Events, Gap: a.Gap, Arrived: now - a.Waited, Objective: a.Objective,
 		Deadline: now + a.Remaining, Returned: a.Returned, Exclude: a.Exclude,
 	}
 }
@@ -94,7 +95,7 @@
 	Begun   bool
 	Tier    ids.TierRank
 	Prompt  ids.Tokens
-	Output  ids.Tokens
+	Events  int
 	Account ids.Account
 }
 
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -94,7 +94,7 @@
 func (d *delivery) acquire(ctx context.Context, q *request) (schedule.Place, *Refusal) {
 	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{
 		ID: q.ID, Service: q.service, Account: q.accountName(), Tier: q.tier(),
-		Prompt: q.Prompt, Output: q.output(),
+		Prompt: q.Prompt, Events: d.admission.events(q), Gap: q.route.EventGap,
 		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline,
 		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Exclude: q.tried,
 	})
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -47,10 +47,18 @@
 	return r.account.Name
 }
 
-// output estimates the tokens of the answer.
-func (r *request) output() ids.Tokens {
-	if r.OutputGuess > 0 {
-		return min(r.OutputGuess, max(r.MostOut, 1))
+// events guesses how many events a request's answer will have.
+func (a *admission) events(q *request) int {
+	if q.route.Kind != routing.Stream {
+		return 0
 	}
-	return r.MostOut / 2
+	tokens := q.OutputGuess
+	if tokens <= 0 {
+		tokens = q.MostOut
+	}
+	perEvent := 1
+	if s := a.view.Catalog().Service(q.service); s != nil && s.Engine != nil {
+		perEvent = max(1, s.Engine.EventTokens)
+	}
+	return int(tokens)/perEvent + 1
 }
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -21,10 +21,13 @@
 	ID      JobID
 	Account ids.Account
 	Tier    ids.TierRank
-	// Prompt and Output estimate the size of a generation in tokens, 0 for other
-	// calls.
+	// Prompt is the size of a generation's prompt, Events how many events its
+	// answer will have, as a guess; both are 0 for other calls.
 	Prompt ids.Tokens
-	Output ids.Tokens
+	Events int
+	// Gap is the longest pause between events for the answer to be in time; 0
+	// if there is no bound.
+	Gap clock.Millis
 	// Arrived is when the request came to its entry, Objective the time within
 	// which its answer, or the first event of it, is in time; Deadline is the
 	// moment after which it is useless.
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -12,11 +12,15 @@
 	// disturbWeight is what it counts that a prompt, while it is read, holds up
 	// each answer that runs beside it.
 	disturbWeight = 0.3
-	// eventTokens is how many tokens of output make about one event.
-	eventTokens = 6
+	// lateCost is what it counts, in ms, that an answer becomes late.
+	lateCost = 400.0
+	// gapPart is the part of the longest pause that is planned with.
+	gapPart = 0.85
 )
 
-// place grants what there is room for, in the queue's order.
+// place grants what there is room for, in the queue's order. A job that would
+// be late on the targets with room, but not on others, leaves the room to those
+// behind it.
 func (p *Planner) place(now clock.Millis) {
 	if len(p.queue.jobs) == 0 {
 		return
@@ -24,7 +28,7 @@
 	p.queue.sort(now)
 	kept := p.queue.jobs[:0]
 	for _, w := range p.queue.jobs {
-		if t := p.best(now, &w.Job); t != nil {
+		if t := p.best(now, w); t != nil {
 			p.runs[w.ID] = t.start(now, w.Job)
 			p.decide(Grant{ID: w.ID, Target: t.ID})
 			continue
@@ -37,16 +41,17 @@
 
 // best returns the target with room that serves a job at the least cost, or
 // nil. Targets set aside are left out while enough others are there.
-func (p *Planner) best(now clock.Millis, job *Job) *target {
+func (p *Planner) best(now clock.Millis, w *waiting) *target {
 	careful := p.manyWell(now)
+	choosy := p.canBeInTime(now, w)
 	var best *target
 	var least float64
 	for _, t := range p.list {
-		if !t.room(job) || careful && t.health.Aside(now) {
+		if !t.room(&w.Job) || careful && t.health.Aside(now) || choosy && !p.inTime(now, t, w, t.reading) {
 			continue
 		}
 		// A little chance spreads what is equal.
-		cost := p.cost(t, job) * (1 + jitter*p.random.Float64())
+		cost := p.cost(t, &w.Job) * (1 + jitter*p.random.Float64())
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -56,6 +61,24 @@
 
 const jitter = 0.05
 
+// canBeInTime reports whether any target, with or without room, would have a
+// job's first event in time if it came to it soon.
+func (p *Planner) canBeInTime(now clock.Millis, w *waiting) bool {
+	for _, t := range p.list {
+		if !t.health.Aside(now) && p.inTime(now, t, w, 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// inTime reports whether a job's first event would be in time on a target that
+// has so much to read first.
+func (p *Planner) inTime(now clock.Millis, t *target, w *waiting, reading ids.Tokens) bool {
+	first := t.factor.get() * p.speeds.firstTime(reading+w.Prompt)
+	return now+clock.Millis(first) <= w.Arrived+w.Objective
+}
+
 // manyWell reports whether at least half of the targets are not set aside. If
 // fewer are, leaving out the others would drown them.
 func (p *Planner) manyWell(now clock.Millis) bool {
@@ -68,14 +91,21 @@
 	return 2*well >= len(p.list)
 }
 
-// cost estimates in ms what it takes to serve a job on a target.
+// cost estimates in ms what it takes to serve a job on a target: the time to
+// its first event, a part of the time to its end, and what it does to the
+// answers that run there.
 func (p *Planner) cost(t *target, job *Job) float64 {
 	running := len(t.runs)
-	first := p.speeds.firstTime(t.reading + job.Prompt)
-	events := float64(job.Output) / eventTokens
-	rest := events * p.speeds.pauseTime(running+1)
-	disturb := p.speeds.readTime(job.Prompt) * float64(running)
-	return t.factor.get() * (first + endWeight*rest + disturbWeight*disturb)
+	f := t.factor.get()
+	first := f * p.speeds.firstTime(t.reading+job.Prompt)
+	pause := f * p.speeds.pauseTime(running+1)
+	rest := float64(job.Events) * pause
+	reads := f * p.speeds.readTime(job.Prompt)
+	cost := first + endWeight*rest + disturbWeight*reads*float64(running)
+	if job.Gap > 0 && pause+reads+f*p.speeds.readTime(t.reading) > gapPart*float64(job.Gap) {
+		cost += lateCost * float64(running)
+	}
+	return cost
 }
 
 // leastFirst estimates the time to a job's first event on the best target.
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -229,7 +229,7 @@
 	var open []ending
 	for i := range 600 {
 		j := job(uint64(i), 0)
-		j.Prompt, j.Output = 500, 60
+		j.Prompt, j.Events = 500, 10
 		j.Arrived, j.Deadline = now, now+10*clock.Second
 		p.Submit(now, j)
 		for _, d := range p.Decisions() {
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -46,7 +46,7 @@
 	case a.late(now) != b.late(now):
 		return either(b.late(now))
 	case a.late(now):
-		return int((a.Prompt + a.Output) - (b.Prompt + b.Output))
+		return int(a.Prompt - b.Prompt)
 	case a.Returned != b.Returned:
 		return either(a.Returned)
 	default:
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -18,9 +18,12 @@
 	Account ids.Account
 	// Tier is the rank among all requests.
 	Tier ids.TierRank
-	// Prompt and Output estimate the size of a generation, 0 for other calls.
+	// Prompt is the size of a generation's prompt, Events how many events its
+	// answer will have, as a guess, and Gap the longest pause between them; 0
+	// for other calls.
 	Prompt ids.Tokens
-	Output ids.Tokens
+	Events int
+	Gap    clock.Millis
 	// Arrived is when the request came, Objective the time within which it
 	// earns its whole credit, Deadline the moment after which it is useless.
 	Arrived   clock.Millis
