--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -16,6 +16,7 @@
 	"quaydock/pkg/forward"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/schedule"
+	"quaydock/pkg/telemetry"
 	"quaydock/pkg/view"
 )
 
@@ -45,6 +46,7 @@
 	delivery  *delivery
 	leaving   atomic.Bool
 	running   atomic.Int64
+	ordinary  atomic.Int64 // answers given
 }
 
 // NewController returns a controller over its parts.
@@ -96,25 +98,46 @@
 // be completed, so that it does not look whole.
 func (c *Controller) end(q *request, refusal *Refusal, out *answerWriter) {
 	if refusal == nil {
-		c.Metrics.Requests.Add("answered", 1)
+		c.answered(q)
 		return
 	}
 	c.Metrics.Requests.Add(refusal.Cause.String(), 1)
-	c.log(q, refusal, out)
+	c.refused(q, refusal, out)
 	if out.started || refusal.Cause == CauseLeft {
 		panic(http.ErrAbortHandler)
 	}
 	refusal.write(out.writer)
 }
 
-func (c *Controller) log(q *request, refusal *Refusal, out *answerWriter) {
-	fields := logrus.Fields{
-		"request": q.ID, "cause": refusal.Cause.String(), "status": refusal.Status, "sends": q.sends, "declines": q.declines,
-		"held_ms": int64(c.Clock.Now() - q.arrived), "begun": out.started, "account": string(q.accountName()), "tried": q.tried,
+// sampleEvery is how many ordinary answers go by for each that is logged.
+const sampleEvery = 100
+
+// answered logs every answer that came late, and a sample of the others.
+func (c *Controller) answered(q *request) {
+	n := c.ordinary.Add(1)
+	late := q.late()
+	if late {
+		c.Metrics.Requests.Add("answered_late", 1)
+	} else {
+		c.Metrics.Requests.Add("answered", 1)
 	}
-	if q.route != nil {
-		fields["route"] = q.route.Name
+	if !late && n%sampleEvery != 0 {
+		return
 	}
+	fields := c.fields(q)
+	fields["late"] = late
+	fields["first_ms"] = int64(q.firstAt - q.arrived)
+	fields["target_first_ms"] = int64(q.firstAt - q.placedAt)
+	fields["longest_pause_ms"] = int64(q.pause)
+	c.Log.WithFields(fields).Info("request answered")
+}
+
+// refused logs every request without a whole answer of a target.
+func (c *Controller) refused(q *request, refusal *Refusal, out *answerWriter) {
+	fields := c.fields(q)
+	fields["cause"] = refusal.Cause.String()
+	fields["status"] = refusal.Status
+	fields["begun"] = out.started
 	if refusal.RetryAfter > 0 {
 		fields["retry_after_ms"] = int64(refusal.RetryAfter)
 	}
@@ -125,6 +148,30 @@
 	entry.Info("request not answered")
 }
 
+// fields are what is logged of every request: its id, the decisions about it,
+// and what they stood on.
+func (c *Controller) fields(q *request) logrus.Fields {
+	now := c.Clock.Now()
+	fields := logrus.Fields{
+		telemetry.FieldRequest: q.ID, "held_ms": int64(now - q.arrived), "sends": q.sends, "declines": q.declines,
+		"proof_age_ms": int64(c.admission.view.Age(now)),
+	}
+	if q.route != nil {
+		fields["route"] = q.route.Name
+		fields["tier"] = int(q.tier())
+	}
+	if q.account != nil {
+		fields["account"] = string(q.account.Name)
+	}
+	if len(q.tried) > 0 {
+		fields["targets"] = q.tried
+	}
+	if catalog := c.admission.view.Catalog(); catalog != nil {
+		fields["revision"] = int64(catalog.Revision)
+	}
+	return fields
+}
+
 func (a *admission) wall(at clock.Millis) time.Time {
 	return time.Now().Add((at - a.Clock.Now()).Duration())
 }
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -164,6 +164,7 @@
 func (d *delivery) exchange(ctx context.Context, q *request, out *answerWriter, place schedule.Place) attempt {
 	target := place.Target()
 	now := d.Clock.Now()
+	q.placedAt = now
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	onward := Onward{Target: target.ID, Account: q.accountName(), Remaining: q.deadline - now, LastEvent: q.resumeAt()}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -50,6 +50,7 @@
 		return lost{fmt.Errorf("reading the answer: %w", err)}
 	}
 	place.Began()
+	q.came(d.Clock.Now())
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && q.sent+1 < q.route.Attempts && d.mayRepeatFailure(q, out) {
 		place.Done(planner.Failed, 0)
@@ -114,6 +115,7 @@
 			place.Done(failure(ctx), n)
 			return lost{err}
 		}
+		q.came(d.Clock.Now())
 		if n == 0 {
 			place.Began()
 			if !out.started {
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -26,6 +26,30 @@
 	tried     []ids.Target
 	lastEvent int64
 	hasEvent  bool
+
+	placedAt clock.Millis // when it was last sent to a target
+	firstAt  clock.Millis // when its answer, or the first event, came
+	eventAt  clock.Millis // when the last event came
+	pause    clock.Millis // the longest between two events
+}
+
+// came notes that an event, or a whole answer, has come.
+func (q *request) came(now clock.Millis) {
+	if q.firstAt == 0 {
+		q.firstAt = now
+	} else {
+		q.pause = max(q.pause, now-q.eventAt)
+	}
+	q.eventAt = now
+}
+
+// late reports whether an answer that was given came too late to earn its whole
+// credit.
+func (q *request) late() bool {
+	if q.route.Objective > 0 && q.firstAt-q.arrived > q.route.Objective {
+		return true
+	}
+	return q.route.EventGap > 0 && q.pause > q.route.EventGap
 }
 
 // tierStep keeps the tiers of accounts apart: an account's rank goes before the
