Grant nothing below a tier that was refused a moment ago

Cause: the promise that no higher tier is shed while lower work is served was kept by the queue's order only; a job refused on arrival left room to lower ones. Change: after a refusal, lower tiers wait for 250 ms, renewed while refusals go on.

--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -28,6 +28,10 @@
 	p.queue.sort(now)
 	kept := p.queue.jobs[:0]
 	for _, w := range p.queue.jobs {
+		if p.floor.below(now, w.Tier) {
+			kept = append(kept, w)
+			continue
+		}
 		if t := p.best(now, w); t != nil {
 			p.runs[w.ID] = t.start(now, w.Job)
 			p.decide(Grant{ID: w.ID, Target: t.ID})
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -17,6 +17,7 @@
 	runs      map[JobID]*run
 	speeds    speeds
 	releases  rate
+	floor     floor
 	arrivals  map[ids.TierRank]*rate
 	decisions []Decision
 }
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -48,6 +48,34 @@
 	w := p.queue.jobs[i]
 	p.queue.remove(i)
 	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait)})
+	p.floor.raise(now, w.Tier)
+}
+
+// floor keeps lower tiers from being served for a while after one was refused,
+// so that what was shed does not see lower work take its place.
+type floor struct {
+	until map[ids.TierRank]clock.Millis
+}
+
+// floorHold is how long lower tiers wait after a refusal. While refusals go on,
+// it is renewed.
+const floorHold = 250 * clock.Millisecond
+
+func (f *floor) raise(now clock.Millis, tier ids.TierRank) {
+	if f.until == nil {
+		f.until = make(map[ids.TierRank]clock.Millis)
+	}
+	f.until[tier] = now + floorHold
+}
+
+// below reports whether a tier lies below one that was refused a moment ago.
+func (f *floor) below(now clock.Millis, tier ids.TierRank) bool {
+	for refused, until := range f.until {
+		if refused < tier && now < until {
+			return true
+		}
+	}
+	return false
 }
 
 // holdPart is the part of its time for which a job waits at the most.
