Keep long answers off slow targets; tell early what came back in vain

Change: a target counts as in time only if twice the guessed length ends by the deadline; what came back is refused at once if it would not be served in that part.

--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -14,6 +14,8 @@
 	disturbWeight = 0.3
 	// lateCost is what it counts, in ms, that an answer becomes late.
 	lateCost = 400.0
+	// lengthDoubt is how much longer than guessed an answer is reckoned with.
+	lengthDoubt = 2.0
 	// gapPart is the part of the longest pause that is planned with.
 	gapPart = 0.85
 )
@@ -76,11 +78,16 @@
 	return false
 }
 
-// inTime reports whether a job's first event would be in time on a target that
-// has so much to read first.
+// inTime reports whether a job's first event would be in time, and its answer
+// most likely whole by its deadline, on a target that has so much to read first.
 func (p *Planner) inTime(now clock.Millis, t *target, w *waiting, reading ids.Tokens) bool {
-	first := t.factor.get() * p.speeds.firstTime(reading+w.Prompt)
-	return now+clock.Millis(first) <= w.Arrived+w.Objective
+	f := t.factor.get()
+	first := f * p.speeds.firstTime(reading+w.Prompt)
+	if now+clock.Millis(first) > w.Arrived+w.Objective {
+		return false
+	}
+	rest := float64(w.Events) * f * p.speeds.pauseTime(len(t.runs)+1)
+	return now+clock.Millis(first+lengthDoubt*rest) <= w.Deadline
 }
 
 // manyWell reports whether at least half of the targets are not set aside. If
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -27,13 +27,14 @@
 		return
 	}
 	wait := p.wait(now, w)
+	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
 	if w.committed {
-		if now-w.Arrived > clock.Millis(holdPart*float64(w.Deadline-w.Arrived)) {
+		end := w.Arrived + clock.Millis(holdPart*float64(w.Deadline-w.Arrived))
+		if now > end || now <= latest && now+wait > end {
 			p.refuse(now, i, wait)
 		}
 		return
 	}
-	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
 	switch {
 	case now+wait <= w.useful:
 		w.committed = now >= latest
