Let one entry read the store for all

Ruled out: longer questions; the proof that keys are good has to stay young. Change: pkg/bulletin: the reader, an entry like any home, passes on changes and how things stand each 300 ms, with the store's own time as the proof; the others ask the store when it is silent, old, or they missed something, each 0.9 s at most.

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/bulletin"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/dispatch"
@@ -69,6 +70,7 @@
 	link       *packets.Link
 	meter      *metering.Meter
 	dispatcher *dispatch.Dispatcher
+	board      *bulletin.Board
 	callers    *http.Server
 	readiness  *http.Server
 	leaving    atomic.Bool
@@ -145,6 +147,7 @@
 	p.meter = metering.New(c, metering.Bounds{
 		Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack, Window: seconds(s.Bounds.QuotaWindowSeconds),
 	}, p.view, p.members, link)
+	p.board = bulletin.NewBoard(c, p.members, link)
 	p.dispatcher = dispatch.New(c, address, p.view, p.members, link, schedule.NewLocal(c, p.view))
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.dispatcher,
@@ -179,6 +182,7 @@
 	go p.link.Run(ctx)
 	go p.members.Run(ctx)
 	go p.dispatcher.Run(ctx)
+	go p.board.Run(ctx)
 	go p.follower(platform.TableMembers, p.members, follow.Options{Wait: membersWait, Answer: storeAnswer}).Run(ctx)
 	go p.prune(ctx)
 	return nil
@@ -187,7 +191,7 @@
 func (p *entryProcess) follower(table string, handler follow.Handler, options follow.Options) *follow.Follower {
 	c := p.Common
 	c.Log = c.Log.WithField("table", table)
-	return follow.NewFollower(c, p.store.Table(table), handler, options)
+	return follow.NewFollower(c, p.board.Share(table, p.store.Table(table)), handler, options)
 }
 
 func (p *entryProcess) serve(server *http.Server, address string) error {
--- /dev/null
+++ b/pkg/bulletin/source.go
@@ -0,0 +1,133 @@
+package bulletin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/follow"
+)
+
+// Source reads one table through the board: as the reader from the store, else
+// from what the reader tells. It is for one follower.
+type Source struct {
+	board  *Board
+	name   string
+	direct follow.Source
+	// proven is the newest store time that was returned.
+	proven clock.Millis
+	asked  clock.Millis // when the store was last asked
+}
+
+var _ follow.Source = (*Source)(nil)
+
+// leastPause is between two questions to the store that are not to be held.
+const leastPause = 100 * clock.Millisecond
+
+// directEvery is how often one that is not the reader asks the store while the
+// reader does not help.
+const directEvery = 900 * clock.Millisecond
+
+// Share returns a source of a table that shares what direct reads.
+func (b *Board) Share(name string, direct follow.Source) *Source {
+	return &Source{board: b, name: name, direct: direct}
+}
+
+// Whole reads the table from the store.
+func (s *Source) Whole(ctx context.Context) (follow.Batch, error) {
+	batch, err := s.direct.Whole(ctx)
+	if err != nil {
+		return batch, fmt.Errorf("reading for all: %w", err)
+	}
+	s.proven = batch.StoreTime
+	s.board.whole(s.name, batch)
+	return batch, nil
+}
+
+// Changes returns what has changed since a version.
+func (s *Source) Changes(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
+	if s.board.reads() {
+		return s.ask(ctx, after, min(wait, ReaderWait))
+	}
+	batch, found := s.listen(ctx, after)
+	switch found {
+	case told:
+		s.proven = batch.StoreTime
+		return batch, nil
+	case missed:
+		clock.Pause(ctx, s.asked+leastPause-s.board.Clock.Now())
+		return s.ask(ctx, after, 0)
+	default:
+		return s.ask(ctx, after, min(wait, ReaderWait))
+	}
+}
+
+func (s *Source) ask(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
+	s.asked = s.board.Clock.Now()
+	batch, err := s.direct.Changes(ctx, after, wait)
+	if err != nil {
+		return batch, fmt.Errorf("reading for all: %w", err)
+	}
+	s.proven = batch.StoreTime
+	s.board.publish(s.name, after, batch)
+	return batch, nil
+}
+
+// finding is what listening comes to.
+type finding int
+
+const (
+	// silent: the reader says nothing, or its news are old.
+	silent finding = iota
+	// told: the reader says how things stand.
+	told
+	// missed: there was a change that this entry did not hear.
+	missed
+)
+
+// listen waits for a message of the reader that says something new, or for its
+// silence.
+func (s *Source) listen(ctx context.Context, after int64) (follow.Batch, finding) {
+	b := s.board
+	again := time.NewTicker(every.Duration())
+	defer again.Stop()
+	for {
+		b.mu.Lock()
+		t := b.table(s.name)
+		heard, at, news := t.heard, t.heardAt, t.news
+		b.mu.Unlock()
+		now := b.Clock.Now()
+		reliable := at > 0 && now-at <= silentAfter && now-at+heard.Age <= oldAfter
+		if !reliable && now-s.asked >= directEvery {
+			return follow.Batch{}, silent
+		}
+		if batch, found := heard.since(after, s.proven); reliable && found != silent {
+			return batch, found
+		}
+		select {
+		case <-news:
+		case <-again.C: // the last message may have become too old
+		case <-ctx.Done():
+			return follow.Batch{}, silent
+		}
+	}
+}
+
+// since returns what a message tells one who knows a version, which was proven
+// at a time of the store.
+func (m *message) since(after int64, proven clock.Millis) (follow.Batch, finding) {
+	b := follow.Batch{Version: m.To, StoreTime: m.StoreTime, Relayed: true}
+	switch {
+	case m.To < after, m.To == after && m.StoreTime <= proven:
+		return b, silent
+	case after >= m.Since:
+		return b, told
+	case after < m.Before || len(m.Rows) == 0:
+		return b, missed
+	}
+	for _, r := range m.Rows {
+		b.Rows = append(b.Rows, follow.Row{Key: r.Key, Value: r.Value, Gone: r.Gone})
+	}
+	return b, told
+}
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -32,6 +32,9 @@
 	Version int64
 	// StoreTime is the source's own steady clock when it answered.
 	StoreTime clock.Millis
+	// Relayed says that another process asked the store, maybe before this one
+	// asked that process.
+	Relayed bool
 }
 
 // Source reads one table.
@@ -140,7 +143,7 @@
 		return fmt.Errorf("reading changes: %w", err)
 	}
 	f.version = max(f.version, batch.Version)
-	f.handler.Changed(batch.Rows, Proof{AskedAt: asked, CurrentAt: f.current(asked, batch.StoreTime)})
+	f.handler.Changed(batch.Rows, f.proof(asked, batch))
 	return nil
 }
 
@@ -159,6 +162,14 @@
 	return nil
 }
 
+func (f *Follower) proof(asked clock.Millis, batch Batch) Proof {
+	if batch.Relayed {
+		at := min(f.Clock.Now(), batch.StoreTime+f.lag)
+		return Proof{AskedAt: at, CurrentAt: at}
+	}
+	return Proof{AskedAt: asked, CurrentAt: f.current(asked, batch.StoreTime)}
+}
+
 // current returns a moment, by our clock, at which an answer was current: the
 // store's own time, put on our clock by the quickest answer seen so far, and
 // never before the question or after the answer.
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -108,18 +108,30 @@
 	m.mu.Lock()
 	m.refresh(m.Clock.Now())
 	message := hello{Name: m.self, Circle: m.circle}
-	var to []netip.AddrPort
-	for name, other := range m.list {
-		if name != m.self {
-			to = append(to, other.address)
-		}
-	}
+	to := m.others()
 	m.mu.Unlock()
 	for _, address := range to {
 		m.link.Send(address, packets.KindHello, message)
 	}
 }
 
+// Others returns the addresses of all other entries.
+func (m *Members) Others() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others()
+}
+
+func (m *Members) others() []netip.AddrPort {
+	var list []netip.AddrPort
+	for name, other := range m.list {
+		if name != m.self {
+			list = append(list, other.address)
+		}
+	}
+	return list
+}
+
 func (m *Members) greeted(from netip.AddrPort, message *hello) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -2,12 +2,13 @@
 
 // The kinds of messages between processes of the system.
 const (
-	KindHello  Kind = iota + 1 // entry to entry: alive, and whom it takes for alive
-	KindClaim                  // entry to the home of an account: may this run?
-	KindReply                  // the home's answer
-	KindReturn                 // entry to home: this did not run
-	KindAsk                    // entry to the home of a group of targets: a place, please
-	KindAnswer                 // the home's answer
-	KindStep                   // entry to home: begun, done or withdrawn
-	KindSync                   // entry to home: all that it has on the targets
+	KindHello    Kind = iota + 1 // entry to entry: alive, and whom it takes for alive
+	KindClaim                    // entry to the home of an account: may this run?
+	KindReply                    // the home's answer
+	KindReturn                   // entry to home: this did not run
+	KindAsk                      // entry to the home of a group of targets: a place, please
+	KindAnswer                   // the home's answer
+	KindStep                     // entry to home: begun, done or withdrawn
+	KindSync                     // entry to home: all that it has on the targets
+	KindBulletin                 // reader of the store to the others: how a table stands
 )
