Plan at less cost, on VMs that can bear it, and see what others have placed

Change: a round of placing looks only at targets with room and ends when none is left; waits are reviewed in one pass; homes fall to entries by the square of their share of a core, which stands in their rows.

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -49,8 +49,11 @@
 	// store failed to tell.
 	configurationReread = 10 * clock.Second
 	pruneEvery          = clock.Second
-	headerTimeout       = 10 * clock.Second
-	idleTimeout         = 60 * clock.Second
+	// leastWeight is the weight of an entry whose settings tell no share of a
+	// core.
+	leastWeight   = 0.01
+	headerTimeout = 10 * clock.Second
+	idleTimeout   = 60 * clock.Second
 	// endMargin is kept from the time at which the platform kills a process.
 	endMargin = 400 * clock.Millisecond
 	// leaveTime is how long a process that is stopped goes on taking new
@@ -142,7 +145,7 @@
 	}
 	p := &entryProcess{Common: c, settings: s, store: platform.NewStore(c.Network, s.Store.Address), view: view.New(c.Check)}
 	p.link = link
-	p.members = membership.New(c, s.Node, address, p.store.Table(platform.TableMembers), link)
+	p.members = membership.New(c, s.Node, address, max(s.Limits.CPUShare, leastWeight), p.store.Table(platform.TableMembers), link)
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
 	p.meter = metering.New(c, metering.Bounds{
 		Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack, Window: seconds(s.Bounds.QuotaWindowSeconds),
--- a/pkg/bulletin/bulletin_test.go
+++ b/pkg/bulletin/bulletin_test.go
@@ -153,12 +153,12 @@
 	}
 	var rows []follow.Row
 	for i := range entryCount {
-		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: []byte(address(i).String())})
+		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
 	}
 	for i := range entryCount {
 		ctx, stop := context.WithCancel(context.Background())
 		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
-		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), noRows{}, link)
+		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, noRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		board := bulletin.NewBoard(b.Common, m, link)
 		e := &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -273,11 +273,11 @@
 
 func (p *place) Target() *routing.Target { return p.target }
 
-func (p *place) Began() {
+func (p *place) Began(load *planner.Load) {
 	p.dispatcher.mu.Lock()
 	p.begun = true
 	p.dispatcher.mu.Unlock()
-	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: begun})
+	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: begun, Load: load})
 }
 
 func (p *place) Done(outcome planner.Outcome, events int) {
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -60,7 +60,7 @@
 	b := &bed{Common: commontest.New(network.NewMemory(nil)), net: packets.NewMemory(), running: make(map[ids.Target]int)}
 	var rows []follow.Row
 	for i := range entryCount {
-		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: []byte(address(i).String())})
+		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
 	}
 	for i := range targetCount {
 		b.targets = append(b.targets, &routing.Target{ID: ids.Target(fmt.Sprint("t", i)), Service: "s", Slots: slots})
@@ -68,7 +68,7 @@
 	for i := range entryCount {
 		ctx, stop := context.WithCancel(context.Background())
 		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
-		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), noRows{}, link)
+		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, noRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		v := view.New(b.Check)
 		v.SetDirectory(routing.NewDirectory(b.targets))
@@ -124,7 +124,7 @@
 	b.most = max(b.most, b.running[id])
 	b.mu.Unlock()
 	time.Sleep(length / 4)
-	p.Began()
+	p.Began(nil)
 	time.Sleep(length * 3 / 4)
 	b.mu.Lock()
 	b.running[id]--
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -158,7 +158,7 @@
 	h.with(now, s.Service, from, func(p *planner.Planner) {
 		switch s.Progress {
 		case begun:
-			p.Begin(now, id)
+			p.Begin(now, id, s.Load)
 		case done:
 			p.Finish(now, id, s.Outcome, s.Events)
 		case withdrawn:
@@ -178,7 +178,7 @@
 			id := planner.JobID{Entry: from.String(), Number: it.Number}
 			p.Restore(now, planner.Job{ID: id, Account: it.Account, Tier: it.Tier, Prompt: it.Prompt, Events: it.Events}, it.Target, it.Begun)
 			if it.Begun {
-				p.Begin(now, id)
+				p.Begin(now, id, nil)
 			}
 		}
 		p.Keep(now, from.String(), func(id planner.JobID) bool {
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -75,6 +75,7 @@
 	Progress progress
 	Outcome  planner.Outcome
 	Events   int
+	Load     *planner.Load // with begun, if the target told it
 }
 
 // sync lists what an entry has on the targets of a service; a request whose
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -103,7 +103,7 @@
 }
 
 func (p *orderedPlace) Target() *routing.Target { return p.t }
-func (p *orderedPlace) Began()                  {}
+func (p *orderedPlace) Began(*planner.Load)     {}
 func (p *orderedPlace) Done(o planner.Outcome, _ int) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -21,11 +21,11 @@
 var errEncoded = errors.New("the answer is encoded, which was not asked for")
 
 // resumeAt is the event behind which a stream goes on, if any.
-func (q *request) resumeAt() string {
-	if q.hasEvent {
-		return strconv.FormatInt(q.lastEvent, 10)
+func (r *request) resumeAt() string {
+	if r.hasEvent {
+		return strconv.FormatInt(r.lastEvent, 10)
 	}
-	return q.LastEvent
+	return r.LastEvent
 }
 
 // relay hands a target's answer to the caller.
@@ -49,7 +49,7 @@
 		place.Done(failure(ctx), 0)
 		return lost{fmt.Errorf("reading the answer: %w", err)}
 	}
-	place.Began()
+	place.Began(load(a))
 	q.came(d.Clock.Now())
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && q.sent+1 < q.route.Attempts && d.mayRepeatFailure(q, out) {
@@ -78,6 +78,14 @@
 	return completed{}
 }
 
+// load is a target's report of its load, in the planner's type.
+func load(a *forward.Answer) *planner.Load {
+	if a.Load == nil {
+		return nil
+	}
+	return &planner.Load{Running: a.Load.Running, Waiting: a.Load.Waiting}
+}
+
 // mayRepeatFailure reports whether a failure that the target itself answered is
 // better tried elsewhere than handed over.
 func (d *delivery) mayRepeatFailure(q *request, out *answerWriter) bool {
@@ -117,7 +125,7 @@
 		}
 		q.came(d.Clock.Now())
 		if n == 0 {
-			place.Began()
+			place.Began(load(a))
 			if !out.started {
 				out.head(d.dialect, a, -1)
 			}
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -34,22 +34,22 @@
 }
 
 // came notes that an event, or a whole answer, has come.
-func (q *request) came(now clock.Millis) {
-	if q.firstAt == 0 {
-		q.firstAt = now
+func (r *request) came(now clock.Millis) {
+	if r.firstAt == 0 {
+		r.firstAt = now
 	} else {
-		q.pause = max(q.pause, now-q.eventAt)
+		r.pause = max(r.pause, now-r.eventAt)
 	}
-	q.eventAt = now
+	r.eventAt = now
 }
 
 // late reports whether an answer that was given came too late to earn its whole
 // credit.
-func (q *request) late() bool {
-	if q.route.Objective > 0 && q.firstAt-q.arrived > q.route.Objective {
+func (r *request) late() bool {
+	if r.route.Objective > 0 && r.firstAt-r.arrived > r.route.Objective {
 		return true
 	}
-	return q.route.EventGap > 0 && q.pause > q.route.EventGap
+	return r.route.EventGap > 0 && r.pause > r.route.EventGap
 }
 
 // tierStep keeps the tiers of accounts apart: an account's rank goes before the
--- a/pkg/membership/listing.go
+++ b/pkg/membership/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
@@ -33,10 +34,15 @@
 }
 
 func (m *Members) write(ctx context.Context) {
+	row, err := json.Marshal(Listing{Address: m.address.String(), Weight: m.weight})
+	if err != nil {
+		m.Log.WithError(err).Error("this entry's row cannot be written")
+		return
+	}
 	backoff := m.Random.NewBackoff(minBackoff, maxBackoff)
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
-		err := m.rows.Put(limited, string(m.self), []byte(m.address.String()))
+		err := m.rows.Put(limited, string(m.self), row)
 		cancel()
 		if err == nil {
 			return
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -50,6 +52,15 @@
 	listed  clock.Millis // when it was first seen listed
 	// circle is the fingerprint of the entries that it took for alive.
 	circle uint64
+	weight float64
+}
+
+// Listing is what an entry's row says.
+type Listing struct {
+	Address string `json:"address"`
+	// Weight is how much its VM can do, for the choice of homes; only the
+	// proportion between entries counts.
+	Weight float64 `json:"weight"`
 }
 
 // hello is a greeting.
@@ -64,6 +75,7 @@
 	common.Common
 	self    ids.Process
 	address netip.AddrPort
+	weight  float64
 	rows    Rows
 	link    *packets.Link
 
@@ -76,9 +88,10 @@
 
 var _ follow.Handler = (*Members)(nil)
 
-// New returns a list with this entry alone.
-func New(c common.Common, self ids.Process, address netip.AddrPort, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self, address: address, rows: rows, link: link, list: make(map[ids.Process]*member)}
+// New returns a list with this entry alone. Its weight is how much its VM can
+// do.
+func New(c common.Common, self ids.Process, address netip.AddrPort, weight float64, rows Rows, link *packets.Link) *Members {
+	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member)}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	return m
@@ -170,10 +183,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh(m.Clock.Now())
-	best, most := m.self, uint64(0)
+	best, most := m.self, math.Inf(-1)
 	for _, name := range m.alive {
-		if weight := xxhash.Sum64String(string(name) + "\x00" + matter); weight >= most {
-			best, most = name, weight
+		if score := m.score(name, matter); score >= most {
+			best, most = name, score
 		}
 	}
 	if best == m.self {
@@ -182,6 +195,19 @@
 	return m.list[best].address, false
 }
 
+// score ranks an entry for a matter: weighted rendezvous hashing, by which each
+// entry gets matters by its weight, and one that goes gives up only its own. The lock is held.
+func (m *Members) score(name ids.Process, matter string) float64 {
+	weight := m.weight
+	if listed := m.list[name]; listed != nil {
+		weight = listed.weight
+	}
+	const steps = 1 << 53
+	draw := (float64(xxhash.Sum64String(string(name)+"\x00"+matter)>>11) + 1) / (steps + 1) // within (0, 1)
+	// Squared, since a weak VM is better left to its callers.
+	return -weight * weight / math.Log(draw)
+}
+
 // Backing is the part of all listed entries that surely takes this one for the
 // home wherever it takes itself for it: those heard lately with the same idea
 // of who is alive. A home gives out no more than this part of an allowance, so
@@ -244,17 +270,22 @@
 }
 
 func (m *Members) put(row follow.Row, before *member) {
-	address, err := netip.ParseAddrPort(string(row.Value))
-	if err != nil {
+	var listing Listing
+	err := json.Unmarshal(row.Value, &listing)
+	var address netip.AddrPort
+	if err == nil {
+		address, err = netip.ParseAddrPort(listing.Address)
+	}
+	if err != nil || listing.Weight <= 0 {
 		m.Log.WithError(err).WithField("entry", row.Key).Warn("an entry's row is passed over")
 		return
 	}
-	if before != nil && before.address == address {
+	if before != nil && before.address == address && before.weight == listing.Weight {
 		m.list[before.name] = before
 		return
 	}
 	m.Log.WithField("entry", row.Key).Info("entry listed")
-	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, listed: m.Clock.Now()}
+	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, listed: m.Clock.Now()}
 }
 
 // Lost does nothing: the list stays.
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -57,11 +57,11 @@
 	}
 	var rows []follow.Row
 	for i := range entries {
-		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: []byte(address(i).String())})
+		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
 	}
 	for i := range entries {
 		link := packets.NewLink(d.Common, d.net.Socket(address(i)))
-		m := membership.New(d.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), noRows{}, link)
+		m := membership.New(d.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, noRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		v := view.New(d.Check)
 		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, []*routing.Account{d.account}))
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -60,6 +60,12 @@
 func (Grant) decision()  {}
 func (Refuse) decision() {}
 
+// Load is a target's own report of what it carries.
+type Load struct {
+	_                struct{} `cbor:",toarray"`
+	Running, Waiting int
+}
+
 // Outcome is how a target did with a request.
 type Outcome int
 
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -27,37 +29,67 @@
 	if len(p.queue.jobs) == 0 {
 		return
 	}
+	s := p.survey(now)
+	if len(s.roomy) == 0 {
+		return
+	}
 	p.queue.sort(now)
 	kept := p.queue.jobs[:0]
 	for _, w := range p.queue.jobs {
-		if p.floor.below(now, w.Tier) {
-			kept = append(kept, w)
-			continue
+		var t *target
+		if len(s.roomy) > 0 && !p.floor.below(now, w.Tier) {
+			t = p.best(now, &s, w)
 		}
-		if t := p.best(now, w); t != nil {
-			p.runs[w.ID] = t.start(now, w.Job)
-			p.decide(Grant{ID: w.ID, Target: t.ID})
+		if t == nil {
+			kept = append(kept, w)
 			continue
 		}
-		kept = append(kept, w)
+		p.runs[w.ID] = t.start(now, w.Job)
+		p.decide(Grant{ID: w.ID, Target: t.ID})
+		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !t.room(now) })
 	}
 	clear(p.queue.jobs[len(kept):])
 	p.queue.jobs = kept
 }
 
-// best returns the target with room that serves a job at the least cost, or
-// nil. Targets set aside are left out while enough others are there.
-func (p *Planner) best(now clock.Millis, w *waiting) *target {
+// survey is what a round of placing stands on.
+type survey struct {
+	roomy []*target // those with room
+	// quickest is the least factor of a target that is not set aside.
+	quickest float64
+	known    bool
+}
+
+// survey looks at all targets. Those set aside are left out while enough others
+// are there.
+func (p *Planner) survey(now clock.Millis) survey {
 	careful := p.manyWell(now)
-	choosy := p.canBeInTime(now, w)
+	s := survey{quickest: factorMax}
+	for _, t := range p.list {
+		aside := t.health.Aside(now)
+		if !aside {
+			s.quickest = min(s.quickest, t.factor.get())
+			s.known = true
+		}
+		if t.room(now) && !(careful && aside) {
+			s.roomy = append(s.roomy, t)
+		}
+	}
+	return s
+}
+
+// best returns the target with room that serves a job at the least cost, or
+// nil.
+func (p *Planner) best(now clock.Millis, s *survey, w *waiting) *target {
+	choosy := s.known && p.inTime(now, w, s.quickest, 0, 1)
 	var best *target
 	var least float64
-	for _, t := range p.list {
-		if !t.room(&w.Job) || careful && t.health.Aside(now) || choosy && !p.inTime(now, t, w, t.reading) {
+	for _, t := range s.roomy {
+		if slices.Contains(w.Exclude, t.ID) || choosy && !p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) {
 			continue
 		}
 		// A little chance spreads what is equal.
-		cost := p.cost(t, &w.Job) * (1 + jitter*p.random.Float64())
+		cost := p.cost(now, t, &w.Job) * (1 + jitter*p.random.Float64())
 		if best == nil || cost < least {
 			best, least = t, cost
 		}
@@ -67,26 +99,15 @@
 
 const jitter = 0.05
 
-// canBeInTime reports whether any target, with or without room, would have a
-// job's first event in time if it came to it soon.
-func (p *Planner) canBeInTime(now clock.Millis, w *waiting) bool {
-	for _, t := range p.list {
-		if !t.health.Aside(now) && p.inTime(now, t, w, 0) {
-			return true
-		}
-	}
-	return false
-}
-
 // inTime reports whether a job's first event would be in time, and its answer
-// most likely whole by its deadline, on a target that has so much to read first.
-func (p *Planner) inTime(now clock.Millis, t *target, w *waiting, reading ids.Tokens) bool {
-	f := t.factor.get()
+// most likely whole by its deadline, on a target of a factor that has so much to
+// read first and runs so many requests.
+func (p *Planner) inTime(now clock.Millis, w *waiting, f float64, reading ids.Tokens, running int) bool {
 	first := f * p.speeds.firstTime(reading+w.Prompt)
 	if now+clock.Millis(first) > w.Arrived+w.Objective {
 		return false
 	}
-	rest := float64(w.Events) * f * p.speeds.pauseTime(len(t.runs)+1)
+	rest := float64(w.Events) * f * p.speeds.pauseTime(running)
 	return now+clock.Millis(first+lengthDoubt*rest) <= w.Deadline
 }
 
@@ -105,8 +126,8 @@
 // cost estimates in ms what it takes to serve a job on a target: the time to
 // its first event, a part of the time to its end, and what it does to the
 // answers that run there.
-func (p *Planner) cost(t *target, job *Job) float64 {
-	running := len(t.runs)
+func (p *Planner) cost(now clock.Millis, t *target, job *Job) float64 {
+	running := len(t.runs) + t.foreign.at(now)
 	f := t.factor.get()
 	first := f * p.speeds.firstTime(t.reading+job.Prompt)
 	pause := f * p.speeds.pauseTime(running+1)
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -69,7 +69,10 @@
 	w.useful = job.Arrived + job.Objective - p.leastFirst(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
 	p.place(now)
-	p.review(now, w)
+	if p.queue.find(job.ID) >= 0 && p.hopeless(now, w, p.queue.ahead(now, w)) {
+		p.queue.drop(func(other *waiting) bool { return other == w })
+		p.refuse(now, w)
+	}
 }
 
 func (p *Planner) arrived(now clock.Millis, tier ids.TierRank) {
@@ -98,12 +101,16 @@
 	p.Finish(now, id, Abandoned, 0)
 }
 
-// Begin notes the first event of a job's answer.
-func (p *Planner) Begin(now clock.Millis, id JobID) {
+// Begin notes the first event of a job's answer, and what its target then said
+// of its load, if it did.
+func (p *Planner) Begin(now clock.Millis, id JobID, load *Load) {
 	r := p.runs[id]
 	if r == nil || r.begun {
 		return
 	}
+	if load != nil {
+		r.target.foreign.learn(now, load.Running+load.Waiting-len(r.target.runs))
+	}
 	r.target.begin(now, r)
 	p.speeds.learnFirst(&r.target.factor, r.ahead, now-r.since)
 }
@@ -167,11 +174,7 @@
 
 // Drop forgets an entry that has gone silent.
 func (p *Planner) Drop(now clock.Millis, entry string) {
-	for i := len(p.queue.jobs) - 1; i >= 0; i-- {
-		if p.queue.jobs[i].ID.Entry == entry {
-			p.queue.remove(i)
-		}
-	}
+	p.queue.drop(func(w *waiting) bool { return w.ID.Entry == entry })
 	for id := range p.runs {
 		if id.Entry == entry {
 			p.Finish(now, id, Abandoned, 0)
@@ -188,14 +191,8 @@
 		}
 	}
 	p.place(now)
-	for i := len(p.queue.jobs) - 1; i >= 0; i-- {
-		w := p.queue.jobs[i]
-		if now >= w.Deadline || now-w.seen > forgottenAfter {
-			p.queue.remove(i)
-			continue
-		}
-		p.review(now, w)
-	}
+	p.queue.drop(func(w *waiting) bool { return now >= w.Deadline || now-w.seen > forgottenAfter })
+	p.reviewAll(now)
 }
 
 // forgottenAfter is after what silence a waiting job is dropped: its entry asks
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -115,7 +115,7 @@
 		j.Arrived, j.Deadline = now, now+10*clock.Second
 		p.Submit(now, j)
 		now += each
-		p.Begin(now, j.ID)
+		p.Begin(now, j.ID, nil)
 		p.Finish(now, j.ID, planner.Served, 0)
 	}
 	p.Decisions()
@@ -207,7 +207,7 @@
 				stuck["t1"]++ // it never begins
 				continue
 			}
-			p.Begin(now+20, g.ID)
+			p.Begin(now+20, g.ID, nil)
 			p.Finish(now+20, g.ID, planner.Served, 0)
 		}
 		now += 100
@@ -242,7 +242,7 @@
 			if g.Target == "t1" {
 				slow = 5
 			}
-			p.Begin(now+20*slow, g.ID)
+			p.Begin(now+20*slow, g.ID, nil)
 			open = append(open, ending{id: g.ID, at: now + 120*slow})
 		}
 		now += 50
@@ -320,7 +320,7 @@
 		h.p.Submit(now, j)
 	case 2:
 		for n := range h.running {
-			h.p.Begin(now, planner.JobID{Entry: "e", Number: n})
+			h.p.Begin(now, planner.JobID{Entry: "e", Number: n}, nil)
 			break
 		}
 	case 3:
@@ -371,3 +371,34 @@
 		}
 	}
 }
+
+func TestATargetThatOthersFillGetsNoMore(t *testing.T) {
+	p := newPlanner(4, 4)
+	now := measure(p, 20, 20)
+	// Another planner's requests fill t1: it says so with each answer.
+	given := map[ids.Target]int{}
+	for i := range 60 {
+		j := job(uint64(i), 0)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		for _, d := range p.Decisions() {
+			g, ok := d.(planner.Grant)
+			if !ok {
+				continue
+			}
+			if i >= 30 {
+				given[g.Target]++
+			}
+			load := &planner.Load{Running: 1}
+			if g.Target == "t1" {
+				load = &planner.Load{Running: 4, Waiting: 3}
+			}
+			p.Begin(now, j.ID, load)
+			p.Finish(now+20, j.ID, planner.Served, 0)
+		}
+		now += 30
+	}
+	if given["t1"] > 3 || given["t0"] < 25 {
+		t.Errorf("given %v of the last 30", given)
+	}
+}
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"quaydock/pkg/clock"
-	"quaydock/pkg/ids"
 )
 
 // waiting is a job in the queue.
@@ -66,14 +65,19 @@
 	return now > w.useful
 }
 
-// ahead counts the jobs that would go before a job of a tier, late ones left
+// ahead counts the jobs that would go before one, late ones of its tier left
 // out: they give way to it.
-func (q *queue) ahead(now clock.Millis, tier ids.TierRank, self JobID) int {
+func (q *queue) ahead(now clock.Millis, self *waiting) int {
 	n := 0
 	for _, w := range q.jobs {
-		if w.ID != self && (w.Tier < tier || w.Tier == tier && !w.late(now)) {
+		if w != self && (w.Tier < self.Tier || w.Tier == self.Tier && !w.late(now)) {
 			n++
 		}
 	}
 	return n
 }
+
+// drop takes out the jobs for which gone is true.
+func (q *queue) drop(gone func(*waiting) bool) {
+	q.jobs = slices.DeleteFunc(q.jobs, gone)
+}
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -18,36 +20,48 @@
 	returnPart = 0.32
 )
 
-// review refuses a job that waits and will hardly be in time, as long as that
-// is of use to the caller. One that has waited longer stays until it is served,
-// or until so much of its time is gone that it has to be told.
-func (p *Planner) review(now clock.Millis, w *waiting) {
-	i := p.queue.find(w.ID)
-	if i < 0 {
+// reviewAll refuses the jobs that have become hopeless.
+func (p *Planner) reviewAll(now clock.Millis) {
+	p.queue.sort(now)
+	ahead := 0
+	var given []*waiting
+	for _, w := range p.queue.jobs {
+		if p.hopeless(now, w, ahead) {
+			given = append(given, w)
+			continue
+		}
+		ahead++
+	}
+	if len(given) == 0 {
 		return
 	}
-	wait := p.wait(now, w)
+	p.queue.drop(func(w *waiting) bool { return slices.Contains(given, w) })
+	for _, w := range given {
+		p.refuse(now, w)
+	}
+}
+
+// hopeless reports whether a job that waits behind so many others will hardly
+// be in time, as long as telling it is of use to the caller. One that has waited
+// longer stays until it is served, or until so much of its time is gone that it
+// has to be told.
+func (p *Planner) hopeless(now clock.Millis, w *waiting, ahead int) bool {
+	wait := p.wait(now, w.Tier, ahead)
 	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
 	if w.committed {
 		end := w.Arrived + clock.Millis(holdPart*float64(w.Deadline-w.Arrived))
-		if now > end || now <= latest && now+wait > end {
-			p.refuse(now, i, wait)
-		}
-		return
+		return now > end || now <= latest && now+wait > end
 	}
-	switch {
-	case now+wait <= w.useful:
+	if now+wait <= w.useful {
 		w.committed = now >= latest
-	case now > latest:
-		w.committed = true
-	default:
-		p.refuse(now, i, wait)
+		return false
 	}
+	w.committed = now > latest
+	return !w.committed
 }
 
-func (p *Planner) refuse(now clock.Millis, i int, wait clock.Millis) {
-	w := p.queue.jobs[i]
-	p.queue.remove(i)
+func (p *Planner) refuse(now clock.Millis, w *waiting) {
+	wait := p.wait(now, w.Tier, p.queue.ahead(now, w))
 	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait)})
 	p.floor.raise(now, w.Tier)
 }
@@ -82,13 +96,11 @@
 // holdPart is the part of its time for which a job waits at the most.
 const holdPart = 0.45
 
-// wait estimates how long a job will wait for a target: until those that go
-// before it have been served, and those that come meanwhile and go before it
-// too.
-func (p *Planner) wait(now clock.Millis, w *waiting) clock.Millis {
-	ahead := float64(p.queue.ahead(now, w.Tier, w.ID) + 1)
-	left := p.perSecond(now) - p.arrivalsAbove(now, w.Tier)
-	return clock.Millis(ahead * float64(clock.Second) / max(minReleases, left))
+// wait estimates how long a job of a tier waits for a target: until those ahead
+// of it have been served, and those that come meanwhile and go before it too.
+func (p *Planner) wait(now clock.Millis, tier ids.TierRank, ahead int) clock.Millis {
+	left := p.perSecond(now) - p.arrivalsAbove(now, tier)
+	return clock.Millis(float64(ahead+1) * float64(clock.Second) / max(minReleases, left))
 }
 
 // arrivalsAbove is how many jobs a second come that go before a tier.
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -1,8 +1,6 @@
 package planner
 
 import (
-	"slices"
-
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
@@ -18,6 +16,7 @@
 	health  Health
 	beganAt clock.Millis // when a run last began
 	trial   bool         // after it was set aside, one request at a time
+	foreign foreign
 }
 
 // run is a granted job.
@@ -39,8 +38,8 @@
 )
 
 // room reports whether a target can take a job now.
-func (t *target) room(job *Job) bool {
-	if !t.offered || len(t.runs) >= t.limit() || slices.Contains(job.Exclude, t.ID) {
+func (t *target) room(now clock.Millis) bool {
+	if !t.offered || len(t.runs)+t.foreign.at(now) >= t.limit() {
 		return false
 	}
 	return !t.trial || len(t.runs) == 0
@@ -71,6 +70,36 @@
 	delete(t.runs, r.ID)
 }
 
+// foreign is the load of a target that did not come through this planner, as
+// from entries that are cut off and plan by themselves.
+type foreign struct {
+	smooth float64
+	told   clock.Millis
+}
+
+const (
+	// foreignGain is the weight of the newest report: what is under way between
+	// entry and target makes single ones wrong by a few.
+	foreignGain = 0.3
+	// foreignFor is for how long a report counts.
+	foreignFor = 2 * clock.Second
+)
+
+func (f *foreign) learn(now clock.Millis, n int) {
+	if now-f.told > foreignFor {
+		f.smooth = 0
+	}
+	f.smooth += foreignGain * (float64(max(0, n)) - f.smooth)
+	f.told = now
+}
+
+func (f *foreign) at(now clock.Millis) int {
+	if now-f.told > foreignFor {
+		return 0
+	}
+	return int(f.smooth + 0.5)
+}
+
 // stuck reports whether a run waits for its first event far beyond what was
 // expected while nothing else has begun since.
 func (t *target) stuck(now clock.Millis, s *speeds) bool {
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -92,7 +92,7 @@
 
 func (p *localPlace) Target() *routing.Target { return p.target }
 
-func (p *localPlace) Began() {}
+func (p *localPlace) Began(*planner.Load) {}
 
 func (p *localPlace) Done(o planner.Outcome, _ int) {
 	l := p.local
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -39,8 +39,8 @@
 type Place interface {
 	Target() *routing.Target
 	// Began notes that the target has begun to answer: a whole answer, or the
-	// first event of a stream.
-	Began()
+	// first event of a stream. The load is its own report, if it gave one.
+	Began(load *planner.Load)
 	// Done gives the place back; events is how many events the answer had.
 	Done(outcome planner.Outcome, events int)
 }
