Give out half of the quota's margin, so that nothing inside it is refused

Change: the home's rate is widened by half of what the bound leaves beyond the allowance; an entry without a home keeps 0.35 of it.

--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -35,7 +35,11 @@
 	askAgain = 12 * clock.Millisecond
 	askFor   = 36 * clock.Millisecond
 	// marginPart is the part of the margin that entries spend on their own.
-	marginPart = 0.6
+	marginPart = 0.35
+	// homePart is the part of the margin that homes give out beyond the
+	// allowance, so that what an account may have run is never cut short by what
+	// is under way.
+	homePart = 0.5
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
 )
@@ -135,7 +139,11 @@
 // book counts at the home. A home that only some entries take for it gives out
 // only their part.
 func (m *Meter) book(account *routing.Account, units float64) (bool, clock.Millis) {
-	return m.books.Take(m.Clock.Now(), account, m.members.Backing(), units)
+	seconds := float64(m.bounds.Window) / float64(clock.Second)
+	margin := homePart * (m.bounds.Over*(account.PerSecond*seconds+account.Burst) + m.bounds.Slack)
+	widened := *account
+	widened.PerSecond += margin / seconds
+	return m.books.Take(m.Clock.Now(), &widened, m.members.Backing(), units)
 }
 
 // spendOwn counts against this entry's share of the margin.
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -71,7 +71,7 @@
 			s.quickest = min(s.quickest, t.factor.get())
 			s.known = true
 		}
-		if t.room(now) && !(careful && aside) {
+		if t.room(now) && (!careful || !aside) {
 			s.roomy = append(s.roomy, t)
 		}
 	}
