Figures as text by tier, account, service and outcome; logs that never block

Change: counters and histograms (VictoriaMetrics/metrics) and gauges on 9464/metrics, named in the deploy file; log lines pass a queue that drops and counts when standard output is blocked, and at most 40 of a kind are written in a second, the rest counted. The cost of logs and figures is measured later.

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -27,6 +28,7 @@
 	"quaydock/pkg/membership"
 	"quaydock/pkg/metering"
 	"quaydock/pkg/network"
+	"quaydock/pkg/operators"
 	"quaydock/pkg/packets"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/random"
@@ -76,6 +78,7 @@
 	board      *bulletin.Board
 	callers    *http.Server
 	readiness  *http.Server
+	figures    *http.Server
 	leaving    atomic.Bool
 }
 
@@ -86,7 +89,9 @@
 		return err
 	}
 	limitMemory(s.Limits.MemoryMB)
-	c := newCommon(s.Node, logs)
+	lines := telemetry.NewQueuedWriter(logs)
+	defer lines.Close()
+	c := newCommon(s.Node, lines)
 	p, err := newEntryProcess(c, s)
 	if err != nil {
 		return err
@@ -143,8 +148,11 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &entryProcess{Common: c, settings: s, store: platform.NewStore(c.Network, s.Store.Address), view: view.New(c.Check)}
+	p := &entryProcess{Common: c, settings: s, view: view.New(c.Check)}
 	p.link = link
+	p.store = platform.NewStore(c.Network, s.Store.Address, func(call, outcome string) {
+		c.Metrics.Figures.Add("store_calls", "outcome", call+" "+outcome)
+	})
 	p.members = membership.New(c, s.Node, address, max(s.Limits.CPUShare, leastWeight), p.store.Table(platform.TableMembers), link)
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
 	p.meter = metering.New(c, metering.Bounds{
@@ -163,10 +171,44 @@
 		Handler: p.controller, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
 		ErrorLog: nil,
 	}
+	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration()}
 	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration()}
 	return p, nil
 }
 
+// metricsPort and metricsPath stand in deploy/system.toml too.
+const (
+	metricsPort = "9464"
+	metricsPath = "/metrics"
+)
+
+// metrics serves the figures as text, and the expvar counters.
+func (p *entryProcess) metrics() http.Handler {
+	f := p.Metrics.Figures
+	f.Gauge("configuration_proof_age_seconds", func() float64 { return p.view.Age(p.Clock.Now()).Duration().Seconds() })
+	f.Gauge("configuration_revision", func() float64 {
+		if c := p.view.Catalog(); c != nil {
+			return float64(c.Revision)
+		}
+		return 0
+	})
+	f.Gauge("targets", func() float64 {
+		if d := p.view.Directory(); d != nil {
+			return float64(d.Len())
+		}
+		return 0
+	})
+	f.Gauge("entries_listed", func() float64 { return float64(p.members.Entries()) })
+	f.Gauge("entries_backing", p.members.Backing)
+	f.Gauge("requests_running", func() float64 { return float64(p.controller.Running()) })
+	f.Gauge("planner_waiting", func() float64 { waiting, _ := p.dispatcher.Planned(); return float64(waiting) })
+	f.Gauge("planner_running", func() float64 { _, running := p.dispatcher.Planned(); return float64(running) })
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, f)
+	mux.Handle("GET "+operators.PathMetrics, p.Metrics)
+	return mux
+}
+
 func seconds(s float64) clock.Millis {
 	return clock.Millis(s * float64(clock.Second))
 }
@@ -178,6 +220,9 @@
 	if err := p.serve(p.callers, p.settings.Listen.Callers); err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
+	if err := p.serve(p.figures, net.JoinHostPort(p.settings.IP, metricsPort)); err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
 	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied}
 	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
 	targets := roster.New(p.Common, platform.ParseTarget, p.view.SetDirectory)
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -290,6 +290,12 @@
 	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome, Events: events})
 }
 
+// Planned is how many requests of all entries wait and run in the planners that
+// this entry is in charge of.
+func (d *Dispatcher) Planned() (waiting, running int) {
+	return d.home.planned()
+}
+
 // syncAll lists to each home what this entry has on its targets.
 func (d *Dispatcher) syncAll() {
 	lists := make(map[ids.Service][]item)
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -267,3 +267,14 @@
 	}
 	return rounded
 }
+
+// planned is how many requests wait and run in the planners of this entry.
+func (h *Home) planned() (waiting, running int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, g := range h.groups {
+		waiting += g.planner.Waiting()
+		running += g.planner.Running()
+	}
+	return waiting, running
+}
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -47,6 +47,7 @@
 	leaving   atomic.Bool
 	running   atomic.Int64
 	ordinary  atomic.Int64 // answers given
+	sampler   *telemetry.Sampler
 }
 
 // NewController returns a controller over its parts.
@@ -59,7 +60,7 @@
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
 	}
-	return &Controller{Common: p.Common, admission: a, delivery: d}
+	return &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
 }
 
 // Leave has every further answer close its connection.
@@ -109,6 +110,23 @@
 	refusal.write(out.writer)
 }
 
+// linesASecond bounds the log lines of each kind: what explains a failure is
+// logged whole up to there, and counted beyond.
+const linesASecond = 40
+
+// count adds a request to the figures.
+func (c *Controller) count(q *request, outcome string) {
+	now := c.Clock.Now()
+	r := telemetry.Request{Service: string(q.service), Account: string(q.accountName()), Tier: -1, Outcome: outcome, Held: now - q.arrived}
+	if q.route != nil {
+		r.Tier = int(q.tier())
+	}
+	if q.firstAt > 0 {
+		r.First = q.firstAt - q.arrived
+	}
+	c.Metrics.Figures.Count(r)
+}
+
 // sampleEvery is how many ordinary answers go by for each that is logged.
 const sampleEvery = 100
 
@@ -116,12 +134,13 @@
 func (c *Controller) answered(q *request) {
 	n := c.ordinary.Add(1)
 	late := q.late()
+	outcome := "answered"
 	if late {
-		c.Metrics.Requests.Add("answered_late", 1)
-	} else {
-		c.Metrics.Requests.Add("answered", 1)
+		outcome = "answered_late"
 	}
-	if !late && n%sampleEvery != 0 {
+	c.Metrics.Requests.Add(outcome, 1)
+	c.count(q, outcome)
+	if !late && n%sampleEvery != 0 || !c.sampler.Allow(outcome) {
 		return
 	}
 	fields := c.fields(q)
@@ -134,6 +153,10 @@
 
 // refused logs every request without a whole answer of a target.
 func (c *Controller) refused(q *request, refusal *Refusal, out *answerWriter) {
+	c.count(q, refusal.Cause.String())
+	if !c.sampler.Allow(refusal.Cause.String()) {
+		return
+	}
 	fields := c.fields(q)
 	fields["cause"] = refusal.Cause.String()
 	fields["status"] = refusal.Status
--- /dev/null
+++ b/pkg/telemetry/figures.go
@@ -0,0 +1,62 @@
+package telemetry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"quaydock/pkg/clock"
+)
+
+// Figures are the counters and histograms of one process as text, in the form
+// that Prometheus reads. Their labels are bounded by the configuration.
+type Figures struct {
+	set *metrics.Set
+}
+
+// NewFigures returns figures without any.
+func NewFigures() *Figures {
+	return &Figures{set: metrics.NewSet()}
+}
+
+// Request is how one request ended, for counting.
+type Request struct {
+	Service string
+	Account string
+	Tier    int
+	// Outcome is "answered", "answered_late", or why it was not answered.
+	Outcome string
+	// First is the time to its first event or answer, 0 without one; Held is how
+	// long the entry had it.
+	First clock.Millis
+	Held  clock.Millis
+}
+
+// Count counts a request.
+func (f *Figures) Count(r Request) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(
+		`quaydock_requests_total{service=%q,account=%q,tier="%d",outcome=%q}`, r.Service, r.Account, r.Tier, r.Outcome)).Inc()
+	f.set.GetOrCreateHistogram(fmt.Sprintf(
+		`quaydock_held_seconds{service=%q,tier="%d",outcome=%q}`, r.Service, r.Tier, r.Outcome)).Update(r.Held.Duration().Seconds())
+	if r.First > 0 {
+		f.set.GetOrCreateHistogram(fmt.Sprintf(
+			`quaydock_first_event_seconds{service=%q,tier="%d"}`, r.Service, r.Tier)).Update(r.First.Duration().Seconds())
+	}
+}
+
+// Add counts something by name and one label.
+func (f *Figures) Add(name, label, value string) {
+	f.set.GetOrCreateCounter(fmt.Sprintf("quaydock_%s_total{%s=%q}", name, label, value)).Inc()
+}
+
+// Gauge shows a value whenever the figures are read.
+func (f *Figures) Gauge(name string, value func() float64) {
+	f.set.NewGauge("quaydock_"+name, value)
+}
+
+// ServeHTTP shows all figures as text.
+func (f *Figures) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	f.set.WritePrometheus(w)
+}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -22,13 +22,16 @@
 	Links *expvar.Map
 	// Configuration has the revision in force and what became of polls.
 	Configuration *expvar.Map
+	// Figures are the counters and histograms by tier, account and service, as
+	// text.
+	Figures *Figures
 	// Violations counts violated invariants by name.
 	Violations *expvar.Map
 }
 
 // NewMetrics returns counters at zero.
 func NewMetrics() *Metrics {
-	m := &Metrics{}
+	m := &Metrics{Figures: NewFigures()}
 	m.root.Init()
 	m.Requests = m.group("requests")
 	m.Refusals = m.group("refusals")
