--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -39,6 +39,7 @@
 		{"apply", "publish a declarations file as the next revision: quayctl apply -table URL -file FILE -why TEXT", apply},
 		{"history", "show the newest changes: quayctl history -table URL", history},
 		{"capacity", "measure slopes and rewrite the tables of docs/CAPACITY.md (see scripts/capacity)", measureCapacity},
+		{"explain", "tell one request's story from logs: quayctl explain ID FILE...", explain},
 		{"load", "send bounded load to a loopback address and measure it", sendLoad},
 	}
 }
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -148,6 +148,9 @@
 	fields["first_ms"] = int64(q.firstAt - q.arrived)
 	fields["target_first_ms"] = int64(q.firstAt - q.placedAt)
 	fields["longest_pause_ms"] = int64(q.pause)
+	if late {
+		fields["trail"] = q.marks()
+	}
 	c.Log.WithFields(fields).Info("request answered")
 }
 
@@ -161,6 +164,7 @@
 	fields["cause"] = refusal.Cause.String()
 	fields["status"] = refusal.Status
 	fields["begun"] = out.started
+	fields["trail"] = q.marks()
 	if refusal.RetryAfter > 0 {
 		fields["retry_after_ms"] = int64(refusal.RetryAfter)
 	}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -98,15 +98,19 @@
 		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline,
 		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Exclude: q.tried,
 	})
+	now := d.Clock.Now()
 	switch {
 	case err != nil:
+		q.note(now, "no place in its time", "")
 		return nil, &Refusal{Status: http.StatusGatewayTimeout, Cause: CauseDeadline}
 	case refused != nil && refused.Overloaded:
 		return nil, notRun(CauseOverloaded, refused.RetryAfter)
 	case refused != nil:
 		return nil, notRun(CauseNoTarget, refused.RetryAfter)
 	}
+	q.note(now, "placed on", place.Target().ID)
 	if refusal := d.recheck(q, place); refusal != nil {
+		q.note(now, "route or key gone meanwhile", "")
 		place.Done(planner.Abandoned, 0)
 		return nil, refusal
 	}
@@ -175,9 +179,11 @@
 	q.tried = append(q.tried, target.ID)
 	switch result := result.(type) {
 	case forward.NotSent:
+		q.note(d.Clock.Now(), "not reached", target.ID)
 		place.Done(planner.Unreached, 0)
 		return declined{result.Err}
 	case forward.Declined:
+		q.note(d.Clock.Now(), "not run, by its own word, at", target.ID)
 		q.sends++
 		if result.Status == http.StatusMisdirectedRequest {
 			place.Done(planner.Moved, 0)
@@ -189,6 +195,7 @@
 		q.sends++
 		return d.relay(ctx, q, out, place, result)
 	default:
+		q.note(d.Clock.Now(), "broken off without an answer at", target.ID)
 		q.sends++
 		place.Done(failure(ctx), 0)
 		return lost{result.(forward.Broken).Err}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -46,12 +46,14 @@
 func (d *delivery) relayWhole(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
 	if err != nil {
+		q.note(d.Clock.Now(), "answer broken off at", place.Target().ID)
 		place.Done(failure(ctx), 0)
 		return lost{fmt.Errorf("reading the answer: %w", err)}
 	}
 	place.Began(load(a))
 	q.came(d.Clock.Now())
 	failed := a.Status >= http.StatusInternalServerError
+	q.note(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+" from", place.Target().ID)
 	if failed && q.sent+1 < q.route.Attempts && d.mayRepeatFailure(q, out) {
 		place.Done(planner.Failed, 0)
 		return lost{fmt.Errorf("target %s answered with status %d", place.Target().ID, a.Status)}
@@ -120,11 +122,13 @@
 		e, err := events.next()
 		whole := errors.Is(err, io.EOF)
 		if err != nil && !whole {
+			q.note(d.Clock.Now(), fmt.Sprintf("stream broken off after %d events at", n), place.Target().ID)
 			place.Done(failure(ctx), n)
 			return lost{err}
 		}
 		q.came(d.Clock.Now())
 		if n == 0 {
+			q.note(d.Clock.Now(), "first event from", place.Target().ID)
 			place.Began(load(a))
 			if !out.started {
 				out.head(d.dialect, a, -1)
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -27,6 +27,8 @@
 	lastEvent int64
 	hasEvent  bool
 
+	trail []mark
+
 	placedAt clock.Millis // when it was last sent to a target
 	firstAt  clock.Millis // when its answer, or the first event, came
 	eventAt  clock.Millis // when the last event came
--- /dev/null
+++ b/pkg/ingress/trail.go
@@ -0,0 +1,34 @@
+package ingress
+
+import (
+	"fmt"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// mark is one decision about a request.
+type mark struct {
+	at     clock.Millis
+	what   string
+	target ids.Target
+}
+
+// note adds a decision to a request's trail, which is logged if the request
+// fails or is answered late.
+func (r *request) note(now clock.Millis, what string, target ids.Target) {
+	r.trail = append(r.trail, mark{at: now, what: what, target: target})
+}
+
+// marks writes the trail with times since the request came.
+func (r *request) marks() []string {
+	list := make([]string, 0, len(r.trail))
+	for _, m := range r.trail {
+		text := fmt.Sprintf("+%d ms %s", m.at-r.arrived, m.what)
+		if m.target != "" {
+			text += " " + string(m.target)
+		}
+		list = append(list, text)
+	}
+	return list
+}
