Move requests from targets without sign of life; capacity from run times

And a resumable request waited out its time on a target that had gone dark. Change: capacity is the slots over the mean time of a run; the planner tells the requests that wait on a stuck target to go elsewhere if they may run twice, and a resumable stream that falls silent for 1 s or two gaps goes on elsewhere.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -187,7 +187,7 @@
 		Number: p.number, Service: w.Service, Account: w.Account, Tier: w.Tier,
 		Prompt: w.Prompt, Events: w.Events, Gap: w.Gap,
 		Waited: now - w.Arrived, Objective: w.Objective, Remaining: w.Deadline - now,
-		Returned: w.Returned, Exclude: w.Exclude,
+		Returned: w.Returned, Movable: w.Movable, Exclude: w.Exclude,
 	})
 }
 
@@ -199,8 +199,11 @@
 func (d *Dispatcher) answered(_ netip.AddrPort, a *answer) {
 	d.mu.Lock()
 	answers, waits := d.waiting[a.Number]
-	_, runs := d.running[a.Number]
-	if waits {
+	p, runs := d.running[a.Number]
+	if a.Verdict == move && runs && !p.begun {
+		p.moveOnce.Do(func() { close(p.moved) })
+	}
+	if waits && a.Verdict != move {
 		select {
 		case answers <- *a:
 		default: // earlier ones have not been taken yet
@@ -254,7 +257,7 @@
 }
 
 func (d *Dispatcher) begin(number uint64, want *schedule.Ask, t *routing.Target, own schedule.Place) *place {
-	p := &place{dispatcher: d, number: number, target: t, want: want, own: own}
+	p := &place{dispatcher: d, number: number, target: t, want: want, own: own, moved: make(chan struct{})}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.running[number] = p
@@ -269,10 +272,14 @@
 	want       *schedule.Ask
 	own        schedule.Place // if it was placed by the entry's own counts
 	begun      bool           // guarded by the dispatcher's lock
+	moved      chan struct{}
+	moveOnce   gosync.Once
 }
 
 func (p *place) Target() *routing.Target { return p.target }
 
+func (p *place) Moved() <-chan struct{} { return p.moved }
+
 func (p *place) Began(load *planner.Load) {
 	p.dispatcher.mu.Lock()
 	p.begun = true
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -131,6 +131,8 @@
 				kind = noTarget
 			}
 			h.answer(d.ID, answer{Verdict: kind, RetryAfter: d.RetryAfter})
+		case planner.Move:
+			h.answer(d.ID, answer{Verdict: move})
 		case standing:
 			kind := queued
 			if d.at != "" {
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -28,6 +28,7 @@
 	Objective clock.Millis
 	Remaining clock.Millis
 	Returned  bool
+	Movable   bool
 	Exclude   []ids.Target
 }
 
@@ -35,7 +36,7 @@
 	return planner.Job{
 		ID: planner.JobID{Entry: from.String(), Number: a.Number}, Account: a.Account, Tier: a.Tier,
 		Prompt: a.Prompt, Events: a.Events, Gap: a.Gap, Arrived: now - a.Waited, Objective: a.Objective,
-		Deadline: now + a.Remaining, Returned: a.Returned, Exclude: a.Exclude,
+		Deadline: now + a.Remaining, Returned: a.Returned, Movable: a.Movable, Exclude: a.Exclude,
 	}
 }
 
@@ -47,6 +48,7 @@
 	granted
 	refused
 	noTarget
+	move // a request that runs is better sent elsewhere
 )
 
 // answer is the home's word on an ask.
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/routing"
@@ -78,6 +79,11 @@
 	a.body.close()
 }
 
+// Abort breaks the connection under a Read that waits, which then fails.
+func (a *Answer) Abort() {
+	_ = a.body.exchange.conn.SetDeadline(time.Unix(1, 0)) // a closed connection fails by itself
+}
+
 // Dialer limits.
 const (
 	// dialTimeout bounds the making of a connection: targets are a few
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -72,6 +72,7 @@
 	b      *bed
 	delay  time.Duration // before each place
 	refuse bool
+	stuck  ids.Target // its requests are told to go elsewhere after 300 ms
 	mu     sync.Mutex
 	ends   []string // target and outcome of each place
 }
@@ -104,6 +105,14 @@
 
 func (p *orderedPlace) Target() *routing.Target { return p.t }
 func (p *orderedPlace) Began(*planner.Load)     {}
+func (p *orderedPlace) Moved() <-chan struct{} {
+	if p.t.ID == p.s.stuck {
+		moved := make(chan struct{})
+		time.AfterFunc(300*time.Millisecond, func() { close(moved) })
+		return moved
+	}
+	return nil
+}
 func (p *orderedPlace) Done(o planner.Outcome, _ int) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -258,3 +258,42 @@
 		}
 	})
 }
+
+func TestARequestIsTakenFromATargetWithoutSignOfLife(t *testing.T) {
+	stalls := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: e1\n\n\r\n", r.Header.Get("Id"))
+		return silent(c, r)
+	}
+	scenarios := []struct {
+		name   string
+		path   string
+		first  engine
+		status int
+		took   time.Duration
+		arrive int
+	}{
+		{"before its first event", "/resume/a", silent, 200, 800 * time.Millisecond, 2},
+		{"in the middle of its answer", "/resume/a", stalls, 200, 1800 * time.Millisecond, 2},
+		{"a safe call", "/safe/a", silent, 200, 800 * time.Millisecond, 2},
+		{"not if it may run only once", "/unsafe/a", silent, 504, 5100 * time.Millisecond, 1},
+		{"not a stream that cannot be resumed", "/stream/a", silent, 504, 5100 * time.Millisecond, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{}, s.first, streams(0))
+				b.scheduler.stuck = "t1"
+				got := b.call(context.Background(), s.path, nil)
+				if got.status != s.status || !got.whole || got.took > s.took {
+					t.Errorf("status %d, whole %t, after %v", got.status, got.whole, got.took)
+				}
+				if s.status == 200 && got.body != strings.Join(events(1, 10), "") {
+					t.Errorf("body %q", got.body)
+				}
+				if n := len(b.arrived()); n != s.arrive {
+					t.Errorf("%d arrivals", n)
+				}
+			})
+		})
+	}
+}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -96,7 +96,7 @@
 		ID: q.ID, Service: q.service, Account: q.accountName(), Tier: q.tier(),
 		Prompt: q.Prompt, Events: d.admission.events(q), Gap: q.route.EventGap,
 		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline,
-		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Exclude: q.tried,
+		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Movable: d.movable(q), Exclude: q.tried,
 	})
 	now := d.Clock.Now()
 	switch {
@@ -138,6 +138,32 @@
 	return !out.started || q.route.Resumable
 }
 
+// movable reports whether a request that may have run could be sent to one more
+// target after this one.
+func (d *delivery) movable(q *request) bool {
+	return q.route.Idempotent() && q.sent+1 < q.route.Attempts
+}
+
+// errMoved ends an exchange with a target that gives no sign of life.
+var errMoved = errors.New("the target gives no sign of life")
+
+// moveOn ends an exchange when its request is better sent elsewhere. The
+// function that it returns takes that back.
+func (d *delivery) moveOn(q *request, place schedule.Place, end context.CancelCauseFunc) func() {
+	if !d.movable(q) || place.Moved() == nil {
+		return func() {}
+	}
+	over := make(chan struct{})
+	go func() {
+		select {
+		case <-place.Moved():
+			end(errMoved)
+		case <-over:
+		}
+	}()
+	return func() { close(over) }
+}
+
 // again reports whether one more exchange is within the bounds.
 func (d *delivery) again(q *request) bool {
 	now := d.Clock.Now()
@@ -169,8 +195,9 @@
 	target := place.Target()
 	now := d.Clock.Now()
 	q.placedAt = now
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer d.moveOn(q, place, cancel)()
 	onward := Onward{Target: target.ID, Account: q.accountName(), Remaining: q.deadline - now, LastEvent: q.resumeAt()}
 	result := d.pool.Send(ctx, target, &forward.Request{
 		ID: q.ID, Method: q.http.Method, Path: q.http.RequestURI, Host: q.http.Host,
@@ -204,7 +231,7 @@
 
 // failure tells a target's failure from the end of the request's own time.
 func failure(ctx context.Context) planner.Outcome {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errMoved) {
 		return planner.Abandoned
 	}
 	return planner.Failed
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
@@ -118,6 +120,8 @@
 // that a resumable stream can go on elsewhere behind the last one.
 func (d *delivery) relayStream(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	events := newEventReader(a)
+	stalled := d.watchStalls(q, a)
+	defer stalled.Stop()
 	for n := 0; ; n++ {
 		e, err := events.next()
 		whole := errors.Is(err, io.EOF)
@@ -127,6 +131,7 @@
 			return lost{err}
 		}
 		q.came(d.Clock.Now())
+		stalled.Reset(stallTime(q).Duration())
 		if n == 0 {
 			q.note(d.Clock.Now(), "first event from", place.Target().ID)
 			place.Began(load(a))
@@ -147,6 +152,46 @@
 	}
 }
 
+const (
+	// stallFloor and stallGaps are after what silence in the middle of a stream
+	// it is taken up elsewhere: the answer is late by then, but can still be
+	// whole before the caller gives it up.
+	stallFloor = clock.Second
+	stallGaps  = 2
+	// noStall is the time for streams that cannot be taken up elsewhere.
+	noStall = clock.Minute * 60
+)
+
+func stallTime(q *request) clock.Millis {
+	return max(stallFloor, stallGaps*q.route.EventGap)
+}
+
+// watchStalls ends an answer whose target falls silent in the middle, if it can
+// be taken up elsewhere. The timer is set anew by each event.
+func (d *delivery) watchStalls(q *request, a *forward.Answer) *stallTimer {
+	if !d.movable(q) {
+		return &stallTimer{}
+	}
+	return &stallTimer{time.AfterFunc(noStall.Duration(), a.Abort)}
+}
+
+// stallTimer is a timer, or none.
+type stallTimer struct{ timer *time.Timer }
+
+// Reset sets the timer anew.
+func (s *stallTimer) Reset(wait time.Duration) {
+	if s.timer != nil {
+		s.timer.Reset(wait)
+	}
+}
+
+// Stop ends the timer.
+func (s *stallTimer) Stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
 // passEvent hands over one event, unless the caller has it already.
 func (d *delivery) passEvent(q *request, out *answerWriter, e event, flush bool) error {
 	if e.has && q.hasEvent && e.id <= q.lastEvent {
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -36,11 +36,14 @@
 	Deadline  clock.Millis
 	// Returned says that the request was refused once and has come back.
 	Returned bool
+	// Movable says that it may be sent to a second target although the first may
+	// have run it.
+	Movable bool
 	// Exclude lists targets that it is not to get again.
 	Exclude []ids.Target
 }
 
-// Decision is what the planner says of a job: Grant or Refuse.
+// Decision is what the planner says of a job: Grant, Refuse or Move.
 type Decision interface{ decision() }
 
 // Grant gives a job a target.
@@ -57,8 +60,15 @@
 	Empty bool
 }
 
+// Move tells that the target of a job gives no sign of life: the job is better
+// sent elsewhere.
+type Move struct {
+	ID JobID
+}
+
 func (Grant) decision()  {}
 func (Refuse) decision() {}
+func (Move) decision()   {}
 
 // Load is a target's own report of what it carries.
 type Load struct {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -17,6 +17,7 @@
 	runs      map[JobID]*run
 	speeds    speeds
 	releases  rate
+	runTime   mean
 	floor     floor
 	arrivals  map[ids.TierRank]*rate
 	decisions []Decision
@@ -133,6 +134,9 @@
 	delete(p.runs, id)
 	t.end(r)
 	p.releases.add(now)
+	if outcome != Unreached && outcome != Full && outcome != Moved {
+		p.runTime.add(float64(now - r.since))
+	}
 	if !t.offered && len(t.runs) == 0 {
 		delete(p.targets, t.ID)
 	}
@@ -188,6 +192,7 @@
 		if t.stuck(now, &p.speeds) {
 			t.health.Suspect(now)
 			t.trial = true
+			p.move(t)
 		}
 	}
 	p.place(now)
@@ -195,6 +200,17 @@
 	p.reviewAll(now)
 }
 
+// move tells the jobs that wait for their first event on a target that is stuck
+// to go elsewhere, if they may.
+func (p *Planner) move(t *target) {
+	for _, r := range t.runs {
+		if r.Movable && !r.begun && !r.moved {
+			r.moved = true
+			p.decide(Move{ID: r.ID})
+		}
+	}
+}
+
 // forgottenAfter is after what silence a waiting job is dropped: its entry asks
 // for it again and again while it waits.
 const forgottenAfter = 400 * clock.Millisecond
--- a/pkg/planner/rate.go
+++ b/pkg/planner/rate.go
@@ -6,7 +6,6 @@
 type rate struct {
 	steps [rateSteps]int
 	at    clock.Millis // the number of the newest step
-	since clock.Millis // the first step counted
 }
 
 const (
@@ -21,9 +20,6 @@
 
 func (r *rate) move(now clock.Millis) {
 	step := now / rateStep
-	if r.since == 0 {
-		r.at, r.since = step, step
-	}
 	if step-r.at >= rateSteps {
 		r.steps = [rateSteps]int{}
 		r.at = step
@@ -34,13 +30,13 @@
 	}
 }
 
-// perSecond is the mean over the time counted.
+// perSecond is the mean over the whole time, also while less has passed since
+// the first event.
 func (r *rate) perSecond(now clock.Millis) float64 {
 	r.move(now)
 	total := 0
 	for _, n := range r.steps {
 		total += n
 	}
-	steps := min(rateSteps, max(1, r.at-r.since+1))
-	return float64(total) * float64(clock.Second) / float64(steps*rateStep)
+	return float64(total) * float64(clock.Second) / float64(rateSteps*rateStep)
 }
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -99,7 +99,7 @@
 // wait estimates how long a job of a tier waits for a target: until those ahead
 // of it have been served, and those that come meanwhile and go before it too.
 func (p *Planner) wait(now clock.Millis, tier ids.TierRank, ahead int) clock.Millis {
-	left := p.perSecond(now) - p.arrivalsAbove(now, tier)
+	left := p.perSecond() - p.arrivalsAbove(now, tier)
 	return clock.Millis(float64(ahead+1) * float64(clock.Second) / max(minReleases, left))
 }
 
@@ -114,19 +114,41 @@
 	return sum
 }
 
-// perSecond is how many jobs a second end, as measured, or as the slots and the
-// expected run times say while little has been seen.
-func (p *Planner) perSecond(now clock.Millis) float64 {
-	const guessRun = 1000.0 // ms
-	return max(p.releases.perSecond(now), minReleases, float64(p.slots())*float64(clock.Second)/guessRun*unseenPart)
+// perSecond is how many jobs a second can end while all slots are taken: the
+// slots over the mean time of a run. What ends now would say too little while
+// there is room.
+func (p *Planner) perSecond() float64 {
+	return max(minReleases, float64(p.slots())*float64(clock.Second)/p.runTime.get())
+}
+
+// minReleases keeps estimates finite.
+const minReleases = 1.0
+
+// mean is a mean that forgets.
+type mean struct {
+	sum, n float64
 }
 
 const (
-	minReleases = 1.0
-	// unseenPart is how much of the guessed rate is relied on.
-	unseenPart = 0.2
+	// meanKeep is what each further value leaves of the earlier ones.
+	meanKeep = 0.99
+	// runGuess is the time of a run, in ms, before one has ended, and
+	// runGuessWeight for how many runs it counts.
+	runGuess       = 1000.0
+	runGuessWeight = 5.0
+	// leastRun keeps the mean above zero.
+	leastRun = 1.0
 )
 
+func (m *mean) add(x float64) {
+	m.sum = m.sum*meanKeep + x
+	m.n = m.n*meanKeep + 1
+}
+
+func (m *mean) get() float64 {
+	return max(leastRun, (m.sum+runGuess*runGuessWeight)/(m.n+runGuessWeight))
+}
+
 // retryAfter says when to come back: after what waits has been served, spread
 // so that not all come back at once.
 func (p *Planner) retryAfter(now clock.Millis, w *waiting, wait clock.Millis) clock.Millis {
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -25,6 +25,7 @@
 	target  *target
 	since   clock.Millis
 	begun   bool
+	moved   bool // it was told to go elsewhere
 	beganAt clock.Millis
 	ahead   ids.Tokens // prompt tokens to be read up to its first event
 	beside  int        // runs on the target when it was granted, itself included
@@ -33,8 +34,8 @@
 const (
 	// stuckFloor and stuckTimes are after what time a run that has not begun
 	// counts as stuck: the floor, and so many times the expected time.
-	stuckFloor = 500 * clock.Millisecond
-	stuckTimes = 5
+	stuckFloor = 250 * clock.Millisecond
+	stuckTimes = 4
 )
 
 // room reports whether a target can take a job now.
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -94,6 +94,8 @@
 
 func (p *localPlace) Began(*planner.Load) {}
 
+func (p *localPlace) Moved() <-chan struct{} { return nil }
+
 func (p *localPlace) Done(o planner.Outcome, _ int) {
 	l := p.local
 	l.mu.Lock()
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -31,6 +31,9 @@
 	Deadline  clock.Millis
 	// Returned says that the request was refused before and came back.
 	Returned bool
+	// Movable says that the request may be sent to a second target although the
+	// first may have run it.
+	Movable bool
 	// Exclude lists targets that have been tried.
 	Exclude []ids.Target
 }
@@ -41,6 +44,9 @@
 	// Began notes that the target has begun to answer: a whole answer, or the
 	// first event of a stream. The load is its own report, if it gave one.
 	Began(load *planner.Load)
+	// Moved is closed when the request is better sent elsewhere, as its target
+	// gives no sign of life. It is nil if that is never told.
+	Moved() <-chan struct{}
 	// Done gives the place back; events is how many events the answer had.
 	Done(outcome planner.Outcome, events int)
 }
