Tell what waits before its caller gives it up; say what a refusal stands on

Change: a wait ends at 0.8 of the caller's patience; once no target has had room for 1 s, what ends is the capacity; stuck is 8 times the expected time.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -120,7 +120,7 @@
 			return d.alone(ctx, p)
 		case a == nil:
 		case a.Verdict == refused, a.Verdict == noTarget:
-			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, RetryAfter: a.RetryAfter}, nil
+			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, RetryAfter: a.RetryAfter, Ahead: a.Ahead, Wait: a.Wait}, nil
 		case a.Verdict == granted:
 			if t := d.offered(a.Target); t != nil {
 				return d.begin(p.number, &p.want, t, nil), nil, nil
@@ -187,7 +187,7 @@
 		Number: p.number, Service: w.Service, Account: w.Account, Tier: w.Tier,
 		Prompt: w.Prompt, Events: w.Events, Gap: w.Gap,
 		Waited: now - w.Arrived, Objective: w.Objective, Remaining: w.Deadline - now,
-		Returned: w.Returned, Movable: w.Movable, Exclude: w.Exclude,
+		Patience: w.Patience, Returned: w.Returned, Movable: w.Movable, Exclude: w.Exclude,
 	})
 }
 
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -130,7 +130,7 @@
 			if d.Empty {
 				kind = noTarget
 			}
-			h.answer(d.ID, answer{Verdict: kind, RetryAfter: d.RetryAfter})
+			h.answer(d.ID, answer{Verdict: kind, RetryAfter: d.RetryAfter, Ahead: d.Ahead, Wait: d.Wait})
 		case planner.Move:
 			h.answer(d.ID, answer{Verdict: move})
 		case standing:
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -27,6 +27,7 @@
 	Waited    clock.Millis
 	Objective clock.Millis
 	Remaining clock.Millis
+	Patience  clock.Millis
 	Returned  bool
 	Movable   bool
 	Exclude   []ids.Target
@@ -36,7 +37,7 @@
 	return planner.Job{
 		ID: planner.JobID{Entry: from.String(), Number: a.Number}, Account: a.Account, Tier: a.Tier,
 		Prompt: a.Prompt, Events: a.Events, Gap: a.Gap, Arrived: now - a.Waited, Objective: a.Objective,
-		Deadline: now + a.Remaining, Returned: a.Returned, Movable: a.Movable, Exclude: a.Exclude,
+		Deadline: now + a.Remaining, Patience: a.Patience, Returned: a.Returned, Movable: a.Movable, Exclude: a.Exclude,
 	}
 }
 
@@ -58,6 +59,9 @@
 	Verdict    verdict
 	Target     ids.Target
 	RetryAfter clock.Millis
+	// Ahead and Wait are what a refusal stands on.
+	Ahead int
+	Wait  clock.Millis
 }
 
 // progress is how far a request has come.
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"quaydock/pkg/clock"
@@ -95,7 +96,7 @@
 	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{
 		ID: q.ID, Service: q.service, Account: q.accountName(), Tier: q.tier(),
 		Prompt: q.Prompt, Events: d.admission.events(q), Gap: q.route.EventGap,
-		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline,
+		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline, Patience: q.patience(),
 		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Movable: d.movable(q), Exclude: q.tried,
 	})
 	now := d.Clock.Now()
@@ -104,6 +105,7 @@
 		q.note(now, "no place in its time", "")
 		return nil, &Refusal{Status: http.StatusGatewayTimeout, Cause: CauseDeadline}
 	case refused != nil && refused.Overloaded:
+		q.note(now, fmt.Sprintf("refused: %d ahead, a wait of %d ms", refused.Ahead, refused.Wait), "")
 		return nil, notRun(CauseOverloaded, refused.RetryAfter)
 	case refused != nil:
 		return nil, notRun(CauseNoTarget, refused.RetryAfter)
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -35,6 +35,22 @@
 	pause    clock.Millis // the longest between two events
 }
 
+// Callers give up a stream that is silent for the longest of these, its first
+// event included.
+const (
+	patienceFloor      = 2 * clock.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+)
+
+// patience is how long a caller waits for the next event, 0 if to the deadline.
+func (r *request) patience() clock.Millis {
+	if r.route.Kind != routing.Stream {
+		return 0
+	}
+	return max(patienceFloor, patienceObjectives*r.route.Objective, patienceGaps*r.route.EventGap)
+}
+
 // came notes that an event, or a whole answer, has come.
 func (r *request) came(now clock.Millis) {
 	if r.firstAt == 0 {
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -34,6 +34,9 @@
 	Arrived   clock.Millis
 	Objective clock.Millis
 	Deadline  clock.Millis
+	// Patience is for how long its caller waits for a first sign; 0 if to the
+	// deadline.
+	Patience clock.Millis
 	// Returned says that the request was refused once and has come back.
 	Returned bool
 	// Movable says that it may be sent to a second target although the first may
@@ -56,6 +59,10 @@
 type Refuse struct {
 	ID         JobID
 	RetryAfter clock.Millis
+	// Ahead and Wait are what the refusal stands on: how many jobs go before it,
+	// and how long it would wait.
+	Ahead int
+	Wait  clock.Millis
 	// Empty says that the group has no target at all.
 	Empty bool
 }
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -27,10 +27,12 @@
 // behind it.
 func (p *Planner) place(now clock.Millis) {
 	if len(p.queue.jobs) == 0 {
+		p.fullSince = 0
 		return
 	}
 	s := p.survey(now)
 	if len(s.roomy) == 0 {
+		p.noteFull(now)
 		return
 	}
 	p.queue.sort(now)
@@ -50,6 +52,17 @@
 	}
 	clear(p.queue.jobs[len(kept):])
 	p.queue.jobs = kept
+	if len(s.roomy) > 0 {
+		p.fullSince = 0
+	} else {
+		p.noteFull(now)
+	}
+}
+
+func (p *Planner) noteFull(now clock.Millis) {
+	if p.fullSince == 0 {
+		p.fullSince = now
+	}
 }
 
 // survey is what a round of placing stands on.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -18,6 +18,7 @@
 	speeds    speeds
 	releases  rate
 	runTime   mean
+	fullSince clock.Millis // since when no target has had room; 0 if one has
 	floor     floor
 	arrivals  map[ids.TierRank]*rate
 	decisions []Decision
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -402,3 +402,26 @@
 		t.Errorf("given %v of the last 30", given)
 	}
 }
+
+func TestAJobIsToldBeforeItsCallerGivesItUp(t *testing.T) {
+	p := newPlanner(1)
+	now := measure(p, 10, 500)
+	block := job(1, 0)
+	block.Arrived, block.Deadline = now, now+60*clock.Second
+	p.Submit(now, block)
+	back := job(2, 0)
+	back.Arrived, back.Deadline, back.Returned, back.Patience = now, now+15*clock.Second, true, 3200
+	p.Submit(now, back)
+	p.Decisions()
+	for at := now; at < now+10*clock.Second; at += 50 {
+		p.Submit(at, back)
+		p.Tick(at)
+		if len(refused(p.Decisions())) > 0 {
+			if waited := at - now; waited > 2700 {
+				t.Errorf("told after %d ms of a patience of 3200", waited)
+			}
+			return
+		}
+	}
+	t.Error("never told")
+}
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -49,7 +49,7 @@
 	wait := p.wait(now, w.Tier, ahead)
 	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
 	if w.committed {
-		end := w.Arrived + clock.Millis(holdPart*float64(w.Deadline-w.Arrived))
+		end := w.Arrived + p.longestHold(w)
 		return now > end || now <= latest && now+wait > end
 	}
 	if now+wait <= w.useful {
@@ -60,9 +60,20 @@
 	return !w.committed
 }
 
+// longestHold is for how long a job may wait at the most: a part of its time, and
+// so that its first event still comes before its caller gives it up.
+func (p *Planner) longestHold(w *waiting) clock.Millis {
+	hold := clock.Millis(holdPart * float64(w.Deadline-w.Arrived))
+	if w.Patience > 0 {
+		hold = min(hold, clock.Millis(patiencePart*float64(w.Patience)))
+	}
+	return hold
+}
+
 func (p *Planner) refuse(now clock.Millis, w *waiting) {
-	wait := p.wait(now, w.Tier, p.queue.ahead(now, w))
-	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait)})
+	ahead := p.queue.ahead(now, w)
+	wait := p.wait(now, w.Tier, ahead)
+	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait), Ahead: ahead, Wait: wait})
 	p.floor.raise(now, w.Tier)
 }
 
@@ -96,10 +107,14 @@
 // holdPart is the part of its time for which a job waits at the most.
 const holdPart = 0.45
 
+// patiencePart is the part of its caller's patience for which a job waits at the
+// most; the rest is for its prompt.
+const patiencePart = 0.8
+
 // wait estimates how long a job of a tier waits for a target: until those ahead
 // of it have been served, and those that come meanwhile and go before it too.
 func (p *Planner) wait(now clock.Millis, tier ids.TierRank, ahead int) clock.Millis {
-	left := p.perSecond() - p.arrivalsAbove(now, tier)
+	left := p.perSecond(now) - p.arrivalsAbove(now, tier)
 	return clock.Millis(float64(ahead+1) * float64(clock.Second) / max(minReleases, left))
 }
 
@@ -114,13 +129,21 @@
 	return sum
 }
 
-// perSecond is how many jobs a second can end while all slots are taken: the
-// slots over the mean time of a run. What ends now would say too little while
-// there is room.
-func (p *Planner) perSecond() float64 {
-	return max(minReleases, float64(p.slots())*float64(clock.Second)/p.runTime.get())
+// perSecond is how many jobs a second can end. While all places have been taken
+// for a while, it is how many do; before, what ends says too little, and it is the
+// slots over the mean time of a run.
+func (p *Planner) perSecond(now clock.Millis) float64 {
+	measured := p.releases.perSecond(now)
+	if p.fullSince > 0 && now-p.fullSince >= fullFor {
+		return max(minReleases, measured)
+	}
+	return max(minReleases, measured, float64(p.slots())*float64(clock.Second)/p.runTime.get())
 }
 
+// fullFor is how long no target must have had room for the releases to tell the
+// capacity.
+const fullFor = clock.Second
+
 // minReleases keeps estimates finite.
 const minReleases = 1.0
 
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -35,7 +35,7 @@
 	// stuckFloor and stuckTimes are after what time a run that has not begun
 	// counts as stuck: the floor, and so many times the expected time.
 	stuckFloor = 250 * clock.Millisecond
-	stuckTimes = 4
+	stuckTimes = 8
 )
 
 // room reports whether a target can take a job now.
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -29,6 +29,9 @@
 	Arrived   clock.Millis
 	Objective clock.Millis
 	Deadline  clock.Millis
+	// Patience is for how long the caller waits for a first sign; 0 if to the
+	// deadline.
+	Patience clock.Millis
 	// Returned says that the request was refused before and came back.
 	Returned bool
 	// Movable says that the request may be sent to a second target although the
@@ -56,6 +59,10 @@
 	// Overloaded is false if the service has no target at all.
 	Overloaded bool
 	RetryAfter clock.Millis
+	// Ahead is how many requests went before it, Wait how long it would have
+	// waited.
+	Ahead int
+	Wait  clock.Millis
 }
 
 // Scheduler gives out places.
