--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -159,7 +159,7 @@
 		Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack, Window: seconds(s.Bounds.QuotaWindowSeconds),
 	}, p.view, p.members, link)
 	p.board = bulletin.NewBoard(c, p.members, link)
-	p.dispatcher = dispatch.New(c, address, p.view, p.members, link, schedule.NewLocal(c, p.view))
+	p.dispatcher = dispatch.New(c, address, s.Domain, p.view, p.members, link, schedule.NewLocal(c, p.view))
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.dispatcher,
 		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -37,6 +37,7 @@
 	members *membership.Members
 	link    *packets.Link
 	address netip.AddrPort
+	domain  ids.FailureDomain
 	home    *Home
 	local   schedule.Scheduler
 
@@ -49,11 +50,11 @@
 
 var _ schedule.Scheduler = (*Dispatcher)(nil)
 
-// New returns a dispatcher of an entry at an address; local places while there
-// is no home.
-func New(c common.Common, address netip.AddrPort, v *view.View, members *membership.Members, link *packets.Link, local schedule.Scheduler) *Dispatcher {
+// New returns a dispatcher of an entry at an address, in a failure domain; local
+// places while there is no home.
+func New(c common.Common, address netip.AddrPort, domain ids.FailureDomain, v *view.View, members *membership.Members, link *packets.Link, local schedule.Scheduler) *Dispatcher {
 	d := &Dispatcher{
-		Common: c, view: v, members: members, link: link, address: address, local: local,
+		Common: c, view: v, members: members, link: link, address: address, domain: domain, local: local,
 		number:  c.Random.Fork().Uint64(),
 		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place), homes: make(map[ids.Service]netip.AddrPort),
 	}
@@ -187,7 +188,7 @@
 		Number: p.number, Service: w.Service, Account: w.Account, Tier: w.Tier,
 		Prompt: w.Prompt, Events: w.Events, Gap: w.Gap,
 		Waited: now - w.Arrived, Objective: w.Objective, Remaining: w.Deadline - now,
-		Patience: w.Patience, Returned: w.Returned, Movable: w.Movable, Exclude: w.Exclude,
+		Patience: w.Patience, Returned: w.Returned, Movable: w.Movable, Domain: d.domain, Exclude: w.Exclude,
 	})
 }
 
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -72,7 +72,7 @@
 		m.Whole(rows, follow.Proof{})
 		v := view.New(b.Check)
 		v.SetDirectory(routing.NewDirectory(b.targets))
-		d := dispatch.New(b.Common, address(i), v, m, link, schedule.NewLocal(b.Common, v))
+		d := dispatch.New(b.Common, address(i), "d", v, m, link, schedule.NewLocal(b.Common, v))
 		go link.Run(ctx)
 		go m.Run(ctx)
 		go d.Run(ctx)
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -30,6 +30,7 @@
 	Patience  clock.Millis
 	Returned  bool
 	Movable   bool
+	Domain    ids.FailureDomain
 	Exclude   []ids.Target
 }
 
@@ -37,7 +38,7 @@
 	return planner.Job{
 		ID: planner.JobID{Entry: from.String(), Number: a.Number}, Account: a.Account, Tier: a.Tier,
 		Prompt: a.Prompt, Events: a.Events, Gap: a.Gap, Arrived: now - a.Waited, Objective: a.Objective,
-		Deadline: now + a.Remaining, Patience: a.Patience, Returned: a.Returned, Movable: a.Movable, Exclude: a.Exclude,
+		Deadline: now + a.Remaining, Patience: a.Patience, Returned: a.Returned, Movable: a.Movable, Domain: a.Domain, Exclude: a.Exclude,
 	}
 }
 
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -42,6 +42,8 @@
 	// Movable says that it may be sent to a second target although the first may
 	// have run it.
 	Movable bool
+	// Domain is the failure domain of its entry: bytes to others cost.
+	Domain ids.FailureDomain
 	// Exclude lists targets that it is not to get again.
 	Exclude []ids.Target
 }
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -14,6 +14,9 @@
 	// disturbWeight is what it counts that a prompt, while it is read, holds up
 	// each answer that runs beside it.
 	disturbWeight = 0.3
+	// domainCost is what it counts, in ms, to send a request to another failure
+	// domain: the way, and the price of the bytes.
+	domainCost = 25.0
 	// lateCost is what it counts, in ms, that an answer becomes late.
 	lateCost = 400.0
 	// lengthDoubt is how much longer than guessed an answer is reckoned with.
@@ -150,6 +153,9 @@
 	if job.Gap > 0 && pause+reads+f*p.speeds.readTime(t.reading) > gapPart*float64(job.Gap) {
 		cost += lateCost * float64(running)
 	}
+	if job.Domain != t.Domain {
+		cost += domainCost
+	}
 	return cost
 }
 
