--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -79,6 +79,8 @@
 	callers    *http.Server
 	readiness  *http.Server
 	figures    *http.Server
+	retries    *quota.RetryBudget
+	grace      atomic.Int64 // from SIGTERM to the kill, in clock.Millis
 	leaving    atomic.Bool
 }
 
@@ -98,18 +100,16 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	stops, changes := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(changes, syscall.SIGHUP)
 	if err := p.start(ctx); err != nil {
 		return err
 	}
+	go newSettingsWatcher(c, os.Getenv(platform.SettingsVariable), p.change).run(ctx, changes)
 	c.Log.Info("started")
-	for received := range signals {
-		c.Log.WithField("signal", received.String()).Info("signal")
-		if received != syscall.SIGHUP {
-			break
-		}
-	}
+	received := <-stops
+	c.Log.WithField("signal", received.String()).Info("signal")
 	p.drain()
 	return nil
 }
@@ -155,17 +155,15 @@
 	})
 	p.members = membership.New(c, s.Node, address, max(s.Limits.CPUShare, leastWeight), p.store.Table(platform.TableMembers), link)
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
-	p.meter = metering.New(c, metering.Bounds{
-		Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack, Window: seconds(s.Bounds.QuotaWindowSeconds),
-	}, p.view, p.members, link)
+	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
 	p.board = bulletin.NewBoard(c, p.members, link)
 	p.dispatcher = dispatch.New(c, address, s.Domain, p.view, p.members, link, schedule.NewLocal(c, p.view))
+	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds))
+	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.dispatcher,
 		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
-		Retries: quota.NewRetryBudget(quota.RetryBounds{
-			Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: seconds(s.Bounds.RetryWindowSeconds),
-		}),
+		Retries: p.retries,
 	})
 	p.callers = &http.Server{
 		Handler: p.controller, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
@@ -255,6 +253,23 @@
 	return nil
 }
 
+// change takes over the bounds that may change while the process runs.
+// Addresses are read at the start only.
+func (p *entryProcess) change(s platform.Settings) {
+	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
+	p.controller.SetRevokeBound(s.Bounds.Revoke)
+	p.retries.SetBounds(retryBounds(s.Bounds))
+	p.meter.SetBounds(quotaBounds(s.Bounds))
+}
+
+func retryBounds(b platform.Bounds) quota.RetryBounds {
+	return quota.RetryBounds{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: seconds(b.RetryWindowSeconds)}
+}
+
+func quotaBounds(b platform.Bounds) metering.Bounds {
+	return metering.Bounds{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: seconds(b.QuotaWindowSeconds)}
+}
+
 // applied forgets what belongs to accounts that are gone.
 func (p *entryProcess) applied(c *routing.Catalog) {
 	known := make(map[ids.Account]bool)
@@ -290,7 +305,7 @@
 	p.leaving.Store(true)
 	p.controller.Leave()
 	began := p.Clock.Now()
-	end := began + seconds(p.settings.Bounds.GraceSeconds) - endMargin
+	end := began + clock.Millis(p.grace.Load()) - endMargin
 	clock.Pause(context.Background(), leaveTime)
 	limited, cancel := context.WithTimeout(context.Background(), (end - p.Clock.Now()).Duration())
 	defer cancel()
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
@@ -42,7 +43,11 @@
 	view     *view.View
 	dialect  Dialect
 	meter    Meter
-	keyTrust clock.Millis
+	keyTrust atomic.Int64 // for how long keys are trusted without proof, in clock.Millis
+}
+
+func (a *admission) setRevokeBound(bound clock.Millis) {
+	a.keyTrust.Store(int64(float64(bound) * revokePart))
 }
 
 // admit reads a request and checks route, key, size and allowance.
@@ -89,7 +94,7 @@
 	if !catalog.Keyed() || route.Anonymous {
 		return nil
 	}
-	if age > a.keyTrust {
+	if age > clock.Millis(a.keyTrust.Load()) {
 		return notRun(CauseStaleKeys, comeBack)
 	}
 	if q.account = catalog.Account(q.Key); q.account == nil {
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -52,10 +52,8 @@
 
 // NewController returns a controller over its parts.
 func NewController(p Parts) *Controller {
-	a := &admission{
-		Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter,
-		keyTrust: clock.Millis(float64(p.RevokeBound) * revokePart),
-	}
+	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter}
+	a.setRevokeBound(p.RevokeBound)
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
@@ -63,6 +61,11 @@
 	return &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
 }
 
+// SetRevokeBound changes how long after its removal a key may still be used.
+func (c *Controller) SetRevokeBound(bound clock.Millis) {
+	c.admission.setRevokeBound(bound)
+}
+
 // Leave has every further answer close its connection.
 func (c *Controller) Leave() {
 	c.leaving.Store(true)
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -99,6 +99,22 @@
 	return m
 }
 
+// SetBounds changes the bounds.
+func (m *Meter) SetBounds(bounds Bounds) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bounds = bounds
+}
+
+// margin is what the bounds leave beyond an account's allowance in a window, and
+// the window in seconds.
+func (m *Meter) margin(account *routing.Account) (units, window float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	window = float64(m.bounds.Window) / float64(clock.Second)
+	return m.bounds.Over*(account.PerSecond*window+account.Burst) + m.bounds.Slack, window
+}
+
 // Take counts units against an account's allowance. If it may not run them, it
 // returns when to come back.
 func (m *Meter) Take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis) {
@@ -139,22 +155,19 @@
 // book counts at the home. A home that only some entries take for it gives out
 // only their part.
 func (m *Meter) book(account *routing.Account, units float64) (bool, clock.Millis) {
-	seconds := float64(m.bounds.Window) / float64(clock.Second)
-	margin := homePart * (m.bounds.Over*(account.PerSecond*seconds+account.Burst) + m.bounds.Slack)
+	margin, window := m.margin(account)
 	widened := *account
-	widened.PerSecond += margin / seconds
+	widened.PerSecond += homePart * margin / window
 	return m.books.Take(m.Clock.Now(), &widened, m.members.Backing(), units)
 }
 
 // spendOwn counts against this entry's share of the margin.
 func (m *Meter) spendOwn(account *routing.Account, units float64) (bool, clock.Millis) {
-	seconds := float64(m.bounds.Window) / float64(clock.Second)
-	window := account.PerSecond*seconds + account.Burst
-	margin := marginPart * (m.bounds.Over*window + m.bounds.Slack)
-	// Half of the margin flows over the window, half may go at once.
+	margin, window := m.margin(account)
+	// Half of it flows over the window, half may go at once.
 	alone := *account
-	alone.PerSecond = margin / 2 / seconds
-	alone.Burst = margin / 2
+	alone.PerSecond = marginPart * margin / 2 / window
+	alone.Burst = marginPart * margin / 2
 	return m.own.Take(m.Clock.Now(), &alone, 1/float64(m.members.Entries()), units)
 }
 
--- a/pkg/quota/retry_budget.go
+++ b/pkg/quota/retry_budget.go
@@ -43,6 +43,13 @@
 	return &RetryBudget{bounds: bounds, services: make(map[ids.Service]*tally)}
 }
 
+// SetBounds changes the bounds; what has been counted stays.
+func (b *RetryBudget) SetBounds(bounds RetryBounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = bounds
+}
+
 // Request counts a caller's request for a service.
 func (b *RetryBudget) Request(now clock.Millis, service ids.Service) {
 	b.mu.Lock()
