--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -241,6 +241,7 @@
 // the next sync.
 func (d *Dispatcher) alone(ctx context.Context, p *pending) (schedule.Place, *schedule.Refused, error) {
 	d.Metrics.Links.Add("placed_alone", 1)
+	d.members.Doubt(p.home)
 	d.step(step{Number: p.number, Service: p.want.Service, Progress: withdrawn})
 	own, refused, err := d.local.Acquire(ctx, p.want)
 	if own == nil {
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -208,6 +208,22 @@
 	return -weight * weight / math.Log(draw)
 }
 
+// Doubt says that an entry did not answer. Where greetings are rare, as among
+// many entries, it counts as gone until it is heard again; among few, greetings
+// tell as soon.
+func (m *Members) Doubt(address netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.every() <= helloEvery {
+		return
+	}
+	for _, other := range m.list {
+		if other.address == address {
+			other.heardAt = 0
+		}
+	}
+}
+
 // Backing is the part of all listed entries that surely takes this one for the
 // home wherever it takes itself for it: those heard lately with the same idea
 // of who is alive. A home gives out no more than this part of an allowance, so
--- /dev/null
+++ b/pkg/membership/members_test.go
@@ -0,0 +1,177 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
+)
+
+// rows counts what is written to the store's table of entries.
+type rows struct {
+	puts    map[string]int
+	removed []string
+}
+
+func (r *rows) Put(_ context.Context, key string, _ []byte) error {
+	r.puts[key]++
+	return nil
+}
+
+func (r *rows) Remove(_ context.Context, key string) error {
+	r.removed = append(r.removed, key)
+	return nil
+}
+
+type bed struct {
+	net     *packets.Memory
+	rows    *rows
+	members []*membership.Members
+}
+
+func address(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7600", i/200, i%200+1))
+}
+
+// start runs entries of the given weights for a while.
+func start(t *testing.T, weights ...float64) *bed {
+	b := &bed{net: packets.NewMemory(), rows: &rows{puts: make(map[string]int)}}
+	c := commontest.New(network.NewMemory(nil))
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+	var listed []follow.Row
+	for i, w := range weights {
+		value := fmt.Appendf(nil, `{"address":%q,"weight":%g}`, address(i).String(), w)
+		listed = append(listed, follow.Row{Key: fmt.Sprintf("entry-%03d", i), Value: value})
+	}
+	for i, w := range weights {
+		link := packets.NewLink(c, b.net.Socket(address(i)))
+		m := membership.New(c, ids.Process(fmt.Sprintf("entry-%03d", i)), address(i), w, b.rows, link)
+		m.Whole(listed, follow.Proof{})
+		go link.Run(ctx)
+		go m.Run(ctx)
+		b.members = append(b.members, m)
+	}
+	return b
+}
+
+func (b *bed) cut(i int) {
+	gone := address(i)
+	b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == gone || to == gone })
+}
+
+func equal(n int, weight float64) []float64 {
+	list := make([]float64, n)
+	for i := range list {
+		list[i] = weight
+	}
+	return list
+}
+
+func TestAllAgreeOnTheHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(6, 1)...)
+		time.Sleep(2 * time.Second)
+		homes := map[netip.AddrPort]int{}
+		for n := range 60 {
+			matter := fmt.Sprint("matter/", n)
+			home, _ := b.members[0].Home(matter)
+			homes[home]++
+			for i, m := range b.members {
+				if got, self := m.Home(matter); got != home || self != (home == address(i)) {
+					t.Fatalf("entry %d: home of %s is %v, not %v", i, matter, got, home)
+				}
+			}
+		}
+		if len(homes) != 6 {
+			t.Errorf("matters went to %d of 6 entries", len(homes))
+		}
+	})
+}
+
+func TestWeakEntriesGetFewMatters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, 0.8, 0.8, 0.144, 0.144, 0.144, 0.144)
+		time.Sleep(2 * time.Second)
+		weak := 0
+		const matters = 500
+		for n := range matters {
+			home, _ := b.members[0].Home(fmt.Sprint("matter/", n))
+			if home != address(0) && home != address(1) {
+				weak++
+			}
+		}
+		if weak > matters/8 {
+			t.Errorf("%d of %d matters went to weak entries", weak, matters)
+		}
+	})
+}
+
+func TestASilentEntryIsTakenOffTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(4, 1)...)
+		time.Sleep(2 * time.Second)
+		b.cut(3)
+		time.Sleep(5 * time.Second)
+		if len(b.rows.removed) != 0 {
+			t.Errorf("removed %v after 5 s", b.rows.removed)
+		}
+		time.Sleep(6 * time.Second)
+		others := 0
+		for _, key := range b.rows.removed {
+			if key == "entry-003" {
+				others++
+			}
+		}
+		if others == 0 {
+			t.Error("still listed after 11 s")
+		}
+	})
+}
+
+func TestOneTakenOffByMistakeComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(2, 1)...)
+		time.Sleep(2 * time.Second)
+		before := b.rows.puts["entry-001"]
+		b.members[1].Changed([]follow.Row{{Key: "entry-001", Gone: true}}, follow.Proof{})
+		time.Sleep(2 * time.Second)
+		if b.rows.puts["entry-001"] <= before {
+			t.Error("its row was not written again")
+		}
+		if n := b.members[1].Entries(); n != 2 {
+			t.Errorf("%d entries", n)
+		}
+	})
+}
+
+func TestAmongManyADoubtedHomeIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(80, 1)...)
+		time.Sleep(10 * time.Second)
+		home, self := b.members[0].Home("matter")
+		if self {
+			home, _ = b.members[1].Home("another")
+		}
+		b.members[0].Doubt(home)
+		if got, _ := b.members[0].Home("matter"); got == home {
+			t.Error("a home that does not answer is asked on")
+		}
+		time.Sleep(5 * time.Second)
+		if got, _ := b.members[0].Home("matter"); got != home && !self {
+			t.Error("it is not taken for the home again once it was heard")
+		}
+	})
+}
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -220,6 +220,7 @@
 	if ctx.Err() != nil {
 		return // the caller left first
 	}
+	m.members.Doubt(home)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.silent[home] = m.Clock.Now() + silentFor
