--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -425,3 +425,37 @@
 	}
 	t.Error("never told")
 }
+
+// TestNothingBelowARefusedTierIsGranted has a tier refused while a target still
+// has room for what may go nowhere else: lower tiers do not get it.
+func TestNothingBelowARefusedTierIsGranted(t *testing.T) {
+	p := newPlanner(1)
+	now := measure(p, 10, 500)
+	at := func(number uint64, tier ids.TierRank) planner.Job {
+		j := job(number, tier)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		return j
+	}
+	p.Submit(now, at(1, 0)) // it runs
+	p.Submit(now, at(2, 1))
+	p.Submit(now, at(3, 1))
+	p.Submit(now, at(4, 1))
+	if len(refused(p.Decisions())) == 0 {
+		t.Fatal("nothing of the tier was refused")
+	}
+	low := at(9, 2)
+	low.Returned, low.Objective = true, 8*clock.Second // it may wait
+	p.Submit(now, low)
+	for _, number := range []uint64{1, 2, 3, 4} {
+		p.Withdraw(now, planner.JobID{Entry: "e", Number: number})
+	}
+	if got := granted(p.Decisions()); slices.Contains(got, 9) {
+		t.Error("a lower tier was granted at the moment of a refusal")
+	}
+	later := now + 300
+	p.Submit(later, low)
+	p.Tick(later)
+	if got := granted(p.Decisions()); !slices.Contains(got, 9) {
+		t.Errorf("granted %v after the while", got)
+	}
+}
