--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -10,9 +10,11 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"quaydock/pkg/network"
+	"quaydock/pkg/schedule"
 	"quaydock/pkg/settings"
 )
 
@@ -27,6 +29,7 @@
 // options are the command line.
 type options struct {
 	role     string
+	policy   string
 	settings string
 	check    bool
 }
@@ -41,7 +44,7 @@
 		return ExitUsage
 	}
 	if o.role != "" {
-		return runRole(o.role, out)
+		return runRole(o, out)
 	}
 	s, err := settings.Load(o.settings)
 	if err != nil {
@@ -63,12 +66,14 @@
 // The roles of a process on the platform.
 const roleEntry = "entry"
 
-func runRole(role string, logs io.Writer) int {
-	if role != roleEntry {
-		report(logs, "unknown role "+role)
+func runRole(o options, logs io.Writer) int {
+	policy := schedule.Policy(o.policy)
+	known := []schedule.Policy{schedule.Planned, schedule.RoundRobin, schedule.LeastReported}
+	if o.role != roleEntry || !slices.Contains(known, policy) {
+		report(logs, fmt.Sprintf("command line: no role %q, or no policy %q", o.role, o.policy))
 		return ExitUsage
 	}
-	if err := runEntry(logs); err != nil {
+	if err := runEntry(policy, logs); err != nil {
 		report(logs, err)
 		return ExitFailed
 	}
@@ -85,6 +90,7 @@
 	flags.SetOutput(usage)
 	flags.StringVar(&o.settings, "settings", "", "the settings `file` (JSON); required")
 	flags.StringVar(&o.role, "role", "", "the `role` to take on the platform, whose settings the environment names: "+roleEntry)
+	flags.StringVar(&o.policy, "policy", string(schedule.Planned), "how an entry on the platform places requests: planned, round-robin or least-reported")
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
 	if err := flags.Parse(args); err != nil {
 		return options{}, fmt.Errorf("command line: %w", err)
--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -85,7 +85,7 @@
 }
 
 // runEntry runs an entry on the platform until SIGTERM.
-func runEntry(logs io.Writer) error {
+func runEntry(policy schedule.Policy, logs io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -94,7 +94,7 @@
 	lines := telemetry.NewQueuedWriter(logs)
 	defer lines.Close()
 	c := newCommon(s.Node, lines)
-	p, err := newEntryProcess(c, s)
+	p, err := newEntryProcess(c, s, policy)
 	if err != nil {
 		return err
 	}
@@ -139,7 +139,7 @@
 	}
 }
 
-func newEntryProcess(c common.Common, s platform.Settings) (*entryProcess, error) {
+func newEntryProcess(c common.Common, s platform.Settings, policy schedule.Policy) (*entryProcess, error) {
 	address, err := netip.ParseAddrPort(s.InternalAddress(0))
 	if err != nil {
 		return nil, fmt.Errorf("internal address: %w", err)
@@ -161,7 +161,7 @@
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds))
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.controller = ingress.NewController(ingress.Parts{
-		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.dispatcher,
+		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(policy),
 		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
 		Retries: p.retries,
 	})
@@ -211,6 +211,13 @@
 	return clock.Millis(s * float64(clock.Second))
 }
 
+func (p *entryProcess) scheduler(policy schedule.Policy) schedule.Scheduler {
+	if policy == schedule.Planned {
+		return p.dispatcher
+	}
+	return schedule.NewBaseline(p.Common, p.view, policy)
+}
+
 func (p *entryProcess) start(ctx context.Context) error {
 	if err := p.serve(p.readiness, p.settings.Listen.Ready); err != nil {
 		return fmt.Errorf("readiness: %w", err)
--- /dev/null
+++ b/pkg/schedule/schedule_test.go
@@ -0,0 +1,103 @@
+package schedule_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+	"quaydock/pkg/view"
+)
+
+func newView(n int) *view.View {
+	c := commontest.New(network.NewMemory(nil))
+	v := view.New(c.Check)
+	var targets []*routing.Target
+	for i := range n {
+		targets = append(targets, &routing.Target{ID: ids.Target(fmt.Sprint("t", i)), Service: "s", Slots: 2})
+	}
+	v.SetDirectory(routing.NewDirectory(targets))
+	return v
+}
+
+// take runs n requests and returns how many each target got; done says which
+// are ended at once, and how.
+func take(t *testing.T, s schedule.Scheduler, n int, exclude []ids.Target, end func(schedule.Place)) map[ids.Target]int {
+	t.Helper()
+	got := map[ids.Target]int{}
+	for range n {
+		p, refused, err := s.Acquire(context.Background(), schedule.Ask{Service: "s", Exclude: exclude})
+		if err != nil || refused != nil {
+			t.Fatalf("refused %+v, %v", refused, err)
+		}
+		got[p.Target().ID]++
+		end(p)
+	}
+	return got
+}
+
+func keep(schedule.Place) {}
+
+func TestOwnCountsSpreadRequests(t *testing.T) {
+	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4))
+	for id, n := range take(t, s, 40, nil, keep) {
+		if n != 10 {
+			t.Errorf("%s got %d of 40", id, n)
+		}
+	}
+}
+
+func TestOwnCountsAvoidATargetThatCannotBeReached(t *testing.T) {
+	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4))
+	got := take(t, s, 40, nil, func(p schedule.Place) {
+		if p.Target().ID == "t0" {
+			p.Done(planner.Unreached, 0)
+			return
+		}
+		p.Done(planner.Served, 0)
+	})
+	if got["t0"] > 2 {
+		t.Errorf("an unreachable target got %d of 40", got["t0"])
+	}
+}
+
+func TestRoundRobinTakesTurns(t *testing.T) {
+	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(4), schedule.RoundRobin)
+	for id, n := range take(t, s, 40, nil, keep) {
+		if n != 10 {
+			t.Errorf("%s got %d of 40", id, n)
+		}
+	}
+}
+
+func TestLeastReportedFollowsReports(t *testing.T) {
+	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(3), schedule.LeastReported)
+	take(t, s, 3, nil, func(p schedule.Place) {
+		load := &planner.Load{Running: 2}
+		if p.Target().ID == "t1" {
+			load.Running = 0
+		}
+		p.Began(load)
+	})
+	if got := take(t, s, 10, nil, keep); got["t1"] != 10 {
+		t.Errorf("got %v with t1 reported idle", got)
+	}
+	if got := take(t, s, 10, []ids.Target{"t1"}, keep); got["t1"] != 0 {
+		t.Error("an excluded target was taken")
+	}
+}
+
+func TestWithoutTargetsThereIsNoPlace(t *testing.T) {
+	c := commontest.New(network.NewMemory(nil))
+	for _, s := range []schedule.Scheduler{schedule.NewLocal(c, newView(0)), schedule.NewBaseline(c, newView(0), schedule.RoundRobin)} {
+		p, refused, err := s.Acquire(context.Background(), schedule.Ask{Service: "s"})
+		if p != nil || refused == nil || refused.RetryAfter <= 0 || err != nil {
+			t.Errorf("place %v, refused %+v, %v", p, refused, err)
+		}
+	}
+}
