--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -72,17 +72,17 @@
 	b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == gone || to == gone })
 }
 
-func equal(n int, weight float64) []float64 {
+func equal(n int) []float64 {
 	list := make([]float64, n)
 	for i := range list {
-		list[i] = weight
+		list[i] = 1
 	}
 	return list
 }
 
 func TestAllAgreeOnTheHome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := start(t, equal(6, 1)...)
+		b := start(t, equal(6)...)
 		time.Sleep(2 * time.Second)
 		homes := map[netip.AddrPort]int{}
 		for n := range 60 {
@@ -121,7 +121,7 @@
 
 func TestASilentEntryIsTakenOffTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := start(t, equal(4, 1)...)
+		b := start(t, equal(4)...)
 		time.Sleep(2 * time.Second)
 		b.cut(3)
 		time.Sleep(5 * time.Second)
@@ -143,7 +143,7 @@
 
 func TestOneTakenOffByMistakeComesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := start(t, equal(2, 1)...)
+		b := start(t, equal(2)...)
 		time.Sleep(2 * time.Second)
 		before := b.rows.puts["entry-001"]
 		b.members[1].Changed([]follow.Row{{Key: "entry-001", Gone: true}}, follow.Proof{})
@@ -159,7 +159,7 @@
 
 func TestAmongManyADoubtedHomeIsLeftAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := start(t, equal(80, 1)...)
+		b := start(t, equal(80)...)
 		time.Sleep(10 * time.Second)
 		home, self := b.members[0].Home("matter")
 		if self {
