Rely on keys for 0.85 of the bound without proof

Cause: an entry cut off from the store refused keyed requests 3.1 s after its last proof, which is up to 1 s before the cut: requests of the first seconds were refused though the bound on keys taken away (5 s) was far. Ruled out: a risk to the bound: a key is taken away after the last proof at the earliest, the check is made right before sending, and 0.75 s are left for the way of the store's answers.

--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -81,7 +81,6 @@
 	figures    *http.Server
 	retries    *quota.RetryBudget
 	grace      atomic.Int64 // from SIGTERM to the kill, in clock.Millis
-	leaving    atomic.Bool
 }
 
 // runEntry runs an entry on the platform until SIGTERM.
@@ -295,10 +294,9 @@
 	}
 }
 
-// ready answers the balancer: an entry takes connections while it knows a
-// configuration and is not stopping.
+// ready answers the balancer.
 func (p *entryProcess) ready(w http.ResponseWriter, _ *http.Request) {
-	if p.leaving.Load() || p.view.Catalog() == nil || p.view.Directory() == nil {
+	if !p.controller.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -309,7 +307,6 @@
 // goes on serving until the balancer has noticed, then takes nothing more and
 // ends when nothing runs, or just before it would be killed.
 func (p *entryProcess) drain() {
-	p.leaving.Store(true)
 	p.controller.Leave()
 	began := p.Clock.Now()
 	end := began + clock.Millis(p.grace.Load()) - endMargin
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -20,8 +20,10 @@
 	// something does not exist. Beyond it, the entry says to come back.
 	freshFor = 2500 * clock.Millisecond
 	// revokePart is the part of the bound on keys taken away after which keys
-	// are no longer trusted without proof.
-	revokePart = 0.62
+	// are no longer trusted without proof. A key is taken away after the last
+	// proof at the earliest; the rest of the bound is for what a proof may be too
+	// young by: the way of the store's answers.
+	revokePart = 0.85
 	// comeBack is when to come back to an entry that does not know enough.
 	comeBack = 300 * clock.Millisecond
 )
@@ -50,6 +52,11 @@
 	a.keyTrust.Store(int64(float64(bound) * revokePart))
 }
 
+// knows reports whether there is anything to decide by.
+func (a *admission) knows() bool {
+	return a.view.Catalog() != nil && a.view.Directory() != nil
+}
+
 // admit reads a request and checks route, key, size and allowance.
 func (a *admission) admit(w http.ResponseWriter, r *http.Request) (*request, *Refusal) {
 	arrived := a.Clock.Now()
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -66,6 +66,13 @@
 	c.admission.setRevokeBound(bound)
 }
 
+// Ready reports whether callers should be sent here. An entry whose proof of keys
+// has grown old stays ready: where its callers went, they would be served in the
+// place of others (measured on days of high load).
+func (c *Controller) Ready() bool {
+	return !c.leaving.Load() && c.admission.knows()
+}
+
 // Leave has every further answer close its connection.
 func (c *Controller) Leave() {
 	c.leaving.Store(true)
