--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -184,12 +184,10 @@
 func (d *Dispatcher) ask(p *pending) netip.AddrPort {
 	now := d.Clock.Now()
 	w := &p.want
-	return toHome(d, w.Service, packets.KindAsk, d.home.asked, &ask{
-		Number: p.number, Service: w.Service, Account: w.Account, Tier: w.Tier,
-		Prompt: w.Prompt, Events: w.Events, Gap: w.Gap,
-		Waited: now - w.Arrived, Objective: w.Objective, Remaining: w.Deadline - now,
-		Patience: w.Patience, Returned: w.Returned, Movable: w.Movable, Domain: d.domain, Exclude: w.Exclude,
-	})
+	message := ask{Number: p.number, Service: w.Service, Waited: now - w.Arrived, Remaining: w.Deadline - now, Job: w.Job}
+	message.Job.Arrived, message.Job.Deadline = 0, 0
+	message.Job.Domain = d.domain
+	return toHome(d, w.Service, packets.KindAsk, d.home.asked, &message)
 }
 
 func (d *Dispatcher) step(s step) {
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -110,7 +110,7 @@
 // request runs one request that takes a while at its target.
 func (b *bed) request(ctx context.Context, entry int, length time.Duration) {
 	now := b.Clock.Now()
-	ask := schedule.Ask{ID: "x", Service: "s", Arrived: now, Objective: 200 * clock.Second, Deadline: now + 400*clock.Second}
+	ask := schedule.Ask{Service: "s", Job: planner.Job{Arrived: now, Objective: 200 * clock.Second, Deadline: now + 400*clock.Second}}
 	p, refused, err := b.entries[entry].Acquire(ctx, ask)
 	if refused != nil || err != nil {
 		b.mu.Lock()
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -13,33 +13,25 @@
 	"quaydock/pkg/planner"
 )
 
-// ask wants a target for a request. Times are lengths, since the clocks of two
-// VMs differ. It is sent again while there is no final answer.
+// ask wants a target for a request. It is sent again while there is no final
+// answer. Moments mean nothing on another VM, so that those of the job are left
+// out, and lengths of time stand beside it.
 type ask struct {
 	_         struct{} `cbor:",toarray"`
 	Number    uint64
 	Service   ids.Service
-	Account   ids.Account
-	Tier      ids.TierRank
-	Prompt    ids.Tokens
-	Events    int
-	Gap       clock.Millis
-	Waited    clock.Millis
-	Objective clock.Millis
-	Remaining clock.Millis
-	Patience  clock.Millis
-	Returned  bool
-	Movable   bool
-	Domain    ids.FailureDomain
-	Exclude   []ids.Target
+	Waited    clock.Millis // since it came to its entry
+	Remaining clock.Millis // to its deadline
+	Job       planner.Job
 }
 
+// job puts the job on this VM's clock.
 func (a *ask) job(from netip.AddrPort, now clock.Millis) planner.Job {
-	return planner.Job{
-		ID: planner.JobID{Entry: from.String(), Number: a.Number}, Account: a.Account, Tier: a.Tier,
-		Prompt: a.Prompt, Events: a.Events, Gap: a.Gap, Arrived: now - a.Waited, Objective: a.Objective,
-		Deadline: now + a.Remaining, Patience: a.Patience, Returned: a.Returned, Movable: a.Movable, Domain: a.Domain, Exclude: a.Exclude,
-	}
+	j := a.Job
+	j.ID = planner.JobID{Entry: from.String(), Number: a.Number}
+	j.Arrived = now - a.Waited
+	j.Deadline = now + a.Remaining
+	return j
 }
 
 // verdict is the kind of an answer.
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -93,12 +93,12 @@
 // acquire waits for a place on a target. What the request was admitted under
 // is looked up again once there is one.
 func (d *delivery) acquire(ctx context.Context, q *request) (schedule.Place, *Refusal) {
-	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{
-		ID: q.ID, Service: q.service, Account: q.accountName(), Tier: q.tier(),
+	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{Service: q.service, Job: planner.Job{
+		Account: q.accountName(), Tier: q.tier(),
 		Prompt: q.Prompt, Events: d.admission.events(q), Gap: q.route.EventGap,
 		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline, Patience: q.patience(),
-		Returned: q.Deadline > 0 && q.Deadline < q.route.Timeout, Movable: d.movable(q), Exclude: q.tried,
-	})
+		Returned: q.returned(), Movable: d.movable(q), Exclude: q.tried,
+	}})
 	now := d.Clock.Now()
 	switch {
 	case err != nil:
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -82,6 +82,12 @@
 	return tier
 }
 
+// returned reports whether a request was refused before, as far as can be told:
+// its caller will wait for less than the route allows.
+func (r *request) returned() bool {
+	return r.Deadline > 0 && r.Deadline < r.route.Timeout
+}
+
 func (r *request) accountName() ids.Account {
 	if r.account == nil {
 		return ""
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -12,12 +12,14 @@
 
 // JobID names a request: the entry that holds it, and the entry's number for it.
 type JobID struct {
+	_      struct{} `cbor:",toarray"`
 	Entry  string
 	Number uint64
 }
 
 // Job is a request that wants a target, without its body.
 type Job struct {
+	_       struct{} `cbor:",toarray"`
 	ID      JobID
 	Account ids.Account
 	Tier    ids.TierRank
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -11,34 +11,11 @@
 	"quaydock/pkg/routing"
 )
 
-// Ask is a request that wants a place on a target.
+// Ask is a request that wants a place on a target of a service. Its id is set by
+// the scheduler.
 type Ask struct {
-	ID      string
+	planner.Job
 	Service ids.Service
-	Account ids.Account
-	// Tier is the rank among all requests.
-	Tier ids.TierRank
-	// Prompt is the size of a generation's prompt, Events how many events its
-	// answer will have, as a guess, and Gap the longest pause between them; 0
-	// for other calls.
-	Prompt ids.Tokens
-	Events int
-	Gap    clock.Millis
-	// Arrived is when the request came, Objective the time within which it
-	// earns its whole credit, Deadline the moment after which it is useless.
-	Arrived   clock.Millis
-	Objective clock.Millis
-	Deadline  clock.Millis
-	// Patience is for how long the caller waits for a first sign; 0 if to the
-	// deadline.
-	Patience clock.Millis
-	// Returned says that the request was refused before and came back.
-	Returned bool
-	// Movable says that the request may be sent to a second target although the
-	// first may have run it.
-	Movable bool
-	// Exclude lists targets that have been tried.
-	Exclude []ids.Target
 }
 
 // Place is a place on a target. Exactly one of its ends is called.
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	got := map[ids.Target]int{}
 	for range n {
-		p, refused, err := s.Acquire(context.Background(), schedule.Ask{Service: "s", Exclude: exclude})
+		p, refused, err := s.Acquire(context.Background(), schedule.Ask{Service: "s", Job: planner.Job{Exclude: exclude}})
 		if err != nil || refused != nil {
 			t.Fatalf("refused %+v, %v", refused, err)
 		}
