--- a/pkg/declaration/check.go
+++ b/pkg/declaration/check.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/hex"
 	"encoding/json"
+	stderrors "errors"
 	"fmt"
 	"net"
 	"net/url"
@@ -177,10 +178,25 @@
 	d.DisallowUnknownFields()
 	var set Set
 	if err := d.Decode(&set); err != nil {
-		return Set{}, fmt.Errorf("%w: reading JSON: %w", errors.NotValid, err)
+		return Set{}, &FaultError{Document: "declarations", Faults: []string{lineOf(document, d.InputOffset(), err) + err.Error()}}
 	}
 	if err := set.Check(); err != nil {
 		return Set{}, err
 	}
 	return set, nil
 }
+
+// lineOf says on which line of a document reading it failed.
+func lineOf(document []byte, read int64, err error) string {
+	offset := read
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case stderrors.As(err, &syntax):
+		offset = syntax.Offset
+	case stderrors.As(err, &kind):
+		offset = kind.Offset
+	}
+	offset = min(offset, int64(len(document)))
+	return fmt.Sprintf("line %d: ", 1+bytes.Count(document[:offset], []byte("\n")))
+}
--- /dev/null
+++ b/pkg/quota/example_test.go
@@ -0,0 +1,22 @@
+package quota_test
+
+import (
+	"fmt"
+
+	"quaydock/pkg/quota"
+	"quaydock/pkg/routing"
+)
+
+// An account may have 100 units a second run, and 100 at once; a fresh bucket is
+// half full.
+func ExampleAllowance() {
+	account := &routing.Account{Name: "acme", PerSecond: 100, Burst: 100, CountsTokens: true}
+	a := quota.NewAllowance()
+	taken, _ := a.Take(0, account, 1, 50)
+	fmt.Println(taken)
+	taken, comeBack := a.Take(0, account, 1, 10)
+	fmt.Println(taken, comeBack)
+	// Output:
+	// true
+	// false 50
+}
