--- a/pkg/app/deployment.go
+++ b/pkg/app/deployment.go
@@ -76,7 +76,7 @@
 	meter      *metering.Meter
 	dispatcher *dispatch.Dispatcher
 	board      *bulletin.Board
-	callers    *http.Server
+	callers    *ingress.Server
 	readiness  *http.Server
 	figures    *http.Server
 	retries    *quota.RetryBudget
@@ -164,10 +164,7 @@
 		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
 		Retries: p.retries,
 	})
-	p.callers = &http.Server{
-		Handler: p.controller, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
-		ErrorLog: nil,
-	}
+	p.callers = ingress.NewServer(c, p.controller)
 	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration()}
 	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration()}
 	return p, nil
@@ -221,9 +218,11 @@
 	if err := p.serve(p.readiness, p.settings.Listen.Ready); err != nil {
 		return fmt.Errorf("readiness: %w", err)
 	}
-	if err := p.serve(p.callers, p.settings.Listen.Callers); err != nil {
+	callers, err := p.Network.Listen(p.settings.Listen.Callers)
+	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
+	go p.callers.Serve(callers)
 	if err := p.serve(p.figures, net.JoinHostPort(p.settings.IP, metricsPort)); err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
@@ -276,12 +275,14 @@
 	return metering.Bounds{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: seconds(b.QuotaWindowSeconds)}
 }
 
-// applied forgets what belongs to accounts that are gone.
+// applied puts a configuration's limits in force and forgets what belongs to
+// accounts that are gone.
 func (p *entryProcess) applied(c *routing.Catalog) {
 	known := make(map[ids.Account]bool)
 	for _, a := range c.Accounts() {
 		known[a.Name] = true
 	}
+	p.callers.SetLimits(c.Limits)
 	p.meter.Forget(func(name ids.Account) bool { return known[name] })
 }
 
