--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -30,6 +30,7 @@
 type options struct {
 	role     string
 	policy   string
+	trace    settings.Trace
 	settings string
 	check    bool
 }
@@ -66,6 +67,9 @@
 // The roles of a process on the platform.
 const roleEntry = "entry"
 
+// defaultTraceRatio keeps the cost of spans far below that of requests.
+const defaultTraceRatio = 0.01
+
 func runRole(o options, logs io.Writer) int {
 	policy := schedule.Policy(o.policy)
 	known := []schedule.Policy{schedule.Planned, schedule.RoundRobin, schedule.LeastReported}
@@ -73,7 +77,7 @@
 		report(logs, fmt.Sprintf("command line: no role %q, or no policy %q", o.role, o.policy))
 		return ExitUsage
 	}
-	if err := runEntry(policy, logs); err != nil {
+	if err := runEntry(policy, o.trace, logs); err != nil {
 		report(logs, err)
 		return ExitFailed
 	}
@@ -91,10 +95,16 @@
 	flags.StringVar(&o.settings, "settings", "", "the settings `file` (JSON); required")
 	flags.StringVar(&o.role, "role", "", "the `role` to take on the platform, whose settings the environment names: "+roleEntry)
 	flags.StringVar(&o.policy, "policy", string(schedule.Planned), "how an entry on the platform places requests: planned, round-robin or least-reported")
+	flags.StringVar(&o.trace.Endpoint, "trace-to", "", "base `URL` of an OTLP collector for the spans of an entry on the platform; none without it")
+	flags.Float64Var(&o.trace.Ratio, "trace-ratio", defaultTraceRatio, "the share of requests traced")
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
 	if err := flags.Parse(args); err != nil {
 		return options{}, fmt.Errorf("command line: %w", err)
 	}
+	o.trace.Exporter = "none"
+	if o.trace.Endpoint != "" {
+		o.trace.Exporter = "otlp"
+	}
 	if o.role != "" && o.settings == "" && flags.NArg() == 0 {
 		return o, nil
 	}
--- /dev/null
+++ b/pkg/app/entry_figures.go
@@ -0,0 +1,40 @@
+package app
+
+import (
+	"net/http"
+
+	"quaydock/pkg/operators"
+)
+
+// metricsPort and metricsPath stand in deploy/system.toml too.
+const (
+	metricsPort = "9464"
+	metricsPath = "/metrics"
+)
+
+// metrics serves the figures as text, and the expvar counters.
+func (p *entryProcess) metrics() http.Handler {
+	f := p.Metrics.Figures
+	f.Gauge("configuration_proof_age_seconds", func() float64 { return p.view.Age(p.Clock.Now()).Duration().Seconds() })
+	f.Gauge("configuration_revision", func() float64 {
+		if c := p.view.Catalog(); c != nil {
+			return float64(c.Revision)
+		}
+		return 0
+	})
+	f.Gauge("targets", func() float64 {
+		if d := p.view.Directory(); d != nil {
+			return float64(d.Len())
+		}
+		return 0
+	})
+	f.Gauge("entries_listed", func() float64 { return float64(p.members.Entries()) })
+	f.Gauge("entries_backing", p.members.Backing)
+	f.Gauge("requests_running", func() float64 { return float64(p.controller.Running()) })
+	f.Gauge("planner_waiting", func() float64 { waiting, _ := p.dispatcher.Planned(); return float64(waiting) })
+	f.Gauge("planner_running", func() float64 { _, running := p.dispatcher.Planned(); return float64(running) })
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, f)
+	mux.Handle("GET "+operators.PathMetrics, p.Metrics)
+	return mux
+}
--- a/pkg/app/deployment.go
+++ b/pkg/app/entry_process.go
@@ -28,13 +28,13 @@
 	"quaydock/pkg/membership"
 	"quaydock/pkg/metering"
 	"quaydock/pkg/network"
-	"quaydock/pkg/operators"
 	"quaydock/pkg/packets"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/random"
 	"quaydock/pkg/roster"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
+	"quaydock/pkg/settings"
 	"quaydock/pkg/telemetry"
 	"quaydock/pkg/view"
 	"quaydock/platform"
@@ -84,7 +84,7 @@
 }
 
 // runEntry runs an entry on the platform until SIGTERM.
-func runEntry(policy schedule.Policy, logs io.Writer) error {
+func runEntry(policy schedule.Policy, trace settings.Trace, logs io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -93,6 +93,11 @@
 	lines := telemetry.NewQueuedWriter(logs)
 	defer lines.Close()
 	c := newCommon(s.Node, lines)
+	tracing, err := telemetry.NewTracing(context.Background(), trace, s.Node)
+	if err != nil {
+		return fmt.Errorf("tracing: %w", err)
+	}
+	c.Tracer = tracing.Tracer
 	p, err := newEntryProcess(c, s, policy)
 	if err != nil {
 		return err
@@ -110,9 +115,17 @@
 	received := <-stops
 	c.Log.WithField("signal", received.String()).Info("signal")
 	p.drain()
+	limited, cancel := context.WithTimeout(context.Background(), spansTimeout.Duration())
+	defer cancel()
+	if err := tracing.Shutdown(limited); err != nil {
+		c.Log.WithError(err).Warn("traces not sent")
+	}
 	return nil
 }
 
+// spansTimeout bounds the sending of the last spans at the end.
+const spansTimeout = 100 * clock.Millisecond
+
 // limitMemory keeps the heap well under what the VM gives.
 func limitMemory(megabytes int) {
 	const part = 0.6
@@ -170,39 +183,6 @@
 	return p, nil
 }
 
-// metricsPort and metricsPath stand in deploy/system.toml too.
-const (
-	metricsPort = "9464"
-	metricsPath = "/metrics"
-)
-
-// metrics serves the figures as text, and the expvar counters.
-func (p *entryProcess) metrics() http.Handler {
-	f := p.Metrics.Figures
-	f.Gauge("configuration_proof_age_seconds", func() float64 { return p.view.Age(p.Clock.Now()).Duration().Seconds() })
-	f.Gauge("configuration_revision", func() float64 {
-		if c := p.view.Catalog(); c != nil {
-			return float64(c.Revision)
-		}
-		return 0
-	})
-	f.Gauge("targets", func() float64 {
-		if d := p.view.Directory(); d != nil {
-			return float64(d.Len())
-		}
-		return 0
-	})
-	f.Gauge("entries_listed", func() float64 { return float64(p.members.Entries()) })
-	f.Gauge("entries_backing", p.members.Backing)
-	f.Gauge("requests_running", func() float64 { return float64(p.controller.Running()) })
-	f.Gauge("planner_waiting", func() float64 { waiting, _ := p.dispatcher.Planned(); return float64(waiting) })
-	f.Gauge("planner_running", func() float64 { _, running := p.dispatcher.Planned(); return float64(running) })
-	mux := http.NewServeMux()
-	mux.Handle("GET "+metricsPath, f)
-	mux.Handle("GET "+operators.PathMetrics, p.Metrics)
-	return mux
-}
-
 func seconds(s float64) clock.Millis {
 	return clock.Millis(s * float64(clock.Second))
 }
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -13,6 +13,9 @@
 	"testing"
 	"time"
 
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
@@ -138,6 +141,7 @@
 	clock      clock.Clock
 	routes     []*routing.Route
 	accounts   []*routing.Account
+	spans      *tracetest.SpanRecorder
 	keep       bool // callers ask for kept connections
 
 	mu       sync.Mutex
@@ -152,6 +156,8 @@
 func newBed(t *testing.T, meter freely, engines ...engine) *bed {
 	b := &bed{t: t, reach: network.NewMemory(nil)}
 	c := commontest.New(b.reach)
+	b.spans = tracetest.NewSpanRecorder()
+	c.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(b.spans)).Tracer("test")
 	b.clock = c.Clock
 	b.view = view.New(c.Check)
 	b.scheduler = &inOrder{b: b}
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -102,6 +102,8 @@
 	left := (q.deadline - c.Clock.Now()).Duration()
 	ctx, cancel := context.WithTimeoutCause(r.Context(), left, errDeadline)
 	defer cancel()
+	ctx, span := c.Tracer.Start(ctx, "entry.request")
+	defer span.End()
 	return c.delivery.run(ctx, q, out)
 }
 
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -310,3 +310,24 @@
 		}
 	})
 }
+
+func TestASpanForEachHop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(421, "", ""), says(200, "", "yes"))
+		b.call(context.Background(), "/unsafe/a", nil)
+		synctest.Wait()
+		var names []string
+		var traces []string
+		for _, span := range b.spans.Ended() {
+			names = append(names, span.Name())
+			traces = append(traces, span.SpanContext().TraceID().String())
+		}
+		want := []string{"entry.place", "entry.exchange", "entry.place", "entry.exchange", "entry.request"}
+		if !slices.Equal(names, want) {
+			t.Errorf("spans %v, want %v", names, want)
+		}
+		if len(slices.Compact(traces)) != 1 {
+			t.Errorf("spans of several traces: %v", traces)
+		}
+	})
+}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -93,6 +93,8 @@
 // acquire waits for a place on a target. What the request was admitted under
 // is looked up again once there is one.
 func (d *delivery) acquire(ctx context.Context, q *request) (schedule.Place, *Refusal) {
+	ctx, span := d.Tracer.Start(ctx, "entry.place")
+	defer span.End()
 	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{Service: q.service, Job: planner.Job{
 		Account: q.accountName(), Tier: q.tier(),
 		Prompt: q.Prompt, Events: d.admission.events(q), Gap: q.route.EventGap,
@@ -197,6 +199,8 @@
 	target := place.Target()
 	now := d.Clock.Now()
 	q.placedAt = now
+	ctx, span := d.Tracer.Start(ctx, "entry.exchange")
+	defer span.End()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer d.moveOn(q, place, cancel)()
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -24,19 +24,19 @@
 func (p *Planner) reviewAll(now clock.Millis) {
 	p.queue.sort(now)
 	ahead := 0
-	var given []*waiting
+	var refused []*waiting
 	for _, w := range p.queue.jobs {
 		if p.hopeless(now, w, ahead) {
-			given = append(given, w)
+			refused = append(refused, w)
 			continue
 		}
 		ahead++
 	}
-	if len(given) == 0 {
+	if len(refused) == 0 {
 		return
 	}
-	p.queue.drop(func(w *waiting) bool { return slices.Contains(given, w) })
-	for _, w := range given {
+	p.queue.drop(func(w *waiting) bool { return slices.Contains(refused, w) })
+	for _, w := range refused {
 		p.refuse(now, w)
 	}
 }
