Leave more of the quota's margin to what is under way

Homes gave out half of the margin, entries without a home 0.35, and each bucket at a cut entry began half full and let one large request go beyond it. Ruled out: two homes giving out the whole at once (backing holds in the test). Change: 0.3 and 0.2 of the margin; a fresh bucket is a tenth full.

--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -35,11 +35,11 @@
 	askAgain = 12 * clock.Millisecond
 	askFor   = 36 * clock.Millisecond
 	// marginPart is the part of the margin that entries spend on their own.
-	marginPart = 0.35
+	marginPart = 0.2
 	// homePart is the part of the margin that homes give out beyond the
 	// allowance, so that what an account may have run is never cut short by what
 	// is under way.
-	homePart = 0.5
+	homePart = 0.3
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
 )
--- a/pkg/quota/allowance.go
+++ b/pkg/quota/allowance.go
@@ -33,7 +33,7 @@
 
 // startFill is how full a bucket is at first: an entry that has just started
 // cannot know what its earlier run has spent.
-const startFill = 0.5
+const startFill = 0.1
 
 // Take counts units against an account's allowance, of which this entry holds a
 // share between 0 and 1. If the share is spent it returns false and when to come
