Take out what nothing used, and checks that stood twice

Planner.Keep and Drop end runs by one function; resolve asks knows(); a target's own failure is tried elsewhere by movable(), which says the same as the check written beside it (a stream that has begun and may run twice is resumable); the body's read deadline is a length instead of a moment made and taken apart. The stand-in of the rows of entries stood in three tests and is one in commontest. Ruled out: one type for the signs in the three *_string.go (generated), and the shape that settings and declarations share (field lists, no logic). Left: Members.Home works out who lives and ranks all entries at every message; it could be kept until a greeting expires or the list changes.

--- a/pkg/bulletin/bulletin_test.go
+++ b/pkg/bulletin/bulletin_test.go
@@ -22,11 +22,6 @@
 	"quaydock/pkg/packets"
 )
 
-type noRows struct{}
-
-func (noRows) Put(context.Context, string, []byte) error { return nil }
-func (noRows) Remove(context.Context, string) error      { return nil }
-
 // store is one table that entries read; some may be turned away.
 type store struct {
 	began time.Time
@@ -165,7 +160,7 @@
 	for i := range entryCount {
 		ctx, stop := context.WithCancel(context.Background())
 		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
-		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, noRows{}, link)
+		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		board := bulletin.NewBoard(b.Common, m, link)
 		e := &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -45,7 +45,6 @@
 	number  uint64
 	waiting map[uint64]chan answer
 	running map[uint64]*place
-	homes   map[ids.Service]netip.AddrPort // as of the last sync
 }
 
 var _ schedule.Scheduler = (*Dispatcher)(nil)
@@ -56,7 +55,7 @@
 	d := &Dispatcher{
 		Common: c, view: v, members: members, link: link, address: address, domain: domain, local: local,
 		number:  c.Random.Fork().Uint64(),
-		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place), homes: make(map[ids.Service]netip.AddrPort),
+		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place),
 	}
 	d.home = newHome(c, v, members, d.sendAnswer)
 	link.Handle(packets.KindAsk, packets.Receive(link, d.home.asked))
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -24,11 +24,6 @@
 	"quaydock/pkg/view"
 )
 
-type noRows struct{}
-
-func (noRows) Put(context.Context, string, []byte) error { return nil }
-func (noRows) Remove(context.Context, string) error      { return nil }
-
 // bed is a few entries before a few targets of two slots each.
 type bed struct {
 	common.Common
@@ -68,7 +63,7 @@
 	for i := range entryCount {
 		ctx, stop := context.WithCancel(context.Background())
 		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
-		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, noRows{}, link)
+		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		v := view.New(b.Check)
 		v.SetDirectory(routing.NewDirectory(b.targets))
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -113,7 +113,7 @@
 // before its first byte is it sure that nothing was sent.
 func (e *exchange) failed(err error) Result {
 	e.stop()
-	e.pool.discard(e.target.ID, e.conn)
+	discard(e.conn)
 	writeErr := <-e.writeEnd
 	if writeErr != nil && e.written.Load() == 0 {
 		return unreached(e.target, writeErr)
@@ -153,7 +153,7 @@
 		e.pool.rest(e.target.ID, e.conn, keep)
 		return
 	}
-	e.pool.discard(e.target.ID, e.conn)
+	discard(e.conn)
 }
 
 // body is the body of an answer.
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -20,13 +20,12 @@
 
 	mu   sync.Mutex
 	idle map[ids.Target][]*connection
-	open map[ids.Target]int
 }
 
 // NewPool returns a pool without connections. The function marks reads the head
 // of an answer.
 func NewPool(c common.Common, marks func(header map[string][]string) Marks) *Pool {
-	return &Pool{Common: c, marks: marks, idle: make(map[ids.Target][]*connection), open: make(map[ids.Target]int)}
+	return &Pool{Common: c, marks: marks, idle: make(map[ids.Target][]*connection)}
 }
 
 // take returns an idle connection to a target, or nil.
@@ -41,7 +40,7 @@
 			c.reused = true
 			return c
 		}
-		p.discard(t, c)
+		discard(c)
 	}
 }
 
@@ -65,9 +64,6 @@
 		return nil, err
 	}
 	p.Metrics.Links.Add("target_connections", 1)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open[t.ID]++
 	return newConnection(c), nil
 }
 
@@ -79,14 +75,9 @@
 	p.idle[t] = append(p.idle[t], c)
 }
 
-func (p *Pool) discard(t ids.Target, c *connection) {
-	// The connection is not used again, whatever closing it says.
+// discard closes a connection that is not used again, whatever closing says.
+func discard(c *connection) {
 	_ = c.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[t]--; p.open[t] <= 0 {
-		delete(p.open, t)
-	}
 }
 
 // Prune closes the idle connections that are too old or whose targets are
@@ -94,7 +85,6 @@
 func (p *Pool) Prune(known *routing.Directory) {
 	now := p.Clock.Now()
 	var old []*connection
-	var of []ids.Target
 	p.mu.Lock()
 	for t, list := range p.idle {
 		kept := list[:0]
@@ -104,7 +94,6 @@
 				continue
 			}
 			old = append(old, c)
-			of = append(of, t)
 		}
 		clear(list[len(kept):])
 		p.idle[t] = kept
@@ -113,8 +102,8 @@
 		}
 	}
 	p.mu.Unlock()
-	for i, c := range old {
-		p.discard(of[i], c)
+	for _, c := range old {
+		discard(c)
 	}
 }
 
@@ -124,9 +113,9 @@
 	idle := p.idle
 	p.idle = make(map[ids.Target][]*connection)
 	p.mu.Unlock()
-	for t, list := range idle {
+	for _, list := range idle {
 		for _, c := range list {
-			p.discard(t, c)
+			discard(c)
 		}
 	}
 }
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
@@ -86,10 +87,10 @@
 // force. It is called again before each exchange, since both may have gone
 // while the request waited.
 func (a *admission) resolve(q *request) *Refusal {
-	catalog := a.view.Catalog()
-	if catalog == nil || a.view.Directory() == nil {
+	if !a.knows() {
 		return notRun(CauseStarting, comeBack)
 	}
+	catalog := a.view.Catalog()
 	age := a.view.Age(a.Clock.Now())
 	route := catalog.Route(host(q.http.Host), q.http.URL.Path)
 	if route == nil {
@@ -133,9 +134,9 @@
 		reader = http.MaxBytesReader(w, reader, limit)
 	}
 	control := http.NewResponseController(w)
-	deadline := a.Clock.Now() + max(q.deadline-a.Clock.Now(), clock.Second)
+	left := max(q.deadline-a.Clock.Now(), clock.Second)
 	// A writer without deadlines, as in tests, is bounded by the caller alone.
-	_ = control.SetReadDeadline(a.wall(deadline))
+	_ = control.SetReadDeadline(time.Now().Add(left.Duration()))
 	body, err := readAll(reader, q.http.ContentLength)
 	_ = control.SetReadDeadline(noDeadline)
 	var tooLarge *http.MaxBytesError
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -210,7 +210,3 @@
 	}
 	return fields
 }
-
-func (a *admission) wall(at clock.Millis) time.Time {
-	return time.Now().Add((at - a.Clock.Now()).Duration())
-}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -56,7 +56,7 @@
 	q.came(d.Clock.Now())
 	failed := a.Status >= http.StatusInternalServerError
 	q.note(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+" from", place.Target().ID)
-	if failed && q.sent+1 < q.route.Attempts && d.mayRepeatFailure(q, out) {
+	if failed && d.movable(q) && q.deadline-d.Clock.Now() > minLeft {
 		place.Done(planner.Failed, 0)
 		return lost{fmt.Errorf("target %s answered with status %d", place.Target().ID, a.Status)}
 	}
@@ -90,13 +90,6 @@
 	return &planner.Load{Running: a.Load.Running, Waiting: a.Load.Waiting}
 }
 
-// mayRepeatFailure reports whether a failure that the target itself answered is
-// better tried elsewhere than handed over.
-func (d *delivery) mayRepeatFailure(q *request, out *answerWriter) bool {
-	left := q.deadline - d.Clock.Now()
-	return d.repeatable(q, out) && left > minLeft
-}
-
 // relayRest hands over what lies behind the part that was read whole.
 func (d *delivery) relayRest(out *answerWriter, a *forward.Answer) error {
 	buffer := make([]byte, eventBuffer)
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -33,12 +33,6 @@
 
 var bounds = metering.Bounds{Over: 0.1, Slack: 20_000, Window: window}
 
-// noRows is a store that takes everything and tells nothing.
-type noRows struct{}
-
-func (noRows) Put(context.Context, string, []byte) error { return nil }
-func (noRows) Remove(context.Context, string) error      { return nil }
-
 // deployment is a few entries that meter one account.
 type deployment struct {
 	common.Common
@@ -69,7 +63,7 @@
 	}
 	for i := range entries {
 		link := packets.NewLink(d.Common, d.net.Socket(address(i)))
-		m := membership.New(d.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, noRows{}, link)
+		m := membership.New(d.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
 		m.Whole(rows, follow.Proof{})
 		v := view.New(d.Check)
 		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, []*routing.Account{d.account}))
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -176,12 +176,3 @@
 	}
 	return n
 }
-
-// Known returns what a target is known to be slower than the others by; for
-// logs and tests.
-func (p *Planner) Known(id ids.Target) float64 {
-	if t := p.targets[id]; t != nil {
-		return t.factor.get()
-	}
-	return 1
-}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -170,18 +170,19 @@
 // Keep ends the jobs of an entry for which keep is false, but for those granted
 // just now.
 func (p *Planner) Keep(now clock.Millis, entry string, keep func(JobID) bool) {
-	for id, r := range p.runs {
-		if id.Entry == entry && now-r.since > fresh && !keep(id) {
-			p.Finish(now, id, Abandoned, 0)
-		}
-	}
+	p.abandon(now, entry, func(r *run) bool { return now-r.since > fresh && !keep(r.ID) })
 }
 
 // Drop forgets an entry that has gone silent.
 func (p *Planner) Drop(now clock.Millis, entry string) {
 	p.queue.drop(func(w *waiting) bool { return w.ID.Entry == entry })
-	for id := range p.runs {
-		if id.Entry == entry {
+	p.abandon(now, entry, func(*run) bool { return true })
+}
+
+// abandon ends the runs of an entry for which gone is true.
+func (p *Planner) abandon(now clock.Millis, entry string, gone func(*run) bool) {
+	for id, r := range p.runs {
+		if id.Entry == entry && gone(r) {
 			p.Finish(now, id, Abandoned, 0)
 		}
 	}
