--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -286,14 +286,14 @@
 	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: begun, Load: load})
 }
 
-func (p *place) Done(outcome planner.Outcome, events int) {
+func (p *place) Done(outcome planner.Outcome, flow planner.Flow) {
 	p.dispatcher.mu.Lock()
 	delete(p.dispatcher.running, p.number)
 	p.dispatcher.mu.Unlock()
 	if p.own != nil {
-		p.own.Done(outcome, events)
+		p.own.Done(outcome, flow)
 	}
-	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome, Events: events})
+	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome, Flow: flow})
 }
 
 // Planned is how many requests of all entries wait and run in the planners that
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -125,7 +125,7 @@
 	b.running[id]--
 	b.served++
 	b.mu.Unlock()
-	p.Done(planner.Served, 1)
+	p.Done(planner.Served, planner.Flow{Events: 1})
 }
 
 // load runs n requests from the given entries, one each pause, and waits.
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -162,7 +162,7 @@
 		case begun:
 			p.Begin(now, id, s.Load)
 		case done:
-			p.Finish(now, id, s.Outcome, s.Events)
+			p.Finish(now, id, s.Outcome, s.Flow)
 		case withdrawn:
 			p.Withdraw(now, id)
 		}
@@ -252,7 +252,7 @@
 		"service": string(service), "targets": s.Targets, "aside": s.Aside, "slots": s.Slots, "running": s.Running,
 		"waiting": s.Waiting, "per_second": round(s.PerSecond),
 		"first_ms": round(s.FirstBase), "first_per_1000_tokens_ms": round(s.FirstPerThousand),
-		"pause_ms": round(s.PauseBase), "pause_per_run_ms": round(s.PausePerRun), "factors": factors(s.Factors),
+		"pause_ms": round(s.PauseBase), "pause_per_run_ms": round(s.PausePerRun), "hold_ms": round(s.Hold), "factors": factors(s.Factors),
 	}).Info("planning")
 }
 
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -73,7 +73,7 @@
 	Service  ids.Service
 	Progress progress
 	Outcome  planner.Outcome
-	Events   int
+	Flow     planner.Flow  // with done
 	Load     *planner.Load // with begun, if the target told it
 }
 
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -116,7 +116,7 @@
 	}
 	return nil
 }
-func (p *orderedPlace) Done(o planner.Outcome, _ int) {
+func (p *orderedPlace) Done(o planner.Outcome, _ planner.Flow) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	p.s.ends = append(p.s.ends, string(p.t.ID)+" "+o.String())
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -202,6 +202,9 @@
 	if q.account != nil {
 		fields["account"] = string(q.account.Name)
 	}
+	if q.Prompt > 0 {
+		fields["prompt_tokens"] = int64(q.Prompt)
+	}
 	if len(q.tried) > 0 {
 		fields["targets"] = q.tried
 	}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -115,7 +115,7 @@
 	q.note(now, "placed on", place.Target().ID)
 	if refusal := d.recheck(q, place); refusal != nil {
 		q.note(now, "route or key gone meanwhile", "")
-		place.Done(planner.Abandoned, 0)
+		place.Done(planner.Abandoned, planner.Flow{})
 		return nil, refusal
 	}
 	return place, nil
@@ -213,15 +213,15 @@
 	switch result := result.(type) {
 	case forward.NotSent:
 		q.note(d.Clock.Now(), "not reached", target.ID)
-		place.Done(planner.Unreached, 0)
+		place.Done(planner.Unreached, planner.Flow{})
 		return declined{result.Err}
 	case forward.Declined:
 		q.note(d.Clock.Now(), "not run, by its own word, at", target.ID)
 		q.sends++
 		if result.Status == http.StatusMisdirectedRequest {
-			place.Done(planner.Moved, 0)
+			place.Done(planner.Moved, planner.Flow{})
 		} else {
-			place.Done(planner.Full, 0)
+			place.Done(planner.Full, planner.Flow{})
 		}
 		return declined{}
 	case *forward.Answer:
@@ -230,7 +230,7 @@
 	default:
 		q.note(d.Clock.Now(), "broken off without an answer at", target.ID)
 		q.sends++
-		place.Done(failure(ctx), 0)
+		place.Done(failure(ctx), planner.Flow{})
 		return lost{result.(forward.Broken).Err}
 	}
 }
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -34,7 +34,7 @@
 func (d *delivery) relay(ctx context.Context, q *request, out *answerWriter, place schedule.Place, a *forward.Answer) attempt {
 	defer a.Close()
 	if a.Header.Get("Content-Encoding") != "" {
-		place.Done(planner.Failed, 0)
+		place.Done(planner.Failed, planner.Flow{})
 		return lost{errEncoded}
 	}
 	success := a.Status < http.StatusMultipleChoices
@@ -49,7 +49,7 @@
 	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
 	if err != nil {
 		q.note(d.Clock.Now(), "answer broken off at", place.Target().ID)
-		place.Done(failure(ctx), 0)
+		place.Done(failure(ctx), planner.Flow{})
 		return lost{fmt.Errorf("reading the answer: %w", err)}
 	}
 	place.Began(load(a))
@@ -57,11 +57,11 @@
 	failed := a.Status >= http.StatusInternalServerError
 	q.note(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+" from", place.Target().ID)
 	if failed && d.movable(q) && q.deadline-d.Clock.Now() > minLeft {
-		place.Done(planner.Failed, 0)
+		place.Done(planner.Failed, planner.Flow{})
 		return lost{fmt.Errorf("target %s answered with status %d", place.Target().ID, a.Status)}
 	}
 	if out.started {
-		place.Done(planner.Failed, 0)
+		place.Done(planner.Failed, planner.Flow{})
 		return lost{fmt.Errorf("status %d in the middle of a stream", a.Status)}
 	}
 	out.head(d.dialect, a, a.Length)
@@ -71,13 +71,13 @@
 	}
 	q.sent++
 	if err != nil {
-		place.Done(failure(ctx), 0)
+		place.Done(failure(ctx), planner.Flow{})
 		return callerGone{err}
 	}
 	if failed {
-		place.Done(planner.Failed, 0)
+		place.Done(planner.Failed, planner.Flow{})
 	} else {
-		place.Done(planner.Served, 0)
+		place.Done(planner.Served, planner.Flow{})
 	}
 	return completed{}
 }
@@ -115,17 +115,24 @@
 	events := newEventReader(a)
 	stalled := d.watchStalls(q, a)
 	defer stalled.Stop()
-	for n := 0; ; n++ {
+	var flow planner.Flow
+	var last clock.Millis
+	for ; ; flow.Events++ {
 		e, err := events.next()
 		whole := errors.Is(err, io.EOF)
 		if err != nil && !whole {
-			q.note(d.Clock.Now(), fmt.Sprintf("stream broken off after %d events at", n), place.Target().ID)
-			place.Done(failure(ctx), n)
+			q.note(d.Clock.Now(), fmt.Sprintf("stream broken off after %d events at", flow.Events), place.Target().ID)
+			place.Done(failure(ctx), flow)
 			return lost{err}
 		}
-		q.came(d.Clock.Now())
+		now := d.Clock.Now()
+		q.came(now)
 		stalled.Reset(stallTime(q).Duration())
-		if n == 0 {
+		if flow.Events > 0 {
+			flow.Longest = max(flow.Longest, now-last)
+		}
+		last = now
+		if flow.Events == 0 {
 			q.note(d.Clock.Now(), "first event from", place.Target().ID)
 			place.Began(load(a))
 			if !out.started {
@@ -133,12 +140,12 @@
 			}
 		}
 		if err := d.passEvent(q, out, e, whole || !events.buffered()); err != nil {
-			place.Done(planner.Abandoned, n)
+			place.Done(planner.Abandoned, flow)
 			q.sent++
 			return callerGone{err}
 		}
 		if whole {
-			place.Done(planner.Served, n)
+			place.Done(planner.Served, flow)
 			q.sent++
 			return completed{}
 		}
--- a/pkg/planner/example_test.go
+++ b/pkg/planner/example_test.go
@@ -19,7 +19,7 @@
 	p.Submit(10, second)
 	fmt.Println(p.Decisions())
 	p.Begin(50, first.ID, nil)
-	p.Finish(900, first.ID, planner.Served, 1)
+	p.Finish(900, first.ID, planner.Served, planner.Flow{Events: 1})
 	fmt.Println(p.Decisions())
 	// Output:
 	// [{{{} a 1} engine-1}]
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -81,6 +81,14 @@
 func (Refuse) decision() {}
 func (Move) decision()   {}
 
+// Flow tells of the events of a stream that has ended.
+type Flow struct {
+	_      struct{} `cbor:",toarray"`
+	Events int
+	// Longest is the longest time between two of them.
+	Longest clock.Millis
+}
+
 // Load is a target's own report of what it carries.
 type Load struct {
 	_                struct{} `cbor:",toarray"`
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -21,8 +21,9 @@
 	lateCost = 400.0
 	// lengthDoubt is how much longer than guessed an answer is reckoned with.
 	lengthDoubt = 2.0
-	// gapPart is the part of the longest pause that is planned with.
-	gapPart = 0.85
+	// gapPart is the part of the longest pause that is planned with: prompts that
+	// come one after the other hold a stream up a little longer than one alone.
+	gapPart = 0.7
 )
 
 // place grants what there is room for, in the queue's order. A job that would
@@ -101,7 +102,7 @@
 	var best *target
 	var least float64
 	for _, t := range s.roomy {
-		if slices.Contains(w.Exclude, t.ID) || choosy && !p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) {
+		if slices.Contains(w.Exclude, t.ID) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
 			continue
 		}
 		// A little chance spreads what is equal.
@@ -115,6 +116,16 @@
 
 const jitter = 0.05
 
+// disturbs reports whether reading a job's prompt would most likely hold up the
+// streams that run on a target for longer than they may pause.
+func (p *Planner) disturbs(t *target, w *waiting) bool {
+	if w.Gap == 0 || len(t.runs) == 0 {
+		return false
+	}
+	hold := t.factor.get() * p.speeds.holdTime(len(t.runs)+1, t.reading+w.Prompt)
+	return hold > gapPart*float64(w.Gap)
+}
+
 // inTime reports whether a job's first event would be in time, and its answer
 // most likely whole by its deadline, on a target of a factor that has so much to
 // read first and runs so many requests.
@@ -150,7 +161,7 @@
 	rest := float64(job.Events) * pause
 	reads := f * p.speeds.readTime(job.Prompt)
 	cost := first + endWeight*rest + disturbWeight*reads*float64(running)
-	if job.Gap > 0 && pause+reads+f*p.speeds.readTime(t.reading) > gapPart*float64(job.Gap) {
+	if job.Gap > 0 && f*p.speeds.holdTime(running+1, t.reading+job.Prompt) > gapPart*float64(job.Gap) {
 		cost += lateCost * float64(running)
 	}
 	if job.Domain != t.Domain {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -100,7 +100,7 @@
 		p.queue.remove(i)
 		return
 	}
-	p.Finish(now, id, Abandoned, 0)
+	p.Finish(now, id, Abandoned, Flow{})
 }
 
 // Begin notes the first event of a job's answer, and what its target then said
@@ -120,15 +120,16 @@
 // minEvents is how many events a stream needs to tell a pace.
 const minEvents = 4
 
-// Finish ends a granted job; events is how many events its answer had.
-func (p *Planner) Finish(now clock.Millis, id JobID, outcome Outcome, events int) {
+// Finish ends a granted job; flow tells of its answer, if it was a stream.
+func (p *Planner) Finish(now clock.Millis, id JobID, outcome Outcome, flow Flow) {
 	r := p.runs[id]
 	if r == nil {
 		return
 	}
 	t := r.target
-	if r.begun && events >= minEvents {
-		p.speeds.learnPause(&t.factor, (r.beside+len(t.runs))/2, float64(now-r.beganAt)/float64(events))
+	if r.begun && flow.Events >= minEvents {
+		p.speeds.learnPause(&t.factor, (r.beside+len(t.runs))/2, float64(now-r.beganAt)/float64(flow.Events))
+		p.speeds.learnHold(t.factor.get(), r.backlog, len(t.runs), flow.Longest)
 	}
 	t.health.Note(now, outcome)
 	t.trial = outcome != Served && (t.trial || t.health.Aside(now))
@@ -183,7 +184,7 @@
 func (p *Planner) abandon(now clock.Millis, entry string, gone func(*run) bool) {
 	for id, r := range p.runs {
 		if id.Entry == entry && gone(r) {
-			p.Finish(now, id, Abandoned, 0)
+			p.Finish(now, id, Abandoned, Flow{})
 		}
 	}
 }
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -89,7 +89,7 @@
 			var order []uint64
 			last := uint64(100)
 			for range s.jobs {
-				p.Finish(start, planner.JobID{Entry: "e", Number: last}, planner.Served, 0)
+				p.Finish(start, planner.JobID{Entry: "e", Number: last}, planner.Served, planner.Flow{})
 				got := granted(p.Decisions())
 				if len(got) != 1 {
 					t.Fatalf("grants %v after %d", got, last)
@@ -114,7 +114,7 @@
 		p.Submit(now, j)
 		now += each
 		p.Begin(now, j.ID, nil)
-		p.Finish(now, j.ID, planner.Served, 0)
+		p.Finish(now, j.ID, planner.Served, planner.Flow{})
 	}
 	p.Decisions()
 	return now
@@ -149,7 +149,7 @@
 		j.Arrived, j.Deadline = now, now+10*clock.Second
 		p.Submit(now, j)
 		now += 200
-		p.Finish(now, j.ID, planner.Served, 0)
+		p.Finish(now, j.ID, planner.Served, planner.Flow{})
 	}
 	running := job(1, 0)
 	running.Arrived, running.Deadline = now, now+10*clock.Second
@@ -206,7 +206,7 @@
 				continue
 			}
 			p.Begin(now+20, g.ID, nil)
-			p.Finish(now+20, g.ID, planner.Served, 0)
+			p.Finish(now+20, g.ID, planner.Served, planner.Flow{})
 		}
 		now += 100
 		p.Tick(now)
@@ -248,7 +248,7 @@
 			if e.at > now {
 				return false
 			}
-			p.Finish(now, e.id, planner.Served, 10)
+			p.Finish(now, e.id, planner.Served, planner.Flow{Events: 10})
 			return true
 		})
 	}
@@ -304,7 +304,7 @@
 				load = &planner.Load{Running: 4, Waiting: 3}
 			}
 			p.Begin(now, j.ID, load)
-			p.Finish(now+20, j.ID, planner.Served, 0)
+			p.Finish(now+20, j.ID, planner.Served, planner.Flow{})
 		}
 		now += 30
 	}
--- a/pkg/planner/random_test.go
+++ b/pkg/planner/random_test.go
@@ -55,7 +55,7 @@
 			outcome := planner.Outcome(rapid.IntRange(0, 5).Draw(h.t, "outcome"))
 			delete(h.running, n)
 			h.load[at]--
-			h.p.Finish(now, planner.JobID{Entry: "e", Number: n}, outcome, 5)
+			h.p.Finish(now, planner.JobID{Entry: "e", Number: n}, outcome, planner.Flow{Events: 5})
 			break
 		}
 	case 4:
--- a/pkg/planner/speed.go
+++ b/pkg/planner/speed.go
@@ -44,6 +44,56 @@
 type speeds struct {
 	first line
 	pause line
+	hold  hold
+}
+
+// hold is the longest that prompts being read hold up one event of a stream.
+// Engines read a prompt in pieces between the tokens of the streams beside it, so
+// that a long prompt holds up each event by so many pieces and no more.
+type hold struct{ most float64 }
+
+const (
+	// holdGuess is reckoned with, in ms, before anything is known. It is low, since
+	// what is too high would keep from being placed what shows that it is.
+	holdGuess = 100.0
+	// holdGain is the weight of an observation that is longer than known, and
+	// holdEase that of a shorter one: reading that ended early tells less.
+	holdGain = 0.05
+	holdEase = 0.0125
+	// holdOdd is how much longer than known an observation counts at the most:
+	// what is longer comes of other causes.
+	holdOdd = 2.0
+	// holdSure is how much longer than known the reading must have taken for an
+	// observation to tell the most.
+	holdSure = 1.2
+)
+
+func (h *hold) get() float64 {
+	if h.most == 0 {
+		return holdGuess
+	}
+	return h.most
+}
+
+// holdTime is the longest pause of a stream while so many tokens of prompts are
+// read beside it.
+func (s *speeds) holdTime(running int, tokens ids.Tokens) float64 {
+	return s.pauseTime(running) + min(s.hold.get(), s.readTime(tokens))
+}
+
+// learnHold takes the longest pause of a stream, on a target of a factor, during
+// which so many tokens of prompts were to be read at once.
+func (s *speeds) learnHold(f float64, backlog ids.Tokens, running int, longest clock.Millis) {
+	known := s.hold.get()
+	if s.first.n < minKnown || s.readTime(backlog) < holdSure*known {
+		return
+	}
+	took := float64(longest)/f - s.pauseTime(running)
+	gain := holdGain
+	if took < known {
+		gain = holdEase
+	}
+	s.hold.most = known + gain*(min(max(took, 0), holdOdd*known)-known)
 }
 
 // Estimates before anything is known.
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -14,6 +14,8 @@
 	// how much each 1,000 tokens of prompt add; PauseBase and PausePerRun are
 	// the time between events, and what each further run adds.
 	FirstBase, FirstPerThousand, PauseBase, PausePerRun float64
+	// Hold is the longest that prompts being read hold up one event, in ms.
+	Hold float64
 	// Factors says how much slower than the others each target is.
 	Factors map[ids.Target]float64
 }
@@ -27,6 +29,7 @@
 	s.FirstBase, s.FirstPerThousand = p.speeds.first.fit()
 	s.FirstPerThousand *= 1000
 	s.PauseBase, s.PausePerRun = p.speeds.pause.fit()
+	s.Hold = p.speeds.hold.get()
 	for _, t := range p.list {
 		s.Factors[t.ID] = t.factor.get()
 		if t.health.Aside(now) {
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -29,6 +29,9 @@
 	beganAt clock.Millis
 	ahead   ids.Tokens // prompt tokens to be read up to its first event
 	beside  int        // runs on the target when it was granted, itself included
+	// backlog is the most prompt tokens that were to be read at once while its
+	// stream ran.
+	backlog ids.Tokens
 }
 
 const (
@@ -52,6 +55,11 @@
 
 func (t *target) start(now clock.Millis, job Job) *run {
 	t.reading += job.Prompt
+	for _, other := range t.runs {
+		if other.begun {
+			other.backlog = max(other.backlog, t.reading)
+		}
+	}
 	r := &run{Job: job, target: t, since: now, ahead: t.reading, beside: len(t.runs) + 1}
 	t.runs[job.ID] = r
 	return r
@@ -61,6 +69,7 @@
 	r.begun = true
 	r.beganAt = now
 	t.reading -= r.Prompt
+	r.backlog = t.reading
 	t.beganAt = now
 }
 
--- a/pkg/schedule/baselines.go
+++ b/pkg/schedule/baselines.go
@@ -119,4 +119,4 @@
 
 func (p *baselinePlace) Moved() <-chan struct{} { return nil }
 
-func (p *baselinePlace) Done(planner.Outcome, int) {}
+func (p *baselinePlace) Done(planner.Outcome, planner.Flow) {}
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -96,7 +96,7 @@
 
 func (p *localPlace) Moved() <-chan struct{} { return nil }
 
-func (p *localPlace) Done(o planner.Outcome, _ int) {
+func (p *localPlace) Done(o planner.Outcome, _ planner.Flow) {
 	l := p.local
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -28,7 +28,7 @@
 	// gives no sign of life. It is nil if that is never told.
 	Moved() <-chan struct{}
 	// Done gives the place back; events is how many events the answer had.
-	Done(outcome planner.Outcome, events int)
+	Done(outcome planner.Outcome, flow planner.Flow)
 }
 
 // Refused says that there is no place.
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -56,10 +56,10 @@
 	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4))
 	got := take(t, s, 40, nil, func(p schedule.Place) {
 		if p.Target().ID == "t0" {
-			p.Done(planner.Unreached, 0)
+			p.Done(planner.Unreached, planner.Flow{})
 			return
 		}
-		p.Done(planner.Served, 0)
+		p.Done(planner.Served, planner.Flow{})
 	})
 	if got["t0"] > 2 {
 		t.Errorf("an unreachable target got %d of 40", got["t0"])
