--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync"
 
@@ -37,9 +38,19 @@
 	// marginPart is the part of the margin that entries spend on their own.
 	marginPart = 0.2
 	// homePart is the part of the margin that homes give out beyond the
-	// allowance, so that what an account may have run is never cut short by what
-	// is under way.
-	homePart = 0.3
+	// allowance in any window, so that what an account may have run is never cut
+	// short by what is under way.
+	homePart = 0.1
+	// burstPart is the part of the margin up to which a home lets an account's
+	// burst flow again and again, once in each window, instead of once and then
+	// only when the account has asked for less for a while. The rest is for what
+	// is under way, and for homes that begin anew.
+	burstPart = 0.4
+	// freshFill is how full a home's bucket is at first. A home that begins anew
+	// hears from the entries what they have had of late; only if all have lost it
+	// does this count, and then nothing has been served for as long as it takes
+	// to start.
+	freshFill = 0.4
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
 )
@@ -50,6 +61,8 @@
 	Number  uint64
 	Account ids.Account
 	Units   float64
+	// Had is what the account has had run at this entry in the last window.
+	Had float64
 }
 
 // reply is the home's answer. Wait says when to come back if not taken.
@@ -58,6 +71,9 @@
 	Number uint64
 	Taken  bool
 	Wait   clock.Millis
+	// Had is what the account has had run at the home itself, for the asker to
+	// know should it be the next home.
+	Had float64
 }
 
 // giveBack says that units that were taken did not run.
@@ -76,6 +92,8 @@
 	link    *packets.Link
 	books   *quota.Allowance // of the accounts whose home this entry is
 	own     *quota.Allowance // spent while no home answers
+	had     *quota.Ledger    // what accounts had run at this entry
+	reports reports          // what they had run at others, as last told
 
 	mu     sync.Mutex
 	number uint64
@@ -89,7 +107,8 @@
 func New(c common.Common, bounds Bounds, v *view.View, members *membership.Members, link *packets.Link) *Meter {
 	m := &Meter{
 		Common: c, bounds: bounds, view: v, members: members, link: link,
-		books: quota.NewAllowance(), own: quota.NewAllowance(),
+		books: quota.NewFilledAllowance(freshFill), own: quota.NewAllowance(),
+		had: quota.NewLedger(), reports: reports{of: make(map[ids.Account]map[netip.AddrPort]report)},
 		number: c.Random.Fork().Uint64(),
 		asked:  make(map[uint64]chan reply), silent: make(map[netip.AddrPort]clock.Millis), given: make(map[uint64]reply),
 	}
@@ -106,6 +125,12 @@
 	m.bounds = bounds
 }
 
+func (m *Meter) window() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bounds.Window
+}
+
 // margin is what the bounds leave beyond an account's allowance in a window, and
 // the window in seconds.
 func (m *Meter) margin(account *routing.Account) (units, window float64) {
@@ -121,11 +146,21 @@
 	if account.PerSecond <= 0 {
 		return true, 0
 	}
+	taken, wait := m.take(ctx, account, units)
+	if taken {
+		m.had.Add(m.Clock.Now(), account.Name, m.window(), units)
+	}
+	return taken, wait
+}
+
+func (m *Meter) take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis) {
 	home, self := m.members.Home(matter(account.Name))
+	had := m.had.Sum(m.Clock.Now(), account.Name, m.window())
 	if self {
-		return m.book(account, units)
+		return m.book(netip.AddrPort{}, account, units, had)
 	}
-	if answer, answered := m.ask(ctx, home, claim{Account: account.Name, Units: units}); answered {
+	if answer, answered := m.ask(ctx, home, claim{Account: account.Name, Units: units, Had: had}); answered {
+		m.reports.set(account.Name, home, report{had: answer.Had, at: m.Clock.Now()})
 		return answer.Taken, answer.Wait
 	}
 	m.Metrics.Links.Add("quota_homes_silent", 1)
@@ -134,6 +169,7 @@
 
 // Return gives back units that were taken and did not run.
 func (m *Meter) Return(account *routing.Account, units float64) {
+	m.had.Add(m.Clock.Now(), account.Name, m.window(), -units)
 	home, self := m.members.Home(matter(account.Name))
 	if self {
 		m.books.Return(account.Name, units)
@@ -146,6 +182,8 @@
 func (m *Meter) Forget(known func(ids.Account) bool) {
 	m.books.Forget(known)
 	m.own.Forget(known)
+	m.had.Forget(known)
+	m.reports.forget(known)
 }
 
 func matter(account ids.Account) string {
@@ -153,12 +191,24 @@
 }
 
 // book counts at the home. A home that only some entries take for it gives out
-// only their part.
-func (m *Meter) book(account *routing.Account, units float64) (bool, clock.Millis) {
+// only their part. Whoever was the home before, what the entries have had in the
+// last window counts too.
+func (m *Meter) book(from netip.AddrPort, account *routing.Account, units, had float64) (bool, clock.Millis) {
+	now := m.Clock.Now()
 	margin, window := m.margin(account)
+	again := min(account.Burst, burstPart*margin)
 	widened := *account
-	widened.PerSecond += homePart * margin / window
-	return m.books.Take(m.Clock.Now(), &widened, m.members.Backing(), units)
+	widened.PerSecond += again / window
+	m.reports.set(account.Name, from, report{had: had, at: now})
+	over := m.reports.sum(now, account.Name, m.window()) - account.PerSecond*window - account.Burst - homePart*margin
+	if over >= 0 {
+		return false, clock.Millis(math.Ceil((over + units/2) / widened.PerSecond * float64(clock.Second)))
+	}
+	taken, wait := m.books.Take(now, &widened, m.members.Backing(), units)
+	if taken {
+		m.reports.set(account.Name, from, report{had: had + units, at: now})
+	}
+	return taken, wait
 }
 
 // spendOwn counts against this entry's share of the margin.
@@ -248,7 +298,8 @@
 	if !known {
 		answer = reply{Number: message.Number, Taken: true}
 		if account := catalog.AccountNamed(message.Account); account != nil {
-			answer.Taken, answer.Wait = m.book(account, message.Units)
+			answer.Taken, answer.Wait = m.book(from, account, message.Units, message.Had)
+			answer.Had = m.had.Sum(m.Clock.Now(), account.Name, m.window())
 		}
 		m.remember(answer)
 	}
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -254,3 +254,77 @@
 		}
 	})
 }
+
+// A large account's margin is small beside its rate.
+const (
+	largeRate  = 400_000.0
+	largeLimit = (largeRate*8+largeRate)*1.1 + 140_000
+	// largeKept leaves a twentieth for what waits and is under way.
+	largeKept = 0.95 * largeLimit
+)
+
+var largeBounds = metering.Bounds{Over: 0.1, Slack: 140_000, Window: window}
+
+func largeAccount() *routing.Account {
+	return &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: largeRate, Burst: largeRate, CountsTokens: true}
+}
+
+func largeUnits() float64 { return 8000 }
+
+// TestHomesThatChangeGiveOutNoMore cuts one entry off after the other, as when
+// all are restarted in turn, while an account asks for all it can get. Each home
+// that begins anew has a bucket of its own; what the entries tell keeps the sum.
+func TestHomesThatChangeGiveOutNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		d := deployMany(ctx, entries, largeAccount(), largeBounds)
+		var all []take
+		for round := range 12 {
+			away := address(round % entries)
+			d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == away || to == away })
+			all = append(all, d.demandUnits(ctx, time.Second, largeUnits)...)
+		}
+		if got := worst(all); got > largeKept {
+			t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
+		}
+	})
+}
+
+// TestABurstFlowsOnceInEachWindow has an account ask without end: it gets what
+// it may have in any window, not only the rate.
+func TestABurstFlowsOnceInEachWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		d := deploy(ctx)
+		d.demand(ctx, 10*time.Second) // the first burst is over
+		all := d.demand(ctx, 8*time.Second)
+		sum := 0.0
+		for _, x := range all {
+			sum += x.units
+		}
+		if least := 0.97 * (perSecond*8 + burst); sum < least {
+			t.Errorf("%.0f in a window long after the first, want %.0f", sum, least)
+		}
+	})
+}
+
+// TestAllBeginAnew loses every entry in the middle of an account's burst: what
+// the new ones give out, which have heard of nothing, stays within the bound.
+func TestAllBeginAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		first := deployMany(ctx, entries, largeAccount(), largeBounds)
+		time.Sleep(8 * time.Second) // the burst is whole
+		all := first.demandUnits(ctx, 3*time.Second, largeUnits)
+		for range 2 { // each is away for the second that it takes to find the others
+			d := deployMany(ctx, entries, largeAccount(), largeBounds)
+			all = append(all, d.demandUnits(ctx, 3*time.Second, largeUnits)...)
+		}
+		if got := worst(all); got > largeKept {
+			t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
+		}
+	})
+}
--- a/pkg/quota/allowance.go
+++ b/pkg/quota/allowance.go
@@ -22,13 +22,20 @@
 
 // Allowance keeps the accounts' buckets.
 type Allowance struct {
+	fresh   float64 // how full a bucket is at first
 	mu      sync.Mutex
 	buckets map[ids.Account]*bucket
 }
 
-// NewAllowance returns an allowance without history.
+// NewAllowance returns an allowance without history, its buckets nearly empty.
 func NewAllowance() *Allowance {
-	return &Allowance{buckets: make(map[ids.Account]*bucket)}
+	return NewFilledAllowance(startFill)
+}
+
+// NewFilledAllowance returns an allowance whose buckets are full to a part
+// between 0 and 1 at first.
+func NewFilledAllowance(part float64) *Allowance {
+	return &Allowance{fresh: part, buckets: make(map[ids.Account]*bucket)}
 }
 
 // startFill is how full a bucket is at first: an entry that has just started
@@ -68,7 +75,7 @@
 	capacity := account.Burst * share
 	b := a.buckets[account.Name]
 	if b == nil {
-		b = &bucket{level: capacity * startFill, at: now}
+		b = &bucket{level: capacity * a.fresh, at: now}
 		a.buckets[account.Name] = b
 	}
 	b.capacity = capacity
