--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -46,11 +46,13 @@
 	// only when the account has asked for less for a while. The rest is for what
 	// is under way, and for homes that begin anew.
 	burstPart = 0.4
-	// freshFill is how full a home's bucket is at first. A home that begins anew
+	// freshMost and freshPart are how full a home's bucket is at first: the one at
+	// the most, and the other as a part of the margin. A home that begins anew
 	// hears from the entries what they have had of late; only if all have lost it
 	// does this count, and then nothing has been served for as long as it takes
-	// to start.
-	freshFill = 0.4
+	// to start, while callers kept asking.
+	freshMost = 0.5
+	freshPart = 0.3
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
 )
@@ -107,11 +109,12 @@
 func New(c common.Common, bounds Bounds, v *view.View, members *membership.Members, link *packets.Link) *Meter {
 	m := &Meter{
 		Common: c, bounds: bounds, view: v, members: members, link: link,
-		books: quota.NewFilledAllowance(freshFill), own: quota.NewAllowance(),
+		own: quota.NewAllowance(),
 		had: quota.NewLedger(), reports: reports{of: make(map[ids.Account]map[netip.AddrPort]report)},
 		number: c.Random.Fork().Uint64(),
 		asked:  make(map[uint64]chan reply), silent: make(map[netip.AddrPort]clock.Millis), given: make(map[uint64]reply),
 	}
+	m.books = quota.NewFilledAllowance(m.fresh)
 	link.Handle(packets.KindClaim, packets.Receive(link, m.claimed))
 	link.Handle(packets.KindReply, packets.Receive(link, m.replied))
 	link.Handle(packets.KindReturn, packets.Receive(link, m.returned))
@@ -125,6 +128,12 @@
 	m.bounds = bounds
 }
 
+// fresh is how full an account's bucket is at a home that begins anew.
+func (m *Meter) fresh(account *routing.Account) float64 {
+	margin, _ := m.margin(account)
+	return min(freshMost, freshPart*margin/max(1, account.Burst))
+}
+
 func (m *Meter) window() clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/quota/allowance.go
+++ b/pkg/quota/allowance.go
@@ -17,24 +17,25 @@
 type bucket struct {
 	level    float64 // units; below zero after a request larger than the rest
 	capacity float64
+	share    float64 // the largest that was held
 	at       clock.Millis
 }
 
 // Allowance keeps the accounts' buckets.
 type Allowance struct {
-	fresh   float64 // how full a bucket is at first
+	fresh   func(*routing.Account) float64
 	mu      sync.Mutex
 	buckets map[ids.Account]*bucket
 }
 
 // NewAllowance returns an allowance without history, its buckets nearly empty.
 func NewAllowance() *Allowance {
-	return NewFilledAllowance(startFill)
+	return NewFilledAllowance(func(*routing.Account) float64 { return startFill })
 }
 
 // NewFilledAllowance returns an allowance whose buckets are full to a part
-// between 0 and 1 at first.
-func NewFilledAllowance(part float64) *Allowance {
+// between 0 and 1 at first. What is added to the share later is as full.
+func NewFilledAllowance(part func(*routing.Account) float64) *Allowance {
 	return &Allowance{fresh: part, buckets: make(map[ids.Account]*bucket)}
 }
 
@@ -75,9 +76,13 @@
 	capacity := account.Burst * share
 	b := a.buckets[account.Name]
 	if b == nil {
-		b = &bucket{level: capacity * a.fresh, at: now}
+		b = &bucket{at: now}
 		a.buckets[account.Name] = b
 	}
+	if share > b.share {
+		b.level += account.Burst * (share - b.share) * a.fresh(account)
+		b.share = share
+	}
 	b.capacity = capacity
 	b.level = min(capacity, b.level+float64(now-b.at)*account.PerSecond*share/float64(clock.Second))
 	b.at = now
