--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -29,9 +29,10 @@
 	comeBack = 300 * clock.Millisecond
 )
 
-// Meter bounds what client accounts may have run over all entries together.
+// Meter bounds what client accounts may have run over all entries together. Of
+// what an account may have run at once, a part may be kept from a request.
 type Meter interface {
-	Take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis)
+	Take(ctx context.Context, account *routing.Account, units, keep float64) (bool, clock.Millis)
 	Return(account *routing.Account, units float64)
 }
 
@@ -75,7 +76,7 @@
 	}
 	if q.account != nil {
 		units := q.account.Units(q.Prompt + q.MostOut)
-		taken, wait := a.meter.Take(r.Context(), q.account, units)
+		taken, wait := a.meter.Take(r.Context(), q.account, units, keepFor(q, units))
 		if !taken {
 			return q, &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
 		}
@@ -83,6 +84,29 @@
 	return q, nil
 }
 
+const (
+	// keepMost is the part of an account's burst that its lowest tiers leave to
+	// its highest while the account asks for more than it may have run. Measured
+	// with 0.15, 0.3 and 0.6: more starves the lowest kind.
+	keepMost = 0.15
+	// keepTiers is how many tiers below the highest it takes for keepMost.
+	keepTiers = 2
+	// cheapUnits is below how many times the units of a request that names no
+	// tokens a request is cheap: refusing it leaves little to others.
+	cheapUnits = 5
+)
+
+// keepFor is the part of its account's burst that a request leaves to higher
+// tiers: the lower its tier, the more, and the less the fewer units it takes.
+func keepFor(q *request, units float64) float64 {
+	rank := min(1, float64(q.route.Tier)/keepTiers)
+	size := 1.0
+	if q.account.CountsTokens && q.account.PlainTokens > 0 {
+		size = min(1, units/(cheapUnits*q.account.PlainTokens))
+	}
+	return keepMost * rank * size
+}
+
 // resolve finds the route and the account of a request in the configuration in
 // force. It is called again before each exchange, since both may have gone
 // while the request waited.
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -64,7 +64,7 @@
 // freely is a meter that refuses the accounts it names.
 type freely map[ids.Account]bool
 
-func (f freely) Take(_ context.Context, a *routing.Account, _ float64) (bool, clock.Millis) {
+func (f freely) Take(_ context.Context, a *routing.Account, _, _ float64) (bool, clock.Millis) {
 	return !f[a.Name], 1500
 }
 func (freely) Return(*routing.Account, float64) {}
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -63,6 +63,8 @@
 	Number  uint64
 	Account ids.Account
 	Units   float64
+	// Keep is the part of the account's burst that it leaves to others.
+	Keep float64
 	// Had is what the account has had run at this entry in the last window.
 	Had float64
 }
@@ -150,25 +152,26 @@
 }
 
 // Take counts units against an account's allowance. If it may not run them, it
-// returns when to come back.
-func (m *Meter) Take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis) {
+// returns when to come back. keep is the part of the account's burst that is to
+// be left for others.
+func (m *Meter) Take(ctx context.Context, account *routing.Account, units, keep float64) (bool, clock.Millis) {
 	if account.PerSecond <= 0 {
 		return true, 0
 	}
-	taken, wait := m.take(ctx, account, units)
+	taken, wait := m.take(ctx, account, units, keep)
 	if taken {
 		m.had.Add(m.Clock.Now(), account.Name, m.window(), units)
 	}
 	return taken, wait
 }
 
-func (m *Meter) take(ctx context.Context, account *routing.Account, units float64) (bool, clock.Millis) {
+func (m *Meter) take(ctx context.Context, account *routing.Account, units, keep float64) (bool, clock.Millis) {
 	home, self := m.members.Home(matter(account.Name))
 	had := m.had.Sum(m.Clock.Now(), account.Name, m.window())
 	if self {
-		return m.book(netip.AddrPort{}, account, units, had)
+		return m.book(netip.AddrPort{}, account, claim{Units: units, Keep: keep, Had: had})
 	}
-	if answer, answered := m.ask(ctx, home, claim{Account: account.Name, Units: units, Had: had}); answered {
+	if answer, answered := m.ask(ctx, home, claim{Account: account.Name, Units: units, Keep: keep, Had: had}); answered {
 		m.reports.set(account.Name, home, report{had: answer.Had, at: m.Clock.Now()})
 		return answer.Taken, answer.Wait
 	}
@@ -202,20 +205,20 @@
 // book counts at the home. A home that only some entries take for it gives out
 // only their part. Whoever was the home before, what the entries have had in the
 // last window counts too.
-func (m *Meter) book(from netip.AddrPort, account *routing.Account, units, had float64) (bool, clock.Millis) {
+func (m *Meter) book(from netip.AddrPort, account *routing.Account, c claim) (bool, clock.Millis) {
 	now := m.Clock.Now()
 	margin, window := m.margin(account)
 	again := min(account.Burst, burstPart*margin)
 	widened := *account
 	widened.PerSecond += again / window
-	m.reports.set(account.Name, from, report{had: had, at: now})
+	m.reports.set(account.Name, from, report{had: c.Had, at: now})
 	over := m.reports.sum(now, account.Name, m.window()) - account.PerSecond*window - account.Burst - homePart*margin
 	if over >= 0 {
-		return false, clock.Millis(math.Ceil((over + units/2) / widened.PerSecond * float64(clock.Second)))
+		return false, clock.Millis(math.Ceil((over + c.Units/2) / widened.PerSecond * float64(clock.Second)))
 	}
-	taken, wait := m.books.Take(now, &widened, m.members.Backing(), units)
+	taken, wait := m.books.TakeAbove(now, &widened, m.members.Backing(), c.Units, c.Keep)
 	if taken {
-		m.reports.set(account.Name, from, report{had: had + units, at: now})
+		m.reports.set(account.Name, from, report{had: c.Had + c.Units, at: now})
 	}
 	return taken, wait
 }
@@ -307,7 +310,7 @@
 	if !known {
 		answer = reply{Number: message.Number, Taken: true}
 		if account := catalog.AccountNamed(message.Account); account != nil {
-			answer.Taken, answer.Wait = m.book(from, account, message.Units, message.Had)
+			answer.Taken, answer.Wait = m.book(from, account, *message)
 			answer.Had = m.had.Sum(m.Clock.Now(), account.Name, m.window())
 		}
 		m.remember(answer)
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -91,7 +91,7 @@
 		go func() {
 			for limited.Err() == nil {
 				units := draw()
-				if ok, _ := m.Take(limited, d.account, units); ok {
+				if ok, _ := m.Take(limited, d.account, units, 0); ok {
 					results <- take{d.Clock.Now(), units}
 				}
 				time.Sleep(10 * time.Millisecond)
--- a/pkg/quota/allowance.go
+++ b/pkg/quota/allowance.go
@@ -48,15 +48,21 @@
 // back. A request larger than what is left is taken while anything is left, and
 // leaves a debt, so that large requests are not starved.
 func (a *Allowance) Take(now clock.Millis, account *routing.Account, share, units float64) (bool, clock.Millis) {
+	return a.TakeAbove(now, account, share, units, 0)
+}
+
+// TakeAbove is Take, but for a part of the bucket that is kept.
+func (a *Allowance) TakeAbove(now clock.Millis, account *routing.Account, share, units, keep float64) (bool, clock.Millis) {
 	if account.PerSecond <= 0 {
 		return true, 0
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := a.fill(now, account, share)
-	if b.level <= 0 {
+	kept := keep * b.capacity
+	if b.level <= kept {
 		perMilli := account.PerSecond * share / float64(clock.Second)
-		return false, clock.Millis(math.Ceil((units/2 - b.level) / perMilli))
+		return false, clock.Millis(math.Ceil((units/2 + kept - b.level) / perMilli))
 	}
 	b.level -= units
 	return true, 0
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -139,3 +139,20 @@
 	}
 	return n
 }
+
+// TestAPartIsKeptForOthers spends a bucket down to a tenth of it: what leaves more
+// than that to others gets nothing, and what leaves nothing does.
+func TestAPartIsKeptForOthers(t *testing.T) {
+	account := &routing.Account{Name: "a", PerSecond: 100, Burst: 100, CountsTokens: true}
+	a := quota.NewFilledAllowance(func(*routing.Account) float64 { return 1 })
+	a.Take(start, account, 1, 90)
+	if ok, wait := a.TakeAbove(start, account, 1, 2, 0.15); ok || wait != 60 {
+		t.Errorf("taken %t, come back after %d ms, want 60", ok, wait)
+	}
+	if ok, _ := a.TakeAbove(start, account, 1, 2, 0.05); !ok {
+		t.Error("refused although more is left than is to be kept")
+	}
+	if ok, _ := a.Take(start, account, 1, 2); !ok {
+		t.Error("refused what leaves nothing to others")
+	}
+}
