--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -84,6 +84,10 @@
 	listed bool // this entry's own row is there
 	alive  []ids.Process
 	circle uint64
+	// aliveUntil is up to when alive holds, unless something is heard; below
+	// zero if it has to be worked out anew.
+	aliveUntil clock.Millis
+	homes      map[string]ids.Process // of matters, among those alive
 }
 
 var _ follow.Handler = (*Members)(nil)
@@ -91,7 +95,7 @@
 // New returns a list with this entry alone. Its weight is how much its VM can
 // do.
 func New(c common.Common, self ids.Process, address netip.AddrPort, weight float64, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member)}
+	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), aliveUntil: stale}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	return m
@@ -152,20 +156,36 @@
 	if other == nil || other.address != from {
 		return // its row has not been read yet
 	}
-	other.heardAt = m.Clock.Now()
+	now := m.Clock.Now()
+	if !m.lively(now, other) {
+		m.aliveUntil = stale
+	}
+	other.heardAt = now
 	other.circle = message.Circle
 }
 
-// refresh works out who is alive; the lock is held.
+// stale as aliveUntil says that who is alive has to be worked out.
+const stale clock.Millis = -1
+
+// lonely is for how long an entry without others need not look again: it
+// hears of them.
+const lonely = clock.Second
+
+// refresh works out who is alive, unless that is known; the lock is held.
 func (m *Members) refresh(now clock.Millis) {
-	m.alive = m.alive[:0]
-	m.alive = append(m.alive, m.self)
+	if now <= m.aliveUntil {
+		return
+	}
+	m.alive = append(m.alive[:0], m.self)
+	m.aliveUntil = now + lonely
 	for name, other := range m.list {
 		if name != m.self && m.lively(now, other) {
 			m.alive = append(m.alive, name)
+			m.aliveUntil = min(m.aliveUntil, m.livelyUntil(other))
 		}
 	}
 	slices.Sort(m.alive)
+	clear(m.homes)
 	digest := xxhash.New()
 	for _, name := range m.alive {
 		_, _ = digest.WriteString(string(name) + "\n") // a digest takes everything
@@ -174,7 +194,11 @@
 }
 
 func (m *Members) lively(now clock.Millis, other *member) bool {
-	return other.heardAt > 0 && now-other.heardAt <= heardFor*m.every()+helloEvery/2
+	return other.heardAt > 0 && now <= m.livelyUntil(other)
+}
+
+func (m *Members) livelyUntil(other *member) clock.Millis {
+	return other.heardAt + heardFor*m.every() + helloEvery/2
 }
 
 // Home returns the entry that is in charge of a matter, and whether it is this
@@ -183,16 +207,26 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh(m.Clock.Now())
+	home, known := m.homes[matter]
+	if !known {
+		home = m.rank(matter)
+		m.homes[matter] = home
+	}
+	if home == m.self {
+		return m.address, true
+	}
+	return m.list[home].address, false
+}
+
+// rank returns the first of those alive for a matter; the lock is held.
+func (m *Members) rank(matter string) ids.Process {
 	best, most := m.self, math.Inf(-1)
 	for _, name := range m.alive {
 		if score := m.score(name, matter); score >= most {
 			best, most = name, score
 		}
 	}
-	if best == m.self {
-		return m.address, true
-	}
-	return m.list[best].address, false
+	return best
 }
 
 // score ranks an entry for a matter: weighted rendezvous hashing, by which each
@@ -220,6 +254,7 @@
 	for _, other := range m.list {
 		if other.address == address {
 			other.heardAt = 0
+			m.aliveUntil = stale
 		}
 	}
 }
@@ -262,6 +297,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before := m.list
+	m.aliveUntil = stale
 	m.list = make(map[ids.Process]*member, len(rows))
 	for _, row := range rows {
 		m.put(row, before[ids.Process(row.Key)])
@@ -273,6 +309,7 @@
 func (m *Members) Changed(rows []follow.Row, _ follow.Proof) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.aliveUntil = stale
 	for _, row := range rows {
 		name := ids.Process(row.Key)
 		if row.Gone {
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -182,3 +182,53 @@
 		}
 	})
 }
+
+// TestASilentHomeIsLeftAndTakenAgain asks for a home all the time, so that what is
+// kept of the answer must not outlast the home, nor its return.
+func TestASilentHomeIsLeftAndTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(4)...)
+		time.Sleep(2 * time.Second)
+		asker := b.members[0]
+		var matter string
+		for n := 0; ; n++ {
+			matter = fmt.Sprint("matter/", n)
+			if home, _ := asker.Home(matter); home == address(3) {
+				break
+			}
+		}
+		until := func(want bool) time.Duration {
+			began := time.Now()
+			for time.Since(began) < 3*time.Second {
+				if home, _ := asker.Home(matter); (home == address(3)) == want {
+					return time.Since(began)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Fatalf("the home did not change (wanted back: %t)", want)
+			return 0
+		}
+		b.cut(3)
+		if took := until(false); took > 600*time.Millisecond {
+			t.Errorf("a silent home was left after %v", took)
+		}
+		b.net.Lose(nil)
+		if took := until(true); took > 400*time.Millisecond {
+			t.Errorf("a home that is back was taken again after %v", took)
+		}
+	})
+}
+
+func BenchmarkHome(b *testing.B) {
+	c := commontest.New(network.NewMemory(nil))
+	link := packets.NewLink(c, packets.NewMemory().Socket(address(0)))
+	m := membership.New(c, "entry-000", address(0), 1, &rows{}, link)
+	var listed []follow.Row
+	for i := range 30 {
+		listed = append(listed, follow.Row{Key: fmt.Sprintf("entry-%03d", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
+	}
+	m.Whole(listed, follow.Proof{})
+	for b.Loop() {
+		m.Home("targets/service")
+	}
+}
