--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -52,6 +52,8 @@
 	left    int
 	made    int
 	stream  bool
+	usage   bool // a stream ends with what it used
+	prompt  int  // tokens of the prompt
 	id      string
 	text    string // the first token: tells whose answer it is
 
@@ -119,6 +121,9 @@
 	MaxTokens int             `json:"max_tokens"`
 	Messages  json.RawMessage `json:"messages"`
 	Prompt    json.RawMessage `json:"prompt"`
+	Options   struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 // OwnToken is the first token of the answer to a body, by which a test tells
@@ -143,9 +148,11 @@
 	s := &sequence{
 		id:      r.Header.Get("X-Request-Id"),
 		prefill: (len(call.Messages) + len(call.Prompt)) / bytesPerToken,
+		prompt:  (len(call.Messages) + len(call.Prompt)) / bytesPerToken,
 		blocks:  promptBlocks(append(call.Messages, call.Prompt...)),
 		left:    call.MaxTokens,
 		stream:  call.Stream,
+		usage:   call.Options.Usage,
 		text:    OwnToken(body),
 	}
 	s.changed.L = &s.mu
@@ -265,10 +272,7 @@
 
 func (s *sequence) write(token string) {
 	if s.stream {
-		s.out = fmt.Appendf(s.out, `data: {"id":%q,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":%q},"text":%q}]}`+"\n\n", s.id, token, token)
-		if s.done {
-			s.out = append(s.out, "data: [DONE]\n\n"...)
-		}
+		s.writeChunk(token)
 		return
 	}
 	if s.made == 1 {
@@ -280,6 +284,23 @@
 	}
 }
 
+// writeChunk writes a token of a stream. The last one says why the answer ends,
+// by which a client tells a whole answer from one that was cut.
+func (s *sequence) writeChunk(token string) {
+	reason := "null"
+	if s.done {
+		reason = `"length"`
+	}
+	s.out = fmt.Appendf(s.out, `data: {"id":%q,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":%q},"text":%q,"finish_reason":%s}]}`+"\n\n", s.id, token, token, reason)
+	if !s.done {
+		return
+	}
+	if s.usage {
+		s.out = fmt.Appendf(s.out, `data: {"id":%q,"object":"chat.completion.chunk","choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`+"\n\n", s.id, s.prompt, s.made, s.prompt+s.made)
+	}
+	s.out = append(s.out, "data: [DONE]\n\n"...)
+}
+
 // serve sends the answer from offset on.
 func (s *sequence) serve(w http.ResponseWriter, offset int, status int) {
 	if s.stream {
--- a/pkg/testbed/openai_client_test.go
+++ b/pkg/testbed/openai_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -111,3 +112,33 @@
 		}
 	})
 }
+
+// A streamed answer that is whole says so in its last chunk, and tells what it
+// used if it was asked.
+func TestOpenAIClientSeesTheEndOfAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bed := started(t, testbed.Options{Entries: 1, Engines: engines(1), Slots: 2})
+		client := openAIClient(t, bed, testbed.Key)
+		asked := question(testbed.Model)
+		asked.StreamOptions.IncludeUsage = openai.Bool(true)
+		stream := client.Chat.Completions.NewStreaming(context.Background(), asked)
+		var reasons []string
+		var used int64
+		for stream.Next() {
+			chunk := stream.Current()
+			for _, choice := range chunk.Choices {
+				reasons = append(reasons, choice.FinishReason)
+			}
+			used += chunk.Usage.CompletionTokens
+		}
+		if err := stream.Err(); err != nil {
+			t.Fatal(err)
+		}
+		if want := []string{"", "", "", "", "length"}; !slices.Equal(reasons, want) || used != 5 {
+			t.Errorf("reasons %q, %d tokens used", reasons, used)
+		}
+		if err := stream.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
