--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -101,7 +101,7 @@
 
 // reads reports whether this entry is the reader.
 func (b *Board) reads() bool {
-	_, self := b.members.Home(matter)
+	_, self := b.members.Reader(matter)
 	return self
 }
 
--- a/pkg/bulletin/bulletin_test.go
+++ b/pkg/bulletin/bulletin_test.go
@@ -329,3 +329,43 @@
 		}
 	})
 }
+
+// TestAReaderWithoutTheStoreStepsAside has the store turn the reader away for
+// long: another reads for all, instead of each for itself, and hands back later.
+func TestAReaderWithoutTheStoreStepsAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		reader := b.reader()
+		turn := func(away bool) {
+			b.store.mu.Lock()
+			b.store.away[reader] = away
+			b.store.mu.Unlock()
+		}
+		turn(true)
+		time.Sleep(3 * time.Second)
+		before, began := b.calls(), time.Now()
+		for i := range 6 {
+			b.store.put(fmt.Sprint("k", i), "v")
+			time.Sleep(time.Second)
+		}
+		for i := range 6 {
+			key := fmt.Sprint("k", i)
+			if took := b.slowest(key, began.Add(time.Duration(i)*time.Second), everyone); took > 500*time.Millisecond {
+				t.Errorf("%s took %v", key, took)
+			}
+		}
+		if n := b.calls() - before; n > 18 {
+			t.Errorf("%d calls in 6 s with a change each second", n)
+		}
+		turn(false)
+		time.Sleep(25 * time.Second)
+		if at, _ := b.members[0].Reader("store"); at != address(reader) {
+			for i, m := range b.members {
+				r, self := m.Reader("store")
+				h, _ := m.Home("store")
+				t.Log(i, r, self, h)
+			}
+			t.Error("the first reader does not read again")
+		}
+	})
+}
--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -37,6 +38,7 @@
 // Whole reads the table from the store.
 func (s *Source) Whole(ctx context.Context) (follow.Batch, error) {
 	batch, err := s.direct.Whole(ctx)
+	s.board.members.Sees(err == nil)
 	if err != nil {
 		return batch, fmt.Errorf("reading for all: %w", err)
 	}
@@ -65,7 +67,8 @@
 
 func (s *Source) ask(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
 	s.asked = s.board.Clock.Now()
-	batch, err := s.direct.Changes(ctx, after, wait)
+	batch, err := s.direct.Changes(ctx, after, holdWithin(ctx, wait))
+	s.board.members.Sees(err == nil || errors.Is(err, follow.ErrForgotten))
 	if err != nil {
 		return batch, fmt.Errorf("reading for all: %w", err)
 	}
@@ -74,6 +77,20 @@
 	return batch, nil
 }
 
+// answerTime is kept of a call's time for the store's answer.
+const answerTime = 600 * clock.Millisecond
+
+// holdWithin bounds for how long the store may hold a question, so that its
+// answer comes before ctx ends: a part of its time may have gone by listening.
+func holdWithin(ctx context.Context, wait clock.Millis) clock.Millis {
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		return wait
+	}
+	left := clock.Millis(time.Until(end).Milliseconds()) - answerTime
+	return max(0, min(wait, left))
+}
+
 // finding is what listening comes to.
 type finding int
 
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -53,6 +53,8 @@
 	// circle is the fingerprint of the entries that it took for alive.
 	circle uint64
 	weight float64
+	// blindUntil is up to when it is taken not to reach the store.
+	blindUntil clock.Millis
 }
 
 // Listing is what an entry's row says.
@@ -68,6 +70,7 @@
 	_      struct{} `cbor:",toarray"`
 	Name   ids.Process
 	Circle uint64
+	Blind  bool // it does not reach the store
 }
 
 // Members is the list of entries. It handles what a follower reads.
@@ -88,6 +91,7 @@
 	// zero if it has to be worked out anew.
 	aliveUntil clock.Millis
 	homes      map[string]ids.Process // of matters, among those alive
+	blindUntil clock.Millis           // up to when this entry is taken not to reach the store
 }
 
 var _ follow.Handler = (*Members)(nil)
@@ -124,7 +128,7 @@
 func (m *Members) greet() {
 	m.mu.Lock()
 	m.refresh(m.Clock.Now())
-	message := hello{Name: m.self, Circle: m.circle}
+	message := hello{Name: m.self, Circle: m.circle, Blind: m.Clock.Now() < m.blindUntil}
 	to := m.others()
 	m.mu.Unlock()
 	for _, address := range to {
@@ -162,6 +166,10 @@
 	}
 	other.heardAt = now
 	other.circle = message.Circle
+	other.blindUntil = 0
+	if message.Blind {
+		other.blindUntil = now + blindFor
+	}
 }
 
 // stale as aliveUntil says that who is alive has to be worked out.
@@ -209,7 +217,7 @@
 	m.refresh(m.Clock.Now())
 	home, known := m.homes[matter]
 	if !known {
-		home = m.rank(matter)
+		home = m.rank(matter, m.alive)
 		m.homes[matter] = home
 	}
 	if home == m.self {
@@ -218,10 +226,54 @@
 	return m.list[home].address, false
 }
 
-// rank returns the first of those alive for a matter; the lock is held.
-func (m *Members) rank(matter string) ids.Process {
-	best, most := m.self, math.Inf(-1)
+// blindFor is for how long an entry is not asked to read the store after a
+// question of its own failed.
+const blindFor = 10 * clock.Second
+
+// Sees says whether this entry's last question to the store was answered.
+func (m *Members) Sees(answered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.blindUntil = 0
+	if !answered {
+		m.blindUntil = m.Clock.Now() + blindFor
+	}
+}
+
+// Reader is Home for a matter that needs the store: entries that do not reach it
+// are passed over, unless none does.
+func (m *Members) Reader(matter string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	m.refresh(now)
+	var seeing []ids.Process
 	for _, name := range m.alive {
+		if now >= m.blindUntilOf(name) {
+			seeing = append(seeing, name)
+		}
+	}
+	if len(seeing) == 0 {
+		seeing = m.alive
+	}
+	best := m.rank(matter, seeing)
+	if best == m.self {
+		return m.address, true
+	}
+	return m.list[best].address, false
+}
+
+func (m *Members) blindUntilOf(name ids.Process) clock.Millis {
+	if name == m.self {
+		return m.blindUntil
+	}
+	return m.list[name].blindUntil
+}
+
+// rank returns the first of some entries for a matter; the lock is held.
+func (m *Members) rank(matter string, among []ids.Process) ids.Process {
+	best, most := among[0], math.Inf(-1)
+	for _, name := range among {
 		if score := m.score(name, matter); score >= most {
 			best, most = name, score
 		}
