--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -38,7 +38,7 @@
 // Whole reads the table from the store.
 func (s *Source) Whole(ctx context.Context) (follow.Batch, error) {
 	batch, err := s.direct.Whole(ctx)
-	s.board.members.Sees(err == nil)
+	s.board.members.NoteStore(err == nil)
 	if err != nil {
 		return batch, fmt.Errorf("reading for all: %w", err)
 	}
@@ -68,7 +68,7 @@
 func (s *Source) ask(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
 	s.asked = s.board.Clock.Now()
 	batch, err := s.direct.Changes(ctx, after, holdWithin(ctx, wait))
-	s.board.members.Sees(err == nil || errors.Is(err, follow.ErrForgotten))
+	s.board.members.NoteStore(err == nil || errors.Is(err, follow.ErrForgotten))
 	if err != nil {
 		return batch, fmt.Errorf("reading for all: %w", err)
 	}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -53,8 +53,8 @@
 	// circle is the fingerprint of the entries that it took for alive.
 	circle uint64
 	weight float64
-	// blindUntil is up to when it is taken not to reach the store.
-	blindUntil clock.Millis
+	// noStoreUntil is up to when it is taken not to reach the store.
+	noStoreUntil clock.Millis
 }
 
 // Listing is what an entry's row says.
@@ -67,10 +67,10 @@
 
 // hello is a greeting.
 type hello struct {
-	_      struct{} `cbor:",toarray"`
-	Name   ids.Process
-	Circle uint64
-	Blind  bool // it does not reach the store
+	_       struct{} `cbor:",toarray"`
+	Name    ids.Process
+	Circle  uint64
+	NoStore bool // it does not reach the store
 }
 
 // Members is the list of entries. It handles what a follower reads.
@@ -89,9 +89,9 @@
 	circle uint64
 	// aliveUntil is up to when alive holds, unless something is heard; below
 	// zero if it has to be worked out anew.
-	aliveUntil clock.Millis
-	homes      map[string]ids.Process // of matters, among those alive
-	blindUntil clock.Millis           // up to when this entry is taken not to reach the store
+	aliveUntil   clock.Millis
+	homes        map[string]ids.Process // of matters, among those alive
+	noStoreUntil clock.Millis           // up to when this entry is taken not to reach the store
 }
 
 var _ follow.Handler = (*Members)(nil)
@@ -128,7 +128,7 @@
 func (m *Members) greet() {
 	m.mu.Lock()
 	m.refresh(m.Clock.Now())
-	message := hello{Name: m.self, Circle: m.circle, Blind: m.Clock.Now() < m.blindUntil}
+	message := hello{Name: m.self, Circle: m.circle, NoStore: m.Clock.Now() < m.noStoreUntil}
 	to := m.others()
 	m.mu.Unlock()
 	for _, address := range to {
@@ -166,18 +166,18 @@
 	}
 	other.heardAt = now
 	other.circle = message.Circle
-	other.blindUntil = 0
-	if message.Blind {
-		other.blindUntil = now + blindFor
+	other.noStoreUntil = 0
+	if message.NoStore {
+		other.noStoreUntil = now + noStoreFor
 	}
 }
 
 // stale as aliveUntil says that who is alive has to be worked out.
 const stale clock.Millis = -1
 
-// lonely is for how long an entry without others need not look again: it
+// aloneFor is for how long an entry without others need not look again: it
 // hears of them.
-const lonely = clock.Second
+const aloneFor = clock.Second
 
 // refresh works out who is alive, unless that is known; the lock is held.
 func (m *Members) refresh(now clock.Millis) {
@@ -185,7 +185,7 @@
 		return
 	}
 	m.alive = append(m.alive[:0], m.self)
-	m.aliveUntil = now + lonely
+	m.aliveUntil = now + aloneFor
 	for name, other := range m.list {
 		if name != m.self && m.lively(now, other) {
 			m.alive = append(m.alive, name)
@@ -226,17 +226,17 @@
 	return m.list[home].address, false
 }
 
-// blindFor is for how long an entry is not asked to read the store after a
+// noStoreFor is for how long an entry is not asked to read the store after a
 // question of its own failed.
-const blindFor = 10 * clock.Second
+const noStoreFor = 10 * clock.Second
 
-// Sees says whether this entry's last question to the store was answered.
-func (m *Members) Sees(answered bool) {
+// NoteStore notes whether this entry's last question to the store was answered.
+func (m *Members) NoteStore(answered bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.blindUntil = 0
+	m.noStoreUntil = 0
 	if !answered {
-		m.blindUntil = m.Clock.Now() + blindFor
+		m.noStoreUntil = m.Clock.Now() + noStoreFor
 	}
 }
 
@@ -247,27 +247,27 @@
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
 	m.refresh(now)
-	var seeing []ids.Process
+	var eligible []ids.Process
 	for _, name := range m.alive {
-		if now >= m.blindUntilOf(name) {
-			seeing = append(seeing, name)
+		if now >= m.noStoreUntilOf(name) {
+			eligible = append(eligible, name)
 		}
 	}
-	if len(seeing) == 0 {
-		seeing = m.alive
+	if len(eligible) == 0 {
+		eligible = m.alive
 	}
-	best := m.rank(matter, seeing)
+	best := m.rank(matter, eligible)
 	if best == m.self {
 		return m.address, true
 	}
 	return m.list[best].address, false
 }
 
-func (m *Members) blindUntilOf(name ids.Process) clock.Millis {
+func (m *Members) noStoreUntilOf(name ids.Process) clock.Millis {
 	if name == m.self {
-		return m.blindUntil
+		return m.noStoreUntil
 	}
-	return m.list[name].blindUntil
+	return m.list[name].noStoreUntil
 }
 
 // rank returns the first of some entries for a matter; the lock is held.
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -204,7 +204,8 @@
 
 // book counts at the home. A home that only some entries take for it gives out
 // only their part. Whoever was the home before, what the entries have had in the
-// last window counts too.
+// last window counts too; so an account whose allowance was lowered waits until its
+// last window is within the new one.
 func (m *Meter) book(from netip.AddrPort, account *routing.Account, c claim) (bool, clock.Millis) {
 	now := m.Clock.Now()
 	margin, window := m.margin(account)
