--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -47,6 +47,7 @@
 	view     *view.View
 	dialect  Dialect
 	meter    Meter
+	tries    *firstTries
 	keyTrust atomic.Int64 // for how long keys are trusted without proof, in clock.Millis
 }
 
@@ -66,6 +67,7 @@
 	if refusal := a.resolve(q); refusal != nil {
 		return q, refusal
 	}
+	q.before = a.tries.before(q.route, q.Deadline)
 	held := q.route.Timeout
 	if q.Deadline > 0 && (held <= 0 || q.Deadline < held) {
 		held = q.Deadline
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -52,7 +52,7 @@
 
 // NewController returns a controller over its parts.
 func NewController(p Parts) *Controller {
-	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter}
+	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter, tries: newFirstTries()}
 	a.setRevokeBound(p.RevokeBound)
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
@@ -66,6 +66,11 @@
 	c.admission.setRevokeBound(bound)
 }
 
+// Forget drops what was learned of routes that are gone.
+func (c *Controller) Forget(known func(route string) bool) {
+	c.admission.tries.forget(known)
+}
+
 // Ready reports whether callers should be sent here. An entry whose proof of keys
 // has grown old stays ready: where its callers went, they would be served in the
 // place of others (measured on days of high load).
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -102,7 +102,7 @@
 	place, refused, err := d.scheduler.Acquire(ctx, schedule.Ask{Service: q.service, Job: planner.Job{
 		Account: q.accountName(), Tier: q.tier(),
 		Prompt: q.Prompt, Events: d.admission.events(q), Gap: q.route.EventGap,
-		Arrived: q.arrived, Objective: q.route.Objective, Deadline: q.deadline, Patience: q.patience(),
+		Arrived: q.arrived, Before: q.before, Objective: q.route.Objective, Deadline: q.deadline, Patience: q.patience(),
 		Returned: q.returned(), Movable: d.movable(q), Exclude: q.tried,
 	}})
 	now := d.Clock.Now()
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -17,6 +17,7 @@
 	account  *routing.Account // nil on routes without keys
 	service  ids.Service
 	arrived  clock.Millis
+	before   clock.Millis // how long before that its caller first asked
 	deadline clock.Millis
 	draw     float64 // picks the service of a split route, the same each time
 
@@ -64,7 +65,7 @@
 // late reports whether an answer that was given came too late to earn its whole
 // credit.
 func (r *request) late() bool {
-	if r.route.Objective > 0 && r.firstAt-r.arrived > r.route.Objective {
+	if r.route.Objective > 0 && r.firstAt-r.arrived+r.before > r.route.Objective {
 		return true
 	}
 	return r.route.EventGap > 0 && r.pause > r.route.EventGap
@@ -82,10 +83,9 @@
 	return tier
 }
 
-// returned reports whether a request was refused before, as far as can be told:
-// its caller will wait for less than the route allows.
+// returned reports whether a request was refused before, as far as can be told.
 func (r *request) returned() bool {
-	return r.Deadline > 0 && r.Deadline < r.route.Timeout
+	return r.before > 0
 }
 
 func (r *request) accountName() ids.Account {
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -39,6 +39,10 @@
 	// Patience is for how long its caller waits for a first sign; 0 if to the
 	// deadline.
 	Patience clock.Millis
+	// Before is how long before it came to its entry its caller first asked: what
+	// was refused and came back is in time by its first try. 0 if it did not ask
+	// before.
+	Before clock.Millis
 	// Returned says that the request was refused once and has come back.
 	Returned bool
 	// Movable says that it may be sent to a second target although the first may
@@ -50,6 +54,11 @@
 	Exclude []ids.Target
 }
 
+// due is up to when the first event is in time for the caller.
+func (j *Job) due() clock.Millis {
+	return j.Arrived - j.Before + j.Objective
+}
+
 // Decision is what the planner says of a job: Grant, Refuse or Move.
 type Decision interface{ decision() }
 
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -132,7 +132,7 @@
 // read first and runs so many requests.
 func (p *Planner) inTime(now clock.Millis, w *waiting, f float64, reading ids.Tokens, running int) bool {
 	first := f * p.speeds.firstTime(reading+w.Prompt)
-	if now+clock.Millis(first) > w.Arrived+w.Objective {
+	if now+clock.Millis(first) > w.due() {
 		return false
 	}
 	rest := float64(w.Events) * f * p.speeds.pauseTime(running)
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -68,7 +68,7 @@
 	}
 	p.arrived(now, job.Tier)
 	w := &waiting{Job: job, committed: job.Returned, seen: now}
-	w.useful = job.Arrived + job.Objective - p.leastFirst(&job)
+	w.useful = job.due() - p.leastFirst(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
 	p.place(now)
 	if p.queue.find(job.ID) >= 0 && p.hopeless(now, w, p.queue.ahead(now, w)) {
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -61,8 +61,8 @@
 		j.Returned = true // so that it is not refused
 		return j
 	}
-	returned := func(j planner.Job) planner.Job {
-		j.Returned = true
+	returned := func(j planner.Job, before clock.Millis) planner.Job {
+		j.Returned, j.Before = true, before
 		return j
 	}
 	scenarios := []struct {
@@ -71,7 +71,9 @@
 		want []uint64
 	}{
 		{"a higher tier goes first", []planner.Job{job(1, 2), job(2, 1), job(3, 0)}, []uint64{3, 2, 1}},
-		{"in a tier, what came back goes first", []planner.Job{job(1, 1), returned(job(2, 1))}, []uint64{2, 1}},
+		{"in a tier, what came back and can be in time by its first try is the more urgent", []planner.Job{job(1, 1), returned(job(2, 1), 400)}, []uint64{2, 1}},
+		{"in a tier, what came back too late for its first try goes last", []planner.Job{returned(job(1, 1), 1200), job(2, 1)}, []uint64{2, 1}},
+		{"what came back too late goes before a lower tier", []planner.Job{job(1, 2), returned(job(2, 1), 1200)}, []uint64{2, 1}},
 		{"in a tier, what can be in time goes before what is late", []planner.Job{late(job(1, 1)), job(2, 1)}, []uint64{2, 1}},
 		{"a late job of a higher tier goes before a lower tier", []planner.Job{job(1, 2), late(job(2, 1))}, []uint64{2, 1}},
 	}
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -31,9 +31,8 @@
 }
 
 // sort puts the jobs in the order in which they are served: by tier; in a tier
-// first those that can still be in time, the most urgent first, and those that
-// came back before those that came for the first time; then the late ones, the
-// shortest first.
+// first those that can still be in time by their callers' first try, the most
+// urgent first; then the late ones, the shortest first.
 func (q *queue) sort(now clock.Millis) {
 	slices.SortStableFunc(q.jobs, func(a, b *waiting) int { return order(now, a, b) })
 }
@@ -46,8 +45,6 @@
 		return either(b.late(now))
 	case a.late(now):
 		return int(a.Prompt - b.Prompt)
-	case a.Returned != b.Returned:
-		return either(a.Returned)
 	default:
 		return int(a.useful - b.useful)
 	}
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -71,6 +71,7 @@
 	Limits   Limits
 	services map[ids.Service]*Service
 	hosts    map[string][]*Route // the longest prefix first
+	routes   map[string]bool     // their names
 	keys     map[string]*Account
 	accounts []*Account
 }
@@ -82,6 +83,7 @@
 		Limits:   limits,
 		services: make(map[ids.Service]*Service, len(services)),
 		hosts:    make(map[string][]*Route),
+		routes:   make(map[string]bool, len(routes)),
 		keys:     make(map[string]*Account),
 		accounts: accounts,
 	}
@@ -90,6 +92,7 @@
 	}
 	for _, r := range routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+		c.routes[r.Name] = true
 	}
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -112,6 +115,11 @@
 	return nil
 }
 
+// HasRoute reports whether there is a route of a name.
+func (c *Catalog) HasRoute(name string) bool {
+	return c.routes[name]
+}
+
 // Account returns the account that holds a key, or nil.
 func (c *Catalog) Account(key string) *Account {
 	return c.keys[key]
