--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -206,6 +206,11 @@
 	if err := p.serve(p.figures, net.JoinHostPort(p.settings.IP, metricsPort)); err != nil {
 		return fmt.Errorf("metrics: %w", err)
 	}
+	peers, err := p.Network.Listen(p.settings.InternalAddress(0))
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	go p.board.Serve(peers)
 	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied}
 	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
 	targets := roster.New(p.Common, platform.ParseTarget, p.view.SetDirectory)
--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -30,7 +30,7 @@
 	// repeatFor is for how long a change is repeated with each message.
 	repeatFor = 700 * clock.Millisecond
 	// maxRows bounds the bytes of changes in one message. Larger changes are
-	// announced, and the others fetch them.
+	// announced, and the others fetch them, from the store or from a peer.
 	maxRows = 1000
 )
 
@@ -76,9 +76,12 @@
 	changed clock.Millis // when told last got rows
 	readAt  clock.Millis // when the store last answered
 
-	heard   message // as the reader told it
-	heardAt clock.Millis
-	news    chan struct{} // closed by the next message
+	heard     message // as the reader told it
+	heardAt   clock.Millis
+	heardFrom netip.AddrPort
+	news      chan struct{} // closed by the next message
+
+	archive archive
 }
 
 // NewBoard returns a board without news.
@@ -144,7 +147,7 @@
 	}
 }
 
-func (b *Board) hear(_ netip.AddrPort, m *message) {
+func (b *Board) hear(from netip.AddrPort, m *message) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.table(m.Table)
@@ -153,6 +156,7 @@
 	}
 	t.heard = *m
 	t.heardAt = b.Clock.Now()
+	t.heardFrom = from
 	close(t.news)
 	t.news = make(chan struct{})
 }
@@ -162,6 +166,7 @@
 	now := b.Clock.Now()
 	b.mu.Lock()
 	t := b.table(name)
+	t.archive.add(after, batch)
 	if !t.known || t.told.To > after {
 		// The first answer, or one after a whole read: what was before is not
 		// known here.
@@ -207,4 +212,12 @@
 	t.told = message{Table: name, Since: batch.Version, To: batch.Version, Before: batch.Version, StoreTime: batch.StoreTime}
 	t.known = true
 	t.readAt = b.Clock.Now()
+	t.archive.add(batch.Version, follow.Batch{Version: batch.Version, StoreTime: batch.StoreTime})
+}
+
+// learned notes what was heard of others, to pass it on.
+func (b *Board) learned(name string, after int64, batch follow.Batch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table(name).archive.add(after, batch)
 }
--- a/pkg/bulletin/bulletin_test.go
+++ b/pkg/bulletin/bulletin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -30,9 +31,11 @@
 	version int64
 	log     []follow.Row
 	at      []int64
+	putAt   []clock.Millis // since it began
 	changed chan struct{}
 	calls   int
 	away    map[int]bool
+	silent  map[int]bool // their questions get no answer
 }
 
 var errAway = errors.New("turned away")
@@ -43,15 +46,20 @@
 	s.version += 3 // other tables share the counter
 	s.log = append(s.log, follow.Row{Key: key, Value: []byte(value)})
 	s.at = append(s.at, s.version)
+	s.putAt = append(s.putAt, s.now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func (s *store) now() clock.Millis {
+	return clock.Millis(time.Since(s.began).Milliseconds())
+}
+
 // since returns the changes after a version.
 func (s *store) since(after int64) (follow.Batch, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := follow.Batch{Version: s.version, StoreTime: clock.Millis(time.Since(s.began).Milliseconds())}
+	b := follow.Batch{Version: s.version, StoreTime: s.now()}
 	for i, r := range s.log {
 		if s.at[i] > after {
 			b.Rows = append(b.Rows, r)
@@ -66,23 +74,29 @@
 	entry int
 }
 
-func (c client) call() error {
+func (c client) call(ctx context.Context) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.calls++
-	if c.away[c.entry] {
+	away, silent := c.away[c.entry], c.silent[c.entry]
+	c.mu.Unlock()
+	switch {
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	case away:
 		return errAway
+	default:
+		return nil
 	}
-	return nil
 }
 
-func (c client) Whole(context.Context) (follow.Batch, error) {
+func (c client) Whole(ctx context.Context) (follow.Batch, error) {
 	b, _ := c.since(0)
-	return b, c.call()
+	return b, c.call(ctx)
 }
 
 func (c client) Changes(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
-	if err := c.call(); err != nil {
+	if err := c.call(ctx); err != nil {
 		return follow.Batch{}, err
 	}
 	timer := time.NewTimer(wait.Duration())
@@ -138,10 +152,64 @@
 type bed struct {
 	common.Common
 	net     *packets.Memory
+	faults  *network.Faults // of the streams between entries
 	store   *store
 	entries []*entry
 	members []*membership.Members
 	stops   []context.CancelFunc
+
+	mu   sync.Mutex
+	lost map[[2]netip.AddrPort]bool // ways on which datagrams are lost
+}
+
+func (b *bed) turnAway(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.away[entry] = true
+}
+
+func (b *bed) takeBack(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.away[entry] = false
+}
+
+func (b *bed) silence(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.silent[entry] = true
+}
+
+// loseAtRandom cuts or mends the way of datagrams from one entry to another.
+func (b *bed) loseAtRandom(from, to, draw int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lost[[2]netip.AddrPort{address(from), address(to)}] = draw == 0
+}
+
+func (b *bed) lossy(from, to netip.AddrPort) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lost[[2]netip.AddrPort{from, to}]
+}
+
+// checkProofs reports entries that lack a row from before the moment at which
+// they claim to have been current.
+func (b *bed) checkProofs(t *testing.T) {
+	t.Helper()
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	began := b.Clock.Now() - b.store.now()
+	for i, e := range b.entries {
+		proven := e.proven() - began
+		e.mu.Lock()
+		for n, r := range b.store.log {
+			if _, has := e.rows[r.Key]; !has && b.store.putAt[n] < proven {
+				t.Errorf("entry %d claims to be current at %d and lacks %s of %d", i, proven, r.Key, b.store.putAt[n])
+			}
+		}
+		e.mu.Unlock()
+	}
 }
 
 func address(i int) netip.AddrPort {
@@ -149,9 +217,11 @@
 }
 
 func newBed(t *testing.T) *bed {
+	faults := network.NewFaults()
 	b := &bed{
-		Common: commontest.New(network.NewMemory(nil)), net: packets.NewMemory(),
-		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool)},
+		Common: commontest.New(network.NewMemory(faults.Wrap)), net: packets.NewMemory(), faults: faults,
+		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool), silent: make(map[int]bool)},
+		lost:  make(map[[2]netip.AddrPort]bool),
 	}
 	var rows []follow.Row
 	for i := range entryCount {
@@ -168,6 +238,12 @@
 		go link.Run(ctx)
 		go m.Run(ctx)
 		go board.Run(ctx)
+		listener, err := b.Network.Listen(address(i).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go board.Serve(listener)
+		context.AfterFunc(ctx, func() { _ = listener.Close() })
 		go f.Run(ctx)
 		b.entries = append(b.entries, e)
 		b.members = append(b.members, m)
@@ -369,3 +445,99 @@
 		}
 	})
 }
+
+// TestNewsOfAnySizeReachThoseWithoutTheStore has the store turn entries away
+// while a change comes that no datagram holds.
+func TestNewsOfAnySizeReachThoseWithoutTheStore(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		hurt  func(b *bed, reader int)
+		bound time.Duration
+	}{
+		{"one entry is turned away", func(b *bed, reader int) { b.turnAway((reader + 1) % entryCount) }, 500 * time.Millisecond},
+		{"all but the reader are turned away", func(b *bed, reader int) {
+			for i := range entryCount {
+				if i != reader {
+					b.turnAway(i)
+				}
+			}
+		}, 500 * time.Millisecond},
+		{"the store is silent to one entry", func(b *bed, reader int) { b.silence((reader + 1) % entryCount) }, 500 * time.Millisecond},
+		{"one is turned away, and the reader's stream breaks midway", func(b *bed, reader int) {
+			b.turnAway((reader + 1) % entryCount)
+			b.faults.Strike(network.Fault{Address: address(reader).String(), Direction: network.Reply, Message: 1, Effect: network.CutBefore})
+		}, 800 * time.Millisecond},
+		{"one is turned away, and the reader's stream is held up", func(b *bed, reader int) {
+			b.turnAway((reader + 1) % entryCount)
+			b.faults.Strike(network.Fault{Address: address(reader).String(), Direction: network.Reply, Message: 0, Effect: network.Delay, Length: 5000})
+		}, 1200 * time.Millisecond},
+		{"one is turned away, and a third of all datagrams are lost", func(b *bed, reader int) {
+			b.turnAway((reader + 1) % entryCount)
+			var n atomic.Int64
+			b.net.Lose(func(_, _ netip.AddrPort, _ packets.Kind) bool { return n.Add(1)%3 == 0 })
+		}, 2 * time.Second},
+		{"one is turned away and hears the reader, which does not hear it", func(b *bed, reader int) {
+			away := (reader + 1) % entryCount
+			b.turnAway(away)
+			b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool {
+				return from == address(away) && to == address(reader)
+			})
+		}, 800 * time.Millisecond},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t)
+				reader := b.reader()
+				s.hurt(b, reader)
+				time.Sleep(time.Second)
+				for i := range 3 { // in quick succession, so that messages miss some
+					began := time.Now()
+					key := fmt.Sprint("large ", i)
+					b.store.put(key, string(make([]byte, 50_000)))
+					time.Sleep(200 * time.Millisecond)
+					defer func() {
+						if took := b.slowest(key, began, everyone); took > s.bound {
+							t.Errorf("%s took %v, bound %v", key, took, s.bound)
+						}
+					}()
+				}
+				time.Sleep(4 * time.Second)
+				for i, e := range b.entries {
+					if age := b.Clock.Now() - e.proven(); age > 2*clock.Second {
+						t.Errorf("entry %d's proof is %d ms old", i, age)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestAProofNeverGoesBeforeItsRows plays changes at random moments while entries
+// lose the store, peers and datagrams by turns: whenever an entry claims that it
+// was current at a moment, it has all that had changed by then.
+func TestAProofNeverGoesBeforeItsRows(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 7))
+				b := newBed(t)
+				b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return b.lossy(from, to) })
+				for i := range 60 {
+					b.loseAtRandom(random.IntN(entryCount), random.IntN(entryCount), random.IntN(3))
+					if random.IntN(3) == 0 {
+						b.turnAway(random.IntN(entryCount))
+					}
+					if random.IntN(2) == 0 {
+						b.takeBack(random.IntN(entryCount))
+					}
+					if random.IntN(2) == 0 {
+						b.store.put(fmt.Sprint("k", i), string(make([]byte, random.IntN(3000))))
+					}
+					time.Sleep(time.Duration(random.IntN(150)) * time.Millisecond)
+					b.checkProofs(t)
+				}
+			})
+		})
+	}
+}
--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -55,26 +55,103 @@
 	batch, found := s.listen(ctx, after)
 	switch found {
 	case told:
-		s.proven = batch.StoreTime
+		s.hear(after, batch)
 		return batch, nil
 	case missed:
 		clock.Pause(ctx, s.asked+leastPause-s.board.Clock.Now())
-		return s.ask(ctx, after, 0)
+		return s.fetch(ctx, after)
 	default:
 		return s.ask(ctx, after, min(wait, ReaderWait))
 	}
 }
 
+// hear takes news that did not come from the store.
+func (s *Source) hear(after int64, batch follow.Batch) {
+	s.proven = max(s.proven, batch.StoreTime)
+	s.board.learned(s.name, after, batch)
+}
+
+// storeFirst is for how long the store alone is asked for what was missed: it
+// answers in a few ms where it answers, and an entry that waits longer may have
+// been cut off from it without a word.
+const storeFirst = 120 * clock.Millisecond
+
+// fetched is what a question for missed changes came to.
+type fetched struct {
+	batch     follow.Batch
+	err       error
+	fromStore bool
+}
+
+// fetch gets the changes that this entry missed: from the store, or from a peer
+// if the store fails or does not answer soon. So an entry that the store turns
+// away goes on with the newest configuration, and with proof of it.
+func (s *Source) fetch(ctx context.Context, after int64) (follow.Batch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan fetched, 2)
+	storeFailed := make(chan struct{})
+	s.asked = s.board.Clock.Now()
+	go func() {
+		batch, err := s.direct.Changes(ctx, after, 0)
+		if err != nil {
+			close(storeFailed)
+		}
+		answers <- fetched{batch, err, true}
+	}()
+	go func() {
+		s.leaveToStore(ctx, storeFailed)
+		batch, err := s.askPeers(ctx, after)
+		answers <- fetched{batch, err, false}
+	}()
+	var failed error
+	for range cap(answers) {
+		a := <-answers
+		switch {
+		case a.fromStore:
+			if err := s.answered(after, a.batch, a.err); err == nil {
+				return a.batch, nil
+			}
+		case a.err == nil:
+			s.board.Metrics.Links.Add("news_from_peers", 1)
+			s.hear(after, a.batch)
+			return a.batch, nil
+		}
+		failed = errors.Join(failed, a.err)
+	}
+	return follow.Batch{}, fmt.Errorf("fetching what was missed: %w", failed)
+}
+
+// leaveToStore waits while the store may still answer soon.
+func (s *Source) leaveToStore(ctx context.Context, failed <-chan struct{}) {
+	if !s.board.members.ReachesStore() {
+		return
+	}
+	timer := time.NewTimer(storeFirst.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-failed:
+	case <-ctx.Done():
+	}
+}
+
+// ask asks the store, which may hold the question.
 func (s *Source) ask(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
 	s.asked = s.board.Clock.Now()
 	batch, err := s.direct.Changes(ctx, after, holdWithin(ctx, wait))
+	return batch, s.answered(after, batch, err)
+}
+
+// answered notes what a question to the store came to.
+func (s *Source) answered(after int64, batch follow.Batch, err error) error {
 	s.board.members.NoteStore(err == nil || errors.Is(err, follow.ErrForgotten))
 	if err != nil {
-		return batch, fmt.Errorf("reading for all: %w", err)
+		return fmt.Errorf("reading for all: %w", err)
 	}
 	s.proven = batch.StoreTime
 	s.board.publish(s.name, after, batch)
-	return batch, nil
+	return nil
 }
 
 // answerTime is kept of a call's time for the store's answer.
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -163,6 +163,9 @@
 }
 
 func (f *Follower) proof(asked clock.Millis, batch Batch) Proof {
+	if batch.Relayed && !f.lagKnown {
+		return Proof{} // the store's clock says nothing here yet
+	}
 	if batch.Relayed {
 		at := min(f.Clock.Now(), batch.StoreTime+f.lag)
 		return Proof{AskedAt: at, CurrentAt: at}
--- a/pkg/network/faults.go
+++ b/pkg/network/faults.go
@@ -69,6 +69,13 @@
 	return &Faults{faults: faults, counts: make(map[lane]int)}
 }
 
+// Strike adds a fault.
+func (f *Faults) Strike(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = append(f.faults, fault)
+}
+
 // Struck returns how many faults have struck.
 func (f *Faults) Struck() int {
 	f.mu.Lock()
