--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -44,7 +44,7 @@
 	kept := p.queue.jobs[:0]
 	for _, w := range p.queue.jobs {
 		var t *target
-		if len(s.roomy) > 0 && !p.floor.below(now, w.Tier) {
+		if len(s.roomy) > 0 && !p.floor.holds(now, w) {
 			t = p.best(now, &s, w)
 		}
 		if t == nil {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -20,13 +20,13 @@
 	runTime   mean
 	fullSince clock.Millis // since when no target has had room; 0 if one has
 	floor     floor
-	arrivals  map[ids.TierRank]*rate
+	arrivals  map[ids.TierRank]*sizedRate
 	decisions []Decision
 }
 
 // New returns a planner without targets.
 func New(random *rand.Rand) *Planner {
-	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), arrivals: make(map[ids.TierRank]*rate)}
+	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), arrivals: make(map[ids.TierRank]*sizedRate)}
 }
 
 // SetTargets says which targets may get work. What runs on others goes on.
@@ -66,8 +66,8 @@
 		p.decide(Refuse{ID: job.ID, RetryAfter: emptyRetry, Empty: true})
 		return
 	}
-	p.arrived(now, job.Tier)
-	w := &waiting{Job: job, committed: job.Returned, seen: now}
+	w := &waiting{Job: job, committed: job.Returned, seen: now, size: p.sizeOf(&job)}
+	p.arrived(now, w)
 	w.useful = job.due() - p.leastFirst(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
 	p.place(now)
@@ -77,13 +77,19 @@
 	}
 }
 
-func (p *Planner) arrived(now clock.Millis, tier ids.TierRank) {
-	r := p.arrivals[tier]
+func (p *Planner) arrived(now clock.Millis, w *waiting) {
+	r := p.arrivals[w.Tier]
 	if r == nil {
-		r = &rate{}
-		p.arrivals[tier] = r
+		r = &sizedRate{}
+		p.arrivals[w.Tier] = r
 	}
-	r.add(now)
+	r[w.size].add(now)
+}
+
+// sizeOf is the size of a job's run on a target of factor 1 that runs nothing
+// else.
+func (p *Planner) sizeOf(job *Job) runSize {
+	return sizeOf(p.speeds.firstTime(job.Prompt) + float64(job.Events)*p.speeds.pauseTime(1))
 }
 
 // Granted returns the target that a job has been given, if any.
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -65,6 +65,14 @@
 		j.Returned, j.Before = true, before
 		return j
 	}
+	events := func(j planner.Job, n int) planner.Job {
+		j.Events = n
+		return j
+	}
+	urgent := func(j planner.Job) planner.Job {
+		j.Arrived -= 300
+		return j
+	}
 	scenarios := []struct {
 		name string
 		jobs []planner.Job
@@ -73,6 +81,9 @@
 		{"a higher tier goes first", []planner.Job{job(1, 2), job(2, 1), job(3, 0)}, []uint64{3, 2, 1}},
 		{"in a tier, what came back and can be in time by its first try is the more urgent", []planner.Job{job(1, 1), returned(job(2, 1), 400)}, []uint64{2, 1}},
 		{"in a tier, what came back too late for its first try goes last", []planner.Job{returned(job(1, 1), 1200), job(2, 1)}, []uint64{2, 1}},
+		{"in a tier, the shorter run goes first", []planner.Job{events(job(1, 1), 400), events(job(2, 1), 10)}, []uint64{2, 1}},
+		{"of runs about as long, the more urgent goes first", []planner.Job{events(job(1, 1), 11), events(urgent(job(2, 1)), 10)}, []uint64{2, 1}},
+		{"a long run of a higher tier goes before a short one", []planner.Job{events(job(1, 2), 10), events(job(2, 1), 400)}, []uint64{2, 1}},
 		{"what came back too late goes before a lower tier", []planner.Job{job(1, 2), returned(job(2, 1), 1200)}, []uint64{2, 1}},
 		{"in a tier, what can be in time goes before what is late", []planner.Job{late(job(1, 1)), job(2, 1)}, []uint64{2, 1}},
 		{"a late job of a higher tier goes before a lower tier", []planner.Job{job(1, 2), late(job(2, 1))}, []uint64{2, 1}},
@@ -372,6 +383,48 @@
 	}
 }
 
+// TestWhatIsLateDoesNotTakeThePlaceOfWhatIsRefused has fresh requests of a tier
+// refused: one that is late by its first try waits, although there is room for it
+// at a moment when no other waits.
+func TestWhatIsLateDoesNotTakeThePlaceOfWhatIsRefused(t *testing.T) {
+	p := newPlanner(1)
+	now := measure(p, 10, 500)
+	at := func(number uint64) planner.Job {
+		j := job(number, 1)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		return j
+	}
+	p.Submit(now, at(1)) // it runs
+	p.Submit(now, at(2))
+	p.Submit(now, at(3))
+	p.Submit(now, at(4))
+	if len(refused(p.Decisions())) == 0 {
+		t.Fatal("nothing was refused")
+	}
+	for _, number := range []uint64{2, 3, 4} {
+		p.Withdraw(now, planner.JobID{Entry: "e", Number: number})
+	}
+	late := at(9)
+	late.Returned, late.Before = true, 5*clock.Second
+	p.Submit(now, late)
+	p.Withdraw(now, planner.JobID{Entry: "e", Number: 1})
+	if got := granted(p.Decisions()); len(got) != 0 {
+		t.Errorf("granted %v at the moment of a refusal", got)
+	}
+	fresh := at(10)
+	p.Submit(now, fresh)
+	if got := granted(p.Decisions()); !slices.Equal(got, []uint64{10}) {
+		t.Errorf("granted %v, want the fresh one", got)
+	}
+	p.Withdraw(now, fresh.ID)
+	later := now + 300
+	p.Submit(later, late)
+	p.Tick(later)
+	if got := granted(p.Decisions()); !slices.Equal(got, []uint64{9}) {
+		t.Errorf("granted %v after the while", got)
+	}
+}
+
 // TestRequestsStayInTheirFailureDomain has two engines of like speed, each in a
 // domain of its own: a request goes to the one beside it while that has room, and
 // to the other rather than wait.
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 
 	"quaydock/pkg/clock"
@@ -12,6 +13,7 @@
 	// useful is the last moment at which it could be granted and still be in
 	// time.
 	useful    clock.Millis
+	size      runSize
 	committed bool         // it is not refused any more
 	seen      clock.Millis // when its entry last asked for it
 }
@@ -31,8 +33,8 @@
 }
 
 // sort puts the jobs in the order in which they are served: by tier; in a tier
-// first those that can still be in time by their callers' first try, the most
-// urgent first; then the late ones, the shortest first.
+// first those that can still be in time by their callers' first try, then the
+// late ones, the shortest runs first in both, and the most urgent of equal ones.
 func (q *queue) sort(now clock.Millis) {
 	slices.SortStableFunc(q.jobs, func(a, b *waiting) int { return order(now, a, b) })
 }
@@ -43,8 +45,8 @@
 		return int(a.Tier - b.Tier)
 	case a.late(now) != b.late(now):
 		return either(b.late(now))
-	case a.late(now):
-		return int(a.Prompt - b.Prompt)
+	case a.size != b.size:
+		return int(a.size - b.size)
 	default:
 		return int(a.useful - b.useful)
 	}
@@ -62,18 +64,28 @@
 	return now > w.useful
 }
 
-// ahead counts the jobs that would go before one, late ones of its tier left
-// out: they give way to it.
+// ahead counts the jobs that go before one.
 func (q *queue) ahead(now clock.Millis, self *waiting) int {
 	n := 0
 	for _, w := range q.jobs {
-		if w != self && (w.Tier < self.Tier || w.Tier == self.Tier && !w.late(now)) {
+		if w != self && order(now, w, self) < 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// runSize is how long a run is reckoned to take, in steps of a factor of two.
+type runSize int
+
+// runSizes is how many sizes there are; the largest takes minutes.
+const runSizes = 20
+
+// sizeOf returns the size of a run of so many ms.
+func sizeOf(ms float64) runSize {
+	return runSize(min(runSizes-1, max(0, math.Ilogb(max(1, ms)))))
+}
+
 // drop takes out the jobs for which gone is true.
 func (q *queue) drop(gone func(*waiting) bool) {
 	q.jobs = slices.DeleteFunc(q.jobs, gone)
--- a/pkg/planner/rate.go
+++ b/pkg/planner/rate.go
@@ -40,3 +40,29 @@
 	}
 	return float64(total) * float64(clock.Second) / float64(rateSteps*rateStep)
 }
+
+// sizedRate counts the jobs of a tier by the sizes of their runs.
+type sizedRate [runSizes]rate
+
+// before is the rate of the jobs that go before one of the tier: all others if it
+// is late, else those of smaller size, and half of those of the same size.
+func (r *sizedRate) before(now clock.Millis, w *waiting) float64 {
+	if w.late(now) {
+		return r.perSecond(now)
+	}
+	const half = 0.5
+	sum := half * r[w.size].perSecond(now)
+	for i := range w.size {
+		sum += r[i].perSecond(now)
+	}
+	return sum
+}
+
+// perSecond is the rate of all jobs.
+func (r *sizedRate) perSecond(now clock.Millis) float64 {
+	sum := 0.0
+	for i := range r {
+		sum += r[i].perSecond(now)
+	}
+	return sum
+}
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -46,7 +46,7 @@
 // longer stays until it is served, or until so much of its time is gone that it
 // has to be told.
 func (p *Planner) hopeless(now clock.Millis, w *waiting, ahead int) bool {
-	wait := p.wait(now, w.Tier, ahead)
+	wait := p.wait(now, w, ahead)
 	latest := w.Arrived + clock.Millis(decideWithin*float64(w.Objective))
 	if w.committed {
 		end := w.Arrived + p.longestHold(w)
@@ -72,32 +72,44 @@
 
 func (p *Planner) refuse(now clock.Millis, w *waiting) {
 	ahead := p.queue.ahead(now, w)
-	wait := p.wait(now, w.Tier, ahead)
+	wait := p.wait(now, w, ahead)
 	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait), Ahead: ahead, Wait: wait})
-	p.floor.raise(now, w.Tier)
+	p.floor.raise(now, w)
 }
 
 // floor keeps lower tiers from being served for a while after one was refused,
-// so that what was shed does not see lower work take its place.
+// so that what was shed does not see lower work take its place. In the tier
+// itself, what is late does not take the place of what could have been in time:
+// runs are not cut short, so that a place given to a late one is missing to those
+// that come next.
 type floor struct {
-	until map[ids.TierRank]clock.Millis
+	tiers map[ids.TierRank]clock.Millis // refused in the tier, up to when it counts
+	fresh map[ids.TierRank]clock.Millis // of these, those that came for the first time
 }
 
-// floorHold is how long lower tiers wait after a refusal. While refusals go on,
+// floorHold is how long lower work waits after a refusal. While refusals go on,
 // it is renewed.
 const floorHold = 250 * clock.Millisecond
 
-func (f *floor) raise(now clock.Millis, tier ids.TierRank) {
-	if f.until == nil {
-		f.until = make(map[ids.TierRank]clock.Millis)
+func (f *floor) raise(now clock.Millis, w *waiting) {
+	if f.tiers == nil {
+		f.tiers = make(map[ids.TierRank]clock.Millis)
+		f.fresh = make(map[ids.TierRank]clock.Millis)
+	}
+	f.tiers[w.Tier] = now + floorHold
+	if !w.Returned {
+		f.fresh[w.Tier] = now + floorHold
 	}
-	f.until[tier] = now + floorHold
 }
 
-// below reports whether a tier lies below one that was refused a moment ago.
-func (f *floor) below(now clock.Millis, tier ids.TierRank) bool {
-	for refused, until := range f.until {
-		if refused < tier && now < until {
+// holds reports whether a job is to wait, as something that goes before it was
+// refused a moment ago.
+func (f *floor) holds(now clock.Millis, w *waiting) bool {
+	if w.late(now) && now < f.fresh[w.Tier] {
+		return true
+	}
+	for refused, until := range f.tiers {
+		if refused < w.Tier && now < until {
 			return true
 		}
 	}
@@ -111,19 +123,22 @@
 // most; the rest is for its prompt.
 const patiencePart = 0.8
 
-// wait estimates how long a job of a tier waits for a target: until those ahead
-// of it have been served, and those that come meanwhile and go before it too.
-func (p *Planner) wait(now clock.Millis, tier ids.TierRank, ahead int) clock.Millis {
-	left := p.perSecond(now) - p.arrivalsAbove(now, tier)
+// wait estimates how long a job waits for a target: until those ahead of it have
+// been served, and those that come meanwhile and go before it too.
+func (p *Planner) wait(now clock.Millis, w *waiting, ahead int) clock.Millis {
+	left := p.perSecond(now) - p.arrivalsBefore(now, w)
 	return clock.Millis(float64(ahead+1) * float64(clock.Second) / max(minReleases, left))
 }
 
-// arrivalsAbove is how many jobs a second come that go before a tier.
-func (p *Planner) arrivalsAbove(now clock.Millis, tier ids.TierRank) float64 {
+// arrivalsBefore is how many jobs a second come that go before a job.
+func (p *Planner) arrivalsBefore(now clock.Millis, w *waiting) float64 {
 	sum := 0.0
-	for t, r := range p.arrivals {
-		if t < tier {
+	for tier, r := range p.arrivals {
+		switch {
+		case tier < w.Tier:
 			sum += r.perSecond(now)
+		case tier == w.Tier:
+			sum += r.before(now, w)
 		}
 	}
 	return sum
