--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -174,7 +174,7 @@
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(policy),
-		Pool: p.pool, Meter: p.meter, Entries: p.members, RevokeBound: s.Bounds.Revoke,
+		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: keyTrust(s.Bounds),
 		Retries: p.retries,
 	})
 	p.callers = ingress.NewServer(c, p.controller)
@@ -247,11 +247,15 @@
 // Addresses are read at the start only.
 func (p *entryProcess) change(s platform.Settings) {
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
-	p.controller.SetRevokeBound(s.Bounds.Revoke)
+	p.controller.SetKeyTrust(keyTrust(s.Bounds))
 	p.retries.SetBounds(retryBounds(s.Bounds))
 	p.meter.SetBounds(quotaBounds(s.Bounds))
 }
 
+func keyTrust(b platform.Bounds) ingress.KeyTrust {
+	return ingress.KeyTrust{Bound: b.Revoke, Strict: b.RevokeStrict}
+}
+
 func retryBounds(b platform.Bounds) quota.RetryBounds {
 	return quota.RetryBounds{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: seconds(b.RetryWindowSeconds)}
 }
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -25,6 +25,11 @@
 	// proof at the earliest; the rest of the bound is for what a proof may be too
 	// young by: the way of the store's answers.
 	revokePart = 0.85
+	// cutOffTimes is for how many times the bound an entry without proof trusts its
+	// keys where the operators prefer service to strictness: longer than cuts
+	// usually last, and short enough that a key that was taken away does not work
+	// for good at an entry that nobody misses.
+	cutOffTimes = 4
 	// comeBack is when to come back to an entry that does not know enough.
 	comeBack = 300 * clock.Millisecond
 )
@@ -51,8 +56,12 @@
 	keyTrust atomic.Int64 // for how long keys are trusted without proof, in clock.Millis
 }
 
-func (a *admission) setRevokeBound(bound clock.Millis) {
-	a.keyTrust.Store(int64(float64(bound) * revokePart))
+func (a *admission) setKeyTrust(keys KeyTrust) {
+	trust := float64(keys.Bound) * revokePart
+	if !keys.Strict {
+		trust = float64(keys.Bound) * cutOffTimes
+	}
+	a.keyTrust.Store(int64(trust))
 }
 
 // knows reports whether there is anything to decide by.
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -35,8 +35,17 @@
 	Meter     Meter
 	Retries   *quota.RetryBudget
 	Entries   Entries
-	// RevokeBound is how long after its removal a key may still be used.
-	RevokeBound clock.Millis
+	Keys      KeyTrust
+}
+
+// KeyTrust says how long a key may still be used after its removal.
+type KeyTrust struct {
+	// Bound is that time, above 0, at an entry that hears of the removal.
+	Bound clock.Millis
+	// Strict is true if the bound holds also at one that is cut off from all that
+	// could tell it. If not, such an entry goes on serving for a while with the
+	// keys that it knows.
+	Strict bool
 }
 
 // Controller serves callers.
@@ -53,7 +62,7 @@
 // NewController returns a controller over its parts.
 func NewController(p Parts) *Controller {
 	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter, tries: newFirstTries()}
-	a.setRevokeBound(p.RevokeBound)
+	a.setKeyTrust(p.Keys)
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
@@ -61,9 +70,9 @@
 	return &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
 }
 
-// SetRevokeBound changes how long after its removal a key may still be used.
-func (c *Controller) SetRevokeBound(bound clock.Millis) {
-	c.admission.setRevokeBound(bound)
+// SetKeyTrust changes how long after its removal a key may still be used.
+func (c *Controller) SetKeyTrust(keys KeyTrust) {
+	c.admission.setKeyTrust(keys)
 }
 
 // Forget drops what was learned of routes that are gone.
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/ingress"
 	"quaydock/pkg/routing"
 )
 
@@ -199,6 +200,38 @@
 	})
 }
 
+// TestKeysWithoutProof has an entry without news for a while: with a strict bound
+// it serves no keyed request beyond it, without one it does for some times as
+// long.
+func TestKeysWithoutProof(t *testing.T) {
+	scenarios := []struct {
+		strict bool
+		after  time.Duration
+		want   int
+	}{
+		{true, 4 * time.Second, http.StatusOK},
+		{true, 4500 * time.Millisecond, http.StatusServiceUnavailable},
+		{false, 4500 * time.Millisecond, http.StatusOK},
+		{false, 19 * time.Second, http.StatusOK},
+		{false, 21 * time.Second, http.StatusServiceUnavailable},
+	}
+	for _, s := range scenarios {
+		t.Run(fmt.Sprint(s.strict, s.after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{}, says(200, "", "yes"))
+				b.controller.SetKeyTrust(ingress.KeyTrust{Bound: 5000, Strict: s.strict})
+				time.Sleep(s.after)
+				if got := b.call(context.Background(), "/unsafe/a", nil); got.status != s.want {
+					t.Errorf("status %d, want %d", got.status, s.want)
+				}
+				if got := b.call(context.Background(), "/open/a", nil); got.status != http.StatusOK {
+					t.Errorf("without a key: status %d", got.status)
+				}
+			})
+		})
+	}
+}
+
 func TestACallerWhoLeavesEndsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ended := make(chan time.Time, 1)
