--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -169,7 +169,7 @@
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
 	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
 	p.board = bulletin.NewBoard(c, p.members, link)
-	p.dispatcher = dispatch.New(c, address, s.Domain, p.view, p.members, link, schedule.NewLocal(c, p.view))
+	p.dispatcher = dispatch.New(c, address, s.Domain, p.view, p.members, link, p.store.Table(platform.TableNotes), schedule.NewLocal(c, p.view))
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds))
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.controller = ingress.NewController(ingress.Parts{
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -51,13 +51,13 @@
 
 // New returns a dispatcher of an entry at an address, in a failure domain; local
 // places while there is no home.
-func New(c common.Common, address netip.AddrPort, domain ids.FailureDomain, v *view.View, members *membership.Members, link *packets.Link, local schedule.Scheduler) *Dispatcher {
+func New(c common.Common, address netip.AddrPort, domain ids.FailureDomain, v *view.View, members *membership.Members, link *packets.Link, notes Notes, local schedule.Scheduler) *Dispatcher {
 	d := &Dispatcher{
 		Common: c, view: v, members: members, link: link, address: address, domain: domain, local: local,
 		number:  c.Random.Fork().Uint64(),
 		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place),
 	}
-	d.home = newHome(c, v, members, d.sendAnswer)
+	d.home = newHome(c, v, members, newMemory(c, members, link, notes), d.sendAnswer)
 	link.Handle(packets.KindAsk, packets.Receive(link, d.home.asked))
 	link.Handle(packets.KindStep, packets.Receive(link, d.home.stepped))
 	link.Handle(packets.KindSync, packets.Receive(link, d.home.synced))
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -34,8 +34,11 @@
 	members []*membership.Members
 	stops   []context.CancelFunc
 
+	slow map[ids.Target]time.Duration // how many times as long they take
+
 	mu      sync.Mutex
 	running map[ids.Target]int
+	total   map[ids.Target]int
 	most    int
 	served  int
 	failed  int
@@ -52,7 +55,11 @@
 }
 
 func newBed(t *testing.T) *bed {
-	b := &bed{Common: commontest.New(network.NewMemory(nil)), net: packets.NewMemory(), running: make(map[ids.Target]int)}
+	return newBedWith(t, commontest.NoNotes{})
+}
+
+func newBedWith(t *testing.T, notes dispatch.Notes) *bed {
+	b := &bed{Common: commontest.New(network.NewMemory(nil)), net: packets.NewMemory(), running: make(map[ids.Target]int), total: make(map[ids.Target]int)}
 	var rows []follow.Row
 	for i := range entryCount {
 		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
@@ -67,7 +74,7 @@
 		m.Whole(rows, follow.Proof{})
 		v := view.New(b.Check)
 		v.SetDirectory(routing.NewDirectory(b.targets))
-		d := dispatch.New(b.Common, address(i), "d", v, m, link, schedule.NewLocal(b.Common, v))
+		d := dispatch.New(b.Common, address(i), "d", v, m, link, notes, schedule.NewLocal(b.Common, v))
 		go link.Run(ctx)
 		go m.Run(ctx)
 		go d.Run(ctx)
@@ -116,6 +123,8 @@
 	id := p.Target().ID
 	b.mu.Lock()
 	b.running[id]++
+	b.total[id]++
+	length *= max(1, b.slow[id])
 	b.most = max(b.most, b.running[id])
 	b.mu.Unlock()
 	time.Sleep(length / 4)
@@ -251,3 +260,81 @@
 		}
 	})
 }
+
+// kept is a store's table that outlasts the entries.
+type kept struct {
+	mu   sync.Mutex
+	rows map[string][]byte
+}
+
+func (k *kept) Put(_ context.Context, key string, value []byte) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rows[key] = value
+	return nil
+}
+
+func (k *kept) Whole(context.Context) (follow.Batch, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var b follow.Batch
+	for key, value := range k.rows {
+		b.Rows = append(b.Rows, follow.Row{Key: key, Value: value})
+	}
+	return b, nil
+}
+
+const slowTarget = ids.Target("t1")
+
+// learn has requests served until the home knows that one target is slow.
+func (b *bed) learn() {
+	b.slow = map[ids.Target]time.Duration{slowTarget: 6}
+	b.load([]int{0, 1, 2}, 200, 30*time.Millisecond, 120*time.Millisecond)
+}
+
+// slowShare is how many of some single requests come to the slow target.
+func (b *bed) slowShare(from []int) int {
+	before := b.total[slowTarget]
+	for i := range 16 {
+		b.request(context.Background(), from[i%len(from)], 40*time.Millisecond)
+	}
+	return b.total[slowTarget] - before
+}
+
+func TestANewHomeKnowsWhatTheLastOneLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.learn()
+		time.Sleep(2 * time.Second)
+		home := b.home(-1)
+		b.stops[home]()
+		dead := address(home)
+		b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == dead || to == dead })
+		time.Sleep(time.Second)
+		if n := b.slowShare([]int{(home + 1) % entryCount, (home + 2) % entryCount}); n != 0 {
+			t.Errorf("%d of 16 on the slow target", n)
+		}
+	})
+}
+
+func TestWhatWasLearnedOutlastsTheLossOfAllEntries(t *testing.T) {
+	for _, noted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			notes := &kept{rows: make(map[string][]byte)}
+			b := newBedWith(t, notes)
+			b.learn()
+			time.Sleep(6 * time.Second)
+			for _, stop := range b.stops {
+				stop()
+			}
+			if !noted {
+				clear(notes.rows)
+			}
+			again := newBedWith(t, notes)
+			again.slow = b.slow
+			if n := again.slowShare([]int{0, 1, 2}); noted != (n == 0) {
+				t.Errorf("noted %t: %d of 16 on the slow target", noted, n)
+			}
+		})
+	}
+}
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -40,12 +40,14 @@
 	// send hands an answer to an entry, this one included.
 	send func(to netip.AddrPort, a answer)
 
+	memory *memory
+
 	mu     gosync.Mutex
 	groups map[ids.Service]*hosted
 }
 
-func newHome(c common.Common, v *view.View, members *membership.Members, send func(netip.AddrPort, answer)) *Home {
-	return &Home{Common: c, view: v, members: members, send: send, groups: make(map[ids.Service]*hosted)}
+func newHome(c common.Common, v *view.View, members *membership.Members, memory *memory, send func(netip.AddrPort, answer)) *Home {
+	return &Home{Common: c, view: v, members: members, memory: memory, send: send, groups: make(map[ids.Service]*hosted)}
 }
 
 func matter(service ids.Service) string {
@@ -68,6 +70,7 @@
 	if g.directory != directory {
 		g.directory = directory
 		g.planner.SetTargets(now, directory.Serving(service))
+		h.adopt(g, service)
 	}
 	g.heard[from.String()] = now
 	return g
@@ -203,11 +206,46 @@
 	h.tell(decided)
 }
 
+// adopt has a planner begin with what an earlier home has learned; the lock is
+// held.
+func (h *Home) adopt(g *hosted, service ids.Service) {
+	if l := h.memory.of(service); l != nil {
+		g.planner.Adopt(l)
+	}
+}
+
 // run looks after the planners until ctx ends.
 func (h *Home) run(ctx context.Context) {
+	go h.memory.read(ctx, func(service ids.Service, _ *planner.Learned) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if g := h.groups[service]; g != nil {
+			h.adopt(g, service)
+		}
+	})
+	var told clock.Millis
 	for ctx.Err() == nil {
 		clock.Pause(ctx, tickEvery)
 		h.tell(h.tick())
+		if now := h.Clock.Now(); now-told >= tellEvery {
+			told = now
+			h.teach(ctx, now)
+		}
+	}
+}
+
+// teach tells the others what this home has learned.
+func (h *Home) teach(ctx context.Context, now clock.Millis) {
+	lessons := make(map[ids.Service]*planner.Learned)
+	h.mu.Lock()
+	for service, g := range h.groups {
+		if l := g.planner.Learned(); l != nil {
+			lessons[service] = l
+		}
+	}
+	h.mu.Unlock()
+	for service, l := range lessons {
+		h.memory.tell(ctx, now, service, l)
 	}
 }
 
@@ -231,6 +269,7 @@
 		if directory := h.view.Directory(); g.directory != directory {
 			g.directory = directory
 			g.planner.SetTargets(now, directory.Serving(service))
+			h.adopt(g, service)
 		}
 		g.planner.Tick(now)
 		h.report(now, service, g)
--- /dev/null
+++ b/pkg/dispatch/notes.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	gosync "sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/planner"
+)
+
+// Notes is the table of the platform's store in which homes note what they have
+// learned, one row a service.
+type Notes interface {
+	Put(ctx context.Context, key string, value []byte) error
+	Whole(ctx context.Context) (follow.Batch, error)
+}
+
+const (
+	// tellEvery is how often a home tells the others what it has learned, and
+	// noteEvery how often it notes it in the store, for the case that all entries
+	// are lost at once.
+	tellEvery = clock.Second
+	noteEvery = 5 * clock.Second
+	// noteTime bounds a call to the store.
+	noteTime = 600 * clock.Millisecond
+	// factorsAPage is how many factors surely fit into one datagram.
+	factorsAPage = 30
+)
+
+// lesson is what a home has learned of a service. The factors of many targets
+// come in several messages.
+type lesson struct {
+	_       struct{} `cbor:",toarray"`
+	Service ids.Service
+	Learned planner.Learned
+}
+
+// memory keeps what homes have learned, at the home itself and at the others.
+type memory struct {
+	common.Common
+	members *membership.Members
+	link    *packets.Link
+	notes   Notes
+
+	mu      gosync.Mutex
+	heard   map[ids.Service]*planner.Learned // of homes
+	noted   map[ids.Service]clock.Millis     // when it was last noted here
+	reading bool
+}
+
+func newMemory(c common.Common, members *membership.Members, link *packets.Link, notes Notes) *memory {
+	m := &memory{Common: c, members: members, link: link, notes: notes, heard: make(map[ids.Service]*planner.Learned), noted: make(map[ids.Service]clock.Millis)}
+	link.Handle(packets.KindLearned, packets.Receive(link, m.hear))
+	return m
+}
+
+// hear takes what a home tells.
+func (m *memory) hear(_ netip.AddrPort, l *lesson) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keep(l.Service, &l.Learned)
+}
+
+// keep merges what was learned of a service; the lock is held.
+func (m *memory) keep(service ids.Service, l *planner.Learned) {
+	before := m.heard[service]
+	if before != nil {
+		for id, f := range before.Factors {
+			if _, newer := l.Factors[id]; !newer && len(l.Factors) < mostFactors {
+				l.Factors[id] = f
+			}
+		}
+	}
+	m.heard[service] = l
+}
+
+// mostFactors bounds what is kept of one service.
+const mostFactors = 4096
+
+// of returns what is known of a service, or nil.
+func (m *memory) of(service ids.Service) *planner.Learned {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heard[service]
+}
+
+// tell tells the others what this home has learned, and notes it in the store now
+// and then.
+func (m *memory) tell(ctx context.Context, now clock.Millis, service ids.Service, l *planner.Learned) {
+	others := m.members.Others()
+	for _, page := range pages(l) {
+		for _, to := range others {
+			m.link.Send(to, packets.KindLearned, lesson{Service: service, Learned: page})
+		}
+	}
+	m.mu.Lock()
+	m.keep(service, l)
+	due := now-m.noted[service] >= noteEvery
+	if due {
+		m.noted[service] = now
+	}
+	m.mu.Unlock()
+	if due {
+		go m.note(ctx, service, l)
+	}
+}
+
+// pages divides what was learned so that each part fits into a datagram.
+func pages(l *planner.Learned) []planner.Learned {
+	page := *l
+	page.Factors = make(map[ids.Target]float64)
+	var list []planner.Learned
+	for id, f := range l.Factors {
+		page.Factors[id] = f
+		if len(page.Factors) == factorsAPage {
+			list = append(list, page)
+			page.Factors = make(map[ids.Target]float64)
+		}
+	}
+	return append(list, page)
+}
+
+func (m *memory) note(ctx context.Context, service ids.Service, l *planner.Learned) {
+	ctx, cancel := context.WithTimeout(ctx, noteTime.Duration())
+	defer cancel()
+	value, err := cbor.Marshal(l)
+	if err == nil {
+		err = m.notes.Put(ctx, string(service), value)
+	}
+	if err != nil {
+		m.Log.WithError(err).WithField("service", string(service)).Info("what was learned is not noted in the store")
+	}
+}
+
+// read reads the notes of all services, as when this entry has just started, and
+// calls done with what they say.
+func (m *memory) read(ctx context.Context, done func(ids.Service, *planner.Learned)) {
+	ctx, cancel := context.WithTimeout(ctx, noteTime.Duration())
+	defer cancel()
+	batch, err := m.notes.Whole(ctx)
+	if err != nil {
+		m.Log.WithError(err).Info("what was learned before is not read")
+		return
+	}
+	for _, row := range batch.Rows {
+		l := &planner.Learned{}
+		if err := cbor.Unmarshal(row.Value, l); err != nil {
+			m.Log.WithError(err).WithField("service", row.Key).Warn("a note is passed over")
+			continue
+		}
+		service := ids.Service(row.Key)
+		m.mu.Lock()
+		if m.heard[service] == nil {
+			m.heard[service] = l
+		}
+		m.mu.Unlock()
+		done(service, l)
+	}
+}
--- /dev/null
+++ b/pkg/planner/learned.go
@@ -0,0 +1,73 @@
+package planner
+
+import "quaydock/pkg/ids"
+
+// Learned is what a planner has learned of its targets, for one that takes over:
+// times and factors change slowly, while a planner that knows nothing places
+// long prompts on slow targets until each has answered a few times.
+type Learned struct {
+	_ struct{} `cbor:",toarray"`
+	// First and Pause are the lines of the times to the first event and between
+	// events, on a target of factor 1.
+	First, Pause Line
+	// Hold is the longest that prompts hold up one event, in ms; 0 if unknown.
+	Hold float64
+	// Factors says how much slower than the others targets are.
+	Factors map[ids.Target]float64
+}
+
+// Line is a straight line through observed points.
+type Line struct {
+	_ struct{} `cbor:",toarray"`
+	// N counts the points, the newest most; the others are their sums, weighed so.
+	N, X, Y, XX, XY float64
+}
+
+// adoptedWeight is for how many observations what was learned elsewhere counts
+// at the most, so that own ones soon prevail.
+const adoptedWeight = 40
+
+// Learned returns what has been learned, or nil as long as it is too little to be
+// of use.
+func (p *Planner) Learned() *Learned {
+	if p.speeds.first.n < minKnown {
+		return nil
+	}
+	l := &Learned{First: p.speeds.first.told(), Pause: p.speeds.pause.told(), Hold: p.speeds.hold.most, Factors: make(map[ids.Target]float64)}
+	for id, t := range p.targets {
+		if t.factor.known {
+			l.Factors[id] = t.factor.value
+		}
+	}
+	return l
+}
+
+// Adopt takes over what was learned elsewhere, where nothing is known yet.
+func (p *Planner) Adopt(l *Learned) {
+	if p.speeds.first.n < minKnown {
+		p.speeds.first.adopt(l.First)
+	}
+	if p.speeds.pause.n < minKnown {
+		p.speeds.pause.adopt(l.Pause)
+	}
+	if p.speeds.hold.most == 0 {
+		p.speeds.hold.most = l.Hold
+	}
+	for id, f := range l.Factors {
+		if t := p.targets[id]; t != nil && !t.factor.known {
+			t.factor = factor{value: f, known: true}
+		}
+	}
+}
+
+func (l *line) told() Line {
+	return Line{N: l.n, X: l.x, Y: l.y, XX: l.xx, XY: l.xy}
+}
+
+func (l *line) adopt(t Line) {
+	if t.N <= 0 {
+		return
+	}
+	part := min(1, adoptedWeight/t.N)
+	*l = line{n: t.N * part, x: t.X * part, y: t.Y * part, xx: t.XX * part, xy: t.XY * part}
+}
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -425,6 +425,50 @@
 	}
 }
 
+// TestAPlannerThatTakesOverKnowsWhatIsSlow lets one planner learn that a target
+// is slow: another that takes its knowledge over places nothing there while the
+// others have room.
+func TestAPlannerThatTakesOverKnowsWhatIsSlow(t *testing.T) {
+	first := newPlanner(10, 10)
+	now := start
+	for i := range 60 {
+		now += 500
+		for n, took := range []clock.Millis{40, 200} {
+			j := job(uint64(10*i+n), 0)
+			j.Prompt, j.Arrived, j.Deadline = 1000, now, now+10*clock.Second
+			j.Exclude = []ids.Target{ids.Target(fmt.Sprint("t", 1-n))}
+			first.Submit(now, j)
+			first.Begin(now+took, j.ID, nil)
+			first.Finish(now+took, j.ID, planner.Served, planner.Flow{})
+		}
+	}
+	learned := first.Learned()
+	if learned == nil {
+		t.Fatal("nothing learned")
+	}
+	for _, adopts := range []bool{false, true} {
+		p := newPlanner(10, 10)
+		if p.Learned() != nil {
+			t.Error("a new planner claims to have learned something")
+		}
+		if adopts {
+			p.Adopt(learned)
+		}
+		slow := 0
+		for i := range uint64(6) {
+			j := job(i, 0)
+			j.Prompt = 1000
+			p.Submit(start, j)
+			if at, _ := p.Granted(j.ID); at == "t1" {
+				slow++
+			}
+		}
+		if adopts != (slow == 0) {
+			t.Errorf("adopts %t: %d of 6 on the slow target", adopts, slow)
+		}
+	}
+}
+
 // TestRequestsStayInTheirFailureDomain has two engines of like speed, each in a
 // domain of its own: a request goes to the one beside it while that has room, and
 // to the other rather than wait.
