--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +32,10 @@
 	// number beyond helloPeers, so that the greetings of one stay bounded.
 	helloEvery = 150 * clock.Millisecond
 	helloPeers = 8
+	// helloSoonest is the least time between two greetings of an entry. One that
+	// has started, or has heard of another, does not wait for helloEvery: until
+	// entries agree on who lives, each plans by itself and gives out a part only.
+	helloSoonest = 20 * clock.Millisecond
 	// heardFor is for how many greetings' time an entry counts as alive: two
 	// may be lost.
 	heardFor = 3
@@ -91,6 +96,7 @@
 	// zero if it has to be worked out anew.
 	aliveUntil   clock.Millis
 	homes        map[string]ids.Process // of matters, among those alive
+	news         chan struct{}          // told when who is listed or alive has changed
 	noStoreUntil clock.Millis           // up to when this entry is taken not to reach the store
 }
 
@@ -99,7 +105,7 @@
 // New returns a list with this entry alone. Its weight is how much its VM can
 // do.
 func New(c common.Common, self ids.Process, address netip.AddrPort, weight float64, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), aliveUntil: stale}
+	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), news: make(chan struct{}, 1), aliveUntil: stale}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	return m
@@ -110,7 +116,27 @@
 	go m.keepListed(ctx)
 	for ctx.Err() == nil {
 		m.greet()
-		clock.Pause(ctx, m.interval())
+		clock.Pause(ctx, helloSoonest)
+		m.await(ctx, m.interval()-helloSoonest)
+	}
+}
+
+// await waits, but not beyond a change of who is listed or alive.
+func (m *Members) await(ctx context.Context, wait clock.Millis) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-m.news:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// changed has the next greeting sent soon.
+func (m *Members) changed() {
+	select {
+	case m.news <- struct{}{}:
+	default: // it has been told already
 	}
 }
 
@@ -163,6 +189,7 @@
 	now := m.Clock.Now()
 	if !m.lively(now, other) {
 		m.aliveUntil = stale
+		m.changed()
 	}
 	other.heardAt = now
 	other.circle = message.Circle
@@ -358,6 +385,7 @@
 	defer m.mu.Unlock()
 	before := m.list
 	m.aliveUntil = stale
+	m.changed()
 	m.list = make(map[ids.Process]*member, len(rows))
 	for _, row := range rows {
 		m.put(row, before[ids.Process(row.Key)])
@@ -370,6 +398,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.aliveUntil = stale
+	if len(rows) > 0 {
+		m.changed()
+	}
 	for _, row := range rows {
 		name := ids.Process(row.Key)
 		if row.Gone {
