--- a/pkg/ingress/first_tries.go
+++ b/pkg/ingress/first_tries.go
@@ -38,8 +38,9 @@
 	// goneWait is the count below which the longest deadline is forgotten: callers'
 	// deadlines have become shorter. Seen once, it is kept for some 230 requests.
 	goneWait = 0.1
-	// sameWait is by how much deadlines may differ that count as the same.
-	sameWait = 5 * clock.Millisecond
+	// sameWait is by how much deadlines may differ that count as the same: opening
+	// a connection takes a few ms, and one that is refused is not back sooner.
+	sameWait = 30 * clock.Millisecond
 )
 
 // before takes a request's deadline, and returns how long ago its caller first
