--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	go newSettingsWatcher(c, os.Getenv(platform.SettingsVariable), p.change).run(ctx, changes)
-	c.Log.Info("started")
+	c.Log.WithField("domain", string(s.Domain)).Info("started")
 	received := <-stops
 	c.Log.WithField("signal", received.String()).Info("signal")
 	p.drain()
@@ -134,11 +134,15 @@
 	}
 }
 
+// logTime is how log lines tell the time: in ms, since several lines of a request
+// fall into one second.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // newCommon builds what all parts share, for processes on the platform.
 func newCommon(name ids.Process, logs io.Writer) common.Common {
 	logger := logrus.New()
 	logger.SetOutput(logs)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: logTime})
 	log := logger.WithField("process", string(name))
 	metrics := telemetry.NewMetrics()
 	return common.Common{
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -40,6 +40,7 @@
 		{"history", "show the newest changes: quayctl history -table URL", history},
 		{"capacity", "measure slopes and rewrite the tables of docs/CAPACITY.md (see scripts/capacity)", measureCapacity},
 		{"explain", "tell one request's story from logs: quayctl explain ID FILE...", explain},
+		{"losses", "tell which requests were lost or late, when and why, from logs: quayctl losses [-window TIME] [-plot FILE] FILE...", tellLosses},
 		{"load", "send bounded load to a loopback address and measure it", sendLoad},
 	}
 }
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -15,13 +15,9 @@
 	if len(args) < least {
 		return fmt.Errorf("%w: explain takes a request's id and log files", errUsage)
 	}
-	var lines []story.Line
-	for _, path := range args[1:] {
-		read, err := readLog(path)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(args[1:])
+	if err != nil {
+		return err
 	}
 	told := story.Of(args[0], lines)
 	if len(told) == 0 {
@@ -33,6 +29,19 @@
 	return nil
 }
 
+// readLogs reads log files one after the other.
+func readLogs(paths []string) ([]story.Line, error) {
+	var lines []story.Line
+	for _, path := range paths {
+		read, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(path string) ([]story.Line, error) {
 	file, err := os.Open(path)
 	if err != nil {
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -159,7 +159,8 @@
 // answered logs every answer that came late, and a sample of the others.
 func (c *Controller) answered(q *request) {
 	n := c.ordinary.Add(1)
-	late := q.late()
+	lateness := q.lateness()
+	late := lateness != LateNot
 	outcome := "answered"
 	if late {
 		outcome = "answered_late"
@@ -175,6 +176,7 @@
 	fields["target_first_ms"] = int64(q.firstAt - q.placedAt)
 	fields["longest_pause_ms"] = int64(q.pause)
 	if late {
+		fields["late_by"] = lateness.String()
 		fields["trail"] = q.marks()
 	}
 	c.Log.WithFields(fields).Info("request answered")
@@ -216,6 +218,9 @@
 	if q.account != nil {
 		fields["account"] = string(q.account.Name)
 	}
+	if q.before > 0 {
+		fields["before_ms"] = int64(q.before)
+	}
 	if q.Prompt > 0 {
 		fields["prompt_tokens"] = int64(q.Prompt)
 	}
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -62,15 +62,6 @@
 	r.eventAt = now
 }
 
-// late reports whether an answer that was given came too late to earn its whole
-// credit.
-func (r *request) late() bool {
-	if r.route.Objective > 0 && r.firstAt-r.arrived+r.before > r.route.Objective {
-		return true
-	}
-	return r.route.EventGap > 0 && r.pause > r.route.EventGap
-}
-
 // tierStep keeps the tiers of accounts apart: an account's rank goes before the
 // route's.
 const tierStep = 16
--- a/pkg/story/story.go
+++ b/pkg/story/story.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -21,15 +22,39 @@
 	order  int
 }
 
+// Fields of all lines: the process that wrote it, and what it says.
+const (
+	FieldProcess = "process"
+	FieldMessage = "msg"
+)
+
 const (
 	fieldRequest = "request"
 	fieldTargets = "targets"
 	fieldTarget  = "target"
-	fieldProcess = "process"
-	fieldMessage = "msg"
 	fieldTime    = "time"
 )
 
+// Time is when the line was written; zero if it does not tell.
+func (l *Line) Time() time.Time { return l.time }
+
+// Text is a field's text; empty if it has none.
+func (l *Line) Text(field string) string {
+	text, _ := l.Fields[field].(string)
+	return text
+}
+
+// Number is a field's number, if it has one.
+func (l *Line) Number(field string) (float64, bool) {
+	n, ok := l.Fields[field].(float64)
+	return n, ok
+}
+
+// Names lists the fields in order.
+func (l *Line) Names() []string {
+	return slices.Sorted(maps.Keys(l.Fields))
+}
+
 // maxLine bounds one log line.
 const maxLine = 1 << 20
 
@@ -44,7 +69,7 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal([]byte("{"+object), &fields) != nil || fields[fieldMessage] == nil {
+		if json.Unmarshal([]byte("{"+object), &fields) != nil || fields[FieldMessage] == nil {
 			continue
 		}
 		line := Line{Prefix: strings.TrimSpace(prefix), Fields: fields, order: len(lines)}
@@ -76,7 +101,7 @@
 			continue
 		}
 		own = append(own, l)
-		processes[l.Fields[fieldProcess]] = true
+		processes[l.Fields[FieldProcess]] = true
 		for _, t := range list(l.Fields[fieldTargets]) {
 			targets[t] = true
 		}
@@ -123,7 +148,7 @@
 	if target, ok := l.Fields[fieldTarget].(string); ok {
 		return targets[target]
 	}
-	return processes[l.Fields[fieldProcess]]
+	return processes[l.Fields[FieldProcess]]
 }
 
 // String writes a line for reading: time, process, message, then the fields.
@@ -132,10 +157,10 @@
 	if l.Prefix != "" {
 		b.WriteString(l.Prefix + " ")
 	}
-	fmt.Fprintf(&b, "%s %v: %v", l.time.Format(time.TimeOnly), l.Fields[fieldProcess], l.Fields[fieldMessage])
+	fmt.Fprintf(&b, "%s %v: %v", l.time.Format(time.TimeOnly), l.Fields[FieldProcess], l.Fields[FieldMessage])
 	names := make([]string, 0, len(l.Fields))
 	for name := range l.Fields {
-		if name != fieldTime && name != fieldProcess && name != fieldMessage && name != "level" {
+		if name != fieldTime && name != FieldProcess && name != FieldMessage && name != "level" {
 			names = append(names, name)
 		}
 	}
