--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -13,6 +13,7 @@
 	"slices"
 	"syscall"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/network"
 	"quaydock/pkg/schedule"
 	"quaydock/pkg/settings"
@@ -33,6 +34,9 @@
 	trace    settings.Trace
 	settings string
 	check    bool
+	// ablation names what is switched off; experiment allows that.
+	ablation   string
+	experiment bool
 }
 
 // Main runs the daemon with the given arguments and returns its exit code.
@@ -77,7 +81,15 @@
 		report(logs, fmt.Sprintf("command line: no role %q, or no policy %q", o.role, o.policy))
 		return ExitUsage
 	}
-	if err := runEntry(policy, o.trace, logs); err != nil {
+	off, err := ablation.Parse(o.ablation)
+	if err == nil && off != 0 && !o.experiment {
+		err = errors.New("-ablation is for experiments: it needs -experiment")
+	}
+	if err != nil {
+		report(logs, fmt.Errorf("command line: %w", err))
+		return ExitUsage
+	}
+	if err := runEntry(entryOptions{policy: policy, trace: o.trace, ablation: off}, logs); err != nil {
 		report(logs, err)
 		return ExitFailed
 	}
@@ -97,6 +109,8 @@
 	flags.StringVar(&o.policy, "policy", string(schedule.Planned), "how an entry on the platform places requests: planned, round-robin or least-reported")
 	flags.StringVar(&o.trace.Endpoint, "trace-to", "", "base `URL` of an OTLP collector for the spans of an entry on the platform; none without it")
 	flags.Float64Var(&o.trace.Ratio, "trace-ratio", defaultTraceRatio, "the share of requests traced")
+	flags.StringVar(&o.ablation, "ablation", "", "`mechanisms` that an entry on the platform does without, separated by commas; only with -experiment")
+	flags.BoolVar(&o.experiment, "experiment", false, "this is no service: allow -ablation")
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
 	if err := flags.Parse(args); err != nil {
 		return options{}, fmt.Errorf("command line: %w", err)
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/bulletin"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
@@ -83,8 +84,15 @@
 	grace      atomic.Int64 // from SIGTERM to the kill, in clock.Millis
 }
 
+// entryOptions are what the command line says of an entry on the platform.
+type entryOptions struct {
+	policy   schedule.Policy
+	trace    settings.Trace
+	ablation ablation.Set
+}
+
 // runEntry runs an entry on the platform until SIGTERM.
-func runEntry(policy schedule.Policy, trace settings.Trace, logs io.Writer) error {
+func runEntry(o entryOptions, logs io.Writer) error {
 	s, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -93,12 +101,13 @@
 	lines := telemetry.NewQueuedWriter(logs)
 	defer lines.Close()
 	c := newCommon(s.Node, lines)
-	tracing, err := telemetry.NewTracing(context.Background(), trace, s.Node)
+	c.Ablation = o.ablation
+	tracing, err := telemetry.NewTracing(context.Background(), o.trace, s.Node)
 	if err != nil {
 		return fmt.Errorf("tracing: %w", err)
 	}
 	c.Tracer = tracing.Tracer
-	p, err := newEntryProcess(c, s, policy)
+	p, err := newEntryProcess(c, s, o.policy)
 	if err != nil {
 		return err
 	}
@@ -192,7 +201,10 @@
 }
 
 func (p *entryProcess) scheduler(policy schedule.Policy) schedule.Scheduler {
-	if policy == schedule.Planned {
+	switch {
+	case p.Ablation.Off(ablation.PlannerHome):
+		return schedule.NewLocal(p.Common, p.view)
+	case policy == schedule.Planned:
 		return p.dispatcher
 	}
 	return schedule.NewBaseline(p.Common, p.view, policy)
--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
@@ -104,6 +105,9 @@
 
 // reads reports whether this entry is the reader.
 func (b *Board) reads() bool {
+	if b.Ablation.Off(ablation.OneReader) {
+		return true
+	}
 	_, self := b.members.Reader(matter)
 	return self
 }
--- a/pkg/bulletin/peers.go
+++ b/pkg/bulletin/peers.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 	"time"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/network"
@@ -117,6 +118,9 @@
 
 // informed lists the peers to be asked for a table's news, the reader first.
 func (b *Board) informed(table string) []netip.AddrPort {
+	if b.Ablation.Off(ablation.PeerNews) {
+		return nil
+	}
 	b.mu.Lock()
 	from := b.table(table).heardFrom
 	b.mu.Unlock()
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -5,6 +5,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/invariant"
 	"quaydock/pkg/network"
@@ -21,4 +22,6 @@
 	Tracer  trace.Tracer
 	Check   *invariant.Checker
 	Random  *random.Source
+	// Ablation is what is switched off for an experiment.
+	Ablation ablation.Set
 }
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -64,6 +64,7 @@
 	g := h.groups[service]
 	if g == nil {
 		g = &hosted{planner: planner.New(h.Random.Fork()), heard: make(map[string]clock.Millis)}
+		g.planner.Without(h.Ablation)
 		h.groups[service] = g
 		h.Log.WithField("service", string(service)).Info("planning for a service")
 	}
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/routing"
@@ -58,7 +59,7 @@
 
 func (a *admission) setKeyTrust(keys KeyTrust) {
 	trust := float64(keys.Bound) * revokePart
-	if !keys.Strict {
+	if !keys.Strict && !a.Ablation.Off(ablation.KeyTrust) {
 		trust = float64(keys.Bound) * cutOffTimes
 	}
 	a.keyTrust.Store(int64(trust))
@@ -76,7 +77,9 @@
 	if refusal := a.resolve(q); refusal != nil {
 		return q, refusal
 	}
-	q.before = a.tries.before(q.route, q.Deadline)
+	if !a.Ablation.Off(ablation.FirstTry) {
+		q.before = a.tries.before(q.route, q.Deadline)
+	}
 	held := q.route.Timeout
 	if q.Deadline > 0 && (held <= 0 || q.Deadline < held) {
 		held = q.Deadline
@@ -87,7 +90,11 @@
 	}
 	if q.account != nil {
 		units := q.account.Units(q.Prompt + q.MostOut)
-		taken, wait := a.meter.Take(r.Context(), q.account, units, keepFor(q, units))
+		keep := keepFor(q, units)
+		if a.Ablation.Off(ablation.TierKeep) {
+			keep = 0
+		}
+		taken, wait := a.meter.Take(r.Context(), q.account, units, keep)
 		if !taken {
 			return q, &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
 		}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/forward"
@@ -143,7 +144,7 @@
 	if !q.route.Idempotent() || q.sent >= q.route.Attempts {
 		return false
 	}
-	return !out.started || q.route.Resumable
+	return !out.started || q.route.Resumable && !d.Ablation.Off(ablation.Resumption)
 }
 
 // movable reports whether a request that may have run could be sent to one more
@@ -175,7 +176,7 @@
 // again reports whether one more exchange is within the bounds.
 func (d *delivery) again(q *request) bool {
 	now := d.Clock.Now()
-	if q.sends >= maxSends || q.deadline-now < minLeft {
+	if q.sends >= maxSends || q.deadline-now < minLeft || d.Ablation.Off(ablation.Retries) {
 		return false
 	}
 	return d.retries.Repeat(now, q.service, d.entries.Entries())
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/planner"
@@ -170,7 +171,7 @@
 // watchStalls ends an answer whose target falls silent in the middle, if it can
 // be taken up elsewhere. The timer is set anew by each event.
 func (d *delivery) watchStalls(q *request, a *forward.Answer) *stallTimer {
-	if !d.movable(q) {
+	if !d.movable(q) || d.Ablation.Off(ablation.Moves) {
 		return &stallTimer{}
 	}
 	return &stallTimer{time.AfterFunc(noStall.Duration(), a.Abort)}
--- a/pkg/losses/plot.go
+++ b/pkg/losses/plot.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette/brewer"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 )
 
@@ -18,6 +18,8 @@
 	barPart = 0.8
 	// mostLabels is how many windows have a label below their bars.
 	mostLabels = 12
+	// mostColours is how many causes have colours of their own.
+	mostColours = 12
 )
 
 // Plot draws a table as stacked bars, a colour a cause, into a file; the ending of
@@ -39,6 +41,11 @@
 
 // stack adds the bars of each cause upon those of the one before.
 func stack(p *plot.Plot, t *Table) error {
+	palette, err := brewer.GetPalette(brewer.TypeQualitative, "Paired", mostColours)
+	if err != nil {
+		return fmt.Errorf("colours: %w", err)
+	}
+	colours := palette.Colors()
 	width := barPart * plotWidth / vg.Length(len(t.Counts)+1)
 	var below *plotter.BarChart
 	for c, cause := range t.Causes {
@@ -50,7 +57,7 @@
 		if err != nil {
 			return fmt.Errorf("bars of %q: %w", cause, err)
 		}
-		bars.Color = plotutil.Color(c)
+		bars.Color = colours[c%len(colours)]
 		bars.LineStyle.Width = 0
 		if below != nil {
 			bars.StackOn(below)
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
@@ -134,6 +135,9 @@
 
 // changed has the next greeting sent soon.
 func (m *Members) changed() {
+	if m.Ablation.Off(ablation.QuickGreetings) {
+		return
+	}
 	select {
 	case m.news <- struct{}{}:
 	default: // it has been told already
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"sync"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
@@ -167,6 +168,9 @@
 }
 
 func (m *Meter) take(ctx context.Context, account *routing.Account, units, keep float64) (bool, clock.Millis) {
+	if m.Ablation.Off(ablation.QuotaHomes) {
+		return m.spendOwn(account, units)
+	}
 	home, self := m.members.Home(matter(account.Name))
 	had := m.had.Sum(m.Clock.Now(), account.Name, m.window())
 	if self {
--- a/pkg/planner/learned.go
+++ b/pkg/planner/learned.go
@@ -1,6 +1,9 @@
 package planner
 
-import "quaydock/pkg/ids"
+import (
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/ids"
+)
 
 // Learned is what a planner has learned of its targets, for one that takes over:
 // times and factors change slowly, while a planner that knows nothing places
@@ -44,6 +47,9 @@
 
 // Adopt takes over what was learned elsewhere, where nothing is known yet.
 func (p *Planner) Adopt(l *Learned) {
+	if p.off.Off(ablation.Learned) {
+		return
+	}
 	if p.speeds.first.n < minKnown {
 		p.speeds.first.adopt(l.First)
 	}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -44,7 +45,7 @@
 	kept := p.queue.jobs[:0]
 	for _, w := range p.queue.jobs {
 		var t *target
-		if len(s.roomy) > 0 && !p.floor.holds(now, w) {
+		if len(s.roomy) > 0 && !p.held(now, w) {
 			t = p.best(now, &s, w)
 		}
 		if t == nil {
@@ -64,6 +65,13 @@
 	}
 }
 
+// held reports whether a job is to wait, as something that goes before it was
+// refused a moment ago.
+func (p *Planner) held(now clock.Millis, w *waiting) bool {
+	below := p.floor.below(now, w.Tier) && !p.off.Off(ablation.TierFloor)
+	return below || p.floor.behind(now, w) && !p.off.Off(ablation.LateFloor)
+}
+
 func (p *Planner) noteFull(now clock.Millis) {
 	if p.fullSince == 0 {
 		p.fullSince = now
@@ -99,7 +107,7 @@
 // best returns the target with room that serves a job at the least cost, or
 // nil.
 func (p *Planner) best(now clock.Millis, s *survey, w *waiting) *target {
-	choosy := s.known && p.inTime(now, w, s.quickest, 0, 1)
+	choosy := s.known && !p.off.Off(ablation.InTime) && p.inTime(now, w, s.quickest, 0, 1)
 	var best *target
 	var least float64
 	for _, t := range s.roomy {
@@ -120,7 +128,7 @@
 // disturbs reports whether reading a job's prompt would most likely hold up the
 // streams that run on a target for longer than they may pause.
 func (p *Planner) disturbs(t *target, w *waiting) bool {
-	if w.Gap == 0 || len(t.runs) == 0 {
+	if w.Gap == 0 || len(t.runs) == 0 || p.off.Off(ablation.Disturbance) {
 		return false
 	}
 	hold := t.factor.get() * p.speeds.holdTime(len(t.runs)+1, t.reading+w.Prompt)
@@ -161,11 +169,15 @@
 	pause := f * p.speeds.pauseTime(running+1)
 	rest := float64(job.Events) * pause
 	reads := f * p.speeds.readTime(job.Prompt)
-	cost := first + endWeight*rest + disturbWeight*reads*float64(running)
-	if job.Gap > 0 && f*p.speeds.holdTime(running+1, t.reading+job.Prompt) > gapPart*float64(job.Gap) {
+	cost := first + endWeight*rest
+	disturbs := !p.off.Off(ablation.Disturbance)
+	if disturbs {
+		cost += disturbWeight * reads * float64(running)
+	}
+	if disturbs && job.Gap > 0 && f*p.speeds.holdTime(running+1, t.reading+job.Prompt) > gapPart*float64(job.Gap) {
 		cost += lateCost * float64(running)
 	}
-	if job.Domain != t.Domain {
+	if job.Domain != t.Domain && !p.off.Off(ablation.DomainCost) {
 		cost += domainCost
 	}
 	return cost
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
@@ -22,6 +23,7 @@
 	floor     floor
 	arrivals  map[ids.TierRank]*sizedRate
 	decisions []Decision
+	off       ablation.Set
 }
 
 // New returns a planner without targets.
@@ -29,6 +31,11 @@
 	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), arrivals: make(map[ids.TierRank]*sizedRate)}
 }
 
+// Without switches mechanisms off, for experiments.
+func (p *Planner) Without(off ablation.Set) {
+	p.off = off
+}
+
 // SetTargets says which targets may get work. What runs on others goes on.
 func (p *Planner) SetTargets(now clock.Millis, offered []*routing.Target) {
 	for _, t := range p.targets {
@@ -89,6 +96,9 @@
 // sizeOf is the size of a job's run on a target of factor 1 that runs nothing
 // else.
 func (p *Planner) sizeOf(job *Job) runSize {
+	if p.off.Off(ablation.ShortFirst) {
+		return 0
+	}
 	return sizeOf(p.speeds.firstTime(job.Prompt) + float64(job.Events)*p.speeds.pauseTime(1))
 }
 
@@ -137,7 +147,9 @@
 		p.speeds.learnPause(&t.factor, (r.beside+len(t.runs))/2, float64(now-r.beganAt)/float64(flow.Events))
 		p.speeds.learnHold(t.factor.get(), r.backlog, len(t.runs), flow.Longest)
 	}
-	t.health.Note(now, outcome)
+	if !p.off.Off(ablation.SetAside) {
+		t.health.Note(now, outcome)
+	}
 	t.trial = outcome != Served && (t.trial || t.health.Aside(now))
 	delete(p.runs, id)
 	t.end(r)
@@ -199,8 +211,10 @@
 func (p *Planner) Tick(now clock.Millis) {
 	for _, t := range p.list {
 		if t.stuck(now, &p.speeds) {
-			t.health.Suspect(now)
-			t.trial = true
+			if !p.off.Off(ablation.SetAside) {
+				t.health.Suspect(now)
+				t.trial = true
+			}
 			p.move(t)
 		}
 	}
@@ -212,6 +226,9 @@
 // move tells the jobs that wait for their first event on a target that is stuck
 // to go elsewhere, if they may.
 func (p *Planner) move(t *target) {
+	if p.off.Off(ablation.Moves) {
+		return
+	}
 	for _, r := range t.runs {
 		if r.Movable && !r.begun && !r.moved {
 			r.moved = true
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -52,7 +53,7 @@
 		end := w.Arrived + p.longestHold(w)
 		return now > end || now <= latest && now+wait > end
 	}
-	if now+wait <= w.useful {
+	if now+wait <= w.useful || p.off.Off(ablation.EarlyRefusal) {
 		w.committed = now >= latest
 		return false
 	}
@@ -102,20 +103,22 @@
 	}
 }
 
-// holds reports whether a job is to wait, as something that goes before it was
-// refused a moment ago.
-func (f *floor) holds(now clock.Millis, w *waiting) bool {
-	if w.late(now) && now < f.fresh[w.Tier] {
-		return true
-	}
+// below reports whether a tier lies below one that was refused a moment ago.
+func (f *floor) below(now clock.Millis, tier ids.TierRank) bool {
 	for refused, until := range f.tiers {
-		if refused < w.Tier && now < until {
+		if refused < tier && now < until {
 			return true
 		}
 	}
 	return false
 }
 
+// behind reports whether a job is late while a fresh one of its tier was refused a
+// moment ago.
+func (f *floor) behind(now clock.Millis, w *waiting) bool {
+	return w.late(now) && now < f.fresh[w.Tier]
+}
+
 // holdPart is the part of its time for which a job waits at the most.
 const holdPart = 0.45
 
