--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -39,7 +39,7 @@
 // what an account may have run at once, a part may be kept from a request.
 type Meter interface {
 	Take(ctx context.Context, account *routing.Account, units, keep float64) (bool, clock.Millis)
-	Return(account *routing.Account, units float64)
+	Return(account *routing.Account, units float64, taken clock.Millis)
 }
 
 // Entries tells how many entries there are.
@@ -98,6 +98,7 @@
 		if !taken {
 			return q, &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
 		}
+		q.takenAt = a.Clock.Now()
 	}
 	return q, nil
 }
@@ -212,6 +213,6 @@
 // refund gives back the allowance of a request that has not run.
 func (a *admission) refund(q *request, account *routing.Account) {
 	if account != nil {
-		a.meter.Return(account, account.Units(q.Prompt+q.MostOut))
+		a.meter.Return(account, account.Units(q.Prompt+q.MostOut), q.takenAt)
 	}
 }
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -67,8 +67,8 @@
 func (f freely) Take(_ context.Context, a *routing.Account, _, _ float64) (bool, clock.Millis) {
 	return !f[a.Name], 1500
 }
-func (freely) Return(*routing.Account, float64) {}
-func (freely) Entries() int                     { return 1 }
+func (freely) Return(*routing.Account, float64, clock.Millis) {}
+func (freely) Entries() int                                   { return 1 }
 
 // inOrder places requests on the targets in order, passing over those tried.
 type inOrder struct {
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -19,7 +19,8 @@
 	arrived  clock.Millis
 	before   clock.Millis // how long before that its caller first asked
 	deadline clock.Millis
-	draw     float64 // picks the service of a split route, the same each time
+	takenAt  clock.Millis // when it was counted against its account's allowance
+	draw     float64      // picks the service of a split route, the same each time
 
 	sent      int // exchanges that may have run at a target
 	declines  int // exchanges that surely did not
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -184,9 +184,12 @@
 	return m.spendOwn(account, units)
 }
 
-// Return gives back units that were taken and did not run.
-func (m *Meter) Return(account *routing.Account, units float64) {
-	m.had.Add(m.Clock.Now(), account.Name, m.window(), -units)
+// Return gives back units that were taken at a moment and did not run.
+func (m *Meter) Return(account *routing.Account, units float64, taken clock.Millis) {
+	if account.PerSecond <= 0 {
+		return // their taking was not noted
+	}
+	m.had.Refund(m.Clock.Now(), taken, account.Name, m.window(), units)
 	home, self := m.members.Home(matter(account.Name))
 	if self {
 		m.books.Return(account.Name, units)
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -291,6 +291,37 @@
 	})
 }
 
+// TestWhatAnUnboundedAccountGaveBackIsNotOwedToIt gives units back for an account
+// without a bound, and then bounds it: what was given back does not hide what it has
+// from then on from homes that begin anew.
+func TestWhatAnUnboundedAccountGaveBackIsNotOwedToIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		account := largeAccount()
+		rate := account.PerSecond
+		account.PerSecond = 0
+		d := deployMany(ctx, entries, account, largeBounds)
+		for _, m := range d.meters {
+			taken, _ := m.Take(ctx, account, 5*largeRate, 0)
+			if !taken {
+				t.Fatal("an account without a bound was refused")
+			}
+			m.Return(account, 5*largeRate, d.Clock.Now())
+		}
+		account.PerSecond = rate
+		var all []take
+		for round := range 12 {
+			away := address(round % entries)
+			d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == away || to == away })
+			all = append(all, d.demandUnits(ctx, time.Second, largeUnits)...)
+		}
+		if got := worst(all); got > largeKept {
+			t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
+		}
+	})
+}
+
 // TestABurstFlowsOnceInEachWindow has an account ask without end: it gets what
 // it may have in any window, not only the rate.
 func TestABurstFlowsOnceInEachWindow(t *testing.T) {
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -28,18 +28,38 @@
 	return &Ledger{accounts: make(map[ids.Account]*ledgerLine)}
 }
 
-// Add notes units that an account has had, or, below zero, that it has had less
-// than noted.
+// Add notes units that an account has had.
 func (l *Ledger) Add(now clock.Millis, account ids.Account, window clock.Millis, units float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	line := l.line(now, account, window)
+	line.steps[line.at%clock.Millis(len(line.steps))] += units
+}
+
+// Refund notes that an account has not had units after all that were noted at a
+// moment. They are taken from what was noted then, so that the sum of a window that
+// begins later is not less than what was had in it.
+func (l *Ledger) Refund(now, noted clock.Millis, account ids.Account, window clock.Millis, units float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	line := l.line(now, account, window)
+	step := noted / stepOf(window)
+	n := clock.Millis(len(line.steps))
+	if step > line.at || step <= line.at-n {
+		return // it does not count any more
+	}
+	line.steps[step%n] -= units
+}
+
+// line returns an account's line, brought up to now; the lock is held.
+func (l *Ledger) line(now clock.Millis, account ids.Account, window clock.Millis) *ledgerLine {
 	line := l.accounts[account]
 	if line == nil {
 		line = &ledgerLine{}
 		l.accounts[account] = line
 	}
 	line.move(now / stepOf(window))
-	line.steps[line.at%clock.Millis(len(line.steps))] += units
+	return line
 }
 
 // Sum is what an account has had in the window up to now, and never less.
--- a/pkg/quota/ledger_test.go
+++ b/pkg/quota/ledger_test.go
@@ -43,3 +43,29 @@
 		}
 	})
 }
+
+// TestARefundLeavesWithItsUnits gives units back long after they were noted: once
+// they have left the window, the sum is not less than what was had since.
+func TestARefundLeavesWithItsUnits(t *testing.T) {
+	const window = 8 * clock.Second
+	scenarios := []struct {
+		name        string
+		refund, sum clock.Millis // after the units were noted
+		want        float64
+	}{
+		{"while they count", 3 * clock.Second, 4 * clock.Second, 50},
+		{"and they have left since", 7 * clock.Second, 8500, 50},
+		{"after they have left", 8600, 8700, 50},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			l := quota.NewLedger()
+			l.Add(start, "a", window, 100)
+			l.Add(start+clock.Second, "a", window, 50)
+			l.Refund(start+s.refund, start, "a", window, 100)
+			if got := l.Sum(start+s.sum, "a", window); got != s.want {
+				t.Errorf("sum %.0f, want %.0f", got, s.want)
+			}
+		})
+	}
+}
