--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -12,6 +12,7 @@
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
+	"quaydock/pkg/membership"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/view"
 )
@@ -26,11 +27,10 @@
 	// proof at the earliest; the rest of the bound is for what a proof may be too
 	// young by: the way of the store's answers.
 	revokePart = 0.85
-	// cutOffTimes is for how many times the bound an entry without proof trusts its
-	// keys where the operators prefer service to strictness: longer than cuts
-	// usually last, and short enough that a key that was taken away does not work
-	// for good at an entry that nobody misses.
-	cutOffTimes = 4
+	// forgetMargin is how long before the other entries share out the part of one
+	// that is silent it stops trusting its keys at the latest, where the operators
+	// prefer service to strictness.
+	forgetMargin = 500 * clock.Millisecond
 	// comeBack is when to come back to an entry that does not know enough.
 	comeBack = 300 * clock.Millisecond
 )
@@ -60,7 +60,7 @@
 func (a *admission) setKeyTrust(keys KeyTrust) {
 	trust := float64(keys.Bound) * revokePart
 	if !keys.Strict && !a.Ablation.Off(ablation.KeyTrust) {
-		trust = float64(keys.Bound) * cutOffTimes
+		trust = max(trust, float64(membership.ForgetAfter-forgetMargin))
 	}
 	a.keyTrust.Store(int64(trust))
 }
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -43,8 +43,8 @@
 	// Bound is that time, above 0, at an entry that hears of the removal.
 	Bound clock.Millis
 	// Strict is true if the bound holds also at one that is cut off from all that
-	// could tell it. If not, such an entry goes on serving for a while with the
-	// keys that it knows.
+	// could tell it. If not, such an entry goes on serving with the keys that it
+	// knows, until the others count it as gone.
 	Strict bool
 }
 
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -201,8 +201,8 @@
 }
 
 // TestKeysWithoutProof has an entry without news for a while: with a strict bound
-// it serves no keyed request beyond it, without one it does for some times as
-// long.
+// it serves no keyed request beyond it, without one it does until the other
+// entries share out its part.
 func TestKeysWithoutProof(t *testing.T) {
 	scenarios := []struct {
 		strict bool
@@ -212,8 +212,8 @@
 		{true, 4 * time.Second, http.StatusOK},
 		{true, 4500 * time.Millisecond, http.StatusServiceUnavailable},
 		{false, 4500 * time.Millisecond, http.StatusOK},
-		{false, 19 * time.Second, http.StatusOK},
-		{false, 21 * time.Second, http.StatusServiceUnavailable},
+		{false, 7400 * time.Millisecond, http.StatusOK},
+		{false, 7600 * time.Millisecond, http.StatusServiceUnavailable},
 	}
 	for _, s := range scenarios {
 		t.Run(fmt.Sprint(s.strict, s.after), func(t *testing.T) {
--- /dev/null
+++ b/pkg/membership/greetings.go
@@ -0,0 +1,142 @@
+package membership
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/packets"
+)
+
+const (
+	// helloEvery is how often entries greet one another; it grows with their
+	// number beyond helloPeers, so that the greetings of one stay bounded.
+	helloEvery = 150 * clock.Millisecond
+	helloPeers = 8
+	// helloSoonest is the least time between two greetings of an entry. One that
+	// has started, or has heard of another, does not wait for helloEvery: until
+	// entries agree on who lives, each plans by itself and gives out a part only.
+	helloSoonest = 20 * clock.Millisecond
+	// heardFor is for how many greetings' time an entry counts as alive: two
+	// may be lost.
+	heardFor = 3
+)
+
+// hello is a greeting.
+type hello struct {
+	_       struct{} `cbor:",toarray"`
+	Name    ids.Process
+	Circle  uint64
+	NoStore bool // it does not reach the store
+}
+
+// Run keeps this entry listed and greets the others until ctx ends.
+func (m *Members) Run(ctx context.Context) {
+	go m.keepListed(ctx)
+	for ctx.Err() == nil {
+		m.greet()
+		clock.Pause(ctx, helloSoonest)
+		m.await(ctx, m.interval()-helloSoonest)
+	}
+}
+
+// await waits, but not beyond a change of who is listed or alive.
+func (m *Members) await(ctx context.Context, wait clock.Millis) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-m.news:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// changed has the next greeting sent soon.
+func (m *Members) changed() {
+	if m.Ablation.Off(ablation.QuickGreetings) {
+		return
+	}
+	select {
+	case m.news <- struct{}{}:
+	default: // it has been told already
+	}
+}
+
+func (m *Members) interval() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.every()
+}
+
+func (m *Members) every() clock.Millis {
+	return helloEvery * clock.Millis(max(1, len(m.list)/helloPeers))
+}
+
+// greet sends a greeting to all others.
+func (m *Members) greet() {
+	m.mu.Lock()
+	m.refresh(m.Clock.Now())
+	message := hello{Name: m.self, Circle: m.circle, NoStore: m.Clock.Now() < m.noStoreUntil}
+	to := m.others()
+	m.mu.Unlock()
+	for _, address := range to {
+		m.link.Send(address, packets.KindHello, message)
+	}
+}
+
+// Others returns the addresses of all other entries.
+func (m *Members) Others() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others()
+}
+
+func (m *Members) others() []netip.AddrPort {
+	var list []netip.AddrPort
+	for name, other := range m.list {
+		if name != m.self {
+			list = append(list, other.address)
+		}
+	}
+	return list
+}
+
+func (m *Members) greeted(from netip.AddrPort, message *hello) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other := m.list[message.Name]
+	if other == nil || other.address != from {
+		return // its row has not been read yet
+	}
+	now := m.Clock.Now()
+	if !m.lively(now, other) {
+		m.aliveUntil = stale
+		m.changed()
+	}
+	other.heardAt = now
+	other.circle = message.Circle
+	other.noStoreUntil = 0
+	if message.NoStore {
+		other.noStoreUntil = now + noStoreFor
+	}
+}
+
+// Doubt says that an entry did not answer. Where greetings are rare, as among
+// many entries, it counts as gone until it is heard again; among few, greetings
+// tell as soon.
+func (m *Members) Doubt(address netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.every() <= helloEvery {
+		return
+	}
+	for _, other := range m.list {
+		if other.address == address {
+			other.heardAt = 0
+			m.aliveUntil = stale
+		}
+	}
+}
--- /dev/null
+++ b/pkg/membership/homes.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// stale as aliveUntil says that who is alive has to be worked out.
+const stale clock.Millis = -1
+
+// aloneFor is for how long an entry without others need not look again: it
+// hears of them.
+const aloneFor = clock.Second
+
+// refresh works out who is alive, unless that is known; the lock is held.
+func (m *Members) refresh(now clock.Millis) {
+	if now <= m.aliveUntil {
+		return
+	}
+	m.alive = append(m.alive[:0], m.self)
+	m.aliveUntil = now + aloneFor
+	for name, other := range m.list {
+		if name != m.self && m.lively(now, other) {
+			m.alive = append(m.alive, name)
+			m.aliveUntil = min(m.aliveUntil, m.livelyUntil(other))
+		}
+	}
+	slices.Sort(m.alive)
+	clear(m.homes)
+	digest := xxhash.New()
+	for _, name := range m.alive {
+		_, _ = digest.WriteString(string(name) + "\n") // a digest takes everything
+	}
+	m.circle = digest.Sum64()
+}
+
+func (m *Members) lively(now clock.Millis, other *member) bool {
+	return other.heardAt > 0 && now <= m.livelyUntil(other)
+}
+
+func (m *Members) livelyUntil(other *member) clock.Millis {
+	return other.heardAt + heardFor*m.every() + helloEvery/2
+}
+
+// Home returns the entry that is in charge of a matter, and whether it is this
+// one. All entries that take the same ones for alive agree on it.
+func (m *Members) Home(matter string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refresh(m.Clock.Now())
+	home, known := m.homes[matter]
+	if !known {
+		home = m.rank(matter, m.alive)
+		m.homes[matter] = home
+	}
+	if home == m.self {
+		return m.address, true
+	}
+	return m.list[home].address, false
+}
+
+// noStoreFor is for how long an entry is not asked to read the store after a
+// question of its own failed.
+const noStoreFor = 10 * clock.Second
+
+// NoteStore notes whether this entry's last question to the store was answered.
+func (m *Members) NoteStore(answered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noStoreUntil = 0
+	if !answered {
+		m.noStoreUntil = m.Clock.Now() + noStoreFor
+	}
+}
+
+// ReachesStore reports whether this entry's last question to the store was
+// answered, as far as is known.
+func (m *Members) ReachesStore() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Clock.Now() >= m.noStoreUntil
+}
+
+// Reader is Home for a matter that needs the store: entries that do not reach it
+// are passed over, unless none does.
+func (m *Members) Reader(matter string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	m.refresh(now)
+	var eligible []ids.Process
+	for _, name := range m.alive {
+		if now >= m.noStoreUntilOf(name) {
+			eligible = append(eligible, name)
+		}
+	}
+	if len(eligible) == 0 {
+		eligible = m.alive
+	}
+	best := m.rank(matter, eligible)
+	if best == m.self {
+		return m.address, true
+	}
+	return m.list[best].address, false
+}
+
+func (m *Members) noStoreUntilOf(name ids.Process) clock.Millis {
+	if name == m.self {
+		return m.noStoreUntil
+	}
+	return m.list[name].noStoreUntil
+}
+
+// rank returns the first of some entries for a matter; the lock is held.
+func (m *Members) rank(matter string, among []ids.Process) ids.Process {
+	best, most := among[0], math.Inf(-1)
+	for _, name := range among {
+		if score := m.score(name, matter); score >= most {
+			best, most = name, score
+		}
+	}
+	return best
+}
+
+// score ranks an entry for a matter: weighted rendezvous hashing, by which each
+// entry gets matters by its weight, and one that goes gives up only its own. The lock is held.
+func (m *Members) score(name ids.Process, matter string) float64 {
+	weight := m.weight
+	if listed := m.list[name]; listed != nil {
+		weight = listed.weight
+	}
+	const steps = 1 << 53
+	draw := (float64(xxhash.Sum64String(string(name)+"\x00"+matter)>>11) + 1) / (steps + 1) // within (0, 1)
+	// Squared, since a weak VM is better left to its callers.
+	return -weight * weight / math.Log(draw)
+}
+
+// Backing is the part of all listed entries that surely takes this one for the
+// home wherever it takes itself for it: those heard lately with the same idea
+// of who is alive. A home gives out no more than this part of an allowance, so
+// that two homes on two sides of a cut never give out more than the whole.
+func (m *Members) Backing() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	m.refresh(now)
+	count := 1
+	for name, other := range m.list {
+		if name != m.self && m.lively(now, other) && other.circle == m.circle {
+			count++
+		}
+	}
+	return float64(count) / float64(m.entries())
+}
--- a/pkg/membership/listing.go
+++ b/pkg/membership/listing.go
@@ -8,8 +8,18 @@
 	"quaydock/pkg/ids"
 )
 
-// listEvery is how often the rows are compared with what is heard.
-const listEvery = clock.Second
+const (
+	// listEvery is how often the rows are compared with what is heard.
+	listEvery = clock.Second
+	// ForgetAfter is after what silence an entry's row is taken out of the store,
+	// and its part of what all may spend goes to the others. An entry that is cut
+	// off stops serving keyed requests before.
+	ForgetAfter = 8 * clock.Second
+
+	writeTimeout = clock.Second
+	minBackoff   = 50 * clock.Millisecond
+	maxBackoff   = clock.Second
+)
 
 // keepListed writes this entry's row whenever it is missing, and takes out the
 // rows of entries that have been silent for long. An entry whose row was taken
@@ -64,7 +74,7 @@
 	}
 	var names []ids.Process
 	for name, other := range m.list {
-		if name != m.self && now-max(other.heardAt, other.listed) > forgetAfter {
+		if name != m.self && now-max(other.heardAt, other.listed) > ForgetAfter {
 			names = append(names, name)
 		}
 	}
--- /dev/null
+++ b/pkg/standin/batch.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"time"
+)
+
+func (e *Engine) begin(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[s.id]++
+	e.sequences[s.id] = s
+	e.order = append(e.order, s.id)
+	if len(e.order) > keptSequences {
+		delete(e.sequences, e.order[0])
+		delete(e.runs, e.order[0])
+		delete(e.firsts, e.order[0])
+		e.order = e.order[1:]
+	}
+	if e.settings.StepMS == 0 {
+		for !s.done {
+			s.emit()
+		}
+		return
+	}
+	e.queued = append(e.queued, s)
+	if !e.stepping {
+		e.stepping = true
+		e.steps.Go(e.run)
+	}
+}
+
+// run steps until no sequence is active.
+func (e *Engine) run() {
+	for {
+		time.Sleep(e.stepTime())
+		if !e.step() {
+			return
+		}
+	}
+}
+
+func (e *Engine) stepTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.settings.StepMS.Duration() * time.Duration(e.slowdown)
+}
+
+// admit moves queued sequences into the batch while it has room; the lock is
+// held.
+func (e *Engine) admit() {
+	for len(e.queued) > 0 && (e.settings.MaxBatch == 0 || len(e.active) < e.settings.MaxBatch) {
+		if !e.queued[0].ended() {
+			e.queued[0].prefill -= e.cache.held(e.queued[0].blocks)
+			e.active = append(e.active, e.queued[0])
+		}
+		e.queued[0] = nil
+		e.queued = e.queued[1:]
+	}
+}
+
+func (e *Engine) step() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.admit()
+	prompt := e.settings.PrefillPerStep
+	kept := e.active[:0]
+	for _, s := range e.active {
+		taken := max(0, min(prompt, s.prefill))
+		s.prefill -= taken
+		prompt -= taken
+		e.computed += taken
+		if s.prefill <= 0 {
+			e.noteFirst(s)
+			s.emit()
+		}
+		if !s.ended() {
+			kept = append(kept, s)
+		}
+	}
+	clear(e.active[len(kept):])
+	e.active = kept
+	e.stepping = len(kept)+len(e.queued) > 0
+	return e.stepping
+}
+
+func (e *Engine) noteFirst(s *sequence) {
+	if _, made := e.firsts[s.id]; !made {
+		e.firsts[s.id] = time.Now()
+		e.cache.add(s.blocks)
+	}
+}
