--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -54,7 +54,7 @@
 		}
 		p.runs[w.ID] = t.start(now, w.Job)
 		p.decide(Grant{ID: w.ID, Target: t.ID})
-		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !t.room(now) })
+		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !t.room(now, s.careful) })
 	}
 	clear(p.queue.jobs[len(kept):])
 	p.queue.jobs = kept
@@ -80,7 +80,8 @@
 
 // survey is what a round of placing stands on.
 type survey struct {
-	roomy []*target // those with room
+	roomy   []*target // those with room
+	careful bool      // enough targets are well to spare the others
 	// quickest is the least factor of a target that is not set aside.
 	quickest float64
 	known    bool
@@ -89,15 +90,14 @@
 // survey looks at all targets. Those set aside are left out while enough others
 // are there.
 func (p *Planner) survey(now clock.Millis) survey {
-	careful := p.manyWell(now)
-	s := survey{quickest: factorMax}
+	s := survey{careful: p.manyWell(now), quickest: factorMax}
 	for _, t := range p.list {
 		aside := t.health.Aside(now)
 		if !aside {
 			s.quickest = min(s.quickest, t.factor.get())
 			s.known = true
 		}
-		if t.room(now) && (!careful || !aside) {
+		if t.room(now, s.careful) && (!s.careful || !aside) {
 			s.roomy = append(s.roomy, t)
 		}
 	}
@@ -147,12 +147,13 @@
 	return now+clock.Millis(first+lengthDoubt*rest) <= w.Deadline
 }
 
-// manyWell reports whether at least half of the targets are not set aside. If
-// fewer are, leaving out the others would drown them.
+// manyWell reports whether at least half of the targets neither are nor were set
+// aside without having served since. If fewer are, leaving out the others would
+// drown them.
 func (p *Planner) manyWell(now clock.Millis) bool {
 	well := 0
 	for _, t := range p.list {
-		if !t.health.Aside(now) {
+		if !t.health.Aside(now) && !t.trial {
 			well++
 		}
 	}
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -425,6 +425,64 @@
 	}
 }
 
+// TestWhereMostTargetsFailAllAreUsed has targets fail some requests in a row. One
+// among many well ones is spared; where it is the only one, or most fail, it gets all
+// that it has room for.
+func TestWhereMostTargetsFailAllAreUsed(t *testing.T) {
+	const slots = 6
+	scenarios := []struct {
+		name          string
+		targets, fail int
+		want          int // of 20 jobs, on the targets that failed
+	}{
+		{"one of four", 4, 1, 0},
+		{"the only one", 1, 1, slots},
+		{"three of four", 4, 3, 3 * slots},
+	}
+	for _, s := range scenarios {
+		for _, after := range []clock.Millis{10, 2 * clock.Second} { // while they are set aside, and when they are tried
+			t.Run(fmt.Sprint(s.name, " after ", after), func(t *testing.T) {
+				all := make([]int, s.targets)
+				for i := range all {
+					all[i] = slots
+				}
+				p := newPlanner(all...)
+				for i := range s.fail {
+					failOn(p, ids.Target(fmt.Sprint("t", i)), s.targets)
+				}
+				now := start + after
+				failed := 0
+				for i := range uint64(20) {
+					j := job(100+i, 0)
+					j.Arrived, j.Deadline = now, now+10*clock.Second
+					p.Submit(now, j)
+					if at, _ := p.Granted(j.ID); at != "" && at < ids.Target(fmt.Sprint("t", s.fail)) {
+						failed++
+					}
+				}
+				if s.want == 0 && failed > 1 || s.want > 0 && failed < min(s.want, 20-slots) {
+					t.Errorf("%d jobs on those that failed, want %d", failed, s.want)
+				}
+			})
+		}
+	}
+}
+
+// failOn has four requests in a row fail on one of so many targets.
+func failOn(p *planner.Planner, at ids.Target, targets int) {
+	for i := range uint64(4) {
+		j := job(10+i, 0)
+		for n := range targets {
+			if other := ids.Target(fmt.Sprint("t", n)); other != at {
+				j.Exclude = append(j.Exclude, other)
+			}
+		}
+		p.Submit(start, j)
+		p.Finish(start, j.ID, planner.Failed, planner.Flow{})
+	}
+	p.Decisions()
+}
+
 // TestAPlannerThatTakesOverKnowsWhatIsSlow lets one planner learn that a target
 // is slow: another that takes its knowledge over places nothing there while the
 // others have room.
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -41,12 +41,14 @@
 	stuckTimes = 8
 )
 
-// room reports whether a target can take a job now.
-func (t *target) room(now clock.Millis) bool {
+// room reports whether a target can take a job now. If careful, one that was set
+// aside gets one job at a time until it has served one; where most targets fail,
+// that would leave nearly nothing of what they can do.
+func (t *target) room(now clock.Millis, careful bool) bool {
 	if !t.offered || len(t.runs)+t.foreign.at(now) >= t.limit() {
 		return false
 	}
-	return !t.trial || len(t.runs) == 0
+	return !careful || !t.trial || len(t.runs) == 0
 }
 
 func (t *target) limit() int {
