--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -384,3 +384,15 @@
 		}
 	})
 }
+
+// TestTheOnlyTargetsFailureGoesBack has the only target fail a request that may be
+// repeated: there is none to repeat it at, so its answer goes back.
+func TestTheOnlyTargetsFailureGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(http.StatusInternalServerError, "", "failed"))
+		r := b.call(context.Background(), "/safe/x", nil)
+		if r.status != http.StatusInternalServerError || r.header.Get("Seal") != "s" || r.body != "failed" {
+			t.Errorf("status %d, seal %q, body %q", r.status, r.header.Get("Seal"), r.body)
+		}
+	})
+}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
@@ -179,7 +180,17 @@
 	if q.sends >= maxSends || q.deadline-now < minLeft || d.Ablation.Off(ablation.Retries) {
 		return false
 	}
-	return d.retries.Repeat(now, q.service, d.entries.Entries())
+	return d.untried(q) && d.retries.Repeat(now, q.service, d.entries.Entries())
+}
+
+// untried reports whether there is a target that the request was not sent to.
+func (d *delivery) untried(q *request) bool {
+	for _, t := range d.admission.view.Directory().Serving(q.service) {
+		if !slices.Contains(q.tried, t.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 // giveUp is the final word on a request, given how far it got.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -69,8 +69,8 @@
 		p.queue.jobs[i].seen = now
 		return
 	}
-	if len(p.list) == 0 {
-		p.decide(Refuse{ID: job.ID, RetryAfter: emptyRetry, Empty: true})
+	if !p.servable(&job) {
+		p.refuseEmpty(&job)
 		return
 	}
 	w := &waiting{Job: job, committed: job.Returned, seen: now, size: p.sizeOf(&job)}
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -483,6 +483,32 @@
 	p.Decisions()
 }
 
+// TestAJobWithoutATargetDoesNotWait excludes all targets for a job, when it comes or
+// while it waits: it is told so, and does not count as ahead of others.
+func TestAJobWithoutATargetDoesNotWait(t *testing.T) {
+	p := newPlanner(1, 1)
+	block, other := job(1, 0), job(2, 0)
+	p.Submit(start, block)
+	p.Submit(start, other)
+	none, one := job(3, 0), job(4, 0)
+	none.Exclude = []ids.Target{"t0", "t1"}
+	one.Exclude, one.Returned = []ids.Target{"t1"}, true
+	p.Decisions()
+	p.Submit(start, none)
+	if got := refused(p.Decisions()); len(got) != 1 || !got[0].Empty || got[0].ID.Number != 3 {
+		t.Errorf("refused %+v", got)
+	}
+	p.Submit(start, one)
+	if got := refused(p.Decisions()); len(got) != 0 || !p.Waits(one.ID) {
+		t.Errorf("refused %+v while a target is left", got)
+	}
+	p.SetTargets(start, targets(1, 1)[1:])
+	p.Tick(start + 25)
+	if got := refused(p.Decisions()); len(got) != 1 || !got[0].Empty || p.Waiting() != 0 {
+		t.Errorf("refused %+v, %d wait", got, p.Waiting())
+	}
+}
+
 // TestAPlannerThatTakesOverKnowsWhatIsSlow lets one planner learn that a target
 // is slow: another that takes its knowledge over places nothing there while the
 // others have room.
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -21,8 +21,31 @@
 	returnPart = 0.32
 )
 
-// reviewAll refuses the jobs that have become hopeless.
+// servable reports whether there is a target that a job may get. One for which
+// there is none does not wait: it would only count as ahead of others.
+func (p *Planner) servable(job *Job) bool {
+	for _, t := range p.list {
+		if !slices.Contains(job.Exclude, t.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) refuseEmpty(job *Job) {
+	p.decide(Refuse{ID: job.ID, RetryAfter: emptyRetry, Empty: true})
+}
+
+// reviewAll refuses the jobs that have become hopeless, or for which no target is
+// left.
 func (p *Planner) reviewAll(now clock.Millis) {
+	p.queue.drop(func(w *waiting) bool {
+		if p.servable(&w.Job) {
+			return false
+		}
+		p.refuseEmpty(&w.Job)
+		return true
+	})
 	p.queue.sort(now)
 	ahead := 0
 	var refused []*waiting
