--- a/pkg/dispatch/notes.go
+++ b/pkg/dispatch/notes.go
@@ -50,10 +50,9 @@
 	link    *packets.Link
 	notes   Notes
 
-	mu      gosync.Mutex
-	heard   map[ids.Service]*planner.Learned // of homes
-	noted   map[ids.Service]clock.Millis     // when it was last noted here
-	reading bool
+	mu    gosync.Mutex
+	heard map[ids.Service]*planner.Learned // of homes
+	noted map[ids.Service]clock.Millis     // when it was last noted here
 }
 
 func newMemory(c common.Common, members *membership.Members, link *packets.Link, notes Notes) *memory {
