--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// teach tells the others what this home has learned.
+// teach passes on what this home has learned.
 func (h *Home) teach(ctx context.Context, now clock.Millis) {
 	lessons := make(map[ids.Service]*planner.Learned)
 	h.mu.Lock()
--- a/pkg/dispatch/notes.go
+++ b/pkg/dispatch/notes.go
@@ -24,9 +24,9 @@
 }
 
 const (
-	// tellEvery is how often a home tells the others what it has learned, and
-	// noteEvery how often it notes it in the store, for the case that all entries
-	// are lost at once.
+	// tellEvery is how often a home tells the one that would follow it what it has
+	// learned, and noteEvery how often it notes it in the store, for the case that
+	// both are lost at once.
 	tellEvery = clock.Second
 	noteEvery = 5 * clock.Second
 	// noteTime bounds a call to the store.
@@ -43,7 +43,8 @@
 	Learned planner.Learned
 }
 
-// memory keeps what homes have learned, at the home itself and at the others.
+// memory keeps what homes have learned, at the home itself and at the entry that
+// would follow it.
 type memory struct {
 	common.Common
 	members *membership.Members
@@ -91,13 +92,13 @@
 	return m.heard[service]
 }
 
-// tell tells the others what this home has learned, and notes it in the store now
-// and then.
+// tell tells the entry that would follow what this home has learned, and notes it in
+// the store now and then. One message a second for thirty targets does not grow with
+// the number of entries.
 func (m *memory) tell(ctx context.Context, now clock.Millis, service ids.Service, l *planner.Learned) {
-	others := m.members.Others()
-	for _, page := range pages(l) {
-		for _, to := range others {
-			m.link.Send(to, packets.KindLearned, lesson{Service: service, Learned: page})
+	if next, others := m.members.Next(matter(service)); others {
+		for _, page := range pages(l) {
+			m.link.Send(next, packets.KindLearned, lesson{Service: service, Learned: page})
 		}
 	}
 	m.mu.Lock()
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -65,6 +65,24 @@
 	return m.list[home].address, false
 }
 
+// Next returns the entry that would be in charge of a matter without this one, if
+// there is another.
+func (m *Members) Next(matter string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refresh(m.Clock.Now())
+	var others []ids.Process
+	for _, name := range m.alive {
+		if name != m.self {
+			others = append(others, name)
+		}
+	}
+	if len(others) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return m.list[m.rank(matter, others)].address, true
+}
+
 // noStoreFor is for how long an entry is not asked to read the store after a
 // question of its own failed.
 const noStoreFor = 10 * clock.Second
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -128,6 +128,31 @@
 	})
 }
 
+// TestTheNextIsTheHomeWithoutTheFirst takes a home away: the one that it named as the
+// next has become the home.
+func TestTheNextIsTheHomeWithoutTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, 1, 2, 3, 4, 5)
+		time.Sleep(time.Second)
+		const matter = "matter"
+		home, _ := b.members[0].Home(matter)
+		for i, m := range b.members {
+			if address(i) != home {
+				continue
+			}
+			next, others := m.Next(matter)
+			b.cut(i)
+			time.Sleep(2 * time.Second)
+			if got, _ := b.members[(i+1)%len(b.members)].Home(matter); !others || got != next {
+				t.Errorf("the next was to be %v, it is %v", next, got)
+			}
+			if _, others := m.Next(matter); others {
+				t.Error("one that hears nobody names a next")
+			}
+		}
+	})
+}
+
 func TestWeakEntriesGetFewMatters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := start(t, 0.8, 0.8, 0.144, 0.144, 0.144, 0.144)
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -11,5 +11,5 @@
 	KindStep                     // entry to home: begun, done or withdrawn
 	KindSync                     // entry to home: all that it has on the targets
 	KindBulletin                 // reader of the store to the others: how a table stands
-	KindLearned                  // home to the others: what it has learned of its targets
+	KindLearned                  // home to the entry that would follow it: what it has learned
 )
