--- a/pkg/dispatch/notes.go
+++ b/pkg/dispatch/notes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	gosync "sync"
 
@@ -36,10 +37,11 @@
 )
 
 // lesson is what a home has learned of a service. The factors of many targets
-// come in several messages.
+// come in several messages, the first of which replaces what was told before.
 type lesson struct {
 	_       struct{} `cbor:",toarray"`
 	Service ids.Service
+	Page    int
 	Learned planner.Learned
 }
 
@@ -66,25 +68,14 @@
 func (m *memory) hear(_ netip.AddrPort, l *lesson) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.keep(l.Service, &l.Learned)
-}
-
-// keep merges what was learned of a service; the lock is held.
-func (m *memory) keep(service ids.Service, l *planner.Learned) {
-	before := m.heard[service]
-	if before != nil {
-		for id, f := range before.Factors {
-			if _, newer := l.Factors[id]; !newer && len(l.Factors) < mostFactors {
-				l.Factors[id] = f
-			}
-		}
+	if before := m.heard[l.Service]; before != nil && l.Page > 0 {
+		known := maps.Clone(before.Factors)
+		maps.Copy(known, l.Learned.Factors)
+		l.Learned.Factors = known
 	}
-	m.heard[service] = l
+	m.heard[l.Service] = &l.Learned
 }
 
-// mostFactors bounds what is kept of one service.
-const mostFactors = 4096
-
 // of returns what is known of a service, or nil.
 func (m *memory) of(service ids.Service) *planner.Learned {
 	m.mu.Lock()
@@ -96,13 +87,19 @@
 // the store now and then. One message a second for thirty targets does not grow with
 // the number of entries.
 func (m *memory) tell(ctx context.Context, now clock.Millis, service ids.Service, l *planner.Learned) {
+	for id := range l.Factors {
+		if len(l.Factors) <= mostFactors {
+			break
+		}
+		delete(l.Factors, id)
+	}
 	if next, others := m.members.Next(matter(service)); others {
-		for _, page := range pages(l) {
-			m.link.Send(next, packets.KindLearned, lesson{Service: service, Learned: page})
+		for i, page := range pages(l) {
+			m.link.Send(next, packets.KindLearned, lesson{Service: service, Page: i, Learned: page})
 		}
 	}
 	m.mu.Lock()
-	m.keep(service, l)
+	m.heard[service] = l
 	due := now-m.noted[service] >= noteEvery
 	if due {
 		m.noted[service] = now
@@ -113,6 +110,10 @@
 	}
 }
 
+// mostFactors bounds what is passed on of one service: a row of the store holds
+// 64 KB, and a factor takes some 25 bytes.
+const mostFactors = 2000
+
 // pages divides what was learned so that each part fits into a datagram.
 func pages(l *planner.Learned) []planner.Learned {
 	page := *l
--- /dev/null
+++ b/pkg/dispatch/notes_test.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	gosync "sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/planner"
+)
+
+// rowOf notes the size of the row that was written last.
+type rowOf struct {
+	mu   gosync.Mutex
+	size int
+}
+
+func (r *rowOf) Put(_ context.Context, _ string, value []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.size = len(value)
+	return nil
+}
+
+func (*rowOf) Whole(context.Context) (follow.Batch, error) { return follow.Batch{}, nil }
+
+// TestWhatIsLearnedDoesNotPileUp has the targets of a service replaced again and
+// again: the next home keeps those of the last lesson only, and the row in the store
+// stays within what the store takes, however many targets there are.
+func TestWhatIsLearnedDoesNotPileUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := commontest.New(network.NewMemory(nil))
+		net := packets.NewMemory()
+		ctx, stop := context.WithCancel(context.Background())
+		row := &rowOf{}
+		var entries []*memory
+		var listed []follow.Row
+		address := func(i int) netip.AddrPort { return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1)) }
+		for i := range 2 {
+			listed = append(listed, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i))})
+		}
+		for i := range 2 {
+			link := packets.NewLink(c, net.Socket(address(i)))
+			m := membership.New(c, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
+			m.Whole(listed, follow.Proof{})
+			entries = append(entries, newMemory(c, m, link, row))
+			go link.Run(ctx)
+			go m.Run(ctx)
+		}
+		time.Sleep(time.Second)
+		for _, targets := range []int{70, 70, 5000, 40} {
+			l := &planner.Learned{Factors: make(map[ids.Target]float64)}
+			for n := range targets {
+				l.Factors[ids.Target(fmt.Sprintf("i-%d-%010x", targets, n))] = 1.5
+			}
+			entries[0].tell(ctx, c.Clock.Now(), "s", l)
+			time.Sleep(noteEvery.Duration() + time.Second)
+			want := min(targets, mostFactors)
+			if got := len(entries[1].of("s").Factors); got != want {
+				t.Errorf("the next home keeps %d factors of %d targets, want %d", got, targets, want)
+			}
+			const rowBytes = 65_536
+			row.mu.Lock()
+			if row.size == 0 || row.size > rowBytes {
+				t.Errorf("a row of %d bytes for %d targets", row.size, targets)
+			}
+			row.mu.Unlock()
+		}
+		stop()
+		time.Sleep(5 * clock.Second.Duration())
+	})
+}
