--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -14,25 +14,26 @@
 
 // The mechanisms.
 const (
-	PlannerHome  Mechanism = iota // planner-home
-	TierFloor                     // tier-floor
-	LateFloor                     // late-floor
-	ShortFirst                    // short-first
-	FirstTry                      // first-try
-	EarlyRefusal                  // early-refusal
-	Moves                         // moves
-	SetAside                      // set-aside
-	Disturbance                   // disturbance
-	InTime                        // in-time
-	DomainCost                    // domain-cost
-	Learned                       // learned
-	QuotaHomes                    // quota-homes
-	TierKeep                      // tier-keep
-	OneReader                     // one-reader
-	PeerNews                      // peer-news
-	KeyTrust                      // key-trust
-	Resumption                    // resumption
-	Retries                       // retries
+	PlannerHome    Mechanism = iota // planner-home
+	TierFloor                       // tier-floor
+	LateFloor                       // late-floor
+	ShortFirst                      // short-first
+	FirstTry                        // first-try
+	EarlyRefusal                    // early-refusal
+	Moves                           // moves
+	SetAside                        // set-aside
+	Disturbance                     // disturbance
+	InTime                          // in-time
+	DomainCost                      // domain-cost
+	Learned                         // learned
+	QuotaHomes                      // quota-homes
+	TierKeep                        // tier-keep
+	OneReader                       // one-reader
+	PeerNews                        // peer-news
+	QuickGreetings                  // quick-greetings
+	KeyTrust                        // key-trust
+	Resumption                      // resumption
+	Retries                         // retries
 	count
 )
 
--- a/pkg/ablation/mechanism_string.go
+++ b/pkg/ablation/mechanism_string.go
@@ -24,15 +24,16 @@
 	_ = x[TierKeep-13]
 	_ = x[OneReader-14]
 	_ = x[PeerNews-15]
-	_ = x[KeyTrust-16]
-	_ = x[Resumption-17]
-	_ = x[Retries-18]
-	_ = x[count-19]
+	_ = x[QuickGreetings-16]
+	_ = x[KeyTrust-17]
+	_ = x[Resumption-18]
+	_ = x[Retries-19]
+	_ = x[count-20]
 }
 
-const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newskey-trustresumptionretriescount"
+const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriescount"
 
-var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 163, 173, 180, 185}
+var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 200}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/packets"
@@ -14,6 +16,12 @@
 	// number beyond helloPeers, so that the greetings of one stay bounded.
 	helloEvery = 150 * clock.Millisecond
 	helloPeers = 8
+	// helloSoonest is the least time between two greetings of an entry. One that
+	// has started, or has heard of another, does not wait for helloEvery: until
+	// entries agree on who lives, each plans by itself and gives out a part only.
+	// Measured among 27 entries 0.66 of the worth of days that end with a loss of
+	// power against 0.61 (mean of 6 played days each); among four it is nothing.
+	helloSoonest = 20 * clock.Millisecond
 	// heardFor is for how many greetings' time an entry counts as alive: two
 	// may be lost.
 	heardFor = 3
@@ -32,7 +40,30 @@
 	go m.keepListed(ctx)
 	for ctx.Err() == nil {
 		m.greet()
-		clock.Pause(ctx, m.interval())
+		clock.Pause(ctx, helloSoonest)
+		m.await(ctx, m.interval()-helloSoonest)
+	}
+}
+
+// await waits, but not beyond a change of who is listed or alive.
+func (m *Members) await(ctx context.Context, wait clock.Millis) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-m.news:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// changed has the next greeting sent soon.
+func (m *Members) changed() {
+	if m.Ablation.Off(ablation.QuickGreetings) {
+		return
+	}
+	select {
+	case m.news <- struct{}{}:
+	default: // it has been told already
 	}
 }
 
@@ -85,6 +116,7 @@
 	now := m.Clock.Now()
 	if !m.lively(now, other) {
 		m.aliveUntil = stale
+		m.changed()
 	}
 	other.heardAt = now
 	other.circle = message.Circle
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -61,6 +61,7 @@
 	// zero if it has to be worked out anew.
 	aliveUntil   clock.Millis
 	homes        map[string]ids.Process // of matters, among those alive
+	news         chan struct{}          // told when who is listed or alive has changed
 	noStoreUntil clock.Millis           // up to when this entry is taken not to reach the store
 }
 
@@ -69,7 +70,7 @@
 // New returns a list with this entry alone. Its weight is how much its VM can
 // do.
 func New(c common.Common, self ids.Process, address netip.AddrPort, weight float64, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), aliveUntil: stale}
+	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), news: make(chan struct{}, 1), aliveUntil: stale}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	return m
@@ -96,6 +97,7 @@
 	defer m.mu.Unlock()
 	before := m.list
 	m.aliveUntil = stale
+	m.changed()
 	m.list = make(map[ids.Process]*member, len(rows))
 	for _, row := range rows {
 		m.put(row, before[ids.Process(row.Key)])
@@ -108,6 +110,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.aliveUntil = stale
+	if len(rows) > 0 {
+		m.changed()
+	}
 	for _, row := range rows {
 		name := ids.Process(row.Key)
 		if row.Gone {
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -114,12 +114,13 @@
 	})
 }
 
-// TestEntriesThatStartAgree starts all at once, as after a loss of power: with their
-// third greetings each knows that all others take the same ones for alive.
-func TestEntriesThatStartAgree(t *testing.T) {
+// TestEntriesThatStartAgreeSoon starts all at once, as after a loss of power: well
+// before the second greeting by the clock each knows that all others take the same
+// ones for alive.
+func TestEntriesThatStartAgreeSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := start(t, equal(6)...)
-		time.Sleep(320 * time.Millisecond)
+		time.Sleep(80 * time.Millisecond)
 		for i, m := range b.members {
 			if got := m.Backing(); got != 1 {
 				t.Errorf("entry %d is backed by %v", i, got)
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -51,9 +51,10 @@
 	// the most, and the other as a part of the margin. A home that begins anew
 	// hears from the entries what they have had of late; only if all have lost it
 	// does this count, and then nothing has been served for as long as it takes
-	// to start, while callers kept asking.
+	// to start, while callers kept asking. With 0.28 of the margin, homes that change
+	// each second give out 0.03% more than is left for it, with 0.25 they do not.
 	freshMost = 0.5
-	freshPart = 0.3
+	freshPart = 0.25
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
 )
