--- /dev/null
+++ b/pkg/bulletin/bed_test.go
@@ -0,0 +1,293 @@
+package bulletin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"quaydock/pkg/bulletin"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
+)
+
+// store is one table that entries read; some may be turned away.
+type store struct {
+	began time.Time
+
+	mu      sync.Mutex
+	version int64
+	log     []follow.Row
+	at      []int64
+	putAt   []clock.Millis // since it began
+	changed chan struct{}
+	calls   int
+	away    map[int]bool
+	silent  map[int]bool // their questions get no answer
+}
+
+var errAway = errors.New("turned away")
+
+func (s *store) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 3 // other tables share the counter
+	s.log = append(s.log, follow.Row{Key: key, Value: []byte(value)})
+	s.at = append(s.at, s.version)
+	s.putAt = append(s.putAt, s.now())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) now() clock.Millis {
+	return clock.Millis(time.Since(s.began).Milliseconds())
+}
+
+// since returns the changes after a version.
+func (s *store) since(after int64) (follow.Batch, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := follow.Batch{Version: s.version, StoreTime: s.now()}
+	for i, r := range s.log {
+		if s.at[i] > after {
+			b.Rows = append(b.Rows, r)
+		}
+	}
+	return b, s.changed
+}
+
+// client is one entry's way to the store.
+type client struct {
+	*store
+	entry int
+}
+
+func (c client) call(ctx context.Context) error {
+	c.mu.Lock()
+	c.calls++
+	away, silent := c.away[c.entry], c.silent[c.entry]
+	c.mu.Unlock()
+	switch {
+	case silent:
+		<-ctx.Done()
+		return ctx.Err()
+	case away:
+		return errAway
+	default:
+		return nil
+	}
+}
+
+func (c client) Whole(ctx context.Context) (follow.Batch, error) {
+	b, _ := c.since(0)
+	return b, c.call(ctx)
+}
+
+func (c client) Changes(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
+	if err := c.call(ctx); err != nil {
+		return follow.Batch{}, err
+	}
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	for {
+		b, changed := c.since(after)
+		if len(b.Rows) > 0 {
+			return b, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			b, _ = c.since(after)
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
+
+// entry is one that follows the table.
+type entry struct {
+	mu       sync.Mutex
+	rows     map[string]string
+	heardAt  map[string]time.Time
+	provenAt clock.Millis
+}
+
+func (e *entry) Whole(rows []follow.Row, p follow.Proof) { e.Changed(rows, p) }
+
+func (e *entry) Changed(rows []follow.Row, p follow.Proof) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range rows {
+		e.rows[r.Key] = string(r.Value)
+		if _, known := e.heardAt[r.Key]; !known {
+			e.heardAt[r.Key] = time.Now()
+		}
+	}
+	e.provenAt = max(e.provenAt, p.CurrentAt)
+}
+
+func (e *entry) Lost(error) {}
+
+func (e *entry) proven() clock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.provenAt
+}
+
+const entryCount = 5
+
+type bed struct {
+	common.Common
+	net     *packets.Memory
+	faults  *network.Faults // of the streams between entries
+	store   *store
+	entries []*entry
+	members []*membership.Members
+	stops   []context.CancelFunc
+
+	mu   sync.Mutex
+	lost map[[2]netip.AddrPort]bool // ways on which datagrams are lost
+}
+
+func (b *bed) turnAway(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.away[entry] = true
+}
+
+func (b *bed) takeBack(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.away[entry] = false
+}
+
+func (b *bed) silence(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.silent[entry] = true
+}
+
+// loseAtRandom cuts or mends the way of datagrams from one entry to another.
+func (b *bed) loseAtRandom(from, to, draw int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lost[[2]netip.AddrPort{address(from), address(to)}] = draw == 0
+}
+
+func (b *bed) lossy(from, to netip.AddrPort) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lost[[2]netip.AddrPort{from, to}]
+}
+
+// checkProofs reports entries that lack a row from before the moment at which
+// they claim to have been current.
+func (b *bed) checkProofs(t *testing.T) {
+	t.Helper()
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	began := b.Clock.Now() - b.store.now()
+	for i, e := range b.entries {
+		proven := e.proven() - began
+		e.mu.Lock()
+		for n, r := range b.store.log {
+			if _, has := e.rows[r.Key]; !has && b.store.putAt[n] < proven {
+				t.Errorf("entry %d claims to be current at %d and lacks %s of %d", i, proven, r.Key, b.store.putAt[n])
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
+func address(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1))
+}
+
+func newBed(t *testing.T) *bed {
+	faults := network.NewFaults()
+	b := &bed{
+		Common: commontest.New(network.NewMemory(faults.Wrap)), net: packets.NewMemory(), faults: faults,
+		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool), silent: make(map[int]bool)},
+		lost:  make(map[[2]netip.AddrPort]bool),
+	}
+	var rows []follow.Row
+	for i := range entryCount {
+		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
+	}
+	for i := range entryCount {
+		ctx, stop := context.WithCancel(context.Background())
+		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
+		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
+		m.Whole(rows, follow.Proof{})
+		board := bulletin.NewBoard(b.Common, m, link)
+		e := &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
+		f := follow.NewFollower(b.Common, board.Share("t", client{b.store, i}), e, follow.Options{Wait: 1200, Answer: 800})
+		go link.Run(ctx)
+		go m.Run(ctx)
+		go board.Run(ctx)
+		listener, err := b.Network.Listen(address(i).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go board.Serve(listener)
+		context.AfterFunc(ctx, func() { _ = listener.Close() })
+		go f.Run(ctx)
+		b.entries = append(b.entries, e)
+		b.members = append(b.members, m)
+		b.stops = append(b.stops, stop)
+	}
+	t.Cleanup(func() {
+		for _, stop := range b.stops {
+			stop()
+		}
+		time.Sleep(5 * time.Second)
+	})
+	time.Sleep(3 * time.Second)
+	return b
+}
+
+func (b *bed) reader() int {
+	at, _ := b.members[0].Home("store")
+	for i := range entryCount {
+		if at == address(i) {
+			return i
+		}
+	}
+	return -1
+}
+
+// slowest is the longest that a change took to an entry that counts.
+func (b *bed) slowest(key string, from time.Time, counts func(i int) bool) time.Duration {
+	longest := time.Duration(0)
+	for i, e := range b.entries {
+		if !counts(i) {
+			continue
+		}
+		e.mu.Lock()
+		at, known := e.heardAt[key]
+		e.mu.Unlock()
+		if !known {
+			return time.Hour
+		}
+		longest = max(longest, at.Sub(from))
+	}
+	return longest
+}
+
+func (b *bed) calls() int {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	return b.store.calls
+}
+
+func everyone(int) bool { return true }
--- /dev/null
+++ b/pkg/planner/targets_test.go
@@ -0,0 +1,232 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
+)
+
+func TestAStuckTargetIsSetAside(t *testing.T) {
+	p := newPlanner(4, 4)
+	now := measure(p, 20, 20)
+	stuck := map[ids.Target]int{}
+	for i := range 40 {
+		j := job(uint64(i), 0)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		for _, d := range p.Decisions() {
+			g, ok := d.(planner.Grant)
+			if !ok {
+				continue
+			}
+			if g.Target == "t1" {
+				stuck["t1"]++ // it never begins
+				continue
+			}
+			p.Begin(now+20, g.ID, nil)
+			p.Finish(now+20, g.ID, planner.Served, planner.Flow{})
+		}
+		now += 100
+		p.Tick(now)
+	}
+	if stuck["t1"] > 4 {
+		t.Errorf("a silent target got %d requests", stuck["t1"])
+	}
+}
+
+func TestAFasterTargetGetsMore(t *testing.T) {
+	p := newPlanner(8, 8)
+	now := start
+	given := map[ids.Target]int{}
+	type ending struct {
+		id planner.JobID
+		at clock.Millis
+	}
+	var open []ending
+	for i := range 600 {
+		j := job(uint64(i), 0)
+		j.Prompt, j.Events = 500, 10
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		for _, d := range p.Decisions() {
+			g, ok := d.(planner.Grant)
+			if !ok {
+				continue
+			}
+			given[g.Target]++
+			slow := clock.Millis(1)
+			if g.Target == "t1" {
+				slow = 5
+			}
+			p.Begin(now+20*slow, g.ID, nil)
+			open = append(open, ending{id: g.ID, at: now + 120*slow})
+		}
+		now += 50
+		open = slices.DeleteFunc(open, func(e ending) bool {
+			if e.at > now {
+				return false
+			}
+			p.Finish(now, e.id, planner.Served, planner.Flow{Events: 10})
+			return true
+		})
+	}
+	if given["t0"] < 2*given["t1"] {
+		t.Errorf("five times faster target got %d, the other %d", given["t0"], given["t1"])
+	}
+}
+
+// TestWhereMostTargetsFailAllAreUsed has targets fail some requests in a row. One
+// among many well ones is spared; where it is the only one, or most fail, it gets all
+// that it has room for.
+func TestWhereMostTargetsFailAllAreUsed(t *testing.T) {
+	const slots = 6
+	scenarios := []struct {
+		name          string
+		targets, fail int
+		want          int // of 20 jobs, on the targets that failed
+	}{
+		{"one of four", 4, 1, 0},
+		{"the only one", 1, 1, slots},
+		{"three of four", 4, 3, 3 * slots},
+	}
+	for _, s := range scenarios {
+		for _, after := range []clock.Millis{10, 2 * clock.Second} { // while they are set aside, and when they are tried
+			t.Run(fmt.Sprint(s.name, " after ", after), func(t *testing.T) {
+				all := make([]int, s.targets)
+				for i := range all {
+					all[i] = slots
+				}
+				p := newPlanner(all...)
+				for i := range s.fail {
+					failOn(p, ids.Target(fmt.Sprint("t", i)), s.targets)
+				}
+				now := start + after
+				failed := 0
+				for i := range uint64(20) {
+					j := job(100+i, 0)
+					j.Arrived, j.Deadline = now, now+10*clock.Second
+					p.Submit(now, j)
+					if at, _ := p.Granted(j.ID); at != "" && at < ids.Target(fmt.Sprint("t", s.fail)) {
+						failed++
+					}
+				}
+				if s.want == 0 && failed > 1 || s.want > 0 && failed < min(s.want, 20-slots) {
+					t.Errorf("%d jobs on those that failed, want %d", failed, s.want)
+				}
+			})
+		}
+	}
+}
+
+// failOn has four requests in a row fail on one of so many targets.
+func failOn(p *planner.Planner, at ids.Target, targets int) {
+	for i := range uint64(4) {
+		j := job(10+i, 0)
+		for n := range targets {
+			if other := ids.Target(fmt.Sprint("t", n)); other != at {
+				j.Exclude = append(j.Exclude, other)
+			}
+		}
+		p.Submit(start, j)
+		p.Finish(start, j.ID, planner.Failed, planner.Flow{})
+	}
+	p.Decisions()
+}
+
+// TestAJobWithoutATargetDoesNotWait excludes all targets for a job, when it comes or
+// while it waits: it is told so, and does not count as ahead of others.
+func TestAJobWithoutATargetDoesNotWait(t *testing.T) {
+	p := newPlanner(1, 1)
+	block, other := job(1, 0), job(2, 0)
+	p.Submit(start, block)
+	p.Submit(start, other)
+	none, one := job(3, 0), job(4, 0)
+	none.Exclude = []ids.Target{"t0", "t1"}
+	one.Exclude, one.Returned = []ids.Target{"t1"}, true
+	p.Decisions()
+	p.Submit(start, none)
+	if got := refused(p.Decisions()); len(got) != 1 || !got[0].Empty || got[0].ID.Number != 3 {
+		t.Errorf("refused %+v", got)
+	}
+	p.Submit(start, one)
+	if got := refused(p.Decisions()); len(got) != 0 || !p.Waits(one.ID) {
+		t.Errorf("refused %+v while a target is left", got)
+	}
+	p.SetTargets(start, targets(1, 1)[1:])
+	p.Tick(start + 25)
+	if got := refused(p.Decisions()); len(got) != 1 || !got[0].Empty || p.Waiting() != 0 {
+		t.Errorf("refused %+v, %d wait", got, p.Waiting())
+	}
+}
+
+// TestAPlannerThatTakesOverKnowsWhatIsSlow lets one planner learn that a target
+// is slow: another that takes its knowledge over places nothing there while the
+// others have room.
+func TestAPlannerThatTakesOverKnowsWhatIsSlow(t *testing.T) {
+	first := newPlanner(10, 10)
+	now := start
+	for i := range 60 {
+		now += 500
+		for n, took := range []clock.Millis{40, 200} {
+			j := job(uint64(10*i+n), 0)
+			j.Prompt, j.Arrived, j.Deadline = 1000, now, now+10*clock.Second
+			j.Exclude = []ids.Target{ids.Target(fmt.Sprint("t", 1-n))}
+			first.Submit(now, j)
+			first.Begin(now+took, j.ID, nil)
+			first.Finish(now+took, j.ID, planner.Served, planner.Flow{})
+		}
+	}
+	learned := first.Learned()
+	if learned == nil {
+		t.Fatal("nothing learned")
+	}
+	for _, adopts := range []bool{false, true} {
+		p := newPlanner(10, 10)
+		if p.Learned() != nil {
+			t.Error("a new planner claims to have learned something")
+		}
+		if adopts {
+			p.Adopt(learned)
+		}
+		slow := 0
+		for i := range uint64(6) {
+			j := job(i, 0)
+			j.Prompt = 1000
+			p.Submit(start, j)
+			if at, _ := p.Granted(j.ID); at == "t1" {
+				slow++
+			}
+		}
+		if adopts != (slow == 0) {
+			t.Errorf("adopts %t: %d of 6 on the slow target", adopts, slow)
+		}
+	}
+}
+
+// TestRequestsStayInTheirFailureDomain has two engines of like speed, each in a
+// domain of its own: a request goes to the one beside it while that has room, and
+// to the other rather than wait.
+func TestRequestsStayInTheirFailureDomain(t *testing.T) {
+	p := planner.New(rand.New(rand.NewPCG(1, 2)))
+	const slots = 10
+	list := targets(slots, slots)
+	list[0].Domain, list[1].Domain = "north", "south"
+	p.SetTargets(start, list)
+	for i := range slots + 1 {
+		at := ids.Target("t1")
+		if i == slots {
+			at = "t0"
+		}
+		j := job(uint64(i), 0)
+		j.Prompt, j.Events, j.Domain = 2000, 20, "south"
+		p.Submit(start, j)
+		if got, _ := p.Granted(j.ID); got != at {
+			t.Errorf("request %d of the south is on %q, want %q", i, got, at)
+		}
+	}
+}
