--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -271,6 +271,22 @@
 
 func largeUnits() float64 { return 8000 }
 
+// checkWhileHomesChange cuts off one entry after the other, each for a second, while
+// the large account asks for all that it can get, and checks the most that it had in
+// a window.
+func (d *deployment) checkWhileHomesChange(ctx context.Context, t *testing.T) {
+	t.Helper()
+	var all []take
+	for round := range 12 {
+		away := address(round % entries)
+		d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == away || to == away })
+		all = append(all, d.demandUnits(ctx, time.Second, largeUnits)...)
+	}
+	if got := worst(all); got > largeKept {
+		t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
+	}
+}
+
 // TestHomesThatChangeGiveOutNoMore cuts one entry off after the other, as when
 // all are restarted in turn, while an account asks for all it can get. Each home
 // that begins anew has a bucket of its own; what the entries tell keeps the sum.
@@ -279,15 +295,7 @@
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
 		d := deployMany(ctx, entries, largeAccount(), largeBounds)
-		var all []take
-		for round := range 12 {
-			away := address(round % entries)
-			d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == away || to == away })
-			all = append(all, d.demandUnits(ctx, time.Second, largeUnits)...)
-		}
-		if got := worst(all); got > largeKept {
-			t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
-		}
+		d.checkWhileHomesChange(ctx, t)
 	})
 }
 
@@ -310,15 +318,7 @@
 			m.Return(account, 5*largeRate, d.Clock.Now())
 		}
 		account.PerSecond = rate
-		var all []take
-		for round := range 12 {
-			away := address(round % entries)
-			d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == away || to == away })
-			all = append(all, d.demandUnits(ctx, time.Second, largeUnits)...)
-		}
-		if got := worst(all); got > largeKept {
-			t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
-		}
+		d.checkWhileHomesChange(ctx, t)
 	})
 }
 
