Serve known keys while most entries hear one another

Cause: where the bound on keys taken away is not strict, an entry refused every keyed request 7.5 s after its last proof, whoever else lived. The bound guards against one case: an entry cut from all, whose part of allowances and retries the others share out after 8 s of silence. Ruled out: a longer trust by itself (two sides of a cut would each spend the whole); hearing others as evidence (one-way cuts); letting one entry that does not hear another take it off the list (it may be the only one that does not). Change: greetings carry a stamp and echo the receiver's last one. More than half of the entries having heard this one within 7.5 s is a lease that nobody takes it off; taking an entry off needs half of the entries to say that they have not heard it for 8 s. One that is cut off from most stops in time, as before. Upper bound: -trust-without-store, 60 s. Doubt of an entry no longer counts as its silence for taking it off.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -12,8 +12,10 @@
 	"os/signal"
 	"slices"
 	"syscall"
+	"time"
 
 	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
 	"quaydock/pkg/network"
 	"quaydock/pkg/schedule"
 	"quaydock/pkg/settings"
@@ -37,8 +39,14 @@
 	// ablation names what is switched off; experiment allows that.
 	ablation   string
 	experiment bool
+	// assuredTrust is for how long keys are trusted without the store at the most.
+	assuredTrust time.Duration
 }
 
+// defaultAssuredTrust spans the longest outage of the store that is to be ridden out:
+// a failure domain that is restarted is back within a minute.
+const defaultAssuredTrust = time.Minute
+
 // Main runs the daemon with the given arguments and returns its exit code.
 func Main(args []string, out, logs io.Writer) int {
 	o, err := parse(args, logs)
@@ -89,7 +97,7 @@
 		report(logs, fmt.Errorf("command line: %w", err))
 		return ExitUsage
 	}
-	if err := runEntry(entryOptions{policy: policy, trace: o.trace, ablation: off}, logs); err != nil {
+	if err := runEntry(entryOptions{policy: policy, trace: o.trace, ablation: off, assuredTrust: clock.Millis(o.assuredTrust.Milliseconds())}, logs); err != nil {
 		report(logs, err)
 		return ExitFailed
 	}
@@ -111,6 +119,7 @@
 	flags.Float64Var(&o.trace.Ratio, "trace-ratio", defaultTraceRatio, "the share of requests traced")
 	flags.StringVar(&o.ablation, "ablation", "", "`mechanisms` that an entry on the platform does without, separated by commas; only with -experiment")
 	flags.BoolVar(&o.experiment, "experiment", false, "this is no service: allow -ablation")
+	flags.DurationVar(&o.assuredTrust, "trust-without-store", defaultAssuredTrust, "for how `long` an entry on the platform serves keyed requests while the store tells nobody anything and most entries hear one another; only where the bound on keys taken away is not strict, and the same at all entries")
 	flags.BoolVar(&o.check, "check", false, "check the settings and exit")
 	if err := flags.Parse(args); err != nil {
 		return options{}, fmt.Errorf("command line: %w", err)
@@ -119,6 +128,9 @@
 	if o.trace.Endpoint != "" {
 		o.trace.Exporter = "otlp"
 	}
+	if o.assuredTrust < 0 {
+		return options{}, errors.New("command line: -trust-without-store is below 0")
+	}
 	if o.role != "" && o.settings == "" && flags.NArg() == 0 {
 		return o, nil
 	}
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -82,6 +82,8 @@
 	figures    *http.Server
 	retries    *quota.RetryBudget
 	grace      atomic.Int64 // from SIGTERM to the kill, in clock.Millis
+	// assuredTrust is that of entryOptions.
+	assuredTrust clock.Millis
 }
 
 // entryOptions are what the command line says of an entry on the platform.
@@ -89,6 +91,9 @@
 	policy   schedule.Policy
 	trace    settings.Trace
 	ablation ablation.Set
+	// assuredTrust is for how long keys are trusted without proof from the store at
+	// the most, where the bound on keys taken away is not strict.
+	assuredTrust clock.Millis
 }
 
 // runEntry runs an entry on the platform until SIGTERM.
@@ -107,7 +112,7 @@
 		return fmt.Errorf("tracing: %w", err)
 	}
 	c.Tracer = tracing.Tracer
-	p, err := newEntryProcess(c, s, o.policy)
+	p, err := newEntryProcess(c, s, o)
 	if err != nil {
 		return err
 	}
@@ -164,7 +169,7 @@
 	}
 }
 
-func newEntryProcess(c common.Common, s platform.Settings, policy schedule.Policy) (*entryProcess, error) {
+func newEntryProcess(c common.Common, s platform.Settings, o entryOptions) (*entryProcess, error) {
 	address, err := netip.ParseAddrPort(s.InternalAddress(0))
 	if err != nil {
 		return nil, fmt.Errorf("internal address: %w", err)
@@ -173,7 +178,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &entryProcess{Common: c, settings: s, view: view.New(c.Check)}
+	p := &entryProcess{Common: c, settings: s, view: view.New(c.Check), assuredTrust: o.assuredTrust}
 	p.link = link
 	p.store = platform.NewStore(c.Network, s.Store.Address, func(call, outcome string) {
 		c.Metrics.Figures.Add("store_calls", "outcome", call+" "+outcome)
@@ -186,10 +191,11 @@
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds))
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.controller = ingress.NewController(ingress.Parts{
-		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(policy),
-		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: keyTrust(s.Bounds),
+		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(o.policy),
+		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: p.keyTrust(s.Bounds),
 		Retries: p.retries,
 	})
+	p.members.SetTrust(p.keyTrust(s.Bounds).Most)
 	p.callers = ingress.NewServer(c, p.controller)
 	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration()}
 	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration()}
@@ -263,13 +269,19 @@
 // Addresses are read at the start only.
 func (p *entryProcess) change(s platform.Settings) {
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
-	p.controller.SetKeyTrust(keyTrust(s.Bounds))
+	keys := p.keyTrust(s.Bounds)
+	p.controller.SetKeyTrust(keys)
+	p.members.SetTrust(keys.Most)
 	p.retries.SetBounds(retryBounds(s.Bounds))
 	p.meter.SetBounds(quotaBounds(s.Bounds))
 }
 
-func keyTrust(b platform.Bounds) ingress.KeyTrust {
-	return ingress.KeyTrust{Bound: b.Revoke, Strict: b.RevokeStrict}
+func (p *entryProcess) keyTrust(b platform.Bounds) ingress.KeyTrust {
+	keys := ingress.KeyTrust{Bound: b.Revoke, Strict: b.RevokeStrict}
+	if !keys.Strict && !p.Ablation.Off(ablation.KeyTrust) {
+		keys.Most = p.assuredTrust
+	}
+	return keys
 }
 
 func retryBounds(b platform.Bounds) quota.RetryBounds {
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -43,9 +43,13 @@
 	Return(account *routing.Account, units float64, taken clock.Millis)
 }
 
-// Entries tells how many entries there are.
+// Entries tells of all entries together.
 type Entries interface {
+	// Entries is how many there are.
 	Entries() int
+	// Assured reports whether this entry has counted as one of them ever since a
+	// moment, and nobody can share out its part before it is told.
+	Assured(since clock.Millis) bool
 }
 
 // admission decides whether a request may pass.
@@ -55,17 +59,33 @@
 	dialect  Dialect
 	meter    Meter
 	tries    *firstTries
+	entries  Entries
 	keyTrust atomic.Int64 // for how long keys are trusted without proof, in clock.Millis
+	// assuredTrust is for how long they are while the other entries hear this one.
+	assuredTrust atomic.Int64
 }
 
 func (a *admission) setKeyTrust(keys KeyTrust) {
 	trust := float64(keys.Bound) * revokePart
 	if !keys.Strict && !a.Ablation.Off(ablation.KeyTrust) {
 		trust = max(trust, float64(membership.ForgetAfter-forgetMargin))
+		a.assuredTrust.Store(int64(keys.Most))
+	} else {
+		a.assuredTrust.Store(0)
 	}
 	a.keyTrust.Store(int64(trust))
 }
 
+// trustsKeys reports whether keys may be used by a configuration that was surely the
+// newest so long ago. Beyond the time after which others may share out the part of an
+// entry that is cut off from all, it takes their word that they hear this one.
+func (a *admission) trustsKeys(now, age clock.Millis) bool {
+	if age <= clock.Millis(a.keyTrust.Load()) {
+		return true
+	}
+	return age <= clock.Millis(a.assuredTrust.Load()) && a.entries.Assured(now-age)
+}
+
 // knows reports whether there is anything to decide by.
 func (a *admission) knows() bool {
 	return a.view.Catalog() != nil && a.view.Directory() != nil
@@ -135,7 +155,8 @@
 		return notRun(CauseStarting, comeBack)
 	}
 	catalog := a.view.Catalog()
-	age := a.view.Age(a.Clock.Now())
+	now := a.Clock.Now()
+	age := a.view.Age(now)
 	route := catalog.Route(host(q.http.Host), q.http.URL.Path)
 	if route == nil {
 		return a.missing(http.StatusNotFound, CauseNoRoute, age)
@@ -146,7 +167,7 @@
 	if !catalog.Keyed() || route.Anonymous {
 		return nil
 	}
-	if age > clock.Millis(a.keyTrust.Load()) {
+	if !a.trustsKeys(now, age) {
 		return notRun(CauseStaleKeys, comeBack)
 	}
 	if q.account = catalog.Account(q.Key); q.account == nil {
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -69,6 +69,10 @@
 }
 func (freely) Return(*routing.Account, float64, clock.Millis) {}
 func (freely) Entries() int                                   { return 1 }
+func (f freely) Assured(clock.Millis) bool                    { return f[assuredAlways] }
+
+// assuredAlways stands among the accounts for an entry that the others hear.
+const assuredAlways ids.Account = "assured always"
 
 // inOrder places requests on the targets in order, passing over those tried.
 type inOrder struct {
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -44,8 +44,10 @@
 	Bound clock.Millis
 	// Strict is true if the bound holds also at one that is cut off from all that
 	// could tell it. If not, such an entry goes on serving with the keys that it
-	// knows, until the others count it as gone.
+	// knows, until the others may count it as gone.
 	Strict bool
+	// Most is for how long that goes on at the most, while they surely do not.
+	Most clock.Millis
 }
 
 // Controller serves callers.
@@ -61,7 +63,7 @@
 
 // NewController returns a controller over its parts.
 func NewController(p Parts) *Controller {
-	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter, tries: newFirstTries()}
+	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter, entries: p.Entries, tries: newFirstTries()}
 	a.setKeyTrust(p.Keys)
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -33,6 +33,8 @@
 	Name    ids.Process
 	Circle  uint64
 	NoStore bool // it does not reach the store
+	Stamp   stamp
+	Echo    stamp // of the receiver's greeting that it heard last
 }
 
 // Run keeps this entry listed and greets the others until ctx ends.
@@ -81,10 +83,17 @@
 func (m *Members) greet() {
 	m.mu.Lock()
 	m.refresh(m.Clock.Now())
-	message := hello{Name: m.self, Circle: m.circle, NoStore: m.Clock.Now() < m.noStoreUntil}
-	to := m.others()
+	now := m.Clock.Now()
+	message := hello{Name: m.self, Circle: m.circle, NoStore: now < m.noStoreUntil, Stamp: stamp{Run: m.assurance.run, Sent: now}}
+	echoes := make(map[netip.AddrPort]stamp, len(m.list))
+	for name, other := range m.list {
+		if name != m.self {
+			echoes[other.address] = other.greeting
+		}
+	}
 	m.mu.Unlock()
-	for _, address := range to {
+	for address, echo := range echoes {
+		message.Echo = echo
 		m.link.Send(address, packets.KindHello, message)
 	}
 }
@@ -119,6 +128,9 @@
 		m.changed()
 	}
 	other.heardAt = now
+	other.greetedAt = now
+	other.greeting = message.Stamp
+	m.echoed(now, other, message.Echo)
 	other.circle = message.Circle
 	other.noStoreUntil = 0
 	if message.NoStore {
--- a/pkg/membership/listing.go
+++ b/pkg/membership/listing.go
@@ -13,7 +13,8 @@
 	listEvery = clock.Second
 	// ForgetAfter is after what silence an entry's row is taken out of the store,
 	// and its part of what all may spend goes to the others. An entry that is cut
-	// off stops serving keyed requests before.
+	// off stops serving keyed requests before, unless most others hear it
+	// (assurance.go).
 	ForgetAfter = 8 * clock.Second
 
 	writeTimeout = clock.Second
@@ -74,13 +75,34 @@
 	}
 	var names []ids.Process
 	for name, other := range m.list {
-		if name != m.self && now-max(other.heardAt, other.listed) > ForgetAfter {
+		silent := now - max(other.greetedAt, other.listed)
+		switch {
+		case name == m.self || silent <= ForgetAfter:
+			delete(m.inquiries, name)
+		case m.mayRemove(now, name, silent):
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
+// mayRemove reports whether an entry that is silent here may be taken off the list:
+// at once if it has stopped by now wherever it is; else if half of all agree that it is
+// silent, or, where not so many are left to ask, once no word of others lets it go on.
+// The lock is held.
+func (m *Members) mayRemove(now clock.Millis, name ids.Process, silent clock.Millis) bool {
+	if m.trust == 0 {
+		return true
+	}
+	answered, agreed := m.silence(now, name)
+	half := m.entries() - m.entries()/2
+	if agreed >= half || answered < half && silent > m.trust+ForgetAfter {
+		return true
+	}
+	m.inquireSilence(now, name)
+	return false
+}
+
 func (m *Members) remove(ctx context.Context, name ids.Process) {
 	limited, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
 	defer cancel()
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -27,7 +27,12 @@
 	name    ids.Process
 	address netip.AddrPort
 	heardAt clock.Millis
-	listed  clock.Millis // when it was first seen listed
+	// greetedAt is when its last greeting came. Other than heardAt, it stays while
+	// the entry is in doubt.
+	greetedAt clock.Millis
+	greeting  stamp        // of that greeting
+	heardUs   clock.Millis // when it last heard this entry, at the least
+	listed    clock.Millis // when it was first seen listed
 	// circle is the fingerprint of the entries that it took for alive.
 	circle uint64
 	weight float64
@@ -63,6 +68,13 @@
 	homes        map[string]ids.Process // of matters, among those alive
 	news         chan struct{}          // told when who is listed or alive has changed
 	noStoreUntil clock.Millis           // up to when this entry is taken not to reach the store
+
+	startedAt clock.Millis
+	assurance assurance
+	inquiries map[ids.Process]*inquiry
+	// trust is for how long after a proof the entries may go on serving on the word of
+	// one another alone; 0 if they all stop on their own well before ForgetAfter.
+	trust clock.Millis
 }
 
 var _ follow.Handler = (*Members)(nil)
@@ -70,12 +82,23 @@
 // New returns a list with this entry alone. Its weight is how much its VM can
 // do.
 func New(c common.Common, self ids.Process, address netip.AddrPort, weight float64, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), news: make(chan struct{}, 1), aliveUntil: stale}
+	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), news: make(chan struct{}, 1), aliveUntil: stale,
+		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry)}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
+	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
+	link.Handle(packets.KindSilenceAnswer, packets.Receive(link, m.toldOfSilence))
 	return m
 }
 
+// SetTrust sets for how long after a proof from the store an entry may go on serving
+// on the word of the others alone; 0 if none does. It is the same at all entries.
+func (m *Members) SetTrust(trust clock.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.trust = trust
+}
+
 // Entries is how many entries may be serving.
 func (m *Members) Entries() int {
 	m.mu.Lock()
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -12,4 +12,7 @@
 	KindSync                     // entry to home: all that it has on the targets
 	KindBulletin                 // reader of the store to the others: how a table stands
 	KindLearned                  // home to the entry that would follow it: what it has learned
+	// KindSilenceQuestion and KindSilenceAnswer: for how long has an entry not been heard?
+	KindSilenceQuestion
+	KindSilenceAnswer
 )
