Let a few entries ask the store for all, in trouble and at the start too

Cause: while the store was away, slow or silent each entry asked it for each of three tables on its own, each start read all tables, and each change above 1,000 bytes (every configuration) was fetched from the store by every entry. Ruled out: longer pauses alone (the bounds on keys, 4.25 s, and on configurations, 3 to 4 s, do not bear them); one that probes for all by agreement (an entry cut from it would have none). Entries without news ask three others by a datagram how the tables stand. What was missed is fetched from peers first, the store after 250 ms. A starting entry gets tables from a peer, with a proof by the peer's age of its own; one that the store does not answer knows its peers from their greetings. An entry finds its row in the list and need not write it; the notes of planners are read by homes alone; only the reader reads the configuration again, and tells of it only what differs. What is told comes from one replica of the table, which also mends a claim of nothing changed by a reader that had only listened for a while (a test of it).

--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -47,7 +48,10 @@
 	// configuration; the proof that keys are good is that old at the most.
 	configurationWait = 1200 * clock.Millisecond
 	membersWait       = 20 * clock.Second
-	storeAnswer       = 800 * clock.Millisecond
+	// membersFirst is for how long the other tables wait at the start for the list of
+	// entries, which the store answers within a few ms where it answers.
+	membersFirst = 300 * clock.Millisecond
+	storeAnswer  = 800 * clock.Millisecond
 	// configurationReread bounds how long a change could stay unseen that the
 	// store failed to tell.
 	configurationReread = 10 * clock.Second
@@ -233,19 +237,31 @@
 		return fmt.Errorf("peers: %w", err)
 	}
 	go p.board.Serve(peers)
-	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied}
-	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
-	targets := roster.New(p.Common, platform.ParseTarget, p.view.SetDirectory)
-	go p.follower(platform.TableTargets, targets, follow.Options{Wait: roster.WaitForChanges, Answer: storeAnswer}).Run(ctx)
 	go p.link.Run(ctx)
 	go p.members.Run(ctx)
 	go p.dispatcher.Run(ctx)
 	go p.board.Run(ctx)
 	go p.follower(platform.TableMembers, p.members, follow.Options{Wait: membersWait, Answer: storeAnswer}).Run(ctx)
+	go p.followRest(ctx)
 	go p.prune(ctx)
 	return nil
 }
 
+// followRest follows the configuration and the targets once it is known who the others
+// are: these may have read them already.
+func (p *entryProcess) followRest(ctx context.Context) {
+	select {
+	case <-p.members.Ready():
+	case <-time.After(membersFirst.Duration()):
+	case <-ctx.Done():
+		return
+	}
+	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied}
+	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
+	targets := roster.New(p.Common, platform.ParseTarget, p.view.SetDirectory)
+	go p.follower(platform.TableTargets, targets, follow.Options{Wait: roster.WaitForChanges, Answer: storeAnswer}).Run(ctx)
+}
+
 func (p *entryProcess) follower(table string, handler follow.Handler, options follow.Options) *follow.Follower {
 	c := p.Common
 	c.Log = c.Log.WithField("table", table)
--- a/pkg/bulletin/bed_test.go
+++ b/pkg/bulletin/bed_test.go
@@ -154,6 +154,9 @@
 	entries []*entry
 	members []*membership.Members
 	stops   []context.CancelFunc
+	// contexts are those of the entries that run.
+	contexts map[int]context.Context
+	listed   []follow.Row
 
 	mu   sync.Mutex
 	lost map[[2]netip.AddrPort]bool // ways on which datagrams are lost
@@ -210,55 +213,84 @@
 }
 
 func address(i int) netip.AddrPort {
-	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1))
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7600", i/200, i%200+1))
 }
 
-func newBed(t *testing.T) *bed {
-	faults := network.NewFaults()
-	b := &bed{
-		Common: commontest.New(network.NewMemory(faults.Wrap)), net: packets.NewMemory(), faults: faults,
-		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool), silent: make(map[int]bool)},
-		lost:  make(map[[2]netip.AddrPort]bool),
-	}
-	var rows []follow.Row
-	for i := range entryCount {
-		rows = append(rows, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
-	}
-	for i := range entryCount {
-		ctx, stop := context.WithCancel(context.Background())
-		link := packets.NewLink(b.Common, b.net.Socket(address(i)))
-		m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
-		m.Whole(rows, follow.Proof{})
-		board := bulletin.NewBoard(b.Common, m, link)
-		e := &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
-		f := follow.NewFollower(b.Common, board.Share("t", client{b.store, i}), e, follow.Options{Wait: 1200, Answer: 800})
-		go link.Run(ctx)
-		go m.Run(ctx)
-		go board.Run(ctx)
-		listener, err := b.Network.Listen(address(i).String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		go board.Serve(listener)
-		context.AfterFunc(ctx, func() { _ = listener.Close() })
-		go f.Run(ctx)
-		b.entries = append(b.entries, e)
-		b.members = append(b.members, m)
-		b.stops = append(b.stops, stop)
-	}
+func newBed(t *testing.T) *bed { return newBedOf(t, entryCount) }
+
+// newBedOf runs a number of entries until they have settled.
+func newBedOf(t *testing.T, entries int) *bed {
+	b := prepare(entries)
 	t.Cleanup(func() {
 		for _, stop := range b.stops {
 			stop()
 		}
 		time.Sleep(5 * time.Second)
 	})
+	for i := range entries {
+		b.run(t, i)
+	}
 	time.Sleep(3 * time.Second)
 	return b
 }
 
+// prepare returns entries none of which runs.
+func prepare(entries int) *bed {
+	faults := network.NewFaults()
+	b := &bed{
+		Common: commontest.New(network.NewMemory(faults.Wrap)), net: packets.NewMemory(), faults: faults,
+		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool), silent: make(map[int]bool)},
+		lost:  make(map[[2]netip.AddrPort]bool), contexts: make(map[int]context.Context),
+	}
+	for i := range entries {
+		b.listed = append(b.listed, follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())})
+		b.entries = append(b.entries, nil)
+		b.members = append(b.members, nil)
+		b.stops = append(b.stops, nil)
+	}
+	return b
+}
+
+// run starts an entry that knows the list of entries.
+func (b *bed) run(t *testing.T, i int) {
+	t.Helper()
+	m, board := b.build(t, i)
+	m.Whole(b.listed, follow.Proof{})
+	b.follow(i, m, board)
+}
+
+// build starts an entry that knows nothing and follows nothing.
+func (b *bed) build(t *testing.T, i int) (*membership.Members, *bulletin.Board) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	link := packets.NewLink(b.Common, b.net.Socket(address(i)))
+	m := membership.New(b.Common, ids.Process(fmt.Sprint("entry-", i)), address(i), 1, commontest.NoRows{}, link)
+	board := bulletin.NewBoard(b.Common, m, link)
+	go link.Run(ctx)
+	listener, err := b.Network.Listen(address(i).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go board.Serve(listener)
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	b.members[i], b.stops[i], b.contexts[i] = m, stop, ctx
+	return m, board
+}
+
+// follow has an entry take part and follow the table.
+func (b *bed) follow(i int, m *membership.Members, board *bulletin.Board) {
+	ctx := b.contexts[i]
+	e := &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
+	f := follow.NewFollower(b.Common, board.Share("t", client{b.store, i}), e, follow.Options{Wait: 1200, Answer: 800})
+	b.entries[i] = e
+	go m.Run(ctx)
+	go board.Run(ctx)
+	go f.Run(ctx)
+}
+
 func (b *bed) reader() int {
 	at, _ := b.members[0].Home("store")
-	for i := range entryCount {
+	for i := range b.members {
 		if at == address(i) {
 			return i
 		}
--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -1,7 +1,8 @@
 // Package bulletin lets one entry follow the platform's store for all: the
 // reader passes on what has changed, up to which version, and when the store
-// said so. The others listen, and ask the store themselves when the reader is
-// silent, when its news are old, or when they have missed some.
+// said so. The others listen. When the reader is silent or its news are old they ask
+// one another, a few stand in for it, and only who has gone without proof for long
+// asks the store for itself.
 package bulletin
 
 import (
@@ -20,8 +21,8 @@
 const (
 	// every is how often the reader tells how things stand.
 	every = 300 * clock.Millisecond
-	// silentAfter is after what silence of the reader the others ask the store:
-	// two of its messages may be lost.
+	// silentAfter is after what silence its news are not relied on: two of its messages
+	// may be lost.
 	silentAfter = 850 * clock.Millisecond
 	// ReaderWait is how long the reader lets the store hold a question.
 	ReaderWait = 1000 * clock.Millisecond
@@ -72,34 +73,35 @@
 
 // table is what is known of one table.
 type table struct {
-	told    message // as the reader tells it
-	known   bool
-	changed clock.Millis // when told last got rows
-	readAt  clock.Millis // when the store last answered
-
-	heard     message // as the reader told it
+	begunAt clock.Millis
+	replica replica
+	changed clock.Millis // when it last got rows
+	readAt  clock.Millis // when the store last answered this entry
+	// currentAt is a moment at which the replica was current, but for the time that
+	// the messages took that told so.
+	currentAt clock.Millis
+
+	heard     message // as the reader, or who stands in for it, told it
 	heardAt   clock.Millis
 	heardFrom netip.AddrPort
 	news      chan struct{} // closed by the next message
-
-	archive archive
 }
 
 // NewBoard returns a board without news.
 func NewBoard(c common.Common, members *membership.Members, link *packets.Link) *Board {
 	b := &Board{Common: c, members: members, link: link, tables: make(map[string]*table)}
 	link.Handle(packets.KindBulletin, packets.Receive(link, b.hear))
+	link.Handle(packets.KindInquiry, packets.Receive(link, b.inquired))
 	return b
 }
 
-// Run tells the others how things stand, as long as this entry is the reader,
-// until ctx ends.
+// Run tells the others how things stand, as long as this entry is the reader or stands
+// in for it, and asks a few of them while it hears nothing, until ctx ends.
 func (b *Board) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		clock.Pause(ctx, every)
-		if b.reads() {
-			b.tellAll()
-		}
+		b.tellAll()
+		b.inquire()
 	}
 }
 
@@ -108,42 +110,67 @@
 	if b.Ablation.Off(ablation.OneReader) {
 		return true
 	}
-	_, self := b.members.Reader(matter)
-	return self
+	rank, _ := b.members.ReaderOrder(matter)
+	return rank == 0
 }
 
 func (b *Board) table(name string) *table {
 	t := b.tables[name]
 	if t == nil {
-		t = &table{news: make(chan struct{})}
+		t = &table{news: make(chan struct{}), begunAt: b.Clock.Now()}
 		b.tables[name] = t
 	}
 	return t
 }
 
+// reliableUntil is up to when the news heard are relied on.
+func (t *table) reliableUntil() clock.Millis {
+	if t.heardAt == 0 {
+		return t.begunAt + silentAfter // the reader may be about to tell
+	}
+	return t.heardAt + min(silentAfter, oldAfter-t.heard.Age)
+}
+
+// quiet is for how long there have been no news to rely on; below 0 while there are.
+func (t *table) quiet(now clock.Millis) clock.Millis {
+	return now - t.reliableUntil()
+}
+
+// tells reports whether this entry tells the others how a table stands: as the reader,
+// or with news of its own while there are no others to rely on.
+func (t *table) tells(now clock.Millis, reads bool) bool {
+	own := t.readAt > 0 && now-t.readAt <= oldAfter
+	return t.replica.known && t.readAt > 0 && (reads || own && t.quiet(now) > 0)
+}
+
 func (b *Board) tellAll() {
+	reads := b.reads()
 	now := b.Clock.Now()
 	var messages []message
 	b.mu.Lock()
-	for _, t := range b.tables {
-		if t.known {
-			messages = append(messages, t.message(now))
+	for name, t := range b.tables {
+		if t.tells(now, reads) {
+			messages = append(messages, t.message(name, now))
 		}
 	}
 	b.mu.Unlock()
 	b.send(messages)
 }
 
-func (t *table) message(now clock.Millis) message {
-	m := t.told
-	m.Age = now - t.readAt
-	if now-t.changed > repeatFor {
-		m.Rows = nil
+// message tells how a table stands, as far as is known here.
+func (t *table) message(name string, now clock.Millis) message {
+	r := &t.replica
+	m := message{Table: name, Since: r.last, To: r.to, Before: r.before, StoreTime: r.storeTime, Age: now - t.currentAt}
+	if now-t.changed <= repeatFor {
+		m.Rows = r.newest()
 	}
 	return m
 }
 
 func (b *Board) send(messages []message) {
+	if len(messages) == 0 {
+		return
+	}
 	for _, to := range b.members.Others() {
 		for _, m := range messages {
 			b.link.Send(to, packets.KindBulletin, m)
@@ -155,8 +182,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.table(m.Table)
-	if m.To < t.heard.To {
-		return // overtaken on the way
+	if m.To < t.heard.To || m.StoreTime < t.heard.StoreTime {
+		return // overtaken on the way, or from one that knows less
 	}
 	t.heard = *m
 	t.heardAt = b.Clock.Now()
@@ -167,61 +194,58 @@
 
 // publish notes an answer of the store, and tells a change at once.
 func (b *Board) publish(name string, after int64, batch follow.Batch) {
+	reads := b.reads()
 	now := b.Clock.Now()
 	b.mu.Lock()
 	t := b.table(name)
-	t.archive.add(after, batch)
-	if !t.known || t.told.To > after {
-		// The first answer, or one after a whole read: what was before is not
-		// known here.
-		t.told = message{Table: name, Since: after, To: after, Before: after}
-		t.known = true
-	}
-	t.told.To = max(t.told.To, batch.Version)
-	t.told.StoreTime = batch.StoreTime
-	t.readAt = now
-	if len(batch.Rows) == 0 {
-		b.mu.Unlock()
-		return
-	}
-	t.told.Before, t.told.Since = t.told.Since, t.told.To
-	t.told.Rows = rows(batch.Rows)
-	t.changed = now
-	m := t.message(now)
+	changed := t.replica.apply(after, batch)
+	told := t.answered(name, now, changed, reads)
 	b.mu.Unlock()
-	if b.reads() {
-		b.send([]message{m})
-	}
+	b.send(told)
+}
+
+// whole notes that the whole table was read.
+func (b *Board) whole(name string, batch follow.Batch) {
+	reads := b.reads()
+	now := b.Clock.Now()
+	b.mu.Lock()
+	t := b.table(name)
+	known := t.replica.complete
+	changed := t.replica.replace(batch) && known
+	told := t.answered(name, now, changed, reads)
+	b.mu.Unlock()
+	b.send(told)
 }
 
-// rows returns rows as they are passed on, or nil if they are too large.
-func rows(list []follow.Row) []row {
-	size := 0
-	told := make([]row, 0, len(list))
-	for _, r := range list {
-		size += len(r.Key) + len(r.Value)
-		told = append(told, row{Key: r.Key, Value: r.Value, Gone: r.Gone})
+// answered notes that the store has answered, and returns what the others are to be
+// told at once.
+func (t *table) answered(name string, now clock.Millis, changed, reads bool) []message {
+	t.readAt = now
+	t.currentAt = now
+	if !changed {
+		return nil
 	}
-	if size > maxRows {
+	t.changed = now
+	if !t.tells(now, reads) {
 		return nil
 	}
-	return told
+	return []message{t.message(name, now)}
 }
 
-// whole notes that the whole table was read up to a version.
-func (b *Board) whole(name string, batch follow.Batch) {
+// learned notes what was heard of others, to pass it on.
+func (b *Board) learned(name string, after int64, batch follow.Batch, currentAt clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.table(name)
-	t.told = message{Table: name, Since: batch.Version, To: batch.Version, Before: batch.Version, StoreTime: batch.StoreTime}
-	t.known = true
-	t.readAt = b.Clock.Now()
-	t.archive.add(batch.Version, follow.Batch{Version: batch.Version, StoreTime: batch.StoreTime})
+	t.replica.apply(after, batch)
+	t.currentAt = max(t.currentAt, currentAt)
 }
 
-// learned notes what was heard of others, to pass it on.
-func (b *Board) learned(name string, after int64, batch follow.Batch) {
+// adopted notes a whole table that another entry passed on.
+func (b *Board) adopted(name string, batch follow.Batch, currentAt clock.Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.table(name).archive.add(after, batch)
+	t := b.table(name)
+	t.replica.replace(batch)
+	t.currentAt = max(t.currentAt, currentAt)
 }
--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/follow"
 )
@@ -17,36 +18,118 @@
 	name   string
 	direct follow.Source
 	// proven is the newest store time that was returned.
-	proven clock.Millis
-	asked  clock.Millis // when the store was last asked
+	proven    clock.Millis
+	version   int64        // the newest that was returned
+	forgotten bool         // the store has no changes after that
+	asked     clock.Millis // when the store was last asked
+	sound     bool         // the store answered then
+	resort    clock.Millis // how old a proof this entry bears before it asks for itself
 }
 
 var _ follow.Source = (*Source)(nil)
 
-// leastPause is between two questions to the store that are not to be held.
-const leastPause = 100 * clock.Millisecond
+const (
+	// leastPause is between two questions to the store that are not to be held.
+	leastPause = 100 * clock.Millisecond
+	// quickAnswer bounds a question to a store of which it is not known whether it
+	// answers.
+	quickAnswer = 800 * clock.Millisecond
+	// lostAfter is for how long there are no news before the store counts as away. Rows
+	// of targets lapse no sooner than three of their heartbeats after that.
+	lostAfter = 1200 * clock.Millisecond
+	// readFirst is how many entries read a table at the start without asking others, in
+	// the order in which they would be the reader; peersFirst is for how long the others
+	// ask one another before they read it too. When 68 entries start at once, each
+	// read of the store by all of them is 68 calls.
+	readFirst  = 3
+	peersFirst = 250 * clock.Millisecond
+)
 
-// directEvery is how often one that is not the reader asks the store while the
-// reader does not help.
-const directEvery = 900 * clock.Millisecond
+// errQuiet is returned while nobody tells how the table stands and it is not this
+// entry's turn to ask the store.
+var errQuiet = errors.New("no news of the store")
 
 // Share returns a source of a table that shares what direct reads.
 func (b *Board) Share(name string, direct follow.Source) *Source {
 	return &Source{board: b, name: name, direct: direct}
 }
 
-// Whole reads the table from the store.
+// Whole reads the table: as the reader from the store, else from another entry, if one
+// has it. An entry that follows the table has it already.
 func (s *Source) Whole(ctx context.Context) (follow.Batch, error) {
-	batch, err := s.direct.Whole(ctx)
-	s.board.members.NoteStore(err == nil)
+	rank, _ := s.board.members.ReaderOrder(matter)
+	reads := rank == 0 || s.board.Ablation.Off(ablation.OneReader)
+	if !reads && !s.forgotten {
+		if batch, has := s.held(); has {
+			return batch, nil
+		}
+	}
+	if !reads && (rank >= readFirst || s.forgotten) {
+		limited, cancel := context.WithTimeout(ctx, peersFirst.Duration())
+		batch, err := s.wholeFromPeers(limited)
+		cancel()
+		if err == nil {
+			return batch, nil
+		}
+	}
+	batch, failed := s.wholeFromStore(ctx)
+	if failed == nil {
+		return batch, nil
+	}
+	batch, err := s.wholeFromPeers(ctx)
 	if err != nil {
-		return batch, fmt.Errorf("reading for all: %w", err)
+		return batch, fmt.Errorf("reading for all: %w", errors.Join(failed, err))
+	}
+	return batch, nil
+}
+
+// held returns the table as this entry holds it, if it does.
+func (s *Source) held() (follow.Batch, bool) {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	batch, has := s.board.table(s.name).replica.whole()
+	return batch, has && batch.Version >= s.version
+}
+
+func (s *Source) wholeFromStore(ctx context.Context) (follow.Batch, error) {
+	limited, cancel := context.WithTimeout(ctx, quickAnswer.Duration()/2)
+	defer cancel()
+	s.asked = s.board.Clock.Now()
+	batch, err := s.direct.Whole(limited)
+	s.sound = err == nil
+	s.board.members.NoteStore(s.sound)
+	if err != nil {
+		return batch, fmt.Errorf("from the store: %w", err)
 	}
-	s.proven = batch.StoreTime
 	s.board.whole(s.name, batch)
+	s.returned(batch)
 	return batch, nil
 }
 
+// wholeFromPeers asks others for the table, in rounds until one has it.
+func (s *Source) wholeFromPeers(ctx context.Context) (follow.Batch, error) {
+	for {
+		asked := s.board.Clock.Now()
+		batch, err := s.askPeers(ctx, wholeMethod, Question{Table: s.name}, func(n *News) bool { return n.Version >= s.version })
+		if err == nil {
+			s.board.adopted(s.name, batch, asked-*batch.Age)
+			s.returned(batch)
+			return batch, nil
+		}
+		if ctx.Err() != nil {
+			return batch, err
+		}
+		clock.Pause(ctx, s.board.Random.Jitter(roundPause))
+	}
+}
+
+func (s *Source) returned(batch follow.Batch) {
+	s.proven = max(s.proven, batch.StoreTime)
+	s.version = max(s.version, batch.Version)
+	s.forgotten = false
+	s.resort = 0
+}
+
 // Changes returns what has changed since a version.
 func (s *Source) Changes(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
 	if s.board.reads() {
@@ -58,78 +141,109 @@
 		s.hear(after, batch)
 		return batch, nil
 	case missed:
-		clock.Pause(ctx, s.asked+leastPause-s.board.Clock.Now())
 		return s.fetch(ctx, after)
-	default:
+	case ours:
 		return s.ask(ctx, after, min(wait, ReaderWait))
+	default:
+		return follow.Batch{}, errQuiet
 	}
 }
 
-// hear takes news that did not come from the store.
+// hear takes news that a message told.
 func (s *Source) hear(after int64, batch follow.Batch) {
-	s.proven = max(s.proven, batch.StoreTime)
-	s.board.learned(s.name, after, batch)
+	s.board.mu.Lock()
+	t := s.board.table(s.name)
+	currentAt := t.heardAt - t.heard.Age
+	s.board.mu.Unlock()
+	s.board.learned(s.name, after, batch, currentAt)
+	s.returned(batch)
 }
 
-// storeFirst is for how long the store alone is asked for what was missed: it
-// answers in a few ms where it answers, and an entry that waits longer may have
-// been cut off from it without a word.
-const storeFirst = 120 * clock.Millisecond
+// storeAfter is after what time the store is asked for what was missed besides the
+// peers: each peer answers in a few ms, and all entries miss the same change at the
+// same moment.
+const storeAfter = 250 * clock.Millisecond
 
 // fetched is what a question for missed changes came to.
 type fetched struct {
 	batch     follow.Batch
 	err       error
 	fromStore bool
+	asked     clock.Millis
 }
 
-// fetch gets the changes that this entry missed: from the store, or from a peer
-// if the store fails or does not answer soon. So an entry that the store turns
-// away goes on with the newest configuration, and with proof of it: 0.87 of the worth
-// in the seconds after a large change, against 0.54 when it refused keyed requests
-// instead (one entry of four, one played day).
+// fetch gets the changes that this entry missed: from a peer, or from the store if no
+// peer tells soon. So a change that no datagram holds costs no call to the store for
+// each entry, and one that the store turns away goes on with the newest configuration, and
+// with proof of it: 0.87 of the worth in the seconds after a large change, against 0.54
+// when it refused keyed requests instead (one entry of four, one played day).
 func (s *Source) fetch(ctx context.Context, after int64) (follow.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan fetched, 2)
-	storeFailed := make(chan struct{})
-	s.asked = s.board.Clock.Now()
+	peersFailed := make(chan struct{})
 	go func() {
-		batch, err := s.direct.Changes(ctx, after, 0)
-		if err != nil {
-			close(storeFailed)
+		a := s.changesFromPeers(ctx, after)
+		if a.err != nil {
+			close(peersFailed)
 		}
-		answers <- fetched{batch, err, true}
+		answers <- a
 	}()
 	go func() {
-		s.leaveToStore(ctx, storeFailed)
-		batch, err := s.askPeers(ctx, after)
-		answers <- fetched{batch, err, false}
+		s.leaveToPeers(ctx, peersFailed)
+		answers <- s.changesFromStore(ctx, after)
 	}()
 	var failed error
 	for range cap(answers) {
 		a := <-answers
-		switch {
-		case a.fromStore:
-			if err := s.answered(after, a.batch, a.err); err == nil {
-				return a.batch, nil
-			}
-		case a.err == nil:
-			s.board.Metrics.Links.Add("news_from_peers", 1)
-			s.hear(after, a.batch)
+		if err := s.take(after, a); err == nil {
 			return a.batch, nil
+		} else if failed = errors.Join(failed, err); ctx.Err() != nil {
+			break
 		}
-		failed = errors.Join(failed, a.err)
 	}
 	return follow.Batch{}, fmt.Errorf("fetching what was missed: %w", failed)
 }
 
-// leaveToStore waits while the store may still answer soon.
-func (s *Source) leaveToStore(ctx context.Context, failed <-chan struct{}) {
-	if !s.board.members.ReachesStore() {
-		return
+// take notes what a question for missed changes came to.
+func (s *Source) take(after int64, a fetched) error {
+	switch {
+	case a.fromStore:
+		s.asked = a.asked
+		return s.answered(after, a.batch, a.err)
+	case a.err != nil:
+		return a.err
+	}
+	s.board.learned(s.name, after, a.batch, a.asked-*a.batch.Age)
+	s.returned(a.batch)
+	return nil
+}
+
+func (s *Source) changesFromStore(ctx context.Context, after int64) fetched {
+	ctx, cancel := context.WithTimeout(ctx, quickAnswer.Duration())
+	defer cancel()
+	asked := s.board.Clock.Now()
+	batch, err := s.direct.Changes(ctx, after, 0)
+	return fetched{batch: batch, err: err, fromStore: true, asked: asked}
+}
+
+// changesFromPeers asks others for the changes after a version, in rounds while the
+// store is not asked either.
+func (s *Source) changesFromPeers(ctx context.Context, after int64) fetched {
+	end := s.board.Clock.Now() + storeAfter
+	for {
+		asked := s.board.Clock.Now()
+		batch, err := s.askPeers(ctx, changesMethod, Question{Table: s.name, After: after}, func(n *News) bool { return n.Version > after })
+		if err == nil || ctx.Err() != nil || s.board.Clock.Now() >= end || errors.Is(err, errNoPeer) {
+			return fetched{batch: batch, err: err, asked: asked}
+		}
+		clock.Pause(ctx, s.board.Random.Jitter(roundPause))
 	}
-	timer := time.NewTimer(storeFirst.Duration())
+}
+
+// leaveToPeers waits while a peer may still answer soon.
+func (s *Source) leaveToPeers(ctx context.Context, failed <-chan struct{}) {
+	timer := time.NewTimer((storeAfter + leastPause).Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -138,8 +252,14 @@
 	}
 }
 
-// ask asks the store, which may hold the question.
+// ask asks the store, which may hold the question if it answered the last one.
 func (s *Source) ask(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
+	if !s.sound {
+		limited, cancel := context.WithTimeout(ctx, quickAnswer.Duration())
+		defer cancel()
+		ctx, wait = limited, 0
+	}
+	clock.Pause(ctx, s.asked+leastPause-s.board.Clock.Now())
 	s.asked = s.board.Clock.Now()
 	batch, err := s.direct.Changes(ctx, after, holdWithin(ctx, wait))
 	return batch, s.answered(after, batch, err)
@@ -147,12 +267,14 @@
 
 // answered notes what a question to the store came to.
 func (s *Source) answered(after int64, batch follow.Batch, err error) error {
-	s.board.members.NoteStore(err == nil || errors.Is(err, follow.ErrForgotten))
+	s.forgotten = errors.Is(err, follow.ErrForgotten)
+	s.sound = err == nil || s.forgotten
+	s.board.members.NoteStore(s.sound)
 	if err != nil {
 		return fmt.Errorf("reading for all: %w", err)
 	}
-	s.proven = batch.StoreTime
 	s.board.publish(s.name, after, batch)
+	s.returned(batch)
 	return nil
 }
 
@@ -174,49 +296,66 @@
 type finding int
 
 const (
-	// silent: the reader says nothing, or its news are old.
-	silent finding = iota
-	// told: the reader says how things stand.
+	// quiet: nobody tells how the table stands.
+	quiet finding = iota
+	// told: the reader, or who stands in for it, says how things stand.
 	told
 	// missed: there was a change that this entry did not hear.
 	missed
+	// ours: nobody tells, and it is this entry's turn to ask the store.
+	ours
 )
 
-// listen waits for a message of the reader that says something new, or for its
-// silence.
+// listen waits for a message that says something new, for this entry's turn to ask the
+// store, or until there were no news for too long.
 func (s *Source) listen(ctx context.Context, after int64) (follow.Batch, finding) {
 	b := s.board
-	again := time.NewTicker(every.Duration())
+	again := time.NewTicker(leastPause.Duration())
 	defer again.Stop()
 	for {
 		b.mu.Lock()
 		t := b.table(s.name)
-		heard, at, news := t.heard, t.heardAt, t.news
+		heard, news, silence, unproven := t.heard, t.news, t.quiet(b.Clock.Now()), b.Clock.Now()-t.currentAt
 		b.mu.Unlock()
-		now := b.Clock.Now()
-		reliable := at > 0 && now-at <= silentAfter && now-at+heard.Age <= oldAfter
-		if !reliable && now-s.asked >= directEvery {
-			return follow.Batch{}, silent
+		if silence <= 0 {
+			if batch, found := heard.since(after, s.proven); found != quiet {
+				return batch, found
+			}
+		} else if s.turn(silence, unproven).due() {
+			return follow.Batch{}, ours
 		}
-		if batch, found := heard.since(after, s.proven); reliable && found != silent {
-			return batch, found
+		if silence > lostAfter {
+			return follow.Batch{}, quiet
 		}
 		select {
 		case <-news:
 		case <-again.C: // the last message may have become too old
 		case <-ctx.Done():
-			return follow.Batch{}, silent
+			return follow.Batch{}, quiet
 		}
 	}
 }
 
+// turn gathers what this entry decides by whether to ask the store itself.
+func (s *Source) turn(silence, unproven clock.Millis) turn {
+	entries := s.board.members.Entries()
+	if s.resort == 0 {
+		s.resort = lastResort + s.board.Random.Within(resortSpan(entries))
+	}
+	rank, seniority := s.board.members.ReaderOrder(matter)
+	return turn{
+		rank: rank, seniority: seniority, entries: entries,
+		quiet: silence, asked: s.board.Clock.Now() - s.asked, sound: s.sound, unproven: unproven, resort: s.resort,
+	}
+}
+
 // since returns what a message tells one who knows a version, which was proven
 // at a time of the store.
 func (m *message) since(after int64, proven clock.Millis) (follow.Batch, finding) {
 	b := follow.Batch{Version: m.To, StoreTime: m.StoreTime, Relayed: true}
 	switch {
 	case m.To < after, m.To == after && m.StoreTime <= proven:
-		return b, silent
+		return b, quiet
 	case after >= m.Since:
 		return b, told
 	case after < m.Before || len(m.Rows) == 0:
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -44,6 +44,9 @@
 
 	mu     gosync.Mutex
 	groups map[ids.Service]*hosted
+	// readNotes has the store read when the first group begins: most entries never are
+	// the home of one.
+	readNotes gosync.Once
 }
 
 func newHome(c common.Common, v *view.View, members *membership.Members, memory *memory, send func(netip.AddrPort, answer)) *Home {
@@ -208,22 +211,26 @@
 }
 
 // adopt has a planner begin with what an earlier home has learned; the lock is
-// held.
+// held. What no earlier home has told this entry is read from the store, once.
 func (h *Home) adopt(g *hosted, service ids.Service) {
 	if l := h.memory.of(service); l != nil {
 		g.planner.Adopt(l)
+		return
+	}
+	h.readNotes.Do(func() { go h.memory.read(context.Background(), h.noted) })
+}
+
+// noted takes what was read of a service.
+func (h *Home) noted(service ids.Service, _ *planner.Learned) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[service]; g != nil {
+		h.adopt(g, service)
 	}
 }
 
 // run looks after the planners until ctx ends.
 func (h *Home) run(ctx context.Context) {
-	go h.memory.read(ctx, func(service ids.Service, _ *planner.Learned) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		if g := h.groups[service]; g != nil {
-			h.adopt(g, service)
-		}
-	})
 	var told clock.Millis
 	for ctx.Err() == nil {
 		clock.Pause(ctx, tickEvery)
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -35,6 +35,9 @@
 	// Relayed says that another process asked the store, maybe before this one
 	// asked that process.
 	Relayed bool
+	// Age, if set, is how long ago the store had said so when the question for a relayed
+	// answer was sent, but for the time that messages between processes took.
+	Age *clock.Millis
 }
 
 // Source reads one table.
@@ -90,12 +93,14 @@
 	handler Handler
 	options Options
 
-	version   int64
-	known     bool
-	wholeAt   clock.Millis
-	lag       clock.Millis // the least seen between the store's clock and ours
-	lagKnown  bool
-	connected bool
+	version  int64
+	known    bool
+	wholeAt  clock.Millis
+	lag      clock.Millis // the least seen between the store's clock and ours
+	lagKnown bool
+	// lagRelayed says that it is a lower bound that another process's answer gave.
+	lagRelayed bool
+	connected  bool
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -157,15 +162,32 @@
 	f.version = batch.Version
 	f.known = true
 	f.wholeAt = asked
-	f.current(asked, batch.StoreTime)
-	f.handler.Whole(batch.Rows, Proof{AskedAt: asked, CurrentAt: asked})
+	f.handler.Whole(batch.Rows, f.wholeProof(asked, batch))
 	return nil
 }
 
+func (f *Follower) wholeProof(asked clock.Millis, batch Batch) Proof {
+	if batch.Relayed {
+		return f.proof(asked, batch)
+	}
+	f.current(asked, batch.StoreTime)
+	return Proof{AskedAt: asked, CurrentAt: asked}
+}
+
+// relayTime is what a relayed answer's age may lack: the way of the message that told it
+// to the process that was asked.
+const relayTime = 200 * clock.Millisecond
+
 func (f *Follower) proof(asked clock.Millis, batch Batch) Proof {
-	if batch.Relayed && !f.lagKnown {
+	if batch.Relayed && !f.lagKnown && batch.Age == nil {
 		return Proof{} // the store's clock says nothing here yet
 	}
+	if batch.Relayed && !f.lagKnown {
+		// Less than what the store itself would show, so that it proves no more.
+		f.lag = asked - *batch.Age - relayTime - batch.StoreTime
+		f.lagKnown = true
+		f.lagRelayed = true
+	}
 	if batch.Relayed {
 		at := min(f.Clock.Now(), batch.StoreTime+f.lag)
 		return Proof{AskedAt: at, CurrentAt: at}
@@ -179,9 +201,10 @@
 func (f *Follower) current(asked, storeTime clock.Millis) clock.Millis {
 	now := f.Clock.Now()
 	lag := now - storeTime
-	if !f.lagKnown || lag < f.lag {
+	if !f.lagKnown || f.lagRelayed || lag < f.lag {
 		f.lag = lag
 		f.lagKnown = true
+		f.lagRelayed = false
 	}
 	return min(now, max(asked, storeTime+f.lag))
 }
--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"quaydock/pkg/ablation"
@@ -120,7 +122,8 @@
 	defer m.mu.Unlock()
 	other := m.list[message.Name]
 	if other == nil || other.address != from {
-		return // its row has not been read yet
+		m.meet(from) // its row has not been read yet
+		return
 	}
 	now := m.Clock.Now()
 	if !m.lively(now, other) {
@@ -138,6 +141,25 @@
 	}
 }
 
+// mostStrangers bounds what is remembered of entries that are not on the list.
+const mostStrangers = 8
+
+// meet notes an entry that is not on the list as long as the list was not read; the
+// lock is held.
+func (m *Members) meet(stranger netip.AddrPort) {
+	if len(m.list) == 0 && len(m.strangers) < mostStrangers {
+		m.strangers[stranger] = true
+	}
+}
+
+// Strangers returns the addresses of entries that greeted this one before it had read
+// the list.
+func (m *Members) Strangers() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.strangers))
+}
+
 // Doubt says that an entry did not answer. Where greetings are rare, as among
 // many entries, it counts as gone until it is heard again; among few, greetings
 // tell as soon.
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -91,9 +91,13 @@
 func (m *Members) NoteStore(answered bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	if before := now >= m.noStoreUntil; before != answered {
+		m.changed() // another entry may have to read for all, and none may know that yet
+	}
 	m.noStoreUntil = 0
 	if !answered {
-		m.noStoreUntil = m.Clock.Now() + noStoreFor
+		m.noStoreUntil = now + noStoreFor
 	}
 }
 
@@ -110,22 +114,72 @@
 func (m *Members) Reader(matter string) (netip.AddrPort, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.Clock.Now()
+	eligible, _ := m.readers(m.Clock.Now())
+	best := m.rank(matter, eligible)
+	if best == m.self {
+		return m.address, true
+	}
+	return m.list[best].address, false
+}
+
+// ReaderOrder is how many entries go before this one as the reader of a matter: rank of
+// those that reach the store as far as is known, seniority of all that live.
+func (m *Members) ReaderOrder(matter string) (rank, seniority int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	eligible, alive := m.readers(m.Clock.Now())
+	own := m.score(m.self, matter)
+	before := func(name ids.Process) bool {
+		score := m.score(name, matter)
+		return score > own || score == own && name > m.self
+	}
+	for _, name := range alive {
+		if name != m.self && before(name) {
+			seniority++
+		}
+	}
+	mayRead := slices.Contains(eligible, m.self)
+	for _, name := range eligible {
+		if name != m.self && (!mayRead || before(name)) {
+			rank++
+		}
+	}
+	return rank, seniority
+}
+
+// startTime is for how long an entry that has just started takes all listed entries
+// for alive when it looks for the reader: it cannot have heard them yet, and if all
+// start at once each would read the store for itself.
+const startTime = 600 * clock.Millisecond
+
+// readers lists the entries that may read the store, and those that live; the lock is
+// held.
+func (m *Members) readers(now clock.Millis) (eligible, alive []ids.Process) {
 	m.refresh(now)
-	var eligible []ids.Process
-	for _, name := range m.alive {
+	alive = m.alive
+	if now-m.startedAt < startTime {
+		alive = m.allListed()
+	}
+	for _, name := range alive {
 		if now >= m.noStoreUntilOf(name) {
 			eligible = append(eligible, name)
 		}
 	}
 	if len(eligible) == 0 {
-		eligible = m.alive
+		eligible = alive
 	}
-	best := m.rank(matter, eligible)
-	if best == m.self {
-		return m.address, true
+	return eligible, alive
+}
+
+func (m *Members) allListed() []ids.Process {
+	all := []ids.Process{m.self}
+	for name := range m.list {
+		if name != m.self {
+			all = append(all, name)
+		}
 	}
-	return m.list[best].address, false
+	slices.Sort(all)
+	return all
 }
 
 func (m *Members) noStoreUntilOf(name ids.Process) clock.Millis {
--- a/pkg/membership/listing.go
+++ b/pkg/membership/listing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
@@ -19,19 +20,24 @@
 
 	writeTimeout = clock.Second
 	minBackoff   = 50 * clock.Millisecond
-	maxBackoff   = clock.Second
+	maxBackoff   = 3 * clock.Second
 )
 
 // keepListed writes this entry's row whenever it is missing, and takes out the
 // rows of entries that have been silent for long. An entry whose row was taken
-// out by mistake sees it and writes it again.
+// out by mistake sees it and writes it again. One that was there before, and finds its
+// row in the list, need not write it.
 func (m *Members) keepListed(ctx context.Context) {
-	m.write(ctx)
+	select {
+	case <-m.ready:
+	case <-time.After(listEvery.Duration()):
+	case <-ctx.Done():
+	}
 	for ctx.Err() == nil {
-		clock.Pause(ctx, listEvery)
 		if !m.isListed() {
 			m.write(ctx)
 		}
+		clock.Pause(ctx, listEvery)
 		for _, name := range m.silent() {
 			m.remove(ctx, name)
 		}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -72,6 +72,11 @@
 	startedAt clock.Millis
 	assurance assurance
 	inquiries map[ids.Process]*inquiry
+	ready     chan struct{} // closed when the list was first read
+	readOnce  sync.Once
+	// strangers are the addresses of entries that greet this one before it has read the
+	// list: they know it from an earlier run.
+	strangers map[netip.AddrPort]bool
 	// trust is for how long after a proof the entries may go on serving on the word of
 	// one another alone; 0 if they all stop on their own well before ForgetAfter.
 	trust clock.Millis
@@ -83,7 +88,8 @@
 // do.
 func New(c common.Common, self ids.Process, address netip.AddrPort, weight float64, rows Rows, link *packets.Link) *Members {
 	m := &Members{Common: c, self: self, address: address, weight: weight, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), news: make(chan struct{}, 1), aliveUntil: stale,
-		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry)}
+		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
+		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool)}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
@@ -125,7 +131,18 @@
 	for _, row := range rows {
 		m.put(row, before[ids.Process(row.Key)])
 	}
-	m.listed = m.list[m.self] != nil
+	m.listed = m.listedRight()
+	m.readOnce.Do(func() { close(m.ready) })
+	clear(m.strangers)
+}
+
+// Ready is closed when the list was first read.
+func (m *Members) Ready() <-chan struct{} { return m.ready }
+
+// listedRight reports whether this entry's row is there and says what it should.
+func (m *Members) listedRight() bool {
+	own := m.list[m.self]
+	return own != nil && own.address == m.address && own.weight == m.weight
 }
 
 // Changed applies changes.
@@ -145,7 +162,7 @@
 		}
 		m.put(row, m.list[name])
 	}
-	m.listed = m.list[m.self] != nil
+	m.listed = m.listedRight()
 }
 
 func (m *Members) put(row follow.Row, before *member) {
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -15,4 +15,5 @@
 	// KindSilenceQuestion and KindSilenceAnswer: for how long has an entry not been heard?
 	KindSilenceQuestion
 	KindSilenceAnswer
+	KindInquiry // entry to a few others: how do the tables stand?
 )
--- a/pkg/random/source.go
+++ b/pkg/random/source.go
@@ -37,3 +37,10 @@
 	defer s.mu.Unlock()
 	return wait/2 + clock.Millis(s.from.Int64N(int64(wait/2)+1))
 }
+
+// Within draws from 0 to most.
+func (s *Source) Within(most clock.Millis) clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clock.Millis(s.from.Int64N(int64(most) + 1))
+}
