Agree on homes from the first moment after a whole restart

Cause: after all entries lost power at once, each was its own home for everything until greetings had gone round, and then fell out of agreement again: a claim that a home did not answer in 36 ms (it had not started, or had no configuration yet) was a doubt, a doubt takes the home out of this entry's idea of who lives, and the next greeting that mends that comes 1.2 s later among 68 entries. Change: an entry that has just started takes all listed ones for alive for a second, so that all name the same homes at once; it doubts none in that time and waits for a home 120 ms instead of 36. A doubted entry is asked to greet and is back in some ms. Tables are asked of peers for 60 ms instead of 250 before the store is read. Backing counts as before: entries that were really heard, with the same idea of who lives. Tests that failed before: entries started over 300 ms name one home from the first on and are all backed by all 60 ms after the last; one doubted for nothing is taken back.

--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -40,9 +40,10 @@
 	// readFirst is how many entries read a table at the start without asking others, in
 	// the order in which they would be the reader; peersFirst is for how long the others
 	// ask one another before they read it too. When 68 entries start at once, each
-	// read of the store by all of them is 68 calls.
+	// read of the store by all of them is 68 calls. With 250 ms, entries that started before
+	// those three took callers 0.2 s later.
 	readFirst  = 3
-	peersFirst = 250 * clock.Millisecond
+	peersFirst = 60 * clock.Millisecond
 )
 
 // errQuiet is returned while nobody tells how the table stands and it is not this
--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -37,6 +37,7 @@
 	NoStore bool // it does not reach the store
 	Stamp   stamp
 	Echo    stamp // of the receiver's greeting that it heard last
+	Answer  bool  // the receiver is to greet at once: the sender doubts it
 }
 
 // Run keeps this entry listed and greets the others until ctx ends.
@@ -84,19 +85,25 @@
 // greet sends a greeting to all others.
 func (m *Members) greet() {
 	m.mu.Lock()
-	m.refresh(m.Clock.Now())
 	now := m.Clock.Now()
-	message := hello{Name: m.self, Circle: m.circle, NoStore: now < m.noStoreUntil, Stamp: stamp{Run: m.assurance.run, Sent: now}}
-	echoes := make(map[netip.AddrPort]stamp, len(m.list))
+	m.refresh(now)
+	greetings := make(map[netip.AddrPort]hello, len(m.list))
 	for name, other := range m.list {
 		if name != m.self {
-			echoes[other.address] = other.greeting
+			greetings[other.address] = m.greetingTo(now, other)
 		}
 	}
 	m.mu.Unlock()
-	for address, echo := range echoes {
-		message.Echo = echo
-		m.link.Send(address, packets.KindHello, message)
+	for address, greeting := range greetings {
+		m.link.Send(address, packets.KindHello, greeting)
+	}
+}
+
+// greetingTo is a greeting to one entry; the lock is held.
+func (m *Members) greetingTo(now clock.Millis, other *member) hello {
+	return hello{
+		Name: m.self, Circle: m.circle, NoStore: now < m.noStoreUntil,
+		Stamp: stamp{Run: m.assurance.run, Sent: now}, Echo: other.greeting,
 	}
 }
 
@@ -126,7 +133,7 @@
 		return
 	}
 	now := m.Clock.Now()
-	if !m.lively(now, other) {
+	if !m.heardLately(now, other) {
 		m.aliveUntil = stale
 		m.changed()
 	}
@@ -139,6 +146,10 @@
 	if message.NoStore {
 		other.noStoreUntil = now + noStoreFor
 	}
+	if message.Answer {
+		m.refresh(now)
+		m.link.Send(from, packets.KindHello, m.greetingTo(now, other))
+	}
 }
 
 // mostStrangers bounds what is remembered of entries that are not on the list.
@@ -161,18 +172,32 @@
 }
 
 // Doubt says that an entry did not answer. Where greetings are rare, as among
-// many entries, it counts as gone until it is heard again; among few, greetings
-// tell as soon.
+// many entries, it counts as gone until it is heard again, and is asked to greet at once;
+// among few, greetings tell as soon. While this entry has just started, the other may
+// not have, and who takes it for gone would be alone with its idea of who lives.
 func (m *Members) Doubt(address netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.every() <= helloEvery {
+	now := m.Clock.Now()
+	if m.every() <= helloEvery || now < m.startedAt+presumeFor {
 		return
 	}
 	for _, other := range m.list {
-		if other.address == address {
-			other.heardAt = 0
-			m.aliveUntil = stale
+		if other.address != address {
+			continue
 		}
+		other.heardAt = 0
+		m.aliveUntil = stale
+		greeting := m.greetingTo(now, other)
+		greeting.Answer = true
+		m.link.Send(address, packets.KindHello, greeting)
 	}
 }
+
+// Starting reports whether this entry has just started, so that others that started with
+// it may not be there yet.
+func (m *Members) Starting() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Clock.Now() < m.startedAt+presumeFor
+}
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -40,14 +40,35 @@
 	m.circle = digest.Sum64()
 }
 
+// lively reports whether an entry counts as alive: it was heard lately, or this one has
+// just started.
 func (m *Members) lively(now clock.Millis, other *member) bool {
+	return m.heardLately(now, other) || m.presumed(now, other)
+}
+
+func (m *Members) heardLately(now clock.Millis, other *member) bool {
 	return other.heardAt > 0 && now <= m.livelyUntil(other)
 }
 
 func (m *Members) livelyUntil(other *member) clock.Millis {
+	if other.greetedAt == 0 {
+		return m.startedAt + presumeFor
+	}
 	return other.heardAt + heardFor*m.every() + helloEvery/2
 }
 
+// presumeFor is for how long an entry that has just started takes listed entries for
+// alive that it has not heard yet. Started together, as after a loss of power, all so
+// name the same homes at once and the same reader of the store, instead of each
+// being its own home until the greetings have gone round; VMs start within 300 ms of
+// one another.
+const presumeFor = clock.Second
+
+// presumed reports whether an entry counts as alive though it was not heard yet.
+func (m *Members) presumed(now clock.Millis, other *member) bool {
+	return other.greetedAt == 0 && now < m.startedAt+presumeFor
+}
+
 // Home returns the entry that is in charge of a matter, and whether it is this
 // one. All entries that take the same ones for alive agree on it.
 func (m *Members) Home(matter string) (netip.AddrPort, bool) {
@@ -147,39 +168,19 @@
 	return rank, seniority
 }
 
-// startTime is for how long an entry that has just started takes all listed entries
-// for alive when it looks for the reader: it cannot have heard them yet, and if all
-// start at once each would read the store for itself.
-const startTime = 600 * clock.Millisecond
-
 // readers lists the entries that may read the store, and those that live; the lock is
 // held.
 func (m *Members) readers(now clock.Millis) (eligible, alive []ids.Process) {
 	m.refresh(now)
-	alive = m.alive
-	if now-m.startedAt < startTime {
-		alive = m.allListed()
-	}
-	for _, name := range alive {
+	for _, name := range m.alive {
 		if now >= m.noStoreUntilOf(name) {
 			eligible = append(eligible, name)
 		}
 	}
 	if len(eligible) == 0 {
-		eligible = alive
-	}
-	return eligible, alive
-}
-
-func (m *Members) allListed() []ids.Process {
-	all := []ids.Process{m.self}
-	for name := range m.list {
-		if name != m.self {
-			all = append(all, name)
-		}
+		eligible = m.alive
 	}
-	slices.Sort(all)
-	return all
+	return eligible, m.alive
 }
 
 func (m *Members) noStoreUntilOf(name ids.Process) clock.Millis {
@@ -224,7 +225,7 @@
 	m.refresh(now)
 	count := 1
 	for name, other := range m.list {
-		if name != m.self && m.lively(now, other) && other.circle == m.circle {
+		if name != m.self && m.heardLately(now, other) && other.circle == m.circle {
 			count++
 		}
 	}
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -68,6 +68,15 @@
 
 // start runs entries of the given weights for a while.
 func start(t *testing.T, weights ...float64) *bed {
+	b := prepare(t, weights...)
+	for i := range weights {
+		b.members = append(b.members, b.run(i))
+	}
+	return b
+}
+
+// prepare returns entries none of which runs.
+func prepare(t *testing.T, weights ...float64) *bed {
 	ctx, stop := context.WithCancel(context.Background())
 	b := &bed{
 		Common: commontest.New(network.NewMemory(nil)), ctx: ctx, net: packets.NewMemory(),
@@ -81,9 +90,6 @@
 		value := fmt.Appendf(nil, `{"address":%q,"weight":%g}`, address(i).String(), w)
 		b.listed = append(b.listed, follow.Row{Key: fmt.Sprintf("entry-%03d", i), Value: value})
 	}
-	for i := range weights {
-		b.members = append(b.members, b.run(i))
-	}
 	return b
 }
 
@@ -154,6 +160,63 @@
 	})
 }
 
+// TestManyThatStartOneAfterTheOtherAgree starts entries over 300 ms, as VMs do after a loss
+// of power. From the first on all name the same home, and once the last has greeted
+// each is backed by all.
+func TestManyThatStartOneAfterTheOtherAgree(t *testing.T) {
+	for _, n := range []int{8, 68} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := prepare(t, equal(n)...)
+				const matter = "account/a"
+				var home netip.AddrPort
+				for i := range n {
+					m := b.run(i)
+					b.members = append(b.members, m)
+					at, _ := m.Home(matter)
+					if i == 0 {
+						home = at
+					}
+					if at != home {
+						t.Errorf("entry %d takes %v for the home, not %v", i, at, home)
+					}
+					time.Sleep(300 * time.Millisecond / time.Duration(n))
+				}
+				time.Sleep(60 * time.Millisecond)
+				least := 1.0
+				for _, m := range b.members {
+					least = min(least, m.Backing())
+				}
+				if least < 1 {
+					t.Errorf("one is backed by %.2f", least)
+				}
+			})
+		})
+	}
+}
+
+// TestOneThatNeverStartsIsLeft starts all entries but one: it is taken for alive for a
+// while, and then no more.
+func TestOneThatNeverStartsIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := prepare(t, equal(5)...)
+		for i := range 4 {
+			b.members = append(b.members, b.run(i))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i, m := range b.members {
+			if got, want := m.Backing(), 0.8; got != want {
+				t.Errorf("entry %d is backed by %v, want %v", i, got, want)
+			}
+			for n := range 40 {
+				if home, _ := m.Home(fmt.Sprint("matter/", n)); home == address(4) {
+					t.Fatalf("entry %d takes the one that never started for a home", i)
+				}
+			}
+		}
+	})
+}
+
 // TestTheNextIsTheHomeWithoutTheFirst takes a home away: the one that it named as the
 // next has become the home.
 func TestTheNextIsTheHomeWithoutTheFirst(t *testing.T) {
@@ -248,6 +311,23 @@
 	})
 }
 
+// TestOneDoubtedForNothingIsTakenBackAtOnce doubts an entry that lives, as when it was late
+// by a few ms: until it is heard, the doubting one is alone with its idea of who lives and
+// backs nobody.
+func TestOneDoubtedForNothingIsTakenBackAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(80)...)
+		time.Sleep(10 * time.Second)
+		b.members[0].Doubt(address(7))
+		time.Sleep(10 * time.Millisecond)
+		for i, m := range b.members {
+			if got := m.Backing(); got != 1 {
+				t.Fatalf("entry %d is backed by %v", i, got)
+			}
+		}
+	})
+}
+
 // TestASilentHomeIsLeftAndTakenAgain asks for a home all the time, so that what is
 // kept of the answer must not outlast the home, nor its return.
 func TestASilentHomeIsLeftAndTakenAgain(t *testing.T) {
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -36,6 +36,10 @@
 	// for how long an answer is awaited in all: a home is one hop away.
 	askAgain = 12 * clock.Millisecond
 	askFor   = 36 * clock.Millisecond
+	// askAtStart is that time at an entry that has just started: the home may have started
+	// with it and not know the accounts yet. Callers lose less by it than by a refusal, and
+	// it is within what they bear: an eighth of an objective of a second.
+	askAtStart = 120 * clock.Millisecond
 	// marginPart is the part of the margin that entries spend on their own.
 	marginPart = 0.2
 	// homePart is the part of the margin that homes give out beyond the
@@ -250,7 +254,11 @@
 	}
 	c.Number = number
 	defer m.end(number)
-	limited, cancel := context.WithTimeout(ctx, askFor.Duration())
+	patience := askFor
+	if m.members.Starting() {
+		patience = askAtStart
+	}
+	limited, cancel := context.WithTimeout(ctx, patience.Duration())
 	defer cancel()
 	for {
 		m.link.Send(home, packets.KindClaim, c)
