Reckon waits by what was given, and play loads without a network

Cause: a wait was reckoned from what ends less all that comes before; of tiers that are refused in part more comes than is ever served, so what was left fell below zero and every wait was one second a head. Jobs that count as equal were not counted as ahead of one another; arrivals made up for that by chance. Change: what was granted lately counts instead of what came, and of equal jobs the earlier ones are ahead. pkg/loadmodel plays a described load against the planner in virtual time: callers by tier with first tries, patience and returns, unlike targets, bursts, outages, a planner that begins anew; quayctl bound prints what callers get and a bound.

--- /dev/null
+++ b/pkg/ctl/bound.go
@@ -0,0 +1,63 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"quaydock/pkg/loadmodel"
+)
+
+// tellBound plays a described load against a planner and prints, by kind, what callers
+// get and what a scheduler could earn at the most.
+func tellBound(_ context.Context, args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("quayctl bound", flag.ContinueOnError)
+	times := flags.Float64("times", 1, "how many `times` as much callers ask as the file says")
+	seed := flags.Uint64("seed", 0, "the `seed` of the draws instead of the file's")
+	if err := parse(flags, args, errs); err != nil {
+		return err
+	}
+	if flags.NArg() != 1 || *times <= 0 {
+		return fmt.Errorf("%w: bound takes the description of a load, and times above 0", errUsage)
+	}
+	file, err := os.Open(flags.Arg(0))
+	if err != nil {
+		return fmt.Errorf("reading the load: %w", err)
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	load, err := loadmodel.Read(file)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errInvalid, err)
+	}
+	for i := range load.Kinds {
+		load.Kinds[i].PerSecond *= *times
+	}
+	if *seed != 0 {
+		load.Seed = *seed
+	}
+	return writeBound(out, loadmodel.Play(load, loadmodel.Observer{}), loadmodel.Bound(load))
+}
+
+func writeBound(out io.Writer, played, bound loadmodel.Result) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "kind\tasked\tin time\tlate\trefused\trefused again\tlost\tearned\tbound\tnet\t")
+	limits := append(bound.Outcomes, bound.All())
+	for i, o := range append(played.Outcomes, played.All()) {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t\n", o.Kind, o.Asked,
+			percent(o.InTime, o.Asked), percent(o.Late, o.Asked), percent(o.Refused, o.Asked), percent(o.RefusedAgain, o.Asked), percent(o.Lost, o.Asked),
+			o.Share(), limits[i].Share(), o.Net())
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("printing: %w", err)
+	}
+	report(out, "earned, bound, net: parts of what all in time would have been worth; net is less what it costs callers to wait or come back for nothing")
+	return nil
+}
+
+func percent(n, of int) string {
+	const hundred = 100
+	return fmt.Sprintf("%.1f%%", hundred*float64(n)/float64(max(1, of)))
+}
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -41,6 +41,7 @@
 		{"capacity", "measure slopes and rewrite the tables of docs/CAPACITY.md (see scripts/capacity)", measureCapacity},
 		{"explain", "tell one request's story from logs: quayctl explain ID FILE...", explain},
 		{"losses", "tell which requests were lost or late, when and why, from logs: quayctl losses [-window TIME] [-plot FILE] FILE...", tellLosses},
+		{"bound", "play a described load against a planner and tell what callers get, and what they could get at the most: quayctl bound [-times X] [-seed N] FILE", tellBound},
 		{"load", "send bounded load to a loopback address and measure it", sendLoad},
 	}
 }
--- /dev/null
+++ b/pkg/loadmodel/load_test.go
@@ -0,0 +1,61 @@
+package loadmodel_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/loadmodel"
+)
+
+func TestFaultyDescriptionsAreRefused(t *testing.T) {
+	scenarios := []struct{ name, text, says string }{
+		{"no length", `{"kinds": [{"name": "a", "objective_ms": 1, "deadline_ms": 1}], "targets": [{"count": 1, "slots": 1, "factor": 1}]}`, "length_ms"},
+		{"unknown field", `{"length": 1}`, "unknown field"},
+		{"a target without slots", `{"length_ms": 1, "kinds": [{"name": "a", "objective_ms": 1, "deadline_ms": 1}], "targets": [{"count": 1, "factor": 1}]}`, "slots"},
+		{"a deadline before the objective", `{"length_ms": 1, "kinds": [{"name": "a", "objective_ms": 9, "deadline_ms": 1}], "targets": [{"count": 1, "slots": 1, "factor": 1}]}`, "kind a"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			_, err := loadmodel.Read(strings.NewReader(s.text))
+			if err == nil || !strings.Contains(err.Error(), s.says) {
+				t.Errorf("got %v, want something of %s", err, s.says)
+			}
+		})
+	}
+}
+
+// TestTheExampleCanBePlayed reads the load that the repository ships.
+func TestTheExampleCanBePlayed(t *testing.T) {
+	file, err := os.Open("../../examples/loads/overload.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	load, err := loadmodel.Read(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, again := loadmodel.Play(load, loadmodel.Observer{}), loadmodel.Play(load, loadmodel.Observer{})
+	if first.All() != again.All() {
+		t.Error("two plays with one seed differ")
+	}
+	if all := first.All(); all.Asked != all.InTime+all.Late+all.Refused+all.RefusedAgain+all.Lost {
+		t.Errorf("%d callers asked, their fates add up to something else: %+v", all.Asked, all)
+	}
+}
+
+func ExampleBound() {
+	load := loadmodel.Load{
+		Length:  4 * clock.Second,
+		Kinds:   []loadmodel.Kind{{Name: "tag", PerSecond: 20, Prompt: 1000, Events: 5, Objective: 500, Deadline: 2000, Worth: 1, Late: 0.3}},
+		Targets: []loadmodel.Targets{{Count: 1, Slots: 2, Factor: 1}}, // two places, half of what is asked for
+		Speed:   loadmodel.Speed{First: 50, ThousandToken: 50, Event: 20},
+		Seed:    1,
+	}
+	most := loadmodel.Bound(load).All().Share()
+	fmt.Println(most > 0.4 && most < 0.65)
+	// Output: true
+}
--- /dev/null
+++ b/pkg/loadmodel/play.go
@@ -0,0 +1,375 @@
+package loadmodel
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+)
+
+// Observer is told of moments of a play, for tests.
+type Observer struct {
+	// Asked is called after a caller's try was submitted.
+	Asked func(now clock.Millis, p *planner.Planner, id planner.JobID)
+	// Granted is called with how long the try had waited.
+	Granted func(now clock.Millis, id planner.JobID, tier ids.TierRank, waited clock.Millis)
+	// Refused is called with the time for which the try was held.
+	Refused func(now clock.Millis, id planner.JobID, tier ids.TierRank, held clock.Millis)
+	// Restarted is called when another planner begins.
+	Restarted func()
+}
+
+const (
+	tickEvery = 25 * clock.Millisecond
+	// askEvery is how often callers' entries ask again for what waits.
+	askEvery = 60 * clock.Millisecond
+	// service is what the model's targets serve.
+	service = ids.Service("modelled")
+	entry   = "10.0.0.1:7600"
+)
+
+// target is one that is played.
+type target struct {
+	*routing.Target
+	factor  float64
+	reading ids.Tokens
+	running map[planner.JobID]*caller
+	away    bool
+}
+
+// event is something that happens at a moment.
+type event struct {
+	at     clock.Millis
+	number int // equal moments keep their order
+	do     func(now clock.Millis)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// play is one play of a load.
+type play struct {
+	load     *Load
+	observer Observer
+	random   *rand.Rand
+	planner  *planner.Planner
+	targets  []*target
+	byID     map[ids.Target]*target
+	callers  []*caller
+	waiting  map[planner.JobID]*caller
+	running  map[planner.JobID]*caller
+	events   events
+	number   int
+	tries    uint64
+}
+
+// start is the moment at which a play begins: planners take 0 for unknown.
+const start = 1000 * clock.Second
+
+// Play plays a load and returns what callers got.
+func Play(load Load, observer Observer) Result {
+	p := newPlay(&load, observer)
+	p.build()
+	p.begin(start)
+	p.schedule()
+	for len(p.events) > 0 {
+		e := heap.Pop(&p.events).(event)
+		e.do(e.at)
+	}
+	return p.result()
+}
+
+func newPlay(load *Load, observer Observer) *play {
+	return &play{
+		load: load, observer: observer, random: rand.New(rand.NewPCG(load.Seed, 1)),
+		byID: make(map[ids.Target]*target), waiting: make(map[planner.JobID]*caller), running: make(map[planner.JobID]*caller),
+	}
+}
+
+func (p *play) at(moment clock.Millis, do func(now clock.Millis)) {
+	p.number++
+	heap.Push(&p.events, event{moment, p.number, do})
+}
+
+func (p *play) build() {
+	for _, group := range p.load.Targets {
+		for range group.Count {
+			id := ids.Target("t" + strconv.Itoa(len(p.targets)))
+			t := &target{Target: &routing.Target{ID: id, Service: service, Slots: group.Slots}, factor: group.Factor, running: make(map[planner.JobID]*caller)}
+			p.targets = append(p.targets, t)
+			p.byID[id] = t
+		}
+	}
+}
+
+// begin starts a planner that knows nothing but the targets.
+func (p *play) begin(now clock.Millis) {
+	p.planner = planner.New(rand.New(rand.NewPCG(p.load.Seed, 2)))
+	p.offer(now)
+}
+
+func (p *play) offer(now clock.Millis) {
+	var offered []*routing.Target
+	for _, t := range p.targets {
+		if !t.away {
+			offered = append(offered, t.Target)
+		}
+	}
+	p.planner.SetTargets(now, offered)
+}
+
+// schedule puts down all that comes from outside.
+func (p *play) schedule() {
+	end := start + p.load.Length
+	p.drawAll()
+	for _, c := range p.callers {
+		p.at(c.first, func(now clock.Millis) { p.ask(now, c) })
+	}
+	for _, o := range p.load.Outages {
+		p.at(start+o.At, func(now clock.Millis) { p.strike(now, o) })
+	}
+	for _, at := range p.load.Restarts {
+		p.at(start+at, p.restart)
+	}
+	longest := clock.Millis(0)
+	for _, k := range p.load.Kinds {
+		longest = max(longest, k.Deadline)
+	}
+	for at := start; at < end+longest; at += tickEvery {
+		p.at(at, p.tick)
+	}
+}
+
+// drawAll draws the first tries of all kinds.
+func (p *play) drawAll() {
+	for i := range p.load.Kinds {
+		p.draw(&p.load.Kinds[i])
+	}
+}
+
+// draw draws the first tries of a kind, at random moments.
+func (p *play) draw(k *Kind) {
+	most := k.PerSecond
+	for _, b := range p.load.Bursts {
+		most *= max(1, b.Times)
+	}
+	if most <= 0 {
+		return
+	}
+	for at := 0.0; ; {
+		at += p.random.ExpFloat64() / most * float64(clock.Second)
+		moment := clock.Millis(at)
+		if moment >= p.load.Length {
+			return
+		}
+		if p.random.Float64()*most > k.PerSecond*p.load.times(moment, k.Name) {
+			continue
+		}
+		size := math.Exp(k.Spread * p.random.NormFloat64())
+		c := &caller{
+			kind: k, first: start + moment, size: size,
+			prompt: ids.Tokens(float64(k.Prompt) * size), events: max(1, int(float64(k.Events)*size)),
+		}
+		if k.Events == 0 {
+			c.events = 0
+		}
+		p.callers = append(p.callers, c)
+	}
+}
+
+// ask submits a caller's try.
+func (p *play) ask(now clock.Millis, c *caller) {
+	p.tries++
+	c.tries++
+	c.asked = now
+	c.id = planner.JobID{Entry: entry, Number: p.tries}
+	p.waiting[c.id] = c
+	p.planner.Submit(now, c.job())
+	if p.observer.Asked != nil {
+		p.observer.Asked(now, p.planner, c.id)
+	}
+	p.heed(now)
+	id := c.id
+	leave := func(now clock.Millis) { p.leave(now, c, id) }
+	p.at(c.deadline(), leave)
+	if patience := now + c.kind.Patience; patience > now && patience < c.deadline() {
+		p.at(patience, leave)
+	}
+}
+
+// leave ends a try that has seen no event yet, and any at the deadline.
+func (p *play) leave(now clock.Millis, c *caller, id planner.JobID) {
+	if c.id != id || c.fate != underWay || c.begun > 0 && now < c.deadline() {
+		return
+	}
+	if _, waits := p.waiting[id]; !waits && p.running[id] == nil {
+		return // it is to come back
+	}
+	c.fate = lost
+	delete(p.waiting, id)
+	if c.target != nil {
+		p.free(c)
+	} else {
+		c.held += now - c.asked
+	}
+	p.planner.Withdraw(now, id)
+	p.heed(now)
+}
+
+// heed does what the planner has decided.
+func (p *play) heed(now clock.Millis) {
+	for _, d := range p.planner.Decisions() {
+		switch d := d.(type) {
+		case planner.Grant:
+			if c := p.waiting[d.ID]; c != nil {
+				p.run(now, c, p.byID[d.Target])
+			}
+		case planner.Refuse:
+			if c := p.waiting[d.ID]; c != nil {
+				p.refuse(now, c, d.RetryAfter)
+			}
+		case planner.Move:
+			// The model's targets begin what they are given.
+		}
+	}
+}
+
+func (p *play) refuse(now clock.Millis, c *caller, after clock.Millis) {
+	delete(p.waiting, c.id)
+	c.held += now - c.asked
+	if p.observer.Refused != nil {
+		p.observer.Refused(now, c.id, c.kind.Tier, now-c.asked)
+	}
+	if c.tries > c.kind.Returns {
+		c.fate = refused
+		if c.tries > 1 {
+			c.fate = refusedAgain
+		}
+		return
+	}
+	if back := c.returnsAt(now, after); back < c.deadline() {
+		p.at(back, func(now clock.Millis) { p.ask(now, c) })
+		return
+	}
+	c.fate = refused
+}
+
+// run has a target work on a try: its prompt is read behind those that are read there.
+func (p *play) run(now clock.Millis, c *caller, t *target) {
+	delete(p.waiting, c.id)
+	if p.observer.Granted != nil {
+		p.observer.Granted(now, c.id, c.kind.Tier, now-c.asked)
+	}
+	c.granted, c.begun, c.target = now, 0, t
+	p.running[c.id] = c
+	t.running[c.id] = c
+	t.reading += c.prompt
+	const thousand = 1000
+	first := t.factor * (p.load.Speed.First + p.load.Speed.ThousandToken*float64(t.reading)/thousand)
+	id := c.id
+	p.at(now+clock.Millis(first), func(now clock.Millis) { p.first(now, c, id) })
+}
+
+func (p *play) first(now clock.Millis, c *caller, id planner.JobID) {
+	if c.id != id || p.running[id] == nil {
+		return
+	}
+	c.target.reading -= c.prompt
+	c.begun = now
+	p.planner.Begin(now, id, nil)
+	p.heed(now)
+	rest := c.target.factor * p.load.Speed.Event * float64(c.events)
+	p.at(now+clock.Millis(rest), func(now clock.Millis) { p.end(now, c, id) })
+}
+
+func (p *play) end(now clock.Millis, c *caller, id planner.JobID) {
+	if c.id != id || p.running[id] == nil {
+		return
+	}
+	c.fate = late
+	if c.begun <= c.first+c.kind.Objective {
+		c.fate = inTime
+	}
+	p.free(c)
+	p.planner.Finish(now, id, planner.Served, planner.Flow{Events: c.events})
+	p.heed(now)
+}
+
+// free takes a try off its target.
+func (p *play) free(c *caller) {
+	if c.begun == 0 {
+		c.target.reading -= c.prompt
+	}
+	delete(c.target.running, c.id)
+	delete(p.running, c.id)
+	c.target = nil
+}
+
+// strike takes targets away for a while.
+func (p *play) strike(now clock.Millis, o Outage) {
+	n := int(math.Ceil(o.Share * float64(len(p.targets))))
+	struck := slices.Clone(p.targets)
+	p.random.Shuffle(len(struck), func(i, j int) { struck[i], struck[j] = struck[j], struck[i] })
+	struck = struck[:n]
+	for _, t := range struck {
+		t.away = true
+		for id, c := range t.running {
+			c.fate = lost
+			p.free(c)
+			p.planner.Finish(now, id, planner.Failed, planner.Flow{})
+		}
+	}
+	p.offer(now)
+	p.heed(now)
+	p.at(now+o.For, func(now clock.Millis) {
+		for _, t := range struck {
+			t.away = false
+		}
+		p.offer(now)
+		p.heed(now)
+	})
+}
+
+// restart has another planner begin, which is told what runs and asked for what waits.
+func (p *play) restart(now clock.Millis) {
+	p.begin(now)
+	if p.observer.Restarted != nil {
+		p.observer.Restarted()
+	}
+	for _, c := range p.running {
+		p.planner.Restore(now, c.job(), c.target.ID, c.begun > 0)
+	}
+	for _, c := range p.waiting {
+		p.planner.Submit(now, c.job())
+	}
+	p.heed(now)
+}
+
+func (p *play) tick(now clock.Millis) {
+	if (now-start)%askEvery < tickEvery {
+		for id, c := range p.waiting {
+			if p.planner.Waits(id) {
+				p.planner.Submit(now, c.job())
+			}
+		}
+	}
+	p.planner.Tick(now)
+	p.heed(now)
+}
--- /dev/null
+++ b/pkg/planner/export_test.go
@@ -0,0 +1,13 @@
+package planner
+
+import "quaydock/pkg/clock"
+
+// WaitOf is how long a waiting job is reckoned to wait, and whether it waits.
+func (p *Planner) WaitOf(now clock.Millis, id JobID) (clock.Millis, bool) {
+	i := p.queue.find(id)
+	if i < 0 {
+		return 0, false
+	}
+	w := p.queue.jobs[i]
+	return p.wait(now, w, p.queue.ahead(now, w)), true
+}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -53,6 +53,7 @@
 			continue
 		}
 		p.runs[w.ID] = t.start(now, w.Job)
+		p.gave(now, w)
 		p.decide(Grant{ID: w.ID, Target: t.ID})
 		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !t.room(now, s.careful) })
 	}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -21,14 +21,14 @@
 	runTime   mean
 	fullSince clock.Millis // since when no target has had room; 0 if one has
 	floor     floor
-	arrivals  map[ids.TierRank]*sizedRate
+	given     map[ids.TierRank]*sizedRate // what was granted lately
 	decisions []Decision
 	off       ablation.Set
 }
 
 // New returns a planner without targets.
 func New(random *rand.Rand) *Planner {
-	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), arrivals: make(map[ids.TierRank]*sizedRate)}
+	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), given: make(map[ids.TierRank]*sizedRate)}
 }
 
 // Without switches mechanisms off, for experiments.
@@ -74,7 +74,6 @@
 		return
 	}
 	w := &waiting{Job: job, committed: job.Returned, seen: now, size: p.sizeOf(&job)}
-	p.arrived(now, w)
 	w.useful = job.due() - p.leastFirst(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
 	p.place(now)
@@ -84,11 +83,12 @@
 	}
 }
 
-func (p *Planner) arrived(now clock.Millis, w *waiting) {
-	r := p.arrivals[w.Tier]
+// gave notes that a job was granted a target.
+func (p *Planner) gave(now clock.Millis, w *waiting) {
+	r := p.given[w.Tier]
 	if r == nil {
 		r = &sizedRate{}
-		p.arrivals[w.Tier] = r
+		p.given[w.Tier] = r
 	}
 	r[w.size].add(now)
 }
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -64,11 +64,15 @@
 	return now > w.useful
 }
 
-// ahead counts the jobs that go before one.
+// ahead counts the jobs that go before one: of equal ones those that came first.
 func (q *queue) ahead(now clock.Millis, self *waiting) int {
-	n := 0
+	n, first := 0, true
 	for _, w := range q.jobs {
-		if w != self && order(now, w, self) < 0 {
+		if w == self {
+			first = false
+			continue
+		}
+		if by := order(now, w, self); by < 0 || by == 0 && first {
 			n++
 		}
 	}
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -150,17 +150,24 @@
 // most; the rest is for its prompt.
 const patiencePart = 0.8
 
-// wait estimates how long a job waits for a target: until those ahead of it have
-// been served, and those that come meanwhile and go before it too.
+// wait estimates how long a job waits for a target: until those ahead of it have been
+// given the places that are left for it and them.
 func (p *Planner) wait(now clock.Millis, w *waiting, ahead int) clock.Millis {
-	left := p.perSecond(now) - p.arrivalsBefore(now, w)
-	return clock.Millis(float64(ahead+1) * float64(clock.Second) / max(minReleases, left))
+	return clock.Millis(float64(ahead+1) * float64(clock.Second) / p.placesFor(now, w))
 }
 
-// arrivalsBefore is how many jobs a second come that go before a job.
-func (p *Planner) arrivalsBefore(now clock.Millis, w *waiting) float64 {
+// placesFor is how many places a second are left for a job and those ahead of it in the
+// queue: what becomes free, less what has lately been given to jobs that came after them
+// and went before. What was given counts, not what came: of tiers that are refused in
+// part, more come than are ever served.
+func (p *Planner) placesFor(now clock.Millis, w *waiting) float64 {
+	return max(minReleases, p.perSecond(now)-p.givenBefore(now, w))
+}
+
+// givenBefore is how many jobs a second that go before a job have been given a target.
+func (p *Planner) givenBefore(now clock.Millis, w *waiting) float64 {
 	sum := 0.0
-	for tier, r := range p.arrivals {
+	for tier, r := range p.given {
 		switch {
 		case tier < w.Tier:
 			sum += r.perSecond(now)
@@ -187,7 +194,7 @@
 const fullFor = clock.Second
 
 // minReleases keeps estimates finite.
-const minReleases = 1.0
+const minReleases = 0.5
 
 // mean is a mean that forgets.
 type mean struct {
