Keep the door of a stopping entry open for what is short while few are ready

Cause: entries that are told to stop within seconds of one another each close their door 2.6 s later and stay for their longest stream; nobody takes a connection until the first is back. Change: greetings say that their sender is being stopped. One that has to stay for a stream, while less than half of the entries are heard of and stay, goes on taking connections: what ended twice as fast of late as the time left is served, the rest is told to come back when this entry has ended. It does not stay for that. Which it is to be is a decision of its own (door).

--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -61,11 +61,6 @@
 	leastWeight   = 0.01
 	headerTimeout = 10 * clock.Second
 	idleTimeout   = 60 * clock.Second
-	// endMargin is kept from the time at which the platform kills a process.
-	endMargin = 400 * clock.Millisecond
-	// leaveTime is how long a process that is stopped goes on taking new
-	// connections, until the balancer has seen that it is not ready.
-	leaveTime = 2600 * clock.Millisecond
 )
 
 // entryProcess is an entry on the platform, all parts wired together.
@@ -337,19 +332,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// drain stops the entry without cutting a request: it is not ready any more,
-// goes on serving until the balancer has noticed, then takes nothing more and
-// ends when nothing runs, or just before it would be killed.
-func (p *entryProcess) drain() {
-	p.controller.Leave()
-	began := p.Clock.Now()
-	end := began + clock.Millis(p.grace.Load()) - endMargin
-	clock.Pause(context.Background(), leaveTime)
-	limited, cancel := context.WithTimeout(context.Background(), (end - p.Clock.Now()).Duration())
-	defer cancel()
-	// Shutdown closes the listener and what rests, so that no request is taken
-	// that could not be ended in time.
-	err := p.callers.Shutdown(limited)
-	p.Log.WithError(err).WithField("running", p.controller.Running()).Info("stopped")
-}
--- /dev/null
+++ b/pkg/app/entry_stop.go
@@ -0,0 +1,62 @@
+package app
+
+import (
+	"context"
+
+	"quaydock/pkg/clock"
+)
+
+const (
+	// endMargin is kept from the time at which the platform kills a process.
+	endMargin = 400 * clock.Millisecond
+	// leaveTime is how long a process that is stopped goes on taking new
+	// connections, until the balancer has seen that it is not ready.
+	leaveTime = 2600 * clock.Millisecond
+	// doorMargin is how long before its end a process takes no connection any more,
+	// whoever else is ready.
+	doorMargin = 500 * clock.Millisecond
+	doorEvery  = 50 * clock.Millisecond
+)
+
+// door is what decides whether an entry that is being stopped goes on taking connections.
+type door struct {
+	// few says that less than half of the entries are ready.
+	few bool
+	// running is how many requests run for which the process has to stay anyway.
+	running int
+	// left is the time until the process has to end.
+	left clock.Millis
+}
+
+// open reports whether connections are taken. While most entries are stopped within
+// seconds of one another the balancer hands callers to closed ports; one that has to stay
+// for a long answer can serve short ones meanwhile, and tell the others when to come
+// back. It does not stay for that alone: the sooner it ends, the sooner it is back.
+func (d door) open() bool {
+	return d.few && d.running > 0 && d.left > doorMargin
+}
+
+// drain stops the entry without cutting a request: it is not ready any more,
+// goes on serving until the balancer has noticed, then takes nothing more, or only what
+// is short while too few others are ready, and ends when nothing runs, or just before it
+// would be killed.
+func (p *entryProcess) drain() {
+	p.controller.Leave()
+	p.members.Leave()
+	end := p.Clock.Now() + clock.Millis(p.grace.Load()) - endMargin
+	clock.Pause(context.Background(), leaveTime)
+	p.controller.EndAt(end)
+	for p.door(end).open() {
+		clock.Pause(context.Background(), doorEvery)
+	}
+	limited, cancel := context.WithTimeout(context.Background(), (end - p.Clock.Now()).Duration())
+	defer cancel()
+	// Shutdown closes the listener and what rests, so that no request is taken
+	// that could not be ended in time.
+	err := p.callers.Shutdown(limited)
+	p.Log.WithError(err).WithField("running", p.controller.Running()).Info("stopped")
+}
+
+func (p *entryProcess) door(end clock.Millis) door {
+	return door{few: p.members.FewStay(), running: p.controller.RunningFromBefore(), left: end - p.Clock.Now()}
+}
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -59,6 +59,7 @@
 	dialect  Dialect
 	meter    Meter
 	tries    *firstTries
+	closing  *closing
 	entries  Entries
 	keyTrust atomic.Int64 // for how long keys are trusted without proof, in clock.Millis
 	// assuredTrust is for how long they are while the other entries hear this one.
@@ -98,6 +99,9 @@
 	if refusal := a.resolve(q); refusal != nil {
 		return q, refusal
 	}
+	if !a.closing.takes(arrived, q.route) {
+		return q, notRun(CauseLeaving, a.closing.retryAfter(arrived))
+	}
 	if !a.Ablation.Off(ablation.FirstTry) {
 		q.before = a.tries.before(q.route, q.Deadline)
 	}
--- a/pkg/ingress/cause_string.go
+++ b/pkg/ingress/cause_string.go
@@ -22,11 +22,12 @@
 	_ = x[CauseDeadline-11]
 	_ = x[CauseLost-12]
 	_ = x[CauseLeft-13]
+	_ = x[CauseLeaving-14]
 }
 
-const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaOverloadedNoTargetDeclinedDeadlineLostLeft"
+const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaOverloadedNoTargetDeclinedDeadlineLostLeftLeaving"
 
-var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 72, 80, 88, 96, 100, 104}
+var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 72, 80, 88, 96, 100, 104, 111}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/pkg/ingress/closing.go
@@ -0,0 +1,105 @@
+package ingress
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/routing"
+)
+
+// closing decides what an entry still takes while it is being stopped and too few others
+// are ready: requests that will surely have ended by the time at which it has to. Others
+// are told to come back, which a caller that finds a closed port is not.
+type closing struct {
+	endsAt atomic.Int64 // when the process ends, in clock.Millis; 0 if that is not known
+
+	mu      sync.Mutex
+	longest map[string]*recentMost // by route, how long answers took
+}
+
+const (
+	// endDoubt is how many times the longest answer of late has to fit into the time left.
+	endDoubt = 2
+	// endSpare is kept of the time left.
+	endSpare = 200 * clock.Millisecond
+	// leastLeavingRetry is when to come back at the soonest.
+	leastLeavingRetry = clock.Second
+)
+
+func newClosing() *closing {
+	return &closing{longest: make(map[string]*recentMost)}
+}
+
+// note takes how long an answer took.
+func (c *closing) note(now clock.Millis, route string, took clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.longest[route]
+	if m == nil {
+		m = &recentMost{}
+		c.longest[route] = m
+	}
+	m.add(now, took)
+}
+
+// takes reports whether a request of a route may be taken.
+func (c *closing) takes(now clock.Millis, route *routing.Route) bool {
+	end := clock.Millis(c.endsAt.Load())
+	if end == 0 {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := c.longest[route.Name]
+	return m != nil && now+endDoubt*m.get(now)+endSpare <= end
+}
+
+// retryAfter is when to come back: when this entry will surely have ended, and the ones
+// that were stopped before it are back. A caller that comes back sooner finds what it
+// found, and may not come a third time.
+func (c *closing) retryAfter(now clock.Millis) clock.Millis {
+	return max(leastLeavingRetry, clock.Millis(c.endsAt.Load())-now)
+}
+
+// forget drops routes that are gone.
+func (c *closing) forget(known func(route string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.longest {
+		if !known(name) {
+			delete(c.longest, name)
+		}
+	}
+}
+
+// recentMost is the largest value of late; older ones fade by halves.
+type recentMost struct {
+	span            clock.Millis // the number of the present one
+	present, before clock.Millis
+}
+
+// recentSpan is how long a span is.
+const recentSpan = 10 * clock.Second
+
+func (m *recentMost) move(now clock.Millis) {
+	span := now / recentSpan
+	if span == m.span {
+		return
+	}
+	if m.present > 0 || span > m.span+1 {
+		m.before = max(m.present, m.before/2) // what is old counts less, but never nothing
+	}
+	m.present = 0
+	m.span = span
+}
+
+func (m *recentMost) add(now, value clock.Millis) {
+	m.move(now)
+	m.present = max(m.present, value)
+}
+
+func (m *recentMost) get(now clock.Millis) clock.Millis {
+	m.move(now)
+	return max(m.before, m.present)
+}
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -57,13 +57,14 @@
 	delivery  *delivery
 	leaving   atomic.Bool
 	running   atomic.Int64
+	late      atomic.Int64 // of these, those that came after EndAt
 	ordinary  atomic.Int64 // answers given
 	sampler   *telemetry.Sampler
 }
 
 // NewController returns a controller over its parts.
 func NewController(p Parts) *Controller {
-	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter, entries: p.Entries, tries: newFirstTries()}
+	a := &admission{Common: p.Common, view: p.View, dialect: p.Dialect, meter: p.Meter, entries: p.Entries, tries: newFirstTries(), closing: newClosing()}
 	a.setKeyTrust(p.Keys)
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
@@ -80,6 +81,7 @@
 // Forget drops what was learned of routes that are gone.
 func (c *Controller) Forget(known func(route string) bool) {
 	c.admission.tries.forget(known)
+	c.admission.closing.forget(known)
 }
 
 // Ready reports whether callers should be sent here. An entry whose proof of keys
@@ -94,6 +96,17 @@
 	c.leaving.Store(true)
 }
 
+// EndAt says when the process ends: from now on only requests are taken that will surely
+// have ended by then.
+func (c *Controller) EndAt(end clock.Millis) {
+	c.admission.closing.endsAt.Store(int64(end))
+}
+
+// RunningFromBefore is how many requests are being served that came before EndAt.
+func (c *Controller) RunningFromBefore() int {
+	return int(c.running.Load() - c.late.Load())
+}
+
 // Running is how many requests are being served.
 func (c *Controller) Running() int {
 	return int(c.running.Load())
@@ -103,6 +116,10 @@
 func (c *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.running.Add(1)
 	defer c.running.Add(-1)
+	if c.admission.closing.endsAt.Load() > 0 {
+		c.late.Add(1)
+		defer c.late.Add(-1)
+	}
 	out := &answerWriter{writer: w, control: http.NewResponseController(w)}
 	if c.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -161,6 +178,8 @@
 // answered logs every answer that came late, and a sample of the others.
 func (c *Controller) answered(q *request) {
 	n := c.ordinary.Add(1)
+	now := c.Clock.Now()
+	c.admission.closing.note(now, q.route.Name, now-q.arrived)
 	lateness := q.lateness()
 	late := lateness != LateNot
 	outcome := "answered"
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -258,6 +258,53 @@
 	})
 }
 
+// TestOneThatEndsSoonTakesOnlyWhatIsShort has an entry that has to end in four seconds: a
+// route whose answers take one second is served, one whose answers take three is told to
+// come back, and so is one of which nothing is known.
+func TestOneThatEndsSoonTakesOnlyWhatIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		takes := map[string]time.Duration{"/unsafe/": time.Second, "/resume/": 3 * time.Second}
+		b := newBed(t, freely{}, func(c net.Conn, r *http.Request) bool {
+			for prefix, long := range takes {
+				if strings.HasPrefix(r.URL.Path, prefix) {
+					time.Sleep(long)
+				}
+			}
+			return says(200, "", "yes")(c, r)
+		})
+		for prefix := range takes {
+			b.call(context.Background(), prefix+"a", nil)
+		}
+		b.controller.Leave()
+		b.controller.EndAt(b.clock.Now() + 4*clock.Second)
+		scenarios := []struct {
+			path string
+			want int
+		}{
+			{"/resume/a", http.StatusServiceUnavailable},
+			{"/safe/a", http.StatusServiceUnavailable}, // none was answered yet
+			{"/unsafe/a", http.StatusOK},
+		}
+		before := len(b.arrived())
+		for _, s := range scenarios {
+			got := b.call(context.Background(), s.path, nil)
+			if got.status != s.want {
+				t.Errorf("%s: status %d, want %d", s.path, got.status, s.want)
+			}
+			if s.want != http.StatusOK && got.header.Get("Retry-After") == "" {
+				t.Errorf("%s: not told when to come back", s.path)
+			}
+		}
+		if n := len(b.arrived()) - before; n != 1 {
+			t.Errorf("%d requests reached the target", n)
+		}
+		time.Sleep(2 * time.Second)
+		if got := b.call(context.Background(), "/unsafe/a", nil); got.status != http.StatusServiceUnavailable {
+			t.Errorf("with less than a second left: status %d", got.status)
+		}
+	})
+}
+
 func TestALeavingEntryClosesItsConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, freely{}, says(200, "", "yes"))
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -28,6 +28,7 @@
 	CauseDeadline
 	CauseLost
 	CauseLeft
+	CauseLeaving
 )
 
 // Refusal is an answer of the entry's own.
--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -38,6 +38,7 @@
 	Stamp   stamp
 	Echo    stamp // of the receiver's greeting that it heard last
 	Answer  bool  // the receiver is to greet at once: the sender doubts it
+	Leaving bool  // it is being stopped
 }
 
 // Run keeps this entry listed and greets the others until ctx ends.
@@ -103,7 +104,7 @@
 func (m *Members) greetingTo(now clock.Millis, other *member) hello {
 	return hello{
 		Name: m.self, Circle: m.circle, NoStore: now < m.noStoreUntil,
-		Stamp: stamp{Run: m.assurance.run, Sent: now}, Echo: other.greeting,
+		Stamp: stamp{Run: m.assurance.run, Sent: now}, Echo: other.greeting, Leaving: m.leaving,
 	}
 }
 
@@ -142,6 +143,7 @@
 	other.greeting = message.Stamp
 	m.echoed(now, other, message.Echo)
 	other.circle = message.Circle
+	other.leaving = message.Leaving
 	other.noStoreUntil = 0
 	if message.NoStore {
 		other.noStoreUntil = now + noStoreFor
@@ -194,6 +196,29 @@
 	}
 }
 
+// Leave tells the others that this entry is being stopped.
+func (m *Members) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+	m.changed()
+}
+
+// FewStay reports whether less than half of the listed entries are heard of and are not
+// being stopped. This one counts as stopping.
+func (m *Members) FewStay() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	staying := 0
+	for name, other := range m.list {
+		if name != m.self && m.heardLately(now, other) && !other.leaving {
+			staying++
+		}
+	}
+	return 2*staying < m.entries()
+}
+
 // Starting reports whether this entry has just started, so that others that started with
 // it may not be there yet.
 func (m *Members) Starting() bool {
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -36,6 +36,8 @@
 	// circle is the fingerprint of the entries that it took for alive.
 	circle uint64
 	weight float64
+	// leaving says that it is being stopped.
+	leaving bool
 	// noStoreUntil is up to when it is taken not to reach the store.
 	noStoreUntil clock.Millis
 }
@@ -60,8 +62,10 @@
 	mu     sync.Mutex
 	list   map[ids.Process]*member
 	listed bool // this entry's own row is there
-	alive  []ids.Process
-	circle uint64
+	// leaving says that this entry is being stopped.
+	leaving bool
+	alive   []ids.Process
+	circle  uint64
 	// aliveUntil is up to when alive holds, unless something is heard; below
 	// zero if it has to be worked out anew.
 	aliveUntil   clock.Millis
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -311,6 +311,22 @@
 	})
 }
 
+// TestWhoStays stops entries one after the other: when less than half of them stay, those
+// that are being stopped know.
+func TestWhoStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, equal(4)...)
+		time.Sleep(time.Second)
+		for i, want := range []bool{false, false, true} {
+			b.members[i].Leave()
+			time.Sleep(100 * time.Millisecond)
+			if got := b.members[i].FewStay(); got != want {
+				t.Errorf("%d of 4 are being stopped: few stay %t, want %t", i+1, got, want)
+			}
+		}
+	})
+}
+
 // TestOneDoubtedForNothingIsTakenBackAtOnce doubts an entry that lives, as when it was late
 // by a few ms: until it is heard, the doubting one is alone with its idea of who lives and
 // backs nobody.
