--- /dev/null
+++ b/pkg/app/entry_bounds.go
@@ -0,0 +1,41 @@
+package app
+
+import (
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ingress"
+	"quaydock/pkg/metering"
+	"quaydock/pkg/quota"
+	"quaydock/platform"
+)
+
+func seconds(s float64) clock.Millis {
+	return clock.Millis(s * float64(clock.Second))
+}
+
+// change takes over the bounds that may change while the process runs.
+// Addresses are read at the start only.
+func (p *entryProcess) change(s platform.Settings) {
+	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
+	keys := p.keyTrust(s.Bounds)
+	p.controller.SetKeyTrust(keys)
+	p.members.SetTrust(keys.Most)
+	p.retries.SetBounds(retryBounds(s.Bounds))
+	p.meter.SetBounds(quotaBounds(s.Bounds))
+}
+
+func (p *entryProcess) keyTrust(b platform.Bounds) ingress.KeyTrust {
+	keys := ingress.KeyTrust{Bound: b.Revoke, Strict: b.RevokeStrict}
+	if !keys.Strict && !p.Ablation.Off(ablation.KeyTrust) {
+		keys.Most = p.assuredTrust
+	}
+	return keys
+}
+
+func retryBounds(b platform.Bounds) quota.RetryBounds {
+	return quota.RetryBounds{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: seconds(b.RetryWindowSeconds)}
+}
+
+func quotaBounds(b platform.Bounds) metering.Bounds {
+	return metering.Bounds{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: seconds(b.QuotaWindowSeconds)}
+}
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -201,10 +201,6 @@
 	return p, nil
 }
 
-func seconds(s float64) clock.Millis {
-	return clock.Millis(s * float64(clock.Second))
-}
-
 func (p *entryProcess) scheduler(policy schedule.Policy) schedule.Scheduler {
 	switch {
 	case p.Ablation.Off(ablation.PlannerHome):
@@ -276,33 +272,6 @@
 	return nil
 }
 
-// change takes over the bounds that may change while the process runs.
-// Addresses are read at the start only.
-func (p *entryProcess) change(s platform.Settings) {
-	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
-	keys := p.keyTrust(s.Bounds)
-	p.controller.SetKeyTrust(keys)
-	p.members.SetTrust(keys.Most)
-	p.retries.SetBounds(retryBounds(s.Bounds))
-	p.meter.SetBounds(quotaBounds(s.Bounds))
-}
-
-func (p *entryProcess) keyTrust(b platform.Bounds) ingress.KeyTrust {
-	keys := ingress.KeyTrust{Bound: b.Revoke, Strict: b.RevokeStrict}
-	if !keys.Strict && !p.Ablation.Off(ablation.KeyTrust) {
-		keys.Most = p.assuredTrust
-	}
-	return keys
-}
-
-func retryBounds(b platform.Bounds) quota.RetryBounds {
-	return quota.RetryBounds{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: seconds(b.RetryWindowSeconds)}
-}
-
-func quotaBounds(b platform.Bounds) metering.Bounds {
-	return metering.Bounds{Over: b.QuotaOver, Slack: b.QuotaSlack, Window: seconds(b.QuotaWindowSeconds)}
-}
-
 // applied puts a configuration's limits in force and forgets what belongs to
 // accounts that are gone.
 func (p *entryProcess) applied(c *routing.Catalog) {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	gosync "sync"
-	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/membership"
 	"quaydock/pkg/packets"
-	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
 	"quaydock/pkg/view"
@@ -94,101 +91,6 @@
 	return home
 }
 
-// pending is a request that has no place yet.
-type pending struct {
-	want    schedule.Ask
-	number  uint64
-	answers chan answer
-	home    netip.AddrPort // whom it was last asked of
-	// silence counts the asks since the home was last heard. It begins below
-	// zero while the home is known to hold the request.
-	silence int
-}
-
-// Acquire waits for a place.
-func (d *Dispatcher) Acquire(ctx context.Context, want schedule.Ask) (schedule.Place, *schedule.Refused, error) {
-	p := &pending{want: want}
-	d.enter(p)
-	defer func() { d.leave(p.number) }()
-	for {
-		a, err := d.askOnce(ctx, p)
-		switch {
-		case err != nil:
-			d.step(step{Number: p.number, Service: want.Service, Progress: withdrawn})
-			return nil, nil, err
-		case a == nil && p.silence >= maxAsks:
-			return d.alone(ctx, p)
-		case a == nil:
-		case a.Verdict == refused, a.Verdict == noTarget:
-			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, RetryAfter: a.RetryAfter, Ahead: a.Ahead, Wait: a.Wait}, nil
-		case a.Verdict == granted:
-			if t := d.offered(a.Target); t != nil {
-				return d.begin(p.number, &p.want, t, nil), nil, nil
-			}
-			d.decline(p, a.Target)
-		}
-	}
-}
-
-// askOnce asks the home and returns its next final answer, or nil if it is time
-// to ask again.
-func (d *Dispatcher) askOnce(ctx context.Context, p *pending) (*answer, error) {
-	home := d.ask(p)
-	if home != p.home {
-		p.home, p.silence = home, 0
-	}
-	wait := askAgain
-	if p.silence < 0 {
-		wait = pollEvery
-	}
-	p.silence++
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	for {
-		select {
-		case a := <-p.answers:
-			if a.Verdict != queued {
-				return &a, nil
-			}
-			p.silence = -maxPolls
-		case <-timer.C:
-			return nil, nil
-		case <-ctx.Done():
-			return nil, context.Cause(ctx)
-		}
-	}
-}
-
-// maxPolls is how many polls of a waiting request may stay without an answer
-// before the home counts as silent.
-const maxPolls = 3
-
-// enter gives a request a number under which the home knows it.
-func (d *Dispatcher) enter(p *pending) {
-	const room = 8 // answers that have not been looked at
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.number++
-	p.number = d.number
-	p.answers = make(chan answer, room)
-	d.waiting[p.number] = p.answers
-}
-
-func (d *Dispatcher) leave(number uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.waiting, number)
-}
-
-func (d *Dispatcher) ask(p *pending) netip.AddrPort {
-	now := d.Clock.Now()
-	w := &p.want
-	message := ask{Number: p.number, Service: w.Service, Waited: now - w.Arrived, Remaining: w.Deadline - now, Job: w.Job}
-	message.Job.Arrived, message.Job.Deadline = 0, 0
-	message.Job.Domain = d.domain
-	return toHome(d, w.Service, packets.KindAsk, d.home.asked, &message)
-}
-
 func (d *Dispatcher) step(s step) {
 	toHome(d, s.Service, packets.KindStep, d.home.stepped, &s)
 }
@@ -223,31 +125,6 @@
 	return t
 }
 
-// decline gives back a grant for a target that is not to be used. The request
-// goes on under a new number.
-func (d *Dispatcher) decline(p *pending, id ids.Target) {
-	d.Metrics.Links.Add("grants_declined", 1)
-	d.leave(p.number)
-	d.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: planner.Moved})
-	p.want.Exclude = append(slices.Clone(p.want.Exclude), id)
-	p.silence = 0
-	d.enter(p)
-}
-
-// alone places a request by this entry's own counts. The home learns of it by
-// the next sync.
-func (d *Dispatcher) alone(ctx context.Context, p *pending) (schedule.Place, *schedule.Refused, error) {
-	d.Metrics.Links.Add("placed_alone", 1)
-	d.members.Doubt(p.home)
-	d.step(step{Number: p.number, Service: p.want.Service, Progress: withdrawn})
-	own, refused, err := d.local.Acquire(ctx, p.want)
-	if own == nil {
-		return nil, refused, err
-	}
-	// A new number: the home may still act on the old one.
-	return d.begin(d.fresh(), &p.want, own.Target(), own), nil, nil
-}
-
 func (d *Dispatcher) fresh() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -255,47 +132,6 @@
 	return d.number
 }
 
-func (d *Dispatcher) begin(number uint64, want *schedule.Ask, t *routing.Target, own schedule.Place) *place {
-	p := &place{dispatcher: d, number: number, target: t, want: want, own: own, moved: make(chan struct{})}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running[number] = p
-	return p
-}
-
-// place is a request on a target.
-type place struct {
-	dispatcher *Dispatcher
-	number     uint64
-	target     *routing.Target
-	want       *schedule.Ask
-	own        schedule.Place // if it was placed by the entry's own counts
-	begun      bool           // guarded by the dispatcher's lock
-	moved      chan struct{}
-	moveOnce   gosync.Once
-}
-
-func (p *place) Target() *routing.Target { return p.target }
-
-func (p *place) Moved() <-chan struct{} { return p.moved }
-
-func (p *place) Began(load *planner.Load) {
-	p.dispatcher.mu.Lock()
-	p.begun = true
-	p.dispatcher.mu.Unlock()
-	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: begun, Load: load})
-}
-
-func (p *place) Done(outcome planner.Outcome, flow planner.Flow) {
-	p.dispatcher.mu.Lock()
-	delete(p.dispatcher.running, p.number)
-	p.dispatcher.mu.Unlock()
-	if p.own != nil {
-		p.own.Done(outcome, flow)
-	}
-	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome, Flow: flow})
-}
-
 // Planned is how many requests of all entries wait and run in the planners that
 // this entry is in charge of.
 func (d *Dispatcher) Planned() (waiting, running int) {
--- /dev/null
+++ b/pkg/dispatch/place.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	gosync "sync"
+
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/schedule"
+)
+
+func (d *Dispatcher) begin(number uint64, want *schedule.Ask, t *routing.Target, own schedule.Place) *place {
+	p := &place{dispatcher: d, number: number, target: t, want: want, own: own, moved: make(chan struct{})}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[number] = p
+	return p
+}
+
+// place is a request on a target.
+type place struct {
+	dispatcher *Dispatcher
+	number     uint64
+	target     *routing.Target
+	want       *schedule.Ask
+	own        schedule.Place // if it was placed by the entry's own counts
+	begun      bool           // guarded by the dispatcher's lock
+	moved      chan struct{}
+	moveOnce   gosync.Once
+}
+
+func (p *place) Target() *routing.Target { return p.target }
+
+func (p *place) Moved() <-chan struct{} { return p.moved }
+
+func (p *place) Began(load *planner.Load) {
+	p.dispatcher.mu.Lock()
+	p.begun = true
+	p.dispatcher.mu.Unlock()
+	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: begun, Load: load})
+}
+
+func (p *place) Done(outcome planner.Outcome, flow planner.Flow) {
+	p.dispatcher.mu.Lock()
+	delete(p.dispatcher.running, p.number)
+	p.dispatcher.mu.Unlock()
+	if p.own != nil {
+		p.own.Done(outcome, flow)
+	}
+	p.dispatcher.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome, Flow: flow})
+}
--- /dev/null
+++ b/pkg/metering/booking.go
@@ -0,0 +1,76 @@
+package metering
+
+import (
+	"math"
+	"net/netip"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/routing"
+)
+
+// fresh is how full an account's bucket is at a home that begins anew.
+func (m *Meter) fresh(account *routing.Account) float64 {
+	margin, _ := m.margin(account)
+	return min(freshMost, freshPart*margin/max(1, account.Burst))
+}
+
+// book counts at the home. A home that only some entries take for it gives out
+// only their part. Whoever was the home before, what the entries have had in the
+// last window counts too; so an account whose allowance was lowered waits until its
+// last window is within the new one.
+func (m *Meter) book(from netip.AddrPort, account *routing.Account, c claim) (bool, clock.Millis) {
+	now := m.Clock.Now()
+	margin, window := m.margin(account)
+	again := min(account.Burst, burstPart*margin)
+	widened := *account
+	widened.PerSecond += again / window
+	m.reports.set(account.Name, from, report{had: c.Had, at: now})
+	over := m.reports.sum(now, account.Name, m.window()) - account.PerSecond*window - account.Burst - homePart*margin
+	if over >= 0 {
+		wait := clock.Millis(math.Ceil((over + c.Units/2) / widened.PerSecond * float64(clock.Second)))
+		return false, m.backlog.Queue(now, account, c.Units, wait, m.window())
+	}
+	taken, wait := m.books.TakeAbove(now, &widened, m.members.Backing(), c.Units, c.Keep)
+	if !taken {
+		return false, m.backlog.Queue(now, account, c.Units, wait, m.window())
+	}
+	m.reports.set(account.Name, from, report{had: c.Had + c.Units, at: now})
+	return true, 0
+}
+
+// remembered is how many answers a home keeps, so that a claim that is sent
+// again is not counted again. Numbers begin at a random one at each entry.
+const remembered = 4096
+
+func (m *Meter) claimed(from netip.AddrPort, message *claim) {
+	catalog := m.view.Catalog()
+	if catalog == nil {
+		return // the asker spends its own share meanwhile
+	}
+	answer, known := m.given[message.Number]
+	if !known {
+		answer = reply{Number: message.Number, Taken: true}
+		if account := catalog.AccountNamed(message.Account); account != nil {
+			answer.Taken, answer.Wait = m.book(from, account, *message)
+			answer.Had = m.had.Sum(m.Clock.Now(), account.Name, m.window())
+		}
+		m.remember(answer)
+	}
+	m.link.Send(from, packets.KindReply, answer)
+}
+
+// remember is called by the link's goroutine alone, as given and order are
+// used by it alone.
+func (m *Meter) remember(answer reply) {
+	m.given[answer.Number] = answer
+	m.order = append(m.order, answer.Number)
+	if len(m.order) > remembered {
+		delete(m.given, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func (m *Meter) returned(_ netip.AddrPort, message *giveBack) {
+	m.books.Return(message.Account, message.Units)
+}
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"math"
 	"net/netip"
 	"sync"
 
@@ -101,6 +100,7 @@
 	members *membership.Members
 	link    *packets.Link
 	books   *quota.Allowance // of the accounts whose home this entry is
+	backlog *quota.Backlog   // of those accounts
 	own     *quota.Allowance // spent while no home answers
 	had     *quota.Ledger    // what accounts had run at this entry
 	reports reports          // what they had run at others, as last told
@@ -117,7 +117,7 @@
 func New(c common.Common, bounds Bounds, v *view.View, members *membership.Members, link *packets.Link) *Meter {
 	m := &Meter{
 		Common: c, bounds: bounds, view: v, members: members, link: link,
-		own: quota.NewAllowance(),
+		own: quota.NewAllowance(), backlog: quota.NewBacklog(),
 		had: quota.NewLedger(), reports: reports{of: make(map[ids.Account]map[netip.AddrPort]report)},
 		number: c.Random.Fork().Uint64(),
 		asked:  make(map[uint64]chan reply), silent: make(map[netip.AddrPort]clock.Millis), given: make(map[uint64]reply),
@@ -136,12 +136,6 @@
 	m.bounds = bounds
 }
 
-// fresh is how full an account's bucket is at a home that begins anew.
-func (m *Meter) fresh(account *routing.Account) float64 {
-	margin, _ := m.margin(account)
-	return min(freshMost, freshPart*margin/max(1, account.Burst))
-}
-
 func (m *Meter) window() clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -206,6 +200,7 @@
 func (m *Meter) Forget(known func(ids.Account) bool) {
 	m.books.Forget(known)
 	m.own.Forget(known)
+	m.backlog.Forget(known)
 	m.had.Forget(known)
 	m.reports.forget(known)
 }
@@ -214,28 +209,6 @@
 	return "account/" + string(account)
 }
 
-// book counts at the home. A home that only some entries take for it gives out
-// only their part. Whoever was the home before, what the entries have had in the
-// last window counts too; so an account whose allowance was lowered waits until its
-// last window is within the new one.
-func (m *Meter) book(from netip.AddrPort, account *routing.Account, c claim) (bool, clock.Millis) {
-	now := m.Clock.Now()
-	margin, window := m.margin(account)
-	again := min(account.Burst, burstPart*margin)
-	widened := *account
-	widened.PerSecond += again / window
-	m.reports.set(account.Name, from, report{had: c.Had, at: now})
-	over := m.reports.sum(now, account.Name, m.window()) - account.PerSecond*window - account.Burst - homePart*margin
-	if over >= 0 {
-		return false, clock.Millis(math.Ceil((over + c.Units/2) / widened.PerSecond * float64(clock.Second)))
-	}
-	taken, wait := m.books.TakeAbove(now, &widened, m.members.Backing(), c.Units, c.Keep)
-	if taken {
-		m.reports.set(account.Name, from, report{had: c.Had + c.Units, at: now})
-	}
-	return taken, wait
-}
-
 // spendOwn counts against this entry's share of the margin.
 func (m *Meter) spendOwn(account *routing.Account, units float64) (bool, clock.Millis) {
 	margin, window := m.margin(account)
@@ -245,107 +218,3 @@
 	alone.Burst = marginPart * margin / 2
 	return m.own.Take(m.Clock.Now(), &alone, 1/float64(m.members.Entries()), units)
 }
-
-// ask sends a claim to a home and waits for its answer.
-func (m *Meter) ask(ctx context.Context, home netip.AddrPort, c claim) (reply, bool) {
-	answer, number, worth := m.begin(home)
-	if !worth {
-		return reply{}, false
-	}
-	c.Number = number
-	defer m.end(number)
-	patience := askFor
-	if m.members.Starting() {
-		patience = askAtStart
-	}
-	limited, cancel := context.WithTimeout(ctx, patience.Duration())
-	defer cancel()
-	for {
-		m.link.Send(home, packets.KindClaim, c)
-		again, stop := context.WithTimeout(limited, askAgain.Duration())
-		select {
-		case got := <-answer:
-			stop()
-			return got, true
-		case <-again.Done():
-			stop()
-		}
-		if limited.Err() != nil {
-			m.unanswered(ctx, home)
-			return reply{}, false
-		}
-	}
-}
-
-func (m *Meter) begin(home netip.AddrPort) (chan reply, uint64, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.Clock.Now() < m.silent[home] {
-		return nil, 0, false
-	}
-	m.number++
-	answer := make(chan reply, 1)
-	m.asked[m.number] = answer
-	return answer, m.number, true
-}
-
-func (m *Meter) end(number uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.asked, number)
-}
-
-func (m *Meter) unanswered(ctx context.Context, home netip.AddrPort) {
-	if ctx.Err() != nil {
-		return // the caller left first
-	}
-	m.members.Doubt(home)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.silent[home] = m.Clock.Now() + silentFor
-}
-
-func (m *Meter) replied(_ netip.AddrPort, message *reply) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if answer := m.asked[message.Number]; answer != nil {
-		delete(m.asked, message.Number)
-		answer <- *message
-	}
-}
-
-// remembered is how many answers a home keeps, so that a claim that is sent
-// again is not counted again. Numbers begin at a random one at each entry.
-const remembered = 4096
-
-func (m *Meter) claimed(from netip.AddrPort, message *claim) {
-	catalog := m.view.Catalog()
-	if catalog == nil {
-		return // the asker spends its own share meanwhile
-	}
-	answer, known := m.given[message.Number]
-	if !known {
-		answer = reply{Number: message.Number, Taken: true}
-		if account := catalog.AccountNamed(message.Account); account != nil {
-			answer.Taken, answer.Wait = m.book(from, account, *message)
-			answer.Had = m.had.Sum(m.Clock.Now(), account.Name, m.window())
-		}
-		m.remember(answer)
-	}
-	m.link.Send(from, packets.KindReply, answer)
-}
-
-// remember is called by the link's goroutine alone, as given and order are
-// used by it alone.
-func (m *Meter) remember(answer reply) {
-	m.given[answer.Number] = answer
-	m.order = append(m.order, answer.Number)
-	if len(m.order) > remembered {
-		delete(m.given, m.order[0])
-		m.order = m.order[1:]
-	}
-}
-
-func (m *Meter) returned(_ netip.AddrPort, message *giveBack) {
-	m.books.Return(message.Account, message.Units)
-}
