--- a/pkg/bulletin/peers.go
+++ b/pkg/bulletin/peers.go
@@ -278,7 +278,7 @@
 
 // askWhole asks a peer for the whole table: first whether it has it, which is told at
 // once, then for the rows, which may take long.
-func (s *Source) askWhole(ctx context.Context, peer netip.AddrPort) (follow.Batch, error) {
+func (s *Source) askWhole(ctx context.Context, peer netip.AddrPort, atLeast int64) (follow.Batch, error) {
 	c, err := s.board.call(ctx, peer)
 	if err != nil {
 		return follow.Batch{}, err
@@ -289,7 +289,7 @@
 	if err != nil {
 		return follow.Batch{}, err
 	}
-	if has.Version < s.version {
+	if has.Version < atLeast {
 		return follow.Batch{}, errNoNews
 	}
 	news, err := c.ask(context.WithoutCancel(ctx), wholeMethod, question, wholeTime)
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -152,8 +152,12 @@
 	return nil
 }
 
+// wholeAnswers is how many answers' time a whole read may take: a long table comes in
+// pages of some hundred rows, each an answer of its own.
+const wholeAnswers = 4
+
 func (f *Follower) readWhole(ctx context.Context, asked clock.Millis) error {
-	ctx, cancel := context.WithTimeout(ctx, f.options.Answer.Duration())
+	ctx, cancel := context.WithTimeout(ctx, wholeAnswers*f.options.Answer.Duration())
 	defer cancel()
 	batch, err := f.source.Whole(ctx)
 	if err != nil {
--- a/pkg/follow/follower_test.go
+++ b/pkg/follow/follower_test.go
@@ -95,6 +95,42 @@
 	})
 }
 
+// TestALongTableOfASlowStoreIsRead has the whole table take longer than one answer may, as
+// pages of a long table do where the store is slow.
+func TestALongTableOfASlowStoreIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{
+			whole: func() (follow.Batch, error) {
+				time.Sleep(1500 * time.Millisecond)
+				return follow.Batch{Version: 1}, nil
+			},
+			changes: func(after int64, wait clock.Millis) (follow.Batch, error) {
+				time.Sleep(wait.Duration())
+				return follow.Batch{Version: after}, nil
+			},
+		}
+		heeding := heedingSource{s}
+		h := &handler{}
+		ctx, stop := context.WithTimeout(context.Background(), 4*time.Second)
+		defer stop()
+		follow.NewFollower(commontest.New(network.NewMemory(nil)), heeding, h, options).Run(ctx)
+		if h.wholes != 1 || h.lost > 0 {
+			t.Errorf("read %d times, lost %d times", h.wholes, h.lost)
+		}
+	})
+}
+
+// heedingSource gives up when its caller's time is over, as a call to the store does.
+type heedingSource struct{ *source }
+
+func (s heedingSource) Whole(ctx context.Context) (follow.Batch, error) {
+	batch, err := s.source.Whole(ctx)
+	if ctx.Err() != nil {
+		return follow.Batch{}, ctx.Err()
+	}
+	return batch, err
+}
+
 func TestAnOutageIsToldAndEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
