Take out the order of returns; one line for a first list

Cause: callers of an account far beyond its allowance are told to come back in 30 ms, the time to its next unit.

--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -144,8 +144,12 @@
 	m.aliveUntil = stale
 	m.changed()
 	m.list = make(map[ids.Process]*member, len(rows))
+	starting := len(before) == 0
 	for _, row := range rows {
-		m.put(row, before[ids.Process(row.Key)])
+		m.put(row, before[ids.Process(row.Key)], !starting)
+	}
+	if starting { // one line for all: at a start of all each entry would write one for each
+		m.Log.WithField("entries", len(m.list)).Info("first list of entries")
 	}
 	m.listed = m.listedRight()
 	m.readOnce.Do(func() { close(m.ready) })
@@ -176,12 +180,13 @@
 			m.Log.WithField("entry", row.Key).Info("entry no longer listed")
 			continue
 		}
-		m.put(row, m.list[name])
+		m.put(row, m.list[name], true)
 	}
 	m.listed = m.listedRight()
 }
 
-func (m *Members) put(row follow.Row, before *member) {
+// put takes a row; log says whether to write a line about it.
+func (m *Members) put(row follow.Row, before *member, log bool) {
 	var listing Listing
 	err := json.Unmarshal(row.Value, &listing)
 	var address netip.AddrPort
@@ -196,7 +201,9 @@
 		m.list[before.name] = before
 		return
 	}
-	m.Log.WithField("entry", row.Key).Info("entry listed")
+	if log {
+		m.Log.WithField("entry", row.Key).Info("entry listed")
+	}
 	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now()}
 }
 
--- a/pkg/metering/booking.go
+++ b/pkg/metering/booking.go
@@ -28,15 +28,13 @@
 	m.reports.set(account.Name, from, report{had: c.Had, at: now})
 	over := m.reports.sum(now, account.Name, m.window()) - account.PerSecond*window - account.Burst - homePart*margin
 	if over >= 0 {
-		wait := clock.Millis(math.Ceil((over + c.Units/2) / widened.PerSecond * float64(clock.Second)))
-		return false, m.backlog.Queue(now, account, c.Units, wait, m.window())
+		return false, clock.Millis(math.Ceil((over + c.Units/2) / widened.PerSecond * float64(clock.Second)))
 	}
 	taken, wait := m.books.TakeAbove(now, &widened, m.members.Backing(), c.Units, c.Keep)
-	if !taken {
-		return false, m.backlog.Queue(now, account, c.Units, wait, m.window())
+	if taken {
+		m.reports.set(account.Name, from, report{had: c.Had + c.Units, at: now})
 	}
-	m.reports.set(account.Name, from, report{had: c.Had + c.Units, at: now})
-	return true, 0
+	return taken, wait
 }
 
 // remembered is how many answers a home keeps, so that a claim that is sent
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -100,7 +100,6 @@
 	members *membership.Members
 	link    *packets.Link
 	books   *quota.Allowance // of the accounts whose home this entry is
-	backlog *quota.Backlog   // of those accounts
 	own     *quota.Allowance // spent while no home answers
 	had     *quota.Ledger    // what accounts had run at this entry
 	reports reports          // what they had run at others, as last told
@@ -117,7 +116,7 @@
 func New(c common.Common, bounds Bounds, v *view.View, members *membership.Members, link *packets.Link) *Meter {
 	m := &Meter{
 		Common: c, bounds: bounds, view: v, members: members, link: link,
-		own: quota.NewAllowance(), backlog: quota.NewBacklog(),
+		own: quota.NewAllowance(),
 		had: quota.NewLedger(), reports: reports{of: make(map[ids.Account]map[netip.AddrPort]report)},
 		number: c.Random.Fork().Uint64(),
 		asked:  make(map[uint64]chan reply), silent: make(map[netip.AddrPort]clock.Millis), given: make(map[uint64]reply),
@@ -200,7 +199,6 @@
 func (m *Meter) Forget(known func(ids.Account) bool) {
 	m.books.Forget(known)
 	m.own.Forget(known)
-	m.backlog.Forget(known)
 	m.had.Forget(known)
 	m.reports.forget(known)
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -30,6 +30,7 @@
 	changed func(*routing.Directory)
 
 	mu        sync.Mutex
+	starting  bool // the first list is being read
 	targets   map[ids.Target]*routing.Target
 	missing   map[ids.Target]clock.Millis // lapsed: until when they are kept
 	away      bool                        // the store could not be read
@@ -52,10 +53,17 @@
 	defer r.mu.Unlock()
 	now := r.contact(proof)
 	present := make(map[ids.Target]bool, len(rows))
+	// The first list is one line: at a start of all each entry would write one for each
+	// target, and its callers wait for that.
+	r.starting = len(r.targets) == 0
 	for _, row := range rows {
 		present[ids.Target(row.Key)] = true
 		r.put(row)
 	}
+	if r.starting {
+		r.Log.WithField("targets", len(r.targets)).Info("first list of targets")
+		r.starting = false
+	}
 	for id := range r.targets {
 		if !present[id] {
 			r.drop(now, id)
@@ -108,7 +116,7 @@
 		return
 	}
 	before := r.targets[target.ID]
-	if before == nil || before.Leaving != target.Leaving {
+	if !r.starting && (before == nil || before.Leaving != target.Leaving) {
 		r.Log.WithField("target", string(target.ID)).WithField("leaving", target.Leaving).Info("target listed")
 	}
 	r.targets[target.ID] = target
