--- a/pkg/bulletin/peers.go
+++ b/pkg/bulletin/peers.go
@@ -37,6 +37,8 @@
 	// mostAskers is how many peers are answered at once: who is sent away asks another
 	// one, which may know by then.
 	mostAskers = 16
+	// acceptPause is after an accept that failed, as when descriptors are used up.
+	acceptPause = 300 * clock.Millisecond
 	// roundPause is between two rounds.
 	roundPause = 30 * clock.Millisecond
 )
@@ -108,7 +110,7 @@
 			return
 		case err != nil:
 			b.Log.WithError(err).Warn("peer's connection not accepted")
-			clock.Pause(context.Background(), every)
+			clock.Pause(context.Background(), acceptPause)
 			continue
 		}
 		select {
--- /dev/null
+++ b/pkg/bulletin/whole.go
@@ -0,0 +1,118 @@
+package bulletin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/follow"
+)
+
+// Whole reads the table: as the reader from the store, else from another entry, if one
+// has it. An entry that follows the table has it already.
+func (s *Source) Whole(ctx context.Context) (follow.Batch, error) {
+	rank, _ := s.board.members.ReaderOrder(matter)
+	_, head := s.board.members.DomainHead(matter)
+	reads := rank == 0 || s.board.Ablation.Off(ablation.OneReader)
+	if !reads && !s.forgotten {
+		if batch, has := s.held(); has {
+			return batch, nil
+		}
+	}
+	if !reads && (rank >= readFirst && !head || s.forgotten) {
+		limited, cancel := context.WithTimeout(ctx, peersFirst.Duration())
+		a := s.wholeFromPeers(limited, s.version)
+		cancel()
+		if s.takeWhole(a) == nil {
+			return a.batch, nil
+		}
+	}
+	return s.wholeFromAnyone(ctx)
+}
+
+// peersToo is after what time without an answer of the store peers are asked for a whole
+// table besides: they may have it where the store is silent or slow, and it may be long.
+const peersToo = 300 * clock.Millisecond
+
+// wholeFromAnyone reads the table from the store, and from peers too if that takes long.
+func (s *Source) wholeFromAnyone(ctx context.Context) (follow.Batch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan fetched, 2)
+	storeFailed := make(chan struct{})
+	atLeast := s.version
+	go func() {
+		asked := s.board.Clock.Now()
+		batch, err := s.direct.Whole(ctx)
+		if err != nil {
+			close(storeFailed)
+		}
+		answers <- fetched{batch: batch, err: err, fromStore: true, asked: asked}
+	}()
+	go func() {
+		leaveTime(ctx, peersToo, storeFailed)
+		answers <- s.wholeFromPeers(ctx, atLeast)
+	}()
+	var failed error
+	for range cap(answers) {
+		a := <-answers
+		err := s.takeWhole(a)
+		if err == nil {
+			return a.batch, nil
+		}
+		failed = errors.Join(failed, err)
+	}
+	return follow.Batch{}, fmt.Errorf("reading for all: %w", failed)
+}
+
+// takeWhole notes what a question for the whole table came to.
+func (s *Source) takeWhole(a fetched) error {
+	if a.fromStore {
+		s.asked = a.asked
+		s.sound = a.err == nil
+		s.board.members.NoteStore(s.sound)
+	}
+	switch {
+	case a.err != nil:
+		return a.err
+	case a.fromStore:
+		s.board.whole(s.name, a.batch)
+	default:
+		s.board.Metrics.Links.Add("tables_from_peers", 1)
+		s.board.adopted(s.name, a.batch, a.asked-*a.batch.Age)
+	}
+	s.returned(a.batch)
+	return nil
+}
+
+// held returns the table as this entry holds it, if it does.
+func (s *Source) held() (follow.Batch, bool) {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	batch, has := s.board.table(s.name).replica.whole()
+	return batch, has && batch.Version >= s.version
+}
+
+// wholeFromPeers asks others for the table, in rounds until one has it, of some version at
+// the least.
+func (s *Source) wholeFromPeers(ctx context.Context, atLeast int64) fetched {
+	for round := 0; ; round++ {
+		failed := errNoPeer
+		for _, peer := range s.board.informed(s.name, round) {
+			asked := s.board.Clock.Now()
+			batch, err := s.askWhole(ctx, peer, atLeast)
+			if err == nil {
+				return fetched{batch: batch, asked: asked}
+			}
+			failed = fmt.Errorf("peer %s: %w", peer, err)
+			if ctx.Err() != nil {
+				return fetched{err: failed}
+			}
+		}
+		if clock.Pause(ctx, s.board.Random.Jitter(roundPause)); ctx.Err() != nil {
+			return fetched{err: failed}
+		}
+	}
+}
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -71,15 +71,21 @@
 		h.groups[service] = g
 		h.Log.WithField("service", string(service)).Info("planning for a service")
 	}
-	if g.directory != directory {
-		g.directory = directory
-		g.planner.SetTargets(now, directory.Serving(service))
-		h.adopt(g, service)
-	}
+	h.refresh(now, g, service, directory)
 	g.heard[from.String()] = now
 	return g
 }
 
+// refresh brings a planner up to the list of targets; the lock is held.
+func (h *Home) refresh(now clock.Millis, g *hosted, service ids.Service, directory *routing.Directory) {
+	if g.directory == directory {
+		return
+	}
+	g.directory = directory
+	g.planner.SetTargets(now, directory.Serving(service))
+	h.adopt(g, service)
+}
+
 // asked takes an ask and answers it, at once or later.
 func (h *Home) asked(from netip.AddrPort, a *ask) {
 	now := h.Clock.Now()
@@ -274,11 +280,7 @@
 				g.planner.Drop(now, entry)
 			}
 		}
-		if directory := h.view.Directory(); g.directory != directory {
-			g.directory = directory
-			g.planner.SetTargets(now, directory.Serving(service))
-			h.adopt(g, service)
-		}
+		h.refresh(now, g, service, h.view.Directory())
 		g.planner.Tick(now)
 		h.report(now, service, g)
 		decided = append(decided, g.planner.Decisions()...)
--- /dev/null
+++ b/pkg/loadmodel/events.go
@@ -0,0 +1,37 @@
+package loadmodel
+
+import (
+	"container/heap"
+
+	"quaydock/pkg/clock"
+)
+
+// event is something that happens at a moment.
+type event struct {
+	at     clock.Millis
+	number int // equal moments keep their order
+	do     func(now clock.Millis)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (p *play) at(moment clock.Millis, do func(now clock.Millis)) {
+	p.number++
+	heap.Push(&p.events, event{moment, p.number, do})
+}
--- a/pkg/loadmodel/play.go
+++ b/pkg/loadmodel/play.go
@@ -4,10 +4,8 @@
 	"cmp"
 	"container/heap"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
@@ -36,36 +34,6 @@
 	entry   = "10.0.0.1:7600"
 )
 
-// target is one that is played.
-type target struct {
-	*routing.Target
-	factor  float64
-	reading ids.Tokens
-	running map[planner.JobID]*caller
-	away    bool
-}
-
-// event is something that happens at a moment.
-type event struct {
-	at     clock.Millis
-	number int // equal moments keep their order
-	do     func(now clock.Millis)
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].number < e[j].number
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // play is one play of a load.
 type play struct {
 	load     *Load
@@ -105,22 +73,6 @@
 	}
 }
 
-func (p *play) at(moment clock.Millis, do func(now clock.Millis)) {
-	p.number++
-	heap.Push(&p.events, event{moment, p.number, do})
-}
-
-func (p *play) build() {
-	for _, group := range p.load.Targets {
-		for range group.Count {
-			id := ids.Target("t" + strconv.Itoa(len(p.targets)))
-			t := &target{Target: &routing.Target{ID: id, Service: service, Slots: group.Slots}, factor: group.Factor, running: make(map[planner.JobID]*caller)}
-			p.targets = append(p.targets, t)
-			p.byID[id] = t
-		}
-	}
-}
-
 // begin starts a planner that knows nothing but the targets.
 func (p *play) begin(now clock.Millis) {
 	p.planner = planner.New(rand.New(rand.NewPCG(p.load.Seed, 2)))
@@ -162,43 +114,6 @@
 	}
 }
 
-// drawAll draws the first tries of all kinds.
-func (p *play) drawAll() {
-	for i := range p.load.Kinds {
-		p.draw(&p.load.Kinds[i])
-	}
-}
-
-// draw draws the first tries of a kind, at random moments.
-func (p *play) draw(k *Kind) {
-	most := k.PerSecond
-	for _, b := range p.load.Bursts {
-		most *= max(1, b.Times)
-	}
-	if most <= 0 {
-		return
-	}
-	for at := 0.0; ; {
-		at += p.random.ExpFloat64() / most * float64(clock.Second)
-		moment := clock.Millis(at)
-		if moment >= p.load.Length {
-			return
-		}
-		if p.random.Float64()*most > k.PerSecond*p.load.times(moment, k.Name) {
-			continue
-		}
-		size := math.Exp(k.Spread * p.random.NormFloat64())
-		c := &caller{
-			kind: k, first: start + moment, size: size,
-			prompt: ids.Tokens(float64(k.Prompt) * size), events: max(1, int(float64(k.Events)*size)),
-		}
-		if k.Events == 0 {
-			c.events = 0
-		}
-		p.callers = append(p.callers, c)
-	}
-}
-
 // ask submits a caller's try.
 func (p *play) ask(now clock.Millis, c *caller) {
 	p.tries++
@@ -276,57 +191,6 @@
 	c.fate = refused
 }
 
-// run has a target work on a try: its prompt is read behind those that are read there.
-func (p *play) run(now clock.Millis, c *caller, t *target) {
-	delete(p.waiting, c.id)
-	if p.observer.Granted != nil {
-		p.observer.Granted(now, c.id, c.kind.Tier, now-c.asked)
-	}
-	c.granted, c.begun, c.target = now, 0, t
-	p.running[c.id] = c
-	t.running[c.id] = c
-	t.reading += c.prompt
-	const thousand = 1000
-	first := t.factor * (p.load.Speed.First + p.load.Speed.ThousandToken*float64(t.reading)/thousand)
-	id := c.id
-	p.at(now+clock.Millis(first), func(now clock.Millis) { p.first(now, c, id) })
-}
-
-func (p *play) first(now clock.Millis, c *caller, id planner.JobID) {
-	if c.id != id || p.running[id] == nil {
-		return
-	}
-	c.target.reading -= c.prompt
-	c.begun = now
-	p.planner.Begin(now, id, nil)
-	p.heed(now)
-	rest := c.target.factor * p.load.Speed.Event * float64(c.events)
-	p.at(now+clock.Millis(rest), func(now clock.Millis) { p.end(now, c, id) })
-}
-
-func (p *play) end(now clock.Millis, c *caller, id planner.JobID) {
-	if c.id != id || p.running[id] == nil {
-		return
-	}
-	c.fate = late
-	if c.begun <= c.first+c.kind.Objective {
-		c.fate = inTime
-	}
-	p.free(c)
-	p.planner.Finish(now, id, planner.Served, planner.Flow{Events: c.events})
-	p.heed(now)
-}
-
-// free takes a try off its target.
-func (p *play) free(c *caller) {
-	if c.begun == 0 {
-		c.target.reading -= c.prompt
-	}
-	delete(c.target.running, c.id)
-	delete(p.running, c.id)
-	c.target = nil
-}
-
 // inOrder lists tries as they were made, so that a seed repeats a play.
 func inOrder(tries map[planner.JobID]*caller) []planner.JobID {
 	ids := slices.Collect(maps.Keys(tries))
@@ -334,32 +198,6 @@
 	return ids
 }
 
-// strike takes targets away for a while.
-func (p *play) strike(now clock.Millis, o Outage) {
-	n := int(math.Ceil(o.Share * float64(len(p.targets))))
-	struck := slices.Clone(p.targets)
-	p.random.Shuffle(len(struck), func(i, j int) { struck[i], struck[j] = struck[j], struck[i] })
-	struck = struck[:n]
-	for _, t := range struck {
-		t.away = true
-		for _, id := range inOrder(t.running) {
-			c := t.running[id]
-			c.fate = lost
-			p.free(c)
-			p.planner.Finish(now, id, planner.Failed, planner.Flow{})
-		}
-	}
-	p.offer(now)
-	p.heed(now)
-	p.at(now+o.For, func(now clock.Millis) {
-		for _, t := range struck {
-			t.away = false
-		}
-		p.offer(now)
-		p.heed(now)
-	})
-}
-
 // restart has another planner begin, which is told what runs and asked for what waits.
 func (p *play) restart(now clock.Millis) {
 	p.begin(now)
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -176,17 +176,24 @@
 	}
 }
 
-// TestAReturnedJobWaitsButNotToItsEnd has a job come back to a target that ends nothing. It
-// is kept as long as it may be served before 0.45 of its time are gone, and told as soon as it
-// will not, not only when they are.
-func TestAReturnedJobWaitsButNotToItsEnd(t *testing.T) {
-	p := newPlanner(1)
-	now := measure(p, 10, 500)
+// returned is a planner with one place, which job 1 holds, and a job that has come back
+// and is not submitted yet.
+func returned() (p *planner.Planner, now clock.Millis, back planner.Job) {
+	p = newPlanner(1)
+	now = measure(p, 10, 500)
 	block := job(1, 0)
 	block.Arrived, block.Deadline = now, now+20*clock.Second
 	p.Submit(now, block)
-	back := job(2, 0)
+	back = job(2, 0)
 	back.Arrived, back.Deadline, back.Returned = now, now+10*clock.Second, true
+	return p, now, back
+}
+
+// TestAReturnedJobWaitsButNotToItsEnd has a job come back to a target that ends nothing. It
+// is kept as long as it may be served before 0.45 of its time are gone, and told as soon as it
+// will not, not only when they are.
+func TestAReturnedJobWaitsButNotToItsEnd(t *testing.T) {
+	p, now, back := returned()
 	for range 10 {
 		p.Submit(now, back)
 	}
@@ -214,13 +221,7 @@
 // TestAReturnedJobIsServedWhereItsTargetGoesOn is the same but for the target, which ends
 // what it runs after 2.2 s: the job is still there.
 func TestAReturnedJobIsServedWhereItsTargetGoesOn(t *testing.T) {
-	p := newPlanner(1)
-	now := measure(p, 10, 500)
-	block := job(1, 0)
-	block.Arrived, block.Deadline = now, now+20*clock.Second
-	p.Submit(now, block)
-	back := job(2, 0)
-	back.Arrived, back.Deadline, back.Returned = now, now+10*clock.Second, true
+	p, now, back := returned()
 	p.Submit(now, back)
 	p.Decisions()
 	for at := now; at < now+2200; at += 50 {
@@ -230,7 +231,7 @@
 			t.Fatalf("refused after %d ms", at-now)
 		}
 	}
-	p.Finish(now+2200, block.ID, planner.Served, planner.Flow{})
+	p.Finish(now+2200, job(1, 0).ID, planner.Served, planner.Flow{})
 	if got := granted(p.Decisions()); !slices.Equal(got, []uint64{2}) {
 		t.Errorf("granted %v", got)
 	}
