--- a/pkg/bulletin/peers.go
+++ b/pkg/bulletin/peers.go
@@ -215,24 +215,24 @@
 	return peers
 }
 
-// caller is a connection to a peer for one or two questions.
-type caller struct {
+// peerConn is a connection to a peer for one or two questions.
+type peerConn struct {
 	client *rpc.Client
 }
 
-func (b *Board) call(ctx context.Context, peer netip.AddrPort) (*caller, error) {
+func (b *Board) dial(ctx context.Context, peer netip.AddrPort) (*peerConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTime.Duration())
 	defer cancel()
 	conn, err := b.Network.Dial(ctx, peer.String())
 	if err != nil {
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
-	return &caller{rpc.NewClient(network.LimitWrites(conn, peerTime))}, nil
+	return &peerConn{rpc.NewClient(network.LimitWrites(conn, peerTime))}, nil
 }
 
-func (c *caller) close() { _ = c.client.Close() }
+func (c *peerConn) close() { _ = c.client.Close() }
 
-func (c *caller) ask(ctx context.Context, method string, question Question, within clock.Millis) (*News, error) {
+func (c *peerConn) ask(ctx context.Context, method string, question Question, within clock.Millis) (*News, error) {
 	ctx, cancel := context.WithTimeout(ctx, within.Duration())
 	defer cancel()
 	news := &News{}
@@ -263,7 +263,7 @@
 
 // askChanges asks a peer for the changes after a version.
 func (s *Source) askChanges(ctx context.Context, peer netip.AddrPort, after int64) (follow.Batch, error) {
-	c, err := s.board.call(ctx, peer)
+	c, err := s.board.dial(ctx, peer)
 	if err != nil {
 		return follow.Batch{}, err
 	}
@@ -281,7 +281,7 @@
 // askWhole asks a peer for the whole table: first whether it has it, which is told at
 // once, then for the rows, which may take long.
 func (s *Source) askWhole(ctx context.Context, peer netip.AddrPort, atLeast int64) (follow.Batch, error) {
-	c, err := s.board.call(ctx, peer)
+	c, err := s.board.dial(ctx, peer)
 	if err != nil {
 		return follow.Batch{}, err
 	}
