One check of what was read of late; no lease worked out where nobody uses it

Cause, found in reading the whole change: the same condition stood in tells and in inquire; ReachesStore had become dead when what was missed went to peers first; each greeting sorted all entries for a lease that only counts where the bound on keys is not strict.

--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -139,8 +139,12 @@
 // tells reports whether this entry tells the others how a table stands: as the reader,
 // or with news of its own while there are no others to rely on.
 func (t *table) tells(now clock.Millis, reads bool) bool {
-	own := t.readAt > 0 && now-t.readAt <= oldAfter
-	return t.replica.known && t.readAt > 0 && (reads || own && t.quiet(now) > 0)
+	return t.replica.known && t.readAt > 0 && (reads || t.readLately(now) && t.quiet(now) > 0)
+}
+
+// readLately reports whether the store has answered this entry itself of late.
+func (t *table) readLately(now clock.Millis) bool {
+	return t.readAt > 0 && now-t.readAt <= oldAfter
 }
 
 func (b *Board) tellAll() {
--- a/pkg/bulletin/inquiry.go
+++ b/pkg/bulletin/inquiry.go
@@ -32,8 +32,7 @@
 	var question inquiry
 	b.mu.Lock()
 	for name, t := range b.tables {
-		own := t.readAt > 0 && now-t.readAt <= oldAfter
-		if t.replica.known && !own && t.quiet(now) > 0 {
+		if t.replica.known && !t.readLately(now) && t.quiet(now) > 0 {
 			question.Tables = append(question.Tables, standing{Table: name, StoreTime: max(t.replica.storeTime, t.heard.StoreTime)})
 		}
 	}
--- a/pkg/membership/assurance.go
+++ b/pkg/membership/assurance.go
@@ -40,13 +40,16 @@
 	until clock.Millis
 }
 
-// echoed notes which of this entry's greetings another has heard; the lock is held.
+// echoed notes which of this entry's greetings another has heard; the lock is held. Where
+// nobody goes on by a lease, it need not be worked out at each greeting.
 func (m *Members) echoed(now clock.Millis, other *member, heard stamp) {
 	if heard.Run != m.assurance.run || heard.Sent <= other.heardUs {
 		return
 	}
 	other.heardUs = heard.Sent
-	m.renew(now)
+	if m.trust > 0 {
+		m.renew(now)
+	}
 }
 
 // renew extends the lease as far as the others have heard this entry; the lock is
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -162,14 +162,6 @@
 	}
 }
 
-// ReachesStore reports whether this entry's last question to the store was
-// answered, as far as is known.
-func (m *Members) ReachesStore() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.Clock.Now() >= m.noStoreUntil
-}
-
 // Reader is Home for a matter that needs the store: entries that do not reach it
 // are passed over, unless none does.
 func (m *Members) Reader(matter string) (netip.AddrPort, bool) {
