Leave a reader whose news are old sooner, and let a stand-in's question have its own time

Their news counted as old after 1.8 s, stand-ins wait 250 ms more each, and their first question had only what listening had left of its time, was cut short by that and told that the store does not answer. Test that failed before: silence to the reader right before a change, five moments of its question, 4 and 30 entries: 1.934 and 2 s, bound 1.8; now held.

--- a/pkg/bulletin/bed_test.go
+++ b/pkg/bulletin/bed_test.go
@@ -33,6 +33,7 @@
 	calls   int
 	away    map[int]bool
 	silent  map[int]bool // their questions get no answer
+	cut     map[int]bool // nor do those that are held
 }
 
 var errAway = errors.New("turned away")
@@ -99,6 +100,13 @@
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
 	for {
+		c.mu.Lock()
+		cut := c.cut[c.entry]
+		c.mu.Unlock()
+		if cut {
+			<-ctx.Done()
+			return follow.Batch{}, ctx.Err()
+		}
 		b, changed := c.since(after)
 		if len(b.Rows) > 0 {
 			return b, nil
@@ -180,6 +188,13 @@
 	b.store.silent[entry] = true
 }
 
+// cutHeld has the question that the store holds for an entry stay without an answer.
+func (b *bed) cutHeld(entry int) {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.store.cut[entry] = true
+}
+
 // loseAtRandom cuts or mends the way of datagrams from one entry to another.
 func (b *bed) loseAtRandom(from, to, draw int) {
 	b.mu.Lock()
@@ -239,7 +254,7 @@
 	faults := network.NewFaults()
 	b := &bed{
 		Common: commontest.New(network.NewMemory(faults.Wrap)), net: packets.NewMemory(), faults: faults,
-		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool), silent: make(map[int]bool)},
+		store: &store{began: time.Now(), version: 10, changed: make(chan struct{}), away: make(map[int]bool), silent: make(map[int]bool), cut: make(map[int]bool)},
 		lost:  make(map[[2]netip.AddrPort]bool), contexts: make(map[int]context.Context),
 	}
 	for i := range entries {
--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -28,7 +28,7 @@
 	ReaderWait = 1000 * clock.Millisecond
 	// oldAfter is from what age on the reader's news are not relied on: it has
 	// lost the store, which others may still reach.
-	oldAfter = ReaderWait + 800*clock.Millisecond
+	oldAfter = ReaderWait + 300*clock.Millisecond
 	// repeatFor is for how long a change is repeated with each message.
 	repeatFor = 700 * clock.Millisecond
 	// maxRows bounds the bytes of changes in one message. Larger changes are
--- a/pkg/bulletin/size_test.go
+++ b/pkg/bulletin/size_test.go
@@ -179,3 +179,28 @@
 		}
 	})
 }
+
+// TestAReaderThatTheStoreFallsSilentTo has the store answer all but the reader, without a
+// word, right before a change: the others have it within two seconds, the shortest bound on
+// configurations, whenever in the reader's question it happens.
+func TestAReaderThatTheStoreFallsSilentTo(t *testing.T) {
+	for _, n := range []int{4, 30} {
+		for at := range 5 {
+			t.Run(fmt.Sprint(n, " entries, ", at), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newBedOf(t, n)
+					time.Sleep(time.Duration(5000+200*at) * time.Millisecond)
+					reader := b.reader()
+					b.silence(reader)
+					b.cutHeld(reader)
+					began := time.Now()
+					b.store.put("change", "v")
+					time.Sleep(5 * time.Second)
+					if took := b.slowest("change", began, func(i int) bool { return i != reader }); took > 1800*time.Millisecond {
+						t.Errorf("took %v", took)
+					}
+				})
+			})
+		}
+	}
+}
--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -94,7 +94,9 @@
 // ask asks the store, which may hold the question if it answered the last one.
 func (s *Source) ask(ctx context.Context, after int64, wait clock.Millis) (follow.Batch, error) {
 	if !s.sound {
-		limited, cancel := context.WithTimeout(ctx, quickAnswer.Duration())
+		// It has its own time: that of ctx may have gone by listening, and a question cut
+		// short by it would say that the store does not answer.
+		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), quickAnswer.Duration())
 		defer cancel()
 		ctx, wait = limited, 0
 	}
