Tell of reads that fail before the first one, and whether the list of entries was read

Cause: logs and figures could not tell why four entries did not know one another. A failed read was logged only where one had succeeded before, and entries_listed is 1 both where one row was read and where none was. Change: an outage of a table takes one line when it begins, which says whether anything is known, and one when it ends; one line where the other tables are read without the list of entries; the figure entries_list_read. Nothing else behaves differently. TestAnOutageIsLoggedOnce holds the lines to one an outage, however often the store is asked.

--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -30,6 +30,12 @@
 		return 0
 	})
 	f.Gauge("entries_listed", func() float64 { return float64(p.members.Entries()) })
+	f.Gauge("entries_list_read", func() float64 {
+		if p.members.Known() {
+			return 1
+		}
+		return 0
+	})
 	f.Gauge("entries_backing", p.members.Backing)
 	f.Gauge("requests_running", func() float64 { return float64(p.controller.Running()) })
 	f.Gauge("planner_waiting", func() float64 { waiting, _ := p.dispatcher.Planned(); return float64(waiting) })
--- a/pkg/app/entry_follow.go
+++ b/pkg/app/entry_follow.go
@@ -27,6 +27,7 @@
 	select {
 	case <-p.members.Ready():
 	case <-time.After(membersFirst.Duration()):
+		p.Log.Warn("list of entries not read yet; reading the other tables without it")
 	case <-ctx.Done():
 		return
 	}
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -106,7 +106,9 @@
 	lagKnown bool
 	// lagRelayed says that it is a lower bound that another process's answer gave.
 	lagRelayed bool
-	connected  bool
+	// lostAt is when the table could not be read for the first time since it could, 0 while
+	// it can: an outage takes one line at its beginning and one at its end.
+	lostAt clock.Millis
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -127,21 +129,40 @@
 	switch {
 	case err == nil:
 		backoff.Reset()
-		f.connected = true
+		f.regained()
 	case ctx.Err() != nil:
 	case errors.Is(err, ErrForgotten):
 		f.known = false
 		f.Log.WithError(err).Warn("reading the whole table")
 	default:
-		if f.connected {
-			f.Log.WithError(err).Warn("store not read; going on with what is known")
-		}
-		f.connected = false
+		f.lost(err)
 		f.handler.Lost(err)
 		backoff.Pause(ctx)
 	}
 }
 
+// lost notes an outage, also one that was there before the first read: what a process does not
+// know then decides what it refuses.
+func (f *Follower) lost(err error) {
+	if f.lostAt > 0 {
+		return
+	}
+	f.lostAt = f.Clock.Now()
+	if f.wholeAt == 0 {
+		f.Log.WithError(err).Warn("store not read; nothing is known of the table yet")
+		return
+	}
+	f.Log.WithError(err).Warn("store not read; going on with what is known")
+}
+
+func (f *Follower) regained() {
+	if f.lostAt == 0 {
+		return
+	}
+	f.Log.WithField("after_ms", int64(f.Clock.Now()-f.lostAt)).Info("store read again")
+	f.lostAt = 0
+}
+
 func (f *Follower) read(ctx context.Context) error {
 	asked := f.Clock.Now()
 	if !f.known || f.options.Reread > 0 && asked-f.wholeAt >= f.options.Reread {
--- a/pkg/follow/follower_test.go
+++ b/pkg/follow/follower_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/follow"
@@ -185,3 +189,44 @@
 		}
 	})
 }
+
+// TestAnOutageIsLoggedOnce has the store away before the first read and once more later: each
+// outage takes one line when it begins, which tells whether anything is known, and one when it
+// ends.
+func TestAnOutageIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		away := func() bool {
+			const first, from, to = time.Second, 3 * time.Second, 5 * time.Second
+			age := time.Since(began)
+			return age < first || age >= from && age < to
+		}
+		answer := func() (follow.Batch, error) {
+			if away() {
+				return follow.Batch{}, errors.New("down")
+			}
+			time.Sleep(100 * time.Millisecond)
+			return follow.Batch{Version: 1}, nil
+		}
+		s := &source{whole: answer, changes: func(int64, clock.Millis) (follow.Batch, error) { return answer() }}
+		c := commontest.New(network.NewMemory(nil))
+		logger, lines := logtest.NewNullLogger()
+		c.Log = logrus.NewEntry(logger)
+		ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+		defer stop()
+		follow.NewFollower(c, s, &handler{}, options).Run(ctx)
+		want := []string{
+			"store not read; nothing is known of the table yet",
+			"store read again",
+			"store not read; going on with what is known",
+			"store read again",
+		}
+		var got []string
+		for _, line := range lines.AllEntries() {
+			got = append(got, line.Message)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("logged %q, want %q", got, want)
+		}
+	})
+}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -163,6 +163,16 @@
 // Ready is closed when the list was first read.
 func (m *Members) Ready() <-chan struct{} { return m.ready }
 
+// Known reports whether the list was ever read.
+func (m *Members) Known() bool {
+	select {
+	case <-m.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // listedRight reports whether this entry's row is there and says what it should.
 func (m *Members) listedRight() bool {
 	own := m.list[m.self]
