Give out nothing of what all entries share before the list of entries is known

Cause: Entries and Backing took "no list was read" for "alone". Each of four entries that started beside a store that was away divided by one. Change: an entry has a part only once it has read a list on which it stands (Members.has). Share replaces 1/Entries() where something is spent by it; Backing is 0 and Assured false without a part; Entries says whether the number is known. Uses looked at, each of the same class: - metering: books of a home (Backing), the share spent while no home answers: refused with a time to come back; a home without a part leaves claims unanswered, as one without configuration does. - quota.RetryBudget: the slack was given whole to each; now none, the part in proportion to an entry's own requests stays. - rollout credit: each took itself for the first of one, and got up to 5 requests; now none. - dispatch home_trials: Backing 0 takes no step of a roll-out. - Assured: "nobody can take it off" held for an entry that was not on any list. - bulletin resortSpan, the door of an entry that stops: only spread calls, or keep a door open for longer where few are known to stay; left as they are. Own row, not only the list: on a first start the table is empty, each read "0 entries" and was alone until it heard of the others; one whose row was taken off has no part till it is back. Refused callers get 503 with Retry-After and the cause Unlisted; accounts without a limit and routes without keys are served on. Ruled out as the only measure: waiting for the list before configuration and targets are followed; it refuses what nothing bounds too (see docs/design/0007). Tests changed: Repeat takes a share in place of a number, Entries returns two values; TestOneTakenOffByMistakeComesBack now also asks that an entry without a row has no part.

--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -29,7 +29,10 @@
 		}
 		return 0
 	})
-	f.Gauge("entries_listed", func() float64 { return float64(p.members.Entries()) })
+	f.Gauge("entries_listed", func() float64 {
+		entries, _ := p.members.Entries()
+		return float64(entries)
+	})
 	f.Gauge("entries_list_read", func() float64 {
 		if p.members.Known() {
 			return 1
--- a/pkg/bulletin/listen.go
+++ b/pkg/bulletin/listen.go
@@ -54,7 +54,7 @@
 
 // turn gathers what this entry decides by whether to ask the store itself.
 func (s *Source) turn(silence, unproven clock.Millis) turn {
-	entries := s.board.members.Entries()
+	entries, _ := s.board.members.Entries()
 	if s.resort == 0 {
 		s.resort = lastResort + s.board.Random.Within(resortSpan(entries))
 	}
--- a/pkg/dispatch/trials.go
+++ b/pkg/dispatch/trials.go
@@ -64,16 +64,22 @@
 		return false
 	}
 	if t.exposure.Placed(service) != order.Placed {
-		credit := 0
-		if t.rollouts.Book.Witnessed(order) {
-			_, nth := t.members.ReaderOrder(rolloutMatter(service))
-			credit = rollout.Credit(t.rollouts.Bounds(), nth, t.members.Entries())
-		}
-		t.exposure.Begin(order, credit)
+		t.exposure.Begin(order, t.credit(order))
 	}
 	return record.State == rollout.Running
 }
 
+// credit is this entry's part of the slack. One that does not know the others would take itself
+// for the first of all, as each of them would.
+func (t *trials) credit(order rollout.Order) int {
+	entries, known := t.members.Entries()
+	if !known || !t.rollouts.Book.Witnessed(order) {
+		return 0
+	}
+	_, nth := t.members.ReaderOrder(rolloutMatter(order.Service))
+	return rollout.Credit(t.rollouts.Bounds(), nth, entries)
+}
+
 // fresh reports whether this entry would have heard of a verdict.
 func (t *trials) fresh() bool {
 	return t.rollouts.Book.Age(t.Clock.Now()) <= t.rollouts.Bounds().Trust()
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -50,8 +50,8 @@
 
 // Entries tells of all entries together.
 type Entries interface {
-	// Entries is how many there are.
-	Entries() int
+	// Share is this one's part of what all may spend together, 0 while it is not known.
+	Share() float64
 	// Assured reports whether this entry has counted as one of them ever since a
 	// moment, and nobody can share out its part before it is told.
 	Assured(since clock.Millis) bool
@@ -143,13 +143,22 @@
 		}
 		taken, wait := a.meter.Take(r.Context(), q.account, units, keep)
 		if !taken {
-			return q, &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
+			return q, a.notTaken(wait)
 		}
 		q.takenAt = a.Clock.Now()
 	}
 	return q, nil
 }
 
+// notTaken refuses a request whose account may not run it now. Where this entry has no part of
+// the allowance yet that says nothing of the account.
+func (a *admission) notTaken(wait clock.Millis) *Refusal {
+	if a.entries.Share() <= 0 {
+		return notRun(CauseUnlisted, wait)
+	}
+	return &Refusal{Status: http.StatusTooManyRequests, Cause: CauseOverQuota, RetryAfter: wait}
+}
+
 const (
 	// keepMost is the part of an account's burst that its lowest tiers leave to
 	// its highest while the account asks for more than it may have run. Measured
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -68,8 +68,16 @@
 	return !f[a.Name], 1500
 }
 func (freely) Return(*routing.Account, float64, clock.Millis) {}
-func (freely) Entries() int                                   { return 1 }
-func (f freely) Assured(clock.Millis) bool                    { return f[assuredAlways] }
+func (f freely) Share() float64 {
+	if f[shareless] {
+		return 0
+	}
+	return 1
+}
+func (f freely) Assured(clock.Millis) bool { return f[assuredAlways] }
+
+// shareless stands among the accounts for an entry without a part of what all may spend.
+const shareless ids.Account = "shareless"
 
 // assuredAlways stands among the accounts for an entry that the others hear.
 const assuredAlways ids.Account = "assured always"
--- a/pkg/ingress/cause_string.go
+++ b/pkg/ingress/cause_string.go
@@ -16,18 +16,19 @@
 	_ = x[CauseTooLarge-5]
 	_ = x[CauseBadBody-6]
 	_ = x[CauseOverQuota-7]
-	_ = x[CauseOverloaded-8]
-	_ = x[CauseNoTarget-9]
-	_ = x[CauseDeclined-10]
-	_ = x[CauseDeadline-11]
-	_ = x[CauseLost-12]
-	_ = x[CauseLeft-13]
-	_ = x[CauseLeaving-14]
+	_ = x[CauseUnlisted-8]
+	_ = x[CauseOverloaded-9]
+	_ = x[CauseNoTarget-10]
+	_ = x[CauseDeclined-11]
+	_ = x[CauseDeadline-12]
+	_ = x[CauseLost-13]
+	_ = x[CauseLeft-14]
+	_ = x[CauseLeaving-15]
 }
 
-const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaOverloadedNoTargetDeclinedDeadlineLostLeftLeaving"
+const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeaving"
 
-var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 72, 80, 88, 96, 100, 104, 111}
+var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// TestAnEntryWithoutAPartRefusesTruly has an entry that has no part of what all may spend:
+// it tells callers of accounts with a limit that it has not run their requests and when to
+// come back, and serves the others.
+func TestAnEntryWithoutAPartRefusesTruly(t *testing.T) {
+	scenarios := []struct {
+		name, path, key string
+		status          int
+	}{
+		{"an account with a limit", "/unsafe/a", "fullkey", http.StatusServiceUnavailable},
+		{"no key is needed there", "/open/a", "", http.StatusOK},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{"full": true, shareless: true}, says(200, "", "yes"))
+				got := b.call(context.Background(), s.path, map[string]string{"Key": s.key})
+				if got.status != s.status || !got.whole {
+					t.Errorf("status %d, whole %t", got.status, got.whole)
+				}
+				refused := s.status != http.StatusOK
+				if (got.header.Get("Retry-After") != "") != refused {
+					t.Errorf("Retry-After %q", got.header.Get("Retry-After"))
+				}
+				if refused && len(b.arrived()) > 0 {
+					t.Error("it reached a target")
+				}
+			})
+		})
+	}
+}
+
 func TestTimeIsKept(t *testing.T) {
 	scenarios := []struct {
 		name   string
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -182,7 +182,7 @@
 	if q.sends >= maxSends || q.deadline-now < minLeft || d.Ablation.Off(ablation.Retries) {
 		return false
 	}
-	return d.untried(q) && d.retries.Repeat(now, q.service, d.entries.Entries())
+	return d.untried(q) && d.retries.Repeat(now, q.service, d.entries.Share())
 }
 
 // untried reports whether there is a target that the request was not sent to.
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -22,6 +22,7 @@
 	CauseTooLarge
 	CauseBadBody
 	CauseOverQuota
+	CauseUnlisted
 	CauseOverloaded
 	CauseNoTarget
 	CauseDeclined
--- a/pkg/membership/assurance.go
+++ b/pkg/membership/assurance.go
@@ -81,6 +81,9 @@
 func (m *Members) Assured(since clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.has() {
+		return false // it may have been taken off already, or not be there yet
+	}
 	if m.entries() == 1 {
 		return true // there is nobody to take it off
 	}
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -206,10 +206,14 @@
 // Backing is the part of all listed entries that surely takes this one for the
 // home wherever it takes itself for it: those heard lately with the same idea
 // of who is alive. A home gives out no more than this part of an allowance, so
-// that two homes on two sides of a cut never give out more than the whole.
+// that two homes on two sides of a cut never give out more than the whole. It is 0 where this
+// entry has no part.
 func (m *Members) Backing() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.has() {
+		return 0
+	}
 	now := m.Clock.Now()
 	m.refresh(now)
 	count := 1
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -125,13 +125,31 @@
 	m.trust = trust
 }
 
-// Entries is how many entries may be serving.
-func (m *Members) Entries() int {
+// Entries is how many entries may be serving, and whether that is known.
+func (m *Members) Entries() (count int, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.entries()
+	return m.entries(), m.has()
 }
 
+// Share is this entry's part of what all may spend together without asking one another.
+func (m *Members) Share() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.has() {
+		return 0
+	}
+	return 1 / float64(m.entries())
+}
+
+// has reports whether this entry has a part of what all may spend: it has read a list on which
+// it stands itself. Before that it does not know among how many to divide, nor do the others
+// count it. Four that took themselves for the only one, as when all start beside a store that
+// is away, gave out 1.7 times the bound of an account in a window, played in virtual time.
+// The lock is held.
+func (m *Members) has() bool { return m.list[m.self] != nil }
+
+// entries counts the list and this entry, also where it does not stand on it.
 func (m *Members) entries() int {
 	n := len(m.list)
 	if m.list[m.self] == nil {
--- a/pkg/membership/members_test.go
+++ b/pkg/membership/members_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/follow"
@@ -95,9 +96,15 @@
 
 // run starts one entry, in place of any earlier run of it.
 func (b *bed) run(i int) *membership.Members {
+	m := b.build(i)
+	m.Whole(b.listed, follow.Proof{})
+	return m
+}
+
+// build starts one entry that has not read the list.
+func (b *bed) build(i int) *membership.Members {
 	link := packets.NewLink(b.Common, b.net.Socket(address(i)))
 	m := membership.New(b.Common, membership.Self{Name: ids.Process(fmt.Sprintf("entry-%03d", i)), Address: address(i), Weight: b.weights[i]}, b.rows, link)
-	m.Whole(b.listed, follow.Proof{})
 	go link.Run(b.ctx)
 	go m.Run(b.ctx)
 	return m
@@ -329,12 +336,57 @@
 		if after, _ := b.rows.count("entry-001"); after <= before {
 			t.Error("its row was not written again")
 		}
-		if n := b.members[1].Entries(); n != 2 {
-			t.Errorf("%d entries", n)
+		if n, known := b.members[1].Entries(); n != 2 || known {
+			t.Errorf("%d entries, known %t", n, known)
+		}
+		if share, backing := b.members[1].Share(), b.members[1].Backing(); share != 0 || backing != 0 {
+			t.Errorf("share %g and backing %g without a row: the others may have shared them out", share, backing)
 		}
 	})
 }
 
+// TestOnlyAListedEntryHasAPart has an entry start that is cut off from the others, with and
+// without the list, and with a list on which it does not stand.
+func TestOnlyAListedEntryHasAPart(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		read    []int // which entries stand on the list that it has read; nil if it has read none
+		share   float64
+		backing float64
+	}{
+		{"no list was read", nil, 0, 0},
+		{"an empty list", []int{}, 0, 0},
+		{"the others alone", []int{1, 2, 3}, 0, 0},
+		{"all", []int{0, 1, 2, 3}, 0.25, 0.25},
+		{"itself alone", []int{0}, 1, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := prepare(t, equal(4)...)
+				m := b.build(0)
+				m.SetTrust(trust)
+				if s.read != nil {
+					var listed []follow.Row
+					for _, i := range s.read {
+						listed = append(listed, b.listed[i])
+					}
+					m.Whole(listed, follow.Proof{})
+				}
+				// Long enough for a lease to begin that nobody gives.
+				time.Sleep(20 * time.Second)
+				if m.Share() != s.share || m.Backing() != s.backing {
+					t.Errorf("share %g and backing %g, want %g and %g", m.Share(), m.Backing(), s.share, s.backing)
+				}
+				alone := s.share == 1
+				if got := m.Assured(b.Clock.Now() - clock.Second); got != alone {
+					t.Errorf("assured %t, want %t", got, alone)
+				}
+			})
+		})
+	}
+}
+
 func TestAmongManyADoubtedHomeIsLeftAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := start(t, equal(80)...)
--- a/pkg/metering/booking.go
+++ b/pkg/metering/booking.go
@@ -30,7 +30,11 @@
 	if over >= 0 {
 		return false, clock.Millis(math.Ceil((over + c.Units/2) / widened.PerSecond * float64(clock.Second)))
 	}
-	taken, wait := m.books.TakeAbove(now, &widened, m.members.Backing(), c.Units, c.Keep)
+	backing := m.members.Backing()
+	if backing <= 0 {
+		return false, unlistedWait
+	}
+	taken, wait := m.books.TakeAbove(now, &widened, backing, c.Units, c.Keep)
 	if taken {
 		m.reports.set(account.Name, from, report{had: c.Had + c.Units, at: now})
 	}
@@ -43,7 +47,7 @@
 
 func (m *Meter) claimed(from netip.AddrPort, message *claim) {
 	catalog := m.view.Catalog()
-	if catalog == nil {
+	if catalog == nil || m.members.Backing() <= 0 {
 		return // the asker spends its own share meanwhile
 	}
 	answer, known := m.given[message.Number]
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -58,6 +58,9 @@
 	// each second give out 0.03% more than is left for it, with 0.25 they do not.
 	freshMost = 0.5
 	freshPart = 0.25
+	// unlistedWait is when to come back to an entry that has no part of the allowance yet: it
+	// reads the list of entries within some ms of the store's answering.
+	unlistedWait = 300 * clock.Millisecond
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
 )
@@ -214,5 +217,9 @@
 	alone := *account
 	alone.PerSecond = marginPart * margin / 2 / window
 	alone.Burst = marginPart * margin / 2
-	return m.own.Take(m.Clock.Now(), &alone, 1/float64(m.members.Entries()), units)
+	share := m.members.Share()
+	if share <= 0 {
+		return false, unlistedWait
+	}
+	return m.own.Take(m.Clock.Now(), &alone, share, units)
 }
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -58,14 +58,19 @@
 	return d
 }
 
-// readList has all entries read the list of all.
-func (d *deployment) readList() {
+// firstOf lists the first few entries.
+func firstOf(entries int) []follow.Row {
 	var rows []follow.Row
-	for i := range d.members {
+	for i := range entries {
 		rows = append(rows, row(i))
 	}
+	return rows
+}
+
+// readList has all entries read the list of all.
+func (d *deployment) readList() {
 	for _, m := range d.members {
-		m.Whole(rows, follow.Proof{})
+		m.Whole(firstOf(len(d.members)), follow.Proof{})
 	}
 }
 
@@ -412,3 +417,39 @@
 		}
 	})
 }
+
+// TestAFirstStartGivesOutNoMore starts all entries for the first time, when each writes its
+// own row: an entry first reads a list without itself, then those that were there before it,
+// and hears of the later ones half a second later, as where only others reach the store.
+func TestAFirstStartGivesOutNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		d := deployUnlisted(ctx, entries, largeAccount(), largeBounds)
+		for i, m := range d.members {
+			m.Whole(firstOf(i), follow.Proof{})
+			time.AfterFunc(100*time.Millisecond, func() { m.Changed([]follow.Row{row(i)}, follow.Proof{}) })
+			time.AfterFunc(600*time.Millisecond, func() { m.Changed(firstOf(entries)[i+1:], follow.Proof{}) })
+		}
+		all := d.demandUnits(ctx, 9*time.Second, largeUnits)
+		if got := worst(all); got > largeKept {
+			t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
+		}
+	})
+}
+
+// TestAnAccountWithoutALimitIsServedWithoutTheList has nothing to divide.
+func TestAnAccountWithoutALimitIsServedWithoutTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		account := largeAccount()
+		account.PerSecond = 0
+		d := deployUnlisted(ctx, entries, account, largeBounds)
+		for i, m := range d.meters {
+			if taken, _ := m.Take(ctx, account, largeRate, 0); !taken {
+				t.Errorf("entry %d refused an account without a limit", i)
+			}
+		}
+	})
+}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -107,7 +107,7 @@
 			now += clock.Millis(rapid.IntRange(0, 100).Draw(t, "pause"))
 			b := budgets[rapid.IntRange(0, entries-1).Draw(t, "entry")]
 			if rapid.Bool().Draw(t, "repeat") {
-				if b.Repeat(now, "s", entries) {
+				if b.Repeat(now, "s", 1/float64(entries)) {
 					repeats = append(repeats, now)
 				}
 				continue
--- a/pkg/quota/retry_budget.go
+++ b/pkg/quota/retry_budget.go
@@ -24,7 +24,7 @@
 
 // RetryBudget counts requests and repeats by service. Each entry may repeat in
 // proportion to its own requests, so that the sum over all entries keeps the
-// bounds without a word between them; the slack is divided by their number.
+// bounds without a word between them; of the slack each has its share.
 type RetryBudget struct {
 	bounds RetryBounds
 
@@ -59,12 +59,12 @@
 }
 
 // Repeat reports whether a request may be sent to one more target of a service,
-// and counts it if so.
-func (b *RetryBudget) Repeat(now clock.Millis, service ids.Service, entries int) bool {
+// and counts it if so. share is this entry's part of the slack, from 0 to 1.
+func (b *RetryBudget) Repeat(now clock.Millis, service ids.Service, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.at(now, service)
-	allowed := part * (b.bounds.Ratio*sum(&t.requests) + b.bounds.Slack/float64(max(1, entries)))
+	allowed := part * (b.bounds.Ratio*sum(&t.requests) + b.bounds.Slack*share)
 	if sum(&t.repeats)+1 > allowed {
 		return false
 	}
