Give what is left at the end of a stop its last word, and look at the end again behind the body

Cause: at its end a stopping entry closed every connection that was left, also of requests that waited for a place and had not run; whether a request ends in time was asked when its head came, by a flag that a timer set; the time until then was a constant. Change: the course of a stop is fixed at its signal (`ingress.Stop`): from when on less is taken, and when the process ends; each request is held against it at its own moment, once more when its body is there. At the end requests under way end by the one cancellation: not sent -> 503 with a time to come back, may have run -> 502, begun -> broken off; each has its log line. 100 ms of the 400 ms before the kill are for that. With a grace under 5.6 s less is taken from half of the time left on. TestLessIsTakenFromAMomentOn and TestTheCourseOfAStop are new. Calls of Leave and EndAt in tests of ingress became one call of Leave with the same moments; nothing that they check changed. Not mended: what came before the narrowing and gets its place late is still sent, and may be told 502 at the end.

--- a/pkg/app/entry_stop.go
+++ b/pkg/app/entry_stop.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"time"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/ingress"
 )
 
 const (
 	// endMargin is kept from the time at which the platform kills a process.
 	endMargin = 400 * clock.Millisecond
+	// lastWordTime of it is for telling callers what became of the requests that are left.
+	lastWordTime = 100 * clock.Millisecond
 	// leaveTime is how long a process that is stopped goes on taking new
 	// connections, until the balancer has seen that it is not ready.
 	leaveTime = 2600 * clock.Millisecond
@@ -36,20 +40,30 @@
 	return d.few && d.running > 0 && d.left > doorMargin
 }
 
+// stopAt is the course of a stop whose signal comes now. Where the grace is short, less is
+// taken before the balancer has noticed: with a grace of 2.4 s, one that waits for the balancer
+// is killed while it takes everything.
+func stopAt(now, grace clock.Millis) ingress.Stop {
+	end := max(0, grace-endMargin)
+	return ingress.Stop{Narrows: now + min(leaveTime, end/2), Ends: now + end}
+}
+
 // drain stops the entry without cutting a request: it is not ready any more,
 // goes on serving until the balancer has noticed, then takes nothing more, or only what
 // is short while too few others are ready, and ends when nothing runs, or just before it
 // would be killed.
 func (p *entryProcess) drain() {
-	p.controller.Leave()
+	stop := stopAt(p.Clock.Now(), clock.Millis(p.grace.Load()))
+	p.controller.Leave(stop)
 	p.members.Leave()
-	end := p.Clock.Now() + clock.Millis(p.grace.Load()) - endMargin
-	clock.Pause(context.Background(), leaveTime)
-	p.controller.EndAt(end)
-	for p.door(end).open() {
+	clock.Pause(context.Background(), stop.Narrows-p.Clock.Now())
+	for p.door(stop.Ends).open() {
 		clock.Pause(context.Background(), doorEvery)
 	}
-	limited, cancel := context.WithTimeout(context.Background(), (end - p.Clock.Now()).Duration())
+	left := stop.Ends - p.Clock.Now()
+	lastWord := time.AfterFunc(left.Duration(), p.controller.End)
+	defer lastWord.Stop()
+	limited, cancel := context.WithTimeout(context.Background(), (left + lastWordTime).Duration())
 	defer cancel()
 	// Shutdown closes the listener and what rests, so that no request is taken
 	// that could not be ended in time.
--- a/pkg/app/entry_stop_test.go
+++ b/pkg/app/entry_stop_test.go
@@ -25,3 +25,25 @@
 		})
 	}
 }
+
+func TestTheCourseOfAStop(t *testing.T) {
+	const now = 100 * clock.Second
+	scenarios := []struct {
+		name        string
+		grace       clock.Millis
+		wantNarrows clock.Millis // after the signal
+		wantEnds    clock.Millis
+	}{
+		{"the balancer has time to notice", 8 * clock.Second, leaveTime, 8*clock.Second - endMargin},
+		{"it may not have", 2400, 1000, 2000},
+		{"hardly any grace", 300, 0, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			got := stopAt(now, s.grace)
+			if got.Narrows != now+s.wantNarrows || got.Ends != now+s.wantEnds {
+				t.Errorf("less is taken after %d ms, ends after %d ms; want %d, %d", got.Narrows-now, got.Ends-now, s.wantNarrows, s.wantEnds)
+			}
+		})
+	}
+}
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -135,6 +135,11 @@
 	if refusal := a.read(w, q); refusal != nil {
 		return q, refusal
 	}
+	// The body may come long after the head. One that took 1.2 s to come was sent to a target
+	// that then had 4 s for a request of up to 20 s.
+	if now := a.Clock.Now(); !a.closing.takes(now, q.deadline, q.route) {
+		return q, notRun(CauseLeaving, a.closing.retryAfter(now))
+	}
 	if q.account != nil {
 		units := q.account.Units(q.Prompt + q.MostOut)
 		keep := keepFor(q, units)
--- a/pkg/ingress/closing.go
+++ b/pkg/ingress/closing.go
@@ -8,11 +8,19 @@
 	"quaydock/pkg/routing"
 )
 
+// Stop is the course of an entry's stop, known from the moment of its signal.
+type Stop struct {
+	// Narrows is from when on only requests are taken that will surely have ended in time.
+	Narrows clock.Millis
+	// Ends is when the process ends.
+	Ends clock.Millis
+}
+
 // closing decides what an entry still takes while it is being stopped and too few others
 // are ready: requests that will surely have ended by the time at which it has to. Others
 // are told to come back, which a caller that finds a closed port is not.
 type closing struct {
-	endsAt atomic.Int64 // when the process ends, in clock.Millis; 0 if that is not known
+	stop atomic.Pointer[Stop] // nil if the entry is not being stopped
 
 	mu      sync.Mutex
 	longest map[string]*recentMost // by route, how long answers took
@@ -45,28 +53,43 @@
 	m.add(now, took)
 }
 
+// narrow returns the course of the stop if less is taken by now, or nil. It goes by the moment of
+// the signal and not by a timer, which goes off late on a VM that is paused or busy, while
+// requests come in.
+func (c *closing) narrow(now clock.Millis) *Stop {
+	stop := c.stop.Load()
+	if stop == nil || now < stop.Narrows {
+		return nil
+	}
+	return stop
+}
+
 // takes reports whether a request of a route may be taken that is held up to its deadline at
 // the most. One whose deadline comes after the end is not taken however short such answers
 // have been of late: some take many times as long, and would be cut.
 func (c *closing) takes(now, deadline clock.Millis, route *routing.Route) bool {
-	end := clock.Millis(c.endsAt.Load())
-	if end == 0 {
+	stop := c.narrow(now)
+	if stop == nil {
 		return true
 	}
-	if deadline+deadlineSpare > end {
+	if deadline+deadlineSpare > stop.Ends {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.longest[route.Name]
-	return m != nil && now+endDoubt*m.get(now)+endSpare <= end
+	return m != nil && now+endDoubt*m.get(now)+endSpare <= stop.Ends
 }
 
 // retryAfter is when to come back: when this entry will surely have ended, and the ones
 // that were stopped before it are back. A caller that comes back sooner finds what it
 // found, and may not come a third time.
 func (c *closing) retryAfter(now clock.Millis) clock.Millis {
-	return max(leastLeavingRetry, clock.Millis(c.endsAt.Load())-now)
+	stop := c.stop.Load()
+	if stop == nil {
+		return leastLeavingRetry
+	}
+	return max(leastLeavingRetry, stop.Ends-now)
 }
 
 // forget drops routes that are gone.
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -23,7 +23,10 @@
 // noDeadline takes a deadline of a connection away.
 var noDeadline time.Time
 
-var errDeadline = errors.New("the request's time is over")
+var (
+	errDeadline = errors.New("the request's time is over")
+	errEnded    = errors.New("the entry ends")
+)
 
 // Parts are what a controller works with.
 type Parts struct {
@@ -57,9 +60,12 @@
 	delivery  *delivery
 	leaving   atomic.Bool
 	running   atomic.Int64
-	late      atomic.Int64 // of these, those that came after EndAt
+	late      atomic.Int64 // of these, those that came after the stop's narrowing
 	ordinary  atomic.Int64 // answers given
 	sampler   *telemetry.Sampler
+	// ended ends all requests under way.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // NewController returns a controller over its parts.
@@ -70,7 +76,9 @@
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
 	}
-	return &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
+	c := &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
+	c.ended, c.end = context.WithCancel(context.Background())
+	return c
 }
 
 // SetKeyTrust changes how long after its removal a key may still be used.
@@ -91,18 +99,22 @@
 	return !c.leaving.Load() && c.admission.knows()
 }
 
-// Leave has every further answer close its connection.
-func (c *Controller) Leave() {
+// Leave begins a stop: every further answer closes its connection, and less and less is
+// taken.
+func (c *Controller) Leave(stop Stop) {
+	c.admission.closing.stop.Store(&stop)
 	c.leaving.Store(true)
 }
 
-// EndAt says when the process ends: from now on only requests are taken that will surely
-// have ended by then.
-func (c *Controller) EndAt(end clock.Millis) {
-	c.admission.closing.endsAt.Store(int64(end))
+// End gives the requests under way their last word: what was not sent is told to come back, what
+// may have run is told as lost, and an answer that has begun is broken off. A connection
+// closed without a word would tell none of that.
+func (c *Controller) End() {
+	c.end()
 }
 
-// RunningFromBefore is how many requests are being served that came before EndAt.
+// RunningFromBefore is how many requests are being served that came before the stop's
+// narrowing.
 func (c *Controller) RunningFromBefore() int {
 	return int(c.running.Load() - c.late.Load())
 }
@@ -116,7 +128,7 @@
 func (c *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.running.Add(1)
 	defer c.running.Add(-1)
-	if c.admission.closing.endsAt.Load() > 0 {
+	if c.admission.closing.narrow(c.Clock.Now()) != nil {
 		c.late.Add(1)
 		defer c.late.Add(-1)
 	}
@@ -128,21 +140,24 @@
 	if refusal == nil {
 		refusal = c.deliver(r, q, out)
 	}
-	c.end(q, refusal, out)
+	c.conclude(q, refusal, out)
 }
 
 func (c *Controller) deliver(r *http.Request, q *request, out *answerWriter) *Refusal {
 	left := (q.deadline - c.Clock.Now()).Duration()
 	ctx, cancel := context.WithTimeoutCause(r.Context(), left, errDeadline)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(c.ended, func() { end(errEnded) })()
 	ctx, span := c.Tracer.Start(ctx, "entry.request")
 	defer span.End()
 	return c.delivery.run(ctx, q, out)
 }
 
-// end gives the final answer if none was given, and breaks off one that cannot
+// conclude gives the final answer if none was given, and breaks off one that cannot
 // be completed, so that it does not look whole.
-func (c *Controller) end(q *request, refusal *Refusal, out *answerWriter) {
+func (c *Controller) conclude(q *request, refusal *Refusal, out *answerWriter) {
 	if refusal == nil {
 		c.answered(q)
 		return
--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -275,8 +275,7 @@
 		for prefix := range takes {
 			b.call(context.Background(), prefix+"a", nil)
 		}
-		b.controller.Leave()
-		b.controller.EndAt(b.clock.Now() + 6*clock.Second)
+		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now(), Ends: b.clock.Now() + 6*clock.Second})
 		scenarios := []struct {
 			path string
 			want int
@@ -309,11 +308,30 @@
 	})
 }
 
+// TestLessIsTakenFromAMomentOn has an entry that is told once, at its signal, from when on it
+// takes less: no timer has to go off for that, which on a paused VM it does too late.
+func TestLessIsTakenFromAMomentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, says(200, "", "yes"))
+		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now() + clock.Second, Ends: b.clock.Now() + 3*clock.Second})
+		scenarios := []struct {
+			after time.Duration
+			want  int
+		}{{0, http.StatusOK}, {990 * time.Millisecond, http.StatusOK}, {20 * time.Millisecond, http.StatusServiceUnavailable}}
+		for _, s := range scenarios {
+			time.Sleep(s.after)
+			if got := b.call(context.Background(), "/unsafe/a", nil); got.status != s.want {
+				t.Errorf("%v later: status %d, want %d", s.after, got.status, s.want)
+			}
+		}
+	})
+}
+
 func TestALeavingEntryClosesItsConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, freely{}, says(200, "", "yes"))
 		b.keep = true // or the caller itself would have them closed
-		b.controller.Leave()
+		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now() + clock.Second, Ends: b.clock.Now() + clock.Minute})
 		if got := b.call(context.Background(), "/unsafe/a", nil); got.status != 200 || !got.closes {
 			t.Errorf("status %d, closes %t", got.status, got.closes)
 		}
@@ -392,7 +410,7 @@
 		if !b.controller.Ready() {
 			t.Error("not ready with a configuration")
 		}
-		b.controller.Leave()
+		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now() + clock.Second, Ends: b.clock.Now() + clock.Minute})
 		if b.controller.Ready() {
 			t.Error("ready while leaving")
 		}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -199,6 +199,10 @@
 func (d *delivery) giveUp(ctx context.Context, q *request, refusal *Refusal) *Refusal {
 	ended := ctx.Err() != nil
 	switch {
+	case errors.Is(context.Cause(ctx), errEnded) && q.sent > 0:
+		return &Refusal{Status: http.StatusBadGateway, Cause: CauseLeaving, Err: refusal.Err}
+	case errors.Is(context.Cause(ctx), errEnded):
+		return notRun(CauseLeaving, d.admission.closing.retryAfter(d.Clock.Now()))
 	case ended && !errors.Is(context.Cause(ctx), errDeadline):
 		return &Refusal{Cause: CauseLeft, Err: refusal.Err}
 	case ended && q.sent > 0:
