Ask the store again soon after a first read that failed, and whenever it answers

Cause: a whole read asks the store and, if that fails, other entries in rounds until its time is up, 3.2 s, also where there is none to ask. A store that turns calls away fails within a few ms. The others stay with their peers, which have the table as soon as one has read it. And a follower that waits for its next try is woken when the store answers a question for another table: a store that answers for 40 ms serves all tables in them. Ruled out: that the answer was lost, or the row missing (the list is read as soon as it is asked). What it costs: entries that know nobody ask some 2.5 times a second a table while the store turns them away, where they asked once in 3.2 s.

--- a/pkg/bulletin/bed_test.go
+++ b/pkg/bulletin/bed_test.go
@@ -130,6 +130,17 @@
 	provenAt clock.Millis
 }
 
+func newEntry() *entry {
+	return &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
+}
+
+func (e *entry) knows(key string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, known := e.rows[key]
+	return known
+}
+
 func (e *entry) Whole(rows []follow.Row, p follow.Proof) { e.Changed(rows, p) }
 
 func (e *entry) Changed(rows []follow.Row, p follow.Proof) {
@@ -302,7 +313,7 @@
 // follow has an entry take part and follow the table.
 func (b *bed) follow(i int, m *membership.Members, board *bulletin.Board) {
 	ctx := b.contexts[i]
-	e := &entry{rows: make(map[string]string), heardAt: make(map[string]time.Time)}
+	e := newEntry()
 	f := follow.NewFollower(b.Common, board.Share("t", client{b.store, i}), e, follow.Options{Wait: 1200, Answer: 800})
 	b.entries[i] = e
 	go m.Run(ctx)
--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -71,6 +71,10 @@
 
 	mu     sync.Mutex
 	tables map[string]*table
+	// failing says that the store's last answer to this entry failed to come; answering is
+	// closed when it answers again.
+	failing   bool
+	answering chan struct{}
 }
 
 // table is what is known of one table.
@@ -91,7 +95,7 @@
 
 // NewBoard returns a board without news.
 func NewBoard(c common.Common, members *membership.Members, link *packets.Link) *Board {
-	b := &Board{Common: c, members: members, link: link, tables: make(map[string]*table)}
+	b := &Board{Common: c, members: members, link: link, tables: make(map[string]*table), answering: make(chan struct{})}
 	link.Handle(packets.KindBulletin, packets.Receive(link, b.hear))
 	link.Handle(packets.KindInquiry, packets.Receive(link, b.inquired))
 	return b
@@ -116,6 +120,18 @@
 	return rank == 0
 }
 
+// noteStore notes whether the store has answered a question.
+func (b *Board) noteStore(answered bool) {
+	b.members.NoteStore(answered)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if answered && b.failing {
+		close(b.answering)
+		b.answering = make(chan struct{})
+	}
+	b.failing = !answered
+}
+
 func (b *Board) table(name string) *table {
 	t := b.tables[name]
 	if t == nil {
--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -25,7 +25,10 @@
 	resort    clock.Millis // how old a proof this entry bears before it asks for itself
 }
 
-var _ follow.Source = (*Source)(nil)
+var (
+	_ follow.Source = (*Source)(nil)
+	_ follow.Waker  = (*Source)(nil)
+)
 
 const (
 	// leastPause is between two questions to the store that are not to be held.
@@ -55,6 +58,13 @@
 	return &Source{board: b, name: name, direct: direct}
 }
 
+// Answering is closed when the store answers a question of any table after one has failed.
+func (s *Source) Answering() <-chan struct{} {
+	s.board.mu.Lock()
+	defer s.board.mu.Unlock()
+	return s.board.answering
+}
+
 func (s *Source) returned(batch follow.Batch) {
 	s.proven = max(s.proven, batch.StoreTime)
 	s.version = max(s.version, batch.Version)
@@ -110,7 +120,7 @@
 func (s *Source) answered(after int64, batch follow.Batch, err error) error {
 	s.forgotten = errors.Is(err, follow.ErrForgotten)
 	s.sound = err == nil || s.forgotten
-	s.board.members.NoteStore(s.sound)
+	s.board.noteStore(s.sound)
 	if err != nil {
 		return fmt.Errorf("reading for all: %w", err)
 	}
--- a/pkg/bulletin/whole.go
+++ b/pkg/bulletin/whole.go
@@ -23,7 +23,7 @@
 	}
 	if !reads && (rank >= readFirst && !head || s.forgotten) {
 		limited, cancel := context.WithTimeout(ctx, peersFirst.Duration())
-		a := s.wholeFromPeers(limited, s.version)
+		a := s.wholeFromPeers(limited, s.version, nil)
 		cancel()
 		if s.takeWhole(a) == nil {
 			return a.batch, nil
@@ -53,7 +53,7 @@
 	}()
 	go func() {
 		leaveTime(ctx, peersToo, storeFailed)
-		answers <- s.wholeFromPeers(ctx, atLeast)
+		answers <- s.wholeFromPeers(ctx, atLeast, storeFailed)
 	}()
 	var failed error
 	for range cap(answers) {
@@ -72,7 +72,7 @@
 	if a.fromStore {
 		s.asked = a.asked
 		s.sound = a.err == nil
-		s.board.members.NoteStore(s.sound)
+		s.board.noteStore(s.sound)
 	}
 	switch {
 	case a.err != nil:
@@ -95,9 +95,9 @@
 	return batch, has && batch.Version >= s.version
 }
 
-// wholeFromPeers asks others for the table, in rounds until one has it, of some version at
-// the least.
-func (s *Source) wholeFromPeers(ctx context.Context, atLeast int64) fetched {
+// wholeFromPeers asks others for the table, of some version at the least, in rounds until one
+// has it, or until the store has failed and it is this entry's turn to ask it once more.
+func (s *Source) wholeFromPeers(ctx context.Context, atLeast int64, storeFailed <-chan struct{}) fetched {
 	for round := 0; ; round++ {
 		failed := errNoPeer
 		for _, peer := range s.board.informed(s.name, round) {
@@ -111,8 +111,27 @@
 				return fetched{err: failed}
 			}
 		}
+		if s.asksStoreAgain(storeFailed) {
+			return fetched{err: failed}
+		}
 		if clock.Pause(ctx, s.board.Random.Jitter(roundPause)); ctx.Err() != nil {
 			return fetched{err: failed}
 		}
 	}
 }
+
+// asksStoreAgain reports whether the store has failed and this entry is one of the few that
+// read it for all, or knows of nobody who would. A store that turns calls away fails within
+// a few ms and may answer within the next second: an entry that stayed with its peers until its time was up asked
+// it once in 3.2 s. The others go on with their peers, which have the table as soon as one has
+// read it, so that the store is not asked more often the more entries there are.
+func (s *Source) asksStoreAgain(storeFailed <-chan struct{}) bool {
+	select {
+	case <-storeFailed:
+	default:
+		return false
+	}
+	_, seniority := s.board.members.ReaderOrder(matter)
+	_, head := s.board.members.DomainHead(matter)
+	return seniority < readFirst || head
+}
--- a/pkg/bulletin/whole_test.go
+++ b/pkg/bulletin/whole_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"quaydock/pkg/bulletin"
+	"quaydock/pkg/follow"
 )
 
 // TestAFirstReadThatFailsIsAskedAgainSoon has entries start beside a store that turns
@@ -50,3 +53,42 @@
 		})
 	}
 }
+
+// TestAMomentInWhichTheStoreAnswersServesAllTables has a store that is away at the start
+// answer for 40 ms, just when another table is read for the first time: who reads that one reads
+// the first too.
+func TestAMomentInWhichTheStoreAnswersServesAllTables(t *testing.T) {
+	aways := []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1100 * time.Millisecond, 1500 * time.Millisecond}
+	for _, away := range aways {
+		t.Run(away.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := prepare(entryCount)
+				b.endWithTest(t)
+				b.store.put("k", "v")
+				b.outage(false, true)
+				var others []*entry
+				boards := make([]*bulletin.Board, entryCount)
+				for i := range entryCount {
+					m, board := b.build(t, i)
+					b.follow(i, m, board)
+					boards[i] = board
+				}
+				time.Sleep(away)
+				b.outage(false, false)
+				for i, board := range boards {
+					e := newEntry()
+					others = append(others, e)
+					other := follow.NewFollower(b.Common, board.Share("other", client{b.store, i}), e, follow.Options{Wait: 1200, Answer: 800})
+					go other.Run(b.contexts[i])
+				}
+				time.Sleep(40 * time.Millisecond)
+				b.outage(false, true)
+				for i := range entryCount {
+					if first, other := b.entries[i].knows("k"), others[i].knows("k"); !first || !other {
+						t.Errorf("entry %d: one table read %t, the other %t", i, first, other)
+					}
+				}
+			})
+		})
+	}
+}
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -51,6 +51,12 @@
 	Changes(ctx context.Context, after int64, wait clock.Millis) (Batch, error)
 }
 
+// Waker is a Source that hears of the store from others that ask it.
+type Waker interface {
+	// Answering is closed when the store answers somebody after it had failed.
+	Answering() <-chan struct{}
+}
+
 // Proof says when an answer of the store was true.
 type Proof struct {
 	// AskedAt is when the question was sent: the store was in reach from about
@@ -125,6 +131,7 @@
 }
 
 func (f *Follower) step(ctx context.Context, backoff *random.Backoff) {
+	answering := f.answering()
 	err := f.read(ctx)
 	switch {
 	case err == nil:
@@ -137,8 +144,32 @@
 	default:
 		f.lost(err)
 		f.handler.Lost(err)
-		backoff.Pause(ctx)
+		pauseUntil(ctx, backoff, answering)
+	}
+}
+
+// answering is closed when the store answers others; nil if the source cannot tell.
+func (f *Follower) answering() <-chan struct{} {
+	if w, tells := f.source.(Waker); tells {
+		return w.Answering()
 	}
+	return nil
+}
+
+// pauseUntil waits for the next try, but no longer than until the store answers others: a
+// store that comes and goes may answer for some 40 ms, and a process that has then read
+// one of its tables and not the other knows half of what it decides by.
+func pauseUntil(ctx context.Context, backoff *random.Backoff, answering <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-answering:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	backoff.Pause(ctx)
 }
 
 // lost notes an outage, also one that was there before the first read: what a process does not
