Look whether a caller is still there when its request is taken, and again before it is sent

Cause: the end of a caller's connection was seen only by the reader that net/http keeps on it, when that got its turn. Change: one look (a read that takes nothing and does not wait) behind the body and one when a place was given. Ruled out: reading by the connection's own lock, which waits for net/http's reader.

--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -140,6 +140,9 @@
 	if now := a.Clock.Now(); !a.closing.takes(now, q.deadline, q.route) {
 		return q, notRun(CauseLeaving, a.closing.retryAfter(now))
 	}
+	if hasLeft(r.Context()) {
+		return q, &Refusal{Cause: CauseLeft, Err: errEndSeen}
+	}
 	if q.account != nil {
 		units := q.account.Units(q.Prompt + q.MostOut)
 		keep := keepFor(q, units)
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -121,6 +121,10 @@
 		return nil, notRun(CauseNoTarget, refused.RetryAfter)
 	}
 	q.note(now, "placed on", place.Target().ID)
+	if hasLeft(ctx) {
+		place.Done(planner.Abandoned, planner.Flow{})
+		return nil, &Refusal{Cause: CauseLeft, Err: errEndSeen}
+	}
 	if refusal := d.recheck(q, place); refusal != nil {
 		q.note(now, "route or key gone meanwhile", "")
 		place.Done(planner.Abandoned, planner.Flow{})
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -83,6 +83,7 @@
 	server := &http.Server{
 		Handler: s.handler, MaxHeaderBytes: l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTime.Duration(), IdleTimeout: l.IdleTime.Duration(),
+		ConnContext: withConn,
 	}
 	s.servers = append(s.servers, server)
 	go func(from net.Listener) {
