Hold callers to their share of the descriptors, and tell those beyond it at once to come back

Cause: callers' connections used up all descriptors; then none was accepted, requests lay unseen in the backlog, and targets and the store were out of reach. Change: `pkg/descriptors` divides the limit (RLIMIT_NOFILE, or what the VM's settings leave for connections, whichever is less): an eighth, 20 to 256, for peers, store, logs and metrics; a sixteenth for those that are turned away; half of the rest for callers, the other for the connections to targets that their requests need. At the share the connection that has rested longest and has nothing to be read goes first, then new ones are read, told 503 and when to come back (0.5 to 1.5 s, spread), and closed. From 7/8 of the share on answers close their connections. One line when a shortage begins and one with counts when it is over; what net/http and accept complain of is one structured line a second at the most; figures of connections by step. Tests changed: calls of NewServer got the share; TestACallerThatLeftInTheBacklogIsNotSent runs with 1,024 descriptors, since with 64 its 60 callers are a crowd and the one that stays is told to come back.

--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -20,6 +20,7 @@
 	"quaydock/pkg/bulletin"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
+	"quaydock/pkg/descriptors"
 	"quaydock/pkg/dispatch"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/ids"
@@ -81,6 +82,8 @@
 	rollouts   *rollouts // nil if they are no part of the deployment
 	// assuredTrust is that of entryOptions.
 	assuredTrust clock.Millis
+	// descriptors is how many the process may have.
+	descriptors int
 }
 
 // entryOptions are what the command line says of an entry on the platform.
@@ -202,9 +205,11 @@
 		Retries: p.retries,
 	})
 	p.members.SetTrust(p.keyTrust(s.Bounds).Most)
-	p.callers = ingress.NewServer(c, p.controller)
-	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration()}
-	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration()}
+	p.descriptors = descriptorLimit(c, s.Limits)
+	handlers := ingress.Handlers{Serve: p.controller, TurnAway: http.HandlerFunc(p.controller.TurnAway)}
+	p.callers = ingress.NewServer(c, handlers, descriptors.Divide(p.descriptors))
+	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
+	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
 	return p, nil
 }
 
--- /dev/null
+++ b/pkg/descriptors/book.go
@@ -0,0 +1,144 @@
+// Package descriptors decides what an entry does with its file descriptors: how many
+// connections callers may hold, and what becomes of one that comes beyond that. What
+// must go on without callers (targets, peers, the store, logs, metrics) so always finds some
+// left.
+package descriptors
+
+import "quaydock/pkg/clock"
+
+// Shares is how the descriptors of a process are divided.
+type Shares struct {
+	// Callers is how many connections callers may hold.
+	Callers int
+	// Turned is how many more connections may be there whose callers are being told to come
+	// back.
+	Turned int
+}
+
+const (
+	// ownPart is the part of all descriptors that is for peers, the store, logs, metrics and what
+	// the runtime needs; leastOwn and mostOwn bound it. An entry without callers uses 20 to 40.
+	ownPart  = 1.0 / 8
+	leastOwn = 20
+	mostOwn  = 256
+	// turnedPart is the part for those that are turned away; one takes some ms.
+	turnedPart  = 1.0 / 16
+	leastTurned = 4
+	// callersPart is the part of what is left that callers get. Each of their requests may
+	// need a connection to a target.
+	callersPart = 1.0 / 2
+)
+
+// Divide divides the descriptors that a process may have.
+func Divide(limit int) Shares {
+	own := min(max(int(ownPart*float64(limit)), leastOwn), mostOwn)
+	turned := max(int(turnedPart*float64(limit)), leastTurned)
+	return Shares{Callers: max(1, int(callersPart*float64(limit-own-turned))), Turned: turned}
+}
+
+// Step is what becomes of a new connection.
+type Step int
+
+//go:generate stringer -type=Step -trimprefix=Step -output=step_string.go
+
+// The steps.
+const (
+	// StepTake takes it.
+	StepTake Step = iota
+	// StepReplace takes it in the place of the connection that has rested longest.
+	StepReplace
+	// StepTurnAway tells its caller to come back, and closes it.
+	StepTurnAway
+	// StepWait leaves it until one that is being turned away is closed.
+	StepWait
+)
+
+const (
+	// fullPart is from which part of the callers' share on answers close their connections.
+	fullPart = 7.0 / 8
+	// calmPart of the share, and calmFor, are when a shortage is over.
+	calmPart = 3.0 / 4
+	calmFor  = clock.Second
+)
+
+// Shortage is a time in which callers' share was used up.
+type Shortage struct {
+	Began    clock.Millis
+	Replaced int
+	Turned   int
+	// last is when it last showed.
+	last clock.Millis
+}
+
+// Book counts callers' connections against their share.
+type Book struct {
+	shares   Shares
+	taken    int
+	turned   int
+	shortage *Shortage
+}
+
+// NewBook returns a book without connections.
+func NewBook(shares Shares) *Book {
+	return &Book{shares: shares}
+}
+
+// Arrive decides on a new connection, and counts it. Resting is whether one can be closed in
+// its place. It reports whether a shortage begins with it.
+func (b *Book) Arrive(now clock.Millis, resting bool) (step Step, begins bool) {
+	switch {
+	case !b.AtLimit():
+		b.taken++
+		return StepTake, false
+	case resting:
+		begins = b.short(now)
+		b.shortage.Replaced++
+		return StepReplace, begins
+	case b.turned < b.shares.Turned:
+		begins = b.short(now)
+		b.turned++
+		b.shortage.Turned++
+		return StepTurnAway, begins
+	}
+	return StepWait, b.short(now)
+}
+
+// short notes a shortage and reports whether it begins.
+func (b *Book) short(now clock.Millis) bool {
+	begins := b.shortage == nil
+	if begins {
+		b.shortage = &Shortage{Began: now}
+	}
+	b.shortage.last = now
+	return begins
+}
+
+// Ended notes that a connection that was taken has ended.
+func (b *Book) Ended() { b.taken-- }
+
+// TurnedAway notes that a connection that was turned away has ended.
+func (b *Book) TurnedAway() { b.turned-- }
+
+// Over returns the shortage that is over by now, or nil. It returns each one once.
+func (b *Book) Over(now clock.Millis) *Shortage {
+	s := b.shortage
+	if s == nil || now-s.last < calmFor || float64(b.taken) > calmPart*float64(b.shares.Callers) {
+		return nil
+	}
+	b.shortage = nil
+	return s
+}
+
+// AtLimit reports whether callers hold their whole share.
+func (b *Book) AtLimit() bool { return b.taken >= b.shares.Callers }
+
+// Full reports whether answers should close their connections.
+func (b *Book) Full() bool {
+	return float64(b.taken) >= fullPart*float64(b.shares.Callers)
+}
+
+// Taken is how many connections callers hold.
+func (b *Book) Taken() int { return b.taken }
+
+// Turned is how many connections are being turned away.
+func (b *Book) Turned() int { return b.turned }
--- /dev/null
+++ b/pkg/descriptors/book_test.go
@@ -0,0 +1,83 @@
+package descriptors_test
+
+import (
+	"testing"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/descriptors"
+)
+
+func TestDivide(t *testing.T) {
+	scenarios := []struct {
+		limit int
+		want  descriptors.Shares
+	}{
+		{64, descriptors.Shares{Callers: 20, Turned: 4}},
+		{1024, descriptors.Shares{Callers: 416, Turned: 64}},
+		{4000, descriptors.Shares{Callers: 1747, Turned: 250}},
+		{10, descriptors.Shares{Callers: 1, Turned: 4}},
+	}
+	for _, s := range scenarios {
+		if got := descriptors.Divide(s.limit); got != s.want {
+			t.Errorf("limit %d: %+v, want %+v", s.limit, got, s.want)
+		}
+	}
+}
+
+func TestBook(t *testing.T) {
+	type arrival struct {
+		resting bool
+		want    descriptors.Step
+		begins  bool
+	}
+	scenarios := []struct {
+		name     string
+		arrivals []arrival
+	}{
+		{"up to the share", []arrival{{false, descriptors.StepTake, false}, {true, descriptors.StepTake, false}}},
+		{"beyond it the one that has rested longest goes first", []arrival{
+			{false, descriptors.StepTake, false}, {false, descriptors.StepTake, false},
+			{true, descriptors.StepReplace, true}, {true, descriptors.StepReplace, false},
+		}},
+		{"then they are turned away, as many as fit", []arrival{
+			{false, descriptors.StepTake, false}, {false, descriptors.StepTake, false},
+			{false, descriptors.StepTurnAway, true}, {false, descriptors.StepWait, false},
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			b := descriptors.NewBook(descriptors.Shares{Callers: 2, Turned: 1})
+			for n, a := range s.arrivals {
+				if step, begins := b.Arrive(0, a.resting); step != a.want || begins != a.begins {
+					t.Errorf("arrival %d: %v, a shortage begins: %t, want %v, %t", n, step, begins, a.want, a.begins)
+				}
+			}
+		})
+	}
+}
+
+func TestAShortageIsToldOnceWhenItIsOver(t *testing.T) {
+	b := descriptors.NewBook(descriptors.Shares{Callers: 2, Turned: 1})
+	for range 2 {
+		b.Arrive(0, false)
+	}
+	b.Arrive(100, true)
+	b.Arrive(200, false)
+	if !b.Full() || b.Over(5*clock.Second) != nil {
+		t.Error("over while callers hold their share")
+	}
+	b.Ended()
+	if b.Over(900) != nil {
+		t.Error("over within a second")
+	}
+	s := b.Over(1200)
+	if s == nil || s.Began != 100 || s.Replaced != 1 || s.Turned != 1 {
+		t.Fatalf("shortage %+v", s)
+	}
+	if b.Over(1300) != nil {
+		t.Error("told twice")
+	}
+	if _, begins := b.Arrive(1400, false); begins {
+		t.Error("one that fits begins a shortage")
+	}
+}
--- a/pkg/ingress/caller_conn.go
+++ b/pkg/ingress/caller_conn.go
@@ -20,26 +20,52 @@
 // hasLeft looks whether the caller of a request has ended its connection. The reader that
 // net/http keeps on the connection sees that too, but only when it gets its turn: of 60
 // callers that had left before their connections were taken from the backlog, 5 to 9 were sent to
-// a target meanwhile, and 4 to 19 after a shortage of descriptors.
+// a target meanwhile, and up to 19 after a shortage of descriptors.
 func hasLeft(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return peek(c) == peekEnd
+}
+
+// hasData looks whether a connection has something to be read.
+func hasData(c net.Conn) bool {
+	return peek(c) == peekData
+}
+
+// peeked is what a look at a connection shows.
+type peeked int
+
+const (
+	peekNothing peeked = iota // also where there is no socket, as in tests
+	peekData
+	peekEnd
+)
+
+// peek looks at a connection without waiting or taking anything from it.
+func peek(c net.Conn) peeked {
+	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return false // a network in memory, as in tests
+		return peekNothing
 	}
-	raw, err := c.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return peekNothing
 	}
-	left := false
+	seen := peekNothing
 	// Control does not wait for the reader, as Read would.
-	err = raw.Control(func(descriptor uintptr) { left = ended(int(descriptor)) })
-	return err == nil && left
+	if err := raw.Control(func(descriptor uintptr) { seen = peekSocket(int(descriptor)) }); err != nil {
+		return peekNothing
+	}
+	return seen
 }
 
-// ended reports whether a socket has nothing left but its end, without waiting or taking
-// anything from it.
-func ended(descriptor int) bool {
+func peekSocket(descriptor int) peeked {
 	var one [1]byte
 	n, _, err := syscall.Recvfrom(descriptor, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+	switch {
+	case err == nil && n > 0:
+		return peekData
+	case err == nil, errors.Is(err, syscall.ECONNRESET):
+		return peekEnd
+	}
+	return peekNothing
 }
--- a/pkg/ingress/cause_string.go
+++ b/pkg/ingress/cause_string.go
@@ -23,11 +23,12 @@
 	_ = x[CauseLost-12]
 	_ = x[CauseLeft-13]
 	_ = x[CauseLeaving-14]
+	_ = x[CauseCrowded-15]
 }
 
-const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaOverloadedNoTargetDeclinedDeadlineLostLeftLeaving"
+const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaOverloadedNoTargetDeclinedDeadlineLostLeftLeavingCrowded"
 
-var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 72, 80, 88, 96, 100, 104, 111}
+var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 72, 80, 88, 96, 100, 104, 111, 118}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -143,6 +144,23 @@
 	c.conclude(q, refusal, out)
 }
 
+const (
+	// crowdedRetry is when to come back to an entry whose callers hold all the connections that
+	// they may; the moments spread over crowdedSpread, so that those who were turned away
+	// together don't come together.
+	crowdedRetry  = 500 * clock.Millisecond
+	crowdedSpread = clock.Second
+)
+
+// TurnAway tells a caller to come back whose connection is not kept.
+func (c *Controller) TurnAway(w http.ResponseWriter, r *http.Request) {
+	// What was not read would reset the connection, and the answer with it.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, firstHeaderBytes))
+	retry := crowdedRetry + clock.Millis(c.Random.Fork().Float64()*float64(crowdedSpread))
+	q := &request{Call: c.admission.dialect.Describe(r.Header), http: r, arrived: c.Clock.Now()}
+	c.conclude(q, notRun(CauseCrowded, retry), &answerWriter{writer: w})
+}
+
 func (c *Controller) deliver(r *http.Request, q *request, out *answerWriter) *Refusal {
 	left := (q.deadline - c.Clock.Now()).Duration()
 	ctx, cancel := context.WithTimeoutCause(r.Context(), left, errDeadline)
--- a/pkg/ingress/descriptors_test.go
+++ b/pkg/ingress/descriptors_test.go
@@ -21,6 +21,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/commontest"
+	"quaydock/pkg/descriptors"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ingress"
@@ -68,7 +69,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	go newScarceServer(c, scarceController(c, target)).Serve(listener)
+	go newScarceServer(c, scarceController(c, target), fewDescriptors).Serve(listener)
 	fmt.Println(listener.Addr())
 	ctx, stop := context.WithCancel(context.Background())
 	var asking sync.WaitGroup
@@ -303,8 +304,9 @@
 	}
 }
 
-func newScarceServer(c common.Common, handler http.Handler) *ingress.Server {
-	return ingress.NewServer(c, handler)
+func newScarceServer(c common.Common, controller *ingress.Controller, limit int) *ingress.Server {
+	handlers := ingress.Handlers{Serve: controller, TurnAway: http.HandlerFunc(controller.TurnAway)}
+	return ingress.NewServer(c, handlers, descriptors.Divide(limit))
 }
 
 // Requests reached targets after their callers had left: these had sent them and closed
@@ -329,7 +331,7 @@
 		_, _ = fmt.Fprintf(caller, "POST /call/a HTTP/1.1\r\nHost: h\r\nId: caller-%d\r\nWait: 5000\r\nContent-Length: 8\r\n\r\nquestion", i)
 		_ = caller.Close()
 	}
-	server := newScarceServer(c, controller)
+	server := newScarceServer(c, controller, 1024)
 	go server.Serve(listener)
 	t.Cleanup(func() {
 		if err := server.Shutdown(context.Background()); err != nil {
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -29,6 +29,7 @@
 	CauseLost
 	CauseLeft
 	CauseLeaving
+	CauseCrowded
 )
 
 // Refusal is an answer of the entry's own.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -10,6 +10,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
+	"quaydock/pkg/descriptors"
 	"quaydock/pkg/routing"
 )
 
@@ -20,12 +21,22 @@
 	firstHeaderBytes = 64 << 10
 )
 
+// Handlers are what a Server hands requests to.
+type Handlers struct {
+	// Serve serves them; TurnAway tells their callers to come back.
+	Serve, TurnAway http.Handler
+}
+
 // Server takes callers' connections under limits that may change: connections
-// made after a change are under the new ones, earlier ones keep theirs.
+// made after a change are under the new ones, earlier ones keep theirs. Callers hold no more
+// of them than their share of the descriptors.
 type Server struct {
 	common.Common
-	handler  http.Handler
+	handlers Handlers
+	conns    *callerConns
+	log      *serverLog
 	accepted chan net.Conn
+	turned   chan net.Conn // those whose callers are told to come back
 	closed   chan struct{}
 
 	mu       sync.Mutex
@@ -36,8 +47,16 @@
 }
 
 // NewServer returns a server that takes nothing yet.
-func NewServer(c common.Common, handler http.Handler) *Server {
-	return &Server{Common: c, handler: handler, accepted: make(chan net.Conn), closed: make(chan struct{})}
+func NewServer(c common.Common, handlers Handlers, shares descriptors.Shares) *Server {
+	return &Server{
+		Common: c, handlers: handlers, conns: newCallerConns(c, shares), log: newServerLog(c),
+		accepted: make(chan net.Conn), turned: make(chan net.Conn), closed: make(chan struct{}),
+	}
+}
+
+// Connections is how many connections callers hold, and how many more are being turned away.
+func (s *Server) Connections() (taken, turned int) {
+	return s.conns.counts()
 }
 
 // Serve takes connections from a listener until Shutdown.
@@ -46,26 +65,80 @@
 	s.listener = listener
 	s.mu.Unlock()
 	s.SetLimits(routing.Limits{HeaderBytes: firstHeaderBytes, HeaderTime: firstHeaderTime, IdleTime: firstIdleTime})
+	s.serveTurned()
+	go s.conns.watch(s.closed)
 	for {
 		c, err := listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
-			s.Log.WithError(err).Warn("connection not accepted")
+			s.log.accept(err)
 			clock.Pause(context.Background(), acceptPause)
 			continue
 		}
+		s.take(c)
+	}
+}
+
+// acceptPause is after an accept that failed, as when descriptors are used up.
+const acceptPause = 10 * clock.Millisecond
+
+// take hands a new connection to whoever serves it.
+func (s *Server) take(c net.Conn) {
+	step := s.conns.arrive(c)
+	for step == descriptors.StepWait {
 		select {
-		case s.accepted <- c:
+		case <-s.conns.freed:
+			step = s.conns.arrive(c)
 		case <-s.closed:
 			_ = c.Close() // it was not read from
+			return
 		}
 	}
+	to := s.accepted
+	if step == descriptors.StepTurnAway {
+		to = s.turned
+	}
+	select {
+	case to <- c:
+	case <-s.closed:
+		s.conns.drop(c)
+	}
 }
 
-// acceptPause is after an accept that failed, as when descriptors are used up.
-const acceptPause = 10 * clock.Millisecond
+// turnTime is how long a caller that is turned away has for its request.
+const turnTime = clock.Second
+
+// serveTurned tells callers beyond the share to come back. They are read first: an answer to
+// a request that was not read is lost with the reset of its connection.
+func (s *Server) serveTurned() {
+	server := &http.Server{
+		Handler: s.handlers.TurnAway, MaxHeaderBytes: firstHeaderBytes, ReadTimeout: turnTime.Duration(), WriteTimeout: turnTime.Duration(),
+		ConnState: s.conns.note, ErrorLog: s.log.standard(),
+	}
+	server.SetKeepAlivesEnabled(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.run(server, &queueListener{server: s, from: s.turned, stopped: make(chan struct{})})
+}
+
+// run runs a server until the limits change or all is shut down; the lock is held.
+func (s *Server) run(server *http.Server, from *queueListener) {
+	s.servers = append(s.servers, server)
+	go func() {
+		// It ends when its listener does.
+		_ = server.Serve(from)
+	}()
+}
+
+// serve serves a request; while callers hold most of their share, its connection ends with it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.conns.full() {
+		w.Header().Set("Connection", "close")
+	}
+	s.handlers.Serve.ServeHTTP(w, r)
+}
 
 // SetLimits changes the limits for connections to come.
 func (s *Server) SetLimits(l routing.Limits) {
@@ -79,17 +152,13 @@
 	if s.current != nil {
 		s.current.stop()
 	}
-	s.current = &queueListener{server: s, stopped: make(chan struct{})}
+	s.current = &queueListener{server: s, from: s.accepted, stopped: make(chan struct{})}
 	server := &http.Server{
-		Handler: s.handler, MaxHeaderBytes: l.HeaderBytes,
+		Handler: http.HandlerFunc(s.serve), MaxHeaderBytes: l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTime.Duration(), IdleTimeout: l.IdleTime.Duration(),
-		ConnContext: withConn,
+		ConnContext: withConn, ConnState: s.conns.note, ErrorLog: s.log.standard(),
 	}
-	s.servers = append(s.servers, server)
-	go func(from net.Listener) {
-		// It ends when the limits change or the server is shut down.
-		_ = server.Serve(from)
-	}(s.current)
+	s.run(server, s.current)
 }
 
 // Shutdown takes no more connections, closes those that rest, and waits for the
@@ -117,6 +186,7 @@
 // queueListener hands accepted connections to one http.Server.
 type queueListener struct {
 	server  *Server
+	from    <-chan net.Conn
 	stopped chan struct{}
 	once    sync.Once
 }
@@ -129,7 +199,7 @@
 	default:
 	}
 	select {
-	case c := <-l.server.accepted:
+	case c := <-l.from:
 		return c, nil
 	case <-l.stopped:
 		return nil, net.ErrClosed
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quaydock/pkg/commontest"
+	"quaydock/pkg/descriptors"
 	"quaydock/pkg/ingress"
 	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
@@ -21,9 +22,9 @@
 
 func startServer(t *testing.T) (*ingress.Server, *network.Memory) {
 	reach := network.NewMemory(nil)
-	s := ingress.NewServer(commontest.New(reach), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := ingress.NewServer(commontest.New(reach), ingress.Handlers{Serve: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "yes")
-	}))
+	})}, descriptors.Divide(1024))
 	listener, err := reach.Listen(serverAt)
 	if err != nil {
 		t.Fatal(err)
