--- a/pkg/ingress/cause_string.go
+++ b/pkg/ingress/cause_string.go
@@ -24,11 +24,12 @@
 	_ = x[CauseLost-13]
 	_ = x[CauseLeft-14]
 	_ = x[CauseLeaving-15]
+	_ = x[CauseCrowded-16]
 }
 
-const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeaving"
+const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeavingCrowded"
 
-var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119}
+var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119, 126}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
