--- a/pkg/routing/target.go
+++ b/pkg/routing/target.go
@@ -5,9 +5,11 @@
 	"quaydock/pkg/ids"
 )
 
-// Target is one run of an engine or plain service process.
+// Target is one life of an engine or plain service process.
 type Target struct {
-	ID      ids.Target
+	ID ids.Target
+	// Start tells this life from others under the same id.
+	Start   ids.Start
 	Service ids.Service
 	Address string
 	Domain  ids.FailureDomain
@@ -23,6 +25,11 @@
 	Admission Admission
 }
 
+// Life names this life of the target.
+func (t *Target) Life() ids.Life {
+	return ids.Life{Target: t.ID, Start: t.Start}
+}
+
 // Admission says whether a target may get work by the version that it runs.
 type Admission int
 
