--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -135,11 +135,14 @@
 }
 
 // offered returns a target if a request may go there as far as this entry knows, or
-// nil. A home that is cut off from the store may not have heard that it leaves.
-func (d *Dispatcher) offered(p *pending, id ids.Target) *routing.Target {
-	t := d.view.Directory().Target(id)
+// nil. A home that is cut off from the store may not have heard that it leaves, or has started
+// again: the request would then be counted in another life than the one that runs it.
+func (d *Dispatcher) offered(p *pending, life ids.Life) *routing.Target {
+	t := d.view.Directory().Target(life.Target)
 	switch {
-	case t == nil, t.Leaving, t.Admission == routing.Withheld:
+	case t == nil, !t.Life().Same(life), t.Service != p.want.Service:
+		return nil
+	case t.Leaving, t.Admission == routing.Withheld:
 		return nil
 	case t.Admission == routing.OnTrial && !d.trials.send(p, t):
 		return nil
@@ -167,7 +170,7 @@
 	for _, p := range d.running {
 		w := p.want
 		lists[w.Service] = append(lists[w.Service], item{
-			Number: p.number, Target: p.target.ID, Begun: p.begun,
+			Number: p.number, Life: p.target.Life(), Begun: p.begun,
 			Tier: w.Tier, Prompt: w.Prompt, Events: w.Events, Account: w.Account, Movable: w.Movable,
 		})
 	}
--- a/pkg/dispatch/home_answers.go
+++ b/pkg/dispatch/home_answers.go
@@ -31,10 +31,10 @@
 type standing struct {
 	planner.Decision
 	id planner.JobID
-	at ids.Target
+	at ids.Life
 }
 
-func placeOf(p *planner.Planner, id planner.JobID) ids.Target {
+func placeOf(p *planner.Planner, id planner.JobID) ids.Life {
 	at, _ := p.Granted(id)
 	return at
 }
@@ -59,7 +59,7 @@
 	for _, d := range decided {
 		switch d := d.(type) {
 		case planner.Grant:
-			h.answer(d.ID, answer{Verdict: granted, Target: d.Target})
+			h.answer(d.ID, answer{Verdict: granted, Life: d.Life})
 		case planner.Refuse:
 			kind := refused
 			if d.Empty {
@@ -70,10 +70,10 @@
 			h.answer(d.ID, answer{Verdict: move})
 		case standing:
 			kind := queued
-			if d.at != "" {
+			if d.at != (ids.Life{}) {
 				kind = granted
 			}
-			h.answer(d.id, answer{Verdict: kind, Target: d.at})
+			h.answer(d.id, answer{Verdict: kind, Life: d.at})
 		}
 	}
 }
@@ -113,7 +113,7 @@
 			it := &s.Items[i]
 			listed[it.Number] = true
 			id := planner.JobID{Entry: from.String(), Number: it.Number}
-			p.Restore(now, planner.Job{ID: id, Account: it.Account, Tier: it.Tier, Prompt: it.Prompt, Events: it.Events}, it.Target, it.Begun)
+			p.Restore(now, planner.Job{ID: id, Account: it.Account, Tier: it.Tier, Prompt: it.Prompt, Events: it.Events}, it.Life, it.Begun)
 			if it.Begun {
 				p.Begin(now, id, nil)
 			}
--- a/pkg/dispatch/home_trials.go
+++ b/pkg/dispatch/home_trials.go
@@ -66,7 +66,7 @@
 	}
 	h.hear(g, &record)
 	for _, o := range g.planner.Observations() {
-		g.trial.Evidence.Note(o.Trial, rollout.Observation{At: now, Target: o.Target, Route: o.Route, Failed: o.Failed, Ratio: o.Ratio, Factor: o.Factor, Loaded: o.Loaded})
+		g.trial.Evidence.Note(o.Trial, rollout.Observation{At: now, Life: o.Life, Route: o.Route, Failed: o.Failed, Ratio: o.Ratio, Factor: o.Factor, Loaded: o.Loaded})
 	}
 	plan := g.trial.Step(h.situation(now, g, record))
 	if plan.Share != g.planned.Share || plan.Write != g.planned.Write {
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -50,7 +50,7 @@
 	_          struct{} `cbor:",toarray"`
 	Number     uint64
 	Verdict    verdict
-	Target     ids.Target
+	Life       ids.Life // of the target that is granted
 	RetryAfter clock.Millis
 	// Ahead and Wait are what a refusal stands on.
 	Ahead int
@@ -91,7 +91,7 @@
 type item struct {
 	_       struct{} `cbor:",toarray"`
 	Number  uint64
-	Target  ids.Target
+	Life    ids.Life // of its target
 	Begun   bool
 	Tier    ids.TierRank
 	Prompt  ids.Tokens
@@ -101,4 +101,4 @@
 }
 
 // pageItems is how many items surely fit into one datagram.
-const pageItems = 16
+const pageItems = 14
--- a/pkg/dispatch/notes.go
+++ b/pkg/dispatch/notes.go
@@ -33,7 +33,7 @@
 	// noteTime bounds a call to the store.
 	noteTime = 600 * clock.Millisecond
 	// factorsAPage is how many factors surely fit into one datagram.
-	factorsAPage = 30
+	factorsAPage = 24
 )
 
 // lesson is what a home has learned of a service. The factors of many targets
@@ -84,7 +84,7 @@
 }
 
 // tell tells the entry that would follow what this home has learned, and notes it in
-// the store now and then. One message a second for thirty targets does not grow with
+// the store now and then. One message a second for some two dozen targets does not grow with
 // the number of entries.
 func (m *memory) tell(ctx context.Context, now clock.Millis, service ids.Service, l *planner.Learned) {
 	for id := range l.Factors {
@@ -111,19 +111,19 @@
 }
 
 // mostFactors bounds what is passed on of one service: a row of the store holds
-// 64 KB, and a factor takes some 25 bytes.
-const mostFactors = 2000
+// 64 KB, and a factor takes some 37 bytes.
+const mostFactors = 1700
 
 // pages divides what was learned so that each part fits into a datagram.
 func pages(l *planner.Learned) []planner.Learned {
 	page := *l
-	page.Factors = make(map[ids.Target]float64)
+	page.Factors = make(map[ids.Life]float64)
 	var list []planner.Learned
 	for id, f := range l.Factors {
 		page.Factors[id] = f
 		if len(page.Factors) == factorsAPage {
 			list = append(list, page)
-			page.Factors = make(map[ids.Target]float64)
+			page.Factors = make(map[ids.Life]float64)
 		}
 	}
 	return append(list, page)
--- a/pkg/dispatch/notes_test.go
+++ b/pkg/dispatch/notes_test.go
@@ -34,6 +34,9 @@
 
 func (*rowOf) Whole(context.Context) (follow.Batch, error) { return follow.Batch{}, nil }
 
+// startOfAll is when the targets of these tests started.
+const startOfAll ids.Start = 1_764_673_891_234
+
 // TestWhatIsLearnedDoesNotPileUp has the targets of a service replaced again and
 // again: the next home keeps those of the last lesson only, and the row in the store
 // stays within what the store takes, however many targets there are.
@@ -59,9 +62,9 @@
 		}
 		time.Sleep(time.Second)
 		for _, targets := range []int{70, 70, 5000, 40} {
-			l := &planner.Learned{Factors: make(map[ids.Target]float64)}
+			l := &planner.Learned{Factors: make(map[ids.Life]float64)}
 			for n := range targets {
-				l.Factors[ids.Target(fmt.Sprintf("i-%d-%010x", targets, n))] = 1.5
+				l.Factors[ids.Life{Target: ids.Target(fmt.Sprintf("i-%d-%010x", targets, n)), Start: startOfAll}] = 1.5
 			}
 			entries[0].tell(ctx, c.Clock.Now(), "s", l)
 			time.Sleep(noteEvery.Duration() + time.Second)
--- a/pkg/dispatch/pending.go
+++ b/pkg/dispatch/pending.go
@@ -44,10 +44,10 @@
 		case a.Verdict == refused, a.Verdict == noTarget:
 			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, RetryAfter: a.RetryAfter, Ahead: a.Ahead, Wait: a.Wait}, nil
 		case a.Verdict == granted:
-			if t := d.offered(p, a.Target); t != nil {
+			if t := d.offered(p, a.Life); t != nil {
 				return d.begin(p.number, &p.want, t, nil), nil, nil
 			}
-			d.decline(p, a.Target)
+			d.decline(p, a.Life)
 		}
 	}
 }
@@ -114,11 +114,11 @@
 
 // decline gives back a grant for a target that is not to be used. The request
 // goes on under a new number.
-func (d *Dispatcher) decline(p *pending, id ids.Target) {
+func (d *Dispatcher) decline(p *pending, life ids.Life) {
 	d.Metrics.Links.Add("grants_declined", 1)
 	d.leave(p.number)
 	d.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: planner.Moved})
-	p.want.Exclude = append(slices.Clone(p.want.Exclude), id)
+	p.want.Exclude = append(slices.Clone(p.want.Exclude), life)
 	p.silence = 0
 	d.enter(p)
 }
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -23,26 +23,63 @@
 	target   *routing.Target
 	conn     *connection
 	request  *Request
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
 	stop     func() bool  // takes back the closing at the end of the context
 	written  atomic.Int64 // bytes of the request
 	writeEnd chan error
 }
 
-// Send makes one exchange. When ctx ends, the connection is closed.
+// Send makes one exchange. When ctx ends, or the target has started again, the connection is
+// closed.
 func (p *Pool) Send(ctx context.Context, t *routing.Target, r *Request) Result {
-	conn := p.take(t.ID)
-	if conn == nil {
-		var err error
-		if conn, err = p.dial(ctx, t); err != nil {
-			return unreached(t, err)
-		}
+	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan error, 1)}
+	e.ctx, e.cancel = context.WithCancelCause(ctx)
+	if !p.enter(t.Life(), e, e.cancel) {
+		e.cancel(nil)
+		return unreached(t, errReplaced)
 	}
-	e := &exchange{pool: p, target: t, conn: conn, request: r, writeEnd: make(chan error, 1)}
-	e.stop = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := e.connect(); err != nil {
+		err = e.cause(err)
+		e.leave()
+		return unreached(t, err)
+	}
+	e.stop = context.AfterFunc(e.ctx, func() { _ = e.conn.SetDeadline(time.Unix(1, 0)) })
 	go e.write()
 	return e.read()
 }
 
+// connect takes a connection. One that was made while the target started again may lead to its
+// new life, which is not to run what was counted in the former one.
+func (e *exchange) connect() error {
+	e.conn = e.pool.take(e.target.Life())
+	if e.conn == nil {
+		var err error
+		if e.conn, err = e.pool.dial(e.ctx, e.target); err != nil {
+			return err
+		}
+	}
+	if err := e.cause(nil); err != nil {
+		discard(e.conn)
+		return err
+	}
+	return nil
+}
+
+// leave ends what ends with the exchange.
+func (e *exchange) leave() {
+	e.pool.leave(e.target.Life(), e)
+	e.cancel(nil)
+}
+
+// cause is why an exchange failed: an error of its connection only says that it was closed here.
+func (e *exchange) cause(err error) error {
+	if errors.Is(context.Cause(e.ctx), errReplaced) {
+		return errReplaced
+	}
+	return err
+}
+
 // write sends the request. It runs beside the reading, since a target may
 // answer before it has read a long body.
 func (e *exchange) write() {
@@ -112,7 +149,9 @@
 // failed ends an exchange without an answer. Only if the write itself failed
 // before its first byte is it sure that nothing was sent.
 func (e *exchange) failed(err error) Result {
+	err = e.cause(err)
 	e.stop()
+	e.leave()
 	discard(e.conn)
 	writeErr := <-e.writeEnd
 	if writeErr != nil && e.written.Load() == 0 {
@@ -141,6 +180,7 @@
 // if both sides are through with it.
 func (e *exchange) finish(response *http.Response, whole bool) {
 	stopped := e.stop()
+	e.leave()
 	written := false
 	select {
 	case err := <-e.writeEnd:
@@ -150,7 +190,7 @@
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	keep := keepFor(response.Header)
 	if whole && stopped && written && framed && !response.Close && keep > 0 {
-		e.pool.rest(e.target.ID, e.conn, keep)
+		e.pool.rest(e.target.Life(), e.conn, keep)
 		return
 	}
 	discard(e.conn)
@@ -165,6 +205,9 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.exchange.cause(err)
+	}
 	if err != nil && !b.ended {
 		b.ended = true
 		b.exchange.finish(b.response, errors.Is(err, io.EOF))
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"quaydock/pkg/clock"
@@ -19,17 +20,81 @@
 	marks func(header map[string][]string) Marks
 
 	mu   sync.Mutex
-	idle map[ids.Target][]*connection
+	idle map[ids.Life][]*connection
+	busy map[ids.Life]map[*exchange]context.CancelCauseFunc
+	// targets is the newest list, nil before the first.
+	targets *routing.Directory
 }
 
+// errReplaced says that the target has started again under its id: the exchange belongs to its
+// former life.
+var errReplaced = errors.New("the target has started again")
+
 // NewPool returns a pool without connections. The function marks reads the head
 // of an answer.
 func NewPool(c common.Common, marks func(header map[string][]string) Marks) *Pool {
-	return &Pool{Common: c, marks: marks, idle: make(map[ids.Target][]*connection)}
+	return &Pool{Common: c, marks: marks, idle: make(map[ids.Life][]*connection), busy: make(map[ids.Life]map[*exchange]context.CancelCauseFunc)}
+}
+
+// enter notes an exchange, so that it is broken off once its target has started again. It
+// reports false if that has happened already.
+func (p *Pool) enter(life ids.Life, e *exchange, end context.CancelCauseFunc) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.replaced(life) {
+		return false
+	}
+	if p.busy[life] == nil {
+		p.busy[life] = make(map[*exchange]context.CancelCauseFunc)
+	}
+	p.busy[life][e] = end
+	return true
+}
+
+func (p *Pool) leave(life ids.Life, e *exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy[life], e)
+	if len(p.busy[life]) == 0 {
+		delete(p.busy, life)
+	}
+}
+
+// replaced reports whether a life is over; the lock is held.
+func (p *Pool) replaced(life ids.Life) bool {
+	return p.targets != nil && p.targets.Replaced(life)
+}
+
+// Follow takes the newest list of targets. What was sent to a former life of a target is broken off:
+// a VM that was cut off and came back resets no connection, so that callers would wait for
+// answers that nobody works on. The list must come here before anything is placed by it.
+func (p *Pool) Follow(targets *routing.Directory) {
+	var old []*connection
+	p.mu.Lock()
+	p.targets = targets
+	for life, list := range p.idle {
+		if p.replaced(life) {
+			old = append(old, list...)
+			delete(p.idle, life)
+		}
+	}
+	for life, exchanges := range p.busy {
+		if !p.replaced(life) {
+			continue
+		}
+		p.Metrics.Links.Add("exchanges_of_former_lives", int64(len(exchanges)))
+		for _, end := range exchanges {
+			end(errReplaced)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		discard(c)
+	}
 }
 
 // take returns an idle connection to a target, or nil.
-func (p *Pool) take(t ids.Target) *connection {
+func (p *Pool) take(t ids.Life) *connection {
 	now := p.Clock.Now()
 	for {
 		c := p.pop(t)
@@ -44,7 +109,7 @@
 	}
 }
 
-func (p *Pool) pop(t ids.Target) *connection {
+func (p *Pool) pop(t ids.Life) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[t]
@@ -67,11 +132,15 @@
 	return newConnection(c), nil
 }
 
-// rest keeps a connection for the next request.
-func (p *Pool) rest(t ids.Target, c *connection, keep clock.Millis) {
+// rest keeps a connection for the next request to the same life of its target.
+func (p *Pool) rest(t ids.Life, c *connection, keep clock.Millis) {
 	c.goodUntil = p.Clock.Now() + keep
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.replaced(t) {
+		discard(c)
+		return
+	}
 	p.idle[t] = append(p.idle[t], c)
 }
 
@@ -89,7 +158,7 @@
 	for t, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now < c.goodUntil && known.Target(t) != nil {
+			if now < c.goodUntil && known.Target(t.Target) != nil {
 				kept = append(kept, c)
 				continue
 			}
@@ -111,7 +180,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle = make(map[ids.Target][]*connection)
+	p.idle = make(map[ids.Life][]*connection)
 	p.mu.Unlock()
 	for _, list := range idle {
 		for _, c := range list {
--- a/pkg/ids/life.go
+++ b/pkg/ids/life.go
@@ -1,5 +1,7 @@
 package ids
 
+import "fmt"
+
 // Start tells one start of a target from another: the Unix millisecond of it, by the clock of
 // the target's VM. Clocks step, so that it says nothing of order. UnknownStart stands for a
 // target that does not tell it.
@@ -22,3 +24,11 @@
 func (l Life) Same(other Life) bool {
 	return l.Target == other.Target && (l.Start == other.Start || l.Start == UnknownStart || other.Start == UnknownStart)
 }
+
+// String gives the target, and its start if that is known.
+func (l Life) String() string {
+	if l.Start == UnknownStart {
+		return string(l.Target)
+	}
+	return fmt.Sprintf("%s from %d", l.Target, l.Start)
+}
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,6 +81,7 @@
 	delay  time.Duration // before each place
 	refuse bool
 	stuck  ids.Target // its requests are told to go elsewhere after 300 ms
+	placed func()     // called once there is a place, before it is used
 	mu     sync.Mutex
 	ends   []string // target and outcome of each place
 }
@@ -94,12 +96,15 @@
 		return nil, &schedule.Refused{Overloaded: true, RetryAfter: 2500}, nil
 	}
 next:
-	for _, t := range s.b.targets {
+	for _, t := range s.b.listed() {
 		for _, x := range ask.Exclude {
-			if x == t.ID {
+			if x == t.Life() {
 				continue next
 			}
 		}
+		if s.placed != nil {
+			s.placed()
+		}
 		return &orderedPlace{s, t}, nil, nil
 	}
 	return nil, &schedule.Refused{RetryAfter: 500}, nil
@@ -129,6 +134,7 @@
 // arrival is a request as a target saw it.
 type arrival struct {
 	target string
+	start  ids.Start // of the life that its connection was made to
 	header http.Header
 	body   string
 	at     time.Time
@@ -150,6 +156,7 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	started  map[net.Conn]ids.Start // of the life that accepted a connection
 }
 
 // engine answers one request; the connection is closed when it returns false.
@@ -158,7 +165,7 @@
 const entryAt = "10.0.0.1:80"
 
 func newBed(t *testing.T, meter freely, engines ...engine) *bed {
-	b := &bed{t: t, reach: network.NewMemory(nil)}
+	b := &bed{t: t, reach: network.NewMemory(nil), started: make(map[net.Conn]ids.Start)}
 	c := commontest.New(b.reach)
 	b.spans = tracetest.NewSpanRecorder()
 	c.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(b.spans)).Tracer("test")
@@ -223,6 +230,9 @@
 			if err != nil {
 				return
 			}
+			b.mu.Lock()
+			b.started[c] = b.targets[i].Start
+			b.mu.Unlock()
 			go b.converse(c, string(target.ID), e)
 		}
 	}()
@@ -238,7 +248,7 @@
 		}
 		body, _ := io.ReadAll(r.Body)
 		b.mu.Lock()
-		b.arrivals = append(b.arrivals, arrival{target: target, header: r.Header, body: string(body), at: time.Now()})
+		b.arrivals = append(b.arrivals, arrival{target: target, start: b.started[c], header: r.Header, body: string(body), at: time.Now()})
 		b.mu.Unlock()
 		if !e(c, r) {
 			return
@@ -252,6 +262,13 @@
 	return b.arrivals
 }
 
+// listed is the newest list of targets.
+func (b *bed) listed() []*routing.Target {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.targets)
+}
+
 // reply is what a caller got.
 type reply struct {
 	status int
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -70,6 +70,7 @@
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
 	}
+	p.View.Watch(p.Pool.Follow)
 	return &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
 }
 
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -185,10 +185,10 @@
 	return d.untried(q) && d.retries.Repeat(now, q.service, d.entries.Entries())
 }
 
-// untried reports whether there is a target that the request was not sent to.
+// untried reports whether there is a target that the request was not sent to in its present life.
 func (d *delivery) untried(q *request) bool {
 	for _, t := range d.admission.view.Directory().Serving(q.service) {
-		if !slices.Contains(q.tried, t.ID) {
+		if !slices.Contains(q.tried, t.Life()) {
 			return true
 		}
 	}
@@ -227,7 +227,7 @@
 		ID: q.ID, Method: q.http.Method, Path: q.http.RequestURI, Host: q.http.Host,
 		Header: d.dialect.Onward(q.http.Header, onward), Body: q.body,
 	})
-	q.tried = append(q.tried, target.ID)
+	q.tried = append(q.tried, target.Life())
 	switch result := result.(type) {
 	case forward.NotSent:
 		q.note(d.Clock.Now(), "not reached", target.ID)
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -25,7 +25,7 @@
 	sent      int // exchanges that may have run at a target
 	declines  int // exchanges that surely did not
 	sends     int // all exchanges that reached a target
-	tried     []ids.Target
+	tried     []ids.Life
 	lastEvent int64
 	hasEvent  bool
 
--- a/pkg/planner/export_test.go
+++ b/pkg/planner/export_test.go
@@ -11,3 +11,8 @@
 	w := p.queue.jobs[i]
 	return p.wait(now, w, p.queue.ahead(now, w)), true
 }
+
+// Lives is how many lives of targets are known.
+func (p *Planner) Lives() int {
+	return len(p.targets)
+}
--- a/pkg/planner/hold_test.go
+++ b/pkg/planner/hold_test.go
@@ -34,7 +34,7 @@
 	e.p.Submit(e.now, j)
 	for _, d := range e.p.Decisions() {
 		if g, ok := d.(planner.Grant); ok && g.ID == j.ID {
-			return j.ID, g.Target
+			return j.ID, g.Life.Target
 		}
 	}
 	return j.ID, ""
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -50,8 +50,8 @@
 	Movable bool
 	// Domain is the failure domain of its entry: bytes to others cost.
 	Domain ids.FailureDomain
-	// Exclude lists targets that it is not to get again.
-	Exclude []ids.Target
+	// Exclude lists lives of targets that it is not to get again.
+	Exclude []ids.Life
 	// Route is the one on which it came.
 	Route ids.Route
 	// Trial says that its entry may send it to a version on trial.
@@ -66,10 +66,10 @@
 // Decision is what the planner says of a job: Grant, Refuse or Move.
 type Decision interface{ decision() }
 
-// Grant gives a job a target.
+// Grant gives a job a target, in the life that the planner knows.
 type Grant struct {
-	ID     JobID
-	Target ids.Target
+	ID   JobID
+	Life ids.Life
 }
 
 // Refuse sends a job away. It has not run.
--- a/pkg/planner/learned.go
+++ b/pkg/planner/learned.go
@@ -16,8 +16,8 @@
 	First, Pause Line
 	// Hold is the longest that prompts hold up one event, in ms; 0 if unknown.
 	Hold float64
-	// Factors says how much slower than the others targets are.
-	Factors map[ids.Target]float64
+	// Factors says how much slower than the others targets are, each in one life.
+	Factors map[ids.Life]float64
 }
 
 // Line is a straight line through observed points.
@@ -37,10 +37,10 @@
 	if p.speeds.first.n < minKnown {
 		return nil
 	}
-	l := &Learned{First: p.speeds.first.told(), Pause: p.speeds.pause.told(), Hold: p.speeds.hold.most, Factors: make(map[ids.Target]float64)}
-	for id, t := range p.targets {
+	l := &Learned{First: p.speeds.first.told(), Pause: p.speeds.pause.told(), Hold: p.speeds.hold.most, Factors: make(map[ids.Life]float64)}
+	for life, t := range p.targets {
 		if t.factor.known {
-			l.Factors[id] = t.factor.value
+			l.Factors[life] = t.factor.value
 		}
 	}
 	return l
@@ -60,8 +60,8 @@
 	if p.speeds.hold.most == 0 {
 		p.speeds.hold.most = l.Hold
 	}
-	for id, f := range l.Factors {
-		if t := p.targets[id]; t != nil && !t.factor.known {
+	for life, f := range l.Factors {
+		if t := p.targets[life]; t != nil && !t.factor.known {
 			t.factor = factor{value: f, known: true}
 		}
 	}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -56,7 +56,7 @@
 		p.runs[w.ID] = t.start(now, w.Job)
 		p.gave(now, w)
 		p.trial.earn(w.Route)
-		p.decide(Grant{ID: w.ID, Target: t.ID})
+		p.decide(Grant{ID: w.ID, Life: t.Life()})
 		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !t.room(now, s.careful) })
 	}
 	clear(p.queue.jobs[len(kept):])
@@ -114,7 +114,7 @@
 	var best *target
 	var least float64
 	for _, t := range s.roomy {
-		if slices.Contains(w.Exclude, t.ID) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
+		if slices.Contains(w.Exclude, t.Life()) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
 			continue
 		}
 		// A little chance spreads what is equal.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -12,7 +12,8 @@
 // Planner plans for one group of targets. It is not safe for concurrent use.
 type Planner struct {
 	random    *rand.Rand
-	targets   map[ids.Target]*target
+	targets   map[ids.Life]*target
+	lives     map[ids.Target]*lives
 	list      []*target // those offered
 	slots     int       // how many jobs these run at once
 	trial     trial
@@ -30,7 +31,7 @@
 
 // New returns a planner without targets.
 func New(random *rand.Rand) *Planner {
-	return &Planner{random: random, targets: make(map[ids.Target]*target), runs: make(map[JobID]*run), given: make(map[ids.TierRank]*sizedRate)}
+	return &Planner{random: random, targets: make(map[ids.Life]*target), lives: make(map[ids.Target]*lives), runs: make(map[JobID]*run), given: make(map[ids.TierRank]*sizedRate)}
 }
 
 // Without switches mechanisms off, for experiments.
@@ -38,7 +39,9 @@
 	p.off = off
 }
 
-// SetTargets says which targets may get work, or are on trial. What runs on others goes on.
+// SetTargets says which targets may get work, or are on trial. What runs on others goes on. Of a
+// target that has started again nothing is known but how many runs its former life still has:
+// these end when their entries say so.
 func (p *Planner) SetTargets(now clock.Millis, offered []*routing.Target) {
 	for _, t := range p.targets {
 		t.offered = false
@@ -47,13 +50,10 @@
 	p.trial.targets = p.trial.targets[:0]
 	p.slots = 0
 	for _, o := range offered {
-		t := p.targets[o.ID]
-		if t == nil {
-			t = &target{runs: make(map[JobID]*run)}
-			p.targets[o.ID] = t
-		}
+		t := p.target(o)
 		t.Target = o
 		t.offered = true
+		t.lives.listed = t
 		if o.Admission == routing.OnTrial {
 			p.trial.targets = append(p.trial.targets, t)
 			continue
@@ -61,14 +61,61 @@
 		p.list = append(p.list, t)
 		p.slots += t.limit()
 	}
-	for id, t := range p.targets {
-		if !t.offered && len(t.runs) == 0 {
-			delete(p.targets, id)
-		}
+	for _, t := range p.targets {
+		p.forget(t)
 	}
 	p.place(now)
 }
 
+// target returns what is known of a life of a target, which is nothing at first.
+func (p *Planner) target(o *routing.Target) *target {
+	if t := p.targets[o.Life()]; t != nil {
+		return t
+	}
+	of := p.lives[o.ID]
+	if of == nil {
+		of = &lives{}
+		p.lives[o.ID] = of
+	}
+	of.known++
+	t := &target{Target: o, lives: of, runs: make(map[JobID]*run)}
+	p.targets[o.Life()] = t
+	return t
+}
+
+// forget forgets a life that gets no more work once it has none left.
+func (p *Planner) forget(t *target) {
+	if t.offered || len(t.runs) > 0 {
+		return
+	}
+	delete(p.targets, t.Life())
+	if t.lives.listed == t {
+		t.lives.listed = nil
+	}
+	t.lives.known--
+	if t.lives.known == 0 {
+		delete(p.lives, t.ID)
+	}
+}
+
+// lifeAt returns the life that an entry names, or nil if its target is not known at all. An entry
+// that has not read of a new start names the former one.
+func (p *Planner) lifeAt(at ids.Life) *target {
+	if t := p.targets[at]; t != nil {
+		return t
+	}
+	of := p.lives[at.Target]
+	if of == nil || of.listed == nil {
+		return nil
+	}
+	if of.listed.Life().Same(at) {
+		return of.listed
+	}
+	former := *of.listed.Target
+	former.Start = at.Start
+	return p.target(&former)
+}
+
 // Submit takes a job, unless it is known. Decisions follow.
 func (p *Planner) Submit(now clock.Millis, job Job) {
 	if p.runs[job.ID] != nil {
@@ -112,11 +159,11 @@
 }
 
 // Granted returns the target that a job has been given, if any.
-func (p *Planner) Granted(id JobID) (ids.Target, bool) {
+func (p *Planner) Granted(id JobID) (ids.Life, bool) {
 	if r := p.runs[id]; r != nil {
-		return r.target.ID, true
+		return r.target.Life(), true
 	}
-	return "", false
+	return ids.Life{}, false
 }
 
 // Withdraw takes back a job that waits, or ends one that was granted.
@@ -136,7 +183,7 @@
 		return
 	}
 	if load != nil {
-		r.target.foreign.learn(now, load.Running+load.Waiting-len(r.target.runs))
+		r.target.foreign.learn(now, load.Running+load.Waiting-r.target.lives.runs)
 	}
 	r.target.begin(now, r)
 	if !r.trial {
@@ -166,9 +213,7 @@
 	delete(p.runs, id)
 	t.end(r)
 	p.released(now, r, outcome)
-	if !t.offered && len(t.runs) == 0 {
-		delete(p.targets, t.ID)
-	}
+	p.forget(t)
 	p.place(now)
 }
 
@@ -186,14 +231,14 @@
 
 // Restore takes in a job that has a target already, as when a planner begins
 // anew. Of what it did before nothing is known.
-func (p *Planner) Restore(now clock.Millis, job Job, at ids.Target, begun bool) {
+func (p *Planner) Restore(now clock.Millis, job Job, at ids.Life, begun bool) {
 	if p.runs[job.ID] != nil {
 		return
 	}
 	if i := p.queue.find(job.ID); i >= 0 {
 		p.queue.remove(i)
 	}
-	t := p.targets[at]
+	t := p.lifeAt(at)
 	if t == nil {
 		return // it is gone
 	}
--- a/pkg/planner/planner_test.go
+++ b/pkg/planner/planner_test.go
@@ -239,8 +239,8 @@
 
 func TestAPlannerThatBeginsAnewLearnsWhatRuns(t *testing.T) {
 	p := newPlanner(2)
-	p.Restore(start, job(1, 0), "t0", true)
-	p.Restore(start, job(2, 0), "t0", false)
+	p.Restore(start, job(1, 0), ids.Life{Target: "t0"}, true)
+	p.Restore(start, job(2, 0), ids.Life{Target: "t0"}, false)
 	p.Submit(start, job(3, 0))
 	if got := granted(p.Decisions()); len(got) != 0 {
 		t.Fatalf("granted %v on a target that others fill", got)
@@ -277,10 +277,10 @@
 				continue
 			}
 			if i >= 30 {
-				given[g.Target]++
+				given[g.Life.Target]++
 			}
 			load := &planner.Load{Running: 1}
-			if g.Target == "t1" {
+			if g.Life.Target == "t1" {
 				load = &planner.Load{Running: 4, Waiting: 3}
 			}
 			p.Begin(now, j.ID, load)
--- a/pkg/planner/random_test.go
+++ b/pkg/planner/random_test.go
@@ -109,8 +109,8 @@
 					h.t.Fatalf("job %d of tier %d granted %d ms after one of tier %d was refused", d.ID.Number, h.tiers[d.ID.Number], now-at, higher)
 				}
 			}
-			h.running[d.ID.Number] = d.Target
-			h.load[d.Target]++
+			h.running[d.ID.Number] = d.Life.Target
+			h.load[d.Life.Target]++
 		case planner.Refuse:
 			delete(h.waiting, d.ID.Number)
 			h.refused[h.tiers[d.ID.Number]] = now
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -24,7 +24,7 @@
 // there is none does not wait: it would only count as ahead of others.
 func (p *Planner) servable(job *Job) bool {
 	for _, t := range p.list {
-		if !slices.Contains(job.Exclude, t.ID) {
+		if !slices.Contains(job.Exclude, t.Life()) {
 			return true
 		}
 	}
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -9,6 +9,7 @@
 // target is what the planner knows of one target.
 type target struct {
 	*routing.Target
+	lives   *lives
 	offered bool // it may get new work
 	runs    map[JobID]*run
 	reading ids.Tokens // prompts of runs that have not begun
@@ -20,6 +21,15 @@
 	tried   int // how often it was filled while its version was on trial
 }
 
+// lives are the lives of one target that have runs, or may get them. A target that has started
+// again gets no more than its slots over all of them: until the entries have told the end
+// of the runs of its former life, some of these may in truth have reached the new one.
+type lives struct {
+	runs   int
+	listed *target // the newest, as long as it is known
+	known  int
+}
+
 // run is a granted job.
 type run struct {
 	Job
@@ -47,7 +57,7 @@
 // aside gets one job at a time until it has served one; where most targets fail,
 // that would leave nearly nothing of what they can do.
 func (t *target) room(now clock.Millis, careful bool) bool {
-	if !t.offered || len(t.runs)+t.foreign.at(now) >= t.limit() {
+	if !t.offered || t.lives.runs+t.foreign.at(now) >= t.limit() {
 		return false
 	}
 	return !careful || !t.trial || len(t.runs) == 0
@@ -66,6 +76,7 @@
 	}
 	r := &run{Job: job, target: t, since: now, ahead: t.reading, beside: len(t.runs) + 1}
 	t.runs[job.ID] = r
+	t.lives.runs++
 	return r
 }
 
@@ -82,6 +93,7 @@
 		t.reading -= r.Prompt
 	}
 	delete(t.runs, r.ID)
+	t.lives.runs--
 }
 
 // foreign is the load of a target that did not come through this planner, as
--- a/pkg/planner/targets_test.go
+++ b/pkg/planner/targets_test.go
@@ -24,7 +24,7 @@
 			if !ok {
 				continue
 			}
-			if g.Target == "t1" {
+			if g.Life.Target == "t1" {
 				stuck["t1"]++ // it never begins
 				continue
 			}
@@ -58,9 +58,9 @@
 			if !ok {
 				continue
 			}
-			given[g.Target]++
+			given[g.Life.Target]++
 			slow := clock.Millis(1)
-			if g.Target == "t1" {
+			if g.Life.Target == "t1" {
 				slow = 5
 			}
 			p.Begin(now+20*slow, g.ID, nil)
@@ -111,7 +111,7 @@
 					j := job(100+i, 0)
 					j.Arrived, j.Deadline = now, now+10*clock.Second
 					p.Submit(now, j)
-					if at, _ := p.Granted(j.ID); at != "" && at < ids.Target(fmt.Sprint("t", s.fail)) {
+					if at, _ := p.Granted(j.ID); at.Target != "" && at.Target < ids.Target(fmt.Sprint("t", s.fail)) {
 						failed++
 					}
 				}
@@ -129,7 +129,7 @@
 		j := job(10+i, 0)
 		for n := range targets {
 			if other := ids.Target(fmt.Sprint("t", n)); other != at {
-				j.Exclude = append(j.Exclude, other)
+				j.Exclude = append(j.Exclude, ids.Life{Target: other})
 			}
 		}
 		p.Submit(start, j)
@@ -146,8 +146,8 @@
 	p.Submit(start, block)
 	p.Submit(start, other)
 	none, one := job(3, 0), job(4, 0)
-	none.Exclude = []ids.Target{"t0", "t1"}
-	one.Exclude, one.Returned = []ids.Target{"t1"}, true
+	none.Exclude = []ids.Life{{Target: "t0"}, {Target: "t1"}}
+	one.Exclude, one.Returned = []ids.Life{{Target: "t1"}}, true
 	p.Decisions()
 	p.Submit(start, none)
 	if got := refused(p.Decisions()); len(got) != 1 || !got[0].Empty || got[0].ID.Number != 3 {
@@ -175,7 +175,7 @@
 		for n, took := range []clock.Millis{40, 200} {
 			j := job(uint64(10*i+n), 0)
 			j.Prompt, j.Arrived, j.Deadline = 1000, now, now+10*clock.Second
-			j.Exclude = []ids.Target{ids.Target(fmt.Sprint("t", 1-n))}
+			j.Exclude = []ids.Life{{Target: ids.Target(fmt.Sprint("t", 1-n))}}
 			first.Submit(now, j)
 			first.Begin(now+took, j.ID, nil)
 			first.Finish(now+took, j.ID, planner.Served, planner.Flow{})
@@ -198,7 +198,7 @@
 			j := job(i, 0)
 			j.Prompt = 1000
 			p.Submit(start, j)
-			if at, _ := p.Granted(j.ID); at == "t1" {
+			if at, _ := p.Granted(j.ID); at.Target == "t1" {
 				slow++
 			}
 		}
@@ -225,7 +225,7 @@
 		j := job(uint64(i), 0)
 		j.Prompt, j.Events, j.Domain = 2000, 20, "south"
 		p.Submit(start, j)
-		if got, _ := p.Granted(j.ID); got != at {
+		if got, _ := p.Granted(j.ID); got.Target != at {
 			t.Errorf("request %d of the south is on %q, want %q", i, got, at)
 		}
 	}
--- a/pkg/planner/trial.go
+++ b/pkg/planner/trial.go
@@ -39,14 +39,14 @@
 	next   int
 	alike  bool // the next job earns for the next route, not for its own
 	// filled is the target that is being filled, up to fillUntil.
-	filled       ids.Target
+	filled       ids.Life
 	fillUntil    clock.Millis
 	observations []Observation
 }
 
 // Observation is what became of a job at a target, for the one who judges versions.
 type Observation struct {
-	Target ids.Target
+	Life   ids.Life
 	Route  ids.Route
 	Trial  bool
 	Failed bool
@@ -189,7 +189,7 @@
 		r := t.start(now, w.Job)
 		r.trial = true
 		p.runs[w.ID] = r
-		p.decide(Grant{ID: w.ID, Target: t.ID})
+		p.decide(Grant{ID: w.ID, Life: t.Life()})
 		return true
 	})
 }
@@ -217,7 +217,7 @@
 		return
 	}
 	next.tried++
-	p.trial.filled = next.ID
+	p.trial.filled = next.Life()
 	p.trial.fillUntil = now + fillFor
 }
 
@@ -236,8 +236,8 @@
 	var best *target
 	for _, t := range p.trial.targets {
 		switch {
-		case !t.room(now, true) || t.health.Aside(now) || slices.Contains(w.Exclude, t.ID):
-		case p.trial.Leave == 0 && t.ID != p.trial.filled:
+		case !t.room(now, true) || t.health.Aside(now) || slices.Contains(w.Exclude, t.Life()):
+		case p.trial.Leave == 0 && t.Life() != p.trial.filled:
 		case best == nil || p.cost(now, t, &w.Job) < p.cost(now, best, &w.Job):
 			best = t
 		}
@@ -250,7 +250,7 @@
 	if !p.trial.watched {
 		return
 	}
-	o := Observation{Target: r.target.ID, Route: r.Route, Trial: r.trial, Failed: outcome == Failed, Factor: r.target.factor.get()}
+	o := Observation{Life: r.target.Life(), Route: r.Route, Trial: r.trial, Failed: outcome == Failed, Factor: r.target.factor.get()}
 	o.Loaded = float64(r.beside) >= loadedPart*float64(r.target.limit())
 	expected := p.speeds.firstTime(r.ahead) + float64(flow.Events)*p.speeds.pauseTime((r.beside+len(r.target.runs))/2)
 	o.Ratio = float64(now-r.since) / max(1, expected)
--- a/pkg/planner/trial_test.go
+++ b/pkg/planner/trial_test.go
@@ -64,13 +64,13 @@
 			continue
 		}
 		b.all++
-		if g.Target[:3] == "new" {
+		if g.Life.Target[:3] == "new" {
 			b.sent++
 			b.routes[route]++
-			b.onNew[g.Target]++
-			b.most = max(b.most, b.onNew[g.Target])
+			b.onNew[g.Life.Target]++
+			b.most = max(b.most, b.onNew[g.Life.Target])
 		}
-		b.ends = append(b.ends, ending{b.now + 300, g.ID, g.Target})
+		b.ends = append(b.ends, ending{b.now + 300, g.ID, g.Life.Target})
 	}
 }
 
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -10,9 +10,9 @@
 
 // Observation is what became of one request at a target.
 type Observation struct {
-	At     clock.Millis
-	Target ids.Target
-	Route  ids.Route
+	At    clock.Millis
+	Life  ids.Life // of its target
+	Route ids.Route
 	// Failed says that the target failed it; Ratio is how much longer it took than such a
 	// request takes at an ordinary target, and Factor how much slower than such a one the target
 	// is; 0 if that is not known.
@@ -75,7 +75,7 @@
 
 // cell is where an answer is counted.
 type cell struct {
-	target ids.Target
+	life   ids.Life
 	route  ids.Route
 	loaded bool
 }
@@ -109,7 +109,7 @@
 func newGroup() group { return group{cells: make(map[cell]*history)} }
 
 func (g *group) add(o Observation, bad bool) {
-	c := cell{o.Target, o.Route, o.Loaded}
+	c := cell{o.Life, o.Route, o.Loaded}
 	h := g.cells[c]
 	if h == nil {
 		h = &history{}
@@ -124,9 +124,9 @@
 	}
 }
 
-// byTarget sums the answers of a slice by target.
-func (g *group) byTarget(of slice, recent bool) map[ids.Target]tally {
-	return sumBy(g, of, recent, func(c cell) ids.Target { return c.target })
+// byTarget sums the answers of a slice by target, each of its lives for itself.
+func (g *group) byTarget(of slice, recent bool) map[ids.Life]tally {
+	return sumBy(g, of, recent, func(c cell) ids.Life { return c.life })
 }
 
 // byRoute sums all answers by route.
@@ -186,7 +186,7 @@
 		e.answers = append(e.answers, paced{o, took})
 		e.answers = e.answers[max(0, len(e.answers)-mostAnswers):]
 	} else {
-		e.old.add(o, o.Failed || e.pace.slow(false, o.Target, took))
+		e.old.add(o, o.Failed || e.pace.slow(false, o.Life, took))
 		e.oldAnswers++
 	}
 	if o.Loaded {
@@ -198,7 +198,7 @@
 func (e *Evidence) sort() {
 	e.fresh = newGroup()
 	for _, a := range e.answers {
-		e.fresh.add(a.Observation, a.Failed || e.pace.slow(true, a.Target, a.took))
+		e.fresh.add(a.Observation, a.Failed || e.pace.slow(true, a.Life, a.took))
 	}
 }
 
--- a/pkg/rollout/evidence_test.go
+++ b/pkg/rollout/evidence_test.go
@@ -35,9 +35,9 @@
 			factor *= 5
 		}
 		ill := random.Float64() < p.ailing
-		id := ids.Target(fmt.Sprint(onTrial, n))
+		id := ids.Life{Target: ids.Target(fmt.Sprint(onTrial, n))}
 		return factor, func(at clock.Millis, part float64) {
-			o := rollout.Observation{At: at, Target: id, Route: "r", Ratio: factor * math.Exp(0.25*random.NormFloat64()), Factor: factor}
+			o := rollout.Observation{At: at, Life: id, Route: "r", Ratio: factor * math.Exp(0.25*random.NormFloat64()), Factor: factor}
 			o.Failed = random.Float64() < p.errors || ill && random.Float64() < 0.5
 			if onTrial && part >= p.from {
 				o.Failed = o.Failed || random.Float64() < p.bad
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -145,7 +145,7 @@
 
 // badRate is how many of the old version's answers are bad, with some caution while few are
 // known.
-func badRate(of map[ids.Target]tally) float64 {
+func badRate(of map[ids.Life]tally) float64 {
 	const priorBad, priorAll = 0.5, 50
 	var sum tally
 	for _, t := range of {
--- a/pkg/rollout/summary.go
+++ b/pkg/rollout/summary.go
@@ -59,7 +59,7 @@
 		if r.Bad < pooledBad || r.Requests <= 0 {
 			continue
 		}
-		rate := badRate(map[ids.Target]tally{"": {max(0, r.Old), max(0, r.OldBad)}})
+		rate := badRate(map[ids.Life]tally{{}: {max(0, r.Old), max(0, r.OldBad)}})
 		if luck := atLeast(r.Requests, rate, r.Bad); luck <= pooledDoubt {
 			return fmt.Sprintf("%d of %d answers bad on route %s since the order, %d of %d of the old version (chance %.1g)", r.Bad, r.Requests, r.Route, r.OldBad, r.Old, luck)
 		}
--- a/pkg/rollout/trial_test.go
+++ b/pkg/rollout/trial_test.go
@@ -21,12 +21,12 @@
 func trialAt(began clock.Millis, good bool) *rollout.Trial {
 	t := rollout.NewTrial(order("v2", 10), bounds, rollout.Summary{}, began, rollout.Times{Started: placed, Ends: ends, Over: over})
 	for n := range 400 {
-		target := ids.Target(fmt.Sprint("old", n%8))
-		t.Evidence.Note(false, rollout.Observation{At: began, Target: target, Route: "r", Ratio: 1, Factor: 1})
+		target := ids.Life{Target: ids.Target(fmt.Sprint("old", n%8))}
+		t.Evidence.Note(false, rollout.Observation{At: began, Life: target, Route: "r", Ratio: 1, Factor: 1})
 	}
 	for n := range 64 {
-		target := ids.Target(fmt.Sprint("new", n%8))
-		t.Evidence.Note(true, rollout.Observation{At: began, Target: target, Route: "r", Ratio: 1, Failed: !good && n%2 == 0, Loaded: true})
+		target := ids.Life{Target: ids.Target(fmt.Sprint("new", n%8))}
+		t.Evidence.Note(true, rollout.Observation{At: began, Life: target, Route: "r", Ratio: 1, Failed: !good && n%2 == 0, Loaded: true})
 	}
 	return t
 }
@@ -104,7 +104,7 @@
 			trial := rollout.NewTrial(order("v2", 10), bounds, rollout.Summary{}, placed, rollout.Times{Started: placed, Ends: ends, Over: over})
 			note := func(onTrial bool, n, loaded int, route ids.Route) {
 				for i := range n {
-					trial.Evidence.Note(onTrial, rollout.Observation{At: placed, Target: "a", Route: route, Ratio: 1, Factor: 1, Loaded: i < loaded})
+					trial.Evidence.Note(onTrial, rollout.Observation{At: placed, Life: ids.Life{Target: "a"}, Route: route, Ratio: 1, Factor: 1, Loaded: i < loaded})
 				}
 			}
 			note(false, s.old, s.oldLoaded, "r")
@@ -137,7 +137,7 @@
 	s := rollout.Situation{Now: placed + 5000, Record: running(rollout.Running), Fresh: true, Targets: 8, Old: 8, Backing: 1}
 	trial.Step(s)
 	for n := range 4000 {
-		trial.Evidence.Note(true, rollout.Observation{At: s.Now, Target: ids.Target(fmt.Sprint("new", n%8)), Route: "r", Ratio: 1})
+		trial.Evidence.Note(true, rollout.Observation{At: s.Now, Life: ids.Life{Target: ids.Target(fmt.Sprint("new", n%8))}, Route: "r", Ratio: 1})
 	}
 	s.Now += 10000
 	s.Fresh = false
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
@@ -116,17 +118,42 @@
 		return
 	}
 	before := r.targets[target.ID]
-	if !r.starting && (before == nil || before.Leaving != target.Leaving) {
-		r.Log.WithField("target", string(target.ID)).WithField("leaving", target.Leaving).WithField("version", string(target.Version)).Info("target listed")
+	if before != nil && row.Version < before.Revision {
+		return // a page read before a change that is known already: a former life would come back
 	}
-	target.Listed = row.Version
-	if before != nil {
-		target.Listed = before.Listed
+	target.Revision = row.Version
+	inherit(before, target)
+	if !r.starting && (before == nil || before.Leaving != target.Leaving || before.Life() != target.Life()) {
+		r.logListed(before, target)
 	}
 	r.targets[target.ID] = target
 	delete(r.missing, target.ID)
 }
 
+// inherit has a row take over what was told earlier of the same life of its target. A row without a start, after one with, is of the same life if
+// nothing else has changed that a process keeps for its life; a row with a start, after one
+// without, is of another, since a process that tells its start always does.
+func inherit(before, target *routing.Target) {
+	if before != nil && target.Start == ids.UnknownStart && target.Service == before.Service && target.Address == before.Address && target.Version == before.Version {
+		target.Start = before.Start
+	}
+	target.Listed = target.Revision
+	if before != nil && before.Life() == target.Life() {
+		target.Listed = before.Listed
+	}
+}
+
+func (r *Roster) logListed(before, target *routing.Target) {
+	line := r.Log.WithFields(logrus.Fields{
+		"target": string(target.ID), "leaving": target.Leaving, "version": string(target.Version), "start": int64(target.Start), "revision": target.Revision,
+	})
+	if before == nil || before.Life() == target.Life() {
+		line.Info("target listed")
+		return
+	}
+	line.WithField("former_start", int64(before.Start)).Info("target has started again under its id")
+}
+
 // drop takes a target off the list, or keeps it for a while if its entry may
 // have lapsed because of the store.
 func (r *Roster) drop(now clock.Millis, id ids.Target) {
--- a/pkg/routing/target.go
+++ b/pkg/routing/target.go
@@ -19,8 +19,9 @@
 	ColdFor clock.Millis
 	// Version is that of its software.
 	Version ids.Version
-	// Listed is the store's revision at which the target was first seen, at the latest.
-	Listed int64
+	// Listed is the store's revision at which this life of the target was first seen, at the
+	// latest, and Revision that of its newest row.
+	Listed, Revision int64
 	// Admission says whether its version may get work.
 	Admission Admission
 }
@@ -98,6 +99,13 @@
 	return d.byID[id]
 }
 
+// Replaced reports whether another life is listed under a target's id. A target that is not
+// listed at all may live on, and serve what it has.
+func (d *Directory) Replaced(life ids.Life) bool {
+	t := d.byID[life.Target]
+	return t != nil && t.Life() != life
+}
+
 // Len returns how many targets are known.
 func (d *Directory) Len() int {
 	return len(d.byID)
--- a/pkg/schedule/baselines.go
+++ b/pkg/schedule/baselines.go
@@ -39,7 +39,7 @@
 
 	mu      sync.Mutex
 	turns   map[ids.Service]int
-	reports map[ids.Target]report
+	reports map[ids.Life]report
 }
 
 type report struct {
@@ -49,7 +49,7 @@
 
 // NewBaseline returns a scheduler of a simple policy.
 func NewBaseline(c common.Common, v *view.View, policy Policy) *Baseline {
-	return &Baseline{Common: c, view: v, policy: policy, turns: make(map[ids.Service]int), reports: make(map[ids.Target]report)}
+	return &Baseline{Common: c, view: v, policy: policy, turns: make(map[ids.Service]int), reports: make(map[ids.Life]report)}
 }
 
 // Acquire gives a target at once.
@@ -61,7 +61,7 @@
 	defer b.mu.Unlock()
 	var offered []*routing.Target
 	for _, t := range b.view.Directory().Serving(ask.Service) {
-		if !slices.Contains(ask.Exclude, t.ID) {
+		if !slices.Contains(ask.Exclude, t.Life()) {
 			offered = append(offered, t)
 		}
 	}
@@ -87,15 +87,15 @@
 	now := b.Clock.Now()
 	for i := range offered {
 		// From the turn on, so that equal ones are taken in turn.
-		if t := offered[(first+i)%len(offered)]; b.load(now, t.ID) < b.load(now, best.ID) {
+		if t := offered[(first+i)%len(offered)]; b.load(now, t.Life()) < b.load(now, best.Life()) {
 			best = t
 		}
 	}
 	return best
 }
 
-func (b *Baseline) load(now clock.Millis, id ids.Target) int {
-	if r := b.reports[id]; now-r.at <= reportAge {
+func (b *Baseline) load(now clock.Millis, life ids.Life) int {
+	if r := b.reports[life]; now-r.at <= reportAge {
 		return r.load
 	}
 	return 0
@@ -114,7 +114,7 @@
 	}
 	p.baseline.mu.Lock()
 	defer p.baseline.mu.Unlock()
-	p.baseline.reports[p.target.ID] = report{load: load.Running + load.Waiting, at: p.baseline.Clock.Now()}
+	p.baseline.reports[p.target.Life()] = report{load: load.Running + load.Waiting, at: p.baseline.Clock.Now()}
 }
 
 func (p *baselinePlace) Moved() <-chan struct{} { return nil }
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -20,10 +20,10 @@
 	view *view.View
 
 	mu      sync.Mutex
-	targets map[ids.Target]*record
+	targets map[ids.Life]*record
 }
 
-// record is what is known of one target.
+// record is what is known of one life of a target.
 type record struct {
 	running int
 	health  planner.Health
@@ -31,7 +31,7 @@
 
 // NewLocal returns a scheduler that has placed nothing.
 func NewLocal(c common.Common, v *view.View) *Local {
-	return &Local{Common: c, view: v, targets: make(map[ids.Target]*record)}
+	return &Local{Common: c, view: v, targets: make(map[ids.Life]*record)}
 }
 
 const noTargetRetry = 500 * clock.Millisecond
@@ -47,15 +47,15 @@
 	if target == nil {
 		return nil, &Refused{RetryAfter: noTargetRetry}, nil
 	}
-	l.record(target.ID).running++
+	l.record(target.Life()).running++
 	return &localPlace{local: l, target: target}, nil, nil
 }
 
-func (l *Local) record(id ids.Target) *record {
-	r := l.targets[id]
+func (l *Local) record(life ids.Life) *record {
+	r := l.targets[life]
 	if r == nil {
 		r = &record{}
-		l.targets[id] = r
+		l.targets[life] = r
 	}
 	return r
 }
@@ -68,13 +68,13 @@
 	var best *routing.Target
 	var least float64
 	for _, t := range l.view.Directory().Serving(ask.Service) {
-		r := l.record(t.ID)
+		r := l.record(t.Life())
 		cost := (float64(r.running) + random.Float64()/2) / float64(max(1, t.Slots))
 		if r.health.Aside(now) {
 			const setAside = 1000
 			cost += setAside
 		}
-		if slices.Contains(ask.Exclude, t.ID) {
+		if slices.Contains(ask.Exclude, t.Life()) {
 			const tried = 2000
 			cost += tried
 		}
@@ -100,7 +100,7 @@
 	l := p.local
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.record(p.target.ID)
+	r := l.record(p.target.Life())
 	r.running--
 	r.health.Note(l.Clock.Now(), o)
 }
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -27,7 +27,7 @@
 
 // take runs n requests and returns how many each target got; done says which
 // are ended at once, and how.
-func take(t *testing.T, s schedule.Scheduler, n int, exclude []ids.Target, end func(schedule.Place)) map[ids.Target]int {
+func take(t *testing.T, s schedule.Scheduler, n int, exclude []ids.Life, end func(schedule.Place)) map[ids.Target]int {
 	t.Helper()
 	got := map[ids.Target]int{}
 	for range n {
@@ -87,7 +87,7 @@
 	if got := take(t, s, 10, nil, keep); got["t1"] != 10 {
 		t.Errorf("got %v with t1 reported idle", got)
 	}
-	if got := take(t, s, 10, []ids.Target{"t1"}, keep); got["t1"] != 0 {
+	if got := take(t, s, 10, []ids.Life{{Target: "t1"}}, keep); got["t1"] != 0 {
 		t.Error("an excluded target was taken")
 	}
 }
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -19,6 +19,9 @@
 	provenAt  atomic.Int64
 	known     chan struct{} // closed once there are a proven configuration and targets
 	once      sync.Once
+
+	mu       sync.Mutex // held while the list of targets is replaced
+	watchers []func(*routing.Directory)
 }
 
 // New returns an empty view.
@@ -49,9 +52,24 @@
 	return true
 }
 
+// Watch has a function told of each list of targets before anything is placed by it.
+func (v *View) Watch(told func(*routing.Directory)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.watchers = append(v.watchers, told)
+	if d := v.directory.Load(); d != nil {
+		told(d)
+	}
+}
+
 // SetDirectory replaces the list of targets.
 func (v *View) SetDirectory(d *routing.Directory) {
+	v.mu.Lock()
+	for _, told := range v.watchers {
+		told(d)
+	}
 	v.directory.Store(d)
+	v.mu.Unlock()
 	v.noteKnown()
 }
 
