Name targets by id alone in the lines of requests

Cause: since exclusions hold lives, `targets` in a request's line was written as id and start, by which quayctl explain finds no other line. Change: the line lists ids; a test reads the line of a request whose target had started again. Before: targets [t1 from 5000], want [t1].

--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
@@ -153,6 +154,7 @@
 	accounts   []*routing.Account
 	spans      *tracetest.SpanRecorder
 	keep       bool // callers ask for kept connections
+	lines      *logtest.Hook
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -170,6 +172,7 @@
 	b.spans = tracetest.NewSpanRecorder()
 	c.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(b.spans)).Tracer("test")
 	b.clock = c.Clock
+	b.lines = logtest.NewLocal(c.Log.Logger)
 	b.view = view.New(c.Check)
 	b.scheduler = &inOrder{b: b}
 	for i, e := range engines {
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -247,7 +247,7 @@
 		fields["prompt_tokens"] = int64(q.Prompt)
 	}
 	if len(q.tried) > 0 {
-		fields["targets"] = q.tried
+		fields["targets"] = q.targets()
 	}
 	if catalog := c.admission.view.Catalog(); catalog != nil {
 		fields["revision"] = int64(catalog.Revision)
--- a/pkg/ingress/lives_test.go
+++ b/pkg/ingress/lives_test.go
@@ -162,6 +162,31 @@
 	}
 }
 
+// TestTheLineOfALostRequestTellsTheRestart reads what operators find of a request whose target had
+// started again: the cause, and its target under the id by which all other lines name it.
+func TestTheLineOfALostRequestTellsTheRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, silent)
+		b.list(func(t *routing.Target) { t.Start = formerStart })
+		time.AfterFunc(100*time.Millisecond, b.restart)
+		b.call(context.Background(), "/unsafe/a", nil)
+		synctest.Wait()
+		line := b.lines.LastEntry()
+		if line == nil || line.Message != "request not answered" {
+			t.Fatalf("the last line is %v", line)
+		}
+		if got := fmt.Sprint(line.Data["targets"]); got != "[t1]" {
+			t.Errorf("targets %s", got)
+		}
+		if got := fmt.Sprint(line.Data["error"]); !strings.HasSuffix(got, "the target has started again") {
+			t.Errorf("error %q", got)
+		}
+		if got := fmt.Sprint(line.Data["trail"]); got != "[+0 ms placed on t1 +100 ms broken off without an answer at t1]" {
+			t.Errorf("trail %s", got)
+		}
+	})
+}
+
 // TestARequestNotSentYetLeavesTheFormerLife: the target of a request had started again between
 // the grant and the sending. The request ran at the new life, which no planner had counted there:
 // with all places of both lives taken a target had twice its slots.
--- a/pkg/ingress/trail.go
+++ b/pkg/ingress/trail.go
@@ -20,6 +20,15 @@
 	r.trail = append(r.trail, mark{at: now, what: what, target: target})
 }
 
+// targets lists the targets that a request was sent to, by the ids under which logs name them.
+func (r *request) targets() []ids.Target {
+	list := make([]ids.Target, 0, len(r.tried))
+	for _, life := range r.tried {
+		list = append(list, life.Target)
+	}
+	return list
+}
+
 // marks writes the trail with times since the request came.
 func (r *request) marks() []string {
 	list := make([]string, 0, len(r.trail))
