--- /dev/null
+++ b/pkg/app/rollout_engines_test.go
@@ -0,0 +1,86 @@
+package app
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quaydock/pkg/ids"
+	"quaydock/platform"
+)
+
+// badness is in what way a version is bad.
+type badness struct {
+	part  float64 // of its answers; 0 if the version is good
+	slow  float64 // how many times as long they take; 0 if they fail
+	later float64 // from which part of the order's time on
+	load  bool    // only on targets whose places are mostly taken
+	route ids.Route
+}
+
+type bedEngine struct {
+	id      ids.Target
+	version string
+	speed   float64
+	running int
+	grey    bool
+	stopped chan struct{}
+	once    sync.Once
+}
+
+func (e *bedEngine) end() { e.once.Do(func() { close(e.stopped) }) }
+
+func (b *rolloutBed) startEngine(version string, n int) {
+	speeds := []float64{0.36, 1, 1.8}
+	e := &bedEngine{id: ids.Target(fmt.Sprint(version, "-", n)), version: version, speed: speeds[n%len(speeds)], stopped: make(chan struct{})}
+	b.mu.Lock()
+	b.engines[e.id] = e
+	b.mu.Unlock()
+	b.list(e, "ready")
+}
+
+func (b *rolloutBed) list(e *bedEngine, state string) {
+	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q}`, bedService, e.version, bedSlots, state))
+}
+
+// retire stops the targets of a version at once.
+func (b *rolloutBed) retire(version string) {
+	b.mu.Lock()
+	var ended []*bedEngine
+	for _, e := range b.engines {
+		if e.version == version {
+			ended = append(ended, e)
+		}
+	}
+	b.mu.Unlock()
+	for _, e := range ended {
+		e.end()
+		b.store.Remove(platform.TableTargets, string(e.id))
+	}
+}
+
+// answer draws how long an answer takes, whether it fails, and whether that is because the
+// version is bad; the lock is held.
+func (b *rolloutBed) answer(e *bedEngine, route ids.Route, errors float64, events int, random *rand.Rand) (took time.Duration, failed, bad bool) {
+	const first, event = 40.0, 20.0 // ms
+	ms := (first + event*float64(events)) * e.speed * (1 + 0.04*float64(e.running)) * math.Exp(0.2*random.NormFloat64())
+	failed = random.Float64() < errors
+	if e.grey && random.Float64() < 0.45 {
+		failed = true
+	}
+	v := b.order.bad
+	if e.version == newVersion && v.part > 0 && b.sinceOrder() >= v.later && (!v.load || e.running >= bedSlots*7/10) && (v.route == "" || v.route == route) && random.Float64() < v.part {
+		bad = true
+		if v.slow > 0 {
+			ms *= v.slow
+		} else {
+			failed = true
+		}
+	}
+	if failed {
+		ms /= 2
+	}
+	return time.Duration(ms * float64(time.Millisecond)), failed, bad
+}
--- /dev/null
+++ b/pkg/app/rollout_entries_test.go
@@ -0,0 +1,88 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quaydock/pkg/bulletin"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/dispatch"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/random"
+	"quaydock/pkg/schedule"
+	"quaydock/pkg/view"
+	"quaydock/platform"
+)
+
+type bedEntry struct {
+	process *entryProcess
+	stop    context.CancelFunc
+	peers   net.Listener
+}
+
+// bedLog, if set, is where entries log.
+var bedLog func() *logrus.Entry
+
+func entryAddress(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1))
+}
+
+func (b *rolloutBed) startEntry(i int) {
+	c := commontest.New(b.net)
+	c.Random = random.NewSource(uint64(1 + i + 100*len(b.states) + int(time.Since(b.began).Milliseconds())))
+	if bedLog != nil {
+		c.Log = bedLog().WithField("entry", i)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	link := packets.NewLink(c, b.datagrams.Socket(entryAddress(i)))
+	p := &entryProcess{Common: c, view: view.New(c.Check), link: link}
+	p.bounds.Store(&platform.Bounds{ExposeShare: exposeShare, ExposeSlack: exposeSlack, Rollback: rollbackTime})
+	p.store = platform.NewStore(b.net, storeAddress(i), func(string, string) {})
+	p.members = membership.New(c, membership.Self{Name: ids.Process(fmt.Sprint("entry-", i)), Address: entryAddress(i), Weight: 1, Domain: "d"}, p.store.Table(platform.TableMembers), link)
+	p.board = bulletin.NewBoard(c, p.members, link)
+	p.rollouts = newRollouts(c, p.view)
+	p.dispatcher = dispatch.New(dispatch.Parts{
+		Common: c, Address: entryAddress(i), Domain: "d", View: p.view, Members: p.members, Link: link, Notes: p.store.Table(platform.TableNotes),
+		Local: schedule.NewLocal(c, p.view), Rollouts: p.rollouts.parts(p.exposure, p.store.Rollouts()),
+	})
+	peers, err := b.net.Listen(entryAddress(i).String())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	go p.board.Serve(peers)
+	go link.Run(ctx)
+	go p.members.Run(ctx)
+	go p.dispatcher.Run(ctx)
+	go p.board.Run(ctx)
+	go p.followEntries(ctx)
+	go p.followRest(ctx)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries[i] = &bedEntry{process: p, stop: stop, peers: peers}
+}
+
+// stopEntry ends an entry without a word, as a kill does.
+func (b *rolloutBed) stopEntry(i int) {
+	b.mu.Lock()
+	e := b.entries[i]
+	b.entries[i] = nil
+	b.mu.Unlock()
+	if e == nil {
+		return
+	}
+	e.stop()
+	_ = e.peers.Close()
+	e.process.store.Close()
+}
+
+// inTouch reports whether an entry reaches the store and the others; the lock is held.
+func (b *rolloutBed) inTouch(entry int) bool {
+	return !b.away[entry] && !b.cut[entryAddress(entry)]
+}
