Play a roll-out whose engines start again under their ids before its order is read

Cause: the guard on a restart onto a version not ordered yet had a test of roster, book and screen alone. Until its row is read, a process that starts again with another version gets requests under the name of the former one; design/0011 says so.

--- a/pkg/app/rollout_engines_test.go
+++ b/pkg/app/rollout_engines_test.go
@@ -23,6 +23,7 @@
 type bedEngine struct {
 	id      ids.Target
 	version string
+	start   ids.Start
 	speed   float64
 	running int
 	grey    bool
@@ -34,15 +35,31 @@
 
 func (b *rolloutBed) startEngine(version string, n int) {
 	speeds := []float64{0.36, 1, 1.8}
-	e := &bedEngine{id: ids.Target(fmt.Sprint(version, "-", n)), version: version, speed: speeds[n%len(speeds)], stopped: make(chan struct{})}
+	e := &bedEngine{id: ids.Target(fmt.Sprint(version, "-", n)), version: version, start: b.now(), speed: speeds[n%len(speeds)], stopped: make(chan struct{})}
 	b.mu.Lock()
 	b.engines[e.id] = e
 	b.mu.Unlock()
 	b.list(e, "ready")
 }
 
+// startAgain has an engine crash and start again under its id, maybe with another version.
+func (b *rolloutBed) startAgain(id ids.Target, version string) {
+	b.mu.Lock()
+	former := b.engines[id]
+	e := &bedEngine{id: id, version: version, start: b.now(), speed: former.speed, stopped: make(chan struct{})}
+	b.engines[id] = e
+	b.mu.Unlock()
+	former.end()
+	b.list(e, "ready")
+}
+
+// now is a start of an engine at this moment.
+func (b *rolloutBed) now() ids.Start {
+	return ids.Start(time.Now().UnixMilli())
+}
+
 func (b *rolloutBed) list(e *bedEngine, state string) {
-	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q}`, bedService, e.version, bedSlots, state))
+	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"born":%d}`, bedService, e.version, bedSlots, state, e.start))
 }
 
 // retire stops the targets of a version at once.
