Ask for the factors of the old targets when the evidence is judged

Cause: the home of a roll-out gathered the factors of all targets at each step, 40 times a second; they are used when the evidence is judged, every 250 ms. Change: the situation holds the function. Behaviour as before.

--- a/pkg/dispatch/home_trials.go
+++ b/pkg/dispatch/home_trials.go
@@ -128,7 +128,7 @@
 func (h *Home) situation(now clock.Millis, g *hosted, record rollout.Record) rollout.Situation {
 	onTrial, others := g.planner.TrialTargets()
 	return rollout.Situation{
-		Now: now, Record: record, Targets: onTrial, Old: others, Factors: g.planner.Factors(),
+		Now: now, Record: record, Targets: onTrial, Old: others, Factors: g.planner.Factors,
 		Fresh:        h.rollouts.Book.Age(now) <= h.rollouts.Bounds().Trust(),
 		Unrepeatable: g.planner.Unrepeatable(), Backing: h.members.Backing(),
 		Usual: onTrial == 0 && runsOnly(g.directory.Serving(record.Service), record.Version) && h.rollouts.Book.Usual(record.Service, record.Version),
--- a/pkg/rollout/trial.go
+++ b/pkg/rollout/trial.go
@@ -102,8 +102,9 @@
 	Record Record
 	// Fresh says that orders and records are surely the newest, but for a moment.
 	Fresh bool
-	// Factors says how much slower than ordinary ones the old version's targets are.
-	Factors []float64
+	// Factors tells how much slower than ordinary ones the old version's targets are. It is asked
+	// when the evidence is judged, which is not at each step; nil if nobody knows.
+	Factors func() []float64
 	// Targets is how many targets of the version on trial may get work, Old how many others.
 	Targets, Old int
 	// Unrepeatable is how many requests run on the old version's targets that could not be taken
@@ -155,9 +156,7 @@
 func (t *Trial) judge(s Situation) {
 	if s.Now-t.judged >= judgeEvery {
 		t.judged = s.Now
-		if 2*len(s.Factors) >= s.Old {
-			t.Evidence.SetFactors(s.Factors)
-		}
+		t.takeFactors(s)
 		t.finding = t.Evidence.Judge(s.Now, s.Targets)
 		t.slow = t.Evidence.pace.finding()
 		t.doubt = ""
@@ -167,6 +166,16 @@
 	}
 }
 
+// takeFactors takes the factors of the old version's targets once those of half of them are known.
+func (t *Trial) takeFactors(s Situation) {
+	if s.Factors == nil {
+		return
+	}
+	if known := s.Factors(); 2*len(known) >= s.Old {
+		t.Evidence.SetFactors(known)
+	}
+}
+
 // reasonAgainst says why the version is to be rolled back now, if it is.
 func (t *Trial) reasonAgainst(s Situation) string {
 	switch {
