--- a/pkg/membership/heavy_test.go
+++ b/pkg/membership/heavy_test.go
@@ -96,6 +96,17 @@
 	})
 }
 
+// heavyHome is the home of a heavy matter, as the first entry sees it, and which entry that is.
+func (b *bed) heavyHome(matter string) (netip.AddrPort, int) {
+	home, _ := b.members[0].HeavyHome(matter)
+	for i := range b.members {
+		if address(i) == home {
+			return home, i
+		}
+	}
+	panic("no entry has the home's address")
+}
+
 // TestOneThatLagsHandsOver has one entry's timers late, as on a VM that is slowed down: all
 // agree soon that another one is the home, and it is not taken again for a while after it
 // has caught up.
@@ -104,13 +115,7 @@
 		b := start(t, equal(6)...)
 		time.Sleep(time.Second)
 		const matter = "targets/s"
-		home, _ := b.members[0].HeavyHome(matter)
-		slow := 0
-		for i := range b.members {
-			if address(i) == home {
-				slow = i
-			}
-		}
+		home, slow := b.heavyHome(matter)
 		tick := func(late clock.Millis, n int) {
 			for range n {
 				time.Sleep(25 * time.Millisecond)
@@ -192,16 +197,12 @@
 		b := start(t, equal(4)...)
 		time.Sleep(time.Second)
 		const matter = "targets/s"
-		home, _ := b.members[0].HeavyHome(matter)
+		home, slow := b.heavyHome(matter)
 		b.net.Lose(func(from, _ netip.AddrPort, kind packets.Kind) bool {
 			return from == home && kind == packets.KindHello
 		})
-		for i, m := range b.members {
-			if address(i) == home {
-				for range 30 {
-					m.NoteLag(150)
-				}
-			}
+		for range 30 {
+			b.members[slow].NoteLag(150)
 		}
 		time.Sleep(150 * time.Millisecond)
 		b.net.Lose(nil)
