Take a row whose revision is not known for news

Cause: reading the change once more: rows older than known are passed over, and a revision that is not known is 0. Change: only a known lower revision is passed over; a new life of unknown revision counts from the last one known, since 0 would make it an engine of before every order.

--- a/pkg/roster/lives_test.go
+++ b/pkg/roster/lives_test.go
@@ -55,6 +55,7 @@
 		{"a later start", []follow.Row{first.at(7), row{60, "v1", "x:1", false}.at(19)}, 60, 19},
 		{"a lower start: the clock was set back", []follow.Row{first.at(7), row{40, "v1", "x:1", false}.at(19)}, 40, 19},
 		{"the former row is read once more, later", []follow.Row{first.at(7), row{40, "v1", "x:1", false}.at(19), first.at(7)}, 40, 19},
+		{"another start, at a revision that is not known", []follow.Row{first.at(7), row{40, "v1", "x:1", false}.at(0)}, 40, 7},
 		{"no start after one, and nothing else has changed", []follow.Row{first.at(7), row{0, "v1", "x:1", true}.at(19)}, 50, 7},
 		{"and then the same start again", []follow.Row{first.at(7), row{0, "v1", "x:1", true}.at(19), first.at(21)}, 50, 7},
 		{"and then another", []follow.Row{first.at(7), row{0, "v1", "x:1", true}.at(19), row{60, "v1", "x:1", false}.at(21)}, 60, 21},
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -118,7 +118,7 @@
 		return
 	}
 	before := r.targets[target.ID]
-	if before != nil && row.Version < before.Revision {
+	if before != nil && row.Version > 0 && row.Version < before.Revision {
 		return // a page read before a change that is known already: a former life would come back
 	}
 	target.Revision = row.Version
@@ -130,15 +130,21 @@
 	delete(r.missing, target.ID)
 }
 
-// inherit has a row take over what was told earlier of the same life of its target. A row without a start, after one with, is of the same life if
-// nothing else has changed that a process keeps for its life; a row with a start, after one
-// without, is of another, since a process that tells its start always does.
+// inherit has a row take over what was told earlier of the same life of its target. A row without
+// a start, after one with, is of the same life if nothing else has changed that a process keeps for
+// its life; a row with a start, after one without, is of another, since a process that tells its
+// start always does.
 func inherit(before, target *routing.Target) {
-	if before != nil && target.Start == ids.UnknownStart && target.Service == before.Service && target.Address == before.Address && target.Version == before.Version {
+	target.Listed = target.Revision
+	if before == nil {
+		return
+	}
+	if target.Start == ids.UnknownStart && target.Service == before.Service && target.Address == before.Address && target.Version == before.Version {
 		target.Start = before.Start
 	}
+	target.Revision = max(target.Revision, before.Revision) // one that is not known is 0
 	target.Listed = target.Revision
-	if before != nil && before.Life() == target.Life() {
+	if before.Life() == target.Life() {
 		target.Listed = before.Listed
 	}
 }
