--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -77,6 +77,7 @@
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
 	}
+	p.View.Watch(p.Pool.Follow)
 	c := &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
 	c.ended, c.end = context.WithCancel(context.Background())
 	return c
@@ -279,7 +280,7 @@
 		fields["prompt_tokens"] = int64(q.Prompt)
 	}
 	if len(q.tried) > 0 {
-		fields["targets"] = q.tried
+		fields["targets"] = q.targets()
 	}
 	if catalog := c.admission.view.Catalog(); catalog != nil {
 		fields["revision"] = int64(catalog.Revision)
