Take rows of another writer for nothing, in every table that is read

Cause: rows of the store were trusted to be of their own writers. A target's row that could not be parsed left what the row had said before in use (and a whole read counted it as present); ParseTarget took an unknown state for ready and a row without service, address, zone or slots; a value that is not base64 failed the decoding of the whole answer, so that one row stopped a table for all entries; a version alone at op/config put a configuration without routes in force; a faulty order was taken for gone by the next whole read; a faulty row of an entry took a living entry off the list in a whole read, and with it its part of what all may spend; notes with factors of 0, below 0 or endless were adopted; changes of another part of a table were taken for rows of ours.

Ruled out: what runs at a target whose row becomes faulty. It leaves the list as one that is gone does, and planners keep the runs of targets that are not offered.

The roster sets a target aside at once, keeps the revision it was first listed at, and takes it back with its own row. Configuration, orders and records stay in force; a running roll-out's record is written over. An entry's faulty row leaves what was known of it, its own is written again. What is remembered of versions in use is bounded.

The rows of engines in the stand-ins of app and soak lacked two fields that engines write. checkBounds of the roll-outs' plays passed with nothing served at all, and now wants more served than failed.

Conclusion: a row names a target only if it has all that an engine writes.

--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -14,6 +14,7 @@
 	view    *view.View
 	applied func(*routing.Catalog)
 	orders  orderTaker // nil if roll-outs are no part of the deployment
+	faults  *follow.Faults
 }
 
 // orderTaker takes the operators' rows with orders of roll-outs.
@@ -23,6 +24,7 @@
 
 // Whole takes the configuration from the operators' rows.
 func (h *configurationHandler) Whole(rows []follow.Row, proof follow.Proof) {
+	h.faults.Retain(rows)
 	h.change(rows, true, proof)
 }
 
@@ -36,24 +38,31 @@
 		h.orders.take(rows, all, proof)
 	}
 	for _, row := range rows {
-		if row.Key == platform.KeyConfiguration && !row.Gone && !h.take(row) {
-			return // no proof without a configuration that can be read
+		switch {
+		case row.Key != platform.KeyConfiguration:
+		case row.Gone:
+			h.faults.Sound(row.Key)
+		default:
+			h.take(row)
 		}
 	}
 	h.view.Proven(proof.CurrentAt)
 }
 
-func (h *configurationHandler) take(row follow.Row) bool {
+// take puts a configuration in force. A row that says none that can be used leaves what is in
+// force, and its proof: the store takes none from operators but whole ones, so that it is another
+// writer's.
+func (h *configurationHandler) take(row follow.Row) {
 	catalog, err := platform.ParseConfiguration(row.Value)
 	if err != nil {
-		h.Log.WithError(err).Error("the configuration in force stays")
-		return false
+		h.faults.Note(row, err)
+		return
 	}
+	h.faults.Sound(row.Key)
 	if h.view.SetCatalog(catalog) {
 		h.Log.WithField("revision", int64(catalog.Revision)).Info("configuration in force")
 		h.applied(catalog)
 	}
-	return true
 }
 
 // Lost does nothing: the configuration stays, and its proof grows old.
--- a/pkg/app/entry_follow.go
+++ b/pkg/app/entry_follow.go
@@ -30,7 +30,7 @@
 	case <-ctx.Done():
 		return
 	}
-	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied}
+	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied, faults: follow.NewFaults(p.Common, "configuration")}
 	listed := p.view.SetDirectory
 	if p.rollouts != nil {
 		configuration.orders = p.rollouts
--- a/pkg/app/rollout_bed_test.go
+++ b/pkg/app/rollout_bed_test.go
@@ -238,7 +238,7 @@
 }
 
 func (b *rolloutBed) list(e *bedEngine, state string) {
-	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q}`, bedService, e.version, bedSlots, state))
+	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1}`, bedService, e.version, bedSlots, state))
 }
 
 // draw draws a number below n.
--- a/pkg/app/rollout_play_test.go
+++ b/pkg/app/rollout_play_test.go
@@ -248,6 +248,10 @@
 	if o.cutShort > 0 {
 		t.Errorf("%d requests that may not be repeated were cut", o.cutShort)
 	}
+	// Where nothing is served all bounds hold, and each version is rolled back.
+	if o.served <= o.failed {
+		t.Errorf("%d requests were served, %d failed", o.served, o.failed)
+	}
 }
 
 // manyPlays is from how many plays on the share of good versions that are completed, and every bad
--- a/pkg/app/rollouts.go
+++ b/pkg/app/rollouts.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"errors"
+
 	"quaydock/pkg/common"
 	"quaydock/pkg/dispatch"
 	"quaydock/pkg/follow"
@@ -15,11 +17,17 @@
 	common.Common
 	book   *rollout.Book
 	screen *rollout.Screen
+	// orderFaults and recordFaults are about the rows of the two tables that tell of roll-outs.
+	orderFaults  *follow.Faults
+	recordFaults *follow.Faults
 }
 
 func newRollouts(c common.Common, v *view.View) *rollouts {
 	book := rollout.NewBook()
-	return &rollouts{Common: c, book: book, screen: rollout.NewScreen(book, v.SetDirectory)}
+	return &rollouts{
+		Common: c, book: book, screen: rollout.NewScreen(book, v.SetDirectory),
+		orderFaults: follow.NewFaults(c, "orders of roll-outs"), recordFaults: follow.NewFaults(c, "records of roll-outs"),
+	}
 }
 
 // parts is what the dispatcher needs of it.
@@ -31,19 +39,25 @@
 func (r *rollouts) take(rows []follow.Row, all bool, proof follow.Proof) {
 	var orders []rollout.Order
 	var gone []ids.Service
+	if all {
+		r.orderFaults.Retain(rows)
+	}
 	for _, row := range rows {
 		service, is := platform.RolloutOf(row.Key)
 		switch {
 		case !is:
 		case row.Gone:
 			gone = append(gone, service)
+			r.orderFaults.Sound(row.Key)
 			r.Log.WithField("service", string(service)).Info("order of a roll-out gone")
 		default:
 			o, err := platform.ParseOrder(row)
 			if err != nil {
-				r.Log.WithError(err).Error("an order of a roll-out is passed over")
+				r.orderFaults.Note(row, err)
+				orders = append(orders, r.standing(service)...)
 				continue
 			}
+			r.orderFaults.Sound(row.Key)
 			orders = append(orders, o)
 			r.logOrder(o)
 		}
@@ -56,6 +70,14 @@
 	r.screen.Proven()
 }
 
+// standing returns the order of a service that stays in force while its row cannot be used.
+func (r *rollouts) standing(service ids.Service) []rollout.Order {
+	if o, known := r.book.Order(service); known {
+		return []rollout.Order{o}
+	}
+	return nil
+}
+
 func (r *rollouts) logOrder(o rollout.Order) {
 	if !r.book.Knows(o) {
 		r.Log.WithField("service", string(o.Service)).WithField("version", string(o.Version)).
@@ -79,6 +101,7 @@
 // Whole takes all rows.
 func (h entriesHandler) Whole(rows []follow.Row, proof follow.Proof) {
 	entries, records := divide(rows)
+	h.recordFaults.Retain(records)
 	h.members.Whole(entries, proof)
 	h.takeRecords(records, proof)
 }
@@ -105,18 +128,26 @@
 	return entries, records
 }
 
+var errOtherKey = errors.New("record of a roll-out: of another service than its row")
+
 // takeRecords takes what has been decided. A record that is gone stays decided.
 func (r *rollouts) takeRecords(rows []follow.Row, proof follow.Proof) {
 	var records []rollout.Record
 	for _, row := range rows {
 		if row.Gone {
+			r.recordFaults.Sound(row.Key)
 			continue
 		}
 		record, err := rollout.DecodeRecord(row.Value, rollout.Revision(row.Version))
+		if err == nil && platform.RecordKey(record.Service) != row.Key {
+			err = errOtherKey
+		}
 		if err != nil {
-			r.Log.WithError(err).WithField("row", row.Key).Error("a record of a roll-out is passed over")
+			r.recordFaults.Note(row, err)
+			records = append(records, r.overwriting(row)...)
 			continue
 		}
+		r.recordFaults.Sound(row.Key)
 		r.logState(record)
 		records = append(records, record)
 	}
@@ -126,6 +157,19 @@
 	}
 }
 
+// overwriting returns what was decided of a running roll-out whose record's row has become faulty, as
+// of that row's revision: the home writes the next state over it. The revision of a completed one
+// tells which targets are older, and stays.
+func (r *rollouts) overwriting(row follow.Row) []rollout.Record {
+	service, _ := platform.RolloutOf(row.Key)
+	known, has := r.book.Record(service)
+	if !has || known.State.Final() {
+		return nil
+	}
+	known.Written = rollout.Revision(row.Version)
+	return []rollout.Record{known}
+}
+
 func (r *rollouts) logState(record rollout.Record) {
 	if known, _ := r.book.Record(record.Service); known.State != record.State || known.Order != record.Order {
 		r.Log.WithField("service", string(record.Service)).WithField("version", string(record.Version)).
--- a/pkg/dispatch/notes.go
+++ b/pkg/dispatch/notes.go
@@ -52,6 +52,7 @@
 	members *membership.Members
 	link    *packets.Link
 	notes   Notes
+	faults  *follow.Faults
 
 	mu    gosync.Mutex
 	heard map[ids.Service]*planner.Learned // of homes
@@ -59,7 +60,7 @@
 }
 
 func newMemory(c common.Common, members *membership.Members, link *packets.Link, notes Notes) *memory {
-	m := &memory{Common: c, members: members, link: link, notes: notes, heard: make(map[ids.Service]*planner.Learned), noted: make(map[ids.Service]clock.Millis)}
+	m := &memory{Common: c, members: members, link: link, notes: notes, faults: follow.NewFaults(c, "notes"), heard: make(map[ids.Service]*planner.Learned), noted: make(map[ids.Service]clock.Millis)}
 	link.Handle(packets.KindLearned, packets.Receive(link, m.hear))
 	return m
 }
@@ -153,8 +154,12 @@
 	}
 	for _, row := range batch.Rows {
 		l := &planner.Learned{}
-		if err := cbor.Unmarshal(row.Value, l); err != nil {
-			m.Log.WithError(err).WithField("service", row.Key).Warn("a note is passed over")
+		err := cbor.Unmarshal(row.Value, l)
+		if err == nil {
+			err = l.Check()
+		}
+		if err != nil {
+			m.faults.Note(row, err)
 			continue
 		}
 		service := ids.Service(row.Key)
--- a/pkg/dispatch/notes_test.go
+++ b/pkg/dispatch/notes_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/netip"
 	gosync "sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/follow"
@@ -80,3 +83,51 @@
 		time.Sleep(5 * clock.Second.Duration())
 	})
 }
+
+// foreignNotes is a table of notes that another writer has been at.
+type foreignNotes struct{ rows []follow.Row }
+
+func (foreignNotes) Put(context.Context, string, []byte) error { return nil }
+
+func (n foreignNotes) Whole(context.Context) (follow.Batch, error) {
+	return follow.Batch{Rows: n.rows}, nil
+}
+
+// TestAForeignNoteTeachesNothing has a table of notes hold what no planner has learned: a factor that
+// is no number would have a target never placed on, or always.
+func TestAForeignNoteTeachesNothing(t *testing.T) {
+	line := planner.Line{N: 9, X: 1, Y: 1, XX: 1, XY: 1}
+	notes := []struct {
+		service string
+		learned planner.Learned
+		sound   bool
+	}{
+		{"sound", planner.Learned{First: line, Pause: line, Factors: map[ids.Target]float64{"a": 1.5}}, true},
+		{"nan", planner.Learned{First: line, Factors: map[ids.Target]float64{"a": math.NaN()}}, false},
+		{"nothing", planner.Learned{First: line, Factors: map[ids.Target]float64{"a": 0}}, false},
+		{"below", planner.Learned{First: line, Factors: map[ids.Target]float64{"a": -1}}, false},
+		{"endless", planner.Learned{First: planner.Line{N: 9, X: math.Inf(1)}}, false},
+		{"points", planner.Learned{First: planner.Line{N: -9}}, false},
+		{"hold", planner.Learned{First: line, Hold: math.Inf(1)}, false},
+	}
+	table := foreignNotes{rows: []follow.Row{{Key: "bytes", Value: []byte{0xff}}, {Key: "empty"}}}
+	for _, n := range notes {
+		value, err := cbor.Marshal(&n.learned)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table.rows = append(table.rows, follow.Row{Key: n.service, Value: value})
+	}
+	c := commontest.New(network.NewMemory(nil))
+	m := newMemory(c, nil, packets.NewLink(c, packets.NewMemory().Socket(netip.MustParseAddrPort("10.0.0.1:7600"))), table)
+	learned := make(map[ids.Service]bool)
+	m.read(context.Background(), func(service ids.Service, _ *planner.Learned) { learned[service] = true })
+	for _, n := range notes {
+		if learned[ids.Service(n.service)] != n.sound {
+			t.Errorf("%s was taken: %t", n.service, !n.sound)
+		}
+	}
+	if got := m.faults.Standing(); got != 8 {
+		t.Errorf("%d faulty rows are shown", got)
+	}
+}
--- /dev/null
+++ b/pkg/follow/faults_test.go
@@ -0,0 +1,71 @@
+package follow_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/network"
+)
+
+var errFaulty = errors.New("faulty")
+
+// TestFaultyRowsAreLoggedOnce has a table read again and again that another writer fills with
+// faulty rows: each is logged once a revision, at a bounded rate and length.
+func TestFaultyRowsAreLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		c := commontest.New(network.NewMemory(nil))
+		c.Log.Logger.SetOutput(&log)
+		f := follow.NewFaults(c, "targets")
+		lines := func() int { return strings.Count(log.String(), "\n") }
+		for range 5 {
+			f.Note(follow.Row{Key: "a", Version: 7}, errFaulty)
+			time.Sleep(time.Second)
+		}
+		if lines() != 1 || !strings.Contains(log.String(), "revision=7") {
+			t.Errorf("%d lines: %s", lines(), log.String())
+		}
+		f.Note(follow.Row{Key: "a", Version: 8}, errFaulty)
+		if lines() != 2 {
+			t.Errorf("%d lines after another revision", lines())
+		}
+		time.Sleep(time.Minute)
+		for i := range 1000 {
+			f.Note(follow.Row{Key: strings.Repeat("k", i), Version: 9}, errors.New(strings.Repeat("long", i)))
+		}
+		if got := lines(); got != 2+10 {
+			t.Errorf("%d lines for 1,000 rows", got)
+		}
+		if got := log.Len(); got > 12*400 {
+			t.Errorf("%d bytes of log", got)
+		}
+		time.Sleep(time.Second)
+		f.Note(follow.Row{Key: "b"}, errFaulty)
+		if !strings.Contains(log.String(), "unlogged=990") {
+			t.Errorf("the end of the log is %s", log.String()[log.Len()-200:])
+		}
+	})
+}
+
+func TestFaultyRowsThatStand(t *testing.T) {
+	f := follow.NewFaults(commontest.New(network.NewMemory(nil)), "targets")
+	for i := range 4 {
+		f.Note(follow.Row{Key: fmt.Sprint(i), Version: 1}, errFaulty)
+	}
+	f.Sound("0")
+	f.Sound("unknown")
+	if got := f.Standing(); got != 3 {
+		t.Errorf("%d stand", got)
+	}
+	f.Retain([]follow.Row{{Key: "1"}, {Key: "unknown"}})
+	if got := f.Standing(); got != 1 {
+		t.Errorf("%d stand after a whole read", got)
+	}
+}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"sync"
 
@@ -67,6 +66,7 @@
 
 	mu     sync.Mutex
 	list   map[ids.Process]*member
+	faults *follow.Faults
 	listed bool // this entry's own row is there
 	// leaving says that this entry is being stopped.
 	leaving bool
@@ -110,6 +110,7 @@
 	m := &Members{Common: c, self: self.Name, address: self.Address, weight: self.Weight, domain: self.Domain, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process), wake: make(chan struct{}, 1), aliveUntil: stale,
 		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
 		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool)}
+	m.faults = follow.NewFaults(c, "entries")
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
@@ -155,6 +156,7 @@
 	if starting { // one line for all: at a start of all each entry would write one for each
 		m.Log.WithField("entries", len(m.list)).Info("first list of entries")
 	}
+	m.faults.Retain(rows)
 	m.listed = m.listedRight()
 	m.readOnce.Do(func() { close(m.ready) })
 	clear(m.strangers)
@@ -181,6 +183,7 @@
 		name := ids.Process(row.Key)
 		if row.Gone {
 			delete(m.list, name)
+			m.faults.Sound(row.Key)
 			m.Log.WithField("entry", row.Key).Info("entry no longer listed")
 			continue
 		}
@@ -191,16 +194,12 @@
 
 // put takes a row; log says whether to write a line about it.
 func (m *Members) put(row follow.Row, before *member, log bool) {
-	var listing Listing
-	err := json.Unmarshal(row.Value, &listing)
-	var address netip.AddrPort
-	if err == nil {
-		address, err = netip.ParseAddrPort(listing.Address)
-	}
-	if err != nil || listing.Weight <= 0 {
-		m.Log.WithError(err).WithField("entry", row.Key).Warn("an entry's row is passed over")
+	listing, address, err := parseListing(row.Value)
+	if err != nil {
+		m.keep(row, before, err)
 		return
 	}
+	m.faults.Sound(row.Key)
 	if before != nil && before.address == address && before.weight == listing.Weight && before.domain == listing.Domain {
 		m.list[before.name] = before
 		return
@@ -211,5 +210,18 @@
 	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now()}
 }
 
+// keep goes by what was known of an entry whose row cannot be used: it may live, and who left
+// it out would share out its part of what all may spend. This entry itself does not count its own
+// row, and writes it again.
+func (m *Members) keep(row follow.Row, before *member, err error) {
+	m.faults.Note(row, err)
+	switch name := ids.Process(row.Key); {
+	case name == m.self:
+		delete(m.list, name)
+	case before != nil:
+		m.list[name] = before
+	}
+}
+
 // Lost does nothing: the list stays.
 func (m *Members) Lost(error) {}
--- a/pkg/planner/learned.go
+++ b/pkg/planner/learned.go
@@ -1,6 +1,9 @@
 package planner
 
 import (
+	"errors"
+	"math"
+
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/ids"
 )
@@ -20,6 +23,40 @@
 	Factors map[ids.Target]float64
 }
 
+// mostFactor is beyond any factor that a planner learns, upwards and downwards.
+const mostFactor = 1000
+
+var errLearned = errors.New("what was learned: numbers that no planner tells")
+
+// Check reports what no planner tells, as of a row that another writer left: a factor that is
+// no number would have its target never placed on, or always.
+func (l *Learned) Check() error {
+	for _, f := range l.Factors {
+		if !(f >= 1.0/mostFactor && f <= mostFactor) {
+			return errLearned
+		}
+	}
+	for _, line := range []Line{l.First, l.Pause} {
+		if !line.sound() {
+			return errLearned
+		}
+	}
+	if !(l.Hold >= 0 && l.Hold <= math.MaxInt32) {
+		return errLearned
+	}
+	return nil
+}
+
+// sound reports whether all sums are numbers, of no points below none.
+func (l *Line) sound() bool {
+	for _, sum := range []float64{l.X, l.Y, l.XX, l.XY} {
+		if math.IsNaN(sum) || math.IsInf(sum, 0) {
+			return false
+		}
+	}
+	return l.N >= 0 && !math.IsInf(l.N, 0)
+}
+
 // Line is a straight line through observed points.
 type Line struct {
 	_ struct{} `cbor:",toarray"`
--- a/pkg/rollout/book.go
+++ b/pkg/rollout/book.go
@@ -187,6 +187,14 @@
 // Withdrawn reports whether an open order's row is gone.
 func (o *Order) Withdrawn() bool { return o.Within == 0 }
 
+// Order returns the order of a service that is known, if there is one.
+func (b *Book) Order(service ids.Service) (Order, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o, known := b.orders[service]
+	return o, known
+}
+
 // Record returns what was decided of a service's newest order.
 func (b *Book) Record(service ids.Service) (Record, bool) {
 	b.mu.Lock()
@@ -258,12 +266,26 @@
 	case b.usual[t.Service][t.Version]:
 		return routing.Admitted
 	case Revision(t.Listed) <= b.read && !b.ordered[t.Service][t.Version]:
-		remember(b.usual, t.Service, t.Version)
+		b.noteUse(t)
 		return routing.Admitted
 	}
 	return routing.Withheld
 }
 
+// mostServices and mostVersions bound what is remembered as in use, in services and in versions
+// of one: targets' rows may come from another writer, who names new ones each time. Where one is
+// not remembered it is used as well, but an order for it begins with a trial.
+const (
+	mostServices = 1000
+	mostVersions = 64
+)
+
+func (b *Book) noteUse(t *routing.Target) {
+	if len(b.usual) < mostServices && len(b.usual[t.Service]) < mostVersions {
+		remember(b.usual, t.Service, t.Version)
+	}
+}
+
 // Usual reports whether a version of a service was in use before an order named it, or was
 // completed.
 func (b *Book) Usual(service ids.Service, version ids.Version) bool {
--- a/pkg/rollout/book_test.go
+++ b/pkg/rollout/book_test.go
@@ -180,3 +180,33 @@
 	fmt.Println(o.Check())
 	// Output: order without a time
 }
+
+// TestVersionsThatAnotherWriterNamesDoNotPileUp has rows of targets name new services and versions
+// again and again.
+func TestVersionsThatAnotherWriterNamesDoNotPileUp(t *testing.T) {
+	const many = 10_000
+	for name, target := range map[string]func(i int) *routing.Target{
+		"services": func(i int) *routing.Target {
+			return &routing.Target{Service: ids.Service(fmt.Sprint("s", i)), Version: "v1"}
+		},
+		"versions": func(i int) *routing.Target {
+			return &routing.Target{Service: "s", Version: ids.Version(fmt.Sprint("v", i))}
+		},
+	} {
+		b := rollout.NewBook()
+		b.PutOrders(nil, nil, true, proof(12))
+		remembered := 0
+		for i := range many {
+			one := target(i)
+			if b.Admission(one, true) != routing.Admitted {
+				t.Fatalf("%s: the %dth gets nothing", name, i)
+			}
+			if b.Usual(one.Service, one.Version) {
+				remembered++
+			}
+		}
+		if remembered == 0 || remembered > 1000 {
+			t.Errorf("%s: %d are remembered", name, remembered)
+		}
+	}
+}
--- a/pkg/rollout/record.go
+++ b/pkg/rollout/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -65,12 +66,21 @@
 	return document, nil
 }
 
+// errNoRecord is told of a row that no home has written.
+var errNoRecord = errors.New("record of a roll-out: not what a home writes")
+
 // DecodeRecord reads a record's row of some revision.
 func DecodeRecord(document []byte, written Revision) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(document, &r); err != nil {
 		return Record{}, fmt.Errorf("record of a roll-out: %w", err)
 	}
+	switch {
+	case r.Service == "", r.Version == "", r.Order <= 0, len(r.Barred) > mostBarred,
+		r.State < Pending, r.State > RolledBack,
+		r.Ends < r.Started, r.Over < r.Ends:
+		return Record{}, errNoRecord
+	}
 	r.Written = written
 	return r, nil
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -32,6 +32,8 @@
 	mu        sync.Mutex
 	starting  bool // the first list is being read
 	targets   map[ids.Target]*routing.Target
+	aside     map[ids.Target]*routing.Target // as they were before their rows became faulty
+	faults    *follow.Faults
 	missing   map[ids.Target]clock.Millis // lapsed: until when they are kept
 	away      bool                        // the store could not be read
 	settledAt clock.Millis                // until then, missing entries may come back
@@ -43,7 +45,8 @@
 func New(c common.Common, parse Parse, changed func(*routing.Directory)) *Roster {
 	return &Roster{
 		Common: c, parse: parse, changed: changed,
-		targets: make(map[ids.Target]*routing.Target), missing: make(map[ids.Target]clock.Millis),
+		targets: make(map[ids.Target]*routing.Target), aside: make(map[ids.Target]*routing.Target),
+		faults: follow.NewFaults(c, "targets"), missing: make(map[ids.Target]clock.Millis),
 	}
 }
 
@@ -69,6 +72,12 @@
 			r.drop(now, id)
 		}
 	}
+	for id := range r.aside {
+		if !present[id] {
+			delete(r.aside, id)
+		}
+	}
+	r.faults.Retain(rows)
 	r.publish()
 }
 
@@ -79,6 +88,8 @@
 	now := r.contact(proof)
 	for _, row := range rows {
 		if row.Gone {
+			r.faults.Sound(row.Key)
+			delete(r.aside, ids.Target(row.Key))
 			r.drop(now, ids.Target(row.Key))
 			continue
 		}
@@ -112,10 +123,14 @@
 func (r *Roster) put(row follow.Row) {
 	target, err := r.parse(row.Key, row.Value)
 	if err != nil {
-		r.Log.WithError(err).Warn("a target's row is passed over")
+		r.setAside(row, err)
 		return
 	}
 	before := r.targets[target.ID]
+	if before == nil {
+		before = r.aside[target.ID]
+		delete(r.aside, target.ID)
+	}
 	if !r.starting && (before == nil || before.Leaving != target.Leaving) {
 		r.Log.WithField("target", string(target.ID)).WithField("leaving", target.Leaving).WithField("version", string(target.Version)).Info("target listed")
 	}
@@ -125,6 +140,21 @@
 	}
 	r.targets[target.ID] = target
 	delete(r.missing, target.ID)
+	r.faults.Sound(row.Key)
+}
+
+// setAside takes off a target whose row says nothing that can be used: another writer may
+// have put it there, and the target be another by now. Its row is there, so that it has not
+// lapsed with the store. What runs at the target goes on, as when it leaves.
+func (r *Roster) setAside(row follow.Row, err error) {
+	r.faults.Note(row, err)
+	id := ids.Target(row.Key)
+	if before := r.targets[id]; before != nil {
+		r.aside[id] = before
+		r.Log.WithField("target", string(id)).Info("target set aside: its row cannot be used")
+	}
+	delete(r.targets, id)
+	delete(r.missing, id)
 }
 
 // drop takes a target off the list, or keeps it for a while if its entry may
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -56,6 +56,8 @@
 	return rows
 }
 
+func faulty() []follow.Row { return []follow.Row{{Key: "a"}} }
+
 func gone() []follow.Row {
 	return []follow.Row{{Key: "a", Gone: true}}
 }
@@ -108,8 +110,25 @@
 			time.Sleep(3 * time.Second)
 			b.Changed(gone(), follow.Proof{AskedAt: asked, CurrentAt: b.Clock.Now()})
 		}, false},
-		{"a row that cannot be read changes nothing", func(b *bed) {
-			b.Changed([]follow.Row{{Key: "a"}}, b.now())
+		{"a row that cannot be used names no target", func(b *bed) {
+			b.Changed(faulty(), b.now())
+		}, false},
+		{"nor does it in the whole list", func(b *bed) {
+			b.Whole(append(faulty(), up("b")...), b.now())
+		}, false},
+		{"nor while lapsed entries may still come back", func(b *bed) {
+			b.Lost(away)
+			b.Changed(gone(), b.now())
+			b.Changed(faulty(), b.now())
+		}, false},
+		{"nor once it is gone while they may", func(b *bed) {
+			b.Changed(faulty(), b.now())
+			b.Lost(away)
+			b.Changed(gone(), b.now())
+		}, false},
+		{"the target's own row is back", func(b *bed) {
+			b.Changed(faulty(), b.now())
+			b.Changed(up("a"), b.now())
 		}, true},
 	}
 	for _, s := range scenarios {
@@ -131,14 +150,20 @@
 	}
 }
 
-// TestARowsFirstRevisionIsKept has a target's row change: it was there from its first revision on.
+// TestARowsFirstRevisionIsKept has a target's row change, at one time to another writer's: it was there from its
+// first revision on.
 func TestARowsFirstRevisionIsKept(t *testing.T) {
 	var got *routing.Directory
-	r := roster.New(commontest.New(network.NewMemory(nil)), func(id string, _ []byte) (*routing.Target, error) {
+	r := roster.New(commontest.New(network.NewMemory(nil)), func(id string, document []byte) (*routing.Target, error) {
+		if len(document) > 0 {
+			return nil, errors.New("faulty")
+		}
 		return &routing.Target{ID: ids.Target(id)}, nil
 	}, func(d *routing.Directory) { got = d })
 	r.Whole([]follow.Row{{Key: "a", Version: 7}}, follow.Proof{})
 	r.Changed([]follow.Row{{Key: "a", Version: 19}, {Key: "b", Version: 20}}, follow.Proof{})
+	r.Changed([]follow.Row{{Key: "a", Version: 21, Value: []byte("faulty")}}, follow.Proof{})
+	r.Changed([]follow.Row{{Key: "a", Version: 22}}, follow.Proof{})
 	for id, want := range map[ids.Target]int64{"a": 7, "b": 20} {
 		if listed := got.Target(id).Listed; listed != want {
 			t.Errorf("%s is listed from %d on, want %d", id, listed, want)
--- a/pkg/telemetry/figures.go
+++ b/pkg/telemetry/figures.go
@@ -55,6 +55,12 @@
 	f.set.NewGauge("quaydock_"+name, value)
 }
 
+// LabelledGauge shows a value by name and one label whenever the figures are read. Only the
+// first value of a name and label is shown.
+func (f *Figures) LabelledGauge(name, label, labelled string, value func() float64) {
+	f.set.GetOrCreateGauge(fmt.Sprintf("quaydock_%s{%s=%q}", name, label, labelled), value)
+}
+
 // ServeHTTP shows all figures as text.
 func (f *Figures) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
