--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -15,6 +15,8 @@
 	applied func(*routing.Catalog)
 	orders  orderTaker // nil if roll-outs are no part of the deployment
 	faults  *follow.Faults
+	// faulty says that the row which stands for the configuration says none that can be used.
+	faulty bool
 }
 
 // orderTaker takes the operators' rows with orders of roll-outs.
@@ -46,14 +48,18 @@
 			h.take(row)
 		}
 	}
-	h.view.Proven(proof.CurrentAt)
+	// A faulty row may stand over one that took a key away: what is in force stays so, but
+	// nothing proves it the newest, as while the store is away.
+	if !h.faulty {
+		h.view.Proven(proof.CurrentAt)
+	}
 }
 
 // take puts a configuration in force. A row that says none that can be used leaves what is in
-// force, and its proof: the store takes none from operators but whole ones, so that it is another
-// writer's.
+// force.
 func (h *configurationHandler) take(row follow.Row) {
 	catalog, err := platform.ParseConfiguration(row.Value)
+	h.faulty = err != nil
 	if err != nil {
 		h.faults.Note(row, err)
 		return
