Merge the rows of other writers

A row that was read before a change that is known already changes nothing either if it is faulty, and a target whose faulty row was newer than a sound one does not come back by that one: the newest revision is kept beside what was set aside.

--- a/pkg/app/rollout_engines_test.go
+++ b/pkg/app/rollout_engines_test.go
@@ -59,7 +59,7 @@
 }
 
 func (b *rolloutBed) list(e *bedEngine, state string) {
-	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"born":%d}`, bedService, e.version, bedSlots, state, e.start))
+	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`, bedService, e.version, bedSlots, state, e.start))
 }
 
 // retire stops the targets of a version at once.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -34,6 +34,8 @@
 	mu        sync.Mutex
 	starting  bool // the first list is being read
 	targets   map[ids.Target]*routing.Target
+	aside     map[ids.Target]*routing.Target // as they were before their rows became faulty
+	faults    *follow.Faults
 	missing   map[ids.Target]clock.Millis // lapsed: until when they are kept
 	away      bool                        // the store could not be read
 	settledAt clock.Millis                // until then, missing entries may come back
@@ -45,7 +47,8 @@
 func New(c common.Common, parse Parse, changed func(*routing.Directory)) *Roster {
 	return &Roster{
 		Common: c, parse: parse, changed: changed,
-		targets: make(map[ids.Target]*routing.Target), missing: make(map[ids.Target]clock.Millis),
+		targets: make(map[ids.Target]*routing.Target), aside: make(map[ids.Target]*routing.Target),
+		faults: follow.NewFaults(c, "targets"), missing: make(map[ids.Target]clock.Millis),
 	}
 }
 
@@ -71,6 +74,12 @@
 			r.drop(now, id)
 		}
 	}
+	for id := range r.aside {
+		if !present[id] {
+			delete(r.aside, id)
+		}
+	}
+	r.faults.Retain(rows)
 	r.publish()
 }
 
@@ -81,6 +90,8 @@
 	now := r.contact(proof)
 	for _, row := range rows {
 		if row.Gone {
+			r.faults.Sound(row.Key)
+			delete(r.aside, ids.Target(row.Key))
 			r.drop(now, ids.Target(row.Key))
 			continue
 		}
@@ -112,22 +123,50 @@
 const WaitForChanges = 3 * clock.Second
 
 func (r *Roster) put(row follow.Row) {
+	before := r.known(ids.Target(row.Key))
+	if before != nil && row.Version > 0 && row.Version < before.Revision {
+		return // a page read before a change that is known already: a former life would come back
+	}
 	target, err := r.parse(row.Key, row.Value)
 	if err != nil {
-		r.Log.WithError(err).Warn("a target's row is passed over")
+		r.setAside(row, err)
 		return
 	}
-	before := r.targets[target.ID]
-	if before != nil && row.Version > 0 && row.Version < before.Revision {
-		return // a page read before a change that is known already: a former life would come back
-	}
 	target.Revision = row.Version
 	inherit(before, target)
-	if !r.starting && (before == nil || before.Leaving != target.Leaving || before.Life() != target.Life()) {
+	if !r.starting && (r.targets[target.ID] == nil || before.Leaving != target.Leaving || before.Life() != target.Life()) {
 		r.logListed(before, target)
 	}
 	r.targets[target.ID] = target
+	delete(r.aside, target.ID)
 	delete(r.missing, target.ID)
+	r.faults.Sound(row.Key)
+}
+
+// known returns what was last read of a target, or nil.
+func (r *Roster) known(id ids.Target) *routing.Target {
+	if t := r.targets[id]; t != nil {
+		return t
+	}
+	return r.aside[id]
+}
+
+// setAside takes off a target whose row says nothing that can be used: another writer may
+// have put it there, and the target be another by now. Its row is there, so that it has not
+// lapsed with the store. What runs at the target goes on, as when it leaves.
+func (r *Roster) setAside(row follow.Row, err error) {
+	r.faults.Note(row, err)
+	id := ids.Target(row.Key)
+	if r.targets[id] != nil {
+		r.Log.WithField("target", string(id)).Info("target set aside: its row cannot be used")
+	}
+	if before := r.known(id); before != nil {
+		aside := *before
+		aside.Revision = max(aside.Revision, row.Version)
+		r.aside[id] = &aside
+	}
+	delete(r.targets, id)
+	delete(r.missing, id)
 }
 
 // inherit has a row take over what was told earlier of the same life of its target. A row without
