--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -51,6 +51,12 @@
 	Changes(ctx context.Context, after int64, wait clock.Millis) (Batch, error)
 }
 
+// Waker is a Source that hears of the store from others that ask it.
+type Waker interface {
+	// Answering is closed when the store answers somebody after it had failed.
+	Answering() <-chan struct{}
+}
+
 // Proof says when an answer of the store was true.
 type Proof struct {
 	// AskedAt is when the question was sent: the store was in reach from about
@@ -106,7 +112,9 @@
 	lagKnown bool
 	// lagRelayed says that it is a lower bound that another process's answer gave.
 	lagRelayed bool
-	connected  bool
+	// lostAt is when the table could not be read for the first time since it could, 0 while
+	// it can: an outage takes one line at its beginning and one at its end.
+	lostAt clock.Millis
 }
 
 // NewFollower returns a follower that has read nothing.
@@ -123,23 +131,67 @@
 }
 
 func (f *Follower) step(ctx context.Context, backoff *random.Backoff) {
+	answering := f.answering()
 	err := f.read(ctx)
 	switch {
 	case err == nil:
 		backoff.Reset()
-		f.connected = true
+		f.regained()
 	case ctx.Err() != nil:
 	case errors.Is(err, ErrForgotten):
 		f.known = false
 		f.Log.WithError(err).Warn("reading the whole table")
 	default:
-		if f.connected {
-			f.Log.WithError(err).Warn("store not read; going on with what is known")
-		}
-		f.connected = false
+		f.lost(err)
 		f.handler.Lost(err)
-		backoff.Pause(ctx)
+		pauseUntil(ctx, backoff, answering)
+	}
+}
+
+// answering is closed when the store answers others; nil if the source cannot tell.
+func (f *Follower) answering() <-chan struct{} {
+	if w, tells := f.source.(Waker); tells {
+		return w.Answering()
+	}
+	return nil
+}
+
+// pauseUntil waits for the next try, but no longer than until the store answers others: a
+// store that comes and goes may answer for some 40 ms, and a process that has then read
+// one of its tables and not the other knows half of what it decides by.
+func pauseUntil(ctx context.Context, backoff *random.Backoff, answering <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-answering:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	backoff.Pause(ctx)
+}
+
+// lost notes an outage, also one that was there before the first read: what a process does not
+// know then decides what it refuses.
+func (f *Follower) lost(err error) {
+	if f.lostAt > 0 {
+		return
+	}
+	f.lostAt = f.Clock.Now()
+	if f.wholeAt == 0 {
+		f.Log.WithError(err).Warn("store not read; nothing is known of the table yet")
+		return
+	}
+	f.Log.WithError(err).Warn("store not read; going on with what is known")
+}
+
+func (f *Follower) regained() {
+	if f.lostAt == 0 {
+		return
 	}
+	f.Log.WithField("after_ms", int64(f.Clock.Now()-f.lostAt)).Info("store read again")
+	f.lostAt = 0
 }
 
 func (f *Follower) read(ctx context.Context) error {
