--- a/pkg/roster/lives_test.go
+++ b/pkg/roster/lives_test.go
@@ -140,3 +140,30 @@
 		t.Errorf("once the order is read, the new life is %v", a)
 	}
 }
+
+// TestAnOlderRowDoesNotBringATargetBack has a row become faulty and a page that was read before that
+// come after it, as from a peer: it must not give a target work that its newest row does not name.
+func TestAnOlderRowDoesNotBringATargetBack(t *testing.T) {
+	var got *routing.Directory
+	r := roster.New(commontest.New(network.NewMemory(nil)), parseRow, func(d *routing.Directory) { got = d })
+	sound := row{Start: 50, Version: "v1"}
+	faulty := follow.Row{Key: "a", Value: []byte("{"), Version: 10}
+	steps := []struct {
+		name   string
+		row    follow.Row
+		listed bool
+	}{
+		{"sound", sound.at(7), true},
+		{"faulty, later", faulty, false},
+		{"the sound one read once more", sound.at(7), false},
+		{"sound again", sound.at(12), true},
+		{"the faulty one read once more", faulty, true},
+	}
+	r.Whole(nil, follow.Proof{})
+	for _, s := range steps {
+		r.Changed([]follow.Row{s.row}, follow.Proof{})
+		if listed := got.Target("a") != nil; listed != s.listed {
+			t.Errorf("%s: listed %t", s.name, listed)
+		}
+	}
+}
