--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -94,10 +94,10 @@
 }
 
 // take returns an idle connection to a target, or nil.
-func (p *Pool) take(t ids.Life) *connection {
+func (p *Pool) take(life ids.Life) *connection {
 	now := p.Clock.Now()
 	for {
-		c := p.pop(t)
+		c := p.pop(life)
 		if c == nil {
 			return nil
 		}
@@ -109,15 +109,15 @@
 	}
 }
 
-func (p *Pool) pop(t ids.Life) *connection {
+func (p *Pool) pop(life ids.Life) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[t]
+	list := p.idle[life]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[t] = list[:len(list)-1]
+	p.idle[life] = list[:len(list)-1]
 	return c
 }
 
@@ -133,15 +133,15 @@
 }
 
 // rest keeps a connection for the next request to the same life of its target.
-func (p *Pool) rest(t ids.Life, c *connection, keep clock.Millis) {
+func (p *Pool) rest(life ids.Life, c *connection, keep clock.Millis) {
 	c.goodUntil = p.Clock.Now() + keep
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.replaced(t) {
+	if p.replaced(life) {
 		discard(c)
 		return
 	}
-	p.idle[t] = append(p.idle[t], c)
+	p.idle[life] = append(p.idle[life], c)
 }
 
 // discard closes a connection that is not used again, whatever closing says.
@@ -155,19 +155,19 @@
 	now := p.Clock.Now()
 	var old []*connection
 	p.mu.Lock()
-	for t, list := range p.idle {
+	for life, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now < c.goodUntil && known.Target(t.Target) != nil {
+			if now < c.goodUntil && known.Target(life.Target) != nil {
 				kept = append(kept, c)
 				continue
 			}
 			old = append(old, c)
 		}
 		clear(list[len(kept):])
-		p.idle[t] = kept
+		p.idle[life] = kept
 		if len(kept) == 0 {
-			delete(p.idle, t)
+			delete(p.idle, life)
 		}
 	}
 	p.mu.Unlock()
