Send nothing from a stopping entry for which the time left is too short

Cause: the end of a stop was looked at when a request came, not when it got its place. Change: looked at again with route and key: if its deadline lies behind the end, and the longest answer of late doesn't fit into the time left, it is told that it has not run and when to come back. Only what was sent nowhere yet; a stream that is to go on elsewhere goes on.

--- a/pkg/ingress/closing.go
+++ b/pkg/ingress/closing.go
@@ -75,10 +75,23 @@
 	if deadline+deadlineSpare > stop.Ends {
 		return false
 	}
+	return c.fits(now, endDoubt, route, stop)
+}
+
+// sends reports whether a request that was taken earlier may still be sent to a target. If the
+// longest answer of late would not fit into the time left, it is better told that it has not
+// run: sent, it ends without an answer, and may have run.
+func (c *closing) sends(now, deadline clock.Millis, route *routing.Route) bool {
+	stop := c.narrow(now)
+	return stop == nil || deadline+deadlineSpare <= stop.Ends || c.fits(now, 1, route, stop)
+}
+
+// fits reports whether the longest answer of late fits so many times into the time left.
+func (c *closing) fits(now, times clock.Millis, route *routing.Route, stop *Stop) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.longest[route.Name]
-	return m != nil && now+endDoubt*m.get(now)+endSpare <= stop.Ends
+	return m != nil && now+times*m.get(now)+endSpare <= stop.Ends
 }
 
 // retryAfter is when to come back: when this entry will surely have ended, and the ones
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -126,14 +126,14 @@
 		return nil, &Refusal{Cause: CauseLeft, Err: errEndSeen}
 	}
 	if refusal := d.recheck(q, place); refusal != nil {
-		q.note(now, "route or key gone meanwhile", "")
+		q.note(now, "not sent after all: "+refusal.Cause.String(), "")
 		place.Done(planner.Abandoned, planner.Flow{})
 		return nil, refusal
 	}
 	return place, nil
 }
 
-// recheck looks up route and key once more before a request is sent.
+// recheck looks up route, key and the end of a stop once more before a request is sent.
 func (d *delivery) recheck(q *request, place schedule.Place) *Refusal {
 	account := q.account
 	if refusal := d.admission.resolve(q); refusal != nil {
@@ -143,6 +143,10 @@
 	if account != nil && q.account == nil || !q.route.Leads(place.Target().Service) {
 		return notRun(CauseNoRoute, comeBack)
 	}
+	now := d.Clock.Now()
+	if q.sent == 0 && !d.admission.closing.sends(now, q.deadline, q.route) {
+		return notRun(CauseLeaving, d.admission.closing.retryAfter(now))
+	}
 	return nil
 }
 
