Run the example of several processes at an address of each test run's own

Cause: TestScripts/separate started processes on the ports that the examples name at 127.0.0.1. Three or five runs of the package at once all failed there ("address already in use"), and single runs beside those of other clones failed now and then. Ruled out: a fault of the daemon (each run alone passes). Change: the test writes the examples with a loopback address made of its process id, and runs these. What the script checks is unchanged.

--- a/pkg/app/app_test.go
+++ b/pkg/app/app_test.go
@@ -1,7 +1,11 @@
 package app_test
 
 import (
+	"fmt"
+	"net/netip"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -17,14 +21,50 @@
 	})
 }
 
-// The scripts in testdata are the daemon's command line as a user meets it.
+// The scripts in testdata are the daemon's command line as a user meets it. They run the examples of
+// several processes at an address of this run's own: on the one that the examples name, two runs of
+// the tests at once took each other's ports ("address already in use" at the operators' port).
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			root, err := os.Getwd()
+			if err != nil {
+				return fmt.Errorf("finding the repository: %w", err)
+			}
+			host := ownHost()
 			env.Setenv("ROOT", root+"/../..")
-			return err
+			env.Setenv("HOST", host)
+			return moveExamples(root+"/../../examples/measure", env.WorkDir, host)
 		},
 	})
 }
+
+// exampleHost is the address in the examples.
+const exampleHost = "127.0.0.1"
+
+// ownHost is a loopback address that no other process on this VM draws.
+func ownHost() string {
+	const most = 1<<22 - 1 // of process ids
+	pid := os.Getpid() & most
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>16), byte(pid >> 8), byte(pid)}).String()
+}
+
+// moveExamples writes the examples of a folder to another one, with another address.
+func moveExamples(from, to, host string) error {
+	files, err := filepath.Glob(from + "/*.json")
+	if err != nil {
+		return fmt.Errorf("listing examples: %w", err)
+	}
+	moved := strings.NewReplacer(exampleHost, host, "examples/measure", to)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return fmt.Errorf("reading an example: %w", err)
+		}
+		if err := os.WriteFile(filepath.Join(to, filepath.Base(file)), []byte(moved.Replace(string(text))), 0o600); err != nil {
+			return fmt.Errorf("moving an example: %w", err)
+		}
+	}
+	return nil
+}
