Serve a higher tier beyond callers' share of the descriptors while lower work is under way

Cause: beyond the share each caller was told to come back, also of the highest tier, while long work of the lowest went on on the connections within it. Ruled out: more places for callers (the order in which they come is still not that of tiers). Change: the tiers under way are counted; a request beyond the share that is of a higher tier than some of them is served, on half of the places of those that are turned away. Test: TestNoHigherTierIsTurnedAwayWhileALowerOneIsServed, before 503 for the higher tier, now 200. Left: beyond these places a higher tier is refused; what waits of lower tiers is not sent away for it.

--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -199,15 +199,16 @@
 	p.dispatcher = dispatch.New(parts)
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds))
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
+	p.descriptors = descriptorLimit(c, s.Limits)
+	shares := descriptors.Divide(p.descriptors)
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(o.policy),
 		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: p.keyTrust(s.Bounds),
-		Retries: p.retries,
+		Retries: p.retries, Beside: shares.Beside,
 	})
 	p.members.SetTrust(p.keyTrust(s.Bounds).Most)
-	p.descriptors = descriptorLimit(c, s.Limits)
 	handlers := ingress.Handlers{Serve: p.controller, TurnAway: http.HandlerFunc(p.controller.TurnAway)}
-	p.callers = ingress.NewServer(c, handlers, descriptors.Divide(p.descriptors))
+	p.callers = ingress.NewServer(c, handlers, shares)
 	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
 	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
 	return p, nil
--- a/pkg/descriptors/book.go
+++ b/pkg/descriptors/book.go
@@ -13,6 +13,8 @@
 	// Turned is how many more connections may be there whose callers are being told to come
 	// back.
 	Turned int
+	// Beside is how many of these may be served instead, since lower work is.
+	Beside int
 }
 
 const (
@@ -36,7 +38,7 @@
 func Divide(limit int) Shares {
 	own := min(max(int(ownPart*float64(limit)), leastOwn), mostOwn)
 	turned := max(int(turnedPart*float64(limit)), leastTurned)
-	return Shares{Callers: max(1, int(callersPart*float64(limit-own-turned))), Turned: turned}
+	return Shares{Callers: max(1, int(callersPart*float64(limit-own-turned))), Turned: turned, Beside: turned / 2}
 }
 
 // Step is what becomes of a new connection.
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -40,6 +39,9 @@
 	Retries   *quota.RetryBudget
 	Entries   Entries
 	Keys      KeyTrust
+	// Beside is how many requests on connections beyond callers' share may be served at once,
+	// since they are of a higher tier than others that are.
+	Beside int
 }
 
 // KeyTrust says how long a key may still be used after its removal.
@@ -64,6 +66,10 @@
 	late      atomic.Int64 // of these, those that came after the stop's narrowing
 	ordinary  atomic.Int64 // answers given
 	sampler   *telemetry.Sampler
+	// underWay counts what was admitted; beside is how much of it came beyond callers' share.
+	underWay   *tierCounts
+	beside     atomic.Int64
+	mostBeside int64
 	// ended ends all requests under way.
 	ended context.Context
 	end   context.CancelFunc
@@ -78,7 +84,10 @@
 		pool: p.Pool, retries: p.Retries, entries: p.Entries,
 	}
 	p.View.Watch(p.Pool.Follow)
-	c := &Controller{Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond)}
+	c := &Controller{
+		Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond),
+		underWay: newTierCounts(), mostBeside: int64(p.Beside),
+	}
 	c.ended, c.end = context.WithCancel(context.Background())
 	return c
 }
@@ -145,24 +154,10 @@
 	c.conclude(q, refusal, out)
 }
 
-const (
-	// crowdedRetry is when to come back to an entry whose callers hold all the connections that
-	// they may; the moments spread over crowdedSpread, so that those who were turned away
-	// together don't come together.
-	crowdedRetry  = 500 * clock.Millisecond
-	crowdedSpread = clock.Second
-)
-
-// TurnAway tells a caller to come back whose connection is not kept.
-func (c *Controller) TurnAway(w http.ResponseWriter, r *http.Request) {
-	// What was not read would reset the connection, and the answer with it.
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, firstHeaderBytes))
-	retry := crowdedRetry + clock.Millis(c.Random.Fork().Float64()*float64(crowdedSpread))
-	q := &request{Call: c.admission.dialect.Describe(r.Header), http: r, arrived: c.Clock.Now()}
-	c.conclude(q, notRun(CauseCrowded, retry), &answerWriter{writer: w})
-}
-
 func (c *Controller) deliver(r *http.Request, q *request, out *answerWriter) *Refusal {
+	tier := q.tier()
+	c.underWay.add(tier, 1)
+	defer c.underWay.add(tier, -1)
 	left := (q.deadline - c.Clock.Now()).Duration()
 	ctx, cancel := context.WithTimeoutCause(r.Context(), left, errDeadline)
 	defer cancel()
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -23,7 +23,7 @@
 
 // Handlers are what a Server hands requests to.
 type Handlers struct {
-	// Serve serves them; TurnAway tells their callers to come back.
+	// Serve serves them; TurnAway those on connections beyond callers' share.
 	Serve, TurnAway http.Handler
 }
 
@@ -110,12 +110,13 @@
 // turnTime is how long a caller that is turned away has for its request.
 const turnTime = clock.Second
 
-// serveTurned tells callers beyond the share to come back. They are read first: an answer to
-// a request that was not read is lost with the reset of its connection.
+// serveTurned has callers beyond the share told to come back, or served in the place of lower work.
+// They are read first: an answer to a request that was not read is lost with the reset of its
+// connection.
 func (s *Server) serveTurned() {
 	server := &http.Server{
 		Handler: s.handlers.TurnAway, MaxHeaderBytes: firstHeaderBytes, ReadTimeout: turnTime.Duration(), WriteTimeout: turnTime.Duration(),
-		ConnState: s.conns.note, ErrorLog: s.log.standard(),
+		ConnContext: withConn, ConnState: s.conns.note, ErrorLog: s.log.standard(),
 	}
 	server.SetKeepAlivesEnabled(false)
 	s.mu.Lock()
--- /dev/null
+++ b/pkg/ingress/turn_away_test.go
@@ -0,0 +1,71 @@
+package ingress_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// turnAway has a request on a connection beyond callers' share.
+func (b *bed) turnAway(path string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("question"))
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Key", "key")
+	w := httptest.NewRecorder()
+	b.controller.TurnAway(w, r)
+	return w
+}
+
+// TestNoHigherTierIsTurnedAwayWhileALowerOneIsServed: callers beyond their share of the
+// descriptors were all told to come back, also those of the highest tier, while long work of
+// the lowest was served on the connections within the share. The evidence is the answer to a request of
+// the highest tier beside one of the lowest that is under way: 503.
+func TestNoHigherTierIsTurnedAwayWhileALowerOneIsServed(t *testing.T) {
+	const high, low = "/unsafe/a", "/safe/a"
+	scenarios := []struct {
+		name    string
+		running string // what is under way on a connection within the share
+		beside  int    // how many more were taken before, beyond the share
+		path    string
+		status  int
+	}{
+		{"nothing is under way", "", 0, high, http.StatusServiceUnavailable},
+		{"lower work is under way", low, 0, high, http.StatusOK},
+		{"work of the same tier is under way", low, 0, low, http.StatusServiceUnavailable},
+		{"higher work is under way", high, 0, low, http.StatusServiceUnavailable},
+		{"lower work is under way, and all places for such are taken", low, places, high, http.StatusServiceUnavailable},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, freely{}, func(c net.Conn, r *http.Request) bool {
+					time.Sleep(time.Second)
+					return says(200, "", "yes")(c, r)
+				})
+				b.routes[1].Tier = 2
+				b.configure(2)
+				if s.running != "" {
+					go b.call(context.Background(), s.running, nil)
+				}
+				time.Sleep(10 * time.Millisecond)
+				for range s.beside {
+					go b.turnAway(high)
+				}
+				time.Sleep(10 * time.Millisecond)
+				w := b.turnAway(s.path)
+				if w.Code != s.status {
+					t.Errorf("status %d, want %d", w.Code, s.status)
+				}
+				if told := w.Header().Get("Retry-After") != ""; told != (s.status != http.StatusOK) {
+					t.Errorf("told when to come back: %t", told)
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
