--- a/pkg/ingress/descriptors_test.go
+++ b/pkg/ingress/descriptors_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -69,7 +70,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	go newScarceServer(c, scarceController(c, target), fewDescriptors).Serve(listener)
+	go newScarceServer(c, scarceController(c, target, freely{}), fewDescriptors).Serve(listener)
 	fmt.Println(listener.Addr())
 	ctx, stop := context.WithCancel(context.Background())
 	var asking sync.WaitGroup
@@ -98,7 +99,7 @@
 }
 
 // scarceController has one target, on which each request is placed at once.
-func scarceController(c common.Common, address string) *ingress.Controller {
+func scarceController(c common.Common, address string, meter ingress.Meter) *ingress.Controller {
 	v := view.New(c.Check)
 	target := &routing.Target{ID: "t", Service: "s", Address: address, Slots: 4}
 	v.SetDirectory(routing.NewDirectory([]*routing.Target{target}))
@@ -106,11 +107,11 @@
 		{Name: "call", Host: "h", Prefix: "/call/", Kind: routing.Safe, Timeout: 5000, Objective: 500, Attempts: 1, Split: []routing.Share{{Service: "s", Weight: 1}}},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, Timeout: 10_000, Objective: 500, Attempts: 1, Split: []routing.Share{{Service: "s", Weight: 1}}},
 	}
-	v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, routes, nil, nil))
+	v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, routes, nil, []*routing.Account{{Name: "acme", Keys: []string{"key"}}}))
 	v.Proven(c.Clock.Now())
 	scheduler := &inOrder{b: &bed{targets: []*routing.Target{target}}, stuck: ids.Target("none")}
 	return ingress.NewController(ingress.Parts{
-		Common: c, View: v, Dialect: dialect{}, Scheduler: scheduler, Meter: freely{}, Entries: freely{},
+		Common: c, View: v, Dialect: dialect{}, Scheduler: scheduler, Meter: meter, Entries: freely{},
 		Pool:    forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }),
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}), Keys: ingress.KeyTrust{Bound: clock.Minute},
 	})
@@ -214,7 +215,7 @@
 	c, err := net.DialTimeout("tcp", address, stay)
 	if err == nil {
 		_ = c.SetDeadline(deadline)
-		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nWait: %d\r\nContent-Length: 8\r\n\r\nquestion", path, id, stay.Milliseconds())
+		_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nWait: %d\r\nContent-Length: 8\r\n\r\nquestion", path, id, stay.Milliseconds())
 		if response, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
 			_, err = io.Copy(io.Discard, response.Body)
 			v.status, v.whole = response.StatusCode, err == nil
@@ -317,7 +318,8 @@
 func TestACallerThatLeftInTheBacklogIsNotSent(t *testing.T) {
 	target := &scarceTarget{arrived: make(map[string]time.Time)}
 	c := commontest.New(network.NewTCP())
-	controller := scarceController(c, serveLoopback(t, target))
+	meter := &countingMeter{}
+	controller := scarceController(c, serveLoopback(t, target), meter)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -328,7 +330,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, _ = fmt.Fprintf(caller, "POST /call/a HTTP/1.1\r\nHost: h\r\nId: caller-%d\r\nWait: 5000\r\nContent-Length: 8\r\n\r\nquestion", i)
+		_, _ = fmt.Fprintf(caller, "POST /call/a HTTP/1.1\r\nHost: h\r\nId: caller-%d\r\nKey: key\r\nWait: 5000\r\nContent-Length: 8\r\n\r\nquestion", i)
 		_ = caller.Close()
 	}
 	server := newScarceServer(c, controller, 1024)
@@ -346,4 +348,17 @@
 	if sent := len(target.arrived) - 1; sent > 0 {
 		t.Errorf("%d requests of %d whose callers had left reached the target", sent, callers)
 	}
+	if kept := meter.taken.Load() - meter.returned.Load(); kept != 1 {
+		t.Errorf("the account was charged for %d requests, want that of the one that stayed", kept)
+	}
 }
+
+// countingMeter lets all through and counts what is taken and given back.
+type countingMeter struct{ taken, returned atomic.Int64 }
+
+func (m *countingMeter) Take(context.Context, *routing.Account, float64, float64) (bool, clock.Millis) {
+	m.taken.Add(1)
+	return true, 0
+}
+
+func (m *countingMeter) Return(*routing.Account, float64, clock.Millis) { m.returned.Add(1) }
