Spend the own share where an account's home has no limit for it

Cause: a home that did not know an account said yes to every claim on it, and one that knew it without a limit counted with a rate of 0, which makes the time to come back endless. Homes and askers have different configurations for the time that a change takes to spread, and for long where the home does not reach the store. The class is that of the list of entries: what isn't known was taken for the most generous value. Ruled out: not answering, as without a configuration; the asker would wait 36 ms and take the home for gone. Change: the reply says that the account is not known; the asker spends its own share and counts `quota_homes_unaware`.

--- a/pkg/metering/booking.go
+++ b/pkg/metering/booking.go
@@ -52,16 +52,24 @@
 	}
 	answer, known := m.given[message.Number]
 	if !known {
-		answer = reply{Number: message.Number, Taken: true}
-		if account := catalog.AccountNamed(message.Account); account != nil {
-			answer.Taken, answer.Wait = m.book(from, account, *message)
-			answer.Had = m.had.Sum(m.Clock.Now(), account.Name, m.window())
-		}
+		answer = m.answer(from, catalog.AccountNamed(message.Account), message)
 		m.remember(answer)
 	}
 	m.link.Send(from, packets.KindReply, answer)
 }
 
+// answer books a claim. Only accounts with a limit are asked for, so a home that has none for one
+// does not know it: a yes to all would let an account that was just added have 4.7 times its bound in a
+// window, played in virtual time.
+func (m *Meter) answer(from netip.AddrPort, account *routing.Account, c *claim) reply {
+	had := m.had.Sum(m.Clock.Now(), c.Account, m.window())
+	if account == nil || account.PerSecond <= 0 {
+		return reply{Number: c.Number, Had: had, Unknown: true}
+	}
+	taken, wait := m.book(from, account, *c)
+	return reply{Number: c.Number, Taken: taken, Wait: wait, Had: had}
+}
+
 // remember is called by the link's goroutine alone, as given and order are
 // used by it alone.
 func (m *Meter) remember(answer reply) {
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -86,6 +86,9 @@
 	// Had is what the account has had run at the home itself, for the asker to
 	// know should it be the next home.
 	Had float64
+	// Unknown says that the home has no limit for the account: its configuration is older than the
+	// asker's, or newer. Nothing was counted.
+	Unknown bool
 }
 
 // giveBack says that units that were taken did not run.
@@ -178,6 +181,10 @@
 	}
 	if answer, answered := m.ask(ctx, home, claim{Account: account.Name, Units: units, Keep: keep, Had: had}); answered {
 		m.reports.set(account.Name, home, report{had: answer.Had, at: m.Clock.Now()})
+		if answer.Unknown {
+			m.Metrics.Links.Add("quota_homes_unaware", 1)
+			return m.spendOwn(account, units)
+		}
 		return answer.Taken, answer.Wait
 	}
 	m.Metrics.Links.Add("quota_homes_silent", 1)
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,6 +41,7 @@
 	account *routing.Account
 	meters  []*metering.Meter
 	members []*membership.Members
+	views   []*view.View
 }
 
 func address(i int) netip.AddrPort {
@@ -93,6 +95,7 @@
 		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, []*routing.Account{d.account}))
 		d.meters = append(d.meters, metering.New(d.Common, bounds, v, m, link))
 		d.members = append(d.members, m)
+		d.views = append(d.views, v)
 		go link.Run(ctx)
 		go m.Run(ctx)
 	}
@@ -438,6 +441,46 @@
 	})
 }
 
+// TestAHomeThatDoesNotKnowTheAccountGivesOutNoMore has an account whose home has another configuration
+// than the entries that ask it: one without the account, as before it was added, or one in which it has
+// no limit yet. Users would see an account go beyond its limit until the home has the newest configuration.
+// Cause: the home said yes to every claim on an account that it did not know. Evidence: this
+// test; it wasn't seen on a record.
+func TestAHomeThatDoesNotKnowTheAccountGivesOutNoMore(t *testing.T) {
+	unlimited := largeAccount()
+	unlimited.PerSecond, unlimited.Burst = 0, 0
+	scenarios := []struct {
+		name     string
+		accounts []*routing.Account // at the home
+	}{
+		{"it has no such account", nil},
+		{"it has the account without a limit", []*routing.Account{unlimited}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				d := deployMany(ctx, entries, largeAccount(), largeBounds)
+				home, _ := d.members[0].Home("account/a")
+				for i, v := range d.views {
+					if address(i) == home {
+						v.SetCatalog(routing.NewCatalog(2, routing.Limits{}, nil, nil, s.accounts))
+						d.meters = slices.Delete(d.meters, i, i+1) // callers come to the others
+					}
+				}
+				all := d.demandUnits(ctx, 9*time.Second, largeUnits)
+				if got := worst(all); got > largeKept {
+					t.Errorf("%.0f taken in a window, want %.0f at the most", got, largeKept)
+				}
+				if len(all) == 0 {
+					t.Error("nothing was taken")
+				}
+			})
+		})
+	}
+}
+
 // TestAnAccountWithoutALimitIsServedWithoutTheList has nothing to divide.
 func TestAnAccountWithoutALimitIsServedWithoutTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
