Take a connection that is closed at this end for a caller that has left

Cause: a connection at rest is closed when another needs its place, and all that rest are closed by a stop. net/http calls a connection at rest until it has read a request's whole head, so one whose request is being read may be closed; a look at a closed connection then said that the caller is there, and the request could be sent to a target though nobody can be answered. Ruled out: that net/http's own reader always tells first; it is asked only when the body has been read, and gets its turn later. Change: a look that fails since the connection is closed says that the caller has left; nothing is sent.

--- a/pkg/ingress/caller_conn.go
+++ b/pkg/ingress/caller_conn.go
@@ -53,7 +53,7 @@
 	seen := peekNothing
 	// Control does not wait for the reader, as Read would.
 	if err := raw.Control(func(descriptor uintptr) { seen = peekSocket(int(descriptor)) }); err != nil {
-		return peekNothing
+		return peekEnd // closed at this end: nobody can be answered on it
 	}
 	return seen
 }
