Bound accounts also where the settings name no window or no margin

Cause: what may flow in a window was divided by its length. With a length of 0, as where the settings lack it, the rate was endless or no number, and no comparison with that refuses anything: neither the home nor an entry on its own share did. Where the settings leave no margin, the own share has a rate of 0, which an allowance takes for no limit. The class is that of the list of entries: 0 stood for "not told" or "nothing", and was the most generous value. Ruled out: refusing the settings at the start; a file that is changed while the process runs must not stop it. Change: bounds are kept for a window of a second at the least; an own share without a rate gives out nothing.

--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -30,6 +30,16 @@
 	Window clock.Millis
 }
 
+// leastWindow is the shortest window that bounds are kept for. Settings may name none; what may flow
+// in a window of 0 would be endless, and accounts have no limit.
+const leastWindow = clock.Second
+
+// kept are the bounds with a window that they can be kept for.
+func (b Bounds) kept() Bounds {
+	b.Window = max(b.Window, leastWindow)
+	return b
+}
+
 const (
 	// askAgain is after what time an unanswered claim is sent once more, askFor
 	// for how long an answer is awaited in all: a home is one hop away.
@@ -121,7 +131,7 @@
 // New returns a meter with nothing spent.
 func New(c common.Common, bounds Bounds, v *view.View, members *membership.Members, link *packets.Link) *Meter {
 	m := &Meter{
-		Common: c, bounds: bounds, view: v, members: members, link: link,
+		Common: c, bounds: bounds.kept(), view: v, members: members, link: link,
 		own: quota.NewAllowance(),
 		had: quota.NewLedger(), reports: reports{of: make(map[ids.Account]map[netip.AddrPort]report)},
 		number: c.Random.Fork().Uint64(),
@@ -138,7 +148,7 @@
 func (m *Meter) SetBounds(bounds Bounds) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.bounds = bounds
+	m.bounds = bounds.kept()
 }
 
 func (m *Meter) window() clock.Millis {
@@ -225,8 +235,8 @@
 	alone.PerSecond = marginPart * margin / 2 / window
 	alone.Burst = marginPart * margin / 2
 	share := m.members.Share()
-	if share <= 0 {
-		return false, unlistedWait
+	if share <= 0 || alone.PerSecond <= 0 {
+		return false, unlistedWait // to an allowance a rate of 0 is no limit
 	}
 	return m.own.Take(m.Clock.Now(), &alone, share, units)
 }
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -481,6 +481,36 @@
 	}
 }
 
+// TestSettingsWithoutAWindowBoundAccountsToo has settings that name no bounds for accounts: rate and burst
+// hold all the same, at the home and at entries that do not reach it. Users would see accounts without any
+// limit after a settings file that lacks these lines. Cause: what may flow in a window was divided by its length, and
+// 0 made it endless. Evidence: this test; it wasn't seen on a record.
+func TestSettingsWithoutAWindowBoundAccountsToo(t *testing.T) {
+	scenarios := []struct {
+		name string
+		lose func(from, to netip.AddrPort, kind packets.Kind) bool
+	}{
+		{"calm", nil},
+		{"nothing gets through", func(_, _ netip.AddrPort, _ packets.Kind) bool { return true }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				d := deployMany(ctx, entries, largeAccount(), metering.Bounds{})
+				d.net.Lose(s.lose)
+				all := d.demandUnits(ctx, 9*time.Second, largeUnits)
+				// Each entry may go beyond its part by one request.
+				const most = largeRate*8 + largeRate + 2*entries*8000
+				if got := worst(all); got > most {
+					t.Errorf("%.0f taken in 8 s, want %.0f at the most", got, most)
+				}
+			})
+		})
+	}
+}
+
 // TestAnAccountWithoutALimitIsServedWithoutTheList has nothing to divide.
 func TestAnAccountWithoutALimitIsServedWithoutTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
