Serve accounts that have a rate and no burst

Cause: a home's bucket for an account had the burst's size, and a request is taken only while something is in it. With a burst of 0, which a configuration may say and the bound allows for, nothing ever was. Accounts whose burst is larger, as all seen so far, have the bucket they had.

--- a/pkg/metering/booking.go
+++ b/pkg/metering/booking.go
@@ -25,6 +25,8 @@
 	again := min(account.Burst, burstPart*margin)
 	widened := *account
 	widened.PerSecond += again / window
+	// A bucket without room never holds anything to take, and an account's burst may be 0.
+	widened.Burst = max(account.Burst, homePart*margin)
 	m.reports.set(account.Name, from, report{had: c.Had, at: now})
 	over := m.reports.sum(now, account.Name, m.window()) - account.PerSecond*window - account.Burst - homePart*margin
 	if over >= 0 {
--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -511,6 +511,27 @@
 	}
 }
 
+// TestAnAccountWithoutABurstHasItsRate has an account with a rate alone: users would see all its requests
+// refused for good. Cause: what a home holds for an account was capped at its burst, so there was never
+// anything to take. Evidence: this test; it wasn't seen on a record.
+func TestAnAccountWithoutABurstHasItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		account := largeAccount()
+		account.Burst = 0
+		d := deployMany(ctx, entries, account, largeBounds)
+		all := d.demandUnits(ctx, 12*time.Second, largeUnits)
+		got := worst(all)
+		if least := 0.95 * largeRate * 8; got < least {
+			t.Errorf("%.0f taken in the fullest window, want %.0f at the least", got, least)
+		}
+		if most := 0.95 * (largeRate*8*(1+largeBounds.Over) + largeBounds.Slack); got > most {
+			t.Errorf("%.0f taken in a window, want %.0f at the most", got, most)
+		}
+	})
+}
+
 // TestAnAccountWithoutALimitIsServedWithoutTheList has nothing to divide.
 func TestAnAccountWithoutALimitIsServedWithoutTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
