--- a/pkg/metering/meter_test.go
+++ b/pkg/metering/meter_test.go
@@ -481,6 +481,57 @@
 	}
 }
 
+// TestSettingsWithoutAWindowBoundAccountsToo has settings that name no bounds for accounts: rate and burst
+// hold all the same, at the home and at entries that do not reach it. Users would see accounts without any
+// limit after a settings file that lacks these lines. Cause: what may flow in a window was divided by its length, and
+// 0 made it endless. Evidence: this test; it wasn't seen on a record.
+func TestSettingsWithoutAWindowBoundAccountsToo(t *testing.T) {
+	scenarios := []struct {
+		name string
+		lose func(from, to netip.AddrPort, kind packets.Kind) bool
+	}{
+		{"calm", nil},
+		{"nothing gets through", func(_, _ netip.AddrPort, _ packets.Kind) bool { return true }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				d := deployMany(ctx, entries, largeAccount(), metering.Bounds{})
+				d.net.Lose(s.lose)
+				all := d.demandUnits(ctx, 9*time.Second, largeUnits)
+				// Each entry may go beyond its part by one request.
+				const most = largeRate*8 + largeRate + 2*entries*8000
+				if got := worst(all); got > most {
+					t.Errorf("%.0f taken in 8 s, want %.0f at the most", got, most)
+				}
+			})
+		})
+	}
+}
+
+// TestAnAccountWithoutABurstHasItsRate has an account with a rate alone: users would see all its requests
+// refused for good. Cause: what a home holds for an account was capped at its burst, so there was never
+// anything to take. Evidence: this test; it wasn't seen on a record.
+func TestAnAccountWithoutABurstHasItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		account := largeAccount()
+		account.Burst = 0
+		d := deployMany(ctx, entries, account, largeBounds)
+		all := d.demandUnits(ctx, 12*time.Second, largeUnits)
+		got := worst(all)
+		if least := 0.95 * largeRate * 8; got < least {
+			t.Errorf("%.0f taken in the fullest window, want %.0f at the least", got, least)
+		}
+		if most := 0.95 * (largeRate*8*(1+largeBounds.Over) + largeBounds.Slack); got > most {
+			t.Errorf("%.0f taken in a window, want %.0f at the most", got, most)
+		}
+	})
+}
+
 // TestAnAccountWithoutALimitIsServedWithoutTheList has nothing to divide.
 func TestAnAccountWithoutALimitIsServedWithoutTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
