--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/dghubble/sling"
 	"github.com/juju/errors"
@@ -57,8 +58,12 @@
 	base    string
 	client  *http.Client
 	timeout clock.Millis
+	closed  atomic.Bool
 }
 
+// ErrClosed is returned by calls to a table that was closed.
+var ErrClosed = errors.New("the table's client is closed")
+
 // NewTable returns a client of the table at base that gives each call the time
 // timeout.
 func NewTable(reach network.Network, base string, timeout clock.Millis) *Table {
@@ -113,8 +118,10 @@
 	}
 }
 
-// Close drops idle connections.
+// Close drops idle connections. There are no calls after it: what still goes on in the background,
+// as the freeing of a claim, would leave a connection that nobody closes.
 func (t *Table) Close() {
+	t.closed.Store(true)
 	t.client.CloseIdleConnections()
 }
 
@@ -122,7 +129,18 @@
 	return sling.New().Base(t.base).Client(t.client)
 }
 
+// dropIfClosed drops the connection of a call during which the table was closed.
+func (t *Table) dropIfClosed() {
+	if t.closed.Load() {
+		t.client.CloseIdleConnections()
+	}
+}
+
 func (t *Table) do(ctx context.Context, call *sling.Sling, into any) (*http.Response, error) {
+	if t.closed.Load() {
+		return nil, ErrClosed
+	}
+	defer t.dropIfClosed()
 	ctx, cancel := context.WithTimeout(ctx, t.timeout.Duration())
 	defer cancel()
 	request, err := call.Request()
