Divide the tests of the controller into answers, keys and stop

controller_test.go had 502 lines, of which a reader of the stop needed four tests in the middle.

Behaviour and assertions are unchanged.

--- a/pkg/ingress/controller_test.go
+++ b/pkg/ingress/controller_test.go
@@ -13,7 +13,6 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ingress"
-	"quaydock/pkg/routing"
 )
 
 func TestAnswers(t *testing.T) {
@@ -191,82 +190,6 @@
 	}
 }
 
-func TestTheKeyStaysHereAndTheAccountGoesOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, freely{}, says(200, "", "yes"))
-		b.call(context.Background(), "/unsafe/a", map[string]string{"Account": "forged"})
-		got := b.arrived()[0]
-		if got.header.Get("Key") != "" || got.header.Get("Account") != "acme" || got.body != "question" {
-			t.Errorf("arrived with %v and %q", got.header, got.body)
-		}
-	})
-}
-
-func TestAKeyTakenAwayWhileItsRequestWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, freely{}, says(200, "", "yes"))
-		b.scheduler.delay = time.Second
-		time.AfterFunc(500*time.Millisecond, func() {
-			b.accounts = []*routing.Account{{Name: "acme", Keys: []string{"another"}}}
-			b.configure(2)
-			b.view.Proven(b.clock.Now())
-		})
-		got := b.call(context.Background(), "/unsafe/a", nil)
-		if got.status != http.StatusServiceUnavailable || len(b.arrived()) != 0 {
-			t.Errorf("status %d, %d arrivals", got.status, len(b.arrived()))
-		}
-	})
-}
-
-// TestAFrozenEntryDoesNotTrustItsKeys wakes an entry after 6 s without news: the
-// request that was waiting in it must not run.
-func TestAFrozenEntryDoesNotTrustItsKeys(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, freely{}, says(200, "", "yes"))
-		b.scheduler.delay = 4500 * time.Millisecond
-		got := b.call(context.Background(), "/unsafe/a", nil)
-		if got.status != http.StatusServiceUnavailable || len(b.arrived()) != 0 {
-			t.Errorf("status %d, %d arrivals", got.status, len(b.arrived()))
-		}
-	})
-}
-
-// TestKeysWithoutProof has an entry without news for a while: with a strict bound
-// it serves no keyed request beyond it, without one it does until the other
-// entries may share out its part, or, while they surely do not, for as long as the
-// operator allows.
-func TestKeysWithoutProof(t *testing.T) {
-	scenarios := []struct {
-		strict  bool
-		assured bool
-		after   time.Duration
-		want    int
-	}{
-		{true, false, 4 * time.Second, http.StatusOK},
-		{true, true, 4500 * time.Millisecond, http.StatusServiceUnavailable},
-		{false, false, 4500 * time.Millisecond, http.StatusOK},
-		{false, false, 7400 * time.Millisecond, http.StatusOK},
-		{false, false, 7600 * time.Millisecond, http.StatusServiceUnavailable},
-		{false, true, 19 * time.Second, http.StatusOK},
-		{false, true, 21 * time.Second, http.StatusServiceUnavailable},
-	}
-	for _, s := range scenarios {
-		t.Run(fmt.Sprint(s.strict, s.assured, s.after), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				b := newBed(t, freely{assuredAlways: s.assured}, says(200, "", "yes"))
-				b.controller.SetKeyTrust(ingress.KeyTrust{Bound: 5000, Strict: s.strict, Most: 20 * clock.Second})
-				time.Sleep(s.after)
-				if got := b.call(context.Background(), "/unsafe/a", nil); got.status != s.want {
-					t.Errorf("status %d, want %d", got.status, s.want)
-				}
-				if got := b.call(context.Background(), "/open/a", nil); got.status != http.StatusOK {
-					t.Errorf("without a key: status %d", got.status)
-				}
-			})
-		})
-	}
-}
-
 func TestACallerWhoLeavesEndsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ended := make(chan time.Time, 1)
@@ -289,102 +212,6 @@
 	})
 }
 
-// TestOneThatEndsSoonTakesOnlyWhatIsShort has an entry that has to end in four seconds: a
-// route whose answers take one second is served, one whose answers take three is told to
-// come back, and so is one of which nothing is known.
-func TestOneThatEndsSoonTakesOnlyWhatIsShort(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		takes := map[string]time.Duration{"/unsafe/": time.Second, "/resume/": 3 * time.Second}
-		b := newBed(t, freely{}, func(c net.Conn, r *http.Request) bool {
-			for prefix, long := range takes {
-				if strings.HasPrefix(r.URL.Path, prefix) {
-					time.Sleep(long)
-				}
-			}
-			return says(200, "", "yes")(c, r)
-		})
-		for prefix := range takes {
-			b.call(context.Background(), prefix+"a", nil)
-		}
-		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now(), Ends: b.clock.Now() + 6*clock.Second})
-		scenarios := []struct {
-			path string
-			want int
-		}{
-			{"/resume/a", http.StatusServiceUnavailable},
-			{"/safe/a", http.StatusServiceUnavailable}, // none was answered yet
-			{"/unsafe/a", http.StatusOK},
-		}
-		before := len(b.arrived())
-		for _, s := range scenarios {
-			got := b.call(context.Background(), s.path, nil)
-			if got.status != s.want {
-				t.Errorf("%s: status %d, want %d", s.path, got.status, s.want)
-			}
-			if s.want != http.StatusOK && got.header.Get("Retry-After") == "" {
-				t.Errorf("%s: not told when to come back", s.path)
-			}
-		}
-		if n := len(b.arrived()) - before; n != 1 {
-			t.Errorf("%d requests reached the target", n)
-		}
-		// With 4.8 s left answers of a second still fit, but the next may take up to the
-		// request's 5 s, and would be cut.
-		takes["/unsafe/"] = 4900 * time.Millisecond
-		time.Sleep(200 * time.Millisecond)
-		b.view.Proven(b.clock.Now())
-		if got := b.call(context.Background(), "/unsafe/a", nil); got.status != http.StatusServiceUnavailable {
-			t.Errorf("with less time left than it may take: status %d", got.status)
-		}
-	})
-}
-
-// TestLessIsTakenFromAMomentOn has an entry that is told once, at its signal, from when on it
-// takes less: no timer has to go off for that, which on a paused VM it does too late.
-func TestLessIsTakenFromAMomentOn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, freely{}, says(200, "", "yes"))
-		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now() + clock.Second, Ends: b.clock.Now() + 3*clock.Second})
-		scenarios := []struct {
-			after time.Duration
-			want  int
-		}{{0, http.StatusOK}, {990 * time.Millisecond, http.StatusOK}, {20 * time.Millisecond, http.StatusServiceUnavailable}}
-		for _, s := range scenarios {
-			time.Sleep(s.after)
-			if got := b.call(context.Background(), "/unsafe/a", nil); got.status != s.want {
-				t.Errorf("%v later: status %d, want %d", s.after, got.status, s.want)
-			}
-		}
-	})
-}
-
-func TestALeavingEntryClosesItsConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, freely{}, says(200, "", "yes"))
-		b.keep = true // or the caller itself would have them closed
-		b.controller.Leave(ingress.Stop{Narrows: b.clock.Now() + clock.Second, Ends: b.clock.Now() + clock.Minute})
-		if got := b.call(context.Background(), "/unsafe/a", nil); got.status != 200 || !got.closes {
-			t.Errorf("status %d, closes %t", got.status, got.closes)
-		}
-	})
-}
-
-func TestRunningCountsWhatIsServed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newBed(t, freely{}, silent)
-		time.AfterFunc(clock.Second.Duration(), func() {
-			if n := b.controller.Running(); n != 1 {
-				t.Errorf("%d running", n)
-			}
-		})
-		b.call(context.Background(), "/unsafe/a", nil)
-		time.Sleep(time.Second)
-		if n := b.controller.Running(); n != 0 {
-			t.Errorf("%d running at the end", n)
-		}
-	})
-}
-
 func TestPlacesAreGivenBackWithTheirOutcome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, freely{}, nil, says(503, "Not-Run: 1\r\n", ""), says(421, "", ""), says(200, "", "yes"))
