Say what the bookkeeping of lives holds

What stopped a reader: the pool kept each exchange's cancel function beside the exchange that has it already, under the name end; planner.lives had fields known and listed without a word on what is counted; pace.slow called a life target; bounds on remembered versions did not say against what they are large.

The pool keeps a set of exchanges and cancels each by itself; comments say the rest. Behaviour and assertions are unchanged.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -35,7 +35,7 @@
 func (p *Pool) Send(ctx context.Context, t *routing.Target, r *Request) Result {
 	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan error, 1)}
 	e.ctx, e.cancel = context.WithCancelCause(ctx)
-	if !p.enter(t.Life(), e, e.cancel) {
+	if !p.enter(t.Life(), e) {
 		e.cancel(nil)
 		return unreached(t, errReplaced)
 	}
@@ -66,13 +66,14 @@
 	return nil
 }
 
-// leave ends what ends with the exchange.
+// leave takes the exchange off the pool's list and ends its context.
 func (e *exchange) leave() {
 	e.pool.leave(e.target.Life(), e)
 	e.cancel(nil)
 }
 
-// cause is why an exchange failed: an error of its connection only says that it was closed here.
+// cause returns why an exchange failed: errReplaced if the target has started again, or else err. An
+// error of the connection would only say that it was closed at this end.
 func (e *exchange) cause(err error) error {
 	if errors.Is(context.Cause(e.ctx), errReplaced) {
 		return errReplaced
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -21,7 +21,7 @@
 
 	mu   sync.Mutex
 	idle map[ids.Life][]*connection
-	busy map[ids.Life]map[*exchange]context.CancelCauseFunc
+	busy map[ids.Life]map[*exchange]struct{}
 	// targets is the newest list, nil before the first.
 	targets *routing.Directory
 }
@@ -33,24 +33,25 @@
 // NewPool returns a pool without connections. The function marks reads the head
 // of an answer.
 func NewPool(c common.Common, marks func(header map[string][]string) Marks) *Pool {
-	return &Pool{Common: c, marks: marks, idle: make(map[ids.Life][]*connection), busy: make(map[ids.Life]map[*exchange]context.CancelCauseFunc)}
+	return &Pool{Common: c, marks: marks, idle: make(map[ids.Life][]*connection), busy: make(map[ids.Life]map[*exchange]struct{})}
 }
 
 // enter notes an exchange, so that it is broken off once its target has started again. It
 // reports false if that has happened already.
-func (p *Pool) enter(life ids.Life, e *exchange, end context.CancelCauseFunc) bool {
+func (p *Pool) enter(life ids.Life, e *exchange) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.replaced(life) {
 		return false
 	}
 	if p.busy[life] == nil {
-		p.busy[life] = make(map[*exchange]context.CancelCauseFunc)
+		p.busy[life] = make(map[*exchange]struct{})
 	}
-	p.busy[life][e] = end
+	p.busy[life][e] = struct{}{}
 	return true
 }
 
+// leave takes back an exchange that enter has noted.
 func (p *Pool) leave(life ids.Life, e *exchange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,8 +84,8 @@
 			continue
 		}
 		p.Metrics.Links.Add("exchanges_of_former_lives", int64(len(exchanges)))
-		for _, end := range exchanges {
-			end(errReplaced)
+		for e := range exchanges {
+			e.cancel(errReplaced)
 		}
 	}
 	p.mu.Unlock()
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -67,7 +67,7 @@
 	p.place(now)
 }
 
-// target returns what is known of a life of a target, which is nothing at first.
+// target returns what is known of a life of a target, and begins with nothing for a new one.
 func (p *Planner) target(o *routing.Target) *target {
 	if t := p.targets[o.Life()]; t != nil {
 		return t
@@ -99,7 +99,7 @@
 }
 
 // lifeAt returns the life that an entry names, or nil if its target is not known at all. An entry
-// that has not read of a new start names the former one.
+// that has not read of a new start names the former one, which is then known until its runs end.
 func (p *Planner) lifeAt(at ids.Life) *target {
 	if t := p.targets[at]; t != nil {
 		return t
@@ -158,7 +158,7 @@
 	return sizeOf(p.speeds.firstTime(job.Prompt) + float64(job.Events)*p.speeds.pauseTime(1))
 }
 
-// Granted returns the target that a job has been given, if any.
+// Granted returns the life of the target that a job has been given, if any.
 func (p *Planner) Granted(id JobID) (ids.Life, bool) {
 	if r := p.runs[id]; r != nil {
 		return r.target.Life(), true
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -9,8 +9,8 @@
 // target is what the planner knows of one target.
 type target struct {
 	*routing.Target
-	lives   *lives
-	offered bool // it may get new work
+	lives   *lives // all of the same id, this one included
+	offered bool   // it may get new work
 	runs    map[JobID]*run
 	reading ids.Tokens // prompts of runs that have not begun
 	factor  factor
@@ -25,9 +25,9 @@
 // again gets no more than its slots over all of them: until the entries have told the end
 // of the runs of its former life, some of these may in truth have reached the new one.
 type lives struct {
-	runs   int
-	listed *target // the newest, as long as it is known
-	known  int
+	runs   int     // over all of them
+	listed *target // the one that was offered last, as long as it is known
+	known  int     // how many of them are in Planner.targets
 }
 
 // run is a granted job.
--- a/pkg/rollout/book.go
+++ b/pkg/rollout/book.go
@@ -273,13 +273,14 @@
 }
 
 // mostServices and mostVersions bound what is remembered as in use, in services and in versions
-// of one: targets' rows may come from another writer, who names new ones each time. Where one is
+// of one, far above the 32 models of the largest deployment that is planned for: targets' rows may come from another writer, who names new ones each time. Where one is
 // not remembered it is used as well, but an order for it begins with a trial.
 const (
 	mostServices = 1000
 	mostVersions = 64
 )
 
+// noteUse remembers that a target's version is in use; the lock is held.
 func (b *Book) noteUse(t *routing.Target) {
 	if len(b.usual) < mostServices && len(b.usual[t.Service]) < mostVersions {
 		remember(b.usual, t.Service, t.Version)
--- a/pkg/rollout/pace.go
+++ b/pkg/rollout/pace.go
@@ -134,12 +134,12 @@
 }
 
 // slow reports whether an answer took several times as long as its target's usually do.
-func (p *pace) slow(onTrial bool, target ids.Life, took float64) bool {
+func (p *pace) slow(onTrial bool, life ids.Life, took float64) bool {
 	of := p.old
 	if onTrial {
 		of = p.fresh
 	}
-	return took > 0 && took > slowTimes*p.usual(get(of, target))
+	return took > 0 && took > slowTimes*p.usual(get(of, life))
 }
 
 func get[K comparable](of map[K]*sample, key K) *sample {
