--- a/pkg/app/rollout_engines_test.go
+++ b/pkg/app/rollout_engines_test.go
@@ -20,6 +20,7 @@
 	route ids.Route
 }
 
+// bedEngine is one life of an engine of the bed.
 type bedEngine struct {
 	id      ids.Target
 	version string
@@ -58,21 +59,27 @@
 	return ids.Start(time.Now().UnixMilli())
 }
 
+// list writes the row of an engine, as the engine itself does.
 func (b *rolloutBed) list(e *bedEngine, state string) {
 	b.store.Put(platform.TableTargets, string(e.id), fmt.Appendf(nil, `{"service":%q,"address":"10.9.0.1:80","zone":"d","version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"sequence":1,"born":%d}`, bedService, e.version, bedSlots, state, e.start))
 }
 
-// retire stops the targets of a version at once.
-func (b *rolloutBed) retire(version string) {
+// enginesOf lists the engines that run a version.
+func (b *rolloutBed) enginesOf(version string) []*bedEngine {
 	b.mu.Lock()
-	var ended []*bedEngine
+	defer b.mu.Unlock()
+	var list []*bedEngine
 	for _, e := range b.engines {
 		if e.version == version {
-			ended = append(ended, e)
+			list = append(list, e)
 		}
 	}
-	b.mu.Unlock()
-	for _, e := range ended {
+	return list
+}
+
+// retire stops the targets of a version at once.
+func (b *rolloutBed) retire(version string) {
+	for _, e := range b.enginesOf(version) {
 		e.end()
 		b.store.Remove(platform.TableTargets, string(e.id))
 	}
--- a/pkg/app/rollout_operator_test.go
+++ b/pkg/app/rollout_operator_test.go
@@ -52,15 +52,7 @@
 		return true
 	case fmt.Sprintf(`{"target_version":%q,"state":"rolled_back"}`, newVersion):
 		time.Sleep(2 * time.Second)
-		b.mu.Lock()
-		var leaving []*bedEngine
-		for _, e := range b.engines {
-			if e.version == newVersion {
-				leaving = append(leaving, e)
-			}
-		}
-		b.mu.Unlock()
-		for _, e := range leaving {
+		for _, e := range b.enginesOf(newVersion) {
 			b.list(e, "draining")
 		}
 		time.Sleep(3 * time.Second)
