Name requests beyond callers' share, and the final answers of a stop, by what they are

What stopped a reader: "beside" was a field of shares, of the controller and of its parts and said nothing of what stands beside what; goesFirst read like a question but took a place; the "last word" of a stop was a metaphor; a deferred call of a call hid that only its result is deferred; fits took a factor as a time; constants stood behind their use and without saying where they come from.

Now Extra, MostExtra and takeExtra, final answer, narrowing (as in the glossary), a factor as int, and constants with their reason. extraPart names the half that was written as a division.

--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -15,7 +15,7 @@
 	applied func(*routing.Catalog)
 	orders  orderTaker // nil if roll-outs are no part of the deployment
 	faults  *follow.Faults
-	// faulty says that the row which stands for the configuration says none that can be used.
+	// faulty says that the newest row of the configuration cannot be used.
 	faulty bool
 }
 
@@ -55,8 +55,7 @@
 	}
 }
 
-// take puts a configuration in force. A row that says none that can be used leaves what is in
-// force.
+// take puts a configuration in force. A row that cannot be used leaves the former one in force.
 func (h *configurationHandler) take(row follow.Row) {
 	catalog, err := platform.ParseConfiguration(row.Value)
 	h.faulty = err != nil
--- a/pkg/app/descriptor_limit.go
+++ b/pkg/app/descriptor_limit.go
@@ -7,8 +7,14 @@
 	"quaydock/platform"
 )
 
-// usualDescriptors is what is taken for the limit where the system doesn't tell it.
-const usualDescriptors = 1024
+const (
+	// usualDescriptors is assumed where the system doesn't tell its limit: the usual soft limit of
+	// a Linux process.
+	usualDescriptors = 1024
+	// mostDescriptors bounds a limit that the system tells as infinite: the most that Linux gives a
+	// process by default.
+	mostDescriptors = 1 << 20
+)
 
 // descriptorLimit is how many descriptors the process may have for connections: what the
 // system and the VM's settings say, whichever is less.
@@ -25,6 +31,3 @@
 	}
 	return limit
 }
-
-// mostDescriptors stands for no limit.
-const mostDescriptors = 1 << 20
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -204,7 +204,7 @@
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(o.policy),
 		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: p.keyTrust(s.Bounds),
-		Retries: p.retries, Beside: shares.Beside,
+		Retries: p.retries, MostExtra: shares.Extra,
 	})
 	p.members.SetTrust(p.keyTrust(s.Bounds).Most)
 	handlers := ingress.Handlers{Serve: p.controller, TurnAway: http.HandlerFunc(p.controller.TurnAway)}
--- a/pkg/app/entry_stop.go
+++ b/pkg/app/entry_stop.go
@@ -11,8 +11,9 @@
 const (
 	// endMargin is kept from the time at which the platform kills a process.
 	endMargin = 400 * clock.Millisecond
-	// lastWordTime of it is for telling callers what became of the requests that are left.
-	lastWordTime = 100 * clock.Millisecond
+	// finalAnswerTime is the part of endMargin in which callers are told what became of the requests
+	// that are left.
+	finalAnswerTime = 100 * clock.Millisecond
 	// leaveTime is how long a process that is stopped goes on taking new
 	// connections, until the balancer has seen that it is not ready.
 	leaveTime = 2600 * clock.Millisecond
@@ -61,9 +62,9 @@
 		clock.Pause(context.Background(), doorEvery)
 	}
 	left := stop.Ends - p.Clock.Now()
-	lastWord := time.AfterFunc(left.Duration(), p.controller.End)
-	defer lastWord.Stop()
-	limited, cancel := context.WithTimeout(context.Background(), (left + lastWordTime).Duration())
+	endTimer := time.AfterFunc(left.Duration(), p.controller.End)
+	defer endTimer.Stop()
+	limited, cancel := context.WithTimeout(context.Background(), (left + finalAnswerTime).Duration())
 	defer cancel()
 	// Shutdown closes the listener and what rests, so that no request is taken
 	// that could not be ended in time.
--- a/pkg/app/rollouts.go
+++ b/pkg/app/rollouts.go
@@ -128,6 +128,7 @@
 	return entries, records
 }
 
+// errOtherKey is the fault of a record that stands under the key of another service.
 var errOtherKey = errors.New("record of a roll-out: of another service than its row")
 
 // takeRecords takes what has been decided. A record that is gone stays decided.
--- a/pkg/descriptors/book.go
+++ b/pkg/descriptors/book.go
@@ -1,7 +1,6 @@
 // Package descriptors decides what an entry does with its file descriptors: how many
-// connections callers may hold, and what becomes of one that comes beyond that. What
-// must go on without callers (targets, peers, the store, logs, metrics) so always finds some
-// left.
+// connections callers may hold, and what becomes of one that comes beyond that. Connections to
+// targets, peers and the store, logs and metrics so always find descriptors left.
 package descriptors
 
 import "quaydock/pkg/clock"
@@ -13,8 +12,9 @@
 	// Turned is how many more connections may be there whose callers are being told to come
 	// back.
 	Turned int
-	// Beside is how many of these may be served instead, since lower work is.
-	Beside int
+	// Extra is how many of the Turned may be served instead of turned away, each while a request
+	// of a lower tier is being served.
+	Extra int
 }
 
 const (
@@ -32,13 +32,16 @@
 	// callersPart is the part of what is left that callers get. Each of their requests may
 	// need a connection to a target.
 	callersPart = 1.0 / 2
+	// extraPart is the part of those that are turned away that may be served instead. Served, one
+	// stays for a whole request; the other half stays free for being told at once.
+	extraPart = 1.0 / 2
 )
 
 // Divide divides the descriptors that a process may have.
 func Divide(limit int) Shares {
 	own := min(max(int(ownPart*float64(limit)), leastOwn), mostOwn)
 	turned := max(int(turnedPart*float64(limit)), leastTurned)
-	return Shares{Callers: max(1, int(callersPart*float64(limit-own-turned))), Turned: turned, Beside: turned / 2}
+	return Shares{Callers: max(1, int(callersPart*float64(limit-own-turned))), Turned: turned, Extra: int(extraPart * float64(turned))}
 }
 
 // Step is what becomes of a new connection.
@@ -59,17 +62,20 @@
 )
 
 const (
-	// calmPart of the share, and calmFor, are when a shortage is over.
+	// A shortage is over when none has shown for calmFor and callers hold at most calmPart of their
+	// share. The gap to the whole share keeps a load that stays near it one shortage, with one line
+	// of log at its begin and its end.
 	calmPart = 3.0 / 4
 	calmFor  = clock.Second
 )
 
 // Shortage is a time in which callers' share was used up.
 type Shortage struct {
-	Began    clock.Millis
+	Began clock.Millis
+	// Replaced counts the connections that were closed for another, Turned those turned away.
 	Replaced int
 	Turned   int
-	// last is when it last showed.
+	// last is when a connection last found the share used up.
 	last clock.Millis
 }
 
--- a/pkg/descriptors/book_test.go
+++ b/pkg/descriptors/book_test.go
@@ -12,10 +12,10 @@
 		limit int
 		want  descriptors.Shares
 	}{
-		{64, descriptors.Shares{Callers: 20, Turned: 4, Beside: 2}},
-		{1024, descriptors.Shares{Callers: 416, Turned: 64, Beside: 32}},
-		{4000, descriptors.Shares{Callers: 1747, Turned: 250, Beside: 125}},
-		{10, descriptors.Shares{Callers: 1, Turned: 4, Beside: 2}},
+		{64, descriptors.Shares{Callers: 20, Turned: 4, Extra: 2}},
+		{1024, descriptors.Shares{Callers: 416, Turned: 64, Extra: 32}},
+		{4000, descriptors.Shares{Callers: 1747, Turned: 250, Extra: 125}},
+		{10, descriptors.Shares{Callers: 1, Turned: 4, Extra: 2}},
 	}
 	for _, s := range scenarios {
 		if got := descriptors.Divide(s.limit); got != s.want {
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -206,7 +206,7 @@
 	pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) })
 	b.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: b.view, Dialect: dialect{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
-		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: 5000, Strict: true}, Beside: places,
+		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: 5000, Strict: true}, MostExtra: places,
 	})
 	server := &http.Server{Handler: b.controller}
 	listener, err := b.reach.Listen(entryAt)
--- a/pkg/ingress/caller_conn.go
+++ b/pkg/ingress/caller_conn.go
@@ -15,6 +15,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// errEndSeen says why a request is not sent whose caller has left.
 var errEndSeen = errors.New("the caller's connection has ended")
 
 // hasLeft looks whether the caller of a request has ended its connection. The reader that
@@ -58,6 +59,7 @@
 	return seen
 }
 
+// peekSocket reads one byte of a socket, leaves it there and doesn't wait for it.
 func peekSocket(descriptor int) peeked {
 	var one [1]byte
 	n, _, err := syscall.Recvfrom(descriptor, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/pkg/ingress/caller_conns.go
+++ b/pkg/ingress/caller_conns.go
@@ -26,7 +26,7 @@
 	resting *list.List // of net.Conn, the longest at rest first
 }
 
-// callerConn is what is known of one.
+// callerConn is what is known of one connection.
 type callerConn struct {
 	turned  bool
 	resting *list.Element // nil while it does not rest
@@ -40,30 +40,30 @@
 }
 
 // arrive decides on a new connection. One that takes another's place has had that closed.
-func (s *callerConns) arrive(c net.Conn) descriptors.Step {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (cc *callerConns) arrive(c net.Conn) descriptors.Step {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
 	var oldest net.Conn
-	if s.book.AtLimit() {
-		oldest = s.longestAtRest()
+	if cc.book.AtLimit() {
+		oldest = cc.longestAtRest()
 	}
-	step, begins := s.book.Arrive(s.Clock.Now(), oldest != nil)
+	step, begins := cc.book.Arrive(cc.Clock.Now(), oldest != nil)
 	if begins {
-		s.Log.WithField("connections", s.book.Taken()).Warn("callers hold their share of the descriptors")
+		cc.Log.WithField("connections", cc.book.Taken()).Warn("callers hold their share of the descriptors")
 	}
 	switch step {
 	case descriptors.StepReplace:
-		s.forget(oldest)
+		cc.forget(oldest)
 		_ = oldest.Close() // nothing is under way on it
-		s.open[c] = &callerConn{}
+		cc.open[c] = &callerConn{}
 	case descriptors.StepTake:
-		s.open[c] = &callerConn{}
+		cc.open[c] = &callerConn{}
 	case descriptors.StepTurnAway:
-		s.open[c] = &callerConn{turned: true}
+		cc.open[c] = &callerConn{turned: true}
 	case descriptors.StepWait:
 		return step
 	}
-	s.Metrics.Figures.Add("caller_connections", "step", step.String())
+	cc.Metrics.Figures.Add("caller_connections", "step", step.String())
 	return step
 }
 
@@ -72,85 +72,85 @@
 
 // longestAtRest is the connection that has rested longest and has no request waiting to be
 // read, or nil; the lock is held.
-func (s *callerConns) longestAtRest() net.Conn {
-	for range min(mostLooks, s.resting.Len()) {
-		element := s.resting.Front()
+func (cc *callerConns) longestAtRest() net.Conn {
+	for range min(mostLooks, cc.resting.Len()) {
+		element := cc.resting.Front()
 		c := element.Value.(net.Conn)
 		if !hasData(c) {
 			return c
 		}
-		s.resting.MoveToBack(element)
+		cc.resting.MoveToBack(element)
 	}
 	return nil
 }
 
 // forget drops a connection; the lock is held.
-func (s *callerConns) forget(c net.Conn) {
-	known := s.open[c]
+func (cc *callerConns) forget(c net.Conn) {
+	known := cc.open[c]
 	if known.resting != nil {
-		s.resting.Remove(known.resting)
+		cc.resting.Remove(known.resting)
 	}
-	delete(s.open, c)
+	delete(cc.open, c)
 }
 
 // note takes over what net/http says of a connection.
-func (s *callerConns) note(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := s.open[c]
+func (cc *callerConns) note(c net.Conn, state http.ConnState) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	known := cc.open[c]
 	if known == nil {
 		return // another has taken its place
 	}
 	if known.resting != nil {
-		s.resting.Remove(known.resting)
+		cc.resting.Remove(known.resting)
 		known.resting = nil
 	}
 	switch state {
 	case http.StateIdle:
-		known.resting = s.resting.PushBack(c)
+		known.resting = cc.resting.PushBack(c)
 	case http.StateClosed, http.StateHijacked:
-		s.ended(c, known)
+		cc.ended(c, known)
 	case http.StateNew, http.StateActive:
 	}
 }
 
 // ended counts a connection out; the lock is held.
-func (s *callerConns) ended(c net.Conn, known *callerConn) {
-	s.forget(c)
+func (cc *callerConns) ended(c net.Conn, known *callerConn) {
+	cc.forget(c)
 	if known.turned {
-		s.book.TurnedAway()
+		cc.book.TurnedAway()
 		select {
-		case s.freed <- struct{}{}:
+		case cc.freed <- struct{}{}:
 		default: // there is one already
 		}
 	} else {
-		s.book.Ended()
+		cc.book.Ended()
 	}
 }
 
 // drop closes a connection that nobody serves.
-func (s *callerConns) drop(c net.Conn) {
+func (cc *callerConns) drop(c net.Conn) {
 	_ = c.Close() // it was not read from
-	s.note(c, http.StateClosed)
+	cc.note(c, http.StateClosed)
 }
 
 // counts are how many connections callers hold, and how many are being turned away.
-func (s *callerConns) counts() (taken, turned int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.Taken(), s.book.Turned()
+func (cc *callerConns) counts() (taken, turned int) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	return cc.book.Taken(), cc.book.Turned()
 }
 
 // tellOver logs a shortage that is over.
-func (s *callerConns) tellOver() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	over := s.book.Over(now)
+func (cc *callerConns) tellOver() {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	now := cc.Clock.Now()
+	over := cc.book.Over(now)
 	if over == nil {
 		return
 	}
-	s.Log.WithFields(map[string]any{
+	cc.Log.WithFields(map[string]any{
 		"for_ms": int64(now - over.Began), "replaced": over.Replaced, "turned_away": over.Turned,
 	}).Info("callers' share of the descriptors is enough again")
 }
@@ -159,13 +159,13 @@
 const shortageEvery = 500 * time.Millisecond
 
 // watch looks from time to time whether a shortage is over, until closed.
-func (s *callerConns) watch(closed <-chan struct{}) {
+func (cc *callerConns) watch(closed <-chan struct{}) {
 	ticker := time.NewTicker(shortageEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			s.tellOver()
+			cc.tellOver()
 		case <-closed:
 			return
 		}
--- a/pkg/ingress/closing.go
+++ b/pkg/ingress/closing.go
@@ -53,10 +53,10 @@
 	m.add(now, took)
 }
 
-// narrow returns the course of the stop if less is taken by now, or nil. It goes by the moment of
-// the signal and not by a timer, which goes off late on a VM that is paused or busy, while
-// requests come in.
-func (c *closing) narrow(now clock.Millis) *Stop {
+// narrowing returns the course of the stop once its narrowing has begun, and nil before. It goes by
+// the time of the signal and not by a timer: on a VM that is paused or busy a timer goes off late,
+// while requests come in.
+func (c *closing) narrowing(now clock.Millis) *Stop {
 	stop := c.stop.Load()
 	if stop == nil || now < stop.Narrows {
 		return nil
@@ -68,30 +68,30 @@
 // the most. One whose deadline comes after the end is not taken however short such answers
 // have been of late: some take many times as long, and would be cut.
 func (c *closing) takes(now, deadline clock.Millis, route *routing.Route) bool {
-	stop := c.narrow(now)
+	stop := c.narrowing(now)
 	if stop == nil {
 		return true
 	}
 	if deadline+deadlineSpare > stop.Ends {
 		return false
 	}
-	return c.fits(now, endDoubt, route, stop)
+	return c.fits(now, route, stop, endDoubt)
 }
 
 // sends reports whether a request that was taken earlier may still be sent to a target. If the
 // longest answer of late would not fit into the time left, it is better told that it has not
 // run: sent, it ends without an answer, and may have run.
 func (c *closing) sends(now, deadline clock.Millis, route *routing.Route) bool {
-	stop := c.narrow(now)
-	return stop == nil || deadline+deadlineSpare <= stop.Ends || c.fits(now, 1, route, stop)
+	stop := c.narrowing(now)
+	return stop == nil || deadline+deadlineSpare <= stop.Ends || c.fits(now, route, stop, 1)
 }
 
-// fits reports whether the longest answer of late fits so many times into the time left.
-func (c *closing) fits(now, times clock.Millis, route *routing.Route, stop *Stop) bool {
+// fits reports whether several times the longest recent answer of a route fits into the time left.
+func (c *closing) fits(now clock.Millis, route *routing.Route, stop *Stop, times int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := c.longest[route.Name]
-	return m != nil && now+times*m.get(now)+endSpare <= stop.Ends
+	return m != nil && now+clock.Millis(times)*m.get(now)+endSpare <= stop.Ends
 }
 
 // retryAfter is when to come back: when this entry will surely have ended, and the ones
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -39,9 +39,9 @@
 	Retries   *quota.RetryBudget
 	Entries   Entries
 	Keys      KeyTrust
-	// Beside is how many requests on connections beyond callers' share may be served at once,
-	// since they are of a higher tier than others that are.
-	Beside int
+	// MostExtra is how many requests on connections beyond callers' share may be served at once,
+	// those of a higher tier than some request that is being served.
+	MostExtra int
 }
 
 // KeyTrust says how long a key may still be used after its removal.
@@ -66,11 +66,12 @@
 	late      atomic.Int64 // of these, those that came after the stop's narrowing
 	ordinary  atomic.Int64 // answers given
 	sampler   *telemetry.Sampler
-	// underWay counts what was admitted; beside is how much of it came beyond callers' share.
-	underWay   *tierCounts
-	beside     atomic.Int64
-	mostBeside int64
-	// ended ends all requests under way.
+	// underWay counts the admitted requests by tier; extra is how many requests are being served on
+	// connections beyond callers' share, mostExtra at the most.
+	underWay  *tierCounts
+	extra     atomic.Int64
+	mostExtra int64
+	// ended is done once the process ends, and then ends all requests under way; end ends it.
 	ended context.Context
 	end   context.CancelFunc
 }
@@ -86,7 +87,7 @@
 	p.View.Watch(p.Pool.Follow)
 	c := &Controller{
 		Common: p.Common, admission: a, delivery: d, sampler: telemetry.NewSampler(p.Clock, p.Log, linesASecond),
-		underWay: newTierCounts(), mostBeside: int64(p.Beside),
+		underWay: newTierCounts(), mostExtra: int64(p.MostExtra),
 	}
 	c.ended, c.end = context.WithCancel(context.Background())
 	return c
@@ -117,9 +118,9 @@
 	c.leaving.Store(true)
 }
 
-// End gives the requests under way their last word: what was not sent is told to come back, what
-// may have run is told as lost, and an answer that has begun is broken off. A connection
-// closed without a word would tell none of that.
+// End gives the requests under way their final answer: one that was not sent is told to come back,
+// one that may have run is told as lost, and an answer that has begun is broken off. Closing their
+// connections would tell callers none of that.
 func (c *Controller) End() {
 	c.end()
 }
@@ -139,7 +140,7 @@
 func (c *Controller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.running.Add(1)
 	defer c.running.Add(-1)
-	if c.admission.closing.narrow(c.Clock.Now()) != nil {
+	if c.admission.closing.narrowing(c.Clock.Now()) != nil {
 		c.late.Add(1)
 		defer c.late.Add(-1)
 	}
@@ -163,7 +164,8 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer context.AfterFunc(c.ended, func() { end(errEnded) })()
+	stop := context.AfterFunc(c.ended, func() { end(errEnded) })
+	defer stop()
 	ctx, span := c.Tracer.Start(ctx, "entry.request")
 	defer span.End()
 	return c.delivery.run(ctx, q, out)
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -22,7 +22,7 @@
 	CauseTooLarge
 	CauseBadBody
 	CauseOverQuota
-	CauseUnlisted
+	CauseUnlisted // this entry has no part of the allowance: the list of entries is not read
 	CauseOverloaded
 	CauseNoTarget
 	CauseDeclined
@@ -30,7 +30,7 @@
 	CauseLost
 	CauseLeft
 	CauseLeaving
-	CauseCrowded
+	CauseCrowded // callers hold their share of the descriptors
 )
 
 // Refusal is an answer of the entry's own.
--- a/pkg/ingress/server_log.go
+++ b/pkg/ingress/server_log.go
@@ -8,8 +8,8 @@
 	"quaydock/pkg/telemetry"
 )
 
-// serverLog takes what net/http and the taking of connections have to say, which under load
-// comes with each connection.
+// serverLog logs the errors of net/http and of accepting connections, of each kind only a few: under
+// load there is one with each connection.
 type serverLog struct {
 	common.Common
 	sampler *telemetry.Sampler
@@ -29,6 +29,7 @@
 	return newServerLog(c).standard()
 }
 
+// standard returns it as a logger of the standard library.
 func (l *serverLog) standard() *log.Logger {
 	return log.New(l, "", 0)
 }
--- a/pkg/ingress/turn_away.go
+++ b/pkg/ingress/turn_away.go
@@ -18,32 +18,32 @@
 )
 
 // TurnAway answers a request on a connection beyond callers' share. Its caller is told to come
-// back, unless work of a lower tier is under way here: the share is used in the order in
-// which callers came, and no higher tier is shed while a lower one is served.
+// back, unless a request of a lower tier is under way here: the share is used in the order in
+// which callers came, and without this a higher tier would be shed while a lower one is served.
 func (c *Controller) TurnAway(w http.ResponseWriter, r *http.Request) {
-	if c.goesFirst(r) {
-		defer c.beside.Add(-1)
-		// The times of this server are for callers that are sent away.
+	if c.takeExtra(r) {
+		defer c.extra.Add(-1)
+		// The deadlines of this server are for callers that are turned away.
 		_ = http.NewResponseController(w).SetWriteDeadline(noDeadline)
 		c.ServeHTTP(w, r)
 		return
 	}
-	// What was not read would reset the connection, and the answer with it.
+	// Closing a connection with unread bytes resets it, and the answer would be lost.
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, firstHeaderBytes))
 	retry := crowdedRetry + clock.Millis(c.Random.Fork().Float64()*float64(crowdedSpread))
 	q := &request{Call: c.admission.dialect.Describe(r.Header), http: r, arrived: c.Clock.Now()}
 	c.conclude(q, notRun(CauseCrowded, retry), &answerWriter{writer: w})
 }
 
-// goesFirst reports whether a request is of a higher tier than some that is under way, and takes
-// one of the places for such if there is one left.
-func (c *Controller) goesFirst(r *http.Request) bool {
+// takeExtra takes one of the places for requests beyond callers' share, and reports whether it did:
+// the request has to be of a higher tier than one that is under way, and a place free.
+func (c *Controller) takeExtra(r *http.Request) bool {
 	q := &request{Call: c.admission.dialect.Describe(r.Header), http: r, arrived: c.Clock.Now()}
 	if c.admission.resolve(q) != nil || !c.underWay.below(q.tier()) {
 		return false
 	}
-	if c.beside.Add(1) > c.mostBeside {
-		c.beside.Add(-1)
+	if c.extra.Add(1) > c.mostExtra {
+		c.extra.Add(-1)
 		return false
 	}
 	return true
@@ -66,7 +66,7 @@
 	}
 }
 
-// below reports whether there is a request of a lower tier.
+// below reports whether there is a request of a lower tier, which is one of a higher rank.
 func (t *tierCounts) below(tier ids.TierRank) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
