--- a/pkg/ingress/descriptors_test.go
+++ b/pkg/ingress/descriptors_test.go
@@ -200,6 +200,14 @@
 	_, _ = io.WriteString(w, "yes")
 }
 
+// arrivedAt is when a request arrived, if it did.
+func (s *scarceTarget) arrivedAt(id string) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, arrived := s.arrived[id]
+	return at, arrived
+}
+
 // visit is what became of one caller.
 type visit struct {
 	id     string
@@ -276,7 +284,7 @@
 		if v.status == http.StatusOK {
 			served++
 		}
-		if at, sent := target.arrived[v.id]; sent && at.Sub(v.left) > 20*time.Millisecond {
+		if at, sent := target.arrivedAt(v.id); sent && at.Sub(v.left) > 20*time.Millisecond {
 			late++
 		}
 	}
--- a/pkg/ingress/turn_away.go
+++ b/pkg/ingress/turn_away.go
@@ -23,7 +23,8 @@
 func (c *Controller) TurnAway(w http.ResponseWriter, r *http.Request) {
 	if c.takeExtra(r) {
 		defer c.extra.Add(-1)
-		// The deadlines of this server are for callers that are turned away.
+		// The deadlines of this server are for callers that are turned away. A writer without any, as
+		// in tests, needs none taken off.
 		_ = http.NewResponseController(w).SetWriteDeadline(noDeadline)
 		c.ServeHTTP(w, r)
 		return
--- a/pkg/ingress/turn_away_test.go
+++ b/pkg/ingress/turn_away_test.go
@@ -1,7 +1,9 @@
 package ingress_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +11,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/descriptors"
+	"quaydock/pkg/ingress"
 )
 
 // turnAway has a request on a connection beyond callers' share.
@@ -69,3 +75,52 @@
 		})
 	}
 }
+
+// TestOneServedBeyondTheShareHasItsTime has a request of a higher tier take three times as long as a
+// caller who is turned away may.
+func TestOneServedBeyondTheShareHasItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, freely{}, func(c net.Conn, r *http.Request) bool {
+			time.Sleep(3 * time.Second)
+			return says(200, "", "yes")(c, r)
+		})
+		b.routes[1].Tier = 2
+		b.configure(2)
+		handlers := ingress.Handlers{Serve: b.controller, TurnAway: http.HandlerFunc(b.controller.TurnAway)}
+		server := ingress.NewServer(commontest.New(b.reach), handlers, descriptors.Shares{Callers: 1, Turned: 2, Extra: 1})
+		listener, err := b.reach.Listen(serverAt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go server.Serve(listener)
+		synctest.Wait()
+		answers := make(chan int, 2)
+		for _, path := range []string{"/safe/a", "/unsafe/a"} {
+			c := dial(t, b.reach)
+			go func() { answers <- askFor(c, path) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 2 {
+			if got := <-answers; got != http.StatusOK {
+				t.Errorf("status %d", got)
+			}
+		}
+		if err := server.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// askFor sends a request without a body, and returns the status of its answer, or 0.
+func askFor(c net.Conn, path string) int {
+	_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: key\r\n\r\n")
+	if err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close() // what matters has been read
+	return response.StatusCode
+}
