metering: split the tests by concern and share what they repeat

Each test made its own context, its own check of the fullest window, its own cut of the first entries and its own draw of request sizes.

The context is the test's own. The units of a request of the large account are a named constant.

--- /dev/null
+++ b/pkg/metering/bed_test.go
@@ -0,0 +1,209 @@
+package metering_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/follow"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/membership"
+	"quaydock/pkg/metering"
+	"quaydock/pkg/network"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/view"
+)
+
+const (
+	entries   = 4
+	perSecond = 10_000.0
+	burst     = 10_000.0
+	window    = 8 * clock.Second
+)
+
+var bounds = metering.Bounds{Over: 0.1, Slack: 20_000, Window: window}
+
+// deployment is a few entries that meter one account.
+type deployment struct {
+	common.Common
+	net     *packets.Memory
+	account *routing.Account
+	meters  []*metering.Meter
+	members []*membership.Members
+	views   []*view.View
+}
+
+func address(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7600", i+1))
+}
+
+// deploy runs the usual entries, which have read the list of all.
+func deploy(ctx context.Context) *deployment {
+	account := &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: perSecond, Burst: burst, CountsTokens: true}
+	return deployMany(ctx, entries, account, bounds)
+}
+
+func deployMany(ctx context.Context, entries int, account *routing.Account, bounds metering.Bounds) *deployment {
+	d := deployUnlisted(ctx, entries, account, bounds)
+	d.readList()
+	time.Sleep(time.Second)
+	return d
+}
+
+// firstOf lists the first few entries.
+func firstOf(entries int) []follow.Row {
+	var rows []follow.Row
+	for i := range entries {
+		rows = append(rows, row(i))
+	}
+	return rows
+}
+
+// readList has all entries read the list of all.
+func (d *deployment) readList() {
+	for _, m := range d.members {
+		m.Whole(firstOf(len(d.members)), follow.Proof{})
+	}
+}
+
+// row lists an entry.
+func row(i int) follow.Row {
+	return follow.Row{Key: fmt.Sprint("entry-", i), Value: fmt.Appendf(nil, `{"address":%q,"weight":1}`, address(i).String())}
+}
+
+// deployUnlisted runs entries that know the account and have not read the list of entries.
+func deployUnlisted(ctx context.Context, entries int, account *routing.Account, bounds metering.Bounds) *deployment {
+	d := &deployment{
+		Common:  commontest.New(network.NewMemory(nil)),
+		net:     packets.NewMemory(),
+		account: account,
+	}
+	for i := range entries {
+		link := packets.NewLink(d.Common, d.net.Socket(address(i)))
+		m := membership.New(d.Common, membership.Self{Name: ids.Process(fmt.Sprint("entry-", i)), Address: address(i), Weight: 1}, commontest.NoRows{}, link)
+		v := view.New(d.Check)
+		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, []*routing.Account{d.account}))
+		d.meters = append(d.meters, metering.New(d.Common, bounds, v, m, link))
+		d.members = append(d.members, m)
+		d.views = append(d.views, v)
+		go link.Run(ctx)
+		go m.Run(ctx)
+	}
+	return d
+}
+
+// demand has each entry take as fast as it can for a while, and returns when
+// and what was taken.
+func (d *deployment) demand(ctx context.Context, length time.Duration) []take {
+	return d.demandUnits(ctx, length, func() float64 { return 100 })
+}
+
+// demandUnits is demand with requests of drawn sizes.
+func (d *deployment) demandUnits(ctx context.Context, length time.Duration, draw func() float64) []take {
+	results := make(chan take, 100_000)
+	limited, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	ended := make(chan struct{})
+	for _, m := range d.meters {
+		go func() {
+			for limited.Err() == nil {
+				units := draw()
+				if ok, _ := m.Take(limited, d.account, units, 0); ok {
+					results <- take{d.Clock.Now(), units}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			ended <- struct{}{}
+		}()
+	}
+	for range d.meters {
+		<-ended
+	}
+	close(results)
+	var all []take
+	for r := range results {
+		all = append(all, r)
+	}
+	return all
+}
+
+// take is what was taken at a moment.
+type take struct {
+	at    clock.Millis
+	units float64
+}
+
+// worst is the most taken in any window.
+func worst(all []take) float64 {
+	most := 0.0
+	for _, from := range all {
+		sum := 0.0
+		for _, x := range all {
+			if x.at >= from.at && x.at < from.at+window {
+				sum += x.units
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func bound() float64 {
+	const seconds = 8
+	return (perSecond*seconds+burst)*(1+bounds.Over) + bounds.Slack
+}
+
+// A large account's margin is small beside its rate.
+const (
+	largeRate  = 400_000.0
+	largeLimit = (largeRate*8+largeRate)*1.1 + 140_000
+	// largeKept leaves a twentieth for what waits and is under way.
+	largeKept = 0.95 * largeLimit
+)
+
+var largeBounds = metering.Bounds{Over: 0.1, Slack: 140_000, Window: window}
+
+func largeAccount() *routing.Account {
+	return &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: largeRate, Burst: largeRate, CountsTokens: true}
+}
+
+// largeRequest is what one request of the large account takes, in units.
+const largeRequest = 8000
+
+func largeUnits() float64 { return largeRequest }
+
+// checkMost checks the most that was taken in any window.
+func checkMost(t *testing.T, all []take, most float64) {
+	t.Helper()
+	if got := worst(all); got > most {
+		t.Errorf("%.0f taken in a window, want %.0f at the most", got, most)
+	}
+}
+
+// sum is all that was taken.
+func sum(all []take) float64 {
+	units := 0.0
+	for _, x := range all {
+		units += x.units
+	}
+	return units
+}
+
+// cutOffFirst cuts the first few entries off from one another and from the others.
+func (d *deployment) cutOffFirst(n int) {
+	isCut := func(a netip.AddrPort) bool {
+		for i := range n {
+			if a == address(i) {
+				return true
+			}
+		}
+		return false
+	}
+	d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return isCut(from) || isCut(to) })
+}
--- a/pkg/metering/large_requests_test.go
+++ b/pkg/metering/large_requests_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,11 +10,11 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/metering"
-	"quaydock/pkg/packets"
 	"quaydock/pkg/routing"
 )
 
-// ask has each entry take as fast as it can for a while, for callers that wait for the answer.
+// ask is demandUnits for callers that wait for the answer to their last request: it has no
+// deadline.
 func (d *deployment) ask(ctx context.Context, length clock.Millis, draw func() float64) []take {
 	var (
 		mu    sync.Mutex
@@ -40,8 +39,9 @@
 	return all
 }
 
-// largeUnitsOf draws requests of which some are a large part of what a small account may have.
-func (d *deployment) largeUnitsOf() func() float64 {
+// mixedUnits returns a draw of units of a request: half are below 2,500, and some are a large
+// part of what a small account may have.
+func (d *deployment) mixedUnits() func() float64 {
 	var mu sync.Mutex
 	random := d.Random.Fork()
 	return func() float64 {
@@ -51,8 +51,8 @@
 	}
 }
 
-// Ten of thirty entries were cut off from the others while a small account asked for far more
-// than its limit: in 8 s it had more than the limit bears. Order of events: the account is held
+// TestLargeRequestsOfASmallAccountAtEntriesCutOff has ten of thirty entries cut off from the
+// others, or all of them, while a small account asks for far more than its limit: in 8 s it had more than the limit bears. Order of events: the account is held
 // to its limit by its home; the cut entries do not reach it and spend their own shares, which
 // are small beside the requests. Cause: a request of any size is taken while anything is left of a
 // share, so that each cut entry gives out one that is many times its share. Evidence: with
@@ -71,23 +71,14 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, stop := context.WithCancel(context.Background())
-				defer stop()
+				ctx := t.Context()
 				account := &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: s.rate, Burst: s.rate, CountsTokens: true}
 				limits := metering.Bounds{Over: 0.1, Slack: 140_000, Window: window}
 				d := deployMany(ctx, 30, account, limits)
 				time.Sleep(3 * time.Second) // greetings are rarer among many
-				draw := d.largeUnitsOf()
+				draw := d.mixedUnits()
 				all := d.ask(ctx, 4*clock.Second, draw)
-				isCut := func(a netip.AddrPort) bool {
-					for i := range s.cut {
-						if a == address(i) {
-							return true
-						}
-					}
-					return false
-				}
-				d.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return isCut(from) || isCut(to) })
+				d.cutOffFirst(s.cut)
 				all = append(all, d.ask(ctx, 8*clock.Second, draw)...)
 				const seconds = 8
 				limit := (s.rate*seconds+s.rate)*(1+limits.Over) + limits.Slack
@@ -98,3 +89,29 @@
 		})
 	}
 }
+
+// TestLargeRequestsAtManyEntriesCutOff cuts entries off while one account asks for many times
+// its allowance, in requests of thousands of units. Users saw it have 2% more than its bound when
+// eight of thirty entries were cut off. Cause: each let one such request go beyond what it held.
+func TestLargeRequestsAtManyEntriesCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		const many, cut, rate = 30, 10, 400_000.0
+		account := &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: rate, Burst: rate, CountsTokens: true}
+		limits := metering.Bounds{Over: 0.1, Slack: 140_000, Window: window}
+		d := deployMany(ctx, many, account, limits)
+		time.Sleep(3 * time.Second) // greetings are rarer among many
+		draw := d.mixedUnits()
+		all := d.demandUnits(ctx, 4*time.Second, draw)
+		d.cutOffFirst(cut)
+		all = append(all, d.demandUnits(ctx, 8*time.Second, draw)...)
+		const seconds = 8
+		limit := (rate*seconds+rate)*(1+limits.Over) + limits.Slack
+		// What the engines count differs from what is taken here by what waits and
+		// is under way: a twentieth is kept for it.
+		const kept = 0.95
+		if got := worst(all); got > kept*limit {
+			t.Errorf("%.0f taken in a window, bound %.0f", got, limit)
+		}
+	})
+}
