Say in plainer terms what rows, parts, debts and outages are

What stopped a reader: Members.has said neither what it has nor how it differs from Known and Entries' second result; Object.Whole and Object.Number had the same check of bounds twice; several comments needed the code to be understood ("valid JSON begins with", "when all lines are paid for", "answering", "lostAt", "majority", "debtPart", "There are no calls after it"), and Allowance.Take's comment left out Keep and Debt.

Now: hasPart; one generic check of bounds (within); the comments say what holds and why. Behaviour, assertions, errors and log lines are unchanged.

--- a/pkg/bulletin/bulletin.go
+++ b/pkg/bulletin/bulletin.go
@@ -71,8 +71,8 @@
 
 	mu     sync.Mutex
 	tables map[string]*table
-	// failing says that the store's last answer to this entry failed to come; answering is
-	// closed when it answers again.
+	// failing says that this entry's last question to the store, for any table, got no
+	// answer. answering is closed, and replaced, when one is answered again.
 	failing   bool
 	answering chan struct{}
 }
--- a/pkg/fields/object.go
+++ b/pkg/fields/object.go
@@ -1,7 +1,7 @@
-// Package fields reads JSON objects that another program may have written. Other than
-// encoding/json it takes a field by its exact name only, no field twice, null for no value,
-// and numbers and texts within bounds alone; what is wrong is told without quoting the
-// object.
+// Package fields reads JSON objects that another program may have written. It is stricter than
+// encoding/json: names of fields match exactly, a field that is there twice is an error, so is
+// null where a value is needed, and numbers and texts have bounds. Errors name the field and
+// don't quote the object.
 package fields
 
 import (
@@ -33,11 +33,12 @@
 	errOutOfRange = errors.New("out of range")
 )
 
-// usualFields is how many fields the rows that are read most have at most.
+// usualFields is the capacity that an object begins with: the rows that are read most have
+// no more fields.
 const usualFields = 16
 
-// Parse reads an object's fields. It finds them itself in what encoding/json has found valid:
-// with a json.Decoder a target's row took 13.5 µs instead of 3.2 (BenchmarkParseTarget in platform,
+// Parse reads an object's fields. encoding/json only checks that the document is valid; the
+// fields are then found here: with a json.Decoder a target's row took 13.5 µs instead of 3.2 (BenchmarkParseTarget in platform,
 // best of 6), and all entries read all rows when they start.
 func Parse(document []byte) (*Object, error) {
 	switch {
@@ -62,7 +63,8 @@
 	return o, nil
 }
 
-// take reads the field that valid JSON begins with, and returns what is behind it.
+// take reads the field at the beginning of rest, which is a part of valid JSON, and returns
+// what follows it.
 func (o *Object) take(rest []byte) ([]byte, error) {
 	end := stringEnd(rest)
 	name, err := unquote(rest[:end])
@@ -83,7 +85,7 @@
 
 func skipComma(text []byte) []byte { return skipSpace(bytes.TrimPrefix(text, []byte(","))) }
 
-// stringEnd returns the end of the string that valid JSON begins with.
+// stringEnd returns where the string ends that text begins with; text is a part of valid JSON.
 func stringEnd(text []byte) int {
 	for i := 1; ; i++ {
 		switch text[i] {
@@ -95,7 +97,8 @@
 	}
 }
 
-// valueEnd returns the end of a field's value that valid JSON begins with.
+// valueEnd returns where the field's value ends that text begins with; text is a part of valid
+// JSON.
 func valueEnd(text []byte) int {
 	depth := 0
 	for i := 0; ; {
@@ -207,15 +210,7 @@
 		return 0
 	}
 	number, err := strconv.ParseInt(string(value), 10, 64)
-	if err != nil {
-		o.Fail(name, errType)
-		return 0
-	}
-	if number < least || number > most {
-		o.Fail(name, errOutOfRange)
-		return 0
-	}
-	return number
+	return within(o, name, number, err, least, most)
 }
 
 // Number returns a number within bounds.
@@ -225,7 +220,13 @@
 		return 0
 	}
 	number, err := strconv.ParseFloat(string(value), 64)
-	if err != nil {
+	return within(o, name, number, err, least, most)
+}
+
+// within returns a field's number, or 0 after noting that it could not be parsed or is out of
+// its bounds.
+func within[T int64 | float64](o *Object, name string, number T, parsing error, least, most T) T {
+	if parsing != nil {
 		o.Fail(name, errType)
 		return 0
 	}
--- a/pkg/follow/faults.go
+++ b/pkg/follow/faults.go
@@ -27,7 +27,7 @@
 
 	mu       sync.Mutex
 	standing map[string]int64 // revisions of the faulty rows, by key
-	owed     clock.Millis     // when all lines are paid for
+	owed     clock.Millis     // each line moves it on by faultPause, at most up to the present
 	unlogged int              // since the last line
 }
 
--- a/pkg/follow/follower.go
+++ b/pkg/follow/follower.go
@@ -51,7 +51,7 @@
 	Changes(ctx context.Context, after int64, wait clock.Millis) (Batch, error)
 }
 
-// Waker is a Source that hears of the store from others that ask it.
+// Waker is a Source that also tells when the store has answered a question about another table.
 type Waker interface {
 	// Answering is closed when the store answers somebody after it had failed.
 	Answering() <-chan struct{}
@@ -118,8 +118,8 @@
 	lagKnown bool
 	// lagRelayed says that it is a lower bound that another process's answer gave.
 	lagRelayed bool
-	// lostAt is when the table could not be read for the first time since it could, 0 while
-	// it can: an outage takes one line at its beginning and one at its end.
+	// lostAt is when the present outage was noticed, 0 if there is none: an outage takes one
+	// line at its beginning and one at its end.
 	lostAt clock.Millis
 }
 
@@ -159,7 +159,8 @@
 	}
 }
 
-// answering is closed when the store answers others; nil if the source cannot tell.
+// answering returns a channel that is closed when the store answers others; nil if the source
+// cannot tell.
 func (f *Follower) answering() <-chan struct{} {
 	if w, tells := f.source.(Waker); tells {
 		return w.Answering()
--- a/pkg/membership/assurance.go
+++ b/pkg/membership/assurance.go
@@ -81,7 +81,7 @@
 func (m *Members) Assured(since clock.Millis) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.has() {
+	if !m.hasPart() {
 		return false // it may have been taken off already, or not be there yet
 	}
 	if m.entries() == 1 {
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -211,7 +211,7 @@
 func (m *Members) Backing() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.has() {
+	if !m.hasPart() {
 		return 0
 	}
 	now := m.Clock.Now()
--- a/pkg/membership/listing_row.go
+++ b/pkg/membership/listing_row.go
@@ -18,6 +18,7 @@
 	mostWeight = 10_000
 )
 
+// errAddress is the fault of a row whose address no datagram can be sent to.
 var errAddress = errors.New("no IP and port")
 
 // parseListing reads an entry's row.
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -126,29 +126,31 @@
 	m.trust = trust
 }
 
-// Entries is how many entries may be serving, and whether that is known.
+// Entries is how many entries may be serving. known is false until this entry has read a list
+// on which it stands itself, and while its row is missing.
 func (m *Members) Entries() (count int, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.entries(), m.has()
+	return m.entries(), m.hasPart()
 }
 
-// Share is this entry's part of what all may spend together without asking one another.
+// Share is this entry's part of what all may spend together without asking one another; 0 while
+// it has none.
 func (m *Members) Share() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.has() {
+	if !m.hasPart() {
 		return 0
 	}
 	return 1 / float64(m.entries())
 }
 
-// has reports whether this entry has a part of what all may spend: it has read a list on which
+// hasPart reports whether this entry has a part of what all may spend: it has read a list on which
 // it stands itself. Before that it does not know among how many to divide, nor do the others
 // count it. Four that took themselves for the only one, as when all start beside a store that
 // is away, gave out 1.7 times the bound of an account in a window, played in virtual time.
 // The lock is held.
-func (m *Members) has() bool { return m.list[m.self] != nil }
+func (m *Members) hasPart() bool { return m.list[m.self] != nil }
 
 // entries counts the list and this entry, also where it does not stand on it.
 func (m *Members) entries() int {
@@ -183,7 +185,7 @@
 // Ready is closed when the list was first read.
 func (m *Members) Ready() <-chan struct{} { return m.ready }
 
-// Known reports whether the list was ever read.
+// Known reports whether a list was ever read, also one on which this entry does not stand.
 func (m *Members) Known() bool {
 	select {
 	case <-m.ready:
@@ -238,9 +240,9 @@
 	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now()}
 }
 
-// keep goes by what was known of an entry whose row cannot be used: it may live, and who left
-// it out would share out its part of what all may spend. This entry itself does not count its own
-// row, and writes it again.
+// keep goes on with what was known of an entry whose row cannot be used: it may be alive, and
+// without it the others would share out its part of what all may spend. This entry's own row, if
+// it is the one, counts as missing, so that it is written again.
 func (m *Members) keep(row follow.Row, before *member, err error) {
 	m.faults.Note(row, err)
 	switch name := ids.Process(row.Key); {
--- a/pkg/metering/booking.go
+++ b/pkg/metering/booking.go
@@ -44,11 +44,11 @@
 	return taken, wait
 }
 
-// debt is how far one request may go beyond what a part of an account's allowance holds. The home
-// that most entries back is the only one of its kind, so that a request of any size goes beyond the
-// limit once. Homes with smaller parts, as on the sides of cuts, may be many, and each request is large
-// beside such a part: thirty of them gave out 1.75 times the bound of a small account in a
-// window, played in virtual time.
+// debt is how far one request may go beyond what a part of an account's allowance holds. Only one
+// home can have most entries behind it, so a request of any size goes beyond the limit there once
+// at the most. Homes with smaller parts, as on the sides of cuts, may be many, and one request is
+// large beside such a part: without a limit of the debt, thirty of them gave out 1.75 times the
+// bound of a small account in a window, played in virtual time.
 func debt(part, margin float64) float64 {
 	if part > majority {
 		return math.Inf(1)
--- a/pkg/metering/meter.go
+++ b/pkg/metering/meter.go
@@ -30,11 +30,11 @@
 	Window clock.Millis
 }
 
-// leastWindow is the shortest window that bounds are kept for. Settings may name none; what may flow
-// in a window of 0 would be endless, and accounts have no limit.
+// leastWindow is the shortest window that bounds are kept for. Settings may name none, and with a
+// window of 0 the rates that are divided by it would be endless: accounts would have no limit.
 const leastWindow = clock.Second
 
-// kept are the bounds with a window that they can be kept for.
+// kept returns the bounds with a window of leastWindow at the least.
 func (b Bounds) kept() Bounds {
 	b.Window = max(b.Window, leastWindow)
 	return b
@@ -71,10 +71,11 @@
 	// unlistedWait is when to come back to an entry that has no part of the allowance yet: it
 	// reads the list of entries within some ms of the store's answering.
 	unlistedWait = 300 * clock.Millisecond
-	// debtPart is the part of the margin up to which all requests together go beyond the parts
-	// from which they are taken, where these are small (debt).
+	// debtPart is the part of the margin up to which requests at all entries together may
+	// leave debts, where each entry holds a small part of the allowance (see debt).
 	debtPart = 0.1
-	// majority is the part of the entries of which there is one at the most.
+	// majority is the part of the entries beyond which a home's backing makes it the only one
+	// with so much.
 	majority = 0.5
 	// silentFor is how long a home that did not answer is not asked again.
 	silentFor = 150 * clock.Millisecond
--- a/pkg/quota/allowance.go
+++ b/pkg/quota/allowance.go
@@ -43,21 +43,20 @@
 // cannot know what its earlier run has spent.
 const startFill = 0.1
 
-// Spending is what is asked of an account's bucket.
+// Spending is a request to an account's bucket, and how it may use the bucket.
 type Spending struct {
 	// Share is the part of the allowance that this entry holds, between 0 and 1.
 	Share float64
 	Units float64
 	// Keep is the part of the bucket that is left to others.
 	Keep float64
-	// Debt is how far the bucket may fall below nothing by one request; math.Inf(1) for as far
-	// as it takes.
+	// Debt is how far below 0 this request may take the bucket; math.Inf(1) is no limit.
 	Debt float64
 }
 
 // Take counts units against an account's allowance. If the share is spent it returns false and
-// when to come back. A request larger than what is left is taken while anything is left, and
-// leaves a debt, so that large requests are not starved.
+// when to come back. A request larger than what is left is taken as long as more than Keep is
+// left and the debt that it leaves is within Debt, so that large requests are not starved.
 func (a *Allowance) Take(now clock.Millis, account *routing.Account, s Spending) (bool, clock.Millis) {
 	if account.PerSecond <= 0 {
 		return true, 0
--- a/pkg/quota/retry_budget.go
+++ b/pkg/quota/retry_budget.go
@@ -27,7 +27,7 @@
 // bounds without a word between them; of the slack each has its share.
 type RetryBudget struct {
 	bounds RetryBounds
-	began  clock.Millis
+	began  clock.Millis // when the entry did
 
 	mu       sync.Mutex
 	services map[ids.Service]*tally
@@ -73,8 +73,8 @@
 	return true
 }
 
-// slack is there after a window: what an earlier run of this entry repeated is not known, and
-// may be all that there was. Two runs in a window made 86 repeats where 72 were allowed, three 123,
+// slack is 0 until a window has passed since this entry began: what an earlier run of it has
+// repeated is not known, and may have been the whole slack. Two runs in a window made 86 repeats where 72 were allowed, three 123,
 // at ten requests a second. The lock is held.
 func (b *RetryBudget) slack(now clock.Millis) float64 {
 	if now-b.began < b.bounds.Window {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -169,10 +169,10 @@
 	delete(r.missing, id)
 }
 
-// inherit has a row take over what was told earlier of the same life of its target. A row without
-// a start, after one with, is of the same life if nothing else has changed that a process keeps for
-// its life; a row with a start, after one without, is of another, since a process that tells its
-// start always does.
+// inherit has a row take over what earlier rows told of the same life of its target. A row without
+// a start that follows one with a start is of the same life if service, address and version are
+// the same, which a process keeps while it runs. A row with a start that follows one without is of
+// another life, since a process that tells its start always does.
 func inherit(before, target *routing.Target) {
 	target.Listed = target.Revision
 	if before == nil {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// Close drops idle connections. There are no calls after it: what still goes on in the background,
-// as the freeing of a claim, would leave a connection that nobody closes.
+// Close drops idle connections. Calls after it fail with ErrClosed: one from the background, such
+// as the freeing of a claim, would open a connection that nobody closes.
 func (t *Table) Close() {
 	t.closed.Store(true)
 	t.client.CloseIdleConnections()
@@ -129,7 +129,8 @@
 	return sling.New().Base(t.base).Client(t.client)
 }
 
-// dropIfClosed drops the connection of a call during which the table was closed.
+// dropIfClosed is called at the end of each call: its connection has become idle after Close
+// if the table was closed meanwhile.
 func (t *Table) dropIfClosed() {
 	if t.closed.Load() {
 		t.client.CloseIdleConnections()
