--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -66,8 +66,8 @@
 
 	mu     sync.Mutex
 	list   map[ids.Process]*member
-	faults *follow.Faults
-	listed bool // this entry's own row is there
+	faults *follow.Faults // rows of the list that cannot be used
+	listed bool           // this entry's own row is there
 	// leaving says that this entry is being stopped.
 	leaving bool
 	alive   []ids.Process
@@ -105,12 +105,16 @@
 	Domain ids.FailureDomain
 }
 
-// New returns a list with this entry alone.
+// New returns the list of entries before any row of it was read.
 func New(c common.Common, self Self, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self.Name, address: self.Address, weight: self.Weight, domain: self.Domain, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process), wake: make(chan struct{}, 1), aliveUntil: stale,
+	m := &Members{
+		Common: c, self: self.Name, address: self.Address, weight: self.Weight, domain: self.Domain, rows: rows, link: link,
+		list: make(map[ids.Process]*member), faults: follow.NewFaults(c, "entries"),
+		homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process),
+		wake: make(chan struct{}, 1), aliveUntil: stale,
 		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
-		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool)}
-	m.faults = follow.NewFaults(c, "entries")
+		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool),
+	}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -101,9 +101,8 @@
 			time.Sleep(3 * time.Second)
 			b.Changed(gone(), b.now())
 		}, false},
-		// Regression (acocarta-quay hunt-fd76-3): the first question after an
-		// outage was held for 3 s, and the target that left in that time was
-		// kept for another 2.2 s.
+		// The first question after an outage was held for 3 s, and a target that
+		// left in that time was kept for another 2.2 s.
 		{"the store was back when the question was sent", func(b *bed) {
 			b.Lost(away)
 			asked := b.Clock.Now()
