--- a/pkg/fields/object.go
+++ b/pkg/fields/object.go
@@ -1,7 +1,7 @@
-// Package fields reads JSON objects that another program may have written. Other than
-// encoding/json it takes a field by its exact name only, no field twice, null for no value,
-// and numbers and texts within bounds alone; what is wrong is told without quoting the
-// object.
+// Package fields reads JSON objects that another program may have written. It is stricter than
+// encoding/json: names of fields match exactly, a field that is there twice is an error, so is
+// null where a value is needed, and numbers and texts have bounds. Errors name the field and
+// don't quote the object.
 package fields
 
 import (
@@ -33,7 +33,8 @@
 	errOutOfRange = errors.New("out of range")
 )
 
-// usualFields is how many fields the rows that are read most have at most.
+// usualFields is the capacity that an object begins with: the rows that are read most have
+// no more fields.
 const usualFields = 16
 
 // Parse reads an object's fields.
@@ -150,15 +151,7 @@
 		return 0
 	}
 	number, err := strconv.ParseInt(string(value), 10, 64)
-	if err != nil {
-		o.Fail(name, errType)
-		return 0
-	}
-	if number < least || number > most {
-		o.Fail(name, errOutOfRange)
-		return 0
-	}
-	return number
+	return within(o, name, number, err, least, most)
 }
 
 // Number returns a number within bounds.
@@ -168,7 +161,13 @@
 		return 0
 	}
 	number, err := strconv.ParseFloat(string(value), 64)
-	if err != nil {
+	return within(o, name, number, err, least, most)
+}
+
+// within returns a field's number, or 0 after noting that it could not be parsed or is out of
+// its bounds.
+func within[T int64 | float64](o *Object, name string, number T, parsing error, least, most T) T {
+	if parsing != nil {
 		o.Fail(name, errType)
 		return 0
 	}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -66,8 +66,8 @@
 
 	mu     sync.Mutex
 	list   map[ids.Process]*member
-	faults *follow.Faults
-	listed bool // this entry's own row is there
+	faults *follow.Faults // rows of the list that cannot be used
+	listed bool           // this entry's own row is there
 	// leaving says that this entry is being stopped.
 	leaving bool
 	alive   []ids.Process
@@ -105,12 +105,16 @@
 	Domain ids.FailureDomain
 }
 
-// New returns a list with this entry alone.
+// New returns the list of entries before any row of it was read.
 func New(c common.Common, self Self, rows Rows, link *packets.Link) *Members {
-	m := &Members{Common: c, self: self.Name, address: self.Address, weight: self.Weight, domain: self.Domain, rows: rows, link: link, list: make(map[ids.Process]*member), homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process), wake: make(chan struct{}, 1), aliveUntil: stale,
+	m := &Members{
+		Common: c, self: self.Name, address: self.Address, weight: self.Weight, domain: self.Domain, rows: rows, link: link,
+		list: make(map[ids.Process]*member), faults: follow.NewFaults(c, "entries"),
+		homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process),
+		wake: make(chan struct{}, 1), aliveUntil: stale,
 		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
-		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool)}
-	m.faults = follow.NewFaults(c, "entries")
+		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool),
+	}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
 	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
@@ -126,29 +130,31 @@
 	m.trust = trust
 }
 
-// Entries is how many entries may be serving, and whether that is known.
+// Entries is how many entries may be serving. known is false until this entry has read a list
+// on which it stands itself, and while its row is missing.
 func (m *Members) Entries() (count int, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.entries(), m.has()
+	return m.entries(), m.hasPart()
 }
 
-// Share is this entry's part of what all may spend together without asking one another.
+// Share is this entry's part of what all may spend together without asking one another; 0 while
+// it has none.
 func (m *Members) Share() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.has() {
+	if !m.hasPart() {
 		return 0
 	}
 	return 1 / float64(m.entries())
 }
 
-// has reports whether this entry has a part of what all may spend: it has read a list on which
+// hasPart reports whether this entry has a part of what all may spend: it has read a list on which
 // it stands itself. Before that it does not know among how many to divide, nor do the others
 // count it. Four that took themselves for the only one, as when all start beside a store that
 // is away, gave out 1.7 times the bound of an account in a window, played in virtual time.
 // The lock is held.
-func (m *Members) has() bool { return m.list[m.self] != nil }
+func (m *Members) hasPart() bool { return m.list[m.self] != nil }
 
 // entries counts the list and this entry, also where it does not stand on it.
 func (m *Members) entries() int {
@@ -183,7 +189,7 @@
 // Ready is closed when the list was first read.
 func (m *Members) Ready() <-chan struct{} { return m.ready }
 
-// Known reports whether the list was ever read.
+// Known reports whether a list was ever read, also one on which this entry does not stand.
 func (m *Members) Known() bool {
 	select {
 	case <-m.ready:
@@ -238,9 +244,9 @@
 	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now()}
 }
 
-// keep goes by what was known of an entry whose row cannot be used: it may live, and who left
-// it out would share out its part of what all may spend. This entry itself does not count its own
-// row, and writes it again.
+// keep goes on with what was known of an entry whose row cannot be used: it may be alive, and
+// without it the others would share out its part of what all may spend. This entry's own row, if
+// it is the one, counts as missing, so that it is written again.
 func (m *Members) keep(row follow.Row, before *member, err error) {
 	m.faults.Note(row, err)
 	switch name := ids.Process(row.Key); {
