Give a target that lapses twice its time to come back each time

Cause: the timer of the first lapse dropped a target that had come back and had lapsed again, 0.5 s into the 2.2 s of the second one. Change: a timer ends only the lapse that it was set for. Test: TestASecondOutageHasATimeOfItsOwn, failed before; the bed of these tests guards its list with a lock now, since timers change it.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -139,14 +139,16 @@
 		return
 	}
 	r.missing[id] = r.settledAt
-	time.AfterFunc((r.settledAt - now).Duration(), func() { r.expire(id) })
+	until := r.settledAt
+	time.AfterFunc((until - now).Duration(), func() { r.expire(id, until) })
 }
 
-// expire takes away a target whose entry did not come back.
-func (r *Roster) expire(id ids.Target) {
+// expire takes away a target whose entry did not come back until a moment. One that came back,
+// and has lapsed again since, has another.
+func (r *Roster) expire(id ids.Target, until clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.missing[id] == 0 {
+	if r.missing[id] != until {
 		return
 	}
 	delete(r.missing, id)
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,12 +27,18 @@
 type bed struct {
 	common.Common
 	*roster.Roster
+
+	mu        sync.Mutex
 	directory *routing.Directory
 }
 
 func newBed() *bed {
 	b := &bed{Common: commontest.New(network.NewMemory(nil))}
-	b.Roster = roster.New(b.Common, parse, func(d *routing.Directory) { b.directory = d })
+	b.Roster = roster.New(b.Common, parse, func(d *routing.Directory) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.directory = d
+	})
 	return b
 }
 
@@ -40,6 +47,8 @@
 }
 
 func (b *bed) lists(id ids.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, t := range b.directory.Serving("s") {
 		if t.ID == id {
 			return true
@@ -169,3 +178,31 @@
 		}
 	}
 }
+
+// TestASecondOutageHasATimeOfItsOwn has a target lapse in one outage, come back, and lapse in the next: it
+// was dropped in the middle of the second time for coming back, by the end of the first.
+func TestASecondOutageHasATimeOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed()
+		b.Whole(up("a", "b"), b.now())
+		lapse := func() {
+			b.Lost(errors.New("away"))
+			b.Changed(gone(), b.now())
+		}
+		lapse()
+		time.Sleep(500 * time.Millisecond)
+		b.Changed(up("a"), b.now())
+		time.Sleep(1200 * time.Millisecond)
+		lapse()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if !b.lists("a") {
+			t.Error("dropped before the time for coming back was over")
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if b.lists("a") {
+			t.Error("still listed after it")
+		}
+	})
+}
