Sight: note what targets say of themselves in their answers

The logs of the incident could not tell whether an entry had read that a target leaves or wants rest, had lost it on the way to the planner, or had it overruled by an old row. Now Server-Leaving, and Retry-After on a 503, are read from every answer but those of other processes (421) and those that belong to other requests; a book keeps them by life of the target (pkg/advisory); one log line when a life first says so and when that is over, at most 20 of a kind a second; counter advice_total, gauges targets_leaving_by_their_word and targets_resting_from_this_entry; requests_against_advice among the links counts what is sent in spite of it. Nothing is decided by it yet.

--- /dev/null
+++ b/pkg/advisory/advice.go
@@ -0,0 +1,28 @@
+// Package advisory keeps what targets say of themselves in their answers to this entry: that they
+// leave, and for how long they want no requests from it. The list of targets tells the first of these
+// too, but later, or never; nothing else tells the second.
+package advisory
+
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// Advice is what the head of one answer says.
+type Advice struct {
+	// Leaving says that the target takes no more requests than those under way.
+	Leaving bool
+	// Rest is for how long the target wants no request from this entry; 0 if it does not ask for that.
+	Rest clock.Millis
+}
+
+// Standing is what is known of one life of a target by its own word.
+type Standing struct {
+	Life    ids.Life
+	Leaving bool
+	// Rest is what is left of the time in which it wants no request from this entry.
+	Rest clock.Millis
+}
+
+// Bars reports whether a request must not be sent.
+func (s Standing) Bars() bool { return s.Leaving || s.Rest > 0 }
--- /dev/null
+++ b/pkg/advisory/book.go
@@ -0,0 +1,180 @@
+package advisory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/common"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/telemetry"
+)
+
+// linesASecond bounds the log lines of each kind: what all targets say in one second, as when all are
+// replaced, is counted beyond it.
+const linesASecond = 20
+
+// keepUnlisted is for how long the word of a life is kept that is not listed. A row may lapse while
+// the store is away, and come back while the target, which serves on for some seconds, still leaves.
+const keepUnlisted = 10 * clock.Minute
+
+// Book keeps the advice of targets at one entry. A nil book knows nothing.
+type Book struct {
+	common.Common
+	sampler *telemetry.Sampler
+	// heard is called, without the lock, with advice that is new here; it is set before the first answer.
+	heard func(Standing)
+	// known is how many records there are: while no target says anything, a request pays for this alone.
+	known atomic.Int64
+
+	mu      sync.RWMutex
+	records map[ids.Target][]*record
+}
+
+// record is the word of one life of a target.
+type record struct {
+	life     ids.Life
+	leaving  bool
+	rests    clock.Millis // until then
+	listedAt clock.Millis // when it was last listed, or heard
+}
+
+// NewBook returns a book without advice.
+func NewBook(c common.Common) *Book {
+	return &Book{Common: c, sampler: telemetry.NewSampler(c.Clock, c.Log, linesASecond), records: make(map[ids.Target][]*record)}
+}
+
+// OnHeard sets what is told of advice that is new here.
+func (b *Book) OnHeard(heard func(Standing)) { b.heard = heard }
+
+// Hear takes the advice in an answer of a life of a target to a request.
+func (b *Book) Hear(life ids.Life, request string, a Advice) {
+	if b == nil || !a.Leaving && a.Rest <= 0 {
+		return
+	}
+	now := b.Clock.Now()
+	b.mu.Lock()
+	r := b.record(life)
+	leaves := a.Leaving && !r.leaving
+	r.leaving = r.leaving || a.Leaving
+	begins := a.Rest > 0 && now >= r.rests
+	longer := a.Rest > 0 && now+a.Rest > r.rests
+	if longer {
+		r.rests = now + a.Rest
+	}
+	r.listedAt = now
+	standing := r.standing(now)
+	b.mu.Unlock()
+	b.note(request, standing, leaves, begins)
+	if b.heard != nil && (leaves || longer) {
+		b.heard(standing)
+	}
+}
+
+// record returns the record of a life, a new one if there is none; the lock is held.
+func (b *Book) record(life ids.Life) *record {
+	for _, r := range b.records[life.Target] {
+		if r.life == life {
+			return r
+		}
+	}
+	r := &record{life: life}
+	b.records[life.Target] = append(b.records[life.Target], r)
+	b.known.Add(1)
+	return r
+}
+
+// note logs and counts what is heard for the first time of a life, and not what its further answers repeat.
+func (b *Book) note(request string, s Standing, leaves, begins bool) {
+	if leaves {
+		b.log("leaving", "a target says that it leaves", s, logrus.Fields{telemetry.FieldRequest: request})
+	}
+	if begins {
+		b.log("rest", "a target asks for rest", s, logrus.Fields{telemetry.FieldRequest: request, "rest_ms": int64(s.Rest)})
+	}
+}
+
+func (b *Book) log(kind, line string, s Standing, fields logrus.Fields) {
+	b.Metrics.Figures.Add("advice", "kind", kind)
+	if b.sampler.Allow(kind) {
+		b.Log.WithFields(fields).WithFields(logrus.Fields{"target": string(s.Life.Target), "start": int64(s.Life.Start)}).Info(line)
+	}
+}
+
+// Of returns what stands against sending to a life of a target. What was heard of a life of which the
+// start was not known holds for any start, since it may be the same.
+func (b *Book) Of(life ids.Life) Standing {
+	if b == nil || b.known.Load() == 0 {
+		return Standing{Life: life}
+	}
+	now := b.Clock.Now()
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	s := Standing{Life: life}
+	for _, r := range b.records[life.Target] {
+		if r.life.Same(life) {
+			s.Leaving = s.Leaving || r.leaving
+			s.Rest = max(s.Rest, r.rests-now)
+		}
+	}
+	return s
+}
+
+// All lists the lives that leave or rest, by their targets' ids.
+func (b *Book) All() []Standing {
+	if b == nil || b.known.Load() == 0 {
+		return nil
+	}
+	now := b.Clock.Now()
+	var list []Standing
+	b.mu.RLock()
+	for _, records := range b.records {
+		for _, r := range records {
+			if s := r.standing(now); s.Bars() {
+				list = append(list, s)
+			}
+		}
+	}
+	b.mu.RUnlock()
+	slices.SortFunc(list, func(x, y Standing) int {
+		return cmp.Or(cmp.Compare(x.Life.Target, y.Life.Target), cmp.Compare(x.Life.Start, y.Life.Start))
+	})
+	return list
+}
+
+func (r *record) standing(now clock.Millis) Standing {
+	return Standing{Life: r.life, Leaving: r.leaving, Rest: max(0, r.rests-now)}
+}
+
+// Prune forgets the rests that are over, and the lives that have not been listed for long.
+func (b *Book) Prune(listed *routing.Directory) {
+	if b.known.Load() == 0 {
+		return
+	}
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, records := range b.records {
+		t := listed.Target(id)
+		kept := slices.DeleteFunc(records, func(r *record) bool {
+			if t != nil && t.Life().Same(r.life) {
+				r.listedAt = now
+			}
+			over := now >= r.rests && (!r.leaving || now-r.listedAt > keepUnlisted)
+			if over {
+				b.log("over", "a target is free of what it said", r.standing(now), nil)
+			}
+			return over
+		})
+		b.known.Add(int64(len(kept) - len(records)))
+		b.records[id] = kept
+		if len(kept) == 0 {
+			delete(b.records, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/advisory/book_test.go
@@ -0,0 +1,160 @@
+package advisory_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/advisory"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
+	"quaydock/pkg/routing"
+)
+
+func newBook() *advisory.Book {
+	return advisory.NewBook(commontest.New(network.NewMemory(nil)))
+}
+
+var life = ids.Life{Target: "t", Start: 5000}
+
+// TestWhatTargetsSayHolds has a life of a target say something, and looks a while later at what stands.
+func TestWhatTargetsSayHolds(t *testing.T) {
+	const second = clock.Second
+	scenarios := []struct {
+		name    string
+		said    []advisory.Advice // half a second apart
+		after   time.Duration     // from the last
+		of      ids.Life
+		leaving bool
+		rest    clock.Millis
+	}{
+		{"nothing", nil, 0, life, false, 0},
+		{"leaving", []advisory.Advice{{Leaving: true}}, time.Hour, life, true, 0},
+		{"leaving, and an answer without the word", []advisory.Advice{{Leaving: true}, {}}, 0, life, true, 0},
+		{"rest", []advisory.Advice{{Rest: 3 * second}}, time.Second, life, false, 2 * second},
+		{"rest that is over", []advisory.Advice{{Rest: 3 * second}}, 3 * time.Second, life, false, 0},
+		{"an answer without rest does not end it", []advisory.Advice{{Rest: 3 * second}, {}}, 0, life, false, 2500},
+		{"a shorter rest does not shorten it", []advisory.Advice{{Rest: 3 * second}, {Rest: second}}, 0, life, false, 2500},
+		{"a longer one lengthens it", []advisory.Advice{{Rest: second}, {Rest: 3 * second}}, 0, life, false, 3 * second},
+		{"both", []advisory.Advice{{Leaving: true, Rest: 3 * second}}, 0, life, true, 3 * second},
+		{"another life", []advisory.Advice{{Leaving: true, Rest: 3 * second}}, 0, ids.Life{Target: "t", Start: 4000}, false, 0},
+		{"a life of which the start is not known may be the same", []advisory.Advice{{Leaving: true}}, 0, ids.Life{Target: "t"}, true, 0},
+		{"another target", []advisory.Advice{{Leaving: true, Rest: 3 * second}}, 0, ids.Life{Target: "u", Start: 5000}, false, 0},
+	}
+	for _, s := range scenarios {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBook()
+			for i, a := range s.said {
+				if i > 0 {
+					time.Sleep(500 * time.Millisecond)
+				}
+				b.Hear(life, "r", a)
+			}
+			time.Sleep(s.after)
+			got := b.Of(s.of)
+			if got.Leaving != s.leaving || got.Rest != s.rest || got.Bars() != (s.leaving || s.rest > 0) {
+				t.Errorf("%s: %+v, want leaving %t, rest %d ms", s.name, got, s.leaving, s.rest)
+			}
+		})
+	}
+}
+
+func listed(lives ...ids.Life) *routing.Directory {
+	var targets []*routing.Target
+	for _, l := range lives {
+		targets = append(targets, &routing.Target{ID: l.Target, Start: l.Start, Service: "s"})
+	}
+	return routing.NewDirectory(targets)
+}
+
+// TestTheWordOutlastsALapsedRow: a target that leaves was off the list for some seconds, as its row had lapsed
+// while the store was away, and came back with a row that said that it was ready. Of lives that do not come
+// back nothing is kept for ever.
+func TestTheWordOutlastsALapsedRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBook()
+		b.Hear(life, "r", advisory.Advice{Leaving: true})
+		for range 60 {
+			time.Sleep(time.Second)
+			b.Prune(listed())
+		}
+		b.Prune(listed(life))
+		if !b.Of(life).Leaving {
+			t.Error("forgotten while its row had lapsed for a minute")
+		}
+		next := ids.Life{Target: "t", Start: 6000}
+		time.Sleep(11 * time.Minute)
+		b.Prune(listed(life))
+		if !b.Of(life).Leaving {
+			t.Error("forgotten while it is listed")
+		}
+		time.Sleep(11 * time.Minute)
+		b.Prune(listed(next))
+		if b.Of(life).Leaving || len(b.All()) > 0 {
+			t.Error("kept for ever")
+		}
+	})
+}
+
+// TestWhatIsNewIsTold: those who place are told what is new here, and not what each answer repeats.
+func TestWhatIsNewIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBook()
+		var told []advisory.Standing
+		b.OnHeard(func(s advisory.Standing) { told = append(told, s) })
+		for range 3 {
+			b.Hear(life, "r", advisory.Advice{Leaving: true})
+		}
+		b.Hear(life, "r", advisory.Advice{Rest: 3 * clock.Second})
+		b.Hear(life, "r", advisory.Advice{Rest: clock.Second})
+		b.Hear(life, "r", advisory.Advice{Rest: 4 * clock.Second})
+		want := []advisory.Standing{
+			{Life: life, Leaving: true},
+			{Life: life, Leaving: true, Rest: 3 * clock.Second},
+			{Life: life, Leaving: true, Rest: 4 * clock.Second},
+		}
+		if !slices.Equal(told, want) {
+			t.Errorf("told %+v, want %+v", told, want)
+		}
+	})
+}
+
+// TestAnEntryWithoutABook: parts that are built without one hear nothing and forbid nothing.
+func TestAnEntryWithoutABook(t *testing.T) {
+	var b *advisory.Book
+	b.Hear(life, "r", advisory.Advice{Leaving: true})
+	if b.Of(life).Bars() || b.All() != nil {
+		t.Error("a book that is not there knows something")
+	}
+}
+
+// BenchmarkQuiet is what a request pays while no target says anything: its answer is heard, and the book
+// asked before it is sent. 20 ns, no allocation.
+func BenchmarkQuiet(b *testing.B) {
+	book := newBook()
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Hear(life, "r", advisory.Advice{})
+		if book.Of(life).Bars() {
+			b.Fatal("barred")
+		}
+	}
+}
+
+// BenchmarkAmongAHundred is the asking while 100 targets leave. 124 ns, no allocation.
+func BenchmarkAmongAHundred(b *testing.B) {
+	book := newBook()
+	for n := range 100 {
+		book.Hear(ids.Life{Target: ids.Target(fmt.Sprint("other", n))}, "r", advisory.Advice{Leaving: true})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if book.Of(life).Bars() {
+			b.Fatal("barred")
+		}
+	}
+}
--- a/pkg/app/entry_drain_test.go
+++ b/pkg/app/entry_drain_test.go
@@ -112,7 +112,7 @@
 	p.view.SetDirectory(routing.NewDirectory([]*routing.Target{drainPlace{}.Target()}))
 	p.view.SetCatalog(routing.NewCatalog(1, routing.Limits{BodyBytes: 1 << 16}, drainRoutes(), nil, nil))
 	p.view.Proven(c.Clock.Now())
-	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return drainDialect{}.Marks(h) })
+	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return drainDialect{}.Marks(h) }, nil)
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: drainDialect{}, Scheduler: b, Pool: p.pool, Meter: noBounds{}, Entries: p.members,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: clock.Minute},
--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -30,6 +30,8 @@
 		}
 		return 0
 	})
+	f.Gauge("targets_leaving_by_their_word", func() float64 { leaving, _ := p.advised(); return leaving })
+	f.Gauge("targets_resting_from_this_entry", func() float64 { _, resting := p.advised(); return resting })
 	f.Gauge("entries_listed", func() float64 {
 		entries, _ := p.members.Entries()
 		return float64(entries)
@@ -56,6 +58,19 @@
 	return mux
 }
 
+// advised is how many targets leave, and how many rest from this entry, by their own word.
+func (p *entryProcess) advised() (leaving, resting float64) {
+	for _, s := range p.advice.All() {
+		if s.Leaving {
+			leaving++
+		}
+		if s.Rest > 0 {
+			resting++
+		}
+	}
+	return leaving, resting
+}
+
 // tell answers an operator with what a function returns.
 func tell[T any](p *entryProcess, of func() T) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/app/entry_follow.go
+++ b/pkg/app/entry_follow.go
@@ -62,6 +62,7 @@
 		clock.Pause(ctx, pruneEvery)
 		if d := p.view.Directory(); d != nil {
 			p.pool.Prune(d)
+			p.advice.Prune(d)
 		}
 	}
 }
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/ablation"
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/bulletin"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
@@ -81,6 +82,7 @@
 	grace      atomic.Int64 // from SIGTERM to the kill, in clock.Millis
 	bounds     atomic.Pointer[platform.Bounds]
 	guard      *quarantine.Guard
+	advice     *advisory.Book
 	rollouts   *rollouts // nil if they are no part of the deployment
 	// assuredTrust is that of entryOptions.
 	assuredTrust clock.Millis
@@ -186,7 +188,8 @@
 		c.Metrics.Figures.Add("store_calls", "outcome", call+" "+outcome)
 	})
 	p.members = membership.New(c, membership.Self{Name: s.Node, Address: address, Weight: max(s.Limits.CPUShare, leastWeight), Domain: s.Domain}, p.store.Table(platform.TableMembers), link)
-	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) })
+	p.advice = advisory.NewBook(c)
+	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) }, p.advice)
 	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
 	p.guard = quarantine.New(quarantine.Parts{Common: c, Address: address, Peers: p.members, Link: link, Store: p.store.Quarantine()})
 	p.board = bulletin.NewBoard(c, p.members, link)
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/routing"
 )
 
@@ -44,6 +45,9 @@
 		e.leave()
 		return unreached(t, err)
 	}
+	if s := p.advice.Of(t.Life()); s.Bars() {
+		p.Metrics.Links.Add("requests_against_advice", 1)
+	}
 	e.stop = context.AfterFunc(e.ctx, func() { _ = e.conn.SetDeadline(time.Unix(1, 0)) })
 	go e.write()
 	return e.read()
@@ -114,6 +118,7 @@
 			}
 			continue
 		}
+		e.hear(response.StatusCode, &marks)
 		if marks.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
 			return e.declined(response, marks)
 		}
@@ -122,6 +127,19 @@
 	return e.failed(errStray)
 }
 
+// hear takes what an answer says of its target. One of another process at the address says nothing of the
+// target, and only one that turns a request away asks for rest: elsewhere the field has other meanings.
+func (e *exchange) hear(status int, marks *Marks) {
+	if status == http.StatusMisdirectedRequest {
+		return
+	}
+	advice := advisory.Advice{Leaving: marks.Leaving}
+	if status == http.StatusServiceUnavailable {
+		advice.Rest = marks.Rest
+	}
+	e.pool.advice.Hear(e.target.Life(), e.request.ID, advice)
+}
+
 // head reads the head of the next answer that is not an interim one.
 func (e *exchange) head() (*http.Response, error) {
 	for {
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -134,7 +134,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				reach := network.NewMemory(nil)
 				serve(t, reach, s.engine)
-				pool := forward.NewPool(commontest.New(reach), marks)
+				pool := forward.NewPool(commontest.New(reach), marks, nil)
 				defer pool.Close()
 				if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != s.want {
 					t.Errorf("%s, want %s", got, s.want)
@@ -145,7 +145,7 @@
 }
 
 func TestNothingIsSentToNobody(t *testing.T) {
-	pool := forward.NewPool(commontest.New(network.NewMemory(nil)), marks)
+	pool := forward.NewPool(commontest.New(network.NewMemory(nil)), marks, nil)
 	if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "not sent" {
 		t.Error(got)
 	}
@@ -165,7 +165,7 @@
 			}
 			_, _ = io.WriteString(c, answer(id, "yes"))
 		})
-		pool := forward.NewPool(commontest.New(reach), marks)
+		pool := forward.NewPool(commontest.New(reach), marks, nil)
 		defer pool.Close()
 		for _, id := range []string{"r1", "r2", "r3"} {
 			outcome(pool.Send(context.Background(), target, request(id)))
@@ -202,7 +202,7 @@
 					most = max(most, n)
 					_, _ = io.WriteString(c, strings.ReplaceAll(s.answer, "{id}", id))
 				})
-				pool := forward.NewPool(commontest.New(reach), marks)
+				pool := forward.NewPool(commontest.New(reach), marks, nil)
 				defer pool.Close()
 				for _, id := range []string{"r1", "r2"} {
 					r := request(id)
@@ -232,7 +232,7 @@
 			_, _ = c.Read(make([]byte, 1)) // returns when the connection ends
 			closed <- time.Now()
 		})
-		pool := forward.NewPool(commontest.New(reach), marks)
+		pool := forward.NewPool(commontest.New(reach), marks, nil)
 		defer pool.Close()
 		ctx, leave := context.WithTimeout(context.Background(), time.Second)
 		defer leave()
--- a/pkg/forward/lives_test.go
+++ b/pkg/forward/lives_test.go
@@ -63,7 +63,7 @@
 					_, _ = c.Read(make([]byte, 1))
 					closed <- struct{}{}
 				})
-				pool := forward.NewPool(commontest.New(slowDial{memory, 100 * time.Millisecond}), marks)
+				pool := forward.NewPool(commontest.New(slowDial{memory, 100 * time.Millisecond}), marks, nil)
 				defer pool.Close()
 				pool.Follow(routing.NewDirectory([]*routing.Target{former}))
 				restart := func() { pool.Follow(routing.NewDirectory([]*routing.Target{next})) }
@@ -101,7 +101,7 @@
 			connections.Store(int64(n))
 			_, _ = io.WriteString(c, answer(id, "yes"))
 		})
-		pool := forward.NewPool(commontest.New(reach), marks)
+		pool := forward.NewPool(commontest.New(reach), marks, nil)
 		defer pool.Close()
 		pool.Follow(routing.NewDirectory([]*routing.Target{former}))
 		a, ok := pool.Send(context.Background(), former, request("r1")).(*forward.Answer)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
@@ -18,7 +19,8 @@
 // Pool keeps connections to targets.
 type Pool struct {
 	common.Common
-	marks func(header map[string][]string) Marks
+	marks  func(header map[string][]string) Marks
+	advice *advisory.Book
 
 	mu   sync.Mutex
 	idle map[ids.Life][]*connection
@@ -32,9 +34,9 @@
 var errReplaced = errors.New("the target has started again")
 
 // NewPool returns a pool without connections. The function marks reads the head
-// of an answer.
-func NewPool(c common.Common, marks func(header map[string][]string) Marks) *Pool {
-	return &Pool{Common: c, marks: marks, idle: make(map[ids.Life][]*connection), busy: make(map[ids.Life]map[*exchange]struct{})}
+// of an answer; what that says of its target goes into the book.
+func NewPool(c common.Common, marks func(header map[string][]string) Marks, advice *advisory.Book) *Pool {
+	return &Pool{Common: c, marks: marks, advice: advice, idle: make(map[ids.Life][]*connection), busy: make(map[ids.Life]map[*exchange]struct{})}
 }
 
 // enter notes an exchange, so that it is broken off once its target has started again. It
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -28,6 +28,11 @@
 	NotRun bool
 	// Load is the target's own word on its load, if it gave one.
 	Load *Load
+	// Leaving says that the target leaves.
+	Leaving bool
+	// Rest is for how long a target that turns a request away wants no other one from here; 0 if it does not
+	// say.
+	Rest clock.Millis
 }
 
 // Load is a target's report of its own load.
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -205,7 +205,7 @@
 	b.accounts = []*routing.Account{{Name: "acme", Keys: []string{"key"}}, {Name: "full", Keys: []string{"fullkey"}}}
 	b.configure(1)
 	b.view.Proven(b.clock.Now())
-	pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) })
+	pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }, nil)
 	b.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: b.view, Dialect: dialect{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: 5000, Strict: true}, MostExtra: places,
--- a/pkg/ingress/descriptors_test.go
+++ b/pkg/ingress/descriptors_test.go
@@ -112,7 +112,7 @@
 	scheduler := &inOrder{b: &bed{targets: []*routing.Target{target}}, stuck: ids.Target("none")}
 	return ingress.NewController(ingress.Parts{
 		Common: c, View: v, Dialect: dialect{}, Scheduler: scheduler, Meter: meter, Entries: freely{},
-		Pool:    forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }),
+		Pool:    forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }, nil),
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: clock.Minute},
 	})
 }
--- a/pkg/ingress/starting_test.go
+++ b/pkg/ingress/starting_test.go
@@ -34,7 +34,7 @@
 				b := newBed(t, freely{}, says(200, "", "yes"))
 				c := commontest.New(b.reach)
 				v := view.New(c.Check)
-				pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) })
+				pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }, nil)
 				defer pool.Close()
 				started := ingress.NewController(ingress.Parts{
 					Common: c, View: v, Dialect: dialect{}, Scheduler: b.scheduler, Pool: pool, Meter: freely{}, Entries: freely{},
