--- /dev/null
+++ b/pkg/app/advice_test.go
@@ -0,0 +1,170 @@
+package app
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestATargetThatSaysThatItLeaves: a target said in each of its answers that it leaves, while its row in
+// the store said that it was ready. An entry passed such an answer on, and twelve seconds later
+// still sent the target requests: it read of targets that leave in the list alone. The request that arrived
+// then was one of an entry that had answered callers with that word many times before, by its own logs placed on
+// a target that it believed ready.
+func TestATargetThatSaysThatItLeaves(t *testing.T) {
+	const length = 9 * time.Second
+	scenarios := []struct {
+		name    string
+		leaving int // of twelve
+		hurt    func(b *adviceBed)
+	}{
+		{"some", 4, nil},
+		{"all but one", 11, nil},
+		{"the store is silent", 4, func(b *adviceBed) { b.silenceStore(true) }},
+		{"entries that hear nothing of one another", 4, func(b *adviceBed) {
+			for i := range b.entries {
+				b.cutOff(i, true)
+			}
+		}},
+		{"the home of the service moves", 4, func(b *adviceBed) {
+			for i := range b.entries {
+				time.Sleep(2 * time.Second)
+				b.killEntry(i)
+				time.Sleep(500 * time.Millisecond)
+				b.restarted(i)
+				b.startEntry(i)
+			}
+		}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newAdviceBed(t, 1)
+				b.leave(s.leaving)
+				if s.hurt != nil {
+					go s.hurt(b)
+				}
+				answers := b.callers(200, length)
+				share := served(answers, time.Second, length)
+				t.Logf("%d requests against the word of %d targets, by %d pairs of entry and target; served %.3f", b.against, s.leaving, len(b.pairs), share)
+				b.check()
+				// Each kill of an entry costs its callers half a second, of 8 s in all.
+				least := 0.97
+				if s.name == "the home of the service moves" {
+					least = 0.90
+				}
+				if share < least {
+					t.Errorf("served %.3f, want %.2f", share, least)
+				}
+			})
+		})
+	}
+}
+
+// TestATargetThatAsksForRest: targets turned requests away and asked for three seconds of rest. The entry that was
+// told so sent them three and four more in that time, and callers got them run elsewhere, after one or two
+// tries in vain. It read that the request had not run, and not for how long the target wanted none: where a target turned
+// all away, it was set aside by the count of failures in a row, which an answer between two of them cleared.
+func TestATargetThatAsksForRest(t *testing.T) {
+	const length = 12 * time.Second
+	hurts := []struct {
+		name string
+		hurt func(b *adviceBed)
+	}{
+		{"", nil},
+		{", the store is silent", func(b *adviceBed) { b.silenceStore(true) }},
+		{", entries that hear nothing of one another", func(b *adviceBed) {
+			for i := range b.entries {
+				b.cutOff(i, true)
+			}
+		}},
+	}
+	for _, resting := range []int{6, 12} {
+		for _, share := range []float64{0.3, 1} {
+			for _, long := range []time.Duration{time.Second, 3 * time.Second, 10 * time.Second} {
+				for _, h := range hurts {
+					name := fmt.Sprintf("%d of 12 turn %.0f in 10 away for %v%s", resting, 10*share, long, h.name)
+					t.Run(name, func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							b := newAdviceBed(t, 1)
+							b.shed(resting, shedding{share: share, rest: long})
+							if h.hurt != nil {
+								h.hurt(b)
+							}
+							answers := b.callers(200, length)
+							got := served(answers, 0, length)
+							t.Logf("%d requests turned away, %d too many by %d pairs of entry and target; served %.3f of %d", b.declined, b.withinRest, len(b.pairs), got, len(answers))
+							b.check()
+							if resting == 6 && got < 0.97 {
+								t.Errorf("served %.3f", got)
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestATargetsOwn503AsksForRest: the answer to a request that has run may ask for rest as well.
+func TestATargetsOwn503AsksForRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newAdviceBed(t, 1)
+		b.shed(6, shedding{share: 0.3, rest: 3 * time.Second, own: true})
+		b.callers(200, 10*time.Second)
+		b.check()
+	})
+}
+
+// TestAllTargetsRest: all targets turn all requests away. Callers are told at once, with a time to come back
+// that is not before the end of the rest, and not the same for all; the targets get a few requests each time they
+// ask for rest, and work soon after it.
+func TestAllTargetsRest(t *testing.T) {
+	const (
+		long = 3 * time.Second
+		ends = 6 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		b := newAdviceBed(t, 1)
+		b.shed(12, shedding{share: 1, rest: long})
+		answers := b.callers(200, ends)
+		b.check()
+		told := 0
+		moments := make(map[time.Duration]int)
+		for _, a := range answers {
+			if a.at < time.Second || a.at > 2*time.Second {
+				continue
+			}
+			if a.status != http.StatusServiceUnavailable || a.took > 100*time.Millisecond {
+				t.Fatalf("status %d after %v", a.status, a.took)
+			}
+			told++
+			moments[(a.at+a.took+a.back).Truncate(50*time.Millisecond)]++
+		}
+		most := 0
+		for _, n := range moments {
+			most = max(most, n)
+		}
+		t.Logf("%d requests turned away by targets; of %d callers told in a second %d at the most come back in the same 50 ms, in %d such spans", b.declined, told, most, len(moments))
+		// Of 3 entries and 12 targets each pair may be tried a few times in each of two rests.
+		if b.declined > 3*12*2*mostInRest {
+			t.Errorf("%d requests reached targets that turn all away", b.declined)
+		}
+		if most > told/4 {
+			t.Errorf("%d of %d callers come back within 50 ms", most, told)
+		}
+		b.shed(12, shedding{})
+		time.Sleep(long)
+		again := b.callers(200, b.now()+2*time.Second)
+		if share := served(again, b.now()-time.Second, b.now()); share < 0.97 {
+			t.Errorf("served %.3f in the second second after the end", share)
+		}
+		b.said.Lock()
+		defer b.said.Unlock()
+		if len(b.lastArrival) < 12 {
+			t.Errorf("%d targets are used again", len(b.lastArrival))
+		}
+	})
+}
--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -46,6 +46,9 @@
 	ends    map[string][]time.Duration
 	reached map[string][]time.Duration // of bodies under which targets end, when each try reached one
 	usual   []usualCall
+	// answers, if set, sees each request that reaches the engine that it is meant for, and reports whether it has
+	// answered it. It is set before the first request.
+	answers func(e *crashEngine, w http.ResponseWriter, r *http.Request) bool
 }
 
 // usualCall is a request of an ordinary caller.
--- a/pkg/app/crash_callers_test.go
+++ b/pkg/app/crash_callers_test.go
@@ -15,6 +15,19 @@
 
 // call sends one request to an entry, on a connection of its own.
 func (b *crashBed) call(entry int, path, key, body string) (status int, text string) {
+	status, _, text = b.send(entry, b.newRequestID(), path, key, body)
+	return status, text
+}
+
+// newRequestID draws the id of a request.
+func (b *crashBed) newRequestID() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return fmt.Sprintf("%016x", b.random.Uint64())
+}
+
+// send is call with an id, and returns the answer's head as well.
+func (b *crashBed) send(entry int, id, path, key, body string) (status int, head http.Header, text string) {
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -26,22 +39,19 @@
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, strings.NewReader(body))
 	if err != nil {
 		b.t.Error(err)
-		return 0, ""
+		return 0, nil, ""
 	}
-	b.mu.Lock()
-	id := fmt.Sprintf("%016x", b.random.Uint64())
-	b.mu.Unlock()
 	wiretest.Call(r.Header, id, key, 3*time.Second)
 	response, err := transport.RoundTrip(r)
 	if err != nil {
-		return 0, ""
+		return 0, nil, ""
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, ""
+		return 0, nil, ""
 	}
-	return response.StatusCode, string(answer)
+	return response.StatusCode, response.Header, string(answer)
 }
 
 // draw draws a number below n.
--- a/pkg/app/crash_engines_test.go
+++ b/pkg/app/crash_engines_test.go
@@ -79,6 +79,9 @@
 		return
 	}
 	body := string(text)
+	if e.bed.answers != nil && e.bed.answers(e, w, r) {
+		return
+	}
 	if strings.HasPrefix(body, fatal) {
 		e.note(e.bed.reached, body)
 		time.Sleep(crashAfter)
