--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -18,6 +18,7 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
@@ -52,7 +53,8 @@
 }
 
 func (dialect) Marks(h http.Header) forward.Marks {
-	return forward.Marks{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+	rest, _ := strconv.Atoi(h.Get("Rest")) // in ms; none is 0
+	return forward.Marks{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", Rest: clock.Millis(rest)}
 }
 
 func (dialect) Answer(from, to http.Header) {
@@ -159,6 +161,7 @@
 	targets    []*routing.Target
 	clock      clock.Clock
 	suspension *clock.Suspension
+	advice     *advisory.Book
 	routes     []*routing.Route
 	accounts   []*routing.Account
 	spans      *tracetest.SpanRecorder
@@ -205,7 +208,8 @@
 	b.accounts = []*routing.Account{{Name: "acme", Keys: []string{"key"}}, {Name: "full", Keys: []string{"fullkey"}}}
 	b.configure(1)
 	b.view.Proven(b.clock.Now())
-	pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }, nil)
+	b.advice = advisory.NewBook(c)
+	pool := forward.NewPool(c, func(h map[string][]string) forward.Marks { return dialect{}.Marks(h) }, b.advice)
 	b.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: b.view, Dialect: dialect{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: 5000, Strict: true}, MostExtra: places,
