Heed what targets say of themselves: none gets a request that it does not want

Cause: an entry knew of targets that leave by the list alone, and of rest not at all. What a target says in its answers was not read (first hypothesis of both parts; the failing tests rule out the others, as they break with one entry alone and with a store that answers). Class: two sources tell the same thing, and one of them is not read.

The entry that was told decides last, where each way to a target ends (forward.Pool.Send, before and after the connection is made): whoever gave the place may not know. It tells the home of the service at once, again each second, and all of it when a place is given back; a place that is given back is no failure of the target and no repeat. Planners give a target that leaves to nobody, and one that rests to all but the entry that was told; after its rest one at a time until one was served. Where all rest, a request waits if it can still be in time, or is refused with the end of the rest plus up to a second (cause Resting). Own counts and the simple policies go by the same book. The end of a target that was to leave says nothing against what ran there.

--- a/pkg/advisory/book.go
+++ b/pkg/advisory/book.go
@@ -125,6 +125,23 @@
 	return s
 }
 
+// AllRest returns for how long all of some targets rest, apart from those that leave; 0 if one of them does
+// not, or all leave.
+func (b *Book) AllRest(targets []*routing.Target) clock.Millis {
+	var least clock.Millis
+	for _, t := range targets {
+		s := b.Of(t.Life())
+		switch {
+		case s.Leaving:
+		case s.Rest <= 0:
+			return 0
+		case least == 0 || s.Rest < least:
+			least = s.Rest
+		}
+	}
+	return least
+}
+
 // All lists the lives that leave or rest, by their targets' ids.
 func (b *Book) All() []Standing {
 	if b == nil || b.known.Load() == 0 {
--- a/pkg/app/advice_bed_test.go
+++ b/pkg/app/advice_bed_test.go
@@ -66,9 +66,9 @@
 	reached     int
 }
 
-func newAdviceBed(t *testing.T, seed uint64) *adviceBed {
+func newAdviceBed(t *testing.T) *adviceBed {
 	b := &adviceBed{
-		crashBed: newCrashBed(t, seed, 3), leaving: make(map[int]bool), sheds: make(map[int]shedding),
+		crashBed: newCrashBed(t, 1, 3), leaving: make(map[int]bool), sheds: make(map[int]shedding),
 		sent: make(map[string]sentCall), told: make(map[pair]time.Duration), rests: make(map[pair][]*rest), pairs: make(map[pair]bool),
 		arrivals: make(map[string]int), lastArrival: make(map[string]time.Duration),
 	}
@@ -158,11 +158,14 @@
 	back     time.Duration // when it is told to come back, 0 if not
 }
 
+// adviceLoad is how many requests a second come: a third of what one target can serve.
+const adviceLoad = 200
+
 // callers sends requests of both kinds to all entries until a moment and returns their answers.
-func (b *adviceBed) callers(perSecond float64, until time.Duration) []adviceAnswer {
+func (b *adviceBed) callers(until time.Duration) []adviceAnswer {
 	var mu sync.Mutex
 	var answers []adviceAnswer
-	b.every(perSecond, b.now(), until, func() {
+	b.every(adviceLoad, b.now(), until, func() {
 		a := b.callOnce(b.draw(len(b.entries)))
 		mu.Lock()
 		defer mu.Unlock()
--- a/pkg/app/advice_test.go
+++ b/pkg/app/advice_test.go
@@ -41,12 +41,12 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newAdviceBed(t, 1)
+				b := newAdviceBed(t)
 				b.leave(s.leaving)
 				if s.hurt != nil {
 					go s.hurt(b)
 				}
-				answers := b.callers(200, length)
+				answers := b.callers(length)
 				share := served(answers, time.Second, length)
 				t.Logf("%d requests against the word of %d targets, by %d pairs of entry and target; served %.3f", b.against, s.leaving, len(b.pairs), share)
 				b.check()
@@ -88,12 +88,12 @@
 					name := fmt.Sprintf("%d of 12 turn %.0f in 10 away for %v%s", resting, 10*share, long, h.name)
 					t.Run(name, func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
-							b := newAdviceBed(t, 1)
+							b := newAdviceBed(t)
 							b.shed(resting, shedding{share: share, rest: long})
 							if h.hurt != nil {
 								h.hurt(b)
 							}
-							answers := b.callers(200, length)
+							answers := b.callers(length)
 							got := served(answers, 0, length)
 							t.Logf("%d requests turned away, %d too many by %d pairs of entry and target; served %.3f of %d", b.declined, b.withinRest, len(b.pairs), got, len(answers))
 							b.check()
@@ -111,9 +111,9 @@
 // TestATargetsOwn503AsksForRest: the answer to a request that has run may ask for rest as well.
 func TestATargetsOwn503AsksForRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newAdviceBed(t, 1)
+		b := newAdviceBed(t)
 		b.shed(6, shedding{share: 0.3, rest: 3 * time.Second, own: true})
-		b.callers(200, 10*time.Second)
+		b.callers(10*time.Second)
 		b.check()
 	})
 }
@@ -127,9 +127,9 @@
 		ends = 6 * time.Second
 	)
 	synctest.Test(t, func(t *testing.T) {
-		b := newAdviceBed(t, 1)
+		b := newAdviceBed(t)
 		b.shed(12, shedding{share: 1, rest: long})
-		answers := b.callers(200, ends)
+		answers := b.callers(ends)
 		b.check()
 		told := 0
 		moments := make(map[time.Duration]int)
@@ -157,7 +157,7 @@
 		}
 		b.shed(12, shedding{})
 		time.Sleep(long)
-		again := b.callers(200, b.now()+2*time.Second)
+		again := b.callers(b.now()+2*time.Second)
 		if share := served(again, b.now()-time.Second, b.now()); share < 0.97 {
 			t.Errorf("served %.3f in the second second after the end", share)
 		}
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -196,13 +196,14 @@
 	p.bounds.Store(&s.Bounds)
 	parts := dispatch.Parts{
 		Common: c, Address: address, Domain: s.Domain, View: p.view, Members: p.members, Link: link,
-		Notes: p.store.Table(platform.TableNotes), Local: schedule.NewLocal(c, p.view),
+		Notes: p.store.Table(platform.TableNotes), Local: schedule.NewLocal(c, p.view, p.advice), Advice: p.advice,
 	}
 	if p.exposure().Enabled() {
 		p.rollouts = newRollouts(c, p.view)
 		parts.Rollouts = p.rollouts.parts(p.exposure, p.store.Rollouts(), p.guard)
 	}
 	p.dispatcher = dispatch.New(parts)
+	p.advice.OnHeard(p.dispatcher.Advise)
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds), c.Clock.Now())
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.descriptors = descriptorLimit(c, s.Limits)
@@ -210,7 +211,7 @@
 	p.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: p.view, Dialect: platform.Dialect{}, Scheduler: p.scheduler(o.policy),
 		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: p.keyTrust(s.Bounds),
-		Retries: p.retries, Guard: p.guard, MostExtra: shares.Extra,
+		Retries: p.retries, Guard: p.guard, Advice: p.advice, MostExtra: shares.Extra,
 	})
 	p.members.SetTrust(p.keyTrust(s.Bounds).Most)
 	handlers := ingress.Handlers{Serve: p.controller, TurnAway: http.HandlerFunc(p.controller.TurnAway)}
@@ -223,11 +224,11 @@
 func (p *entryProcess) scheduler(policy schedule.Policy) schedule.Scheduler {
 	switch {
 	case p.Ablation.Off(ablation.PlannerHome):
-		return schedule.NewLocal(p.Common, p.view)
+		return schedule.NewLocal(p.Common, p.view, p.advice)
 	case policy == schedule.Planned:
 		return p.dispatcher
 	}
-	return schedule.NewBaseline(p.Common, p.view, policy)
+	return schedule.NewBaseline(p.Common, p.view, policy, p.advice)
 }
 
 func (p *entryProcess) start(ctx context.Context) error {
--- a/pkg/app/rollout_entries_test.go
+++ b/pkg/app/rollout_entries_test.go
@@ -52,7 +52,7 @@
 	p.guard = quarantine.New(quarantine.Parts{Common: c, Address: entryAddress(i), Peers: p.members, Link: link, Store: p.store.Quarantine()})
 	p.dispatcher = dispatch.New(dispatch.Parts{
 		Common: c, Address: entryAddress(i), Domain: "d", View: p.view, Members: p.members, Link: link, Notes: p.store.Table(platform.TableNotes),
-		Local: schedule.NewLocal(c, p.view), Rollouts: p.rollouts.parts(p.exposure, p.store.Rollouts(), p.guard),
+		Local: schedule.NewLocal(c, p.view, nil), Rollouts: p.rollouts.parts(p.exposure, p.store.Rollouts(), p.guard),
 	})
 	peers, err := b.net.Listen(entryAddress(i).String())
 	if err != nil {
--- /dev/null
+++ b/pkg/dispatch/advice.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"net/netip"
+	"slices"
+
+	"quaydock/pkg/advisory"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/packets"
+	"quaydock/pkg/planner"
+)
+
+// adviseEvery is how often an entry tells the homes again what its targets have told it, for a home that
+// did not hear it or is a new one. Until then each such home costs the entry one round trip a target, since the
+// grant for it is declined with the advice.
+const adviseEvery = clock.Second
+
+// advisedAPage is how many advices surely fit into one datagram.
+const advisedAPage = 14
+
+// advice tells a home what targets of a service have told an entry.
+type advice struct {
+	_       struct{} `cbor:",toarray"`
+	Service ids.Service
+	Items   []advised
+}
+
+// advised is the word of one target.
+type advised struct {
+	_       struct{} `cbor:",toarray"`
+	Life    ids.Life
+	Leaving bool
+	Rest    clock.Millis // left of it
+}
+
+// advised takes what targets have told an entry.
+func (h *Home) advised(from netip.AddrPort, a *advice) {
+	now := h.Clock.Now()
+	h.with(now, a.Service, from, func(p *planner.Planner) {
+		for _, it := range a.Items {
+			p.Advise(now, from.String(), it.Life, it.Leaving, it.Rest)
+		}
+	})
+}
+
+// Advise tells the home of a target's service what the target has told this entry.
+func (d *Dispatcher) Advise(s advisory.Standing) {
+	if t := d.view.Directory().Target(s.Life.Target); t != nil {
+		d.advise(t.Service, []advisory.Standing{s})
+	}
+}
+
+func (d *Dispatcher) advise(service ids.Service, list []advisory.Standing) {
+	for len(list) > 0 {
+		page := list[:min(len(list), advisedAPage)]
+		list = list[len(page):]
+		message := advice{Service: service}
+		for _, s := range page {
+			message.Items = append(message.Items, advised{Life: s.Life, Leaving: s.Leaving, Rest: s.Rest})
+		}
+		toHome(d, service, packets.KindAdvice, d.home.advised, &message)
+	}
+}
+
+// adviseAll tells each home all that this entry knows of its targets. While no target says anything,
+// that is nothing.
+func (d *Dispatcher) adviseAll() {
+	lists := make(map[ids.Service][]advisory.Standing)
+	for _, s := range d.advice.All() {
+		if t := d.view.Directory().Target(s.Life.Target); t != nil {
+			lists[t.Service] = append(lists[t.Service], s)
+		}
+	}
+	for service, list := range lists {
+		d.advise(service, list)
+	}
+}
+
+// barred reports whether the target of a grant has told this entry to send nothing.
+func (d *Dispatcher) barred(life ids.Life) bool {
+	t := d.view.Directory().Target(life.Target)
+	return t != nil && t.Life().Same(life) && d.advice.Of(t.Life()).Bars()
+}
+
+// mostWithheld is how many grants a request gives back before it is not to get the same target again: the
+// home does not hear the reason.
+const mostWithheld = 3
+
+// withhold gives back a grant for a target that has told this entry to send nothing. The home is told the
+// reason first, and what all others have told, so that a home that knows none of it costs the request one round
+// trip.
+func (d *Dispatcher) withhold(p *pending, life ids.Life) {
+	d.Metrics.Links.Add("grants_withheld", 1)
+	d.adviseAll()
+	if p.withheld++; p.withheld > mostWithheld {
+		p.want.Exclude = append(slices.Clone(p.want.Exclude), life)
+	}
+	d.giveBack(p, planner.Withheld)
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	gosync "sync"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
@@ -38,6 +39,7 @@
 	home    *Home
 	local   schedule.Scheduler
 	trials  *trials
+	advice  *advisory.Book
 
 	mu      gosync.Mutex
 	number  uint64
@@ -59,6 +61,8 @@
 	Notes   Notes
 	// Local places while there is no home.
 	Local schedule.Scheduler
+	// Advice is what targets have told this entry of themselves.
+	Advice *advisory.Book
 	// Rollouts is what roll-outs need, nil if they are no part of the deployment.
 	Rollouts *Rollouts
 }
@@ -69,6 +73,7 @@
 	d := &Dispatcher{
 		Common: c, view: parts.View, members: parts.Members, link: parts.Link, address: parts.Address, domain: parts.Domain, local: parts.Local,
 		trials:  newTrials(c, parts.Rollouts, parts.Members),
+		advice:  parts.Advice,
 		number:  c.Random.Fork().Uint64(),
 		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place),
 	}
@@ -77,6 +82,7 @@
 	link.Handle(packets.KindAsk, packets.Receive(link, d.home.asked))
 	link.Handle(packets.KindStep, packets.Receive(link, d.home.stepped))
 	link.Handle(packets.KindSync, packets.Receive(link, d.home.synced))
+	link.Handle(packets.KindAdvice, packets.Receive(link, d.home.advised))
 	link.Handle(packets.KindAnswer, packets.Receive(link, d.answered))
 	return d
 }
@@ -84,9 +90,14 @@
 // Run keeps the homes informed until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	go d.home.run(ctx)
+	var advised clock.Millis
 	for ctx.Err() == nil {
 		clock.Pause(ctx, syncEvery)
 		d.syncAll()
+		if now := d.Clock.Now(); now-advised >= adviseEvery {
+			advised = now
+			d.adviseAll()
+		}
 	}
 }
 
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/commontest"
@@ -33,6 +35,7 @@
 	targets []*routing.Target
 	members []*membership.Members
 	stops   []context.CancelFunc
+	advice  []*advisory.Book
 
 	slow map[ids.Target]time.Duration // how many times as long they take
 
@@ -74,9 +77,13 @@
 		m.Whole(rows, follow.Proof{})
 		v := view.New(b.Check)
 		v.SetDirectory(routing.NewDirectory(b.targets))
+		book := advisory.NewBook(b.Common)
 		d := dispatch.New(dispatch.Parts{
-			Common: b.Common, Address: address(i), Domain: "d", View: v, Members: m, Link: link, Notes: notes, Local: schedule.NewLocal(b.Common, v),
+			Common: b.Common, Address: address(i), Domain: "d", View: v, Members: m, Link: link, Notes: notes,
+			Local: schedule.NewLocal(b.Common, v, book), Advice: book,
 		})
+		book.OnHeard(d.Advise)
+		b.advice = append(b.advice, book)
 		go link.Run(ctx)
 		go m.Run(ctx)
 		go d.Run(ctx)
@@ -111,6 +118,21 @@
 	return -1
 }
 
+// ask is a request that bears no wait.
+func (b *bed) ask() schedule.Ask {
+	now := b.Clock.Now()
+	return schedule.Ask{Service: "s", Job: planner.Job{Arrived: now, Objective: 500, Deadline: now + 3*clock.Second}}
+}
+
+// withheld is how many places entries gave back since their targets had told them to send nothing.
+func (b *bed) withheld() int64 {
+	n, _ := b.Metrics.Links.Get("grants_withheld").(*expvar.Int)
+	if n == nil {
+		return 0
+	}
+	return n.Value()
+}
+
 // request runs one request that takes a while at its target.
 func (b *bed) request(ctx context.Context, entry int, length time.Duration) {
 	now := b.Clock.Now()
--- a/pkg/dispatch/home_answers.go
+++ b/pkg/dispatch/home_answers.go
@@ -62,8 +62,11 @@
 			h.answer(d.ID, answer{Verdict: granted, Life: d.Life})
 		case planner.Refuse:
 			kind := refused
-			if d.Empty {
+			switch {
+			case d.Empty:
 				kind = noTarget
+			case d.Resting:
+				kind = resting
 			}
 			h.answer(d.ID, answer{Verdict: kind, RetryAfter: d.RetryAfter, Ahead: d.Ahead, Wait: d.Wait})
 		case planner.Move:
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -42,7 +42,8 @@
 	granted
 	refused
 	noTarget
-	move // a request that runs is better sent elsewhere
+	move    // a request that runs is better sent elsewhere
+	resting // refused, as all targets rest from its entry
 )
 
 // answer is the home's word on an ask.
--- a/pkg/dispatch/pending.go
+++ b/pkg/dispatch/pending.go
@@ -23,6 +23,8 @@
 	silence int
 	// trial says that the request may go to a version on trial, which is set aside for it.
 	trial bool
+	// withheld is how many grants were given back since their targets had told this entry to send nothing.
+	withheld int
 }
 
 // Acquire waits for a place.
@@ -41,8 +43,10 @@
 		case a == nil && p.silence >= maxAsks:
 			return d.alone(ctx, p)
 		case a == nil:
-		case a.Verdict == refused, a.Verdict == noTarget:
-			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, RetryAfter: a.RetryAfter, Ahead: a.Ahead, Wait: a.Wait}, nil
+		case a.Verdict == refused, a.Verdict == noTarget, a.Verdict == resting:
+			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, Resting: a.Verdict == resting, RetryAfter: a.RetryAfter, Ahead: a.Ahead, Wait: a.Wait}, nil
+		case a.Verdict == granted && d.barred(a.Life):
+			d.withhold(p, a.Life)
 		case a.Verdict == granted:
 			if t := d.offered(p, a.Life); t != nil {
 				return d.begin(p.number, &p.want, t, nil), nil, nil
@@ -116,9 +120,14 @@
 // goes on under a new number.
 func (d *Dispatcher) decline(p *pending, life ids.Life) {
 	d.Metrics.Links.Add("grants_declined", 1)
-	d.leave(p.number)
-	d.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: planner.Moved})
 	p.want.Exclude = append(slices.Clone(p.want.Exclude), life)
+	d.giveBack(p, planner.Moved)
+}
+
+// giveBack gives back a grant, and has the request go on under a new number.
+func (d *Dispatcher) giveBack(p *pending, outcome planner.Outcome) {
+	d.leave(p.number)
+	d.step(step{Number: p.number, Service: p.want.Service, Progress: done, Outcome: outcome})
 	p.silence = 0
 	d.enter(p)
 }
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -34,6 +34,9 @@
 // Send makes one exchange. When ctx ends, or the target has started again, the connection is
 // closed.
 func (p *Pool) Send(ctx context.Context, t *routing.Target, r *Request) Result {
+	if p.withholds(t) {
+		return Withheld{}
+	}
 	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan error, 1)}
 	e.ctx, e.cancel = context.WithCancelCause(ctx)
 	if !p.enter(t.Life(), e) {
@@ -45,14 +48,26 @@
 		e.leave()
 		return unreached(t, err)
 	}
-	if s := p.advice.Of(t.Life()); s.Bars() {
-		p.Metrics.Links.Add("requests_against_advice", 1)
+	if p.withholds(t) { // once more: making the connection may have taken a third of a second
+		e.leave()
+		discard(e.conn)
+		return Withheld{}
 	}
 	e.stop = context.AfterFunc(e.ctx, func() { _ = e.conn.SetDeadline(time.Unix(1, 0)) })
 	go e.write()
 	return e.read()
 }
 
+// withholds reports whether a target has told this entry to send nothing. It is asked here, where each way to a
+// target ends, since whoever gave the place may not have heard of it.
+func (p *Pool) withholds(t *routing.Target) bool {
+	if !p.advice.Of(t.Life()).Bars() {
+		return false
+	}
+	p.Metrics.Links.Add("requests_withheld", 1)
+	return true
+}
+
 // connect takes a connection. One that was made while the target started again may lead to its
 // new life, which is not to run what was counted in the former one.
 func (e *exchange) connect() error {
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -8,10 +8,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"quaydock/pkg/advisory"
+	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/network"
@@ -81,6 +84,8 @@
 	switch r := r.(type) {
 	case forward.NotSent:
 		return "not sent"
+	case forward.Withheld:
+		return "withheld"
 	case forward.Declined:
 		return fmt.Sprint("declined ", r.Status)
 	case *forward.Answer:
@@ -245,3 +250,37 @@
 		}
 	})
 }
+
+// TestWhatATargetSaysWhileItsConnectionIsMade: a third of a second passes between a place and the first byte that is
+// sent. What another answer of the target says meanwhile counts.
+func TestWhatATargetSaysWhileItsConnectionIsMade(t *testing.T) {
+	advices := []struct {
+		advice  advisory.Advice
+		want    string
+		arrived int64
+	}{
+		{advisory.Advice{}, "200 yes", 1},
+		{advisory.Advice{Leaving: true}, "withheld", 0},
+		{advisory.Advice{Rest: clock.Second}, "withheld", 0},
+		{advisory.Advice{Rest: 10}, "200 yes", 1}, // over by then
+	}
+	for _, a := range advices {
+		synctest.Test(t, func(t *testing.T) {
+			memory := network.NewMemory(nil)
+			var arrived atomic.Int64
+			serve(t, memory, func(c net.Conn, _ int, id string) {
+				arrived.Add(1)
+				_, _ = io.WriteString(c, answer(id, "yes"))
+			})
+			c := commontest.New(slowDial{memory, 300 * time.Millisecond})
+			book := advisory.NewBook(c)
+			pool := forward.NewPool(c, marks, book)
+			time.AfterFunc(100*time.Millisecond, func() { book.Hear(target.Life(), "other", a.advice) })
+			if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != a.want || arrived.Load() != a.arrived {
+				t.Errorf("%+v: %s, arrived %d times; want %s, %d", a.advice, got, arrived.Load(), a.want, a.arrived)
+			}
+			pool.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -40,7 +40,7 @@
 	Running, Waiting, Slots int
 }
 
-// Result is how one exchange with a target went: NotSent, Declined, *Answer or
+// Result is how one exchange with a target went: NotSent, Withheld, Declined, *Answer or
 // Broken.
 type Result interface{ result() }
 
@@ -48,6 +48,10 @@
 // cannot have run it.
 type NotSent struct{ Err error }
 
+// Withheld says that nothing was sent, as the target has told this entry before that it leaves, or wants no
+// requests for a while.
+type Withheld struct{}
+
 // Declined says that the target told it did not run the request.
 type Declined struct {
 	Status int
@@ -58,6 +62,7 @@
 type Broken struct{ Err error }
 
 func (NotSent) result()  {}
+func (Withheld) result() {}
 func (Declined) result() {}
 func (*Answer) result()  {}
 func (Broken) result()   {}
--- a/pkg/ingress/bed_test.go
+++ b/pkg/ingress/bed_test.go
@@ -213,6 +213,7 @@
 	b.controller = ingress.NewController(ingress.Parts{
 		Common: c, View: b.view, Dialect: dialect{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyTrust{Bound: 5000, Strict: true}, MostExtra: places,
+		Advice: b.advice,
 	})
 	server := &http.Server{Handler: b.controller}
 	listener, err := b.reach.Listen(entryAt)
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/forward"
@@ -43,6 +44,8 @@
 	// Guard keeps requests that end their targets from running; nil has the controller go by what
 	// it sees itself.
 	Guard *quarantine.Guard
+	// Advice is what targets have told this entry of themselves.
+	Advice *advisory.Book
 	// MostExtra is how many requests on connections beyond callers' share may be served at once,
 	// those of a higher tier than some request that is being served.
 	MostExtra int
@@ -86,7 +89,7 @@
 	a.setKeyTrust(p.Keys)
 	d := &delivery{
 		Common: p.Common, admission: a, dialect: p.Dialect, scheduler: p.Scheduler,
-		pool: p.Pool, retries: p.Retries, entries: p.Entries, guard: p.Guard,
+		pool: p.Pool, retries: p.Retries, entries: p.Entries, guard: p.Guard, advice: p.Advice,
 	}
 	if d.guard == nil {
 		d.guard = quarantine.New(quarantine.Parts{Common: p.Common})
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"quaydock/pkg/ablation"
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/forward"
@@ -28,12 +29,16 @@
 	retries   *quota.RetryBudget
 	entries   Entries
 	guard     *quarantine.Guard
+	advice    *advisory.Book
 }
 
 const (
 	// maxSends bounds the exchanges of one request, those included that surely
 	// did not run.
 	maxSends = 4
+	// mostWithheld is how many places a request leaves unused before it is not to get the same target again.
+	// Whoever gives the places soon hears what the target said; until a rest is over, the request may wait for it.
+	mostWithheld = 3
 	// minLeft is the least time for which it is worth asking a target.
 	minLeft = 20 * clock.Millisecond
 	// retryDeclined is when to come back if targets had no room.
@@ -46,6 +51,8 @@
 type (
 	// completed: the caller has its answer.
 	completed struct{}
+	// withheld: nothing was sent, as the target had told this entry not to.
+	withheld struct{}
 	// declined: the target surely did not run the request.
 	declined struct{ err error }
 	// lost: the target may have run the request. again says that one more
@@ -60,6 +67,7 @@
 )
 
 func (completed) attempt()  {}
+func (withheld) attempt()   {}
 func (declined) attempt()   {}
 func (lost) attempt()       {}
 func (callerGone) attempt() {}
@@ -90,10 +98,15 @@
 			return nil
 		case callerGone:
 			return &Refusal{Cause: CauseLeft, Err: result.err}
+		case withheld:
+			// Nothing has reached the target, so that this is no repeat.
+			if q.withheld++; q.withheld > mostWithheld {
+				q.tried = append(q.tried, place.Target().Life())
+			}
 		case declined:
 			q.declines++
 			if !d.again(q) {
-				return d.giveUp(ctx, q, &Refusal{Status: http.StatusServiceUnavailable, Cause: CauseDeclined, RetryAfter: retryDeclined, Err: result.err})
+				return d.giveUp(ctx, q, &Refusal{Status: http.StatusServiceUnavailable, Cause: CauseDeclined, RetryAfter: d.afterDeclined(q), Err: result.err})
 			}
 		case lost:
 			q.sent++
@@ -124,6 +137,9 @@
 	case refused != nil && refused.Overloaded:
 		q.note(now, fmt.Sprintf("refused: %d ahead, a wait of %d ms", refused.Ahead, refused.Wait), "")
 		return nil, notRun(CauseOverloaded, refused.RetryAfter)
+	case refused != nil && refused.Resting:
+		q.note(now, fmt.Sprintf("all targets rest from here, the first for %d ms more", refused.Wait), "")
+		return nil, notRun(CauseResting, refused.RetryAfter)
 	case refused != nil:
 		return nil, notRun(CauseNoTarget, refused.RetryAfter)
 	}
@@ -204,16 +220,22 @@
 	return d.untried(q) && d.retries.Repeat(now, q.service, d.entries.Share())
 }
 
-// untried reports whether there is a target that the request was not sent to in its present life.
+// untried reports whether there is a target that the request was not sent to in its present life, and may be.
 func (d *delivery) untried(q *request) bool {
 	for _, t := range d.admission.view.Directory().Serving(q.service) {
-		if !slices.Contains(q.tried, t.Life()) {
+		if !slices.Contains(q.tried, t.Life()) && !d.advice.Of(t.Life()).Bars() {
 			return true
 		}
 	}
 	return false
 }
 
+// afterDeclined is when to come back after targets have declined a request.
+func (d *delivery) afterDeclined(q *request) clock.Millis {
+	rest := d.advice.AllRest(d.admission.view.Directory().Serving(q.service))
+	return max(retryDeclined, planner.AfterRest(rest, d.Random.Fork().Float64()))
+}
+
 // giveUp is the final word on a request, given how far it got.
 func (d *delivery) giveUp(ctx context.Context, q *request, refusal *Refusal) *Refusal {
 	ended := ctx.Err() != nil
@@ -250,6 +272,11 @@
 		ID: q.ID, Method: q.http.Method, Path: q.http.RequestURI, Host: q.http.Host,
 		Header: d.dialect.Onward(q.http.Header, onward), Body: q.body,
 	})
+	if _, kept := result.(forward.Withheld); kept {
+		q.note(d.Clock.Now(), "not sent, by its own word, to", target.ID)
+		place.Done(planner.Withheld, planner.Flow{})
+		return withheld{}
+	}
 	q.tried = append(q.tried, target.Life())
 	switch result := result.(type) {
 	case forward.NotSent:
--- a/pkg/ingress/guarded.go
+++ b/pkg/ingress/guarded.go
@@ -74,7 +74,7 @@
 // there was no run.
 func (d *delivery) observe(ctx context.Context, q *request, target *routing.Target, pass *quarantine.Pass, result attempt) *quarantine.Pass {
 	switch result := result.(type) {
-	case declined:
+	case declined, withheld:
 		return pass
 	case completed:
 		if d.guard.Watches(q.accountName()) {
@@ -96,7 +96,7 @@
 	if ctx.Err() != nil {
 		return // this end broke off
 	}
-	if listed := d.admission.view.Directory().Target(target.ID); listed != nil && listed.Leaving {
+	if listed := d.admission.view.Directory().Target(target.ID); listed != nil && listed.Leaving || d.advice.Of(target.Life()).Leaving {
 		return // it was to end
 	}
 	run := quarantine.Run{Request: q.suspect(), Life: target.Life(), Again: again}
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -33,6 +33,7 @@
 	CauseCrowded  // callers hold their share of the descriptors
 	CauseHeldBack // targets have ended under the request
 	CauseNoTurn   // it is suspected of that, and its turn did not come
+	CauseResting  // all targets have asked this entry for rest
 )
 
 // Refusal is an answer of the entry's own.
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -26,6 +26,7 @@
 	sent      int // exchanges that may have run at a target
 	declines  int // exchanges that surely did not
 	sends     int // all exchanges that reached a target
+	withheld  int // places that were not used, by their targets' own word
 	tried     []ids.Life
 	lastEvent int64
 	hasEvent  bool
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -21,4 +21,5 @@
 	KindTurnAsk
 	KindTurnAnswer
 	KindTurnDone
+	KindAdvice // entry to the home of a group of targets: what they have told it of themselves
 )
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -82,6 +82,8 @@
 	Wait  clock.Millis
 	// Empty says that the group has no target at all.
 	Empty bool
+	// Resting says that all targets have asked the job's entry for rest.
+	Resting bool
 }
 
 // Move tells that the target of a job gives no sign of life: the job is better
@@ -127,4 +129,6 @@
 	Moved
 	// Abandoned: the caller left, or its time was over.
 	Abandoned
+	// Withheld: the entry did not send it, as the target had told it not to.
+	Withheld
 )
--- a/pkg/planner/outcome_string.go
+++ b/pkg/planner/outcome_string.go
@@ -14,11 +14,12 @@
 	_ = x[Full-3]
 	_ = x[Moved-4]
 	_ = x[Abandoned-5]
+	_ = x[Withheld-6]
 }
 
-const _Outcome_name = "ServedFailedUnreachedFullMovedAbandoned"
+const _Outcome_name = "ServedFailedUnreachedFullMovedAbandonedWithheld"
 
-var _Outcome_index = [...]uint8{0, 6, 12, 21, 25, 30, 39}
+var _Outcome_index = [...]uint8{0, 6, 12, 21, 25, 30, 39, 47}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -114,7 +114,7 @@
 	var best *target
 	var least float64
 	for _, t := range s.roomy {
-		if slices.Contains(w.Exclude, t.Life()) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
+		if slices.Contains(w.Exclude, t.Life()) || !t.takes(now, w.ID.Entry) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
 			continue
 		}
 		// A little chance spreads what is equal.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -14,7 +14,8 @@
 	random    *rand.Rand
 	targets   map[ids.Life]*target
 	lives     map[ids.Target]*lives
-	list      []*target // those offered
+	offered   []*target // in the order of the list of targets
+	list      []*target // of these, those that may get all work
 	slots     int       // how many jobs these run at once
 	trial     trial
 	queue     queue
@@ -24,9 +25,11 @@
 	runTime   mean
 	fullSince clock.Millis // since when no target has had room; 0 if one has
 	floor     floor
-	given     map[ids.TierRank]*sizedRate // what was granted lately
-	decisions []Decision
-	off       ablation.Set
+	// restsUntil is when the last rest is over that a target has asked an entry for.
+	restsUntil clock.Millis
+	given      map[ids.TierRank]*sizedRate // what was granted lately
+	decisions  []Decision
+	off        ablation.Set
 }
 
 // New returns a planner without targets.
@@ -46,27 +49,39 @@
 	for _, t := range p.targets {
 		t.offered = false
 	}
-	p.list = p.list[:0]
-	p.trial.targets = p.trial.targets[:0]
-	p.slots = 0
+	p.offered = p.offered[:0]
 	for _, o := range offered {
 		t := p.target(o)
 		t.Target = o
 		t.offered = true
 		t.lives.listed = t
-		if o.Admission == routing.OnTrial {
-			p.trial.targets = append(p.trial.targets, t)
-			continue
-		}
-		p.list = append(p.list, t)
-		p.slots += t.limit()
+		p.offered = append(p.offered, t)
 	}
 	for _, t := range p.targets {
 		p.forget(t)
 	}
+	p.relist()
 	p.place(now)
 }
 
+// relist makes the lists of those that may get work of what is offered, without those that leave by their
+// own word.
+func (p *Planner) relist() {
+	p.list = p.list[:0]
+	p.trial.targets = p.trial.targets[:0]
+	p.slots = 0
+	for _, t := range p.offered {
+		switch {
+		case t.leaving:
+		case t.Admission == routing.OnTrial:
+			p.trial.targets = append(p.trial.targets, t)
+		default:
+			p.list = append(p.list, t)
+			p.slots += t.limit()
+		}
+	}
+}
+
 // target returns what is known of a life of a target, and begins with nothing for a new one.
 func (p *Planner) target(o *routing.Target) *target {
 	if t := p.targets[o.Life()]; t != nil {
@@ -209,6 +224,9 @@
 	if !p.off.Off(ablation.SetAside) {
 		t.health.Note(now, outcome)
 	}
+	if outcome == Served {
+		t.servedAfterRest(now, id.Entry)
+	}
 	t.trial = outcome != Served && (t.trial || t.health.Aside(now))
 	delete(p.runs, id)
 	t.end(r)
@@ -224,7 +242,7 @@
 		return
 	}
 	p.releases.add(now)
-	if outcome != Unreached && outcome != Full && outcome != Moved {
+	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld {
 		p.runTime.add(float64(now - r.since))
 	}
 }
@@ -263,6 +281,7 @@
 func (p *Planner) Drop(now clock.Millis, entry string) {
 	p.queue.drop(func(w *waiting) bool { return w.ID.Entry == entry })
 	p.abandon(now, entry, func(*run) bool { return true })
+	p.forgetRests(entry)
 }
 
 // abandon ends the runs of an entry for which gone is true.
@@ -285,6 +304,7 @@
 			p.move(t)
 		}
 	}
+	p.pruneRests(now)
 	p.place(now)
 	p.queue.drop(func(w *waiting) bool { return now >= w.Deadline || now-w.seen > forgottenAfter })
 	p.reviewAll(now)
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -99,7 +99,13 @@
 func (p *Planner) refuse(now clock.Millis, w *waiting) {
 	ahead := p.queue.ahead(now, w)
 	wait := p.wait(now, w, ahead)
-	p.decide(Refuse{ID: w.ID, RetryAfter: p.retryAfter(now, w, wait), Ahead: ahead, Wait: wait})
+	retry := p.retryAfter(now, w, wait)
+	if rest := p.restLeft(now, &w.Job); rest > 0 {
+		// Lower tiers of other entries may be served meanwhile, in places that this job could not have got.
+		p.decide(Refuse{ID: w.ID, RetryAfter: max(retry, AfterRest(rest, p.random.Float64())), Ahead: ahead, Wait: rest, Resting: true})
+		return
+	}
+	p.decide(Refuse{ID: w.ID, RetryAfter: retry, Ahead: ahead, Wait: wait})
 	p.floor.raise(now, w)
 }
 
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -18,7 +18,9 @@
 	beganAt clock.Millis // when a run last began
 	trial   bool         // after it was set aside, one request at a time
 	foreign foreign
-	tried   int // how often it was filled while its version was on trial
+	tried   int              // how often it was filled while its version was on trial
+	leaving bool             // by its own word
+	rests   map[string]*rest // that it has asked entries for
 }
 
 // lives are the lives of one target that have runs, or may get them. A target that has started
@@ -57,7 +59,7 @@
 // aside gets one job at a time until it has served one; where most targets fail,
 // that would leave nearly nothing of what they can do.
 func (t *target) room(now clock.Millis, careful bool) bool {
-	if !t.offered || t.lives.runs+t.foreign.at(now) >= t.limit() {
+	if !t.offered || t.leaving || t.lives.runs+t.foreign.at(now) >= t.limit() {
 		return false
 	}
 	return !careful || !t.trial || len(t.runs) == 0
--- a/pkg/planner/wait.go
+++ b/pkg/planner/wait.go
@@ -10,7 +10,7 @@
 	if len(p.list) == 0 && p.trial.Opens > now {
 		return p.trial.Opens - now
 	}
-	return clock.Millis(float64(ahead+1) * float64(clock.Second) / p.placesFor(now, w))
+	return max(p.restLeft(now, &w.Job), clock.Millis(float64(ahead+1)*float64(clock.Second)/p.placesFor(now, w)))
 }
 
 // placesFor is how many places a second are left for a job and those ahead of it in the
--- /dev/null
+++ b/pkg/schedule/advice_test.go
@@ -0,0 +1,68 @@
+package schedule_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"quaydock/pkg/advisory"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
+	"quaydock/pkg/schedule"
+)
+
+// TestNoPlaceOnATargetThatHasSaidNo: schedulers of one entry alone go by what its targets have told it, and say when to
+// come back if all rest.
+func TestNoPlaceOnATargetThatHasSaidNo(t *testing.T) {
+	c := commontest.New(network.NewMemory(nil))
+	schedulers := []struct {
+		name string
+		of   func(*advisory.Book) schedule.Scheduler
+	}{
+		{"own counts", func(b *advisory.Book) schedule.Scheduler { return schedule.NewLocal(c, newView(3), b) }},
+		{"in turn", func(b *advisory.Book) schedule.Scheduler {
+			return schedule.NewBaseline(c, newView(3), schedule.RoundRobin, b)
+		}},
+		{"least reported", func(b *advisory.Book) schedule.Scheduler {
+			return schedule.NewBaseline(c, newView(3), schedule.LeastReported, b)
+		}},
+	}
+	scenarios := []struct {
+		name    string
+		said    map[ids.Target]advisory.Advice
+		got     ids.Target // empty if refused
+		resting bool
+	}{
+		{"one has said nothing", map[ids.Target]advisory.Advice{"t0": {Leaving: true}, "t1": {Rest: 3 * clock.Second}}, "t2", false},
+		{"all leave", map[ids.Target]advisory.Advice{"t0": {Leaving: true}, "t1": {Leaving: true}, "t2": {Leaving: true}}, "", false},
+		{"all rest or leave", map[ids.Target]advisory.Advice{"t0": {Leaving: true}, "t1": {Rest: 3 * clock.Second}, "t2": {Rest: 5 * clock.Second}}, "", true},
+	}
+	for _, of := range schedulers {
+		for _, s := range scenarios {
+			t.Run(of.name+", "+s.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					book := advisory.NewBook(c)
+					for id, a := range s.said {
+						book.Hear(ids.Life{Target: id}, "r", a)
+					}
+					scheduler := of.of(book)
+					for range 6 {
+						p, refused, err := scheduler.Acquire(context.Background(), schedule.Ask{Service: "s"})
+						switch {
+						case err != nil:
+							t.Fatal(err)
+						case p != nil && p.Target().ID != s.got, p == nil && s.got != "":
+							t.Fatalf("place %v, refused %+v", p, refused)
+						case s.resting && (!refused.Resting || refused.RetryAfter < 3000 || refused.RetryAfter > 4000):
+							t.Fatalf("refused %+v", refused)
+						case p == nil && !s.resting && refused.Resting:
+							t.Fatalf("refused %+v", refused)
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/pkg/schedule/baselines.go
+++ b/pkg/schedule/baselines.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
@@ -36,6 +37,7 @@
 	common.Common
 	view   *view.View
 	policy Policy
+	advice *advisory.Book
 
 	mu      sync.Mutex
 	turns   map[ids.Service]int
@@ -48,8 +50,8 @@
 }
 
 // NewBaseline returns a scheduler of a simple policy.
-func NewBaseline(c common.Common, v *view.View, policy Policy) *Baseline {
-	return &Baseline{Common: c, view: v, policy: policy, turns: make(map[ids.Service]int), reports: make(map[ids.Life]report)}
+func NewBaseline(c common.Common, v *view.View, policy Policy, advice *advisory.Book) *Baseline {
+	return &Baseline{Common: c, view: v, policy: policy, advice: advice, turns: make(map[ids.Service]int), reports: make(map[ids.Life]report)}
 }
 
 // Acquire gives a target at once.
@@ -61,12 +63,12 @@
 	defer b.mu.Unlock()
 	var offered []*routing.Target
 	for _, t := range b.view.Directory().Serving(ask.Service) {
-		if !slices.Contains(ask.Exclude, t.Life()) {
+		if !slices.Contains(ask.Exclude, t.Life()) && !b.advice.Of(t.Life()).Bars() {
 			offered = append(offered, t)
 		}
 	}
 	if len(offered) == 0 {
-		return nil, &Refused{RetryAfter: noTargetRetry}, nil
+		return nil, refusedBy(b.Common, b.advice, b.view.Directory().Serving(ask.Service)), nil
 	}
 	slices.SortFunc(offered, func(x, y *routing.Target) int {
 		if x.ID < y.ID {
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
@@ -17,7 +18,8 @@
 // without an agent, and everything while no agent can be reached.
 type Local struct {
 	common.Common
-	view *view.View
+	view   *view.View
+	advice *advisory.Book
 
 	mu      sync.Mutex
 	targets map[ids.Life]*record
@@ -29,13 +31,22 @@
 	health  planner.Health
 }
 
-// NewLocal returns a scheduler that has placed nothing.
-func NewLocal(c common.Common, v *view.View) *Local {
-	return &Local{Common: c, view: v, targets: make(map[ids.Life]*record)}
+// NewLocal returns a scheduler that has placed nothing. It gives no target that has told this entry to
+// send nothing, as the book has it.
+func NewLocal(c common.Common, v *view.View, advice *advisory.Book) *Local {
+	return &Local{Common: c, view: v, advice: advice, targets: make(map[ids.Life]*record)}
 }
 
 const noTargetRetry = 500 * clock.Millisecond
 
+// refusedBy says why none of some targets may get a request from here.
+func refusedBy(c common.Common, advice *advisory.Book, targets []*routing.Target) *Refused {
+	if rest := advice.AllRest(targets); rest > 0 {
+		return &Refused{Resting: true, Wait: rest, RetryAfter: planner.AfterRest(rest, c.Random.Fork().Float64())}
+	}
+	return &Refused{RetryAfter: noTargetRetry}
+}
+
 // Acquire gives the least loaded target at once.
 func (l *Local) Acquire(ctx context.Context, ask Ask) (Place, *Refused, error) {
 	if err := ctx.Err(); err != nil {
@@ -45,7 +56,7 @@
 	defer l.mu.Unlock()
 	target := l.best(ask)
 	if target == nil {
-		return nil, &Refused{RetryAfter: noTargetRetry}, nil
+		return nil, refusedBy(l.Common, l.advice, l.view.Directory().Serving(ask.Service)), nil
 	}
 	l.record(target.Life()).running++
 	return &localPlace{local: l, target: target}, nil, nil
@@ -68,6 +79,9 @@
 	var best *routing.Target
 	var least float64
 	for _, t := range l.view.Directory().Serving(ask.Service) {
+		if l.advice.Of(t.Life()).Bars() {
+			continue
+		}
 		r := l.record(t.Life())
 		cost := (float64(r.running) + random.Float64()/2) / float64(max(1, t.Slots))
 		if r.health.Aside(now) {
--- a/pkg/schedule/schedule.go
+++ b/pkg/schedule/schedule.go
@@ -33,8 +33,10 @@
 
 // Refused says that there is no place.
 type Refused struct {
-	// Overloaded is false if the service has no target at all.
+	// Overloaded is false if the service has no target at all, or all of them rest.
 	Overloaded bool
+	// Resting says that all targets have asked this entry for rest.
+	Resting    bool
 	RetryAfter clock.Millis
 	// Ahead is how many requests went before it, Wait how long it would have
 	// waited.
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -44,7 +44,7 @@
 func keep(schedule.Place) {}
 
 func TestOwnCountsSpreadRequests(t *testing.T) {
-	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4))
+	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4), nil)
 	for id, n := range take(t, s, 40, nil, keep) {
 		if n != 10 {
 			t.Errorf("%s got %d of 40", id, n)
@@ -53,7 +53,7 @@
 }
 
 func TestOwnCountsAvoidATargetThatCannotBeReached(t *testing.T) {
-	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4))
+	s := schedule.NewLocal(commontest.New(network.NewMemory(nil)), newView(4), nil)
 	got := take(t, s, 40, nil, func(p schedule.Place) {
 		if p.Target().ID == "t0" {
 			p.Done(planner.Unreached, planner.Flow{})
@@ -67,7 +67,7 @@
 }
 
 func TestRoundRobinTakesTurns(t *testing.T) {
-	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(4), schedule.RoundRobin)
+	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(4), schedule.RoundRobin, nil)
 	for id, n := range take(t, s, 40, nil, keep) {
 		if n != 10 {
 			t.Errorf("%s got %d of 40", id, n)
@@ -76,7 +76,7 @@
 }
 
 func TestLeastReportedFollowsReports(t *testing.T) {
-	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(3), schedule.LeastReported)
+	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(3), schedule.LeastReported, nil)
 	take(t, s, 3, nil, func(p schedule.Place) {
 		load := &planner.Load{Running: 2}
 		if p.Target().ID == "t1" {
@@ -94,7 +94,7 @@
 
 func TestWithoutTargetsThereIsNoPlace(t *testing.T) {
 	c := commontest.New(network.NewMemory(nil))
-	for _, s := range []schedule.Scheduler{schedule.NewLocal(c, newView(0)), schedule.NewBaseline(c, newView(0), schedule.RoundRobin)} {
+	for _, s := range []schedule.Scheduler{schedule.NewLocal(c, newView(0), nil), schedule.NewBaseline(c, newView(0), schedule.RoundRobin, nil)} {
 		p, refused, err := s.Acquire(context.Background(), schedule.Ask{Service: "s"})
 		if p != nil || refused == nil || refused.RetryAfter <= 0 || err != nil {
 			t.Errorf("place %v, refused %+v, %v", p, refused, err)
