--- a/pkg/app/advice_test.go
+++ b/pkg/app/advice_test.go
@@ -113,7 +113,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newAdviceBed(t)
 		b.shed(6, shedding{share: 0.3, rest: 3 * time.Second, own: true})
-		b.callers(10*time.Second)
+		b.callers(10 * time.Second)
 		b.check()
 	})
 }
@@ -157,7 +157,7 @@
 		}
 		b.shed(12, shedding{})
 		time.Sleep(long)
-		again := b.callers(b.now()+2*time.Second)
+		again := b.callers(b.now() + 2*time.Second)
 		if share := served(again, b.now()-time.Second, b.now()); share < 0.97 {
 			t.Errorf("served %.3f in the second second after the end", share)
 		}
