--- a/pkg/app/advice_bed_test.go
+++ b/pkg/app/advice_bed_test.go
@@ -66,9 +66,11 @@
 	reached     int
 }
 
-func newAdviceBed(t *testing.T) *adviceBed {
+func newAdviceBed(t *testing.T) *adviceBed { return newAdviceBedOf(t, 1, 3, crashTargets) }
+
+func newAdviceBedOf(t *testing.T, seed uint64, entries, targets int) *adviceBed {
 	b := &adviceBed{
-		crashBed: newCrashBed(t, 1, 3), leaving: make(map[int]bool), sheds: make(map[int]shedding),
+		crashBed: newCrashBedOf(t, seed, entries, targets), leaving: make(map[int]bool), sheds: make(map[int]shedding),
 		sent: make(map[string]sentCall), told: make(map[pair]time.Duration), rests: make(map[pair][]*rest), pairs: make(map[pair]bool),
 		arrivals: make(map[string]int), lastArrival: make(map[string]time.Duration),
 	}
@@ -163,9 +165,14 @@
 
 // callers sends requests of both kinds to all entries until a moment and returns their answers.
 func (b *adviceBed) callers(until time.Duration) []adviceAnswer {
+	return b.callersAt(adviceLoad, until)
+}
+
+// callersAt is callers with so many requests a second.
+func (b *adviceBed) callersAt(perSecond float64, until time.Duration) []adviceAnswer {
 	var mu sync.Mutex
 	var answers []adviceAnswer
-	b.every(adviceLoad, b.now(), until, func() {
+	b.every(perSecond, b.now(), until, func() {
 		a := b.callOnce(b.draw(len(b.entries)))
 		mu.Lock()
 		defer mu.Unlock()
--- /dev/null
+++ b/pkg/app/counted_socket_test.go
@@ -0,0 +1,29 @@
+package app
+
+import (
+	"net/netip"
+
+	"quaydock/pkg/packets"
+)
+
+// countedSocket counts what is sent through a socket.
+type countedSocket struct {
+	packets.Socket
+	bed *crashBed
+}
+
+func (b *crashBed) counted(s packets.Socket) packets.Socket { return countedSocket{s, b} }
+
+func (s countedSocket) WriteToUDPAddrPort(body []byte, to netip.AddrPort) (int, error) {
+	s.bed.mu.Lock()
+	s.bed.bytes[packets.Kind(body[0])] += len(body)
+	s.bed.mu.Unlock()
+	return s.Socket.WriteToUDPAddrPort(body, to)
+}
+
+// sentBytes is how many bytes of a kind the entries have sent.
+func (b *crashBed) sentBytes(kind packets.Kind) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bytes[kind]
+}
--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -46,6 +46,8 @@
 	ends    map[string][]time.Duration
 	reached map[string][]time.Duration // of bodies under which targets end, when each try reached one
 	usual   []usualCall
+	// bytes is how many the entries have sent in datagrams, by kind.
+	bytes map[packets.Kind]int
 	// answers, if set, sees each request that reaches the engine that it is meant for, and reports whether it has
 	// answered it. It is set before the first request.
 	answers func(e *crashEngine, w http.ResponseWriter, r *http.Request) bool
@@ -82,10 +84,16 @@
 const fatal = "fatal"
 
 func newCrashBed(t *testing.T, seed uint64, entries int) *crashBed {
+	return newCrashBedOf(t, seed, entries, crashTargets)
+}
+
+// newCrashBedOf is newCrashBed with so many targets.
+func newCrashBedOf(t *testing.T, seed uint64, entries, targets int) *crashBed {
 	b := &crashBed{
 		t: t, seed: seed, store: storetest.New(), net: network.NewMemory(nil), datagrams: packets.NewMemory(), began: time.Now(),
-		entries: make([]*crashEntry, entries), engines: make([]*crashEngine, crashTargets), random: rand.New(rand.NewPCG(seed, 9)),
+		entries: make([]*crashEntry, entries), engines: make([]*crashEngine, targets), random: rand.New(rand.NewPCG(seed, 9)),
 		cut: make(map[netip.AddrPort]bool), away: make(map[int]bool), ends: make(map[string][]time.Duration), reached: make(map[string][]time.Duration),
+		bytes: make(map[packets.Kind]int),
 	}
 	b.datagrams.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool {
 		b.mu.Lock()
@@ -96,7 +104,7 @@
 	for i := range entries {
 		b.serveStore(i)
 	}
-	for n := range crashTargets {
+	for n := range targets {
 		b.startEngine(n)
 	}
 	for i := range entries {
@@ -163,7 +171,7 @@
 		Store:  platform.StoreSettings{Address: storeAddress(i)},
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	link := packets.NewLink(c, b.datagrams.Socket(netip.MustParseAddrPort(s.InternalAddress(0))))
+	link := packets.NewLink(c, b.counted(b.datagrams.Socket(netip.MustParseAddrPort(s.InternalAddress(0)))))
 	p, err := newEntryProcess(c, s, entryOptions{policy: schedule.Planned}, link)
 	if err != nil {
 		b.t.Fatal(err)
--- a/pkg/app/crash_engines_test.go
+++ b/pkg/app/crash_engines_test.go
@@ -19,15 +19,21 @@
 	bed    *crashBed
 	n      int
 	id     string
+	born   ids.Start
 	server *http.Server
 	once   sync.Once
 }
 
+// address is where the nth target listens, whatever its life.
+func (e *crashEngine) address() string { return targetAddress(e.n) }
+
+func targetAddress(n int) string { return fmt.Sprintf("10.9.%d.%d:80", n/200, 1+n%200) }
+
 func (b *crashBed) startEngine(n int) { b.startEngineAs(n, "") }
 
 // startEngineAs starts the nth target under an id, or under one of its own.
 func (b *crashBed) startEngineAs(n int, id string) {
-	address := fmt.Sprintf("10.9.0.%d:80", n+1)
+	address := targetAddress(n)
 	b.mu.Lock()
 	if b.over {
 		b.mu.Unlock()
@@ -35,6 +41,7 @@
 	}
 	b.started++
 	e := &crashEngine{bed: b, n: n, id: cmp.Or(id, fmt.Sprintf("t-%d-%d", n, b.started))}
+	e.born = ids.Start(time.Now().UnixMilli())
 	e.server = &http.Server{Handler: e}
 	b.engines[n] = e
 	listener, err := b.net.Listen(address)
@@ -44,7 +51,7 @@
 		return
 	}
 	go func() { _ = e.server.Serve(listener) }()
-	row := wiretest.Engine{Service: "s", Address: address, Domain: "d", Version: "v1", Slots: crashSlots, State: wiretest.Ready, Sequence: 1, Born: ids.Start(time.Now().UnixMilli())}
+	row := wiretest.Engine{Service: "s", Address: address, Domain: "d", Version: "v1", Slots: crashSlots, State: wiretest.Ready, Sequence: 1, Born: e.born}
 	b.store.Put(platform.TableTargets, e.id, row.Row())
 }
 
