--- a/pkg/planner/advice.go
+++ b/pkg/planner/advice.go
@@ -29,9 +29,8 @@
 }
 
 // Advise takes what a target has told an entry of itself. That it leaves holds for all entries. Rest is asked
-// of the entry that was told alone, since a target may turn one away and serve the others: of 12 targets
-// that turn away three in ten requests, a rest that all entries heed leaves a third of the work undone. One that turns all
-// away is set aside for all by its failures in a row.
+// of the entry that was told alone, since a target may turn one away and serve the others, which only prefer other
+// targets meanwhile.
 func (p *Planner) Advise(now clock.Millis, entry string, at ids.Life, leaving bool, left clock.Millis) {
 	t := p.knownLife(at)
 	if t == nil {
@@ -88,6 +87,23 @@
 	return true
 }
 
+// restCost is what it counts, in ms, that a target rests from other entries: it may turn this one away as well, but
+// it may not. With it three entries before 12 targets, of which half turn 3 in 10 away, are turned away 18 times in
+// 8 s instead of 51, and 8 before 60 targets are served .996 instead of .985; where targets turn one entry of three
+// away, at nine tenths of what all can do, the others are served .999 as without it, and .866 if they heed that rest
+// (means of two and three series in virtual time). 400 gains nothing more.
+const restCost = 100.0
+
+// restsFromOthers reports whether a target rests from some entry.
+func (t *target) restsFromOthers(now clock.Millis) bool {
+	for _, r := range t.rests {
+		if now < r.until {
+			return true
+		}
+	}
+	return false
+}
+
 // servedAfterRest notes that a target has served a job of an entry.
 func (t *target) servedAfterRest(now clock.Millis, entry string) {
 	if r := t.rests[entry]; r != nil && now >= r.until {
--- a/pkg/planner/advice_test.go
+++ b/pkg/planner/advice_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// TestOthersPreferTargetsThatDoNotRest: they go where nobody was turned away, as long as there is room.
+func TestOthersPreferTargetsThatDoNotRest(t *testing.T) {
+	p := newPlanner(8, 4)
+	p.Advise(start, "a", firstTarget, false, 3*clock.Second)
+	for n := range uint64(6) {
+		p.Submit(start, of("b", n, start))
+	}
+	if got := targetsOf(p.Decisions()); !slices.Equal(got, []ids.Target{"t1", "t1", "t1", "t1", "t0", "t0"}) {
+		t.Errorf("granted %v", got)
+	}
+}
+
 // TestRestIsAskedOfOneEntry: the entry that was told sends nothing in that time, others go on.
 func TestRestIsAskedOfOneEntry(t *testing.T) {
 	p := newPlanner(8, 2)
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -182,6 +182,9 @@
 	if disturbs && job.Gap > 0 && f*p.speeds.holdTime(running+1, t.reading+job.Prompt) > gapPart*float64(job.Gap) {
 		cost += lateCost * float64(running)
 	}
+	if now < p.restsUntil && t.restsFromOthers(now) {
+		cost += restCost
+	}
 	if job.Domain != t.Domain && !p.off.Off(ablation.DomainCost) {
 		cost += domainCost
 	}
