--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -41,6 +41,8 @@
 	sequences map[string]*sequence
 	order     []string
 	runs      map[string]int
+	rest      time.Duration // it turns all calls away and asks for that, if above 0
+	turned    int
 	stepping  bool
 	steps     sync.WaitGroup
 }
@@ -58,6 +60,37 @@
 	e.slowdown = factor
 }
 
+// TurnAway has the engine turn all calls away and ask for rest in seconds, as an engine does that has too
+// much to do; 0 ends that.
+func (e *Engine) TurnAway(rest time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rest = rest
+}
+
+// TurnedAway returns how many calls the engine has turned away.
+func (e *Engine) TurnedAway() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.turned
+}
+
+// turnsAway answers a call that the engine turns away; it reports false if it takes it.
+func (e *Engine) turnsAway(w http.ResponseWriter) bool {
+	e.mu.Lock()
+	rest := e.rest
+	if rest > 0 {
+		e.turned++
+	}
+	e.mu.Unlock()
+	if rest <= 0 {
+		return false
+	}
+	w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	http.Error(w, `{"error":{"message":"too much to do","type":"server_error","code":null,"param":null}}`, http.StatusServiceUnavailable)
+	return true
+}
+
 // FirstToken returns when the engine made the first token of a request's
 // answer, and whether it has.
 func (e *Engine) FirstToken(request string) (time.Time, bool) {
@@ -123,6 +156,9 @@
 		http.Error(w, `{"error":{"message":"bad body","type":"invalid_request_error","code":null,"param":null}}`, http.StatusBadRequest)
 		return
 	}
+	if e.turnsAway(w) {
+		return
+	}
 	if call.MaxTokens < 1 {
 		call.MaxTokens = usualTokens
 	}
