Agents heed a time of rest that their target asks for

An agent that gets 429 or 503 with Retry-After from its target grants nothing until that is over, says so in its load, keeps the tickets that can wait, and declines the others as full; entries place elsewhere, and tell callers to come back not before the end. The timer of an agent goes off for what comes first; it was not set anew for something earlier. The field is read in one place for both ways to run (advisory.ReadRest). A model engine has no common word for leaving; nothing is read of that.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -48,6 +48,7 @@
 	keptSize int64
 	revision declaration.Revision
 	timer    *time.Timer
+	timerAt  clock.Millis // when it goes off
 	listener net.Listener
 	closed   bool // no further session is opened
 }
@@ -61,13 +62,13 @@
 		Common:      c,
 		settings:    s,
 		incarnation: incarnation,
-		target:      newTargetClient(c),
 		ctx:         ctx,
 		stop:        stop,
 		sessions:    make(map[gate.Session]*controlSession),
 		conns:       make(map[gate.Session]net.Conn),
 		works:       make(map[ids.Grant]*work),
 	}
+	a.target = newTargetClient(c, a.rest)
 	a.gate = gate.New(incarnation, gate.Limits{
 		QueueTime: s.QueueTimeMS,
 		QueueMin:  s.QueueMinTokens,
@@ -173,21 +174,23 @@
 	a.gate.DropSession(s.id)
 }
 
-// settle hands out the gate's notices and sets the timer for the next grant to
-// expire; the lock is held.
+// settle hands out the gate's notices and sets the timer for what time changes next; the lock is held.
 func (a *Agent) settle() {
 	for _, n := range a.gate.Notices() {
 		if s := a.sessions[n.Session]; s != nil {
 			s.notify(n.Verdict)
 		}
 	}
-	if a.timer != nil {
+	now := a.Clock.Now()
+	at, waits := a.gate.NextTick(now)
+	if !waits || a.timer != nil && a.timerAt <= at {
 		return
 	}
-	if at, waits := a.gate.NextExpiry(); waits {
-		wait := max(at-a.Clock.Now(), clock.Millisecond)
-		a.timer = time.AfterFunc(wait.Duration(), a.expire)
+	if a.timer != nil {
+		a.timer.Stop()
 	}
+	wait := max(at-now, clock.Millisecond)
+	a.timer, a.timerAt = time.AfterFunc(wait.Duration(), a.expire), at
 }
 
 func (a *Agent) expire() {
@@ -198,6 +201,15 @@
 	a.settle()
 }
 
+// rest keeps the target from new requests for a while, as it has asked for that.
+func (a *Agent) rest(left clock.Millis) {
+	a.Log.WithField("rest_ms", int64(left)).Info("the target asks for rest")
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Rest(a.Clock.Now(), left)
+	a.settle()
+}
+
 func (a *Agent) place(session gate.Session, args *control.PlaceArgs) ([]control.Verdict, control.Load) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/control"
@@ -43,10 +44,12 @@
 	common.Common
 	transport *http.Transport
 	declared  atomic.Pointer[declaration.Target]
+	rests     func(left clock.Millis)
 }
 
-func newTargetClient(c common.Common) *targetClient {
-	t := &targetClient{Common: c}
+// newTargetClient returns a client; rests is told when the target asks for no requests for a while.
+func newTargetClient(c common.Common, rests func(left clock.Millis)) *targetClient {
+	t := &targetClient{Common: c, rests: rests}
 	t.transport = network.NewTransport(c.Network, network.TransportOptions{
 		DialTimeout: targetDial,
 		DialError:   errNotReached,
@@ -148,6 +151,7 @@
 	response, err := t.transport.RoundTrip(request)
 	switch {
 	case err == nil:
+		t.heed(response)
 		return response, nil
 	case errors.Is(err, errNotReached), ctx.Err() == nil && tried.untouched():
 		return nil, fmt.Errorf("calling the target: %w: %w", errNotReached, err)
@@ -156,6 +160,16 @@
 	}
 }
 
+// heed passes on that a target which turns a call away asks for rest.
+func (t *targetClient) heed(response *http.Response) {
+	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusTooManyRequests {
+		return
+	}
+	if rest := advisory.ReadRest(response.Header); rest > 0 {
+		t.rests(rest)
+	}
+}
+
 // onceReader is a body that can be read only once.
 type onceReader struct{ io.Reader }
 
--- a/pkg/app/advice_size_test.go
+++ b/pkg/app/advice_size_test.go
@@ -84,7 +84,7 @@
 // links adds up counters of all entries.
 func (b *adviceBed) links(names ...string) map[string]int64 {
 	sums := make(map[string]int64)
-	for _, e := range b.crashBed.entries {
+	for _, e := range b.entries {
 		for _, name := range names {
 			if n, counted := e.process.Metrics.Links.Get(name).(*expvar.Int); counted {
 				sums[name] += n.Value()
@@ -96,7 +96,7 @@
 
 // perSecond is how many bytes of a kind of datagrams an entry has sent a second.
 func (b *adviceBed) perSecond(kind packets.Kind, length time.Duration) float64 {
-	return float64(b.sentBytes(kind)) / length.Seconds() / float64(len(b.crashBed.entries))
+	return float64(b.sentBytes(kind)) / length.Seconds() / float64(len(b.entries))
 }
 
 // ninetyFifth is the time within which 95 in 100 answers came.
--- a/pkg/balance/order.go
+++ b/pkg/balance/order.go
@@ -57,7 +57,7 @@
 		// time in which all of them end.
 		work += float64(c.Load.Running) / float64(max(1, c.Load.Slots))
 	}
-	return work / drain
+	return work/drain + c.Load.Rest.Duration().Seconds()
 }
 
 // Order returns the indexes of the candidates in the order in which to ask
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -89,6 +89,8 @@
 	UnitMicros int64
 	// Leaving says that the agent takes no new work.
 	Leaving bool
+	// Rest is how much longer the target wants no requests, by its own word.
+	Rest clock.Millis
 	// Revision is the configuration that the agent has in force.
 	Revision declaration.Revision
 }
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -196,15 +196,18 @@
 }
 
 // retryAfter is the time in which the least loaded of the full targets drains
-// half of its queue.
+// half of its queue, and none before its rest is over.
 func retryAfter(full []*session, tier ids.TierRank) clock.Millis {
 	best := maxRetryAfter
 	for _, s := range full {
 		load := s.lastLoad()
-		if load.DrainPerSecond <= 0 {
-			continue
+		wait := load.Rest
+		if load.DrainPerSecond > 0 {
+			wait = max(wait, drainTime(load.QueuedBefore(tier)/2, load.DrainPerSecond))
+		}
+		if wait > 0 || load.DrainPerSecond > 0 {
+			best = min(best, wait)
 		}
-		best = min(best, drainTime(load.QueuedBefore(tier)/2, load.DrainPerSecond))
 	}
 	return max(best, minRetryAfter)
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -52,6 +52,8 @@
 	queue    *Queue
 	services map[ids.Service]bool
 	leaving  bool
+	// restsUntil is until when the target wants no requests, by its own word.
+	restsUntil clock.Millis
 
 	sequence   uint64
 	grants     map[ids.Grant]*grantRecord
@@ -137,7 +139,7 @@
 	if reason := g.refusal(now, &ticket); reason != control.NoReason {
 		return control.Verdict{Request: ticket.Request, Kind: control.Declined, Reason: reason}
 	}
-	if g.queue.Len() == 0 && g.free() > 0 {
+	if g.queue.Len() == 0 && g.free(now) > 0 {
 		return g.grant(now, session, &ticket)
 	}
 	g.queue.push(session, ticket, now+ticket.Remaining)
@@ -146,13 +148,27 @@
 	return control.Verdict{Request: ticket.Request, Kind: control.Queued}
 }
 
-func (g *Gate) free() int {
+// Rest keeps the target from new dispatches for a while, as it has asked for that. Grants that are out stay good.
+func (g *Gate) Rest(now, left clock.Millis) {
+	g.restsUntil = max(g.restsUntil, now+left)
+}
+
+// rest is how much longer the target wants no requests.
+func (g *Gate) rest(now clock.Millis) clock.Millis {
+	return max(0, g.restsUntil-now)
+}
+
+// free is how many more requests could be granted now.
+func (g *Gate) free(now clock.Millis) int {
+	if g.rest(now) > 0 {
+		return 0
+	}
 	return g.limits.Slots - g.runCount - g.openCount
 }
 
 // pump grants while there is room.
 func (g *Gate) pump(now clock.Millis) {
-	for !g.leaving && g.free() > 0 {
+	for !g.leaving && g.free(now) > 0 {
 		highest, waits := g.queue.highest()
 		if !waits {
 			return
@@ -195,15 +211,20 @@
 	g.pump(now)
 }
 
-// NextExpiry returns when the oldest unused grant expires, and whether there
-// is one.
-func (g *Gate) NextExpiry() (clock.Millis, bool) {
+// NextTick returns when only time changes something next, and whether it does: the oldest unused grant expires, or
+// a rest is over for which tickets wait.
+func (g *Gate) NextTick(now clock.Millis) (clock.Millis, bool) {
+	next, waits := g.restsUntil, g.rest(now) > 0 && g.queue.Len() > 0
 	for _, r := range g.open {
-		if r.open {
-			return r.deadline, true
+		if !r.open {
+			continue
+		}
+		if !waits || r.deadline < next {
+			next = r.deadline
 		}
+		return next, true
 	}
-	return 0, false
+	return next, waits
 }
 
 // Load describes the gate for replies.
@@ -211,7 +232,8 @@
 	return control.Load{
 		Agent:          g.agent,
 		Slots:          g.limits.Slots,
-		Free:           max(0, g.free()-g.queue.Len()),
+		Free:           max(0, g.free(now)-g.queue.Len()),
+		Rest:           g.rest(now),
 		Queued:         g.queue.workByTier(),
 		Running:        g.runWork,
 		Floor:          g.floorAt(now),
--- a/pkg/gate/refusal.go
+++ b/pkg/gate/refusal.go
@@ -23,6 +23,10 @@
 	if g.unit.least(ticket.Work()) >= ticket.Remaining {
 		return control.Late
 	}
+	if rest := g.rest(now); rest > 0 && rest+g.unit.least(ticket.Work()) >= ticket.Remaining {
+		g.raiseFloor(now, ticket.Tier)
+		return control.Full // and not late: it may come back when the target works again
+	}
 	if (g.full(ticket) || g.hopeless(ticket)) && !g.servesBelow(ticket.Tier) {
 		g.raiseFloor(now, ticket.Tier)
 		return control.Full
