quayctl status shows the targets that leave or rest by their own word

Beside what the list of targets says of them, from an entry's metrics address, which tells its readiness there too. The logs alone had told neither source.

--- a/pkg/advisory/book_test.go
+++ b/pkg/advisory/book_test.go
@@ -158,3 +158,28 @@
 		}
 	}
 }
+
+// TestOperatorsSeeBothSources: what a target says of itself stands beside what the list says.
+func TestOperatorsSeeBothSources(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBook()
+		for _, id := range []ids.Target{"again", "gone", "leaving", "ready"} {
+			b.Hear(ids.Life{Target: id, Start: 5000}, "r", advisory.Advice{Leaving: true})
+		}
+		b.Hear(ids.Life{Target: "resting", Start: 5000}, "r", advisory.Advice{Rest: clock.Second})
+		directory := routing.NewDirectory([]*routing.Target{
+			{ID: "again", Start: 6000, Service: "s"}, {ID: "leaving", Start: 5000, Service: "s", Leaving: true},
+			{ID: "ready", Start: 5000, Service: "s"}, {ID: "resting", Start: 5000, Service: "s"},
+		})
+		want := []advisory.Report{
+			{Target: "again", Start: 5000, Service: "s", Listed: "started again", Leaving: true},
+			{Target: "gone", Start: 5000, Listed: "not listed", Leaving: true},
+			{Target: "leaving", Start: 5000, Service: "s", Listed: "leaving", Leaving: true},
+			{Target: "ready", Start: 5000, Service: "s", Listed: "ready", Leaving: true},
+			{Target: "resting", Start: 5000, Service: "s", Listed: "ready", Rest: clock.Second},
+		}
+		if got := b.Reports(directory); !slices.Equal(got, want) {
+			t.Errorf("%+v, want %+v", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/advisory/report.go
@@ -0,0 +1,43 @@
+package advisory
+
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+)
+
+// Report is what operators are shown of a target that has said something of itself: its own word at one entry,
+// beside what the list of targets says.
+type Report struct {
+	Target  ids.Target  `json:"target"`
+	Start   ids.Start   `json:"start"`
+	Service ids.Service `json:"service,omitempty"`
+	// Listed is "ready", "leaving", "started again" or "not listed".
+	Listed  string       `json:"listed"`
+	Leaving bool         `json:"leaving"`
+	Rest    clock.Millis `json:"rest_ms"`
+}
+
+// Reports describes all targets that leave or rest by their own word.
+func (b *Book) Reports(listed *routing.Directory) []Report {
+	reports := []Report{}
+	for _, s := range b.All() {
+		r := Report{Target: s.Life.Target, Start: s.Life.Start, Listed: "not listed", Leaving: s.Leaving, Rest: s.Rest}
+		if t := listed.Target(s.Life.Target); t != nil {
+			r.Service, r.Listed = t.Service, stateOf(t, s.Life)
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+func stateOf(t *routing.Target, life ids.Life) string {
+	switch {
+	case !t.Life().Same(life):
+		return "started again"
+	case t.Leaving:
+		return "leaving"
+	default:
+		return "ready"
+	}
+}
--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/operators"
 	"quaydock/pkg/quarantine"
 )
@@ -54,10 +55,21 @@
 	mux.Handle("GET "+operators.PathMetrics, p.Metrics)
 	mux.HandleFunc("GET "+operators.PathRollouts, tell(p, p.dispatcher.Rollouts))
 	mux.HandleFunc("GET "+operators.PathQuarantine, tell(p, p.guard.Held))
+	mux.HandleFunc("GET "+operators.PathAdvice, tell(p, p.toldByTargets))
+	mux.HandleFunc("GET "+operators.PathReady, p.ready(http.StatusNoContent))
 	mux.HandleFunc("POST "+operators.PathQuarantine, p.release)
 	return mux
 }
 
+// toldByTargets lists the targets that leave or rest by their own word.
+func (p *entryProcess) toldByTargets() []advisory.Report {
+	listed := p.view.Directory()
+	if listed == nil {
+		return []advisory.Report{}
+	}
+	return p.advice.Reports(listed)
+}
+
 // advised is how many targets leave, and how many rest from this entry, by their own word.
 func (p *entryProcess) advised() (leaving, resting float64) {
 	for _, s := range p.advice.All() {
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -217,7 +217,7 @@
 	handlers := ingress.Handlers{Serve: p.controller, TurnAway: http.HandlerFunc(p.controller.TurnAway)}
 	p.callers = ingress.NewServer(c, handlers, shares)
 	p.figures = &http.Server{Handler: p.metrics(), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
-	p.readiness = &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
+	p.readiness = &http.Server{Handler: p.ready(http.StatusOK), ReadHeaderTimeout: headerTimeout.Duration(), ErrorLog: ingress.NewServerLog(c)}
 	return p, nil
 }
 
@@ -272,11 +272,13 @@
 	return nil
 }
 
-// ready answers the balancer.
-func (p *entryProcess) ready(w http.ResponseWriter, _ *http.Request) {
-	if !p.controller.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// ready answers whether callers should be sent here: the balancer by one status, operators by another.
+func (p *entryProcess) ready(success int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !p.controller.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(success)
 	}
-	w.WriteHeader(http.StatusOK)
 }
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -7,16 +7,19 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/dghubble/sling"
 
+	"quaydock/pkg/advisory"
 	"quaydock/pkg/operators"
 )
 
 const statusTimeout = 5 * time.Second
 
-// status shows readiness and metrics of one process.
+// status shows readiness and metrics of one process, and of an entry on the platform what its targets have told it.
 func status(ctx context.Context, args []string, out, errs io.Writer) error {
 	flags := flag.NewFlagSet("quayctl status", flag.ContinueOnError)
 	wait := flags.Duration("wait", 0, "how long to wait for the process to be ready")
@@ -40,9 +43,48 @@
 		word = "not ready"
 	}
 	report(out, fmt.Sprintf("%s %s\n%s", *at, word, metrics))
+	return showAdvice(ctx, *at, out)
+}
+
+// showAdvice shows the targets that leave or rest by their own word; only entries on the platform know that.
+func showAdvice(ctx context.Context, at string, out io.Writer) error {
+	code, document, err := get(ctx, at, operators.PathAdvice)
+	if err != nil {
+		return fmt.Errorf("what targets say: %w", err)
+	}
+	var targets []advisory.Report
+	if code != http.StatusOK {
+		return nil
+	}
+	if err := json.Unmarshal(document, &targets); err != nil {
+		return fmt.Errorf("reading what targets say: %w", err)
+	}
+	if len(targets) == 0 {
+		report(out, "no target leaves or rests by its own word")
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "target\tservice\tin the list\tby its own word") // Flush tells of errors
+	for _, t := range targets {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", t.Target, t.Service, t.Listed, ownWord(t))
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("printing: %w", err)
+	}
 	return nil
 }
 
+func ownWord(t advisory.Report) string {
+	var words []string
+	if t.Leaving {
+		words = append(words, "leaves")
+	}
+	if t.Rest > 0 {
+		words = append(words, fmt.Sprintf("rests for %.1f s", t.Rest.Duration().Seconds()))
+	}
+	return strings.Join(words, ", ")
+}
+
 // awaitReady returns when the process is ready or the time is over.
 func awaitReady(ctx context.Context, at string, wait time.Duration) {
 	const look = 50 * time.Millisecond
--- /dev/null
+++ b/pkg/ctl/status_test.go
@@ -0,0 +1,58 @@
+package ctl_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"quaydock/pkg/advisory"
+	"quaydock/pkg/ctl"
+	"quaydock/pkg/operators"
+)
+
+func TestStatusShowsWhatTargetsSay(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		told    []advisory.Report // nil where the process knows nothing of that
+		want    []string
+		without string
+	}{
+		{"a process without targets", nil, []string{" ready", `{"links":{}}`}, "own word"},
+		{"nothing said", []advisory.Report{}, []string{"no target leaves or rests"}, "in the list"},
+		{"some", []advisory.Report{
+			{Target: "t1", Service: "s", Listed: "ready", Leaving: true}, {Target: "t2", Service: "s", Listed: "leaving", Leaving: true, Rest: 2500},
+		}, []string{"t1      s        ready        leaves", "t2      s        leaving      leaves, rests for 2.5 s"}, "no target"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.URL.Path == operators.PathReady:
+					w.WriteHeader(http.StatusNoContent)
+				case r.URL.Path == operators.PathMetrics:
+					_, _ = w.Write([]byte(`{"links":{}}`))
+				case s.told != nil && r.URL.Path == operators.PathAdvice:
+					_ = json.NewEncoder(w).Encode(s.told)
+				default:
+					w.WriteHeader(http.StatusNotFound)
+				}
+			}))
+			defer server.Close()
+			var out, errs bytes.Buffer
+			if code := ctl.Main([]string{"status", "-at", strings.TrimPrefix(server.URL, "http://")}, &out, &errs); code != ctl.ExitOK {
+				t.Fatalf("exit code %d: %s", code, errs.String())
+			}
+			for _, text := range s.want {
+				if !strings.Contains(out.String(), text) {
+					t.Errorf("%q is missing in\n%s", text, out.String())
+				}
+			}
+			if strings.Contains(out.String(), s.without) {
+				t.Errorf("%q stands in\n%s", s.without, out.String())
+			}
+		})
+	}
+}
--- a/pkg/operators/port.go
+++ b/pkg/operators/port.go
@@ -25,6 +25,8 @@
 	// PathQuarantine tells which requests are held back, and lets the one go whose digest a POST names; it
 	// is served as PathRollouts is.
 	PathQuarantine = "/quarantine"
+	// PathAdvice tells which targets leave or rest by their own word; it is served as PathRollouts is.
+	PathAdvice = "/advice"
 	// PathProfile takes a processor profile for ?seconds=N.
 	PathProfile    = "/debug/pprof/profile"
 	PathHeap       = "/debug/pprof/heap"
