--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -191,7 +191,7 @@
 	p.advice = advisory.NewBook(c)
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.Marks { return platform.Dialect{}.Marks(h) }, p.advice)
 	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
-	p.guard = quarantine.New(quarantine.Parts{Common: c, Address: address, Peers: p.members, Link: link, Store: p.store.Quarantine()})
+	p.guard = quarantine.New(quarantine.Parts{Common: c, Address: address, Peers: p.members, Link: link, Store: p.store.Quarantine(), Leaves: p.leaves})
 	p.board = bulletin.NewBoard(c, p.members, link)
 	p.bounds.Store(&s.Bounds)
 	parts := dispatch.Parts{
@@ -221,6 +221,9 @@
 	return p, nil
 }
 
+// leaves reports whether a life of a target has said that it leaves.
+func (p *entryProcess) leaves(life ids.Life) bool { return p.advice.Of(life).Leaving }
+
 func (p *entryProcess) scheduler(policy schedule.Policy) schedule.Scheduler {
 	switch {
 	case p.Ablation.Off(ablation.PlannerHome):
--- a/pkg/quarantine/doubts.go
+++ b/pkg/quarantine/doubts.go
@@ -45,7 +45,8 @@
 	for _, d := range g.doubts.list {
 		listed := targets.Target(d.run.Life.Target)
 		switch {
-		case now-d.at > doubtFor, listed != nil && listed.Leaving: // it is to end
+		case now-d.at > doubtFor:
+		case listed != nil && listed.Leaving, g.leaves != nil && g.leaves(d.run.Life): // it is to end
 		case listed == nil || targets.Replaced(d.run.Life):
 			ended = append(ended, d.run)
 		default:
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -51,6 +51,8 @@
 	Peers   Peers
 	Link    *packets.Link
 	Store   Store
+	// Leaves reports whether a life of a target has said that it leaves; nil if that is not known.
+	Leaves func(ids.Life) bool
 }
 
 // Guard keeps requests that end their targets from running at one entry.
@@ -63,11 +65,12 @@
 	turns    *turns
 	news     *news
 	doubts   doubts
+	leaves   func(ids.Life) bool
 }
 
 // New returns a guard that knows nothing yet.
 func New(p Parts) *Guard {
-	g := &Guard{Common: p.Common, register: NewRegister(), peers: p.Peers, store: p.Store, link: p.Link, news: newNews()}
+	g := &Guard{Common: p.Common, register: NewRegister(), peers: p.Peers, store: p.Store, link: p.Link, news: newNews(), leaves: p.Leaves}
 	g.turns = newTurns(p.Common, p.Peers, p.Link, p.Address)
 	p.Metrics.Figures.Gauge("requests_suspected", func() float64 { return float64(g.register.Len()) })
 	p.Metrics.Figures.Gauge("requests_held_back", func() float64 { return float64(g.register.HeldCount()) })
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -244,3 +244,20 @@
 		})
 	}
 }
+
+// TestATargetThatHadSaidThatItLeaves: it says so only in its answers, after a connection of it broke, and its row
+// lapses. It was to end, so that what ran there is not to blame.
+func TestATargetThatHadSaidThatItLeaves(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := commontest.New(network.NewMemory(nil))
+			g := New(Parts{Common: c, Leaves: func(l ids.Life) bool { return leaves && l.Target == "t1" }})
+			g.Doubt(Run{Request: request(), Life: ids.Life{Target: "t1", Start: 4}})
+			time.Sleep(time.Second)
+			g.Follow(routing.NewDirectory(nil))
+			if got := g.Watches("acme"); got == leaves {
+				t.Errorf("had said that it leaves %t, taken for ended %t", leaves, got)
+			}
+		})
+	}
+}
