--- a/pkg/app/crash_test.go
+++ b/pkg/app/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -178,3 +180,75 @@
 	defer b.mu.Unlock()
 	b.cut[b.address(i)] = cut
 }
+
+// TestAnAccountThatSendsEverOtherRequestsThatEndTargets: one account sent a new body under which targets end four times
+// a second, each of them over and over. Each body cost a target or two before it was held back, and one more 5 s later:
+// 88 targets ended under 50 bodies, and another account was served half of its requests. What the bodies have in
+// common is their account.
+func TestAnAccountThatSendsEverOtherRequestsThatEndTargets(t *testing.T) {
+	const perSecond = 4 // bodies
+	scenarios := []struct {
+		name   string
+		bodies int
+		path   string
+		hurt   func(b *crashBed)
+	}{
+		{"50, not repeatable", 50, "/unsafe/q", nil},
+		{"50, repeatable", 50, "/safe/q", nil},
+		{"50, all entries killed", 50, "/unsafe/q", killAllAt(6 * time.Second)},
+		{"200", 200, "/unsafe/q", nil},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newCrashBed(t, 1, 3)
+				length := time.Duration(s.bodies/perSecond)*time.Second + 3*time.Second
+				if s.hurt != nil {
+					go s.hurt(b)
+				}
+				go func() {
+					for n := range s.bodies {
+						go b.repeats(s.path, fmt.Sprint(fatal, n), perSecond, 0, min(length, b.now()+6*time.Second))
+						time.Sleep(time.Second / perSecond)
+					}
+				}()
+				var own sync.WaitGroup
+				ownServed, ownAll := 0, 0
+				own.Go(func() {
+					b.every(10, 0, length, func() {
+						status, _ := b.call(b.draw(len(b.entries)), "/safe/q", "key-a", b.unlike())
+						b.mu.Lock()
+						defer b.mu.Unlock()
+						ownAll++
+						if status == http.StatusOK {
+							ownServed++
+						}
+					})
+				})
+				b.every(40, 0, length, func() {
+					at, body := b.now(), b.unlike()
+					status, text := b.call(b.draw(len(b.entries)), "/safe/q", "key-o", body)
+					b.mu.Lock()
+					defer b.mu.Unlock()
+					b.usual = append(b.usual, usualCall{at: at, body: body, status: status, text: text})
+				})
+				own.Wait()
+				ends := 0
+				for n := range s.bodies {
+					ended, _ := b.ended(fmt.Sprint(fatal, n))
+					ends += ended
+				}
+				settled := 6 * time.Second
+				if s.hurt != nil {
+					settled = 10 * time.Second
+				}
+				share := b.servedShare(settled, length)
+				t.Logf("%d targets ended under %d bodies; another account was served %.3f, from %v on %.3f; the account's own other requests %d of %d",
+					ends, s.bodies, b.servedShare(0, length), settled, share, ownServed, ownAll)
+				if share < 0.97 {
+					t.Errorf("another account was served %.3f from %v on", share, settled)
+				}
+			})
+		})
+	}
+}
