An account with ever other requests that end targets runs in turn, with pauses after each end

Cause: each body was judged by itself; what the bodies have in common, their account and route, had no record but "the first end is enough" from four on, so that each new body still cost a target, and one more 5 s later.

Change: an account with four requests of one route held back within a minute is suspected on that route. Requests of it that were not completed since run in turn, one at a time over all entries (the turns that suspected requests have already), and after each further end none does for 1, 2, 4 .. 30 s; a run that is allowed later waits for the same. After a minute without an end it is over. Rows read from the store, as at a start, are no news in this.

--- a/pkg/ingress/guarded.go
+++ b/pkg/ingress/guarded.go
@@ -53,7 +53,7 @@
 
 // permitted reports whether a request may still run with what permit returned.
 func (d *delivery) permitted(q *request, pass *quarantine.Pass) bool {
-	return !d.guard.Watches(q.accountName()) || d.guard.Allows(q.identify(), pass)
+	return !d.guard.Watches(q.accountName()) || d.guard.Allows(q.suspect(), pass)
 }
 
 // heldBack refuses a request under which targets have ended. It is told to come back when it may run
@@ -78,7 +78,7 @@
 		return pass
 	case completed:
 		if d.guard.Watches(q.accountName()) {
-			d.guard.Completed(q.identify())
+			d.guard.Succeeded(q.suspect())
 		}
 	case lost:
 		if !result.answered {
--- /dev/null
+++ b/pkg/quarantine/accounts_test.go
@@ -0,0 +1,123 @@
+package quarantine
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/network"
+)
+
+// holdBack has a number of requests of an account held back on a route at a moment, each at two ends.
+func holdBack(r *Register, now clock.Millis, from, count int) {
+	for n := from; n < from+count; n++ {
+		record := Record{Digest: digest(n), Account: "acme", Route: "r"}
+		record.Ends = []End{{Life: life(2 * n)}}
+		r.Join(now, &record)
+		record.Ends = []End{{Life: life(2*n + 1), Again: true}}
+		r.Join(now, &record)
+	}
+}
+
+func other(n int) Request { return Request{Digest: digest(n), Account: "acme", Route: "r"} }
+
+// TestWhenAnAccountIsSuspected: four requests of it on one route were held back within a minute. Other routes and
+// accounts are not suspected, what was completed meanwhile runs as ever, and rows that were read are no news.
+func TestWhenAnAccountIsSuspected(t *testing.T) {
+	const start = 1_000_000
+	scenarios := []struct {
+		name      string
+		do        func(r *Register)
+		request   Request
+		after     clock.Millis
+		suspected bool
+	}{
+		{"three", func(r *Register) { holdBack(r, start, 1, 3) }, other(9), 0, false},
+		{"four", func(r *Register) { holdBack(r, start, 1, 4) }, other(9), 0, true},
+		{"four over more than a minute", func(r *Register) { holdBack(r, start-61*clock.Second, 1, 1); holdBack(r, start, 2, 3) }, other(9), 0, false},
+		{"four, a minute later", func(r *Register) { holdBack(r, start, 1, 4) }, other(9), clock.Minute, false},
+		{"another route", func(r *Register) { holdBack(r, start, 1, 4) }, Request{Digest: digest(9), Account: "acme", Route: "r2"}, 0, false},
+		{"another account", func(r *Register) { holdBack(r, start, 1, 4) }, Request{Digest: digest(9), Account: "other", Route: "r"}, 0, false},
+		{"completed meanwhile", func(r *Register) { holdBack(r, start, 1, 4); r.Sound(start, other(9)) }, other(9), 0, false},
+		{"completed before", func(r *Register) { r.Sound(start, other(9)); holdBack(r, start, 1, 4) }, other(9), 0, true},
+		{"rows of the store", func(r *Register) {
+			for n := 1; n <= 4; n++ {
+				row := Record{Digest: digest(n), Account: "acme", Route: "r", Ends: []End{{Life: life(2 * n)}, {Life: life(2*n + 1), Again: true}}}
+				r.Read(start, &row, int64(n))
+			}
+		}, other(9), 0, false},
+	}
+	for _, s := range scenarios {
+		r := NewRegister()
+		r.Know(0)
+		s.do(r)
+		if got, _ := r.Suspected(start+s.after, s.request); got != s.suspected {
+			t.Errorf("%s: suspected %t, want %t", s.name, got, s.suspected)
+		}
+	}
+}
+
+// TestPausesOfASuspectedAccount: each further end stops its requests for twice as long, half a minute at the most; after
+// a minute without one it begins anew.
+func TestPausesOfASuspectedAccount(t *testing.T) {
+	const start = 1_000_000
+	r := NewRegister()
+	r.Know(0)
+	holdBack(r, start, 1, 4)
+	if _, wait := r.Suspected(start, other(99)); wait != 0 {
+		t.Errorf("a wait of %d ms before a further end", wait)
+	}
+	now, n := clock.Millis(start), 10
+	for _, want := range []clock.Millis{1, 2, 4, 8, 16, 30, 30} {
+		r.Join(now, &Record{Digest: digest(n), Account: "acme", Route: "r", Ends: []End{{Life: life(100 + n)}}})
+		n++
+		if _, wait := r.Suspected(now, other(99)); wait != want*clock.Second {
+			t.Errorf("a wait of %d ms, want %d s", wait, want)
+		}
+		now += want * clock.Second
+		if suspected, wait := r.Suspected(now, other(99)); !suspected || wait != 0 {
+			t.Errorf("at the end suspected %t, a wait of %d ms", suspected, wait)
+		}
+	}
+	now += suspectWithin
+	if suspected, _ := r.Suspected(now, other(99)); suspected {
+		t.Error("suspected for ever")
+	}
+}
+
+// TestRequestsOfASuspectedAccountRunOneAtATime: whichever they are; and what had got its place before its account
+// was suspected is asked again.
+func TestRequestsOfASuspectedAccountRunOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := commontest.New(network.NewMemory(nil))
+		g := New(Parts{Common: c})
+		if pass, refused := g.Enter(context.Background(), other(50)); pass != nil || refused != nil {
+			t.Fatal("suspected from the beginning")
+		}
+		holdBack(g.register, c.Clock.Now(), 1, 4)
+		if g.Allows(other(50), nil) {
+			t.Error("it runs without a turn")
+		}
+		first, _ := g.Enter(context.Background(), other(50))
+		if first == nil || !g.Allows(other(50), first) {
+			t.Fatal("the first has no turn")
+		}
+		began := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			first.Release(true)
+		}()
+		second, refused := g.Enter(context.Background(), other(51))
+		if took := time.Since(began); second == nil || took < 300*time.Millisecond || took > 400*time.Millisecond {
+			t.Errorf("the second: %+v after %v", refused, took)
+		}
+		g.Ended(Run{Request: other(51), Life: life(200)})
+		second.Release(true)
+		if _, refused := g.Enter(context.Background(), other(52)); refused == nil || refused.Held || refused.RetryAfter != clock.Second {
+			t.Errorf("after one more end: %+v", refused)
+		}
+	})
+}
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -131,10 +131,12 @@
 )
 
 // Allows reports whether a request may still run with what Enter returned some time ago.
-func (g *Guard) Allows(d Digest, p *Pass) bool {
-	switch g.register.Verdict(g.Clock.Now(), d) {
+func (g *Guard) Allows(r Request, p *Pass) bool {
+	now := g.Clock.Now()
+	switch g.register.Verdict(now, r.Digest) {
 	case Free:
-		return true
+		suspected, _ := g.register.Suspected(now, r)
+		return p != nil || !suspected
 	case Suspect:
 		return p != nil
 	default:
@@ -142,36 +144,74 @@
 	}
 }
 
-// Enter waits until a request may run. The pass is nil if there is nothing against it.
+// Enter waits until a request may run. The pass is nil if there is nothing against it or its account.
 func (g *Guard) Enter(ctx context.Context, r Request) (*Pass, *Refused) {
-	if g.register.Verdict(g.Clock.Now(), r.Digest) == Free {
+	if s := g.suspicion(r); s.none() {
 		return nil, nil
 	}
 	return g.await(ctx, r)
 }
 
-// await waits until a request may run against which something is known.
+// suspicion is what stands against a request now.
+type suspicion struct {
+	verdict Verdict
+	// account says that it runs in the turn of its account, wait in what time it may at the soonest.
+	account bool
+	wait    clock.Millis
+}
+
+func (s suspicion) none() bool { return s.verdict == Free && !s.account }
+
+func (g *Guard) suspicion(r Request) suspicion {
+	now := g.Clock.Now()
+	s := suspicion{verdict: g.register.Verdict(now, r.Digest)}
+	s.account, s.wait = g.register.Suspected(now, r)
+	return s
+}
+
+// await waits until a request may run against which, or whose account, something is known.
 func (g *Guard) await(ctx context.Context, r Request) (*Pass, *Refused) {
-	turn := g.turns.begin(r.Digest)
+	var turn *turn
+	defer func() { g.turns.release(turn) }()
 	for until := g.Clock.Now() + turnPatience; ; clock.Pause(ctx, turnPause) {
-		now := g.Clock.Now()
-		verdict := g.register.Verdict(now, r.Digest)
+		now, s := g.Clock.Now(), g.suspicion(r)
 		switch {
-		case verdict == Free:
-			g.turns.release(turn)
+		case s.none():
 			return nil, nil
-		case verdict == Held && !g.retry(ctx, r.Digest):
-			g.turns.release(turn)
+		case s.verdict == Held && !g.register.RetrialDue(now, r.Digest):
 			return nil, g.held(now, r.Digest)
-		case verdict == Held, g.turns.take(ctx, turn):
-			return &Pass{guard: g, digest: r.Digest, turn: turn, Again: true, retrial: verdict == Held}, nil
-		case ctx.Err() != nil || now >= until:
-			g.turns.release(turn)
+		case s.wait > 0:
+			return nil, &Refused{RetryAfter: s.wait}
+		}
+		turn = g.turnOf(turn, r, s)
+		if s.verdict == Held && !s.account || g.turns.take(ctx, turn) {
+			if s.verdict == Held && !g.retry(ctx, r.Digest) {
+				return nil, g.held(now, r.Digest)
+			}
+			taken := turn
+			turn = nil
+			return &Pass{guard: g, digest: r.Digest, turn: taken, Again: s.verdict != Free, retrial: s.verdict == Held}, nil
+		}
+		if ctx.Err() != nil || now >= until {
 			return nil, &Refused{RetryAfter: turnAgain}
 		}
 	}
 }
 
+// turnOf returns the turn that a request waits for, its own or that of its account, instead of one that it waited
+// for before, if any.
+func (g *Guard) turnOf(before *turn, r Request, s suspicion) *turn {
+	of := r.Digest
+	if s.account {
+		of = accountDigest(r)
+	}
+	if before != nil && before.digest == of {
+		return before
+	}
+	g.turns.release(before)
+	return g.turns.begin(of)
+}
+
 // retry allows one more run of a request that is held back, if it is time for that: targets may have
 // ended beside it for another reason. The store counts these runs, so that all entries together
 // make no more of them, also when they restart.
@@ -204,6 +244,12 @@
 	g.took(g.register.Completed(g.Clock.Now(), d))
 }
 
+// Succeeded notes that a request has been completed.
+func (g *Guard) Succeeded(r Request) {
+	g.register.Sound(g.Clock.Now(), r)
+	g.Completed(r.Digest)
+}
+
 // took tells the others what is new, and operators what begins and ends.
 func (g *Guard) took(c Change) {
 	if c.New {
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -23,9 +23,6 @@
 	// excusedFor is for how long it is remembered that a request was completed: news of its ends
 	// may still be under way.
 	excusedFor = clock.Minute
-	// suspectAccount is from how many requests of one account held back on that the first end under
-	// another one of it is enough: it sends many that end targets.
-	suspectAccount = 4
 	// firstRetrial and nextRetrial are when a request that is held back runs once more, counted
 	// from the moment at which that was first known here: targets that were lost for another
 	// reason are back by then. mostRetrials is how often in all.
@@ -59,9 +56,6 @@
 	dropped []Write
 }
 
-// holdings counts the records of one account, and those held back.
-type holdings struct{ records, held int }
-
 // NewRegister returns an empty register. Until Know is called, records that it doesn't have may
 // exist.
 func NewRegister() *Register {
@@ -128,7 +122,30 @@
 func (r *Register) Join(now clock.Millis, news *Record) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.join(now, news)
+	before := r.endsOf(news.Digest)
+	c := r.join(now, news)
+	h := r.accounts[news.Account]
+	if h == nil {
+		return c
+	}
+	// Rows of the store, which an entry reads when it starts, tell of ends that may be old; they don't come here.
+	if r.endsOf(news.Digest) > before {
+		h.on(news.Route).noteEnd(now)
+	}
+	if c.Before != Held && c.After == Held {
+		h.on(news.Route).noteHeld(now)
+	}
+	return c
+}
+
+// endsOf is how many ends stand against a request; the lock is held.
+func (r *Register) endsOf(d Digest) int {
+	e := r.records[d]
+	if e == nil {
+		return 0
+	}
+	count, _ := e.standing()
+	return count
 }
 
 func (r *Register) join(now clock.Millis, news *Record) Change {
@@ -246,6 +263,14 @@
 	return Write{Record: e.clone(), Version: e.version, Remove: !e.stored()}
 }
 
+// RetrialDue reports whether it is time for one more run of a request that is held back.
+func (r *Register) RetrialDue(now clock.Millis, d Digest) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.records[d]
+	return e != nil && e.retrialDue(now)
+}
+
 // Retry returns the write that allows one more run of a request that is held back, if it is time
 // for that. Done has to be called with its outcome.
 func (r *Register) Retry(now clock.Millis, d Digest) (Write, bool) {
--- a/pkg/quarantine/turns.go
+++ b/pkg/quarantine/turns.go
@@ -148,8 +148,11 @@
 	return true
 }
 
-// release gives a turn back, taken or not.
+// release gives a turn back, taken or not; nil is none.
 func (t *turns) release(own *turn) {
+	if own == nil {
+		return
+	}
 	t.mu.Lock()
 	delete(t.asking, own.number)
 	if own.alone {
