Tests: who starts in the place of a target that left; which targets are used after a rest

A life under the same id and another target at the address get work within 2 s, also after a store that was silent meanwhile. The test of all targets resting counted targets used at any time; it counts those of the last second now.

--- a/pkg/app/advice_bed_test.go
+++ b/pkg/app/advice_bed_test.go
@@ -204,6 +204,19 @@
 	return a
 }
 
+// usedSince is how many targets a request has reached since a moment.
+func (b *adviceBed) usedSince(from time.Duration) int {
+	b.said.Lock()
+	defer b.said.Unlock()
+	used := 0
+	for _, at := range b.lastArrival {
+		if at >= from {
+			used++
+		}
+	}
+	return used
+}
+
 // served is the part of answers to requests of a span that are whole.
 func served(answers []adviceAnswer, from, until time.Duration) float64 {
 	n, all := 0, 0
--- a/pkg/app/advice_test.go
+++ b/pkg/app/advice_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"quaydock/platform"
 )
 
 // TestATargetThatSaysThatItLeaves: a target said in each of its answers that it leaves, while its row in
@@ -161,10 +163,53 @@
 		if share := served(again, b.now()-time.Second, b.now()); share < 0.97 {
 			t.Errorf("served %.3f in the second second after the end", share)
 		}
-		b.said.Lock()
-		defer b.said.Unlock()
-		if len(b.lastArrival) < 12 {
-			t.Errorf("%d targets are used again", len(b.lastArrival))
+		if used := b.usedSince(b.now() - time.Second); used < 12 {
+			t.Errorf("%d targets are used in the second second after the end", used)
 		}
 	})
 }
+
+// TestWhoStartsInThePlaceOfATargetThatLeft: a target said that it leaves, and ended; it starts again under its id, or
+// another one stands at its address. What the former life said does not hold for these.
+func TestWhoStartsInThePlaceOfATargetThatLeft(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("same id %t, store silent before %t", sameID, silent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newAdviceBed(t)
+					former := b.engines[0].id
+					b.leave(1)
+					go b.callers(9 * time.Second)
+					time.Sleep(time.Second)
+					b.silenceStore(silent)
+					time.Sleep(2 * time.Second)
+					b.said.Lock()
+					delete(b.leaving, 0)
+					b.said.Unlock()
+					b.engines[0].end()
+					next := former
+					if !sameID {
+						b.store.Remove(platform.TableTargets, former)
+						next = "next"
+					}
+					time.Sleep(500 * time.Millisecond)
+					b.startEngineAs(0, next)
+					b.silenceStore(false)
+					b.said.Lock()
+					b.told = make(map[pair]time.Duration) // of the former life
+					before := b.arrivals[next]
+					b.said.Unlock()
+					// An entry asks a store that was silent again within a second.
+					time.Sleep(2 * time.Second)
+					b.said.Lock()
+					got := b.arrivals[next] - before
+					b.said.Unlock()
+					if got == 0 {
+						t.Error("it gets no request within 2 s")
+					}
+					time.Sleep(5 * time.Second)
+				})
+			})
+		}
+	}
+}
