One check of an address that a row names

Rows of targets and of entries were checked apart and not alike: those of entries took multicast addresses and addresses with a zone, which the test, that failed first, shows. One field of fields.Object for both.

--- a/pkg/fields/object.go
+++ b/pkg/fields/object.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"unicode"
 	"unicode/utf8"
@@ -31,6 +32,7 @@
 	errMissing    = errors.New("missing")
 	errType       = errors.New("of another type")
 	errOutOfRange = errors.New("out of range")
+	errAddress    = errors.New("no IP and port")
 )
 
 // usualFields is the capacity that an object begins with: the rows that are read most have
@@ -130,6 +132,23 @@
 	return *text
 }
 
+// mostAddress is longer than any IP and port.
+const mostAddress = 64
+
+// Address returns the IP and port of one process: neither a group of processes, nor one that means something on one
+// VM alone.
+func (o *Object) Address(name string) netip.AddrPort {
+	text := o.Text(name, mostAddress)
+	if text == "" {
+		return netip.AddrPort{} // told already
+	}
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 || a.Addr().Zone() != "" || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		o.Fail(name, errAddress)
+	}
+	return a
+}
+
 // CheckText reports what is wrong with a name: it is empty, longer than so many bytes, or
 // has control characters, which no header or log line takes.
 func CheckText(text string, most int) error {
--- a/pkg/membership/listing_row.go
+++ b/pkg/membership/listing_row.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"net/netip"
@@ -18,23 +17,17 @@
 	mostWeight = 10_000
 )
 
-// errAddress is the fault of a row whose address no datagram can be sent to.
-var errAddress = errors.New("no IP and port")
-
 // parseListing reads an entry's row.
 func parseListing(document []byte) (Listing, netip.AddrPort, error) {
 	o, err := fields.Parse(document)
 	if err != nil {
 		return Listing{}, netip.AddrPort{}, fmt.Errorf("row of an entry: %w", err)
 	}
-	l := Listing{Address: o.Text("address", mostName), Weight: o.Number("weight", math.SmallestNonzeroFloat64, mostWeight)}
+	address := o.Address("address")
+	l := Listing{Address: address.String(), Weight: o.Number("weight", math.SmallestNonzeroFloat64, mostWeight)}
 	if o.Has("domain") {
 		l.Domain = ids.FailureDomain(o.Text("domain", mostName))
 	}
-	address, err := netip.ParseAddrPort(l.Address)
-	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
-		o.Fail("address", errAddress)
-	}
 	if err := o.Err(); err != nil {
 		return Listing{}, netip.AddrPort{}, fmt.Errorf("row of an entry: %w", err)
 	}
