--- a/pkg/app/crash_test.go
+++ b/pkg/app/crash_test.go
@@ -200,6 +200,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				b := newCrashBed(t, 1, 3)
 				length := time.Duration(s.bodies/perSecond)*time.Second + 3*time.Second
