What a target says before its new start is read is its new life's word

It had started again under its id and its row was written late, so that the entry kept the word under the former life, which said nothing of the new one once the row was read.

Whose word it was is told by the connection on which it came: it is the new life's if that was made since its start, both by the time of day; for leaving, which would cost the target all its work at that entry, 3 s later. A place given back tells the home the reason under the life that it granted.

--- a/pkg/advisory/book.go
+++ b/pkg/advisory/book.go
@@ -42,6 +42,27 @@
 	leaving  bool
 	rests    clock.Millis // until then
 	listedAt clock.Millis // when it was last listed, or heard
+	// leavingOn and restsOn are when the connections were made on which these were heard, by the time of day; 0 if
+	// that is not known.
+	leavingOn, restsOn ids.Start
+}
+
+// leavingTolerance is by how much clocks of VMs may differ for the word of a life to be taken for that of the next
+// one, which would get nothing any more. A rest is over soon, and is taken without.
+const leavingTolerance ids.Start = 3000
+
+// of returns what the record says of a life. An entry that had not read of a target's new start took it for the
+// former life; what it heard on a connection that was made after that start was the new one's word. Without this
+// a target that had asked for 3 s of rest got four requests at once as soon as its row was read.
+func (r *record) of(life ids.Life, now clock.Millis) (leaving bool, rest clock.Millis) {
+	rest = max(0, r.rests-now)
+	if r.life.Same(life) {
+		return r.leaving, rest
+	}
+	if r.restsOn < life.Start {
+		rest = 0
+	}
+	return r.leaving && r.leavingOn >= life.Start+leavingTolerance, rest
 }
 
 // NewBook returns a book without advice.
@@ -53,7 +74,10 @@
 func (b *Book) OnHeard(heard func(Standing)) { b.heard = heard }
 
 // Hear takes the advice in an answer of a life of a target to a request.
-func (b *Book) Hear(life ids.Life, request string, a Advice) {
+func (b *Book) Hear(life ids.Life, request string, a Advice) { b.HearOn(life, 0, request, a) }
+
+// HearOn is Hear with the Unix millisecond at which the answer's connection was made.
+func (b *Book) HearOn(life ids.Life, connected ids.Start, request string, a Advice) {
 	if b == nil || !a.Leaving && a.Rest <= 0 {
 		return
 	}
@@ -61,11 +85,13 @@
 	b.mu.Lock()
 	r := b.record(life)
 	leaves := a.Leaving && !r.leaving
-	r.leaving = r.leaving || a.Leaving
+	if a.Leaving {
+		r.leaving, r.leavingOn = true, max(r.leavingOn, connected)
+	}
 	begins := a.Rest > 0 && now >= r.rests
 	longer := a.Rest > 0 && now+a.Rest > r.rests
 	if longer {
-		r.rests = now + a.Rest
+		r.rests, r.restsOn = now+a.Rest, max(r.restsOn, connected)
 	}
 	r.listedAt = now
 	standing := r.standing(now)
@@ -117,10 +143,9 @@
 	defer b.mu.RUnlock()
 	s := Standing{Life: life}
 	for _, r := range b.records[life.Target] {
-		if r.life.Same(life) {
-			s.Leaving = s.Leaving || r.leaving
-			s.Rest = max(s.Rest, r.rests-now)
-		}
+		leaving, rest := r.of(life, now)
+		s.Leaving = s.Leaving || leaving
+		s.Rest = max(s.Rest, rest)
 	}
 	return s
 }
@@ -179,8 +204,10 @@
 	for id, records := range b.records {
 		t := listed.Target(id)
 		kept := slices.DeleteFunc(records, func(r *record) bool {
-			if t != nil && t.Life().Same(r.life) {
-				r.listedAt = now
+			if t != nil {
+				if leaving, _ := r.of(t.Life(), now); leaving {
+					r.listedAt = now
+				}
 			}
 			over := now >= r.rests && (!r.leaving || now-r.listedAt > keepUnlisted)
 			if over {
--- a/pkg/advisory/book_test.go
+++ b/pkg/advisory/book_test.go
@@ -63,6 +63,41 @@
 	}
 }
 
+// TestTheWordOfALifeThatWasNotReadYet: an entry took a target that had started again for its former life, and then read
+// of the new one. What it had heard on a connection that was made since then is the new one's.
+func TestTheWordOfALifeThatWasNotReadYet(t *testing.T) {
+	former, next := ids.Life{Target: "t", Start: 1_000_000}, ids.Life{Target: "t", Start: 2_000_000}
+	scenarios := []struct {
+		name           string
+		connected      ids.Start
+		leaving, rests bool
+	}{
+		{"before its end", 1_500_000, false, false},
+		{"a moment before the new start", 1_999_999, false, false},
+		{"at the new start", 2_000_000, false, true},
+		{"so soon after it that clocks may differ", 2_002_999, false, true},
+		{"long after it", 2_003_000, true, true},
+		{"nobody knows when", 0, false, false},
+	}
+	for _, s := range scenarios {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBook()
+			b.HearOn(former, s.connected, "r", advisory.Advice{Leaving: true, Rest: 3 * clock.Second})
+			got := b.Of(next)
+			if got.Leaving != s.leaving || got.Rest > 0 != s.rests {
+				t.Errorf("%s: %+v", s.name, got)
+			}
+			for range 700 {
+				time.Sleep(time.Second)
+				b.Prune(listed(next))
+			}
+			if got := b.Of(next); got.Leaving != s.leaving || got.Rest > 0 {
+				t.Errorf("%s: %+v after ten minutes", s.name, got)
+			}
+		})
+	}
+}
+
 func listed(lives ...ids.Life) *routing.Directory {
 	var targets []*routing.Target
 	for _, l := range lives {
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -91,6 +91,12 @@
 func (d *Dispatcher) withhold(p *pending, life ids.Life) {
 	d.Metrics.Links.Add("grants_withheld", 1)
 	d.adviseAll()
+	if t := d.view.Directory().Target(life.Target); t != nil {
+		// The home may know another life than the one that was heard.
+		s := d.advice.Of(t.Life())
+		s.Life = life
+		d.advise(p.want.Service, []advisory.Standing{s})
+	}
 	if p.withheld++; p.withheld > mostWithheld {
 		p.want.Exclude = append(slices.Clone(p.want.Exclude), life)
 	}
--- a/pkg/forward/connection.go
+++ b/pkg/forward/connection.go
@@ -7,8 +7,10 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"time"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
 )
 
 const readBuffer = 4 << 10
@@ -19,10 +21,12 @@
 	reader    *bufio.Reader
 	reused    bool
 	goodUntil clock.Millis
+	// madeAt is the Unix millisecond at which it was made, to be compared with starts of targets.
+	madeAt ids.Start
 }
 
 func newConnection(c net.Conn) *connection {
-	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBuffer)}
+	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), madeAt: ids.Start(time.Now().UnixMilli())}
 }
 
 // quiet reports whether an idle connection is still open and has nothing to be
--- a/pkg/ingress/advice_test.go
+++ b/pkg/ingress/advice_test.go
@@ -179,3 +179,26 @@
 		})
 	}
 }
+
+// TestTheWordOfALifeThatWasNotReadYet: a target had started again under its id, which this entry had not read, turned a
+// request away and asked for rest. The entry took that for the word of the former life, and sent requests again as
+// soon as it read of the new one. Whose word it was is told by the connection: the new life's if that was made since its
+// start.
+func TestTheWordOfALifeThatWasNotReadYet(t *testing.T) {
+	for _, since := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t, freely{}, says(503, "Not-Run: 1\r\nRest: 5000\r\n", ""))
+			b.list(func(t *routing.Target) { t.Start = formerStart })
+			b.call(context.Background(), "/unsafe/a", nil)
+			next := time.Now().Add(-time.Second) // the connection is younger
+			if !since {
+				next = time.Now().Add(time.Second)
+			}
+			b.list(func(t *routing.Target) { t.Start = ids.Start(next.UnixMilli()) })
+			b.call(context.Background(), "/unsafe/a", map[string]string{"Id": "r2", "Wait": "300"})
+			if sent := len(b.arrived()) > 1; sent == since {
+				t.Errorf("made since the new start %t, and one more request was sent %t", since, sent)
+			}
+		})
+	}
+}
