An account is not suspected for what is lost at one moment

Cause: many innocent requests of one account were held back in the same moment, and four of them made the account a suspect.

--- a/pkg/quarantine/accounts.go
+++ b/pkg/quarantine/accounts.go
@@ -19,6 +19,10 @@
 	// suspectWithin is within what time these were held back for the account to be suspected, and for how long it
 	// is after the last end.
 	suspectWithin = clock.Minute
+	// heldApart is how long after one request another one has to be held back to count: where all targets are lost at
+	// once, many innocent requests of one account are in the same moment. With all of them counted, an account that
+	// had lost all its targets once was served .27 of its requests 7 s later.
+	heldApart = 500 * clock.Millisecond
 	// firstPause and mostPause bound for how long nothing of a suspected account runs after an end.
 	firstPause = clock.Second
 	mostPause  = 30 * clock.Second
@@ -58,6 +62,9 @@
 
 // noteHeld notes that one more request is held back.
 func (c *conduct) noteHeld(now clock.Millis) {
+	if last := c.heldAt[suspectAccount-1]; last > 0 && now-last < heldApart {
+		return
+	}
 	copy(c.heldAt[:], c.heldAt[1:])
 	c.heldAt[suspectAccount-1] = now
 	if c.heldAt[0] > 0 && now-c.heldAt[0] <= suspectWithin {
@@ -76,6 +83,10 @@
 	c.freeAt = now + c.pause
 }
 
+// clear takes all of it back: a request that was held back has been completed, so that something else ended the
+// targets.
+func (c *conduct) clear() { *c = conduct{} }
+
 func (c *conduct) suspected(now clock.Millis) bool { return now < c.suspectUntil }
 
 // noteSound notes that a request was completed. Where there are too many, those known so far have to prove
--- a/pkg/quarantine/accounts_test.go
+++ b/pkg/quarantine/accounts_test.go
@@ -11,17 +11,21 @@
 	"quaydock/pkg/network"
 )
 
-// holdBack has a number of requests of an account held back on a route at a moment, each at two ends.
+// holdBack has a number of requests of an account held back on a route, one after the other, the last at a moment.
 func holdBack(r *Register, now clock.Millis, from, count int) {
 	for n := from; n < from+count; n++ {
-		record := Record{Digest: digest(n), Account: "acme", Route: "r"}
-		record.Ends = []End{{Life: life(2 * n)}}
-		r.Join(now, &record)
-		record.Ends = []End{{Life: life(2*n + 1), Again: true}}
-		r.Join(now, &record)
+		holdBackOne(r, now-clock.Millis(from+count-1-n)*heldApart, n)
 	}
 }
 
+func holdBackOne(r *Register, now clock.Millis, n int) {
+	record := Record{Digest: digest(n), Account: "acme", Route: "r"}
+	record.Ends = []End{{Life: life(2 * n)}}
+	r.Join(now, &record)
+	record.Ends = []End{{Life: life(2*n + 1), Again: true}}
+	r.Join(now, &record)
+}
+
 func other(n int) Request { return Request{Digest: digest(n), Account: "acme", Route: "r"} }
 
 // TestWhenAnAccountIsSuspected: four requests of it on one route were held back within a minute. Other routes and
@@ -43,6 +47,12 @@
 		{"another account", func(r *Register) { holdBack(r, start, 1, 4) }, Request{Digest: digest(9), Account: "other", Route: "r"}, 0, false},
 		{"completed meanwhile", func(r *Register) { holdBack(r, start, 1, 4); r.Sound(start, other(9)) }, other(9), 0, false},
 		{"completed before", func(r *Register) { r.Sound(start, other(9)); holdBack(r, start, 1, 4) }, other(9), 0, true},
+		{"all at once, as where all targets are lost", func(r *Register) {
+			for n := range 20 {
+				holdBackOne(r, start, n+1)
+			}
+		}, other(9), 0, false},
+		{"four, and one of them is completed after all", func(r *Register) { holdBack(r, start, 1, 4); r.Completed(start, digest(2)) }, other(9), 0, false},
 		{"rows of the store", func(r *Register) {
 			for n := 1; n <= 4; n++ {
 				row := Record{Digest: digest(n), Account: "acme", Route: "r", Ends: []End{{Life: life(2 * n)}, {Life: life(2*n + 1), Again: true}}}
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -189,7 +189,11 @@
 		return Change{}
 	}
 	before := r.verdict(e)
-	return r.changed(now, e, e.excuse(), before)
+	c := r.changed(now, e, e.excuse(), before)
+	if h := r.accounts[e.Account]; h != nil && before == Held && c.New {
+		h.on(e.Route).clear()
+	}
+	return c
 }
 
 // Read takes a row of the store, whose version is never 0.
