Read again: less state, one lookup, homes told once

- planner: a rest had a flag that was always true; it is its end now.
The lookup of a life that an entry names stood twice; lifeAt calls knownLife.
- dispatch: a place given back told the home the same twice, the second time for the case that another life had spoken than is listed.
Homes are told of listed lives throughout, so that the case needs nothing of its own.
- advisory: Hear beside HearOn was called by tests alone; there is one.
The list was sorted for each place given back; only what operators see is.
- quarantine: Allows worked out by itself what suspicion does; clearing an account's conduct is taking it off the map.

--- a/pkg/advisory/book.go
+++ b/pkg/advisory/book.go
@@ -1,7 +1,6 @@
 package advisory
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -73,11 +72,9 @@
 // OnHeard sets what is told of advice that is new here.
 func (b *Book) OnHeard(heard func(Standing)) { b.heard = heard }
 
-// Hear takes the advice in an answer of a life of a target to a request.
-func (b *Book) Hear(life ids.Life, request string, a Advice) { b.HearOn(life, 0, request, a) }
-
-// HearOn is Hear with the Unix millisecond at which the answer's connection was made.
-func (b *Book) HearOn(life ids.Life, connected ids.Start, request string, a Advice) {
+// Hear takes the advice in an answer of a life of a target to a request. Connected is the Unix millisecond at which
+// the answer's connection was made, 0 if that is not known.
+func (b *Book) Hear(life ids.Life, connected ids.Start, request string, a Advice) {
 	if b == nil || !a.Leaving && a.Rest <= 0 {
 		return
 	}
@@ -167,7 +164,7 @@
 	return least
 }
 
-// All lists the lives that leave or rest, by their targets' ids.
+// All lists the lives that leave or rest, in no order.
 func (b *Book) All() []Standing {
 	if b == nil || b.known.Load() == 0 {
 		return nil
@@ -183,9 +180,6 @@
 		}
 	}
 	b.mu.RUnlock()
-	slices.SortFunc(list, func(x, y Standing) int {
-		return cmp.Or(cmp.Compare(x.Life.Target, y.Life.Target), cmp.Compare(x.Life.Start, y.Life.Start))
-	})
 	return list
 }
 
--- a/pkg/advisory/book_test.go
+++ b/pkg/advisory/book_test.go
@@ -52,7 +52,7 @@
 				if i > 0 {
 					time.Sleep(500 * time.Millisecond)
 				}
-				b.Hear(life, "r", a)
+				b.Hear(life, 0, "r", a)
 			}
 			time.Sleep(s.after)
 			got := b.Of(s.of)
@@ -82,7 +82,7 @@
 	for _, s := range scenarios {
 		synctest.Test(t, func(t *testing.T) {
 			b := newBook()
-			b.HearOn(former, s.connected, "r", advisory.Advice{Leaving: true, Rest: 3 * clock.Second})
+			b.Hear(former, s.connected, "r", advisory.Advice{Leaving: true, Rest: 3 * clock.Second})
 			got := b.Of(next)
 			if got.Leaving != s.leaving || got.Rest > 0 != s.rests {
 				t.Errorf("%s: %+v", s.name, got)
@@ -112,7 +112,7 @@
 func TestTheWordOutlastsALapsedRow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBook()
-		b.Hear(life, "r", advisory.Advice{Leaving: true})
+		b.Hear(life, 0, "r", advisory.Advice{Leaving: true})
 		for range 60 {
 			time.Sleep(time.Second)
 			b.Prune(listed())
@@ -142,11 +142,11 @@
 		var told []advisory.Standing
 		b.OnHeard(func(s advisory.Standing) { told = append(told, s) })
 		for range 3 {
-			b.Hear(life, "r", advisory.Advice{Leaving: true})
+			b.Hear(life, 0, "r", advisory.Advice{Leaving: true})
 		}
-		b.Hear(life, "r", advisory.Advice{Rest: 3 * clock.Second})
-		b.Hear(life, "r", advisory.Advice{Rest: clock.Second})
-		b.Hear(life, "r", advisory.Advice{Rest: 4 * clock.Second})
+		b.Hear(life, 0, "r", advisory.Advice{Rest: 3 * clock.Second})
+		b.Hear(life, 0, "r", advisory.Advice{Rest: clock.Second})
+		b.Hear(life, 0, "r", advisory.Advice{Rest: 4 * clock.Second})
 		want := []advisory.Standing{
 			{Life: life, Leaving: true},
 			{Life: life, Leaving: true, Rest: 3 * clock.Second},
@@ -161,7 +161,7 @@
 // TestAnEntryWithoutABook: parts that are built without one hear nothing and forbid nothing.
 func TestAnEntryWithoutABook(t *testing.T) {
 	var b *advisory.Book
-	b.Hear(life, "r", advisory.Advice{Leaving: true})
+	b.Hear(life, 0, "r", advisory.Advice{Leaving: true})
 	if b.Of(life).Bars() || b.All() != nil {
 		t.Error("a book that is not there knows something")
 	}
@@ -173,7 +173,7 @@
 	book := newBook()
 	b.ReportAllocs()
 	for b.Loop() {
-		book.Hear(life, "r", advisory.Advice{})
+		book.Hear(life, 0, "r", advisory.Advice{})
 		if book.Of(life).Bars() {
 			b.Fatal("barred")
 		}
@@ -184,7 +184,7 @@
 func BenchmarkAmongAHundred(b *testing.B) {
 	book := newBook()
 	for n := range 100 {
-		book.Hear(ids.Life{Target: ids.Target(fmt.Sprint("other", n))}, "r", advisory.Advice{Leaving: true})
+		book.Hear(ids.Life{Target: ids.Target(fmt.Sprint("other", n))}, 0, "r", advisory.Advice{Leaving: true})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -199,9 +199,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBook()
 		for _, id := range []ids.Target{"again", "gone", "leaving", "ready"} {
-			b.Hear(ids.Life{Target: id, Start: 5000}, "r", advisory.Advice{Leaving: true})
+			b.Hear(ids.Life{Target: id, Start: 5000}, 0, "r", advisory.Advice{Leaving: true})
 		}
-		b.Hear(ids.Life{Target: "resting", Start: 5000}, "r", advisory.Advice{Rest: clock.Second})
+		b.Hear(ids.Life{Target: "resting", Start: 5000}, 0, "r", advisory.Advice{Rest: clock.Second})
 		directory := routing.NewDirectory([]*routing.Target{
 			{ID: "again", Start: 6000, Service: "s"}, {ID: "leaving", Start: 5000, Service: "s", Leaving: true},
 			{ID: "ready", Start: 5000, Service: "s"}, {ID: "resting", Start: 5000, Service: "s"},
--- a/pkg/advisory/report.go
+++ b/pkg/advisory/report.go
@@ -1,6 +1,9 @@
 package advisory
 
 import (
+	"cmp"
+	"slices"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
@@ -18,7 +21,7 @@
 	Rest    clock.Millis `json:"rest_ms"`
 }
 
-// Reports describes all targets that leave or rest by their own word.
+// Reports describes all targets that leave or rest by their own word, by their ids.
 func (b *Book) Reports(listed *routing.Directory) []Report {
 	reports := []Report{}
 	for _, s := range b.All() {
@@ -28,6 +31,9 @@
 		}
 		reports = append(reports, r)
 	}
+	slices.SortFunc(reports, func(x, y Report) int {
+		return cmp.Or(cmp.Compare(x.Target, y.Target), cmp.Compare(x.Start, y.Start))
+	})
 	return reports
 }
 
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -65,8 +65,13 @@
 // told.
 func (d *Dispatcher) adviseAll() {
 	lists := make(map[ids.Service][]advisory.Standing)
-	for _, s := range d.advice.All() {
-		if t := d.view.Directory().Target(s.Life.Target); t != nil {
+	for _, said := range d.advice.All() {
+		t := d.view.Directory().Target(said.Life.Target)
+		if t == nil {
+			continue
+		}
+		// Of the life that is listed: one that was not read yet may have spoken.
+		if s := d.advice.Of(t.Life()); s.Bars() {
 			lists[t.Service] = append(lists[t.Service], s)
 		}
 	}
@@ -91,12 +96,6 @@
 func (d *Dispatcher) withhold(p *pending, life ids.Life) {
 	d.Metrics.Links.Add("grants_withheld", 1)
 	d.adviseAll()
-	if t := d.view.Directory().Target(life.Target); t != nil {
-		// The home may know another life than the one that was heard.
-		s := d.advice.Of(t.Life())
-		s.Life = life
-		d.advise(p.want.Service, []advisory.Standing{s})
-	}
 	if p.withheld++; p.withheld > mostWithheld {
 		p.want.Exclude = append(slices.Clone(p.want.Exclude), life)
 	}
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -152,7 +152,7 @@
 	if status == http.StatusServiceUnavailable {
 		advice.Rest = marks.Rest
 	}
-	e.pool.advice.HearOn(e.target.Life(), e.conn.madeAt, e.request.ID, advice)
+	e.pool.advice.Hear(e.target.Life(), e.conn.madeAt, e.request.ID, advice)
 }
 
 // head reads the head of the next answer that is not an interim one.
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -275,7 +275,7 @@
 			c := commontest.New(slowDial{memory, 300 * time.Millisecond})
 			book := advisory.NewBook(c)
 			pool := forward.NewPool(c, marks, book)
-			time.AfterFunc(100*time.Millisecond, func() { book.Hear(target.Life(), "other", a.advice) })
+			time.AfterFunc(100*time.Millisecond, func() { book.Hear(target.Life(), 0, "other", a.advice) })
 			if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != a.want || arrived.Load() != a.arrived {
 				t.Errorf("%+v: %s, arrived %d times; want %s, %d", a.advice, got, arrived.Load(), a.want, a.arrived)
 			}
--- a/pkg/ingress/advice_test.go
+++ b/pkg/ingress/advice_test.go
@@ -65,7 +65,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					b := newBed(t, freely{}, s.engines...)
 					says := func() {
-						b.advice.Hear(ids.Life{Target: ids.Target(fmt.Sprint("t", s.said))}, "earlier", said.advice)
+						b.advice.Hear(ids.Life{Target: ids.Target(fmt.Sprint("t", s.said))}, 0, "earlier", said.advice)
 					}
 					places := 0
 					b.scheduler.placed = func() {
@@ -165,7 +165,7 @@
 			b := newBed(t, freely{}, silent)
 			b.list(func(t *routing.Target) { t.Start = formerStart })
 			time.AfterFunc(50*time.Millisecond, func() {
-				b.advice.Hear(ids.Life{Target: "t1", Start: formerStart}, "other", advisory.Advice{Leaving: leaves})
+				b.advice.Hear(ids.Life{Target: "t1", Start: formerStart}, 0, "other", advisory.Advice{Leaving: leaves})
 			})
 			time.AfterFunc(100*time.Millisecond, b.restart)
 			b.call(context.Background(), "/unsafe/a", nil)
--- a/pkg/planner/advice.go
+++ b/pkg/planner/advice.go
@@ -20,14 +20,6 @@
 	return rest + clock.Millis(draw*float64(restSpread))
 }
 
-// rest is the rest that a target has asked one entry for. Once it is over, the entry's jobs go there
-// one at a time until one was served: one target that turned away all is not filled again at once.
-type rest struct {
-	until clock.Millis
-	// trial says that the target has served none of the entry's jobs since.
-	trial bool
-}
-
 // Advise takes what a target has told an entry of itself. That it leaves holds for all entries. Rest is asked
 // of the entry that was told alone, since a target may turn one away and serve the others, which only prefer other
 // targets meanwhile.
@@ -45,39 +37,21 @@
 		return
 	}
 	if t.rests == nil {
-		t.rests = make(map[string]*rest)
-	}
-	r := t.rests[entry]
-	if r == nil {
-		r = &rest{}
-		t.rests[entry] = r
-	}
-	r.until = max(r.until, now+left)
-	r.trial = true
-	p.restsUntil = max(p.restsUntil, r.until)
-}
-
-// knownLife returns a life that may be the one that an entry names, or nil.
-func (p *Planner) knownLife(at ids.Life) *target {
-	if t := p.targets[at]; t != nil {
-		return t
+		t.rests = make(map[string]clock.Millis)
 	}
-	if of := p.lives[at.Target]; of != nil && of.listed != nil && of.listed.Life().Same(at) {
-		return of.listed
-	}
-	return nil
+	t.rests[entry] = max(t.rests[entry], now+left)
+	p.restsUntil = max(p.restsUntil, t.rests[entry])
 }
 
-// takes reports whether a target takes a job of an entry now, as far as it has asked for rest.
+// takes reports whether a target takes a job of an entry now, as far as it has asked for rest. Once that is over, the
+// entry's jobs go there one at a time until one was served: a target that turned away all is not filled again at once.
 func (t *target) takes(now clock.Millis, entry string) bool {
-	r := t.rests[entry]
+	until, asked := t.rests[entry]
 	switch {
-	case r == nil:
+	case !asked:
 		return true
-	case now < r.until:
+	case now < until:
 		return false
-	case !r.trial:
-		return true
 	}
 	for id := range t.runs {
 		if id.Entry == entry {
@@ -96,8 +70,8 @@
 
 // restsFromOthers reports whether a target rests from some entry.
 func (t *target) restsFromOthers(now clock.Millis) bool {
-	for _, r := range t.rests {
-		if now < r.until {
+	for _, until := range t.rests {
+		if now < until {
 			return true
 		}
 	}
@@ -106,7 +80,7 @@
 
 // servedAfterRest notes that a target has served a job of an entry.
 func (t *target) servedAfterRest(now clock.Millis, entry string) {
-	if r := t.rests[entry]; r != nil && now >= r.until {
+	if now >= t.rests[entry] {
 		delete(t.rests, entry)
 	}
 }
@@ -121,11 +95,11 @@
 		if slices.Contains(job.Exclude, t.Life()) {
 			continue
 		}
-		r := t.rests[job.ID.Entry]
-		if r == nil || now >= r.until {
+		left := t.rests[job.ID.Entry] - now
+		if left <= 0 {
 			return 0
 		}
-		if left := r.until - now; least < 0 || left < least {
+		if least < 0 || left < least {
 			least = left
 		}
 	}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -116,21 +116,29 @@
 // lifeAt returns the life that an entry names, or nil if its target is not known at all. An entry
 // that has not read of a new start names the former one, which is then known until its runs end.
 func (p *Planner) lifeAt(at ids.Life) *target {
-	if t := p.targets[at]; t != nil {
+	if t := p.knownLife(at); t != nil {
 		return t
 	}
 	of := p.lives[at.Target]
 	if of == nil || of.listed == nil {
 		return nil
 	}
-	if of.listed.Life().Same(at) {
-		return of.listed
-	}
 	former := *of.listed.Target
 	former.Start = at.Start
 	return p.target(&former)
 }
 
+// knownLife returns a known life that may be the one that an entry names, or nil.
+func (p *Planner) knownLife(at ids.Life) *target {
+	if t := p.targets[at]; t != nil {
+		return t
+	}
+	if of := p.lives[at.Target]; of != nil && of.listed != nil && of.listed.Life().Same(at) {
+		return of.listed
+	}
+	return nil
+}
+
 // Submit takes a job, unless it is known. Decisions follow.
 func (p *Planner) Submit(now clock.Millis, job Job) {
 	if p.runs[job.ID] != nil {
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -18,9 +18,9 @@
 	beganAt clock.Millis // when a run last began
 	trial   bool         // after it was set aside, one request at a time
 	foreign foreign
-	tried   int              // how often it was filled while its version was on trial
-	leaving bool             // by its own word
-	rests   map[string]*rest // that it has asked entries for
+	tried   int                     // how often it was filled while its version was on trial
+	leaving bool                    // by its own word
+	rests   map[string]clock.Millis // until when it wants nothing of an entry, or has served it nothing since
 }
 
 // lives are the lives of one target that have runs, or may get them. A target that has started
--- a/pkg/quarantine/accounts.go
+++ b/pkg/quarantine/accounts.go
@@ -83,10 +83,6 @@
 	c.freeAt = now + c.pause
 }
 
-// clear takes all of it back: a request that was held back has been completed, so that something else ended the
-// targets.
-func (c *conduct) clear() { *c = conduct{} }
-
 func (c *conduct) suspected(now clock.Millis) bool { return now < c.suspectUntil }
 
 // noteSound notes that a request was completed. Where there are too many, those known so far have to prove
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -132,15 +132,14 @@
 
 // Allows reports whether a request may still run with what Enter returned some time ago.
 func (g *Guard) Allows(r Request, p *Pass) bool {
-	now := g.Clock.Now()
-	switch g.register.Verdict(now, r.Digest) {
-	case Free:
-		suspected, _ := g.register.Suspected(now, r)
-		return p != nil || !suspected
-	case Suspect:
-		return p != nil
-	default:
+	s := g.suspicion(r)
+	switch {
+	case s.none():
+		return true
+	case s.verdict == Held:
 		return p != nil && p.retrial
+	default:
+		return p != nil
 	}
 }
 
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -191,7 +191,8 @@
 	before := r.verdict(e)
 	c := r.changed(now, e, e.excuse(), before)
 	if h := r.accounts[e.Account]; h != nil && before == Held && c.New {
-		h.on(e.Route).clear()
+		// Something else ended the targets, also where others of the route were held back.
+		delete(h.routes, e.Route)
 	}
 	return c
 }
--- a/pkg/schedule/advice_test.go
+++ b/pkg/schedule/advice_test.go
@@ -45,7 +45,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					book := advisory.NewBook(c)
 					for id, a := range s.said {
-						book.Hear(ids.Life{Target: id}, "r", a)
+						book.Hear(ids.Life{Target: id}, 0, "r", a)
 					}
 					scheduler := of.of(book)
 					for range 6 {
