Targets of drained failure domains get no new requests

Operators drain a failure domain by a row in the store, until they remove it. The row came to each entry with the configuration and was passed over: nothing knew what it was, and the domain's targets went on getting their part of all requests.

Ruled out: that some way to a target was missed.

Change: the row is read with the configuration, by the same table and with the same proof, before requests are placed by a first configuration. pkg/domains marks the targets in the list, so that planners, entries by themselves, repeats, trials and what admission reckons with go by it; the pool looks once more where each way to a target ends. What runs there goes on. A line for each change, /domains and quayctl status.

--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"quaydock/pkg/common"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/view"
@@ -14,6 +15,7 @@
 	view    *view.View
 	applied func(*routing.Catalog)
 	orders  orderTaker // nil if roll-outs are no part of the deployment
+	domains *domains.Screen
 	faults  *follow.Faults
 	// faulty says that the newest row of the configuration cannot be used.
 	faulty bool
@@ -39,6 +41,7 @@
 	if h.orders != nil {
 		h.orders.take(rows, all, proof)
 	}
+	h.takeDrained(rows, all) // before requests are placed by a first configuration
 	for _, row := range rows {
 		switch {
 		case row.Key != platform.KeyConfiguration:
@@ -55,6 +58,21 @@
 	}
 }
 
+// takeDrained takes the operators' rows that drain failure domains.
+func (h *configurationHandler) takeDrained(rows []follow.Row, all bool) {
+	var orders []domains.Order
+	for _, row := range rows {
+		if domain, is := platform.DrainedOf(row.Key); is {
+			orders = append(orders, domains.Order{Domain: domain, Drained: !row.Gone})
+		}
+	}
+	if all {
+		h.domains.Replace(orders)
+		return
+	}
+	h.domains.Change(orders)
+}
+
 // take puts a configuration in force. A row that cannot be used leaves the former one in force.
 func (h *configurationHandler) take(row follow.Row) {
 	catalog, err := platform.ParseConfiguration(row.Value)
--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -38,6 +38,7 @@
 	engines []*crashEngine
 	started int
 	long    bool                    // some runs take long
+	domains int                     // how many failure domains the targets are in; 0 has them in the entries' own
 	sameIDs bool                    // ended targets start again under their ids
 	breaks  float64                 // the part of answers that targets break off
 	over    bool                    // nothing starts any more
@@ -93,8 +94,14 @@
 
 // newCrashBedOf is newCrashBed with so many targets.
 func newCrashBedOf(t *testing.T, seed uint64, entries, targets int) *crashBed {
+	return newCrashBedIn(t, seed, entries, targets, 0)
+}
+
+// newCrashBedIn is newCrashBedOf with the targets in so many failure domains.
+func newCrashBedIn(t *testing.T, seed uint64, entries, targets, domains int) *crashBed {
 	b := &crashBed{
-		t: t, seed: seed, store: storetest.New(), net: network.NewMemory(nil), datagrams: packets.NewMemory(), began: time.Now(),
+		domains: domains,
+		t:       t, seed: seed, store: storetest.New(), net: network.NewMemory(nil), datagrams: packets.NewMemory(), began: time.Now(),
 		entries: make([]*crashEntry, entries), engines: make([]*crashEngine, targets), random: rand.New(rand.NewPCG(seed, 9)),
 		cut: make(map[netip.AddrPort]bool), away: make(map[int]bool), ends: make(map[string][]time.Duration), reached: make(map[string][]time.Duration),
 		bytes:  make(map[packets.Kind]int),
@@ -237,9 +244,14 @@
 
 // silenceStore has the store answer no entry, or all again.
 func (b *crashBed) silenceStore(silent bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	for i := range b.entries {
-		b.away[i] = silent
+		b.awayFromStore(i, silent)
 	}
 }
+
+// awayFromStore has the store answer one entry no more, or again.
+func (b *crashBed) awayFromStore(i int, away bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.away[i] = away
+}
--- a/pkg/app/crash_engines_test.go
+++ b/pkg/app/crash_engines_test.go
@@ -28,6 +28,14 @@
 // address is where the nth target listens, whatever its life.
 func (e *crashEngine) address() string { return targetAddress(e.n) }
 
+// domainOf is the failure domain of the nth target: the entries' own, or one of several in turn.
+func (b *crashBed) domainOf(n int) ids.FailureDomain {
+	if b.domains == 0 {
+		return "d"
+	}
+	return ids.FailureDomain(fmt.Sprint("d", n%b.domains))
+}
+
 func targetAddress(n int) string { return fmt.Sprintf("10.9.%d.%d:80", n/200, 1+n%200) }
 
 func (b *crashBed) startEngine(n int) { b.startEngineAs(n, "") }
@@ -52,7 +60,7 @@
 		return
 	}
 	go func() { _ = e.server.Serve(listener) }()
-	row := wiretest.Engine{Service: "s", Address: address, Domain: "d", Version: e.version, Slots: crashSlots, State: wiretest.Ready, Sequence: 1, Born: e.born}
+	row := wiretest.Engine{Service: "s", Address: address, Domain: b.domainOf(n), Version: e.version, Slots: crashSlots, State: wiretest.Ready, Sequence: 1, Born: e.born}
 	b.store.Put(platform.TableTargets, e.id, row.Row())
 }
 
--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/operators"
 	"quaydock/pkg/quarantine"
 )
@@ -56,6 +57,7 @@
 	mux.HandleFunc("GET "+operators.PathRollouts, tell(p, p.dispatcher.Rollouts))
 	mux.HandleFunc("GET "+operators.PathQuarantine, tell(p, p.guard.Held))
 	mux.HandleFunc("GET "+operators.PathAdvice, tell(p, p.toldByTargets))
+	mux.HandleFunc("GET "+operators.PathDomains, tell(p, p.failureDomains))
 	mux.HandleFunc("GET "+operators.PathReady, p.ready(http.StatusNoContent))
 	mux.HandleFunc("POST "+operators.PathQuarantine, p.release)
 	return mux
@@ -70,6 +72,15 @@
 	return p.advice.Reports(listed)
 }
 
+// failureDomains tells of the failure domains of all targets.
+func (p *entryProcess) failureDomains() []domains.Report {
+	listed := p.view.Directory()
+	if listed == nil {
+		return []domains.Report{}
+	}
+	return domains.Reports(listed)
+}
+
 // advised is how many targets leave, and how many rest from this entry, by their own word.
 func (p *entryProcess) advised() (leaving, resting float64) {
 	for _, s := range p.advice.All() {
--- a/pkg/app/entry_follow.go
+++ b/pkg/app/entry_follow.go
@@ -28,14 +28,12 @@
 	case <-ctx.Done():
 		return
 	}
-	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied, faults: follow.NewFaults(p.Common, "configuration")}
-	listed := p.view.SetDirectory
+	configuration := &configurationHandler{Common: p.Common, view: p.view, applied: p.applied, domains: p.domains, faults: follow.NewFaults(p.Common, "configuration")}
 	if p.rollouts != nil {
 		configuration.orders = p.rollouts
-		listed = p.rollouts.screen.SetDirectory
 	}
 	go p.follower(platform.TableOperators, configuration, follow.Options{Wait: configurationWait, Answer: storeAnswer, Reread: configurationReread}).Run(ctx)
-	targets := roster.New(p.Common, platform.ParseTarget, listed)
+	targets := roster.New(p.Common, platform.ParseTarget, p.domains.SetDirectory)
 	go p.follower(platform.TableTargets, targets, follow.Options{Wait: roster.WaitForChanges, Answer: storeAnswer}).Run(ctx)
 }
 
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -23,6 +23,7 @@
 	"quaydock/pkg/common"
 	"quaydock/pkg/descriptors"
 	"quaydock/pkg/dispatch"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ingress"
@@ -84,6 +85,7 @@
 	guard      *quarantine.Guard
 	advice     *advisory.Book
 	rollouts   *rollouts // nil if they are no part of the deployment
+	domains    *domains.Screen
 	// assuredTrust is that of entryOptions.
 	assuredTrust clock.Millis
 	// descriptors is how many the process may have.
@@ -199,10 +201,13 @@
 		Common: c, Address: address, Domain: s.Domain, View: p.view, Members: p.members, Link: link,
 		Notes: p.store.Table(platform.TableNotes), Local: schedule.NewLocal(c, p.view, p.advice), Advice: p.advice,
 	}
+	listed := p.view.SetDirectory
 	if p.exposure().Enabled() {
 		p.rollouts = newRollouts(c, p.view)
+		listed = p.rollouts.screen.SetDirectory
 		parts.Rollouts = p.rollouts.parts(p.exposure, p.store.Rollouts(), p.guard)
 	}
+	p.domains = domains.NewScreen(c, listed)
 	p.dispatcher = dispatch.New(parts)
 	p.advice.OnHeard(p.dispatcher.Advise)
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds), c.Clock.Now())
--- a/pkg/app/foreign_rows_test.go
+++ b/pkg/app/foreign_rows_test.go
@@ -6,6 +6,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/network"
 	"quaydock/pkg/rollout"
@@ -47,7 +48,7 @@
 		t.Run(d.name, func(t *testing.T) {
 			c := commontest.New(network.NewMemory(nil))
 			v := view.New(c.Check)
-			h := &configurationHandler{Common: c, view: v, applied: func(*routing.Catalog) {}, faults: follow.NewFaults(c, "configuration")}
+			h := &configurationHandler{Common: c, view: v, applied: func(*routing.Catalog) {}, domains: domains.NewScreen(c, v.SetDirectory), faults: follow.NewFaults(c, "configuration")}
 			h.Whole([]follow.Row{soundConfiguration(7)}, follow.Proof{CurrentAt: 100})
 			for i, take := range []func([]follow.Row, follow.Proof){h.Changed, h.Whole} {
 				now := clock.Millis(200 * (i + 1))
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -14,6 +14,7 @@
 	"github.com/dghubble/sling"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/operators"
 )
 
@@ -43,7 +44,31 @@
 		word = "not ready"
 	}
 	report(out, fmt.Sprintf("%s %s\n%s", *at, word, metrics))
-	return showAdvice(ctx, *at, out)
+	if err := showAdvice(ctx, *at, out); err != nil {
+		return err
+	}
+	return showDomains(ctx, *at, out)
+}
+
+// showDomains shows the failure domains that are drained; only entries on the platform know that.
+func showDomains(ctx context.Context, at string, out io.Writer) error {
+	code, document, err := get(ctx, at, operators.PathDomains)
+	if err != nil {
+		return fmt.Errorf("failure domains: %w", err)
+	}
+	if code != http.StatusOK {
+		return nil
+	}
+	var all []domains.Report
+	if err := json.Unmarshal(document, &all); err != nil {
+		return fmt.Errorf("reading of failure domains: %w", err)
+	}
+	for _, r := range all {
+		if r.Drained {
+			report(out, fmt.Sprintf("failure domain %s is drained: its %d targets get no new requests", r.Domain, r.Targets))
+		}
+	}
+	return nil
 }
 
 // showAdvice shows the targets that leave or rest by their own word; only entries on the platform know that.
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -10,6 +10,7 @@
 
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/ctl"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/operators"
 )
 
@@ -56,3 +57,37 @@
 		})
 	}
 }
+
+func TestStatusShowsFailureDomains(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		told    []domains.Report
+		want    string
+		without string
+	}{
+		{"drained", []domains.Report{{Domain: "d1", Drained: true, Targets: 17}}, "failure domain d1 is drained: its 17 targets", "cold"},
+		{"nothing", []domains.Report{{Domain: "d3", Targets: 4}}, "ready", "d3"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch r.URL.Path {
+				case operators.PathReady:
+					w.WriteHeader(http.StatusNoContent)
+				case operators.PathDomains:
+					_ = json.NewEncoder(w).Encode(s.told)
+				default:
+					w.WriteHeader(http.StatusNotFound)
+				}
+			}))
+			defer server.Close()
+			var out, errs bytes.Buffer
+			if code := ctl.Main([]string{"status", "-at", strings.TrimPrefix(server.URL, "http://")}, &out, &errs); code != ctl.ExitOK {
+				t.Fatalf("exit code %d: %s", code, errs.String())
+			}
+			if !strings.Contains(out.String(), s.want) || strings.Contains(out.String(), s.without) {
+				t.Errorf("%q is missing, or %q stands in\n%s", s.want, s.without, out.String())
+			}
+		})
+	}
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -150,7 +150,7 @@
 	switch {
 	case t == nil, !t.Life().Same(life), t.Service != p.want.Service:
 		return nil
-	case t.Leaving, t.Admission == routing.Withheld:
+	case t.Leaving, t.Drained, t.Admission == routing.Withheld:
 		return nil
 	case t.Admission == routing.OnTrial && !d.trials.send(p, t):
 		return nil
--- /dev/null
+++ b/pkg/domains/screen_test.go
@@ -0,0 +1,115 @@
+package domains_test
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/domains"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
+	"quaydock/pkg/routing"
+)
+
+var listed = routing.NewDirectory([]*routing.Target{
+	{ID: "a", Service: "s", Domain: "d0"}, {ID: "b", Service: "s", Domain: "d1"},
+	{ID: "c", Service: "s", Domain: "d1", Admission: routing.OnTrial},
+})
+
+func drain(d ids.FailureDomain) domains.Order { return domains.Order{Domain: d, Drained: true} }
+
+func giveBack(d ids.FailureDomain) domains.Order { return domains.Order{Domain: d} }
+
+func TestOrders(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		do      func(s *domains.Screen)
+		serving int // targets of the service that may get requests, of two
+		onTrial int // and of those on trial, of one
+		back    bool
+	}{
+		{"none", func(*domains.Screen) {}, 2, 1, false},
+		{"drained", func(s *domains.Screen) { s.Change([]domains.Order{drain("d1")}) }, 1, 0, false},
+		{"given back", func(s *domains.Screen) { s.Change([]domains.Order{drain("d1"), giveBack("d1")}) }, 2, 1, true},
+		{"given back and drained again in one read", func(s *domains.Screen) {
+			s.Change([]domains.Order{drain("d1")})
+			s.Change([]domains.Order{giveBack("d1"), drain("d1")})
+		}, 1, 0, true},
+		{"one that was never drained is given back", func(s *domains.Screen) { s.Change([]domains.Order{giveBack("d1")}) }, 2, 1, false},
+		{"all are read anew, and it stands", func(s *domains.Screen) {
+			s.Change([]domains.Order{drain("d1")})
+			s.Replace([]domains.Order{drain("d1")})
+		}, 1, 0, false},
+		{"all are read anew, and it is gone", func(s *domains.Screen) {
+			s.Change([]domains.Order{drain("d1")})
+			s.Replace(nil)
+		}, 2, 1, true},
+		{"a newer list", func(s *domains.Screen) {
+			s.Change([]domains.Order{drain("d1")})
+			s.SetDirectory(listed)
+		}, 1, 0, false},
+	}
+	for _, sc := range scenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var got *routing.Directory
+				s := domains.NewScreen(commontest.New(network.NewMemory(nil)), func(d *routing.Directory) { got = d })
+				s.SetDirectory(listed)
+				time.Sleep(time.Second)
+				sc.do(s)
+				if n := len(got.Serving("s")); n != sc.serving {
+					t.Errorf("%d targets may get requests, want %d", n, sc.serving)
+				}
+				if n := len(got.OnTrial("s")); n != sc.onTrial {
+					t.Errorf("%d on trial, want %d", n, sc.onTrial)
+				}
+				if got.Len() != listed.Len() {
+					t.Errorf("%d targets are known", got.Len())
+				}
+				if back := got.Target("b").BackAt > 0; back != sc.back {
+					t.Errorf("given back: %t", back)
+				}
+			})
+		})
+	}
+}
+
+// TestOrdersBeforeTheList: the operators' rows may be read before the targets' are.
+func TestOrdersBeforeTheList(t *testing.T) {
+	var got *routing.Directory
+	s := domains.NewScreen(commontest.New(network.NewMemory(nil)), func(d *routing.Directory) { got = d })
+	s.Replace([]domains.Order{drain("d0"), drain("d1")})
+	if got != nil {
+		t.Error("a list before there is one")
+	}
+	s.SetDirectory(listed)
+	if n := len(got.Serving("s")); n != 0 {
+		t.Errorf("%d targets may get requests", n)
+	}
+	list := s.Drained()
+	slices.Sort(list)
+	if !slices.Equal(list, []ids.FailureDomain{"d0", "d1"}) {
+		t.Errorf("drained: %v", list)
+	}
+}
+
+// TestAChangeIsLoggedOnce: what each read repeats takes no line.
+func TestAChangeIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	c := commontest.New(network.NewMemory(nil))
+	c.Log.Logger.SetOutput(&log)
+	s := domains.NewScreen(c, func(*routing.Directory) {})
+	s.SetDirectory(listed)
+	for range 3 {
+		s.Replace([]domains.Order{drain("d1")})
+	}
+	s.Replace(nil)
+	s.Replace(nil)
+	if n := strings.Count(log.String(), "\n"); n != 2 || !strings.Contains(log.String(), "targets=2") {
+		t.Errorf("%d lines: %s", n, log.String())
+	}
+}
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -58,10 +58,10 @@
 	return e.read()
 }
 
-// withholds reports whether a target has told this entry to send nothing. It is asked here, where each way to a
-// target ends, since whoever gave the place may not have heard of it.
+// withholds reports whether a target has told this entry to send nothing, or its failure domain is drained. It is
+// asked here, where each way to a target ends, since whoever gave the place may not have heard of it.
 func (p *Pool) withholds(t *routing.Target) bool {
-	if !p.advice.Of(t.Life()).Bars() {
+	if !p.advice.Of(t.Life()).Bars() && !p.drained(t.ID) {
 		return false
 	}
 	p.Metrics.Links.Add("requests_withheld", 1)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -70,6 +70,17 @@
 	return p.targets != nil && p.targets.Replaced(life)
 }
 
+// drained reports whether a target's failure domain is drained by the newest list.
+func (p *Pool) drained(id ids.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.targets == nil {
+		return false
+	}
+	t := p.targets.Target(id)
+	return t != nil && t.Drained
+}
+
 // Follow takes the newest list of targets: nothing more is sent to a former life of one. The list must come here
 // before anything is placed by it.
 func (p *Pool) Follow(targets *routing.Directory) {
--- a/pkg/operators/port.go
+++ b/pkg/operators/port.go
@@ -27,6 +27,9 @@
 	PathQuarantine = "/quarantine"
 	// PathAdvice tells which targets leave or rest by their own word; it is served as PathRollouts is.
 	PathAdvice = "/advice"
+	// PathDomains tells of each failure domain whether it is drained and how many of its targets are cold; it is
+	// served as PathRollouts is.
+	PathDomains = "/domains"
 	// PathProfile takes a processor profile for ?seconds=N.
 	PathProfile    = "/debug/pprof/profile"
 	PathHeap       = "/debug/pprof/heap"
--- a/pkg/routing/target.go
+++ b/pkg/routing/target.go
@@ -18,6 +18,10 @@
 	Domain  ids.FailureDomain
 	Slots   int
 	Leaving bool
+	// Drained says that operators have drained its failure domain, and BackAt when this entry has read that
+	// they had given it back, 0 if it has not.
+	Drained bool
+	BackAt  clock.Millis
 	// ColdFor is how long after its start the target stays slow.
 	ColdFor clock.Millis
 	// Version is that of its software.
@@ -58,7 +62,7 @@
 	byID      map[ids.Target]*Target
 }
 
-// NewDirectory builds a directory; targets that are leaving or withheld are known but not
+// NewDirectory builds a directory; targets that are leaving, drained or withheld are known but not
 // offered.
 func NewDirectory(targets []*Target) *Directory {
 	d := &Directory{
@@ -71,7 +75,7 @@
 	for _, t := range d.all {
 		d.byID[t.ID] = t
 		switch {
-		case t.Leaving:
+		case t.Leaving, t.Drained:
 		case t.Admission == Admitted:
 			d.byService[t.Service] = append(d.byService[t.Service], t)
 		case t.Admission == OnTrial:
