Cold targets get no more than they bear, over all entries

A target that has just started bears few requests a second for some seconds, and may become cold again. How long it is told was read from its row and used for nothing: targets that came back got requests as fast as they had places.

Change: the home of a service gives each cold target jobs by a bucket that is empty at first, at what the service bears or .55 of the bound, whichever is less, times its backing; .25 while it is new, as another may go on as the home until it misses this one. An entry without a home sends cold targets nothing. What is left of the bound is for what reaches its target late. A target counts as cold from when its row was read, and for its service's time after its failure domain was given back, since it need not have told by then. quayctl status and /domains tell how many.

--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -39,6 +39,8 @@
 	started int
 	long    bool                    // some runs take long
 	domains int                     // how many failure domains the targets are in; 0 has them in the entries' own
+	cold    time.Duration           // for how long targets that start from now on are cold
+	coldPer float64                 // requests a second that a cold one bears; 0 is no bound
 	sameIDs bool                    // ended targets start again under their ids
 	breaks  float64                 // the part of answers that targets break off
 	over    bool                    // nothing starts any more
@@ -81,6 +83,7 @@
 	longWork     = 250 * time.Millisecond  // besides, of one run in so many:
 	longOneIn    = 5
 	crashTargets = 12
+	coldTime     = 3 * time.Second // for how long targets say that they are cold after a start
 	crashSlots   = 8
 	contactTime  = 3 * time.Second // after which all must have heard
 )
@@ -112,7 +115,7 @@
 		defer b.mu.Unlock()
 		return b.cut[from] || b.cut[to]
 	})
-	b.configure()
+	b.configure(1)
 	for i := range entries {
 		b.serveStore(i)
 	}
@@ -128,12 +131,13 @@
 	return b
 }
 
-func (b *crashBed) configure() {
+// configure puts a version of the configuration in force.
+func (b *crashBed) configure(version int) {
 	route := func(name string, attempts int) wiretest.Route {
 		return wiretest.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: name, Timeout: 3000, Objective: 500, Attempts: attempts, Service: "s"}
 	}
 	configuration := wiretest.Configuration{
-		Version: 1, Routes: []wiretest.Route{route("safe", 2), route("unsafe", 1)}, Services: []wiretest.Service{{Name: "s", Connections: 200}},
+		Version: version, Routes: []wiretest.Route{route("safe", 2), route("unsafe", 1)}, Services: []wiretest.Service{{Name: "s", Connections: 200, ColdSeconds: coldTime.Seconds(), ColdRate: b.coldPer}},
 		Limits:   wiretest.Limits{BodyBytes: 100_000},
 		Accounts: []wiretest.Account{{Name: "acme", Keys: []string{"key-a"}}, {Name: "other", Keys: []string{"key-o"}}},
 	}
--- a/pkg/app/crash_engines_test.go
+++ b/pkg/app/crash_engines_test.go
@@ -21,6 +21,7 @@
 	id      string
 	version ids.Version
 	born    ids.Start
+	row     wiretest.Engine
 	server  *http.Server
 	once    sync.Once
 }
@@ -60,7 +61,8 @@
 		return
 	}
 	go func() { _ = e.server.Serve(listener) }()
-	row := wiretest.Engine{Service: "s", Address: address, Domain: b.domainOf(n), Version: e.version, Slots: crashSlots, State: wiretest.Ready, Sequence: 1, Born: e.born}
+	row := wiretest.Engine{Service: "s", Address: address, Domain: b.domainOf(n), Version: e.version, Slots: crashSlots, State: wiretest.Ready, ColdFor: b.coldFor(), Sequence: 1, Born: e.born}
+	e.row = row
 	b.store.Put(platform.TableTargets, e.id, row.Row())
 }
 
@@ -130,6 +132,13 @@
 	list[body] = append(list[body], e.bed.now())
 }
 
+// coldFor is for how long a target that starts now says that it is cold, in ms.
+func (b *crashBed) coldFor() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return int(b.cold.Milliseconds())
+}
+
 // reuseIDs has ended targets start again under their ids.
 func (b *crashBed) reuseIDs() {
 	b.mu.Lock()
--- a/pkg/app/entry_bounds.go
+++ b/pkg/app/entry_bounds.go
@@ -5,6 +5,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ingress"
 	"quaydock/pkg/metering"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/rollout"
 	"quaydock/platform"
@@ -40,6 +41,12 @@
 	return rollout.Bounds{Share: b.ExposeShare, Slack: b.ExposeSlack, Stop: b.Rollback}
 }
 
+// coldBounds bound what cold targets get.
+func (p *entryProcess) coldBounds() planner.ColdBounds {
+	b := p.bounds.Load()
+	return planner.ColdBounds{Over: b.ColdOver, Slack: b.ColdSlack}
+}
+
 func retryBounds(b platform.Bounds) quota.RetryBounds {
 	return quota.RetryBounds{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: seconds(b.RetryWindowSeconds)}
 }
--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -34,6 +34,7 @@
 	})
 	f.Gauge("targets_leaving_by_their_word", func() float64 { leaving, _ := p.advised(); return leaving })
 	f.Gauge("targets_resting_from_this_entry", func() float64 { _, resting := p.advised(); return resting })
+	f.Gauge("targets_cold", p.coldTargets)
 	f.Gauge("entries_listed", func() float64 {
 		entries, _ := p.members.Entries()
 		return float64(entries)
@@ -78,7 +79,16 @@
 	if listed == nil {
 		return []domains.Report{}
 	}
-	return domains.Reports(listed)
+	return domains.Reports(p.Clock.Now(), listed, p.view.Catalog())
+}
+
+// coldTargets is how many targets get few requests.
+func (p *entryProcess) coldTargets() float64 {
+	cold := 0
+	for _, r := range p.failureDomains() {
+		cold += r.Cold
+	}
+	return float64(cold)
 }
 
 // advised is how many targets leave, and how many rest from this entry, by their own word.
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -200,6 +200,7 @@
 	parts := dispatch.Parts{
 		Common: c, Address: address, Domain: s.Domain, View: p.view, Members: p.members, Link: link,
 		Notes: p.store.Table(platform.TableNotes), Local: schedule.NewLocal(c, p.view, p.advice), Advice: p.advice,
+		ColdBounds: p.coldBounds,
 	}
 	listed := p.view.SetDirectory
 	if p.exposure().Enabled() {
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -50,7 +50,7 @@
 	return showDomains(ctx, *at, out)
 }
 
-// showDomains shows the failure domains that are drained; only entries on the platform know that.
+// showDomains shows the failure domains that are drained or have cold targets; only entries on the platform know that.
 func showDomains(ctx context.Context, at string, out io.Writer) error {
 	code, document, err := get(ctx, at, operators.PathDomains)
 	if err != nil {
@@ -67,6 +67,9 @@
 		if r.Drained {
 			report(out, fmt.Sprintf("failure domain %s is drained: its %d targets get no new requests", r.Domain, r.Targets))
 		}
+		if r.Cold > 0 {
+			report(out, fmt.Sprintf("failure domain %s: %d of %d targets are cold and get few requests", r.Domain, r.Cold, r.Targets))
+		}
 	}
 	return nil
 }
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -66,6 +66,7 @@
 		without string
 	}{
 		{"drained", []domains.Report{{Domain: "d1", Drained: true, Targets: 17}}, "failure domain d1 is drained: its 17 targets", "cold"},
+		{"cold", []domains.Report{{Domain: "d2", Targets: 5, Cold: 3}}, "failure domain d2: 3 of 5 targets are cold", "drained"},
 		{"nothing", []domains.Report{{Domain: "d3", Targets: 4}}, "ready", "d3"},
 	}
 	for _, s := range scenarios {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"quaydock/pkg/ids"
 	"quaydock/pkg/membership"
 	"quaydock/pkg/packets"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
 	"quaydock/pkg/view"
@@ -65,6 +66,8 @@
 	Local schedule.Scheduler
 	// Advice is what targets have told this entry of themselves.
 	Advice *advisory.Book
+	// ColdBounds are those in force on what cold targets get.
+	ColdBounds func() planner.ColdBounds
 	// Rollouts is what roll-outs need, nil if they are no part of the deployment.
 	Rollouts *Rollouts
 }
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -32,6 +32,7 @@
 	trial     *rollout.Trial // of a version, if there is an order
 	planned   rollout.Plan   // what it last wanted
 	closed    bool           // a version has taken over, but does not get all requests yet
+	beganAt   clock.Millis
 	writer    recordWriter
 }
 
@@ -47,6 +48,8 @@
 	id       uint64
 	memory   *memory
 	rollouts *Rollouts // nil if they are no part of the deployment
+	// coldBounds are those in force.
+	coldBounds func() planner.ColdBounds
 
 	// stalls are those of this process, whoever is the home.
 	stalls clock.Stalls
@@ -61,7 +64,7 @@
 func newHome(c common.Common, parts Parts, send func(netip.AddrPort, answer)) *Home {
 	return &Home{
 		Common: c, view: parts.View, members: parts.Members, memory: newMemory(c, parts.Members, parts.Link, parts.Notes),
-		rollouts: parts.Rollouts, id: c.Random.Fork().Uint64(), send: send, groups: make(map[ids.Service]*hosted),
+		rollouts: parts.Rollouts, coldBounds: parts.ColdBounds, id: c.Random.Fork().Uint64(), send: send, groups: make(map[ids.Service]*hosted),
 	}
 }
 
@@ -87,7 +90,7 @@
 	}
 	g := h.groups[service]
 	if g == nil {
-		g = &hosted{planner: planner.New(h.Random.Fork()), heard: make(map[string]clock.Millis)}
+		g = &hosted{planner: planner.New(h.Random.Fork()), heard: make(map[string]clock.Millis), beganAt: now}
 		g.planner.Without(h.Ablation)
 		h.groups[service] = g
 		h.Log.WithField("service", string(service)).Info("planning for a service")
@@ -98,6 +101,7 @@
 
 // refresh brings a planner up to the list of targets; the lock is held.
 func (h *Home) refresh(now clock.Millis, g *hosted, service ids.Service, directory *routing.Directory) {
+	h.limitCold(now, g, service)
 	closed := h.closed(now, service)
 	if g.directory == directory && g.closed == closed {
 		return
@@ -111,6 +115,23 @@
 	h.adopt(g, service)
 }
 
+// limitCold says what cold targets of a service may get from here; the lock is held. An entry that was cut off may go
+// on as the home until it has missed this one for as long as it takes anybody for alive.
+func (h *Home) limitCold(now clock.Millis, g *hosted, service ids.Service) {
+	catalog := h.view.Catalog()
+	if catalog == nil || catalog.Service(service) == nil {
+		g.planner.SetCold(nil, 0)
+		return
+	}
+	s := catalog.Service(service)
+	if s.ColdPerSecond == 0 {
+		g.planner.SetCold(s, 0)
+		return
+	}
+	fresh := now < g.beganAt+2*h.members.MissedAfter()
+	g.planner.SetCold(s, h.coldBounds().Rate(s, h.members.Backing(), fresh))
+}
+
 // run looks after the planners until ctx ends.
 func (h *Home) run(ctx context.Context) {
 	var told clock.Millis
--- a/pkg/domains/report.go
+++ b/pkg/domains/report.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
 )
@@ -14,17 +15,29 @@
 	Domain  ids.FailureDomain `json:"domain"`
 	Drained bool              `json:"drained"`
 	Targets int               `json:"targets"`
+	// Cold is how many of the targets get few requests, as they are cold or may be.
+	Cold int `json:"cold"`
 }
 
-// Reports tells of the failure domains of a list of targets, by their names.
-func Reports(listed *routing.Directory) []Report {
+// Reports tells of the failure domains of a list of targets, by their names. The catalog is nil if none was read.
+func Reports(now clock.Millis, listed *routing.Directory, catalog *routing.Catalog) []Report {
 	known := make(map[ids.FailureDomain]Report)
 	for _, t := range listed.All() {
 		r := known[t.Domain]
 		r.Domain = t.Domain
 		r.Targets++
 		r.Drained = r.Drained || t.Drained
+		if t.Cold(now, serviceOf(catalog, t)) {
+			r.Cold++
+		}
 		known[t.Domain] = r
 	}
 	return slices.SortedFunc(maps.Values(known), func(a, b Report) int { return cmp.Compare(a.Domain, b.Domain) })
 }
+
+func serviceOf(catalog *routing.Catalog, t *routing.Target) *routing.Service {
+	if catalog == nil {
+		return nil
+	}
+	return catalog.Service(t.Service)
+}
--- a/pkg/domains/screen_test.go
+++ b/pkg/domains/screen_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/domains"
 	"quaydock/pkg/ids"
@@ -113,3 +114,26 @@
 		t.Errorf("%d lines: %s", n, log.String())
 	}
 }
+
+// TestATargetThatWasGivenBackMayBeCold: it need not have told yet that it became cold while it was drained.
+func TestATargetThatWasGivenBackMayBeCold(t *testing.T) {
+	service := &routing.Service{Name: "s", ColdPerSecond: 20, ColdTime: 3 * clock.Second}
+	target := &routing.Target{ID: "a", Service: "s", BackAt: 1000, ColdUntil: 2000}
+	scenarios := []struct {
+		at      clock.Millis
+		service *routing.Service
+		cold    bool
+	}{
+		{1500, service, true},
+		{3999, service, true},
+		{4000, service, false},
+		{1999, nil, true},
+		{2000, nil, false},
+		{1500, &routing.Service{Name: "s"}, false},
+	}
+	for _, s := range scenarios {
+		if got := target.Cold(s.at, s.service); got != s.cold {
+			t.Errorf("at %d, service %+v: cold %t", s.at, s.service, got)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/planner/cold_test.go
@@ -0,0 +1,81 @@
+package planner_test
+
+import (
+	"math"
+	"testing"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+)
+
+// TestColdRates: over all homes that may give out at once, one cold target gets no more than the bound, with something
+// left for requests that reach it late.
+func TestColdRates(t *testing.T) {
+	scenarios := []struct {
+		name      string
+		bounds    planner.ColdBounds
+		perSecond float64
+		rate      float64 // of a home that all entries back
+	}{
+		{"as much as it bears", planner.ColdBounds{Over: 2, Slack: 10}, 20, 20},
+		{"little beyond what it bears is allowed", planner.ColdBounds{Over: 1.5, Slack: 5}, 20, 19.25},
+		{"nothing beyond it is", planner.ColdBounds{}, 20, 11},
+		{"a slack that is more than it bears", planner.ColdBounds{Over: 1.5, Slack: 50}, 4, 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			service := &routing.Service{Name: "s", ColdPerSecond: s.perSecond}
+			if got := s.bounds.Rate(service, 1, false); math.Abs(got-s.rate) > 1e-9 {
+				t.Errorf("%.3f a second, want %.3f", got, s.rate)
+			}
+			most := max(1, s.bounds.Over)*s.perSecond + s.bounds.Slack
+			if both := s.bounds.Rate(service, 1, false) + s.bounds.Rate(service, 1, true); both > 0.9*most {
+				t.Errorf("two homes give %.1f a second, allowed are %.1f", both, most)
+			}
+			if half := s.bounds.Rate(service, 0.5, false); half > s.rate/2+1e-9 {
+				t.Errorf("%.3f a second, backed by half", half)
+			}
+		})
+	}
+}
+
+// TestAColdTargetGetsAFewAtATime: a cold target gets no more than the rate, the others all the rest, and it gets as much as
+// they once it is warm.
+func TestAColdTargetGetsAFewAtATime(t *testing.T) {
+	const warmAt = start + 3*clock.Second
+	service := &routing.Service{Name: "s", ColdPerSecond: 20}
+	p := newPlanner()
+	p.SetCold(service, 10)
+	p.SetTargets(start, []*routing.Target{
+		{ID: "cold", Service: "s", Slots: 4, ColdUntil: warmAt}, {ID: "warm", Service: "s", Slots: 4},
+	})
+	given := map[string]int{}
+	for i := range 800 {
+		now := start + clock.Millis(i)*5
+		j := job(uint64(i), 0)
+		j.Arrived, j.Deadline = now, now+clock.Second
+		p.Submit(now, j)
+		p.Tick(now)
+		for _, d := range p.Decisions() {
+			if g, ok := d.(planner.Grant); ok {
+				when := "cold "
+				if now >= warmAt {
+					when = "warm "
+				}
+				given[when+string(g.Life.Target)]++
+				p.Begin(now, g.ID, nil)
+				p.Finish(now, g.ID, planner.Served, planner.Flow{})
+			}
+		}
+	}
+	if n := given["cold cold"]; n < 25 || n > 32 {
+		t.Errorf("%d in three seconds of cold, at 10 a second", n)
+	}
+	if n := given["cold warm"]; n < 560 {
+		t.Errorf("the other got %d of 600", n)
+	}
+	if n := given["warm cold"]; n < 60 {
+		t.Errorf("%d of 200 once it was warm", n)
+	}
+}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -52,11 +52,10 @@
 			kept = append(kept, w)
 			continue
 		}
-		p.runs[w.ID] = t.start(now, w.Job)
+		p.grant(now, w, t)
 		p.gave(now, w)
 		p.trial.earn(w.Route)
-		p.decide(Grant{ID: w.ID, Life: t.Life()})
-		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !t.room(now, s.careful) })
+		s.roomy = slices.DeleteFunc(s.roomy, func(t *target) bool { return !p.room(now, t, s.careful) })
 	}
 	clear(p.queue.jobs[len(kept):])
 	p.queue.jobs = kept
@@ -67,6 +66,20 @@
 	}
 }
 
+// grant gives a job a target.
+func (p *Planner) grant(now clock.Millis, w *waiting, t *target) *run {
+	r := t.start(now, w.Job)
+	t.spendCold()
+	p.runs[w.ID] = r
+	p.decide(Grant{ID: w.ID, Life: t.Life()})
+	return r
+}
+
+// room reports whether a target can take a job now.
+func (p *Planner) room(now clock.Millis, t *target, careful bool) bool {
+	return t.room(now, careful) && p.bears(now, t)
+}
+
 // held reports whether a job is to wait, as something that goes before it was
 // refused a moment ago.
 func (p *Planner) held(now clock.Millis, w *waiting) bool {
@@ -99,7 +112,7 @@
 			s.quickest = min(s.quickest, t.factor.get())
 			s.known = true
 		}
-		if t.room(now, s.careful) && (!s.careful || !aside) {
+		if p.room(now, t, s.careful) && (!s.careful || !aside) {
 			s.roomy = append(s.roomy, t)
 		}
 	}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -17,6 +17,7 @@
 	list      []*target // of these, those that may get all work
 	slots     int       // how many jobs these run at once
 	trial     trial
+	cold      coldLimit
 	queue     queue
 	runs      map[JobID]*run
 	speeds    speeds
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -20,6 +20,7 @@
 	foreign foreign
 	tried   int                     // how often it was filled while its version was on trial
 	leaving bool                    // by its own word
+	cold    *coldBucket             // nil while it is warm
 	rests   map[string]clock.Millis // until when it wants nothing of an entry, or has served it nothing since
 }
 
--- a/pkg/roster/lives_test.go
+++ b/pkg/roster/lives_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/ids"
@@ -19,6 +20,7 @@
 // row is a row of target "a".
 type row struct {
 	Start   ids.Start
+	Cold    clock.Millis
 	Version ids.Version
 	Address string
 	Leaving bool
@@ -37,7 +39,7 @@
 	if err := json.Unmarshal(document, &r); err != nil {
 		return nil, err
 	}
-	return &routing.Target{ID: ids.Target(id), Service: "s", Start: r.Start, Version: r.Version, Address: r.Address, Leaving: r.Leaving}, nil
+	return &routing.Target{ID: ids.Target(id), Service: "s", Start: r.Start, ColdFor: r.Cold, Version: r.Version, Address: r.Address, Leaving: r.Leaving}, nil
 }
 
 // TestLivesOfATarget: a target that started again under its id counted as listed since its former
@@ -51,18 +53,18 @@
 		start  ids.Start
 		listed int64
 	}{
-		{"its row changes", []follow.Row{first.at(7), row{50, "v1", "x:1", true}.at(19)}, 50, 7},
-		{"a later start", []follow.Row{first.at(7), row{60, "v1", "x:1", false}.at(19)}, 60, 19},
-		{"a lower start: the clock was set back", []follow.Row{first.at(7), row{40, "v1", "x:1", false}.at(19)}, 40, 19},
-		{"the former row is read once more, later", []follow.Row{first.at(7), row{40, "v1", "x:1", false}.at(19), first.at(7)}, 40, 19},
-		{"another start, at a revision that is not known", []follow.Row{first.at(7), row{40, "v1", "x:1", false}.at(0)}, 40, 7},
-		{"no start after one, and nothing else has changed", []follow.Row{first.at(7), row{0, "v1", "x:1", true}.at(19)}, 50, 7},
-		{"and then the same start again", []follow.Row{first.at(7), row{0, "v1", "x:1", true}.at(19), first.at(21)}, 50, 7},
-		{"and then another", []follow.Row{first.at(7), row{0, "v1", "x:1", true}.at(19), row{60, "v1", "x:1", false}.at(21)}, 60, 21},
-		{"no start after one, and another address", []follow.Row{first.at(7), row{0, "v1", "x:2", false}.at(19)}, 0, 19},
-		{"no start after one, and another version", []follow.Row{first.at(7), row{0, "v2", "x:1", false}.at(19)}, 0, 19},
-		{"a start after none", []follow.Row{row{0, "v1", "x:1", false}.at(7), first.at(19)}, 50, 19},
-		{"never a start", []follow.Row{row{0, "v1", "x:1", false}.at(7), row{0, "v1", "x:1", true}.at(19)}, 0, 7},
+		{"its row changes", []follow.Row{first.at(7), row{Start: 50, Version: "v1", Address: "x:1", Leaving: true}.at(19)}, 50, 7},
+		{"a later start", []follow.Row{first.at(7), row{Start: 60, Version: "v1", Address: "x:1", Leaving: false}.at(19)}, 60, 19},
+		{"a lower start: the clock was set back", []follow.Row{first.at(7), row{Start: 40, Version: "v1", Address: "x:1", Leaving: false}.at(19)}, 40, 19},
+		{"the former row is read once more, later", []follow.Row{first.at(7), row{Start: 40, Version: "v1", Address: "x:1", Leaving: false}.at(19), first.at(7)}, 40, 19},
+		{"another start, at a revision that is not known", []follow.Row{first.at(7), row{Start: 40, Version: "v1", Address: "x:1", Leaving: false}.at(0)}, 40, 7},
+		{"no start after one, and nothing else has changed", []follow.Row{first.at(7), row{Start: 0, Version: "v1", Address: "x:1", Leaving: true}.at(19)}, 50, 7},
+		{"and then the same start again", []follow.Row{first.at(7), row{Start: 0, Version: "v1", Address: "x:1", Leaving: true}.at(19), first.at(21)}, 50, 7},
+		{"and then another", []follow.Row{first.at(7), row{Start: 0, Version: "v1", Address: "x:1", Leaving: true}.at(19), row{Start: 60, Version: "v1", Address: "x:1", Leaving: false}.at(21)}, 60, 21},
+		{"no start after one, and another address", []follow.Row{first.at(7), row{Start: 0, Version: "v1", Address: "x:2", Leaving: false}.at(19)}, 0, 19},
+		{"no start after one, and another version", []follow.Row{first.at(7), row{Start: 0, Version: "v2", Address: "x:1", Leaving: false}.at(19)}, 0, 19},
+		{"a start after none", []follow.Row{row{Start: 0, Version: "v1", Address: "x:1", Leaving: false}.at(7), first.at(19)}, 50, 19},
+		{"never a start", []follow.Row{row{Start: 0, Version: "v1", Address: "x:1", Leaving: false}.at(7), row{Start: 0, Version: "v1", Address: "x:1", Leaving: true}.at(19)}, 0, 7},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
@@ -167,3 +169,36 @@
 		}
 	}
 }
+
+// TestForHowLongATargetIsCold has a target's row be read a second after the former one.
+func TestForHowLongATargetIsCold(t *testing.T) {
+	first := row{Start: 50, Cold: 3000}
+	scenarios := []struct {
+		name string
+		next row
+		left clock.Millis // of the time in which it is cold
+	}{
+		{"it tells the same", first, 2000},
+		{"something else has changed", row{Start: 50, Cold: 3000, Leaving: true}, 2000},
+		{"it tells what is left", row{Start: 50, Cold: 1900}, 1900},
+		{"it is warm", row{Start: 50}, -1},
+		{"it is cold for longer", row{Start: 50, Cold: 9000}, 9000},
+		{"it has started again", row{Start: 60, Cold: 3000}, 3000},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := commontest.New(network.NewMemory(nil))
+				var got *routing.Directory
+				r := roster.New(c, parseRow, func(d *routing.Directory) { got = d })
+				r.Whole([]follow.Row{first.at(7)}, follow.Proof{})
+				time.Sleep(time.Second)
+				r.Changed([]follow.Row{s.next.at(9)}, follow.Proof{})
+				until := got.Target("a").ColdUntil
+				if s.left < 0 && until != 0 || s.left >= 0 && until != c.Clock.Now()+s.left {
+					t.Errorf("cold until %d, now it is %d", until, c.Clock.Now())
+				}
+			})
+		})
+	}
+}
--- a/pkg/roster/rows.go
+++ b/pkg/roster/rows.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
@@ -21,6 +22,7 @@
 	}
 	target.Revision = row.Version
 	inherit(before, target)
+	target.ColdUntil = r.coldUntil(before, target)
 	if !r.starting && (r.targets[target.ID] == nil || before.Leaving != target.Leaving || before.Life() != target.Life()) {
 		r.logListed(before, target)
 	}
@@ -75,6 +77,19 @@
 	}
 }
 
+// coldUntil is when a target is no longer cold. A row that is read again tells nothing new of that, and one that
+// another process has told may be older than its reading.
+func (r *Roster) coldUntil(before, target *routing.Target) clock.Millis {
+	switch {
+	case target.ColdFor == 0:
+		return 0
+	case before != nil && before.Life() == target.Life() && before.ColdFor == target.ColdFor:
+		return before.ColdUntil
+	default:
+		return r.Clock.Now() + target.ColdFor
+	}
+}
+
 func (r *Roster) logListed(before, target *routing.Target) {
 	line := r.Log.WithFields(logrus.Fields{
 		"target": string(target.ID), "leaving": target.Leaving, "version": string(target.Version), "start": int64(target.Start), "revision": target.Revision,
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -44,6 +44,10 @@
 	Name ids.Service
 	// Connections is how many connections one target takes from all entries.
 	Connections int
+	// ColdPerSecond is how many requests a second a cold target bears; 0 is no bound. ColdTime is for how long
+	// targets are cold after their start.
+	ColdPerSecond float64
+	ColdTime      clock.Millis
 	// Engine is set for services of model engines.
 	Engine *Engine
 }
--- a/pkg/routing/target.go
+++ b/pkg/routing/target.go
@@ -22,8 +22,10 @@
 	// they had given it back, 0 if it has not.
 	Drained bool
 	BackAt  clock.Millis
-	// ColdFor is how long after its start the target stays slow.
-	ColdFor clock.Millis
+	// ColdFor is for how long the target stays cold, by its newest row, and ColdUntil when that is over, counted
+	// from when this entry has read it.
+	ColdFor   clock.Millis
+	ColdUntil clock.Millis
 	// Version is that of its software.
 	Version ids.Version
 	// Listed is the store's revision at which this life of the target was first seen, at the
@@ -38,6 +40,19 @@
 	return ids.Life{Target: t.ID, Start: t.Start}
 }
 
+// Cold reports whether the target bears few requests, or may do so: it need not have told yet that it became cold
+// while its failure domain was drained. The service is its own, nil if it is not known what cold targets bear.
+func (t *Target) Cold(now clock.Millis, s *Service) bool {
+	switch {
+	case s == nil:
+		return now < t.ColdUntil
+	case s.ColdPerSecond == 0:
+		return false
+	default:
+		return now < t.ColdUntil || t.BackAt > 0 && now < t.BackAt+s.ColdTime
+	}
+}
+
 // Admission says whether a target may get work by the version that it runs.
 type Admission int
 
