Lists that change write ten lines a second of a kind

Each process wrote a line for each target and each entry that was listed: entries times targets at a start.

Ruled out: that one line for a first list is enough; targets write their rows one by one within some seconds, after the entries have read an empty list.

Change: the sampler that bounds other lines bounds these by kind (listed, leaving, started again, gone), and tells how many were left out. What changes by itself takes a line as before.

Measured: TestLinesOfManyTargets, 900 targets within three seconds take 44 lines at the most for each entry; 20 that leave one after the other take their 40.

--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -13,6 +13,7 @@
 	"quaydock/pkg/follow"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/packets"
+	"quaydock/pkg/telemetry"
 )
 
 // Rows writes rows of the table of members.
@@ -67,7 +68,8 @@
 	mu      sync.Mutex
 	list    map[ids.Process]*member
 	faults  *follow.Faults // rows of the list that cannot be used
-	listed  bool           // this entry's own row is there
+	sampler *telemetry.Sampler
+	listed  bool // this entry's own row is there
 	joining joining
 
 	// leaving says that this entry is being stopped.
@@ -111,7 +113,7 @@
 func New(c common.Common, self Self, rows Rows, link *packets.Link) *Members {
 	m := &Members{
 		Common: c, self: self.Name, address: self.Address, weight: self.Weight, domain: self.Domain, rows: rows, link: link,
-		list: make(map[ids.Process]*member), faults: follow.NewFaults(c, "entries"),
+		list: make(map[ids.Process]*member), faults: follow.NewFaults(c, "entries"), sampler: telemetry.NewSampler(c.Clock, c.Log, linesASecond),
 		homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process),
 		wake: make(chan struct{}, 1), aliveUntil: stale,
 		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
@@ -221,7 +223,7 @@
 		if row.Gone {
 			delete(m.list, name)
 			m.faults.Sound(row.Key)
-			m.Log.WithField("entry", row.Key).Info("entry no longer listed")
+			m.logRow(row, "entry no longer listed")
 			continue
 		}
 		m.put(row, m.list[name], true)
@@ -242,11 +244,21 @@
 		return
 	}
 	if log {
-		m.Log.WithField("entry", row.Key).Info("entry listed")
+		m.logRow(row, "entry listed")
 	}
 	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now()}
 }
 
+// linesASecond bounds the log lines of each kind: where all entries start together, each would write one for each
+// other.
+const linesASecond = 10
+
+func (m *Members) logRow(row follow.Row, line string) {
+	if m.sampler.Allow(line) {
+		m.Log.WithField("entry", row.Key).Info(line)
+	}
+}
+
 // keep goes on with what was known of an entry whose row cannot be used: it may be alive, and
 // without it the others would share out its part of what all may spend. This entry's own row, if
 // it is the one, counts as missing, so that it is written again.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -11,12 +11,16 @@
 	"quaydock/pkg/follow"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/telemetry"
 )
 
 const (
 	// returnTime is how long after the store's return a sound target's entry is
 	// back: targets write theirs again within about two seconds.
 	returnTime = 2200 * clock.Millisecond
+	// linesASecond bounds the log lines of each kind: where all targets start or end together, every entry would
+	// write one for each of them.
+	linesASecond = 10
 )
 
 // Parse reads a target's row.
@@ -28,6 +32,7 @@
 	common.Common
 	parse   Parse
 	changed func(*routing.Directory)
+	sampler *telemetry.Sampler
 
 	mu        sync.Mutex
 	starting  bool                           // the first list is being read
@@ -44,7 +49,7 @@
 // New returns an empty roster; changed is told of each new list.
 func New(c common.Common, parse Parse, changed func(*routing.Directory)) *Roster {
 	return &Roster{
-		Common: c, parse: parse, changed: changed,
+		Common: c, parse: parse, changed: changed, sampler: telemetry.NewSampler(c.Clock, c.Log, linesASecond),
 		targets: make(map[ids.Target]*routing.Target), aside: make(map[ids.Target]*routing.Target),
 		faults: follow.NewFaults(c, "targets"), missing: make(map[ids.Target]clock.Millis),
 	}
@@ -135,7 +140,7 @@
 	}
 	if now >= r.settledAt {
 		delete(r.targets, id)
-		r.Log.WithField("target", string(id)).Info("target gone")
+		r.logGone(id, "target gone")
 		return
 	}
 	r.missing[id] = r.settledAt
@@ -153,7 +158,7 @@
 	}
 	delete(r.missing, id)
 	delete(r.targets, id)
-	r.Log.WithField("target", string(id)).Info("target gone: its entry did not come back")
+	r.logGone(id, "target gone: its entry did not come back")
 	r.publish()
 }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,7 +1,10 @@
 package roster_test
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -206,3 +209,37 @@
 		}
 	})
 }
+
+// TestLinesOfManyTargets: in a day of 50 s 411 processes wrote 244,465 lines of targets that were listed, most in the
+// seconds in which all targets started. What changes by itself still takes a line each.
+func TestLinesOfManyTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		c := commontest.New(network.NewMemory(nil))
+		c.Log.Logger.SetOutput(&log)
+		r := roster.New(c, parse, func(*routing.Directory) {})
+		r.Whole(up("first"), follow.Proof{})
+		lines := func() int { return strings.Count(log.String(), "\n") }
+		before := lines()
+		for n := range 900 {
+			r.Changed(up(fmt.Sprint("t", n)), follow.Proof{})
+			time.Sleep(time.Second / 300)
+		}
+		if got := lines() - before; got > 4*11 {
+			t.Errorf("%d lines for 900 targets within three seconds", got)
+		}
+		if !strings.Contains(log.String(), "left out") {
+			t.Error("nothing tells how many were left out")
+		}
+		time.Sleep(time.Minute)
+		before = lines()
+		for n := range 20 {
+			r.Changed([]follow.Row{{Key: fmt.Sprint("t", n), Value: []byte("leaving")}}, follow.Proof{})
+			r.Changed([]follow.Row{{Key: fmt.Sprint("t", n), Gone: true}}, follow.Proof{})
+			time.Sleep(time.Second)
+		}
+		if got := lines() - before; got < 40 {
+			t.Errorf("%d lines for 20 targets that leave one after the other and go", got)
+		}
+	})
+}
--- a/pkg/roster/rows.go
+++ b/pkg/roster/rows.go
@@ -90,11 +90,36 @@
 	}
 }
 
+// The kinds of log lines that are sampled.
+const (
+	kindListed  = "target listed"
+	kindLeaving = "target leaving"
+	kindAgain   = "target started again"
+	kindGone    = "target gone"
+)
+
+func (r *Roster) logGone(id ids.Target, line string) {
+	if r.sampler.Allow(kindGone) {
+		r.Log.WithField("target", string(id)).Info(line)
+	}
+}
+
 func (r *Roster) logListed(before, target *routing.Target) {
+	again := before != nil && before.Life() != target.Life()
+	kind := kindListed
+	switch {
+	case again:
+		kind = kindAgain
+	case target.Leaving:
+		kind = kindLeaving
+	}
+	if !r.sampler.Allow(kind) {
+		return
+	}
 	line := r.Log.WithFields(logrus.Fields{
 		"target": string(target.ID), "leaving": target.Leaving, "version": string(target.Version), "start": int64(target.Start), "revision": target.Revision,
 	})
-	if before == nil || before.Life() == target.Life() {
+	if !again {
 		line.Info("target listed")
 		return
 	}
