--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -33,22 +33,24 @@
 	began     time.Time
 	entries   []*crashEntry
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	engines []*crashEngine
-	started int
-	long    bool                    // some runs take long
-	domains int                     // how many failure domains the targets are in; 0 has them in the entries' own
-	cold    time.Duration           // for how long targets that start from now on are cold
-	coldPer float64                 // requests a second that a cold one bears; 0 is no bound
-	sameIDs bool                    // ended targets start again under their ids
-	breaks  float64                 // the part of answers that targets break off
-	over    bool                    // nothing starts any more
-	cut     map[netip.AddrPort]bool // cut off from the other entries
-	away    map[int]bool            // entries that the store does not answer
-	ends    map[string][]time.Duration
-	reached map[string][]time.Duration // of bodies under which targets end, when each try reached one
-	usual   []usualCall
+	mu           sync.Mutex
+	random       *rand.Rand
+	engines      []*crashEngine
+	started      int
+	long         bool                    // some runs take long
+	domains      int                     // how many failure domains the targets are in; 0 has them in the entries' own
+	entryDomains int                     // as domains, of the entries
+	cold         time.Duration           // for how long targets that start from now on are cold
+	coldPer      float64                 // requests a second that a cold one bears; 0 is no bound
+	sameIDs      bool                    // ended targets start again under their ids
+	breaks       float64                 // the part of answers that targets break off
+	over         bool                    // nothing starts any more
+	cut          map[netip.AddrPort]bool // cut off from the other entries
+	away         map[int]bool            // entries that the store does not answer
+	denied       int                     // calls of these
+	ends         map[string][]time.Duration
+	reached      map[string][]time.Duration // of bodies under which targets end, when each try reached one
+	usual        []usualCall
 	// bytes is how many the entries have sent in datagrams, by kind.
 	bytes map[packets.Kind]int
 	// bounds are those of entries that start from now on.
@@ -102,6 +104,11 @@
 
 // newCrashBedIn is newCrashBedOf with the targets in so many failure domains.
 func newCrashBedIn(t *testing.T, seed uint64, entries, targets, domains int) *crashBed {
+	return newBed(t, seed, entries, targets, domains, false)
+}
+
+// newBed is newCrashBedIn; one that is empty has started nothing yet.
+func newBed(t *testing.T, seed uint64, entries, targets, domains int, empty bool) *crashBed {
 	b := &crashBed{
 		domains: domains,
 		t:       t, seed: seed, store: storetest.New(), net: network.NewMemory(nil), datagrams: packets.NewMemory(), began: time.Now(),
@@ -119,13 +126,16 @@
 	for i := range entries {
 		b.serveStore(i)
 	}
+	t.Cleanup(b.close)
+	if empty {
+		return b
+	}
 	for n := range targets {
 		b.startEngine(n)
 	}
 	for i := range entries {
 		b.startEntry(i)
 	}
-	t.Cleanup(b.close)
 	time.Sleep(2 * time.Second)
 	b.began = time.Now()
 	return b
@@ -153,6 +163,9 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.mu.Lock()
 		away := b.away[i]
+		if away {
+			b.denied++
+		}
 		b.mu.Unlock()
 		if away {
 			panic(http.ErrAbortHandler)
@@ -181,7 +194,7 @@
 		c.Log = bedLog().WithField("entry", i)
 	}
 	s := platform.Settings{
-		Node: ids.Process(fmt.Sprint("entry-", i)), IP: crashIP(i), Domain: "d", Internal: []int{7600, 7615},
+		Node: ids.Process(fmt.Sprint("entry-", i)), IP: crashIP(i), Domain: b.entryDomain(i), Internal: []int{7600, 7615},
 		Listen: platform.Listen{Callers: crashIP(i) + ":80", Ready: crashIP(i) + ":81"},
 		Bounds: bounds,
 		Store:  platform.StoreSettings{Address: storeAddress(i)},
@@ -200,6 +213,14 @@
 	b.entries[i] = &crashEntry{process: p, net: own, stop: stop}
 }
 
+// entryDomain is the failure domain of an entry: one for all, or one of several in turn.
+func (b *crashBed) entryDomain(i int) ids.FailureDomain {
+	if b.entryDomains == 0 {
+		return "d"
+	}
+	return ids.FailureDomain(fmt.Sprint("d", i%b.entryDomains))
+}
+
 // killEntry ends an entry without a word.
 func (b *crashBed) killEntry(i int) {
 	b.mu.Lock()
@@ -239,7 +260,9 @@
 	engines := slices.Clone(b.engines)
 	b.mu.Unlock()
 	for _, e := range engines {
-		e.end()
+		if e != nil {
+			e.end()
+		}
 	}
 	time.Sleep(time.Minute) // until all has ended
 }
--- a/pkg/app/entry_follow.go
+++ b/pkg/app/entry_follow.go
@@ -22,9 +22,9 @@
 // are: these may have read them already.
 func (p *entryProcess) followRest(ctx context.Context) {
 	select {
-	case <-p.members.Ready():
+	case <-p.members.Peopled():
 	case <-time.After(membersFirst.Duration()):
-		p.Log.Warn("list of entries not read yet; reading the other tables without it")
+		p.Log.WithField("read", p.members.Known()).Warn("no entry seen on the list yet; reading the other tables without it")
 	case <-ctx.Done():
 		return
 	}
--- a/pkg/bulletin/fetch.go
+++ b/pkg/bulletin/fetch.go
@@ -32,15 +32,16 @@
 	defer cancel()
 	answers := make(chan fetched, 2)
 	peersFailed := make(chan struct{})
+	alone := storeAfter + s.spread()
 	go func() {
-		a := s.changesFromPeers(ctx, after)
+		a := s.changesFromPeers(ctx, after, alone)
 		if a.err != nil {
 			close(peersFailed)
 		}
 		answers <- a
 	}()
 	go func() {
-		leaveTime(ctx, storeAfter+leastPause, peersFailed)
+		leaveTime(ctx, alone+leastPause, peersFailed)
 		answers <- s.changesFromStore(ctx, after)
 	}()
 	var failed error
@@ -79,8 +80,8 @@
 
 // changesFromPeers asks others for the changes after a version, in rounds while the
 // store is not asked either.
-func (s *Source) changesFromPeers(ctx context.Context, after int64) fetched {
-	end := s.board.Clock.Now() + storeAfter
+func (s *Source) changesFromPeers(ctx context.Context, after int64, within clock.Millis) fetched {
+	end := s.board.Clock.Now() + within
 	for round := 0; ; round++ {
 		asked := s.board.Clock.Now()
 		batch, err := s.askPeers(ctx, after, round)
--- a/pkg/bulletin/source.go
+++ b/pkg/bulletin/source.go
@@ -50,6 +50,12 @@
 	// to wait long for them.
 	readFirst  = 3
 	peersFirst = 60 * clock.Millisecond
+	// readSpacing is between the questions of all entries that have got nothing from peers, and mostSpread the time
+	// over which they are spread at the most.
+	readSpacing = 2 * clock.Millisecond
+	mostSpread  = clock.Second
+	// joinPeersFirst is peersFirst of an entry that is not listed yet.
+	joinPeersFirst = 300 * clock.Millisecond
 )
 
 // errQuiet is returned while nobody tells how the table stands and it is not this
--- a/pkg/bulletin/whole.go
+++ b/pkg/bulletin/whole.go
@@ -21,8 +21,9 @@
 			return batch, nil
 		}
 	}
-	if !reads && (rank >= readFirst && !head || s.forgotten) {
-		limited, cancel := context.WithTimeout(ctx, peersFirst.Duration())
+	_, listed := s.board.members.Entries()
+	if !reads && (rank >= readFirst && !head || s.forgotten || !listed) {
+		limited, cancel := context.WithTimeout(ctx, s.peersFirst().Duration())
 		a := s.wholeFromPeers(limited, s.version, nil)
 		cancel()
 		if s.takeWhole(a) == nil {
@@ -32,6 +33,22 @@
 	return s.wholeFromAnyone(ctx)
 }
 
+// peersFirst is for how long peers are asked for a whole table before the store is. An entry that is not listed yet
+// serves nobody until it is.
+func (s *Source) peersFirst() clock.Millis {
+	if _, listed := s.board.members.Entries(); !listed {
+		return joinPeersFirst
+	}
+	return peersFirst + s.spread()
+}
+
+// spread draws how much later than others this entry asks the store for what no peer has told it. What all need they
+// need at the same moment, and the first that has it spares the others.
+func (s *Source) spread() clock.Millis {
+	entries, _ := s.board.members.Entries()
+	return s.random.Within(min(mostSpread, clock.Millis(entries)*readSpacing))
+}
+
 // peersToo is after what time without an answer of the store peers are asked for a whole
 // table besides: they may have it where the store is silent or slow, and it may be long.
 const peersToo = 300 * clock.Millisecond
--- a/pkg/membership/bed_test.go
+++ b/pkg/membership/bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -22,6 +23,9 @@
 	mu      sync.Mutex
 	puts    map[string]int
 	removed map[string]int
+	lots    []int // how many rows were written at once
+	single  int   // rows that were written by themselves
+	failing bool  // several at once are not taken
 	// removing, if set, is told of each row that is removed.
 	removing func(key string)
 }
@@ -30,6 +34,34 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.puts[key]++
+	r.single++
+	return nil
+}
+
+// writes is how often the store was asked to write.
+func (r *rows) writes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.single + len(r.lots)
+}
+
+// failLots has the store take no rows of others any more.
+func (r *rows) failLots(failing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing = failing
+}
+
+func (r *rows) PutAll(_ context.Context, rows map[string][]byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failing {
+		return errors.New("the store is away")
+	}
+	r.lots = append(r.lots, len(rows))
+	for key := range rows {
+		r.puts[key]++
+	}
 	return nil
 }
 
--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -46,6 +46,7 @@
 // Run keeps this entry listed and greets the others until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	go m.keepListed(ctx)
+	go m.writeLots(ctx)
 	for ctx.Err() == nil {
 		m.greet()
 		interval := m.interval()
@@ -87,11 +88,16 @@
 	return helloEvery * clock.Millis(max(1, len(m.list)/helloPeers))
 }
 
-// greet sends a greeting to all others.
+// greet sends a greeting to all others. One that has not read yet that it is listed is in charge of
+// nothing, and the others are not to take it for that.
 func (m *Members) greet() {
 	m.mu.Lock()
 	now := m.Clock.Now()
 	m.refresh(now)
+	if m.joins() {
+		m.mu.Unlock()
+		return
+	}
 	greetings := make(map[netip.AddrPort]hello, len(m.list))
 	for name, other := range m.list {
 		if name != m.self {
@@ -166,7 +172,7 @@
 		// be counted by the next one before.
 		m.changed()
 	}
-	if answer {
+	if answer && !m.joins() {
 		m.link.Send(from, packets.KindHello, m.greetingTo(now, other))
 	}
 }
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -71,9 +71,10 @@
 // one another.
 const presumeFor = clock.Second
 
-// presumed reports whether an entry counts as alive though it was not heard yet.
+// presumed reports whether an entry counts as alive though it was not heard yet. One that was listed later greets
+// once it has read so, and is in charge of nothing before.
 func (m *Members) presumed(now clock.Millis, other *member) bool {
-	return other.greetedAt == 0 && now < m.startedAt+presumeFor
+	return other.before && other.greetedAt == 0 && now < m.startedAt+presumeFor
 }
 
 // Home returns the entry that is in charge of a matter, and whether it is this
@@ -105,8 +106,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh(m.Clock.Now())
-	best := m.rank(matter, m.neighbours())
-	return m.at(best)
+	near := m.neighbours()
+	if m.joins() {
+		near = m.withoutSelf(near)
+	}
+	if len(near) == 0 {
+		near = m.withoutSelf(m.alive)
+	}
+	return m.at(m.rank(matter, near))
+}
+
+// joins reports whether others are listed and this entry is not yet: they have, or get, what all need, and this one
+// asks them for it. The lock is held.
+func (m *Members) joins() bool { return m.list[m.self] == nil && len(m.alive) > 1 }
+
+func (m *Members) withoutSelf(among []ids.Process) []ids.Process {
+	return slices.DeleteFunc(slices.Clone(among), func(name ids.Process) bool { return name == m.self })
 }
 
 // neighbours lists the entries that live in this one's failure domain, itself included;
@@ -171,6 +186,9 @@
 	eligible, alive := m.readers(m.Clock.Now())
 	own := m.score(m.self, matter)
 	before := func(name ids.Process) bool {
+		if m.joins() {
+			return true
+		}
 		score := m.score(name, matter)
 		return score > own || score == own && name > m.self
 	}
@@ -197,6 +215,9 @@
 			eligible = append(eligible, name)
 		}
 	}
+	if m.joins() {
+		eligible = m.withoutSelf(eligible)
+	}
 	if len(eligible) == 0 {
 		eligible = m.alive
 	}
--- a/pkg/membership/joining.go
+++ b/pkg/membership/joining.go
@@ -14,6 +14,9 @@
 // noteOwnRow looks whether this entry's row came or went with what was just read; first says that
 // nothing was read before. The lock is held.
 func (m *Members) noteOwnRow(first bool) {
+	if len(m.list) > 0 {
+		m.seenOnce.Do(func() { close(m.peopled) })
+	}
 	present := m.list[m.self] != nil
 	m.listed = m.listedRight()
 	switch {
--- a/pkg/membership/listing.go
+++ b/pkg/membership/listing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"quaydock/pkg/clock"
@@ -34,7 +33,7 @@
 	case <-ctx.Done():
 	}
 	for ctx.Err() == nil {
-		if !m.isListed() {
+		if !m.isListed() && !m.register(ctx) {
 			m.write(ctx)
 		}
 		clock.Pause(ctx, listEvery)
@@ -51,7 +50,7 @@
 }
 
 func (m *Members) write(ctx context.Context) {
-	row, err := json.Marshal(Listing{Address: m.address.String(), Weight: m.weight, Domain: m.domain})
+	row, err := Listing{Address: m.address.String(), Weight: m.weight, Domain: m.domain}.encode()
 	if err != nil {
 		m.Log.WithError(err).Error("this entry's row cannot be written")
 		return
@@ -62,6 +61,7 @@
 		err := m.rows.Put(limited, string(m.self), row)
 		cancel()
 		if err == nil {
+			m.noteWritten()
 			return
 		}
 		m.Log.WithError(err).Warn("not yet listed among the entries")
@@ -69,6 +69,13 @@
 	}
 }
 
+// noteWritten notes that this entry's row was written.
+func (m *Members) noteWritten() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.registrations.written = true
+}
+
 // silent lists the entries to be taken out, if that is up to this one: the
 // first by name of those alive does it.
 func (m *Members) silent() []ids.Process {
--- a/pkg/membership/listing_row.go
+++ b/pkg/membership/listing_row.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"net/netip"
@@ -17,6 +18,15 @@
 	mostWeight = 10_000
 )
 
+// encode writes an entry's row.
+func (l Listing) encode() ([]byte, error) {
+	row, err := json.Marshal(l)
+	if err != nil {
+		return nil, fmt.Errorf("row of an entry: %w", err)
+	}
+	return row, nil
+}
+
 // parseListing reads an entry's row.
 func parseListing(document []byte) (Listing, netip.AddrPort, error) {
 	o, err := fields.Parse(document)
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -19,6 +19,8 @@
 // Rows writes rows of the table of members.
 type Rows interface {
 	Put(ctx context.Context, key string, value []byte) error
+	// PutAll writes rows by their keys, all or none.
+	PutAll(ctx context.Context, rows map[string][]byte) error
 	Remove(ctx context.Context, key string) error
 }
 
@@ -33,6 +35,8 @@
 	greeting  stamp        // of that greeting
 	heardUs   clock.Millis // when it last heard this entry, at the least
 	listed    clock.Millis // when it was first seen listed
+	revision  int64        // of its row
+	before    bool         // it was listed before this entry had read a list
 	// view is the fingerprint of the entries that it took for alive.
 	view   uint64
 	weight float64
@@ -71,6 +75,9 @@
 	sampler *telemetry.Sampler
 	listed  bool // this entry's own row is there
 	joining joining
+	// taken is told once a registrar has taken this entry's row.
+	taken         chan struct{}
+	registrations registrations
 
 	// leaving says that this entry is being stopped.
 	leaving bool
@@ -90,6 +97,8 @@
 	inquiries map[ids.Process]*inquiry
 	ready     chan struct{} // closed when the list was first read
 	readOnce  sync.Once
+	peopled   chan struct{} // closed when an entry was first seen on it
+	seenOnce  sync.Once
 	// strangers are the addresses of entries that greet this one before it has read the
 	// list: they know it from an earlier run.
 	strangers map[netip.AddrPort]bool
@@ -117,10 +126,13 @@
 		homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process),
 		wake: make(chan struct{}, 1), aliveUntil: stale,
 		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
-		ready: make(chan struct{}), strangers: make(map[netip.AddrPort]bool),
+		taken: make(chan struct{}, 1), registrations: registrations{waiting: make(map[ids.Process]Listing), wake: make(chan struct{}, 1)},
+		ready: make(chan struct{}), peopled: make(chan struct{}), strangers: make(map[netip.AddrPort]bool),
 	}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
+	link.Handle(packets.KindRegistration, packets.Receive(link, m.applied))
+	link.Handle(packets.KindTaken, packets.Receive(link, m.rowTaken))
 	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
 	link.Handle(packets.KindSilenceAnswer, packets.Receive(link, m.toldOfSilence))
 	return m
@@ -182,6 +194,11 @@
 	for _, row := range rows {
 		m.put(row, before[ids.Process(row.Key)], !starting)
 	}
+	if first {
+		for _, listed := range m.list {
+			listed.before = true
+		}
+	}
 	if starting { // one line for all: at a start of all each entry would write one for each
 		m.Log.WithField("entries", len(m.list)).Info("first list of entries")
 	}
@@ -194,6 +211,10 @@
 // Ready is closed when the list was first read.
 func (m *Members) Ready() <-chan struct{} { return m.ready }
 
+// Peopled is closed when an entry was first seen on the list, be it this one. Those that start when it is still empty
+// know nobody yet whom they could ask for what they need.
+func (m *Members) Peopled() <-chan struct{} { return m.peopled }
+
 // Known reports whether a list was ever read, also one on which this entry does not stand.
 func (m *Members) Known() bool {
 	select {
@@ -246,7 +267,7 @@
 	if log {
 		m.logRow(row, "entry listed")
 	}
-	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now()}
+	m.list[ids.Process(row.Key)] = &member{name: ids.Process(row.Key), address: address, weight: listing.Weight, domain: listing.Domain, listed: m.Clock.Now(), revision: row.Version}
 }
 
 // linesASecond bounds the log lines of each kind: where all entries start together, each would write one for each
--- a/pkg/metering/series_bed_test.go
+++ b/pkg/metering/series_bed_test.go
@@ -111,6 +111,15 @@
 	return s.change(follow.Row{Key: key, Value: value})
 }
 
+func (s storeOf) PutAll(_ context.Context, rows map[string][]byte) error {
+	for key, value := range rows {
+		if err := s.change(follow.Row{Key: key, Value: value}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s storeOf) Remove(_ context.Context, key string) error {
 	return s.change(follow.Row{Key: key, Gone: true})
 }
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -22,4 +22,7 @@
 	KindTurnAnswer
 	KindTurnDone
 	KindAdvice // entry to the home of a group of targets: what they have told it of themselves
+	// KindRegistration and KindTaken: write my row on the list of entries, and its sender does.
+	KindRegistration
+	KindTaken
 )
