Entries ask one another at random whether they live

Who lives was told by greetings, three of which have to be missing, and their pause grows with the number of entries: 385 greet each other each 7 s. Who found a home silent left it by itself, and until the greetings had gone round no two had the same idea of who lives.

Change (membership/probes.go): an entry asks another one at random each 150 ms; three questions without an answer, and all are told and find out for themselves, so that one that reaches nobody makes nobody gone. After a death more are asked for two seconds. Who has left one says so at once. One that hears nobody greets nobody and is backed by nobody. One that stood still greets when it wakes. Among fewer than 16 nothing changes.

Another 7 questions and answers a second of some 75 bytes for each entry, whatever the number.

--- a/pkg/membership/greetings.go
+++ b/pkg/membership/greetings.go
@@ -38,7 +38,6 @@
 	NoStore bool   // it does not reach the store
 	Stamp   stamp
 	Echo    stamp // of the receiver's greeting that it heard last
-	Answer  bool  // the receiver is to greet at once: the sender doubts it
 	Leaving bool  // it is being stopped
 	Lagging bool  // it is behind its own clock
 }
@@ -47,6 +46,7 @@
 func (m *Members) Run(ctx context.Context) {
 	go m.keepListed(ctx)
 	go m.writeLots(ctx)
+	go m.runProbes(ctx)
 	for ctx.Err() == nil {
 		m.greet()
 		interval := m.interval()
@@ -88,13 +88,13 @@
 	return helloEvery * clock.Millis(max(1, len(m.list)/helloPeers))
 }
 
-// greet sends a greeting to all others. One that has not read yet that it is listed is in charge of
+// greet sends a greeting to all others. One that has not read yet that it is listed, or hears nobody, is in charge of
 // nothing, and the others are not to take it for that.
 func (m *Members) greet() {
 	m.mu.Lock()
 	now := m.Clock.Now()
 	m.refresh(now)
-	if m.joins() {
+	if m.joins() || m.cutOff(now) {
 		m.mu.Unlock()
 		return
 	}
@@ -146,13 +146,19 @@
 	now := m.Clock.Now()
 	m.refresh(now)
 	before := m.view
-	answer := message.Answer
-	if !m.heardLately(now, other) {
+	answer := !m.heardLately(now, other) // it may not have heard this one either
+	if answer {
 		m.aliveUntil = stale
-		answer = true // it may not have heard this one either
 	}
 	other.heardAt = now
 	other.greetedAt = now
+	if m.cutOff(now) {
+		m.changed() // it has greeted nobody meanwhile
+	}
+	m.greetedAt = now
+	if other.greeting.Run != message.Stamp.Run {
+		other.leftAt = [mostLeft]clock.Millis{}
+	}
 	other.greeting = message.Stamp
 	m.echoed(now, other, message.Echo)
 	other.view = message.View
@@ -197,8 +203,8 @@
 }
 
 // Doubt says that an entry did not answer. Where greetings are rare, as among
-// many entries, it counts as gone until it is heard again, and is asked to greet at once;
-// among few, greetings tell as soon. While this entry has just started, the other may
+// many entries, it counts as gone until it is heard again, and is asked to greet at once; if it
+// does not, all are told. Among few, greetings tell as soon. While this entry has just started, the other may
 // not have, and who takes it for gone would be alone with its idea of who lives.
 func (m *Members) Doubt(address netip.AddrPort) {
 	m.mu.Lock()
@@ -213,9 +219,10 @@
 		}
 		other.heardAt = 0
 		m.aliveUntil = stale
-		greeting := m.greetingTo(now, other)
-		greeting.Answer = true
-		m.link.Send(address, packets.KindHello, greeting)
+		m.probe(now, other.name, true)
+		if p := m.probes.open[other.name]; p != nil {
+			p.doubted = true
+		}
 	}
 }
 
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -245,6 +245,9 @@
 	now := m.Clock.Now()
 	m.refresh(now)
 	count := 1
+	if m.cutOff(now) {
+		return float64(count) / float64(m.entries())
+	}
 	for name, other := range m.list {
 		if name != m.self && m.heardLately(now, other) && other.view == m.view {
 			count++
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -37,6 +37,8 @@
 	listed    clock.Millis // when it was first seen listed
 	revision  int64        // of its row
 	before    bool         // it was listed before this entry had read a list
+	// leftAt is when it was last left for not answering, the oldest first.
+	leftAt [mostLeft]clock.Millis
 	// view is the fingerprint of the entries that it took for alive.
 	view   uint64
 	weight float64
@@ -78,6 +80,8 @@
 	// taken is told once a registrar has taken this entry's row.
 	taken         chan struct{}
 	registrations registrations
+	probes        probes
+	names         []ids.Process // of all other entries on the list
 
 	// leaving says that this entry is being stopped.
 	leaving bool
@@ -93,6 +97,7 @@
 	noStoreUntil clock.Millis  // up to when this entry is taken not to reach the store
 
 	startedAt clock.Millis
+	greetedAt clock.Millis // when the last greeting of anybody came
 	assurance assurance
 	inquiries map[ids.Process]*inquiry
 	ready     chan struct{} // closed when the list was first read
@@ -126,11 +131,14 @@
 		homes: make(map[string]ids.Process), heavyHomes: make(map[string]ids.Process),
 		wake: make(chan struct{}, 1), aliveUntil: stale,
 		startedAt: c.Clock.Now(), assurance: assurance{run: c.Random.Fork().Uint64()}, inquiries: make(map[ids.Process]*inquiry),
-		taken: make(chan struct{}, 1), registrations: registrations{waiting: make(map[ids.Process]Listing), wake: make(chan struct{}, 1)},
+		probes: probes{open: make(map[ids.Process]*probe)},
+		taken:  make(chan struct{}, 1), registrations: registrations{waiting: make(map[ids.Process]Listing), wake: make(chan struct{}, 1)},
 		ready: make(chan struct{}), peopled: make(chan struct{}), strangers: make(map[netip.AddrPort]bool),
 	}
 	m.refresh(c.Clock.Now())
 	link.Handle(packets.KindHello, packets.Receive(link, m.greeted))
+	link.Handle(packets.KindProbe, packets.Receive(link, m.probed))
+	link.Handle(packets.KindSuspicion, packets.Receive(link, m.suspected))
 	link.Handle(packets.KindRegistration, packets.Receive(link, m.applied))
 	link.Handle(packets.KindTaken, packets.Receive(link, m.rowTaken))
 	link.Handle(packets.KindSilenceQuestion, packets.Receive(link, m.askedForSilence))
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -25,4 +25,6 @@
 	// KindRegistration and KindTaken: write my row on the list of entries, and its sender does.
 	KindRegistration
 	KindTaken
+	KindProbe     // entry to another one: greet me
+	KindSuspicion // entry to the others: these do not answer
 )
