--- a/pkg/membership/registration.go
+++ b/pkg/membership/registration.go
@@ -54,6 +54,10 @@
 
 // register has this entry's row written by others; it reports false if it has to write it itself.
 func (m *Members) register(ctx context.Context) bool {
+	select {
+	case <-m.taken: // a late answer to an earlier question
+	default:
+	}
 	for _, registrar := range m.registrars() {
 		m.link.Send(registrar, packets.KindRegistration, registration{Name: m.self, Weight: m.weight, Domain: m.domain})
 		select {
