After a restart of all, tables are read as soon as before; a test bed has drained domains

Suspected: entries that have got no table from peers in 60 ms wait for up to a second more before they ask the store, and those peers are small VMs that all ask.

--- a/pkg/app/rollout_entries_test.go
+++ b/pkg/app/rollout_entries_test.go
@@ -13,6 +13,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/dispatch"
+	"quaydock/pkg/domains"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/membership"
 	"quaydock/pkg/packets"
@@ -56,6 +57,7 @@
 	p.members = membership.New(c, membership.Self{Name: ids.Process(fmt.Sprint("entry-", i)), Address: entryAddress(i), Weight: 1, Domain: "d"}, p.store.Table(platform.TableMembers), link)
 	p.board = bulletin.NewBoard(c, p.members, link)
 	p.rollouts = newRollouts(c, p.view)
+	p.domains = domains.NewScreen(c, p.rollouts.screen.SetDirectory)
 	p.guard = quarantine.New(quarantine.Parts{Common: c, Address: entryAddress(i), Peers: p.members, Link: link, Store: p.store.Quarantine()})
 	p.dispatcher = dispatch.New(dispatch.Parts{
 		Common: c, Address: entryAddress(i), Domain: "d", View: p.view, Members: p.members, Link: link, Notes: p.store.Table(platform.TableNotes),
--- a/pkg/bulletin/whole.go
+++ b/pkg/bulletin/whole.go
@@ -39,7 +39,7 @@
 	if _, listed := s.board.members.Entries(); !listed {
 		return joinPeersFirst
 	}
-	return peersFirst + s.spread()
+	return peersFirst
 }
 
 // spread draws how much later than others this entry asks the store for what no peer has told it. What all need they
