--- a/pkg/app/fleet_test.go
+++ b/pkg/app/fleet_test.go
@@ -73,15 +73,6 @@
 	return n
 }
 
-// calls is how often the store was called.
-func (b *fleetBed) calls() int {
-	n := 0
-	for _, path := range []string{"/quaydock/rows-get", "/quaydock/rows-feed", "/quaydock/rows-tx"} {
-		n += b.store.Calls(path)
-	}
-	return n
-}
-
 const (
 	fleetCalls = 1.3 // calls an entry that a start of all may cost
 	// fleetFirst is how many the first that start, and the reader, make besides, whatever the size of the fleet.
@@ -103,12 +94,12 @@
 			for i := range b.entries {
 				b.killEntry(i)
 			}
-			before := b.calls()
+			before := b.store.AllCalls()
 			b.startAll()
 			took := b.awaitServing(fleetFirstCalls)
 			time.Sleep(fleetSettles)
 			n := len(b.entries)
-			calls := b.calls() - before
+			calls := b.store.AllCalls() - before
 			t.Logf("%s: %d entries serve after %v; %.2f calls an entry, %d turned away", when, n, took, float64(calls)/float64(n), b.store.TurnedAway())
 			if float64(calls) > fleetCalls*float64(n)+fleetFirst {
 				t.Errorf("%s: %d calls of %d entries", when, calls, n)
--- a/pkg/bulletin/whole.go
+++ b/pkg/bulletin/whole.go
@@ -23,7 +23,11 @@
 	}
 	_, listed := s.board.members.Entries()
 	if !reads && (rank >= readFirst && !head || s.forgotten || !listed) {
-		limited, cancel := context.WithTimeout(ctx, s.peersFirst().Duration())
+		first := peersFirst
+		if !listed {
+			first = joinPeersFirst // it serves nobody until it is
+		}
+		limited, cancel := context.WithTimeout(ctx, first.Duration())
 		a := s.wholeFromPeers(limited, s.version, nil)
 		cancel()
 		if s.takeWhole(a) == nil {
@@ -33,15 +37,6 @@
 	return s.wholeFromAnyone(ctx)
 }
 
-// peersFirst is for how long peers are asked for a whole table before the store is. An entry that is not listed yet
-// serves nobody until it is.
-func (s *Source) peersFirst() clock.Millis {
-	if _, listed := s.board.members.Entries(); !listed {
-		return joinPeersFirst
-	}
-	return peersFirst
-}
-
 // spread draws how much later than others this entry asks the store for what no peer has told it. What all need they
 // need at the same moment, and the first that has it spares the others.
 func (s *Source) spread() clock.Millis {
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -52,17 +52,10 @@
 
 // showDomains shows the failure domains that are drained or have cold targets; only entries on the platform know that.
 func showDomains(ctx context.Context, at string, out io.Writer) error {
-	code, document, err := get(ctx, at, operators.PathDomains)
+	all, _, err := toldByEntry[domains.Report](ctx, at, operators.PathDomains)
 	if err != nil {
 		return fmt.Errorf("failure domains: %w", err)
 	}
-	if code != http.StatusOK {
-		return nil
-	}
-	var all []domains.Report
-	if err := json.Unmarshal(document, &all); err != nil {
-		return fmt.Errorf("reading of failure domains: %w", err)
-	}
 	for _, r := range all {
 		if r.Drained {
 			report(out, fmt.Sprintf("failure domain %s is drained: its %d targets get no new requests", r.Domain, r.Targets))
@@ -76,17 +69,13 @@
 
 // showAdvice shows the targets that leave or rest by their own word; only entries on the platform know that.
 func showAdvice(ctx context.Context, at string, out io.Writer) error {
-	code, document, err := get(ctx, at, operators.PathAdvice)
+	targets, known, err := toldByEntry[advisory.Report](ctx, at, operators.PathAdvice)
 	if err != nil {
 		return fmt.Errorf("what targets say: %w", err)
 	}
-	var targets []advisory.Report
-	if code != http.StatusOK {
+	if !known {
 		return nil
 	}
-	if err := json.Unmarshal(document, &targets); err != nil {
-		return fmt.Errorf("reading what targets say: %w", err)
-	}
 	if len(targets) == 0 {
 		report(out, "no target leaves or rests by its own word")
 		return nil
@@ -102,6 +91,18 @@
 	return nil
 }
 
+// toldByEntry returns a list that only entries on the platform tell; known is false for other processes.
+func toldByEntry[T any](ctx context.Context, at, path string) (told []T, known bool, err error) {
+	code, document, err := get(ctx, at, path)
+	if err != nil || code != http.StatusOK {
+		return nil, false, err
+	}
+	if err := json.Unmarshal(document, &told); err != nil {
+		return nil, false, fmt.Errorf("reading the answer: %w", err)
+	}
+	return told, true, nil
+}
+
 func ownWord(t advisory.Report) string {
 	var words []string
 	if t.Leaving {
--- a/pkg/membership/heavy.go
+++ b/pkg/membership/heavy.go
@@ -42,12 +42,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh(m.Clock.Now())
-	var others []ids.Process
-	for _, name := range m.alive {
-		if name != m.self {
-			others = append(others, name)
-		}
-	}
+	others := m.withoutSelf(m.alive)
 	if len(others) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/pkg/membership/homes.go
+++ b/pkg/membership/homes.go
@@ -54,16 +54,18 @@
 	if other.greetedAt == 0 {
 		return m.startedAt + presumeFor
 	}
-	return other.heardAt + heardFor*m.every() + helloEvery/2
+	return other.heardAt + m.missedAfter()
 }
 
 // MissedAfter is after what silence, at the latest, an entry no longer counts as alive.
 func (m *Members) MissedAfter() clock.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return heardFor*m.every() + helloEvery/2
+	return m.missedAfter()
 }
 
+func (m *Members) missedAfter() clock.Millis { return heardFor*m.every() + helloEvery/2 }
+
 // presumeFor is for how long an entry that has just started takes listed entries for
 // alive that it has not heard yet. Started together, as after a loss of power, all so
 // name the same homes at once and the same reader of the store, instead of each
--- a/pkg/membership/joining.go
+++ b/pkg/membership/joining.go
@@ -1,10 +1,6 @@
 package membership
 
-import (
-	"slices"
-
-	"quaydock/pkg/clock"
-)
+import "quaydock/pkg/clock"
 
 // joining is how far this entry has come to count among the others.
 type joining struct {
@@ -18,13 +14,6 @@
 // noteOwnRow looks whether this entry's row came or went with what was just read; first says that
 // nothing was read before. The lock is held.
 func (m *Members) noteOwnRow(first bool) {
-	m.names = m.names[:0]
-	for name := range m.list {
-		if name != m.self {
-			m.names = append(m.names, name)
-		}
-	}
-	slices.Sort(m.names)
 	if len(m.list) > 0 {
 		m.seenOnce.Do(func() { close(m.peopled) })
 	}
--- a/pkg/membership/members.go
+++ b/pkg/membership/members.go
@@ -82,7 +82,7 @@
 	taken         chan struct{}
 	registrations registrations
 	probes        probes
-	names         []ids.Process // of all other entries on the list
+	names         []ids.Process // of all other entries on the list, by name; nil until they are needed
 
 	// leaving says that this entry is being stopped.
 	leaving bool
@@ -198,6 +198,7 @@
 	m.aliveUntil = stale
 	m.changed()
 	m.list = make(map[ids.Process]*member, len(rows))
+	m.names = nil
 	starting := len(before) == 0
 	first := !m.Known()
 	for _, row := range rows {
@@ -246,6 +247,7 @@
 	defer m.mu.Unlock()
 	m.aliveUntil = stale
 	if len(rows) > 0 {
+		m.names = nil
 		m.changed()
 	}
 	for _, row := range rows {
--- a/pkg/membership/probes.go
+++ b/pkg/membership/probes.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
@@ -11,7 +13,7 @@
 )
 
 // The pause between greetings grows with the number of entries, and with it the time in which an entry that has died
-// still counts as alive: 27 s among 385. Meanwhile some have left it and others have not, so that no two have the
+// still counts as alive. Meanwhile some have left it and others have not, so that no two have the
 // same idea of who lives, and homes that few back give out little. So entries also ask one another at random. Who
 // gets no answer tells all, and each finds out for itself: one entry that reaches nobody makes nobody gone.
 
@@ -116,7 +118,10 @@
 	case m.probes.ticks%probeEvery == 0:
 		m.probeAny(now)
 	}
-	others := m.others()
+	var others []netip.AddrPort
+	if len(silent) > 0 {
+		others = m.others()
+	}
 	m.mu.Unlock()
 	m.tellSilent(silent, others)
 }
@@ -201,13 +206,22 @@
 
 // probeAny begins a probe of some other entry; the lock is held.
 func (m *Members) probeAny(now clock.Millis) {
-	if len(m.names) == 0 {
+	names := m.otherNames()
+	if len(names) == 0 {
 		return
 	}
 	if m.probes.random == nil {
 		m.probes.random = m.Random.Fork()
 	}
-	m.probe(now, m.names[m.probes.random.IntN(len(m.names))], true)
+	m.probe(now, names[m.probes.random.IntN(len(names))], true)
+}
+
+// otherNames lists all other entries by their names, so that what is drawn among them repeats; the lock is held.
+func (m *Members) otherNames() []ids.Process {
+	if m.names == nil {
+		m.names = m.withoutSelf(slices.Sorted(maps.Keys(m.list)))
+	}
+	return m.names
 }
 
 // probe begins a probe of an entry unless there is one; the lock is held.
--- a/pkg/membership/registration.go
+++ b/pkg/membership/registration.go
@@ -91,10 +91,8 @@
 	defer m.mu.Unlock()
 	m.refresh(m.Clock.Now())
 	var others []*member
-	for _, name := range m.alive {
-		if name != m.self {
-			others = append(others, m.list[name])
-		}
+	for _, name := range m.withoutSelf(m.alive) {
+		others = append(others, m.list[name])
 	}
 	slices.SortFunc(others, func(a, b *member) int {
 		return cmp.Or(cmp.Compare(a.revision, b.revision), cmp.Compare(a.name, b.name))
