Sight: what targets say of a rate limit is read, kept, logged and counted

Nothing is decided by it yet.

Change: pkg/ratelimit reads a limit and knows which of two words is the later one: an answer was made between the sending of its request and its reading, and where two of these spans overlap the lower rate stands. The book of advice keeps the word by life of the target, logs the first limit, another one, one that is no number and the end, and counts each (advice, by kind). Gauge targets_limited_by_their_word; quayctl status shows it.

Ruled out: the time of hearing alone (a later answer may be heard first), and the answer's date (to the second, and not always there).

--- a/pkg/advisory/advice.go
+++ b/pkg/advisory/advice.go
@@ -1,11 +1,12 @@
 // Package advisory keeps what targets say of themselves in their answers to this entry: that they
-// leave, and for how long they want no requests from it. The list of targets tells the first of these
-// too, but later, or never; nothing else tells the second.
+// leave, for how long they want no requests from it, and how many requests a second they take from all entries. The list of
+// targets tells the first of these too, but later, or never; nothing else tells the others.
 package advisory
 
 import (
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/ratelimit"
 )
 
 // Advice is what the head of one answer says.
@@ -16,10 +17,13 @@
 	Rest clock.Millis
 	// Said is when the answer was sent, by the clock of the target's VM and to the second; 0 if it does not say.
 	Said ids.Start
+	// Limit is how many requests a second the target takes, and Asked when the request was sent.
+	Limit ratelimit.Named
+	Asked clock.Millis
 }
 
 // Empty reports whether the answer says nothing of its target.
-func (a Advice) Empty() bool { return !a.Leaving && a.Rest <= 0 }
+func (a Advice) Empty() bool { return !a.Leaving && a.Rest <= 0 && !a.Limit.Given }
 
 // Standing is what is known of one life of a target by its own word.
 type Standing struct {
@@ -27,6 +31,8 @@
 	Leaving bool
 	// Rest is what is left of the time in which it wants no request from this entry.
 	Rest clock.Millis
+	// Limit is how many requests a second it takes from all entries.
+	Limit ratelimit.Word
 }
 
 // Bars reports whether a request must not be sent.
--- a/pkg/advisory/book.go
+++ b/pkg/advisory/book.go
@@ -46,7 +46,7 @@
 // Hear takes the advice in an answer of a life of a target to a request. Connected is the Unix millisecond at which
 // the answer's connection was made, 0 if that is not known.
 func (b *Book) Hear(life ids.Life, connected ids.Start, request string, a Advice) {
-	if b == nil || a.Empty() {
+	if b == nil || a.Empty() && (b.known.Load() == 0 || !b.mayLift(life)) {
 		return
 	}
 	now := b.Clock.Now()
@@ -58,11 +58,13 @@
 	begins := a.Rest > 0 && left <= 0
 	longer := a.Rest > left
 	r.rest(now, a.Rest, heard)
+	limits := b.hearLimit(now, r, &a, heard)
 	r.listedAt = now
 	standing := r.standing(now)
 	b.mu.Unlock()
 	b.note(request, standing, leaves, begins)
-	if b.heard != nil && (leaves || longer) {
+	b.noteLimit(request, standing, limits, a.Limit.Silent())
+	if b.heard != nil && (leaves || longer || limits) {
 		b.heard(standing)
 	}
 }
@@ -90,6 +92,21 @@
 	}
 }
 
+// noteLimit logs and counts a limit that is new, another one, or none any more, and one that can't be read.
+func (b *Book) noteLimit(request string, s Standing, changed, unreadable bool) {
+	fields := logrus.Fields{telemetry.FieldRequest: request}
+	switch {
+	case unreadable:
+		b.log("unreadable limit", "a target names a limit that is no number", s, fields)
+	case !changed:
+	case s.Limit.Limits():
+		fields["per_second"] = float64(s.Limit.Rate)
+		b.log("limit", "a target names a limit", s, fields)
+	default:
+		b.log("limit lifted", "a target names no limit any more", s, fields)
+	}
+}
+
 func (b *Book) log(kind, line string, s Standing, fields logrus.Fields) {
 	b.Metrics.Figures.Add("advice", "kind", kind)
 	if b.sampler.Allow(kind) {
@@ -112,6 +129,7 @@
 		s.Leaving = s.Leaving || leaving
 		s.Rest = max(s.Rest, rest)
 	}
+	s.Limit = b.limitOf(life)
 	return s
 }
 
@@ -132,7 +150,7 @@
 	return least
 }
 
-// All lists the lives that leave or rest, in no order.
+// All lists the lives that leave, rest, or have named a limit, in no order.
 func (b *Book) All() []Standing {
 	if b == nil || b.known.Load() == 0 {
 		return nil
@@ -142,7 +160,7 @@
 	b.mu.RLock()
 	for _, records := range b.records {
 		for _, r := range records {
-			if s := r.standing(now); s.Bars() {
+			if s := r.standing(now); s.Bars() || s.Limit.Known {
 				list = append(list, s)
 			}
 		}
--- /dev/null
+++ b/pkg/advisory/limit.go
@@ -0,0 +1,51 @@
+package advisory
+
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/ratelimit"
+)
+
+// keepLifted is for how long it is kept that a target names no limit any more, so that an older word of another entry
+// does not bring it back.
+const keepLifted = clock.Minute
+
+// hearLimit takes what an answer to a life says of a limit, and reports whether another one stands now; the lock is held.
+func (b *Book) hearLimit(now clock.Millis, r *record, a *Advice, heard word) (changed bool) {
+	before := b.limitOf(r.life)
+	if a.Limit.Silent() || !a.Limit.Given && !before.Limits() {
+		return false
+	}
+	if a.Limit.Given {
+		r.limitedWith = r.limitedWith.later(heard)
+	}
+	r.limit = before.With(ratelimit.Of(a.Limit, a.Asked, now))
+	return r.limit.Differs(before)
+}
+
+// limitOf returns the limit of a life; its own word goes before what a former life may have said. The lock is held.
+func (b *Book) limitOf(life ids.Life) ratelimit.Word {
+	var inherited ratelimit.Word
+	for _, r := range b.records[life.Target] {
+		if r.life.Same(life) && r.limit.Known {
+			return r.limit
+		}
+		if r.maybeSaidBy(life) {
+			inherited = inherited.With(r.limit)
+		}
+	}
+	return inherited
+}
+
+// mayLift reports whether a life is taken for limited, so that an answer without a limit says something.
+func (b *Book) mayLift(life ids.Life) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.limitOf(life).Limits()
+}
+
+// maybeSaidBy reports whether the limit of a former life may be that of a life that was not read yet. One that does not hold
+// ends with the first answer, while without one as many requests as there are places go to a target that has named it.
+func (r *record) maybeSaidBy(life ids.Life) bool {
+	return r.limit.Limits() && r.limitedWith.of(life.Start) != former
+}
--- a/pkg/advisory/record.go
+++ b/pkg/advisory/record.go
@@ -5,6 +5,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
 )
 
@@ -18,8 +19,11 @@
 	leftWith word // when leaving was last heard
 	// rests are the times of rest, the longest first. A shorter one that was asked for later may be the next life's, which
 	// the longer one says nothing of.
-	rests    []rest
-	listedAt clock.Millis // when it was last listed, or heard
+	rests []rest
+	// limit is how many requests a second it takes, and limitedWith when it last named a limit.
+	limit       ratelimit.Word
+	limitedWith word
+	listedAt    clock.Millis // when it was last listed, or heard
 	// next is the life that is listed in its place, and nextAt since when.
 	next   ids.Life
 	nextAt clock.Millis
@@ -62,7 +66,7 @@
 }
 
 func (r *record) standing(now clock.Millis) Standing {
-	return Standing{Life: r.life, Leaving: r.leaving, Rest: r.restLeft(now)}
+	return Standing{Life: r.life, Leaving: r.leaving, Rest: r.restLeft(now), Limit: r.limit}
 }
 
 // of returns what the record says of a life. An entry that had not read of a target's new start took its word for the
@@ -109,12 +113,15 @@
 	if !r.life.Same(life) && r.next != life {
 		r.next, r.nextAt = life, now
 	}
-	if leaving, _ := r.of(life, now); leaving {
+	leaving, _ := r.of(life, now)
+	if leaving || r.life.Same(life) && r.limit.Limits() {
 		r.listedAt = now
 	}
 }
 
 // over reports whether the record says nothing any more.
 func (r *record) over(now clock.Millis) bool {
-	return r.restLeft(now) <= 0 && (!r.leaving || now-r.listedAt > keepUnlisted)
+	stands := r.leaving || r.limit.Limits()
+	lifted := r.limit.Known && now-r.limit.To <= keepLifted
+	return r.restLeft(now) <= 0 && !lifted && (!stands || now-r.listedAt > keepUnlisted)
 }
--- a/pkg/advisory/report.go
+++ b/pkg/advisory/report.go
@@ -19,13 +19,22 @@
 	Listed  string       `json:"listed"`
 	Leaving bool         `json:"leaving"`
 	Rest    clock.Millis `json:"rest_ms"`
+	// Limit is how many requests a second it takes from all entries, 0 with Limited false if it names no limit.
+	Limited bool    `json:"limited,omitempty"`
+	Limit   float64 `json:"limit_per_second,omitempty"`
 }
 
-// Reports describes all targets that leave or rest by their own word, by their ids.
+// Reports describes all targets that leave, rest or are limited by their own word, by their ids.
 func (b *Book) Reports(listed *routing.Directory) []Report {
 	reports := []Report{}
 	for _, s := range b.All() {
-		r := Report{Target: s.Life.Target, Start: s.Life.Start, Listed: "not listed", Leaving: s.Leaving, Rest: s.Rest}
+		if !s.Bars() && !s.Limit.Limits() {
+			continue
+		}
+		r := Report{Target: s.Life.Target, Start: s.Life.Start, Listed: "not listed", Leaving: s.Leaving, Rest: s.Rest, Limited: s.Limit.Limits()}
+		if r.Limited {
+			r.Limit = float64(s.Limit.Rate)
+		}
 		if t := listed.Target(s.Life.Target); t != nil {
 			r.Service, r.Listed = t.Service, stateOf(t, s.Life)
 		}
--- a/pkg/app/entry_figures.go
+++ b/pkg/app/entry_figures.go
@@ -32,8 +32,9 @@
 		}
 		return 0
 	})
-	f.Gauge("targets_leaving_by_their_word", func() float64 { leaving, _ := p.advised(); return leaving })
-	f.Gauge("targets_resting_from_this_entry", func() float64 { _, resting := p.advised(); return resting })
+	f.Gauge("targets_leaving_by_their_word", func() float64 { return p.advised(func(s advisory.Standing) bool { return s.Leaving }) })
+	f.Gauge("targets_resting_from_this_entry", func() float64 { return p.advised(func(s advisory.Standing) bool { return s.Rest > 0 }) })
+	f.Gauge("targets_limited_by_their_word", func() float64 { return p.advised(func(s advisory.Standing) bool { return s.Limit.Limits() }) })
 	f.Gauge("targets_cold", p.coldTargets)
 	f.Gauge("entries_listed", func() float64 {
 		entries, _ := p.members.Entries()
@@ -64,7 +65,7 @@
 	return mux
 }
 
-// toldByTargets lists the targets that leave or rest by their own word.
+// toldByTargets lists the targets that leave, rest or are limited by their own word.
 func (p *entryProcess) toldByTargets() []advisory.Report {
 	listed := p.view.Directory()
 	if listed == nil {
@@ -91,17 +92,15 @@
 	return float64(cold)
 }
 
-// advised is how many targets leave, and how many rest from this entry, by their own word.
-func (p *entryProcess) advised() (leaving, resting float64) {
+// advised is for how many targets something holds by their own word.
+func (p *entryProcess) advised(holds func(advisory.Standing) bool) float64 {
+	count := 0.0
 	for _, s := range p.advice.All() {
-		if s.Leaving {
-			leaving++
-		}
-		if s.Rest > 0 {
-			resting++
+		if holds(s) {
+			count++
 		}
 	}
-	return leaving, resting
+	return count
 }
 
 // tell answers an operator with what a function returns.
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -67,7 +67,7 @@
 	return nil
 }
 
-// showAdvice shows the targets that leave or rest by their own word; only entries on the platform know that.
+// showAdvice shows the targets that leave, rest or are limited by their own word; only entries on the platform know that.
 func showAdvice(ctx context.Context, at string, out io.Writer) error {
 	targets, known, err := toldByEntry[advisory.Report](ctx, at, operators.PathAdvice)
 	if err != nil {
@@ -77,7 +77,7 @@
 		return nil
 	}
 	if len(targets) == 0 {
-		report(out, "no target leaves or rests by its own word")
+		report(out, "no target leaves or rests by its own word, or names a limit")
 		return nil
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -111,6 +111,9 @@
 	if t.Rest > 0 {
 		words = append(words, fmt.Sprintf("rests for %.1f s", t.Rest.Duration().Seconds()))
 	}
+	if t.Limited {
+		words = append(words, fmt.Sprintf("takes %g requests a second", t.Limit))
+	}
 	return strings.Join(words, ", ")
 }
 
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/clock"
 	"quaydock/pkg/routing"
 )
 
@@ -26,6 +27,7 @@
 	request  *Request
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
+	sentAt   clock.Millis
 	stop     func() bool  // takes back the closing at the end of the context
 	written  atomic.Int64 // bytes of the request
 	writeEnd chan error
@@ -54,6 +56,7 @@
 		return Withheld{}
 	}
 	e.stop = context.AfterFunc(e.ctx, func() { _ = e.conn.SetDeadline(time.Unix(1, 0)) })
+	e.sentAt = p.Clock.Now()
 	go e.write()
 	return e.read()
 }
@@ -148,7 +151,7 @@
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	advice := advisory.Advice{Leaving: marks.Leaving}
+	advice := advisory.Advice{Leaving: marks.Leaving, Limit: marks.Limit, Asked: e.sentAt}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		advice.Rest = marks.Rest
 	}
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
 )
 
@@ -32,6 +33,8 @@
 	// Rest is for how long a target that turns a request away wants no other one from here; 0 if it does not
 	// say.
 	Rest clock.Millis
+	// Limit is how many requests a second the target takes from all entries.
+	Limit ratelimit.Named
 }
 
 // Load is a target's report of its own load.
--- /dev/null
+++ b/pkg/ratelimit/word.go
@@ -0,0 +1,64 @@
+// Package ratelimit holds how many requests a second targets say that they take from all entries together. It does no
+// I/O and reads no clock.
+package ratelimit
+
+import (
+	"math"
+
+	"quaydock/pkg/clock"
+)
+
+// Rate is a number of requests a second, of all entries together.
+type Rate float64
+
+// Unlimited is the rate of a target that names no limit.
+var Unlimited = Rate(math.Inf(1))
+
+// Named is what one answer says of its target's limit. The zero value names none.
+type Named struct {
+	// Given says that the answer names a limit, and Readable that it can be read; Rate holds only then.
+	Given, Readable bool
+	Rate            Rate
+}
+
+// Silent reports whether the answer says nothing new: it names a limit that can't be read.
+func (n Named) Silent() bool { return n.Given && !n.Readable }
+
+// Word is the rate that a target last named, Unlimited if it named none, as far as is known.
+type Word struct {
+	// Known is false while nothing has been heard.
+	Known bool
+	Rate  Rate
+	// From and To are moments between which the target said it: when the request was sent and when its answer was
+	// read.
+	From, To clock.Millis
+}
+
+// Of returns the word of an answer that was made between two moments.
+func Of(n Named, from, to clock.Millis) Word {
+	w := Word{Known: true, Rate: Unlimited, From: from, To: to}
+	if n.Given {
+		w.Rate = n.Rate
+	}
+	return w
+}
+
+// Limits reports whether the target takes only so many requests.
+func (w Word) Limits() bool { return w.Known && w.Rate < Unlimited }
+
+// Differs reports whether two words set different bounds.
+func (w Word) Differs(other Word) bool {
+	return w.Limits() != other.Limits() || w.Limits() && w.Rate != other.Rate
+}
+
+// With returns what stands after another word was heard, be it older or newer: answers overtake one another on the way. Where
+// either may be the later one the lower rate stands, until an answer to a request that was sent afterwards.
+func (w Word) With(other Word) Word {
+	switch {
+	case !w.Known || other.Known && other.From >= w.To:
+		return other
+	case !other.Known || w.From >= other.To:
+		return w
+	}
+	return Word{Known: true, Rate: min(w.Rate, other.Rate), From: max(w.From, other.From), To: max(w.To, other.To)}
+}
