Failing: targets that name a rate limit get many times as much

Whole entries in virtual time, 3, 16 and 60 of them, before twelve targets that name limits (0, 0.3, 1.4, 2.5, 8, 20 a second; one, some, all; changing), 240 requests a second; the bound over all entries is held at each arrival: from 3 s after a target first named it, from entries that had passed on such an answer half a second before.

--- a/pkg/app/advice_bed_test.go
+++ b/pkg/app/advice_bed_test.go
@@ -187,26 +187,31 @@
 }
 
 func (b *adviceBed) callOnce(entry int) adviceAnswer {
-	path := []string{"/safe/q", "/unsafe/q"}[b.draw(2)]
-	id, at := b.newRequestID(), b.now()
-	b.said.Lock()
-	b.sent[id] = sentCall{entry, at}
-	b.said.Unlock()
-	status, head, _ := b.send(entry, id, path, "key-a", b.unlike())
-	now := b.now()
+	a, head := b.callKnown(entry)
 	if wiretest.SaysLeaving(head) {
 		told := pair{entry, wiretest.SealedBy(head)}
 		b.said.Lock()
 		if _, known := b.told[told]; !known {
-			b.told[told] = now
+			b.told[told] = b.now()
 		}
 		b.said.Unlock()
 	}
-	a := adviceAnswer{at: at, took: now - at, status: status}
+	return a
+}
+
+// callKnown sends a request of which targets can tell where it was sent, and returns the answer with its head.
+func (b *adviceBed) callKnown(entry int) (adviceAnswer, http.Header) {
+	path := []string{"/safe/q", "/unsafe/q"}[b.draw(2)]
+	id, at := b.newRequestID(), b.now()
+	b.said.Lock()
+	b.sent[id] = sentCall{entry, at}
+	b.said.Unlock()
+	status, head, _ := b.send(entry, id, path, "key-a", b.unlike())
+	a := adviceAnswer{at: at, took: b.now() - at, status: status}
 	if seconds, err := strconv.ParseFloat(head.Get("Retry-After"), 64); err == nil {
 		a.back = time.Duration(seconds * float64(time.Second))
 	}
-	return a
+	return a, head
 }
 
 // usedSince is how many targets a request has reached since a moment.
--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -46,6 +46,7 @@
 	breaks       float64                 // the part of answers that targets break off
 	over         bool                    // nothing starts any more
 	cut          map[netip.AddrPort]bool // cut off from the other entries
+	lost         float64                 // the part of datagrams that are lost
 	away         map[int]bool            // entries that the store does not answer
 	denied       int                     // calls of these
 	ends         map[string][]time.Duration
@@ -120,7 +121,7 @@
 	b.datagrams.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		return b.cut[from] || b.cut[to]
+		return b.cut[from] || b.cut[to] || b.lost > 0 && b.random.Float64() < b.lost
 	})
 	b.configure(1)
 	for i := range entries {
--- /dev/null
+++ b/pkg/app/limit_test.go
@@ -0,0 +1,145 @@
+package app
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// limitCases are what targets name, and how much of the limits is to be used where all name one.
+var limitCases = []struct {
+	name    string
+	targets int // that name limits, of twelve
+	names   func(b *limitBed, targets int)
+	uses    float64
+}{
+	{"1 of 12 names 2.5", 1, func(b *limitBed, n int) { b.limitFirst(n, 2.5) }, 0},
+	{"4 of 12 name 1.4", 4, func(b *limitBed, n int) { b.limitFirst(n, 1.4) }, 0},
+	{"4 of 12 name 0.3", 4, func(b *limitBed, n int) { b.limitFirst(n, 0.3) }, 0},
+	{"6 of 12 name 8, then 2, then 5", 6, func(b *limitBed, n int) {
+		for _, perSecond := range []float64{8, 2, 5} {
+			b.limitFirst(n, perSecond)
+			time.Sleep(6 * time.Second)
+		}
+	}, 0},
+	{"all name 6", 12, func(b *limitBed, n int) { b.limitFirst(n, 6) }, 0.85},
+}
+
+// TestTargetsThatNameALimitGetNoMore guards against entries that don't heed, or heed each by itself, what a target takes from all.
+func TestTargetsThatNameALimitGetNoMore(t *testing.T) {
+	const length = 18 * time.Second
+	for _, entries := range []int{3, 16} {
+		for _, c := range limitCases {
+			t.Run(fmt.Sprintf("%d entries, %s", entries, c.name), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					b := newLimitBed(t, 1, entries, crashTargets)
+					go c.names(b, c.targets)
+					answers := b.callers(limitLoad, length)
+					b.check()
+					used := 0.0
+					for n := range c.targets {
+						used += b.got(n, 6*time.Second, length) / float64(c.targets)
+					}
+					share := served(answers, 6*time.Second, length)
+					t.Logf("served %.3f of %d; a limited target got %.2f a second", share, len(answers), used)
+					if c.targets < crashTargets && share < 0.97 {
+						t.Errorf("served %.3f, want 0.97", share)
+					}
+					if c.uses > 0 && used < c.uses*6 {
+						t.Errorf("a target that takes 6 a second got %.2f", used)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestLimitsHoldWhileEntriesFail guards against homes that don't know, give out what another one does, or have become homes just now.
+func TestLimitsHoldWhileEntriesFail(t *testing.T) {
+	const length = 16 * time.Second
+	hurts := []struct {
+		name  string
+		hurt  func(b *limitBed)
+		least float64 // of the requests that are served
+	}{
+		{"entries are killed one after the other", func(b *limitBed) {
+			for i := range min(8, len(b.entries)) {
+				time.Sleep(700 * time.Millisecond)
+				b.restartEntry(i, 300*time.Millisecond)
+			}
+		}, 0.6},
+		{"all entries are killed", func(b *limitBed) {
+			for i := range b.entries {
+				b.forgetTold(i)
+			}
+			b.restartAll()
+		}, 0.85},
+		{"entries are cut off from the others and come back", func(b *limitBed) {
+			for range 3 {
+				for i := range 2 {
+					b.cutOff(i, true)
+				}
+				time.Sleep(time.Second)
+				for i := range 2 {
+					b.cutOff(i, false)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		}, 0.9},
+		{"entries hear nothing of one another", func(b *limitBed) {
+			for i := range b.entries {
+				b.cutOff(i, true)
+			}
+		}, 0.9},
+		{"a twentieth of all datagrams is lost", func(b *limitBed) { b.loseDatagrams(0.05) }, 0.9},
+		{"a fifth of all datagrams is lost", func(b *limitBed) { b.loseDatagrams(0.2) }, 0},
+		{"the store is silent", func(b *limitBed) { b.silenceStore(true) }, 0.97},
+		{"targets start again under their ids", func(b *limitBed) {
+			for n := range 6 {
+				b.startAgain(n)
+				time.Sleep(time.Second)
+			}
+		}, 0.9},
+		{"all at once", func(b *limitBed) {
+			b.loseDatagrams(0.1)
+			for i := range min(5, len(b.entries)) {
+				b.cutOff(i, true)
+				b.startAgain(i)
+				time.Sleep(600 * time.Millisecond)
+				b.cutOff(i, false)
+				b.restartEntry((i+1)%len(b.entries), 200*time.Millisecond)
+				b.awayFromStore(i, true)
+			}
+			b.silenceStore(false)
+		}, 0.5},
+	}
+	for _, entries := range []int{3, 16, 60} {
+		for _, h := range hurts {
+			if entries > 16 && testing.Short() {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d entries, %s", entries, h.name), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					b := newLimitBed(t, 2, entries, crashTargets)
+					for n, perSecond := range []float64{0, 0.3, 1.4, 2.5, 8, 20} {
+						b.limit(n, perSecond)
+					}
+					go func() {
+						time.Sleep(4 * time.Second)
+						h.hurt(b)
+					}()
+					answers := b.callers(limitLoad, length)
+					b.check()
+					share := served(answers, 0, length)
+					t.Logf("served %.3f of %d", share, len(answers))
+					if share < h.least {
+						t.Errorf("served %.3f, want %.2f", share, h.least)
+					}
+				})
+			})
+		}
+	}
+}
