Homes hear that an entry has nothing on its targets any more

What callers saw: with datagrams lost, refusals (Overloaded) while all targets were free.

Cause: an entry lists four times a second what it has on a service's targets, but only while it has something. Where the datagram was lost that tells the end of its last request, the home went on counting that as running for as long as the entry asked for anything: an entry of many rarely has a request under way at the moment of a list, and the places fill up with what ended long ago.

Change: after a request has asked for a place or ended, the next eight lists are sent even if they are empty; all of eight in a row are lost beyond any doubt only on a link that is down.

Before: TestPlacesComeBackThoughTheirEndsWereLost 20 of 20 refused in two seconds; now 5 at the most, by the time to the next list. Cost: an entry that has a request a second or more sends four datagrams a second and service, as one does already that has some under way.

--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -48,6 +48,8 @@
 	number  uint64
 	waiting map[uint64]chan answer
 	running map[uint64]*place
+	// lists is how often each service's home is still told what this entry has on its targets.
+	lists map[ids.Service]int
 }
 
 var _ schedule.Scheduler = (*Dispatcher)(nil)
@@ -80,7 +82,7 @@
 		trials:  newTrials(c, parts.Rollouts, parts.Members),
 		advice:  parts.Advice,
 		number:  c.Random.Fork().Uint64(),
-		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place),
+		waiting: make(map[uint64]chan answer), running: make(map[uint64]*place), lists: make(map[ids.Service]int),
 	}
 	link := parts.Link
 	d.home = newHome(c, parts, d.sendAnswer)
@@ -174,10 +176,21 @@
 	return d.home.planned()
 }
 
+// emptyLists is how often a home is told that this entry has nothing on its targets any more: it may have lost the ends of what
+// ran there, and the lists too.
+const emptyLists = 8
+
 // syncAll lists to each home what this entry has on its targets.
 func (d *Dispatcher) syncAll() {
 	lists := make(map[ids.Service][]item)
 	d.mu.Lock()
+	for service, left := range d.lists {
+		lists[service] = nil
+		d.lists[service]--
+		if left <= 1 {
+			delete(d.lists, service)
+		}
+	}
 	for _, p := range d.running {
 		w := p.want
 		lists[w.Service] = append(lists[w.Service], item{
--- a/pkg/dispatch/dispatcher_test.go
+++ b/pkg/dispatch/dispatcher_test.go
@@ -203,6 +203,37 @@
 	})
 }
 
+// TestPlacesComeBackThoughTheirEndsWereLost guards against homes that count requests as running whose entries have none any more.
+func TestPlacesComeBackThoughTheirEndsWereLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		asker := (b.home(-1) + 1) % entryCount
+		losing := true
+		b.net.Lose(func(_, _ netip.AddrPort, kind packets.Kind) bool { return losing && kind == packets.KindStep })
+		for range targetCount * slots {
+			b.request(t.Context(), asker, 10*time.Millisecond)
+		}
+		losing = false
+		refusals := 0
+		for range 20 {
+			place, refused, err := b.entries[asker].Acquire(t.Context(), b.ask())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if refused != nil {
+				refusals++
+			} else {
+				place.Done(planner.Served, planner.Flow{})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		// The entry lists what it has four times a second.
+		if refusals > 5 {
+			t.Errorf("%d of 20 requests in two seconds were refused, with all places free", refusals)
+		}
+	})
+}
+
 func TestAnotherEntryTakesOverFromAHomeThatDied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
--- a/pkg/dispatch/pending.go
+++ b/pkg/dispatch/pending.go
@@ -98,6 +98,7 @@
 	p.number = d.number
 	p.answers = make(chan answer, room)
 	d.waiting[p.number] = p.answers
+	d.lists[p.want.Service] = emptyLists
 }
 
 func (d *Dispatcher) leave(number uint64) {
--- a/pkg/dispatch/place.go
+++ b/pkg/dispatch/place.go
@@ -47,6 +47,7 @@
 func (p *place) Done(outcome planner.Outcome, flow planner.Flow) {
 	p.dispatcher.mu.Lock()
 	delete(p.dispatcher.running, p.number)
+	p.dispatcher.lists[p.want.Service] = emptyLists
 	p.dispatcher.mu.Unlock()
 	if p.own != nil {
 		p.own.Done(outcome, flow)
