Targets that name a rate limit get no more than that from all entries together

What callers saw: nothing.

The class: a word of one target, heard by one entry, that is meant for all.

Ruled out: that each entry heeded it by itself (33 in 4 s from four entries where 16 would have been the most); requests placed before the word (20 s of excess).

Entries tell the home when another limit stands; each grant carries what the home knows and whether it was counted; an entry that was told gives back a grant that was not counted, and tells what it knows. An entry without a home sends limited targets nothing. What admission reckons with is what bounded targets get, not their places.

Of two words the later stands, by when their requests were sent and answered; where these times overlap, the lower. Moments go between VMs as ages, with 100 ms of doubt.

--- a/pkg/advisory/book.go
+++ b/pkg/advisory/book.go
@@ -63,7 +63,7 @@
 	standing := r.standing(now)
 	b.mu.Unlock()
 	b.note(request, standing, leaves, begins)
-	b.noteLimit(request, standing, limits, a.Limit.Silent())
+	b.noteLimit(logrus.Fields{telemetry.FieldRequest: request}, standing, limits, a.Limit.Silent())
 	if b.heard != nil && (leaves || longer || limits) {
 		b.heard(standing)
 	}
@@ -93,8 +93,7 @@
 }
 
 // noteLimit logs and counts a limit that is new, another one, or none any more, and one that can't be read.
-func (b *Book) noteLimit(request string, s Standing, changed, unreadable bool) {
-	fields := logrus.Fields{telemetry.FieldRequest: request}
+func (b *Book) noteLimit(fields logrus.Fields, s Standing, changed, unreadable bool) {
 	switch {
 	case unreadable:
 		b.log("unreadable limit", "a target names a limit that is no number", s, fields)
--- a/pkg/advisory/limit.go
+++ b/pkg/advisory/limit.go
@@ -1,6 +1,8 @@
 package advisory
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ratelimit"
@@ -37,6 +39,24 @@
 	return inherited
 }
 
+// HearHome takes what the home of a service knows of the limit of a life, by what other entries have heard, and returns what
+// stands then.
+func (b *Book) HearHome(life ids.Life, w ratelimit.Word) Standing {
+	s := b.Of(life)
+	if b == nil || !w.Known || s.Limit.With(w) == s.Limit || !w.Limits() && !s.Limit.Limits() {
+		return s
+	}
+	b.mu.Lock()
+	r := b.record(life)
+	before := b.limitOf(life)
+	r.limit = before.With(w)
+	r.listedAt = b.Clock.Now()
+	s.Limit = r.limit
+	b.mu.Unlock()
+	b.noteLimit(logrus.Fields{"heard_from": "home"}, s, s.Limit.Differs(before), false)
+	return s
+}
+
 // mayLift reports whether a life is taken for limited, so that an answer without a limit says something.
 func (b *Book) mayLift(life ids.Life) bool {
 	b.mu.RLock()
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -4,11 +4,14 @@
 	"net/netip"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/packets"
 	"quaydock/pkg/planner"
+	"quaydock/pkg/ratelimit"
 )
 
 // advisedAPage is how many advices surely fit into one datagram.
@@ -27,6 +30,7 @@
 	Life    ids.Life
 	Leaving bool
 	Rest    clock.Millis // left of it
+	Takes   *ratelimit.Aged
 }
 
 // advised takes what targets have told an entry.
@@ -35,10 +39,26 @@
 	h.with(now, a.Service, from, func(p *planner.Planner) {
 		for _, it := range a.Items {
 			p.Advise(now, from.String(), it.Life, it.Leaving, it.Rest)
+			if takes, changed := p.SetLimit(now, it.Life, it.Takes.Word(now)); changed {
+				h.noteLimit(from, it.Life, takes)
+			}
 		}
 	})
 }
 
+// noteLimit logs that the planner of a target reckons with another limit.
+func (h *Home) noteLimit(from netip.AddrPort, life ids.Life, takes ratelimit.Word) {
+	if !h.sampler.Allow("limit") {
+		return
+	}
+	line := h.Log.WithFields(logrus.Fields{"target": string(life.Target), "start": int64(life.Start), "heard_from": from.String()})
+	if takes.Limits() {
+		line.WithField("per_second", float64(takes.Rate)).Info("planning by a limit")
+		return
+	}
+	line.Info("planning without a limit")
+}
+
 // Advise tells the home of a target's service what the target has told this entry.
 func (d *Dispatcher) Advise(s advisory.Standing) {
 	if t := d.view.Directory().Target(s.Life.Target); t != nil {
@@ -47,12 +67,13 @@
 }
 
 func (d *Dispatcher) advise(service ids.Service, list []advisory.Standing) {
+	now := d.Clock.Now()
 	for len(list) > 0 {
 		page := list[:min(len(list), advisedAPage)]
 		list = list[len(page):]
 		message := advice{Service: service}
 		for _, s := range page {
-			message.Items = append(message.Items, advised{Life: s.Life, Leaving: s.Leaving, Rest: s.Rest})
+			message.Items = append(message.Items, advised{Life: s.Life, Leaving: s.Leaving, Rest: s.Rest, Takes: s.Limit.Aged(now)})
 		}
 		toHome(d, service, packets.KindAdvice, d.home.advised, &message)
 	}
@@ -69,7 +90,7 @@
 			continue
 		}
 		// Of the life that is listed: one that was not read yet may have spoken.
-		if s := d.advice.Of(t.Life()); s.Bars() {
+		if s := d.advice.Of(t.Life()); s.Bars() || s.Limit.Known {
 			lists[t.Service] = append(lists[t.Service], s)
 		}
 	}
@@ -78,10 +99,19 @@
 	}
 }
 
-// barred reports whether the target of a grant has told this entry to send nothing.
-func (d *Dispatcher) barred(life ids.Life) bool {
-	t := d.view.Directory().Target(life.Target)
-	return t != nil && t.Life().Same(life) && d.advice.Of(t.Life()).Bars()
+// barred reports whether the target of a grant has told this entry to send nothing, or nothing beyond a limit by which the
+// home has not counted the grant. A home that knows less of the limit is told.
+func (d *Dispatcher) barred(a *answer) bool {
+	t := d.view.Directory().Target(a.Life.Target)
+	if t == nil || !t.Life().Same(a.Life) {
+		return false
+	}
+	home := a.Takes.Word(d.Clock.Now())
+	s := d.advice.HearHome(t.Life(), home)
+	if s.Limit.Differs(home) {
+		d.advise(t.Service, []advisory.Standing{s})
+	}
+	return s.Bars() || s.Limit.Limits() && !a.Counted
 }
 
 // mostWithheld is how many grants a request gives back before it is not to get the same target again: the
--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -13,6 +13,7 @@
 	"quaydock/pkg/planner"
 	"quaydock/pkg/rollout"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/telemetry"
 	"quaydock/pkg/view"
 )
 
@@ -21,6 +22,8 @@
 	tickEvery = 25 * clock.Millisecond
 	// silentAfter is after what silence an entry's requests are forgotten.
 	silentAfter = 1500 * clock.Millisecond
+	// linesASecond bounds the log lines of each kind.
+	linesASecond = 20
 )
 
 // hosted is the planner of one group of targets.
@@ -51,6 +54,7 @@
 	// coldBounds are those in force.
 	coldBounds func() planner.ColdBounds
 
+	sampler *telemetry.Sampler
 	// stalls are those of this process, whoever is the home.
 	stalls clock.Stalls
 
@@ -64,7 +68,7 @@
 func newHome(c common.Common, parts Parts, send func(netip.AddrPort, answer)) *Home {
 	return &Home{
 		Common: c, view: parts.View, members: parts.Members, memory: newMemory(c, parts.Members, parts.Link, parts.Notes),
-		rollouts: parts.Rollouts, coldBounds: parts.ColdBounds, id: c.Random.Fork().Uint64(), send: send, groups: make(map[ids.Service]*hosted),
+		rollouts: parts.Rollouts, coldBounds: parts.ColdBounds, id: c.Random.Fork().Uint64(), send: send, sampler: telemetry.NewSampler(c.Clock, c.Log, linesASecond), groups: make(map[ids.Service]*hosted),
 	}
 }
 
@@ -93,7 +97,7 @@
 		g = &hosted{planner: planner.New(h.Random.Fork()), heard: make(map[string]clock.Millis), beganAt: now}
 		g.planner.Without(h.Ablation)
 		h.groups[service] = g
-		h.limitCold(now, g, service)
+		h.bound(now, g, service)
 		h.Log.WithField("service", string(service)).Info("planning for a service")
 	}
 	h.refresh(now, g, service, directory)
@@ -115,9 +119,11 @@
 	h.adopt(g, service)
 }
 
-// limitCold says what cold targets of a service may get from here; the lock is held. An entry that was cut off may go
+// bound says what cold and limited targets of a service may get from here; the lock is held. An entry that was cut off may go
 // on as the home until it has missed this one for as long as it takes anybody for alive.
-func (h *Home) limitCold(now clock.Millis, g *hosted, service ids.Service) {
+func (h *Home) bound(now clock.Millis, g *hosted, service ids.Service) {
+	backing := planner.Backing{Part: h.members.Backing(), Fresh: now < g.beganAt+2*h.members.MissedAfter()}
+	g.planner.SetBacking(backing)
 	catalog := h.view.Catalog()
 	if catalog == nil || catalog.Service(service) == nil {
 		g.planner.SetCold(nil, 0)
@@ -128,8 +134,7 @@
 		g.planner.SetCold(s, 0)
 		return
 	}
-	fresh := now < g.beganAt+2*h.members.MissedAfter()
-	g.planner.SetCold(s, h.coldBounds().Rate(s, h.members.Backing(), fresh))
+	g.planner.SetCold(s, h.coldBounds().Rate(s, backing.Part, backing.Fresh))
 }
 
 // run looks after the planners until ctx ends.
@@ -168,7 +173,7 @@
 				g.planner.Drop(now, entry)
 			}
 		}
-		h.limitCold(now, g, service)
+		h.bound(now, g, service)
 		h.refresh(now, g, service, h.view.Directory())
 		h.stepTrial(ctx, now, service, g)
 		g.planner.Tick(now)
--- a/pkg/dispatch/home_answers.go
+++ b/pkg/dispatch/home_answers.go
@@ -21,22 +21,24 @@
 	g.planner.Submit(now, job)
 	decided := g.planner.Decisions()
 	if !about(decided, job.ID) {
-		decided = append(decided, standing{id: job.ID, at: placeOf(g.planner, job.ID)})
+		decided = append(decided, standingOf(g.planner, job.ID))
 	}
 	h.mu.Unlock()
 	h.tell(decided)
 }
 
-// standing repeats what is known of a job: where it is, or that it waits.
-type standing struct {
+// queues repeats that a job waits.
+type queues struct {
 	planner.Decision
 	id planner.JobID
-	at ids.Life
 }
 
-func placeOf(p *planner.Planner, id planner.JobID) ids.Life {
-	at, _ := p.Granted(id)
-	return at
+// standingOf repeats what is known of a job: where it is, or that it waits.
+func standingOf(p *planner.Planner, id planner.JobID) planner.Decision {
+	if g, granted := p.GrantOf(id); granted {
+		return g
+	}
+	return queues{id: id}
 }
 
 func about(decided []planner.Decision, id planner.JobID) bool {
@@ -59,7 +61,10 @@
 	for _, d := range decided {
 		switch d := d.(type) {
 		case planner.Grant:
-			h.answer(d.ID, answer{Verdict: granted, Life: d.Life})
+			if d.Counted {
+				h.Metrics.Links.Add("grants_by_limits", 1)
+			}
+			h.answer(d.ID, answer{Verdict: granted, Life: d.Life, Takes: d.Takes.Aged(h.Clock.Now()), Counted: d.Counted})
 		case planner.Refuse:
 			kind := refused
 			switch {
@@ -71,12 +76,8 @@
 			h.answer(d.ID, answer{Verdict: kind, RetryAfter: d.RetryAfter, Ahead: d.Ahead, Wait: d.Wait})
 		case planner.Move:
 			h.answer(d.ID, answer{Verdict: move})
-		case standing:
-			kind := queued
-			if d.at != (ids.Life{}) {
-				kind = granted
-			}
-			h.answer(d.id, answer{Verdict: kind, Life: d.at})
+		case queues:
+			h.answer(d.id, answer{Verdict: queued})
 		}
 	}
 }
--- a/pkg/dispatch/home_report.go
+++ b/pkg/dispatch/home_report.go
@@ -21,6 +21,7 @@
 	h.Log.WithFields(logrus.Fields{
 		"service": string(service), "targets": s.Targets, "aside": s.Aside, "slots": s.Slots, "running": s.Running,
 		"waiting": s.Waiting, "per_second": round(s.PerSecond),
+		"limited": s.Limited, "limited_per_second": round(s.LimitedPerSecond),
 		"first_ms": round(s.FirstBase), "first_per_1000_tokens_ms": round(s.FirstPerThousand),
 		"pause_ms": round(s.PauseBase), "pause_per_run_ms": round(s.PausePerRun), "hold_ms": round(s.Hold), "factors": factors(s.Factors),
 	}).Info("planning")
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -11,6 +11,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
+	"quaydock/pkg/ratelimit"
 )
 
 // ask wants a target for a request. It is sent again while there is no final
@@ -56,6 +57,10 @@
 	// Ahead and Wait are what a refusal stands on.
 	Ahead int
 	Wait  clock.Millis
+	// Takes is what the home knows of how many requests a second the target takes, nil if nothing, and Counted says
+	// that the grant is one of these.
+	Takes   *ratelimit.Aged
+	Counted bool
 }
 
 // progress is how far a request has come.
--- a/pkg/dispatch/pending.go
+++ b/pkg/dispatch/pending.go
@@ -45,7 +45,7 @@
 		case a == nil:
 		case a.Verdict == refused, a.Verdict == noTarget, a.Verdict == resting:
 			return nil, &schedule.Refused{Overloaded: a.Verdict == refused, Resting: a.Verdict == resting, RetryAfter: a.RetryAfter, Ahead: a.Ahead, Wait: a.Wait}, nil
-		case a.Verdict == granted && d.barred(a.Life):
+		case a.Verdict == granted && d.barred(a):
 			d.withhold(p, a.Life)
 		case a.Verdict == granted:
 			if t := d.offered(p, a.Life); t != nil {
--- a/pkg/planner/advice.go
+++ b/pkg/planner/advice.go
@@ -31,6 +31,7 @@
 	if leaving && !t.leaving {
 		t.leaving = true
 		p.relist()
+		p.countBounded(now)
 		p.reviewAll(now)
 	}
 	if left <= 0 {
@@ -43,9 +44,9 @@
 	p.restsUntil = max(p.restsUntil, t.rests[entry])
 }
 
-// takes reports whether a target takes a job of an entry now, as far as it has asked for rest. Once that is over, the
+// admits reports whether a target takes a job of an entry now, as far as it has asked for rest. Once that is over, the
 // entry's jobs go there one at a time until one was served: a target that turned away all is not filled again at once.
-func (t *target) takes(now clock.Millis, entry string) bool {
+func (t *target) admits(now clock.Millis, entry string) bool {
 	until, asked := t.rests[entry]
 	switch {
 	case !asked:
--- a/pkg/planner/cold.go
+++ b/pkg/planner/cold.go
@@ -42,35 +42,14 @@
 	p.cold = coldLimit{service: s, perSecond: perSecond}
 }
 
-// coldBucket is what one cold target may still get.
-type coldBucket struct {
-	level float64
-	at    clock.Millis
-}
-
-// fill brings the bucket up to now.
-func (b *coldBucket) fill(now clock.Millis, perSecond float64) {
-	b.level = min(coldSaved, b.level+float64(now-b.at)*perSecond/float64(clock.Second))
-	b.at = now
-}
-
-// bears reports whether a target may get one more job as far as it is cold. What was given to it before it was known
-// to be cold, or by an earlier home, is not known: so a bucket is empty at first.
-func (p *Planner) bears(now clock.Millis, t *target) bool {
+// bearsCold reports whether a target may get one more job as far as it is cold.
+func (p *Planner) bearsCold(now clock.Millis, t *target) bool {
 	if !t.Cold(now, p.cold.service) {
 		t.cold = nil
 		return true
 	}
 	if t.cold == nil {
-		t.cold = &coldBucket{at: now}
-	}
-	t.cold.fill(now, p.cold.perSecond)
-	return t.cold.level >= 1
-}
-
-// spendCold notes that a job was given to a target.
-func (t *target) spendCold() {
-	if t.cold != nil {
-		t.cold.level--
+		t.cold = newBucket(now)
 	}
+	return t.cold.bears(now, p.cold.perSecond, coldSaved)
 }
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -8,6 +8,7 @@
 import (
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/ratelimit"
 )
 
 // JobID names a request: the entry that holds it, and the entry's number for it.
@@ -70,6 +71,9 @@
 type Grant struct {
 	ID   JobID
 	Life ids.Life
+	// Takes is what is known of how many jobs a second the target takes, and Counted says that the job is one of these.
+	Takes   ratelimit.Word
+	Counted bool
 }
 
 // Refuse sends a job away. It has not run.
--- a/pkg/planner/lives.go
+++ b/pkg/planner/lives.go
@@ -25,6 +25,7 @@
 		p.forget(t)
 	}
 	p.relist()
+	p.countBounded(now)
 	p.place(now)
 }
 
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -69,15 +69,17 @@
 // grant gives a job a target.
 func (p *Planner) grant(now clock.Millis, w *waiting, t *target) *run {
 	r := t.start(now, w.Job)
-	t.spendCold()
+	r.counted = t.limited != nil
+	t.cold.spend()
+	t.limited.spend()
 	p.runs[w.ID] = r
-	p.decide(Grant{ID: w.ID, Life: t.Life()})
+	p.decide(r.grant())
 	return r
 }
 
 // room reports whether a target can take a job now.
 func (p *Planner) room(now clock.Millis, t *target, careful bool) bool {
-	return t.room(now, careful) && p.bears(now, t)
+	return t.room(now, careful) && p.bearsCold(now, t) && p.bearsLimit(now, t)
 }
 
 // held reports whether a job is to wait, as something that goes before it was
@@ -126,7 +128,7 @@
 	var best *target
 	var least float64
 	for _, t := range s.roomy {
-		if slices.Contains(w.Exclude, t.Life()) || !t.takes(now, w.ID.Entry) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
+		if slices.Contains(w.Exclude, t.Life()) || !t.admits(now, w.ID.Entry) || choosy && (!p.inTime(now, w, t.factor.get(), t.reading, len(t.runs)+1) || p.disturbs(t, w)) {
 			continue
 		}
 		// A little chance spreads what is equal.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -18,6 +18,8 @@
 	slots     int       // how many jobs these run at once
 	trial     trial
 	cold      coldLimit
+	backing   Backing
+	bounded   []*target // of list, those that get fewer jobs than they have places for
 	queue     queue
 	runs      map[JobID]*run
 	speeds    speeds
@@ -105,6 +107,7 @@
 		}
 	}
 	p.pruneRests(now)
+	p.countBounded(now)
 	p.place(now)
 	p.queue.drop(func(w *waiting) bool { return now >= w.Deadline || now-w.seen > forgottenAfter })
 	p.reviewAll(now)
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -9,10 +9,21 @@
 
 // Granted returns the life of the target that a job has been given, if any.
 func (p *Planner) Granted(id JobID) (ids.Life, bool) {
+	g, granted := p.GrantOf(id)
+	return g.Life, granted
+}
+
+// GrantOf returns the grant of a job that has been given a target, with what is known of that by now.
+func (p *Planner) GrantOf(id JobID) (g Grant, granted bool) {
 	if r := p.runs[id]; r != nil {
-		return r.target.Life(), true
+		return r.grant(), true
 	}
-	return ids.Life{}, false
+	return Grant{}, false
+}
+
+// grant is the decision that gives the job its target.
+func (r *run) grant() Grant {
+	return Grant{ID: r.ID, Life: r.target.Life(), Takes: r.target.takes, Counted: r.counted}
 }
 
 // GrantedAt is when a job was given its target, if it was.
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -10,6 +10,9 @@
 	Targets, Aside, Slots, Running, Waiting int
 	// PerSecond is how many jobs end a second.
 	PerSecond float64
+	// Limited is how many targets name a limit, and LimitedPerSecond how many jobs a second they get together at the most.
+	Limited          int
+	LimitedPerSecond float64
 	// FirstBase and FirstPerThousand are the time to a first event in ms, and
 	// how much each 1,000 tokens of prompt add; PauseBase and PausePerRun are
 	// the time between events, and what each further run adds.
@@ -35,6 +38,10 @@
 		if t.health.Aside(now) {
 			s.Aside++
 		}
+		if t.limited != nil {
+			s.Limited++
+			s.LimitedPerSecond += p.backing.Rate(t.takes.Rate)
+		}
 	}
 	return s
 }
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -3,6 +3,7 @@
 import (
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
 )
 
@@ -20,7 +21,9 @@
 	foreign foreign
 	tried   int                     // how often it was filled while its version was on trial
 	leaving bool                    // by its own word
-	cold    *coldBucket             // nil while it is warm
+	cold    *bucket                 // nil while it is warm
+	takes   ratelimit.Word          // how many jobs a second, by its own word
+	limited *bucket                 // nil while it names no limit
 	rests   map[string]clock.Millis // until when it wants nothing of an entry, or has served it nothing since
 }
 
@@ -41,6 +44,7 @@
 	begun   bool
 	moved   bool // it was told to go elsewhere
 	trial   bool // its target was on trial
+	counted bool // by the limit of its target
 	beganAt clock.Millis
 	ahead   ids.Tokens // prompt tokens to be read up to its first event
 	beside  int        // runs on the target when it was granted, itself included
--- a/pkg/planner/wait.go
+++ b/pkg/planner/wait.go
@@ -43,7 +43,7 @@
 	if p.fullSince > 0 && now-p.fullSince >= fullFor {
 		return max(minReleases, measured)
 	}
-	return max(minReleases, measured, float64(p.slots)*float64(clock.Second)/p.runTime.get())
+	return max(minReleases, measured, p.turnover())
 }
 
 // fullFor is how long no target must have had room for the releases to tell the
--- a/pkg/ratelimit/word.go
+++ b/pkg/ratelimit/word.go
@@ -62,3 +62,30 @@
 	}
 	return Word{Known: true, Rate: min(w.Rate, other.Rate), From: max(w.From, other.From), To: max(w.To, other.To)}
 }
+
+// transit is how long a word is reckoned to be on its way to another VM at the most.
+const transit = 100 * clock.Millisecond
+
+// Aged is a word as another VM is told it: by its age, since moments mean nothing there.
+type Aged struct {
+	_    struct{} `cbor:",toarray"`
+	Rate Rate
+	// From and To are how long ago the first and the last moment were at which it may have been said.
+	From, To clock.Millis
+}
+
+// Aged returns a word as it is told at a moment, nil if nothing is known.
+func (w Word) Aged(now clock.Millis) *Aged {
+	if !w.Known {
+		return nil
+	}
+	return &Aged{Rate: w.Rate, From: now - w.From, To: now - w.To}
+}
+
+// Word returns what was told, on the clock of the one that has received it at a moment. A nil one tells nothing.
+func (a *Aged) Word(now clock.Millis) Word {
+	if a == nil {
+		return Word{}
+	}
+	return Word{Known: true, Rate: a.Rate, From: now - a.From - transit, To: now - a.To}
+}
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -80,7 +80,7 @@
 }
 
 // best returns the target with the least work for its slots. Targets set aside are taken only if there are no
-// others, and cold ones never: what all entries may send them together is given out by the home alone.
+// others, and cold and limited ones never: what all entries may send them together is given out by the home alone.
 func (l *Local) best(ask Ask) *routing.Target {
 	now := l.Clock.Now()
 	random := l.Random.Fork()
@@ -88,7 +88,8 @@
 	var best *routing.Target
 	var least float64
 	for _, t := range l.view.Directory().Serving(ask.Service) {
-		if l.advice.Of(t.Life()).Bars() || t.Cold(now, service) {
+		said := l.advice.Of(t.Life())
+		if said.Bars() || said.Limit.Limits() || t.Cold(now, service) {
 			continue
 		}
 		r := l.record(t.Life())
