--- a/pkg/app/limit_bed_test.go
+++ b/pkg/app/limit_bed_test.go
@@ -57,9 +57,9 @@
 	allowed float64
 }
 
-func newLimitBed(t *testing.T, seed uint64, entries, targets int) *limitBed {
+func newLimitBed(t *testing.T, seed uint64, entries int) *limitBed {
 	b := &limitBed{
-		adviceBed: newAdviceBedOf(t, seed, entries, targets), limits: make(map[int][]namedLimit), told: make(map[pair]time.Duration),
+		adviceBed: newAdviceBedOf(t, seed, entries, crashTargets), limits: make(map[int][]namedLimit), told: make(map[pair]time.Duration),
 		counted: make(map[string][]time.Duration), arrived: make(map[int][]time.Duration), first: make(map[string]time.Duration), over: make(map[int]bool),
 	}
 	b.answers = b.answerLimited
--- a/pkg/app/limit_test.go
+++ b/pkg/app/limit_test.go
@@ -35,7 +35,7 @@
 			t.Run(fmt.Sprintf("%d entries, %s", entries, c.name), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					b := newLimitBed(t, 1, entries, crashTargets)
+					b := newLimitBed(t, 1, entries)
 					go c.names(b, c.targets)
 					answers := b.callers(length)
 					b.check()
@@ -124,7 +124,7 @@
 			t.Run(fmt.Sprintf("%d entries, %s", entries, h.name), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					b := newLimitBed(t, 2, entries, crashTargets)
+					b := newLimitBed(t, 2, entries)
 					for n, perSecond := range []float64{0, 0.3, 1.4, 2.5, 8, 20} {
 						b.limit(n, perSecond)
 					}
@@ -155,13 +155,13 @@
 	for _, idle := range []bool{false, true} {
 		t.Run(fmt.Sprintf("no requests before it is lifted: %t", idle), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newLimitBed(t, 3, 16, crashTargets)
+				b := newLimitBed(t, 3, 16)
 				limits := []float64{0, 0.01, 0.3, 1.4}
 				for n, perSecond := range limits {
 					b.limit(n, perSecond)
 				}
 				if idle {
-					b.callers(3*time.Second)
+					b.callers(3 * time.Second)
 					time.Sleep(liftAt - b.now())
 				} else {
 					b.callers(liftAt)
@@ -170,7 +170,7 @@
 				for n := range limits {
 					b.lift(n)
 				}
-				b.callers(liftAt+heard+2*time.Second)
+				b.callers(liftAt + heard + 2*time.Second)
 				for n, perSecond := range limits {
 					if got := b.got(n, liftAt+heard, liftAt+heard+2*time.Second); got < 0.5*limitLoad/crashTargets {
 						t.Errorf("one that took %.2f a second gets %.1f after %v", perSecond, got, heard)
@@ -201,7 +201,7 @@
 		{"few", math.Inf(1)},
 	}
 	synctest.Test(t, func(t *testing.T) {
-		b := newLimitBed(t, 4, 3, crashTargets)
+		b := newLimitBed(t, 4, 3)
 		for n, x := range texts {
 			b.limitAs(n, x.text, x.perSecond)
 		}
