Tests of what homes give out of a limit, and of what admission reckons with

Properties by 300 drawn series: up to twenty homes at once, whose parts add up to one at the most, keep the bound on any of eight limits with waves of load. The load model with limits: 4 of 12 targets at 0.3, all at 2.

--- /dev/null
+++ b/pkg/planner/limit_test.go
@@ -0,0 +1,171 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/loadmodel"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/ratelimit"
+	"quaydock/pkg/routing"
+)
+
+// TestBackingRate: what one home gives out of a limit.
+func TestBackingRate(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		backing planner.Backing
+		takes   ratelimit.Rate
+		want    float64
+	}{
+		{"all entries back it", planner.Backing{Part: 1}, 6, 6},
+		{"most do", planner.Backing{Part: 0.75}, 6, 4.5},
+		{"it has just begun", planner.Backing{Part: 1, Fresh: true}, 6, 1.5},
+		{"a target that takes none is asked again", planner.Backing{Part: 1}, 0, 0.25},
+		{"by one that has just begun as well", planner.Backing{Part: 0.6, Fresh: true}, 0.3, 0.25},
+		{"a third does, two a window", planner.Backing{Part: 1.0 / 3}, 1.5, 0.5},
+		{"a third does, fewer", planner.Backing{Part: 1.0 / 3}, 1.4, 0},
+		{"nobody does", planner.Backing{}, 6, 0},
+	}
+	for _, s := range scenarios {
+		if got := s.backing.Rate(s.takes); got < s.want-1e-9 || got > s.want+1e-9 {
+			t.Errorf("%s: %.3f a second, want %.3f", s.name, got, s.want)
+		}
+	}
+}
+
+// TestHomesThatGiveOutAtOnceKeepTheBound guards against parts that several homes round up, by drawn limits, parts, idle times and takeovers.
+func TestHomesThatGiveOutAtOnceKeepTheBound(t *testing.T) {
+	const (
+		window = 4 * clock.Second
+		length = 30 * clock.Second
+	)
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		takes := []ratelimit.Rate{0, 0.3, 1, 1.4, 2.5, 6, 20, 100}[random.IntN(8)]
+		homes := 1 + random.IntN(20)
+		parts := make([]float64, homes)
+		left, equal := 1.0, random.IntN(2) == 0
+		for i := range parts {
+			parts[i] = left * random.Float64()
+			if equal {
+				parts[i] = 1 / float64(homes)
+			}
+			left -= parts[i]
+		}
+		var given []clock.Millis
+		for i, part := range parts {
+			p := newPlanner()
+			p.SetTargets(start, []*routing.Target{{ID: "t", Service: "s", Slots: 100}})
+			p.SetBacking(planner.Backing{Part: part})
+			p.SetLimit(start, ids.Life{Target: "t"}, ratelimit.Word{Known: true, Rate: takes, From: start, To: start})
+			given = append(given, grants(p, random, uint64(i), length)...)
+		}
+		slices.Sort(given)
+		allowed := 1.5*float64(takes)*4 + 5
+		for i, at := range given {
+			first, _ := slices.BinarySearch(given, at-window+1)
+			if got := i + 1 - first; float64(got) > allowed {
+				t.Fatalf("seed %d: %d in 4 s from %d homes of parts %.2f, allowed %.1f of a limit of %.1f", seed, got, homes, parts, allowed, takes)
+			}
+		}
+	}
+}
+
+// grants has a planner give a target jobs that come in waves, and returns when it did so.
+func grants(p *planner.Planner, random *rand.Rand, salt uint64, length clock.Millis) []clock.Millis {
+	var given []clock.Millis
+	const step = 10 * clock.Millisecond
+	idle := false
+	for now := start; now < start+length; now += step {
+		if random.IntN(100) == 0 {
+			idle = !idle
+		}
+		if !idle {
+			j := job(salt<<32+uint64(now), 0)
+			j.Arrived, j.Deadline = now, now+clock.Second
+			p.Submit(now, j)
+		}
+		p.Tick(now)
+		for _, d := range p.Decisions() {
+			if g, ok := d.(planner.Grant); ok {
+				given = append(given, now)
+				p.Finish(now, g.ID, planner.Served, planner.Flow{})
+			}
+		}
+	}
+	return given
+}
+
+// TestGrantsTellWhetherTheyWereCounted: an entry that has heard of a limit uses no others.
+func TestGrantsTellWhetherTheyWereCounted(t *testing.T) {
+	p := newPlanner()
+	p.SetBacking(planner.Backing{Part: 1})
+	p.SetTargets(start, []*routing.Target{{ID: "t", Service: "s", Slots: 4}})
+	p.Submit(start, job(1, 0))
+	life := ids.Life{Target: "t"}
+	takes := ratelimit.Word{Known: true, Rate: 20, From: start, To: start + 10}
+	if _, changed := p.SetLimit(start+10, life, takes); !changed {
+		t.Error("the first limit is nothing new")
+	}
+	p.Submit(start+100, job(2, 0))
+	before, _ := p.GrantOf(job(1, 0).ID)
+	after, _ := p.GrantOf(job(2, 0).ID)
+	if before.Counted || before.Takes != takes {
+		t.Errorf("granted before: %+v", before)
+	}
+	if !after.Counted {
+		t.Errorf("granted after: %+v", after)
+	}
+}
+
+// TestLimitedPlacesAreNoCapacity: where targets name limits, tiers are shed in order, at once, and what the limits allow is used.
+func TestLimitedPlacesAreNoCapacity(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		targets int
+		takes   ratelimit.Rate
+		load    float64
+		// inTime is the least part in time, by tier, and ofLimit how much of the limits is to be used.
+		inTime  [3]float64
+		ofLimit float64
+	}{
+		{"a third takes hardly any", 4, 0.3, 0.6, [3]float64{0.98, 0.98, 0.9}, 0},
+		{"all take about what the highest tier asks", 12, 2, 0.9, [3]float64{0.9, 0.1, 0}, 0.85},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			l := heavy(s.load, 1)
+			limited := make(map[*planner.Planner]bool)
+			granted := 0
+			r := loadmodel.Play(l, loadmodel.Observer{
+				Granted: func(clock.Millis, planner.JobID, ids.TierRank, clock.Millis) { granted++ },
+				Asked: func(now clock.Millis, p *planner.Planner, _ planner.JobID) {
+					if limited[p] {
+						return
+					}
+					limited[p] = true
+					p.SetBacking(planner.Backing{Part: 1})
+					for n := range s.targets {
+						life := ids.Life{Target: ids.Target(fmt.Sprint("t", n))}
+						p.SetLimit(now, life, ratelimit.Word{Known: true, Rate: s.takes, From: now, To: now})
+					}
+				},
+			})
+			report(t, r)
+			for n, least := range s.inTime {
+				if got := part(r.Outcomes[n].InTime, r.Outcomes[n]); got < least {
+					t.Errorf("%s: %.2f in time, want %.2f", r.Outcomes[n].Kind, got, least)
+				}
+			}
+			allowed := float64(s.targets) * float64(s.takes) * l.Length.Duration().Seconds()
+			if s.ofLimit > 0 && float64(granted) < s.ofLimit*allowed {
+				t.Errorf("%d granted of %.0f that the limits allow", granted, allowed)
+			}
+		})
+	}
+}
