Lower tiers are held back for longer where targets take few requests by a rate

What callers would see: where all targets name limits, below what the highest tier asks for, a quarter of that tier was refused while lower tiers were served.

Cause: after a refusal lower work is held back for 250 ms. Where places come by a rate, a dozen a second in all, refusals are as rare as these, and between two of them lower work takes places that higher work was refused.

Change: where targets get jobs by a rate the time is that of ten places, from 250 ms to 2 s. Elsewhere it stays.

Ruled out: the same everywhere (a trial): two tests of targets with one place, where lower work is to be served again 250 ms after the last refusal, fail, and no load is known for which it gains there.

--- a/pkg/planner/floor.go
+++ b/pkg/planner/floor.go
@@ -15,18 +15,34 @@
 	fresh map[ids.TierRank]clock.Millis // of these, those that came for the first time
 }
 
-// floorHold is how long lower work waits after a refusal. While refusals go on,
-// it is renewed.
-const floorHold = 250 * clock.Millisecond
+const (
+	// floorHold is how long lower work waits after a refusal. While refusals go on,
+	// it is renewed.
+	floorHold = 250 * clock.Millisecond
+	// floorPlaces is for how many places it waits where targets get few jobs by a rate: refusals are as rare as these
+	// places, and between two of them lower work would get places that higher work was refused.
+	floorPlaces = 10.0
+	// floorMost is how long it waits at the most.
+	floorMost = 2 * clock.Second
+)
+
+// floorHold is how long lower work waits after a refusal.
+func (p *Planner) floorHold(now clock.Millis) clock.Millis {
+	if len(p.bounded) == 0 {
+		return floorHold
+	}
+	return min(floorMost, max(floorHold, clock.Millis(floorPlaces*float64(clock.Second)/p.perSecond(now))))
+}
 
-func (f *floor) raise(now clock.Millis, w *waiting) {
+func (f *floor) raise(now clock.Millis, w *waiting, hold clock.Millis) {
 	if f.tiers == nil {
 		f.tiers = make(map[ids.TierRank]clock.Millis)
 		f.fresh = make(map[ids.TierRank]clock.Millis)
 	}
-	f.tiers[w.Tier] = now + floorHold
+	until := now + hold
+	f.tiers[w.Tier] = until
 	if !w.Returned {
-		f.fresh[w.Tier] = now + floorHold
+		f.fresh[w.Tier] = until
 	}
 }
 
--- a/pkg/planner/limit_test.go
+++ b/pkg/planner/limit_test.go
@@ -135,6 +135,7 @@
 		ofLimit float64
 	}{
 		{"a third takes hardly any", 4, 0.3, 0.6, [3]float64{0.98, 0.98, 0.9}, 0},
+		{"all take a few, less than the highest tier asks", 12, 1, 0.9, [3]float64{0.65, 0, 0}, 0.85},
 		{"all take about what the highest tier asks", 12, 2, 0.9, [3]float64{0.9, 0.1, 0}, 0.85},
 	}
 	for _, s := range scenarios {
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -103,7 +103,7 @@
 		return
 	}
 	p.decide(Refuse{ID: w.ID, RetryAfter: retry, Ahead: ahead, Wait: wait})
-	p.floor.raise(now, w)
+	p.floor.raise(now, w, p.floorHold(now))
 }
 
 // holdPart is the part of its time for which a job waits at the most.
