--- a/pkg/schedule/advice_test.go
+++ b/pkg/schedule/advice_test.go
@@ -10,6 +10,7 @@
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
+	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/schedule"
 )
 
@@ -66,3 +67,24 @@
 		}
 	}
 }
+
+// TestOwnCountsGiveNothingToLimitedTargets guards against entries without a home that each send what a target takes from all.
+func TestOwnCountsGiveNothingToLimitedTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := commontest.New(network.NewMemory(nil))
+		book := advisory.NewBook(c)
+		for _, id := range []ids.Target{"t0", "t1"} {
+			book.Hear(ids.Life{Target: id}, 0, "r", advisory.Advice{Limit: ratelimit.Named{Given: true, Readable: true, Rate: 5}, Asked: c.Clock.Now()})
+		}
+		local := schedule.NewLocal(c, newView(3), book)
+		for range 6 {
+			p, refused, err := local.Acquire(context.Background(), schedule.Ask{Service: "s"})
+			if err != nil || refused != nil {
+				t.Fatalf("refused %+v, %v", refused, err)
+			}
+			if p.Target().ID != "t2" {
+				t.Errorf("%s has named a limit", p.Target().ID)
+			}
+		}
+	})
+}
