--- a/pkg/planner/limit.go
+++ b/pkg/planner/limit.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ratelimit"
@@ -89,6 +91,11 @@
 	return t.limited.bears(now, rate, p.backing.saved()) && rate > 0
 }
 
+// Limited reports whether a target names a limit.
+func (p *Planner) Limited() bool {
+	return slices.ContainsFunc(p.offered, func(t *target) bool { return t.limited != nil })
+}
+
 // countBounded works out which targets get fewer jobs than they have places for.
 func (p *Planner) countBounded(now clock.Millis) {
 	p.bounded = p.bounded[:0]
