A home hears again that a limit is lifted, where it could not tell the first time

What would be seen: a target that names no limit any more goes on getting no more than it had named, for as long as it runs.

Cause: the first answer without a limit went to the home, which takes 100 ms of doubt off its age. Where its request was sent within that time of the last answer with one, as at 12 a second, the home could not tell which was the later and kept the lower. The entry took further answers without a limit for nothing new, and so told the same old word with each grant.

Change: for a minute after a limit is lifted answers without one go on to be noted, so that the next grant that says otherwise is answered by a newer word. It ends a minute after the lifting, as does what it costs.

TestALiftedLimitIsHeardOfAgain failed before.

--- a/pkg/advisory/book.go
+++ b/pkg/advisory/book.go
@@ -46,7 +46,7 @@
 // Hear takes the advice in an answer of a life of a target to a request. Connected is the Unix millisecond at which
 // the answer's connection was made, 0 if that is not known.
 func (b *Book) Hear(life ids.Life, connected ids.Start, request string, a Advice) {
-	if b == nil || a.Empty() && (b.known.Load() == 0 || !b.mayLift(life)) {
+	if b == nil || a.Empty() && (b.known.Load() == 0 || !b.hasNamedLimit(life)) {
 		return
 	}
 	now := b.Clock.Now()
--- a/pkg/advisory/limit.go
+++ b/pkg/advisory/limit.go
@@ -15,14 +15,13 @@
 // hearLimit takes what an answer to a life says of a limit, and reports whether another one stands now; the lock is held.
 func (b *Book) hearLimit(now clock.Millis, r *record, a *Advice, heard word) (changed bool) {
 	before := b.limitOf(r.life)
-	if a.Limit.Silent() || !a.Limit.Given && !before.Limits() {
+	if a.Limit.Silent() || !a.Limit.Given && !before.Known {
 		return false
 	}
 	if a.Limit.Given {
 		r.limitedWith = r.limitedWith.later(heard)
 	}
-	r.limit = before.With(ratelimit.Of(a.Limit, a.Asked, now))
-	return r.limit.Differs(before)
+	return r.takeLimit(now, before, ratelimit.Of(a.Limit, a.Asked, now))
 }
 
 // limitOf returns the limit of a life; its own word goes before what a former life may have said. The lock is held.
@@ -46,22 +45,23 @@
 	if b == nil || !w.Known || s.Limit.With(w) == s.Limit || !w.Limits() && !s.Limit.Limits() {
 		return s
 	}
+	now := b.Clock.Now()
 	b.mu.Lock()
 	r := b.record(life)
-	before := b.limitOf(life)
-	r.limit = before.With(w)
-	r.listedAt = b.Clock.Now()
+	changed := r.takeLimit(now, b.limitOf(life), w)
+	r.listedAt = now
 	s.Limit = r.limit
 	b.mu.Unlock()
-	b.noteLimit(logrus.Fields{"heard_from": "home"}, s, s.Limit.Differs(before), false)
+	b.noteLimit(logrus.Fields{"heard_from": "home"}, s, changed, false)
 	return s
 }
 
-// mayLift reports whether a life is taken for limited, so that an answer without a limit says something.
-func (b *Book) mayLift(life ids.Life) bool {
+// hasNamedLimit reports whether a life has named a limit, so that an answer without one says something. It goes on to do so for a
+// while after the first: the home may not have been able to tell that this was the later word.
+func (b *Book) hasNamedLimit(life ids.Life) bool {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	return b.limitOf(life).Limits()
+	return b.limitOf(life).Known
 }
 
 // maybeSaidBy reports whether the limit of a former life may be that of a life that was not read yet. One that does not hold
--- a/pkg/advisory/limit_test.go
+++ b/pkg/advisory/limit_test.go
@@ -113,3 +113,24 @@
 		}
 	})
 }
+
+// TestALiftedLimitIsHeardOfAgain guards against a home that goes on by a limit, as it could not tell that the first answer without it was the later one.
+func TestALiftedLimitIsHeardOfAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBook()
+		b.Hear(life, 0, "r", advisory.Advice{Limit: limited(12), Asked: b.Clock.Now()})
+		home := b.Of(life).Limit
+		time.Sleep(50 * time.Millisecond)
+		b.Hear(life, 0, "r", advisory.Advice{Asked: b.Clock.Now()})
+		now := b.Clock.Now()
+		if home = home.With(b.Of(life).Limit.Aged(now).Word(now)); !home.Limits() {
+			t.Fatal("the home can tell after 50 ms")
+		}
+		time.Sleep(500 * time.Millisecond)
+		b.Hear(life, 0, "r", advisory.Advice{Asked: b.Clock.Now()})
+		now = b.Clock.Now()
+		if home = home.With(b.Of(life).Limit.Aged(now).Word(now)); home.Limits() {
+			t.Error("the home still goes by it after another answer without")
+		}
+	})
+}
--- a/pkg/advisory/record.go
+++ b/pkg/advisory/record.go
@@ -20,8 +20,9 @@
 	// rests are the times of rest, the longest first. A shorter one that was asked for later may be the next life's, which
 	// the longer one says nothing of.
 	rests []rest
-	// limit is how many requests a second it takes, and limitedWith when it last named a limit.
+	// limit is how many requests a second it takes, since when that stands, and when it last named a limit.
 	limit       ratelimit.Word
+	limitAt     clock.Millis
 	limitedWith word
 	listedAt    clock.Millis // when it was last listed, or heard
 	// next is the life that is listed in its place, and nextAt since when.
@@ -42,6 +43,16 @@
 	return isNew
 }
 
+// takeLimit takes a word on the limit, which was another one before, and reports whether it changes that.
+func (r *record) takeLimit(now clock.Millis, before, w ratelimit.Word) bool {
+	r.limit = before.With(w)
+	changed := r.limit.Differs(before)
+	if changed {
+		r.limitAt = now
+	}
+	return changed
+}
+
 // rest notes that the target wants no request for a while.
 func (r *record) rest(now, long clock.Millis, heard word) {
 	if long <= 0 {
@@ -122,6 +133,6 @@
 // over reports whether the record says nothing any more.
 func (r *record) over(now clock.Millis) bool {
 	stands := r.leaving || r.limit.Limits()
-	lifted := r.limit.Known && now-r.limit.To <= keepLifted
-	return r.restLeft(now) <= 0 && !lifted && (!stands || now-r.listedAt > keepUnlisted)
+	fresh := r.limit.Known && now-r.limitAt <= keepLifted
+	return r.restLeft(now) <= 0 && !fresh && (!stands || now-r.listedAt > keepUnlisted)
 }
--- a/pkg/app/limit_test.go
+++ b/pkg/app/limit_test.go
@@ -156,7 +156,7 @@
 		t.Run(fmt.Sprintf("no requests before it is lifted: %t", idle), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newLimitBed(t, 3, 16)
-				limits := []float64{0, 0.01, 0.3, 1.4}
+				limits := []float64{0, 0.01, 0.3, 1.4, 12}
 				for n, perSecond := range limits {
 					b.limit(n, perSecond)
 				}
@@ -172,7 +172,7 @@
 				}
 				b.callers(liftAt + heard + 2*time.Second)
 				for n, perSecond := range limits {
-					if got := b.got(n, liftAt+heard, liftAt+heard+2*time.Second); got < 0.5*limitLoad/crashTargets {
+					if got := b.got(n, liftAt+heard, liftAt+heard+2*time.Second); got < 0.7*limitLoad/crashTargets {
 						t.Errorf("one that took %.2f a second gets %.1f after %v", perSecond, got, heard)
 					}
 				}
