Read again: one look-up of a service, one type for the backing of a home

Behaviour stays as it is; no assertion or bound of a test was changed (TestColdRates passes the type in place of its two parts).

- routing: that no catalog was read yet stood before the look-up of a service in three places (domains, schedule, dispatch); a nil catalog has no service now.
- planner: ColdBounds.Rate took the backing as a number and a flag, while limits had a type for both.
The bounded targets are counted where the list is made, not by each caller of that.
- dispatch: what is given out by parts is worked out along one way; it left early in two places before.

--- a/pkg/dispatch/home.go
+++ b/pkg/dispatch/home.go
@@ -122,23 +122,17 @@
 // bound says what cold and limited targets of a service may get from here; the lock is held. An entry that was cut off may go
 // on as the home until it has missed this one for as long as it takes anybody for alive.
 func (h *Home) bound(now clock.Millis, g *hosted, service ids.Service) {
-	var s *routing.Service
-	if catalog := h.view.Catalog(); catalog != nil {
-		s = catalog.Service(service)
-	}
-	coldBound := s != nil && s.ColdPerSecond > 0
-	if !coldBound {
-		g.planner.SetCold(s, 0)
-	}
-	if !coldBound && !g.planner.Limited() {
-		return // nothing is given out by parts
-	}
-	backing := planner.Backing{Part: h.members.Backing(), Fresh: now < g.beganAt+2*h.members.MissedAfter()}
-	g.planner.SetBacking(backing)
-	if !coldBound {
-		return
+	s := h.view.Catalog().Service(service)
+	bearsFewCold := s != nil && s.ColdPerSecond > 0
+	perSecond := 0.0
+	if bearsFewCold || g.planner.Limited() { // else nothing is given out by parts
+		backing := planner.Backing{Part: h.members.Backing(), Fresh: now < g.beganAt+2*h.members.MissedAfter()}
+		g.planner.SetBacking(backing)
+		if bearsFewCold {
+			perSecond = h.coldBounds().Rate(s, backing)
+		}
 	}
-	g.planner.SetCold(s, h.coldBounds().Rate(s, backing.Part, backing.Fresh))
+	g.planner.SetCold(s, perSecond)
 }
 
 // run looks after the planners until ctx ends.
--- a/pkg/domains/report.go
+++ b/pkg/domains/report.go
@@ -27,17 +27,10 @@
 		r.Domain = t.Domain
 		r.Targets++
 		r.Drained = r.Drained || t.Drained
-		if t.Cold(now, serviceOf(catalog, t)) {
+		if t.Cold(now, catalog.Service(t.Service)) {
 			r.Cold++
 		}
 		known[t.Domain] = r
 	}
 	return slices.SortedFunc(maps.Values(known), func(a, b Report) int { return cmp.Compare(a.Domain, b.Domain) })
 }
-
-func serviceOf(catalog *routing.Catalog, t *routing.Target) *routing.Service {
-	if catalog == nil {
-		return nil
-	}
-	return catalog.Service(t.Service)
-}
--- a/pkg/planner/advice.go
+++ b/pkg/planner/advice.go
@@ -30,8 +30,7 @@
 	}
 	if leaving && !t.leaving {
 		t.leaving = true
-		p.relist()
-		p.countBounded(now)
+		p.relist(now)
 		p.reviewAll(now)
 	}
 	if left <= 0 {
--- a/pkg/planner/cold.go
+++ b/pkg/planner/cold.go
@@ -19,15 +19,14 @@
 	coldSaved = 2.0
 )
 
-// Rate is how many jobs a second a home gives one cold target of a service. Backing is the part of the entries that
-// surely takes no other one for the home, and fresh says that it has just begun to be one.
-func (b ColdBounds) Rate(s *routing.Service, backing float64, fresh bool) float64 {
+// Rate is how many jobs a second a home gives one cold target of a service.
+func (b ColdBounds) Rate(s *routing.Service, backing Backing) float64 {
 	most := max(1, b.Over)*s.ColdPerSecond + b.Slack
 	part := coldPart
-	if fresh {
+	if backing.Fresh {
 		part = coldFreshPart
 	}
-	return min(s.ColdPerSecond, part*most) * backing
+	return min(s.ColdPerSecond, part*most) * backing.Part
 }
 
 // coldLimit is what a planner gives cold targets.
--- a/pkg/planner/cold_test.go
+++ b/pkg/planner/cold_test.go
@@ -26,14 +26,14 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			service := &routing.Service{Name: "s", ColdPerSecond: s.perSecond}
-			if got := s.bounds.Rate(service, 1, false); math.Abs(got-s.rate) > 1e-9 {
+			if got := s.bounds.Rate(service, planner.Backing{Part: 1}); math.Abs(got-s.rate) > 1e-9 {
 				t.Errorf("%.3f a second, want %.3f", got, s.rate)
 			}
 			most := max(1, s.bounds.Over)*s.perSecond + s.bounds.Slack
-			if both := s.bounds.Rate(service, 1, false) + s.bounds.Rate(service, 1, true); both > 0.9*most {
+			if both := s.bounds.Rate(service, planner.Backing{Part: 1}) + s.bounds.Rate(service, planner.Backing{Part: 1, Fresh: true}); both > 0.9*most {
 				t.Errorf("two homes give %.1f a second, allowed are %.1f", both, most)
 			}
-			if half := s.bounds.Rate(service, 0.5, false); half > s.rate/2+1e-9 {
+			if half := s.bounds.Rate(service, planner.Backing{Part: 0.5}); half > s.rate/2+1e-9 {
 				t.Errorf("%.3f a second, backed by half", half)
 			}
 		})
--- a/pkg/planner/lives.go
+++ b/pkg/planner/lives.go
@@ -24,14 +24,13 @@
 	for _, t := range p.targets {
 		p.forget(t)
 	}
-	p.relist()
-	p.countBounded(now)
+	p.relist(now)
 	p.place(now)
 }
 
 // relist makes the lists of those that may get work of what is offered, without those that leave by their
 // own word.
-func (p *Planner) relist() {
+func (p *Planner) relist(now clock.Millis) {
 	p.list = p.list[:0]
 	p.trial.targets = p.trial.targets[:0]
 	p.slots = 0
@@ -45,6 +44,7 @@
 			p.slots += t.limit()
 		}
 	}
+	p.countBounded(now)
 }
 
 // target returns what is known of a life of a target, and begins with nothing for a new one.
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -7,12 +7,6 @@
 	"quaydock/pkg/routing"
 )
 
-// Granted returns the life of the target that a job has been given, if any.
-func (p *Planner) Granted(id JobID) (ids.Life, bool) {
-	g, granted := p.GrantOf(id)
-	return g.Life, granted
-}
-
 // GrantOf returns the grant of a job that has been given a target, with what is known of that by now.
 func (p *Planner) GrantOf(id JobID) (g Grant, granted bool) {
 	if r := p.runs[id]; r != nil {
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -149,7 +149,10 @@
 	return len(c.accounts) > 0
 }
 
-// Service returns a service, or nil.
+// Service returns a service, or nil; a nil catalog, as before the first was read, has none.
 func (c *Catalog) Service(name ids.Service) *Service {
+	if c == nil {
+		return nil
+	}
 	return c.services[name]
 }
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -71,20 +71,12 @@
 	return r
 }
 
-// service returns what operators declare of a service, nil if that is not known.
-func (l *Local) service(name ids.Service) *routing.Service {
-	if c := l.view.Catalog(); c != nil {
-		return c.Service(name)
-	}
-	return nil
-}
-
 // best returns the target with the least work for its slots. Targets set aside are taken only if there are no
 // others, and cold and limited ones never: what all entries may send them together is given out by the home alone.
 func (l *Local) best(ask Ask) *routing.Target {
 	now := l.Clock.Now()
 	random := l.Random.Fork()
-	service := l.service(ask.Service)
+	service := l.view.Catalog().Service(ask.Service)
 	var best *routing.Target
 	var least float64
 	for _, t := range l.view.Directory().Serving(ask.Service) {
