--- a/pkg/app/advice_bed_test.go
+++ b/pkg/app/advice_bed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -146,16 +147,8 @@
 func (b *adviceBed) restarted(entry int) {
 	b.said.Lock()
 	defer b.said.Unlock()
-	for at := range b.told {
-		if at.entry == entry {
-			delete(b.told, at)
-		}
-	}
-	for at := range b.rests {
-		if at.entry == entry {
-			delete(b.rests, at)
-		}
-	}
+	maps.DeleteFunc(b.told, func(at pair, _ time.Duration) bool { return at.entry == entry })
+	maps.DeleteFunc(b.rests, func(at pair, _ []*rest) bool { return at.entry == entry })
 }
 
 // adviceAnswer is what a caller got.
@@ -175,10 +168,15 @@
 
 // callersAt is callers with so many requests a second.
 func (b *adviceBed) callersAt(perSecond float64, until time.Duration) []adviceAnswer {
+	return b.collect(perSecond, until, b.callOnce)
+}
+
+// collect calls entries so many times a second until a moment, and returns their answers.
+func (b *adviceBed) collect(perSecond float64, until time.Duration, call func(entry int) adviceAnswer) []adviceAnswer {
 	var mu sync.Mutex
 	var answers []adviceAnswer
 	b.every(perSecond, b.now(), until, func() {
-		a := b.callOnce(b.draw(len(b.entries)))
+		a := call(b.draw(len(b.entries)))
 		mu.Lock()
 		defer mu.Unlock()
 		answers = append(answers, a)
@@ -189,16 +187,20 @@
 func (b *adviceBed) callOnce(entry int) adviceAnswer {
 	a, head := b.callKnown(entry)
 	if wiretest.SaysLeaving(head) {
-		told := pair{entry, wiretest.SealedBy(head)}
 		b.said.Lock()
-		if _, known := b.told[told]; !known {
-			b.told[told] = b.now()
-		}
+		noteFirst(b.told, pair{entry, wiretest.SealedBy(head)}, b.now())
 		b.said.Unlock()
 	}
 	return a
 }
 
+// noteFirst notes when something first was so.
+func noteFirst[K comparable](first map[K]time.Duration, what K, now time.Duration) {
+	if _, known := first[what]; !known {
+		first[what] = now
+	}
+}
+
 // callKnown sends a request of which targets can tell where it was sent, and returns the answer with its head.
 func (b *adviceBed) callKnown(entry int) (adviceAnswer, http.Header) {
 	path := []string{"/safe/q", "/unsafe/q"}[b.draw(2)]
--- a/pkg/app/limit_bed_test.go
+++ b/pkg/app/limit_bed_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -99,21 +100,18 @@
 	b.arrived[e.n] = append(b.arrived[e.n], now)
 	if named := b.limits[e.n]; len(named) > 0 && named[len(named)-1].text != noLimit {
 		wiretest.Limit(w.Header(), named[len(named)-1].text)
-		if _, before := b.first[e.id]; !before {
-			b.first[e.id] = now
-		}
+		noteFirst(b.first, e.id, now)
 	}
-	if told, known := b.told[pair{entry, e.id}]; known && now >= told+limitToldFor {
+	if told, known := b.told[pair{entry, e.id}]; known && now >= told+limitToldFor && now >= b.first[e.id]+contactTime {
 		b.count(e, now)
 	}
 	return false
 }
 
-// count counts an arrival from an entry that had been told, and holds it against what is allowed; the lock is held.
+// count counts an arrival for which the limit holds, and holds it against what is allowed; the lock is held.
 func (b *limitBed) count(e *crashEngine, now time.Duration) {
 	window := slices.DeleteFunc(append(b.counted[e.id], now), func(at time.Duration) bool { return at <= now-limitWindow })
 	b.counted[e.id] = window
-	window = slices.DeleteFunc(slices.Clone(window), func(at time.Duration) bool { return at < b.first[e.id]+contactTime })
 	allowed := b.allowed(e.n, now)
 	if float64(len(window)) > allowed {
 		b.over[e.n] = true
@@ -136,26 +134,15 @@
 
 // callers sends requests of both kinds to all entries until a moment, and returns their answers.
 func (b *limitBed) callers(until time.Duration) []adviceAnswer {
-	var mu sync.Mutex
-	var answers []adviceAnswer
-	b.every(limitLoad, b.now(), until, func() {
-		a := b.callOnce(b.draw(len(b.entries)))
-		mu.Lock()
-		defer mu.Unlock()
-		answers = append(answers, a)
-	})
-	return answers
+	return b.collect(limitLoad, until, b.callOnce)
 }
 
 // callOnce is a request to an entry, of which it notes what the answer names.
 func (b *limitBed) callOnce(entry int) adviceAnswer {
 	a, head := b.callKnown(entry)
 	if wiretest.LimitOf(head) != "" {
-		told := pair{entry, wiretest.SealedBy(head)}
 		b.counting.Lock()
-		if _, known := b.told[told]; !known {
-			b.told[told] = b.now()
-		}
+		noteFirst(b.told, pair{entry, wiretest.SealedBy(head)}, b.now())
 		b.counting.Unlock()
 	}
 	return a
@@ -185,11 +172,7 @@
 	b.counting.Lock()
 	delete(b.first, e.id)
 	delete(b.counted, e.id)
-	for at := range b.told {
-		if at.target == e.id {
-			delete(b.told, at)
-		}
-	}
+	maps.DeleteFunc(b.told, func(at pair, _ time.Duration) bool { return at.target == e.id })
 	b.counting.Unlock()
 	e.crash()
 }
@@ -198,11 +181,7 @@
 func (b *limitBed) forgetTold(entry int) {
 	b.counting.Lock()
 	defer b.counting.Unlock()
-	for at := range b.told {
-		if at.entry == entry {
-			delete(b.told, at)
-		}
-	}
+	maps.DeleteFunc(b.told, func(at pair, _ time.Duration) bool { return at.entry == entry })
 }
 
 // got is how many requests a second have reached a target between two moments.
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -42,17 +42,14 @@
 				}
 			}))
 			defer server.Close()
-			var out, errs bytes.Buffer
-			if code := ctl.Main([]string{"status", "-at", strings.TrimPrefix(server.URL, "http://")}, &out, &errs); code != ctl.ExitOK {
-				t.Fatalf("exit code %d: %s", code, errs.String())
-			}
+			out := statusOf(t, server)
 			for _, text := range s.want {
-				if !strings.Contains(out.String(), text) {
-					t.Errorf("%q is missing in\n%s", text, out.String())
+				if !strings.Contains(out, text) {
+					t.Errorf("%q is missing in\n%s", text, out)
 				}
 			}
-			if strings.Contains(out.String(), s.without) {
-				t.Errorf("%q stands in\n%s", s.without, out.String())
+			if strings.Contains(out, s.without) {
+				t.Errorf("%q stands in\n%s", s.without, out)
 			}
 		})
 	}
@@ -82,13 +79,20 @@
 				}
 			}))
 			defer server.Close()
-			var out, errs bytes.Buffer
-			if code := ctl.Main([]string{"status", "-at", strings.TrimPrefix(server.URL, "http://")}, &out, &errs); code != ctl.ExitOK {
-				t.Fatalf("exit code %d: %s", code, errs.String())
-			}
-			if !strings.Contains(out.String(), s.want) || strings.Contains(out.String(), s.without) {
-				t.Errorf("%q is missing, or %q stands in\n%s", s.want, s.without, out.String())
+			out := statusOf(t, server)
+			if !strings.Contains(out, s.want) || strings.Contains(out, s.without) {
+				t.Errorf("%q is missing, or %q stands in\n%s", s.want, s.without, out)
 			}
 		})
 	}
 }
+
+// statusOf is what quayctl shows of the status of a process.
+func statusOf(t *testing.T, server *httptest.Server) string {
+	t.Helper()
+	var out, errs bytes.Buffer
+	if code := ctl.Main([]string{"status", "-at", strings.TrimPrefix(server.URL, "http://")}, &out, &errs); code != ctl.ExitOK {
+		t.Fatalf("exit code %d: %s", code, errs.String())
+	}
+	return out.String()
+}
