Tell streams that end inside an event, and how answers are framed

Now a stream whose last event was not terminated has a line (request, target, framing, events, bytes left) and a counter by framing (quaydock_streams_ended_inside_ event_total). The framing of an answer has one type, which replaces two conditions in the exchange.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -183,8 +183,8 @@
 // skip discards an answer that belongs to another request. It fails if the connection has no further answer.
 func (e *exchange) skip(response *http.Response) error {
 	e.pool.Metrics.Links.Add("stray_answers", 1)
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return errStray // the answer ends with the connection
+	if framingOf(response) == FramedByClose {
+		return errStray
 	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return fmt.Errorf("skipping the answer of another request: %w", err)
@@ -219,6 +219,7 @@
 		Status:      response.StatusCode,
 		Header:      response.Header,
 		Length:      response.ContentLength,
+		Framing:     framingOf(response),
 		Load:        metadata.Load,
 		ConnectedAt: e.conn.madeAt,
 		body:        &body{exchange: e, response: response},
@@ -236,10 +237,9 @@
 		written = err == nil
 	default: // part of the request's body has yet to be written
 	}
-	// The end of an unframed body is the end of the connection.
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	reusable := framingOf(response) != FramedByClose && !response.Close
 	keep := keepFor(response.Header)
-	if complete && stopped && written && framed && !response.Close && keep > 0 {
+	if complete && stopped && written && reusable && keep > 0 {
 		e.pool.keepIdle(e.target.Incarnation(), e.conn, keep)
 		return
 	}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -154,6 +154,9 @@
 			assignment.Done(failureOutcome(w.exchangeCtx), flow)
 			return lost{err: err}
 		}
+		if complete && len(e.raw) > 0 {
+			d.logUnterminated(q, assignment.Target(), a, e, flow.Events)
+		}
 		if !w.recordEvent(e, a) {
 			assignment.Done(planner.Failed, flow)
 			return lost{err: errRedispatched}
