--- /dev/null
+++ b/pkg/ingress/answer_end_test.go
@@ -0,0 +1,110 @@
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"quaydock/pkg/forward"
+)
+
+// framings are the ways in which a target marks the end of an answer.
+var framings = []forward.Framing{forward.FramedByLength, forward.FramedByChunks, forward.FramedByClose}
+
+// answerWith returns a script that sends a body with the given framing and ends it properly.
+func answerWith(f forward.Framing, contentType, body string) scriptedTarget {
+	return func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: %s\r\n", r.Header.Get("Id"), contentType)
+		switch f {
+		case forward.FramedByLength:
+			_, _ = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		case forward.FramedByChunks:
+			_, _ = io.WriteString(c, "Transfer-Encoding: chunked\r\n\r\n")
+			if body != "" {
+				_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(body), body)
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		case forward.FramedByClose:
+			_, _ = io.WriteString(c, "\r\n"+body)
+			return false
+		}
+		return true
+	}
+}
+
+// streamUpTo returns a script that streams the events after the last one that the caller has, up to the one numbered
+// whole, and then a part of the next one.
+func streamUpTo(f forward.Framing, whole int, part string) scriptedTarget {
+	return func(c net.Conn, r *http.Request) bool {
+		last, _ := strconv.Atoi(r.Header.Get("Last"))
+		return answerWith(f, "text/event-stream", strings.Join(events(whole)[last:], "")+part)(c, r)
+	}
+}
+
+// TestAnswerThatEndsEarlyDoesNotLookComplete guards against streams that end inside an event, or before the first one,
+// and reach their callers as complete.
+func TestAnswerThatEndsEarlyDoesNotLookComplete(t *testing.T) {
+	cuts := []struct {
+		name  string
+		whole int // events before the part
+		part  string
+	}{
+		{"inside the first event", 0, "id: 1\nda"},
+		{"inside an id", 9, "id: 1"},
+		{"after an id line", 4, "id: 5\n"},
+		{"before the empty line", 4, "id: 5\ndata: e5\n"},
+		{"inside the last event", 9, "id: 10\ndata: e"},
+		{"inside a line without a field name", 4, "i"},
+	}
+	for _, f := range framings {
+		for _, cut := range cuts {
+			for _, path := range []string{"/stream/a", "/resume/a"} {
+				t.Run(fmt.Sprintf("%v, %s, %s", f, cut.name, path), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						b := newTestbed(t, fakeMeter{}, streamUpTo(f, cut.whole, cut.part))
+						got := b.call(context.Background(), path, nil)
+						checkNotComplete(t, got, strings.Join(events(cut.whole), ""))
+						if want := []string{"t1 Failed"}; !slices.Equal(b.scheduler.outcomes, want) {
+							t.Errorf("outcomes %v, want %v", b.scheduler.outcomes, want)
+						}
+					})
+				})
+			}
+			t.Run(fmt.Sprintf("%v, %s, another target goes on", f, cut.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newTestbed(t, fakeMeter{}, streamUpTo(f, cut.whole, cut.part), streamUpTo(f, 10, ""))
+					got := b.call(context.Background(), "/resume/a", nil)
+					if want := completeAnswer(stepEvents, "/resume/a"); got.status != http.StatusOK || !got.complete || got.body != want {
+						t.Errorf("status %d, complete %t, %q", got.status, got.complete, got.body)
+					}
+				})
+			})
+		}
+	}
+	for _, path := range []string{"/stream/a", "/resume/a"} {
+		t.Run("closed before the first event, "+path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, fakeMeter{}, streamUpTo(forward.FramedByClose, 0, ""))
+				checkNotComplete(t, b.call(context.Background(), path, nil), "")
+			})
+		})
+	}
+}
+
+// checkNotComplete checks that a caller got no complete answer, and of an incomplete one no more than the given body.
+func checkNotComplete(t *testing.T, got reply, body string) {
+	t.Helper()
+	switch {
+	case got.status == http.StatusOK && got.complete:
+		t.Errorf("looks complete: %q", got.body)
+	case got.status == http.StatusOK && got.body != body:
+		t.Errorf("body %q, want %q", got.body, body)
+	}
+}
