Take a stream that ends inside an event for broken off

Cause: the reader of events returned io.EOF together with the bytes of an event that was not terminated, and the relay took each io.EOF for the end. That was right while each answer had a length or chunks. The class: the end of a connection taken for the end of what it carries.

pkg/eventstream now reads events and has one typed end: io.EOF between two events, ErrInsideEvent inside one, by the format's own rules (line ends CR, LF and CR LF, comments, a byte order mark); the bytes of a torn event go nowhere, and its id is not the last event. A stream that nothing but its connection ends must have begun with an event, unless it is the rest of one. The relay and the search for a silent target's place ask the same question; the rest is the way of every break: another target goes on, or the caller's answer is broken off.

Whole streams and calls stay whole under each framing (30 cases).

--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -77,7 +77,7 @@
 	Length int64
 	// Framing is how the end of the body is marked.
 	Framing Framing
-	Load   *Load // nil if the target did not report it
+	Load    *Load // nil if the target did not report it
 	// ConnectedAt is the Unix millisecond at which the connection was made, by the clock of this VM.
 	ConnectedAt ids.Start
 	body        *body
--- a/pkg/ingress/answer_end.go
+++ b/pkg/ingress/answer_end.go
@@ -1,21 +1,45 @@
 package ingress
 
 import (
+	"errors"
+	"io"
+
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/telemetry"
 )
 
-// logUnterminated logs and counts a stream that ended with an event that was not terminated, after the given number of
-// terminated ones.
-func (d *delivery) logUnterminated(q *request, target *routing.Target, a *forward.Answer, e event, events int) {
-	d.Metrics.Prometheus.Add("streams_ended_inside_event", "framing", a.Framing.String())
-	if !d.sampler.Allow("ended inside an event") {
+// errNoEvent means that a stream ended with its connection before its first event.
+var errNoEvent = errors.New("stream was closed before its first event")
+
+// streamEnd returns nil if a stream is whole that ended with an error of its reader, and otherwise why it is not. A whole
+// stream ends between two events; if nothing but the end of its connection marks its end, it must have begun with an
+// event, unless it is the rest of one that may be empty.
+func streamEnd(q *request, a *forward.Answer, events *eventstream.Reader, err error) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case a.Framing == forward.FramedByClose && !events.HasFields() && q.resumeAfter() == "":
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
+// recordEarlyEnd logs and counts a stream that its target ended early, although in good order as far as its connection
+// shows; leftBytes are those of the event that was not terminated. It does nothing for other errors of a stream.
+func (d *delivery) recordEarlyEnd(q *request, target *routing.Target, a *forward.Answer, err error, leftBytes int) {
+	if !errors.Is(err, eventstream.ErrInsideEvent) && !errors.Is(err, errNoEvent) {
+		return
+	}
+	d.Metrics.Prometheus.Add("streams_ended_early", "framing", a.Framing.String())
+	if !d.sampler.Allow("stream ended early") {
 		return
 	}
-	d.Log.WithFields(logrus.Fields{
-		telemetry.FieldRequest: q.ID, "target": string(target.ID), "framing": a.Framing.String(), "events": events, "left_bytes": len(e.raw),
-	}).Info("a stream ended inside an event")
+	d.Log.WithError(err).WithFields(logrus.Fields{
+		telemetry.FieldRequest: q.ID, "target": string(target.ID), "framing": a.Framing.String(), "left_bytes": leftBytes,
+	}).Info("a stream ended early")
 }
--- a/pkg/ingress/answer_end_test.go
+++ b/pkg/ingress/answer_end_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"quaydock/pkg/forward"
 )
@@ -108,3 +109,74 @@
 		t.Errorf("body %q, want %q", got.body, body)
 	}
 }
+
+// TestWholeAnswerStaysWholeUnderEachFraming guards against whole answers that are broken off because nothing but the end
+// of the connection, or a comment, follows their last event.
+func TestWholeAnswerStaysWholeUnderEachFraming(t *testing.T) {
+	whole := strings.Join(events(10), "")
+	bodies := []struct{ name, path, body string }{
+		{"a stream", "/stream/a", whole},
+		{"a stream that may go on", "/resume/a", whole},
+		{"a comment at the end", "/stream/a", whole + ": end\n"},
+		{"line ends of CR", "/stream/a", strings.ReplaceAll(whole, "\n", "\r")},
+		{"line ends of CR LF", "/stream/a", strings.ReplaceAll(whole, "\n", "\r\n")},
+		{"events without ids", "/stream/a", "data: a\n\ndata: b\n\n"},
+		{"a byte order mark", "/stream/a", "\ufeff" + whole},
+		{"a call's answer", "/unsafe/a", "yes"},
+		{"an empty answer", "/unsafe/a", ""},
+		{"a long answer", "/safe/a", strings.Repeat("a", longBody)},
+	}
+	for _, f := range framings {
+		for _, c := range bodies {
+			t.Run(fmt.Sprintf("%v, %s", f, c.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newTestbed(t, fakeMeter{}, answerWith(f, "text/event-stream", c.body))
+					got := b.call(context.Background(), c.path, nil)
+					if got.status != http.StatusOK || !got.complete || got.body != c.body {
+						t.Errorf("status %d, complete %t, %d bytes of %d", got.status, got.complete, len(got.body), len(c.body))
+					}
+					if want := []string{"t1 Served"}; !slices.Equal(b.scheduler.outcomes, want) {
+						t.Errorf("outcomes %v, want %v", b.scheduler.outcomes, want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestRestOfStreamMayBeEmpty guards against a stream that never ends for its caller, who has all of it already.
+func TestRestOfStreamMayBeEmpty(t *testing.T) {
+	for _, f := range framings {
+		t.Run(f.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, fakeMeter{}, streamUpTo(f, 10, ""))
+				got := b.call(context.Background(), "/resume/a", map[string]string{"Last": "10"})
+				if got.status != http.StatusOK || !got.complete || got.body != "" {
+					t.Errorf("status %d, complete %t, %q", got.status, got.complete, got.body)
+				}
+			})
+		})
+	}
+}
+
+// TestTornEventOfSilentTargetIsNotRelayed guards against the part of an event of a target that another one replaces.
+func TestTornEventOfSilentTargetIsNotRelayed(t *testing.T) {
+	for _, f := range framings {
+		t.Run(f.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tornLater := func(c net.Conn, r *http.Request) bool {
+					whole := strings.Join(events(4), "")
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(whole)+4, whole)
+					time.Sleep(1200 * time.Millisecond) // a search has begun
+					_, _ = io.WriteString(c, "id: ")
+					return false
+				}
+				b := newTestbed(t, fakeMeter{}, tornLater, streamUpTo(f, 10, ""))
+				got := b.call(context.Background(), "/resume/a", nil)
+				if want := strings.Join(events(10), ""); got.status != http.StatusOK || !got.complete || got.body != want {
+					t.Errorf("status %d, complete %t, %q", got.status, got.complete, got.body)
+				}
+			})
+		})
+	}
+}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
@@ -17,6 +18,9 @@
 // caller, so that a request whose answer breaks off may be retried.
 const maxBuffered = 1 << 20
 
+// relayBytes is how much of an answer's rest, beyond maxBuffered, is read at once.
+const relayBytes = 4 << 10
+
 var errEncoded = errors.New("answer has a Content-Encoding that was not requested")
 
 // resumeAfter returns the id of the event after which a stream goes on: the last one relayed, or else the one that the
@@ -36,7 +40,7 @@
 		return lost{err: errEncoded, answered: true}
 	}
 	if q.streams(a) {
-		return d.relayStream(w, q, out, assignment, a, newEventReader(a))
+		return d.relayStream(w, q, out, assignment, a, eventstream.NewReader(a))
 	}
 	body, err := readBuffered(a)
 	if err != nil {
@@ -121,7 +125,7 @@
 		q.sent++
 		return callerGone{err}
 	}
-	buffer := make([]byte, eventBuffer)
+	buffer := make([]byte, relayBytes)
 	for {
 		n, err := a.Read(buffer)
 		if n > 0 {
@@ -141,22 +145,24 @@
 }
 
 // relayStream relays a stream event by event. Only complete events are written, so that a resumable stream can go on at
-// another target after the last one, and unterminated bytes only at the proper end of the stream.
-func (d *delivery) relayStream(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, events *eventReader) attempt {
+// another target after the last one, and so that what the caller has of a stream that ends inside an event ends before
+// that event.
+func (d *delivery) relayStream(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, events *eventstream.Reader) attempt {
 	var flow planner.StreamStats
 	last := q.placedAt
 	for ; ; flow.Events++ {
-		e, err := events.next()
-		complete := errors.Is(err, io.EOF)
-		if err != nil && !complete {
+		e, err := events.Next()
+		ended := err != nil
+		if ended {
+			err = streamEnd(q, a, events, err)
+		}
+		if err != nil {
 			now := d.Clock.Now()
 			q.addToTrail(now, fmt.Sprintf("stream %s after %d events, %d ms after the last, at", w.endText(), flow.Events, now-last), assignment.Target().ID)
+			d.recordEarlyEnd(q, assignment.Target(), a, err, len(e.Raw))
 			assignment.Done(failureOutcome(w.exchangeCtx), flow)
 			return lost{err: err}
 		}
-		if complete && len(e.raw) > 0 {
-			d.logUnterminated(q, assignment.Target(), a, e, flow.Events)
-		}
 		if !w.recordEvent(e, a) {
 			assignment.Done(planner.Failed, flow)
 			return lost{err: errRedispatched}
@@ -175,12 +181,12 @@
 				out.head(d.headerCodec, a, -1)
 			}
 		}
-		if err := d.relayEvent(q, out, e, complete || !events.buffered()); err != nil {
+		if err := d.relayEvent(q, out, e, ended || !events.Buffered()); err != nil {
 			assignment.Done(planner.Abandoned, flow)
 			q.sent++
 			return callerGone{err}
 		}
-		if complete {
+		if ended {
 			assignment.Done(planner.Served, flow)
 			q.sent++
 			return completed{}
@@ -191,15 +197,15 @@
 
 // relayEvent relays one event, unless the caller has it already: one whose id is not above that of the last event. With
 // flush the event is sent to the caller at once; otherwise it may stay buffered until a later one is sent.
-func (d *delivery) relayEvent(q *request, out *answerWriter, e event, flush bool) error {
-	if e.hasID && q.hasEvent && e.id <= q.lastEvent {
+func (d *delivery) relayEvent(q *request, out *answerWriter, e eventstream.Event, flush bool) error {
+	if e.HasID && q.hasEvent && e.ID <= q.lastEvent {
 		return nil
 	}
-	if e.hasID {
-		q.lastEvent = e.id
+	if e.HasID {
+		q.lastEvent = e.ID
 		q.hasEvent = true
 	}
-	if err := out.body(e.raw); err != nil {
+	if err := out.body(e.Raw); err != nil {
 		return err
 	}
 	if !flush {
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
@@ -77,9 +78,9 @@
 type takeover struct {
 	assignment schedule.Assignment
 	answer     *forward.Answer
-	events     *eventReader // of a stream; its next event has been read
-	body       []byte       // of any other answer, up to maxBuffered
-	sentAt     clock.Millis // when the request was sent to the target
+	events     *eventstream.Reader // of a stream; its next event has been read
+	body       []byte              // of any other answer, up to maxBuffered
+	sentAt     clock.Millis        // when the request was sent to the target
 	// ctx is the context of the exchange, and endExchange cancels it.
 	ctx         context.Context
 	endExchange context.CancelCauseFunc
@@ -237,8 +238,10 @@
 	case isEncoded(a):
 		err = errEncoded
 	case streams:
-		t.events = newEventReader(a)
-		err = t.events.peek()
+		t.events = eventstream.NewReader(a)
+		if err = t.events.Peek(); err != nil {
+			err = streamEnd(s.q, a, t.events, err)
+		}
 	case a.Status >= http.StatusInternalServerError || s.q.route.Kind == routing.Stream:
 		err = fmt.Errorf("target %s answered with status %d", t.assignment.Target().ID, a.Status)
 	default:
@@ -248,6 +251,7 @@
 		return nil
 	}
 	s.q.addToTrail(s.delivery.Clock.Now(), "no first response from", t.assignment.Target().ID)
+	s.delivery.recordEarlyEnd(s.q, t.assignment.Target(), a, err, 0)
 	a.Close()
 	t.assignment.Done(failureOutcome(t.ctx), planner.StreamStats{})
 	return lost{err: err}
--- a/pkg/ingress/watch.go
+++ b/pkg/ingress/watch.go
@@ -9,6 +9,7 @@
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
@@ -129,7 +130,7 @@
 // recordEvent records an event of a stream in an answer, which ends a search under way. It reports false if the target has been
 // given up. The target's silence doesn't count until restartTimer is called, as the caller may be slow to read the
 // event.
-func (w *watch) recordEvent(e event, a *forward.Answer) bool {
+func (w *watch) recordEvent(e eventstream.Event, a *forward.Answer) bool {
 	if !w.movable {
 		return true
 	}
@@ -144,8 +145,8 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if e.hasID {
-		w.lastEvent, w.hasEvent = e.id, true
+	if e.HasID {
+		w.lastEvent, w.hasEvent = e.ID, true
 	}
 	if w.origin == nil {
 		w.origin = w.delivery.originAt(&w.began, w.target, a)
