Ask whether the target lives where only its connection ended an answer

An answer without length and chunks that ends between two events, or in the middle of a body, looks whole also where the target's process has ended: the kernel closes its connections like a proper end. The same where the target had not read the request: the reset then goes to whoever writes, and the reader finds nothing but the end. Callers got a part as a complete answer.

Refused, by a target that neither leaves nor has left the list, the answer is broken off; a target that can't be reached counts as running, as elsewhere. All events are relayed at once, only the end of the answer waits. The connection is kept for the next request, as the one that ended is lost to it: 10 requests take no more than 10 connections.

Weighed: holding the last event back would delay each stream's last piece, and tells no more; the next word of the list comes a second late; what a former answer ended with says nothing of this one. A whole answer that is taken for broken costs its caller a repeat; a part that is taken for whole is wrong.

--- /dev/null
+++ b/pkg/forward/close_test.go
@@ -0,0 +1,143 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/advisory"
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
+	"quaydock/pkg/routing"
+)
+
+// TestAnswerClosedByEndOfProcessIsNotWhole guards against an answer that nothing but the end of its connection ends, and
+// that looks whole although the target's process has ended, or has not read the request.
+func TestAnswerClosedByEndOfProcessIsNotWhole(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r1\r\n"
+	listed := &routing.Target{ID: "t", Service: "s", Address: at}
+	leaving := *listed
+	leaving.Leaving = true
+	others := routing.NewDirectory([]*routing.Target{{ID: "other", Service: "s", Address: "10.0.0.8:80"}})
+	cases := []struct {
+		name   string
+		head   string
+		closed bool // the target's VM refuses connections from the answer's end on
+		unread bool // the target has not read the request's body
+		list   *routing.Directory
+		advice advisory.Advice // what the target has said
+		whole  bool
+	}{
+		{"the process goes on", head, false, false, nil, advisory.Advice{}, true},
+		{"the process has ended", head, true, false, nil, advisory.Advice{}, false},
+		{"the process has ended, listed", head, true, false, routing.NewDirectory([]*routing.Target{listed}), advisory.Advice{}, false},
+		{"the process has ended, listed as leaving", head, true, false, routing.NewDirectory([]*routing.Target{&leaving}), advisory.Advice{}, true},
+		{"the process has ended, not listed any more", head, true, false, others, advisory.Advice{}, true},
+		{"the process has ended, and had said that it leaves", head, true, false, nil, advisory.Advice{Leaving: true}, true},
+		{"the request was not read", head, false, true, nil, advisory.Advice{}, false},
+		{"the process has ended, an answer with a length", head + "Content-Length: 4\r\n", true, false, nil, advisory.Advice{}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := network.NewMemory(nil)
+				common := commontest.New(memory)
+				tracker := advisory.NewTracker(common)
+				pool := forward.NewPool(common, readMetadata, tracker)
+				defer pool.Close()
+				if c.list != nil {
+					pool.SetDirectory(c.list)
+				}
+				var listener net.Listener
+				listener = serveOnce(t, memory, func(conn net.Conn) {
+					if !c.unread {
+						_, _ = io.ReadFull(conn, make([]byte, len(longBody)))
+					}
+					_, _ = io.WriteString(conn, c.head+"\r\nwhat")
+					if c.closed {
+						_ = listener.Close()
+					}
+				})
+				result := pool.Send(context.Background(), listed, &forward.Request{ID: "r1", Method: "POST", Path: "/", Host: "h", Body: []byte(longBody)})
+				answer, ok := result.(*forward.Answer)
+				if !ok {
+					t.Fatalf("%T: %v", result, result)
+				}
+				if c.advice.Leaving {
+					tracker.Observe(listed.Incarnation(), 0, "other", c.advice)
+				}
+				body, err := io.ReadAll(answer)
+				answer.Close()
+				if (err == nil) != c.whole || string(body) != "what" {
+					t.Errorf("%q, %v; whole: %t", body, err, c.whole)
+				}
+				time.Sleep(10 * time.Second) // until the target has ended
+			})
+		})
+	}
+}
+
+// longBody is more than a connection buffers.
+var longBody = strings.Repeat("a", 100<<10)
+
+// serveOnce lets a target answer its first connection by a script, and accept all others. It closes the first one when
+// the script returns.
+func serveOnce(t *testing.T, memory *network.Memory, script func(net.Conn)) net.Listener {
+	t.Helper()
+	listener, err := memory.Listen(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for first := true; ; first = false {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if first {
+				go func() {
+					script(c)
+					_ = c.Close()
+				}()
+			}
+		}
+	}()
+	return listener
+}
+
+// TestConnectionThatConfirmsAnEndIsUsedAgain guards against one connection more for each answer that ends with its own.
+func TestConnectionThatConfirmsAnEndIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		connections := 0
+		serve(t, memory, func(c net.Conn, connection int, id string) {
+			connections = max(connections, connection)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+			_ = c.Close()
+		})
+		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		defer pool.Close()
+		const requests = 10
+		for range requests {
+			result := pool.Send(context.Background(), &routing.Target{ID: "t", Service: "s", Address: at}, &forward.Request{ID: "r1", Method: "GET", Path: "/", Host: "h"})
+			answer, ok := result.(*forward.Answer)
+			if !ok {
+				t.Fatalf("%T: %v", result, result)
+			}
+			if body, err := io.ReadAll(answer); err != nil || string(body) != "yes" {
+				t.Fatalf("%q, %v", body, err)
+			}
+			answer.Close()
+		}
+		if connections > requests {
+			t.Errorf("%d requests were sent on %d connections", requests, connections)
+		}
+	})
+}
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"quaydock/pkg/advisory"
@@ -30,8 +29,9 @@
 	cancel   context.CancelCauseFunc // with ErrReplaced if the target has started again
 	sentAt   clock.Millis            // when the request began to be written
 	stop     func() bool             // undoes the breaking off at the end of ctx; false if that has begun
-	written  atomic.Int64            // bytes of the request, its head included; set when write ends
-	writeEnd chan error              // receives the one result of write, which never blocks on it
+	writeEnd chan struct{}           // closed when write ends; written and writeErr are read only after that
+	written  int                     // bytes of the request, its head included
+	writeErr error
 }
 
 // Send makes one exchange. When ctx ends, or the target has started again, the connection is broken off. The caller has
@@ -40,7 +40,7 @@
 	if p.withholds(t) {
 		return Withheld{}
 	}
-	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan error, 1)}
+	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan struct{})}
 	e.ctx, e.cancel = context.WithCancelCause(ctx)
 	if !p.register(t.Incarnation(), e) {
 		e.cancel(nil)
@@ -119,11 +119,10 @@
 	head.WriteString("\r\n")
 	head.Write(r.Body)
 	if err == nil {
-		var n int
-		n, err = e.conn.Write(head.Bytes())
-		e.written.Store(int64(n))
+		e.written, err = e.conn.Write(head.Bytes())
 	}
-	e.writeEnd <- err
+	e.writeErr = err
+	close(e.writeEnd)
 }
 
 // read returns the result of a request that is being sent. It skips answers of other requests,
@@ -199,9 +198,9 @@
 	e.stop()
 	e.unregister()
 	discard(e.conn)
-	writeErr := <-e.writeEnd
-	if writeErr != nil && e.written.Load() == 0 {
-		return unreached(e.target, writeErr)
+	<-e.writeEnd
+	if e.writeErr != nil && e.written == 0 {
+		return unreached(e.target, e.writeErr)
 	}
 	return Broken{fmt.Errorf("target %s, reused connection %t: %w", e.target.ID, e.conn.reused, err)}
 }
@@ -233,8 +232,8 @@
 	e.unregister()
 	written := false
 	select {
-	case err := <-e.writeEnd:
-		written = err == nil
+	case <-e.writeEnd:
+		written = e.writeErr == nil
 	default: // part of the request's body has yet to be written
 	}
 	reusable := framingOf(response) != FramedByClose && !response.Close
@@ -250,20 +249,37 @@
 type body struct {
 	exchange *exchange
 	response *http.Response
-	ended    bool // the exchange has been finished
+	ended    bool  // the exchange has been finished
+	end      error // of Read, if that has finished the exchange
 }
 
 // Read reads the body and finishes the exchange at its end or at the first error.
 func (b *body) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	n, err := b.response.Body.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		err = b.exchange.cause(err)
+	if err == nil || b.ended {
+		return n, err
 	}
-	if err != nil && !b.ended {
-		b.ended = true
-		b.exchange.finish(b.response, errors.Is(err, io.EOF))
+	b.ended = true
+	b.end = b.checkEnd(err)
+	b.exchange.finish(b.response, errors.Is(b.end, io.EOF))
+	return n, b.end
+}
+
+// checkEnd returns io.EOF for a complete body, and otherwise why it is not complete, given the error that ended it.
+func (b *body) checkEnd(err error) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return b.exchange.cause(err)
+	case framingOf(b.response) != FramedByClose:
+		return err
+	}
+	if closed := b.exchange.checkClose(keepFor(b.response.Header)); closed != nil {
+		return closed
 	}
-	return n, err
+	return err
 }
 
 // close finishes the exchange, which closes the connection, unless Read has done so.
--- a/pkg/ingress/answer_end.go
+++ b/pkg/ingress/answer_end.go
@@ -29,17 +29,17 @@
 	}
 }
 
-// recordEarlyEnd logs and counts a stream that its target ended early, although in good order as far as its connection
-// shows; leftBytes are those of the event that was not terminated. It does nothing for other errors of a stream.
+// recordEarlyEnd logs and counts an answer that its target ended early, although its connection was closed in good
+// order; leftBytes are those of an event that was not terminated. It does nothing for other errors of an answer.
 func (d *delivery) recordEarlyEnd(q *request, target *routing.Target, a *forward.Answer, err error, leftBytes int) {
-	if !errors.Is(err, eventstream.ErrInsideEvent) && !errors.Is(err, errNoEvent) {
+	if !errors.Is(err, eventstream.ErrInsideEvent) && !errors.Is(err, errNoEvent) && !errors.Is(err, forward.ErrClosedEarly) {
 		return
 	}
-	d.Metrics.Prometheus.Add("streams_ended_early", "framing", a.Framing.String())
-	if !d.sampler.Allow("stream ended early") {
+	d.Metrics.Prometheus.Add("answers_ended_early", "framing", a.Framing.String())
+	if !d.sampler.Allow("ended early") {
 		return
 	}
 	d.Log.WithError(err).WithFields(logrus.Fields{
 		telemetry.FieldRequest: q.ID, "target": string(target.ID), "framing": a.Framing.String(), "left_bytes": leftBytes,
-	}).Info("a stream ended early")
+	}).Info("an answer ended early")
 }
--- a/pkg/ingress/answer_end_test.go
+++ b/pkg/ingress/answer_end_test.go
@@ -180,3 +180,41 @@
 		})
 	}
 }
+
+// TestAnswerThatProcessEndClosesDoesNotLookComplete guards against answers without a length that the end of their
+// target's process closes between two events, or in the middle of a body.
+func TestAnswerThatProcessEndClosesDoesNotLookComplete(t *testing.T) {
+	part := strings.Join(events(4), "")
+	bodies := []struct {
+		name, path, body string
+		again            string // what another target makes of it; empty if none may
+	}{
+		{"a stream", "/stream/a", part, ""},
+		{"a stream that may go on", "/resume/a", part, strings.Join(events(10), "")},
+		{"a call's answer", "/unsafe/a", "ye", ""},
+		{"a call's answer, which may be repeated", "/safe/a", "ye", "yes"},
+		{"a long answer", "/safe/a", strings.Repeat("a", longBody), ""},
+	}
+	for _, c := range bodies {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var b *testbed
+				ends := func(conn net.Conn, r *http.Request) bool {
+					_ = b.listeners[0].Close()
+					return answerWith(forward.FramedByClose, "text/event-stream", c.body)(conn, r)
+				}
+				goesOn := streamUpTo(forward.FramedByChunks, 10, "")
+				if c.path == "/safe/a" {
+					goesOn = replies(http.StatusOK, "", "yes")
+				}
+				b = newTestbed(t, fakeMeter{}, ends, goesOn)
+				got := b.call(context.Background(), c.path, nil)
+				if c.again == "" {
+					checkNotComplete(t, got, c.body)
+				} else if !got.complete || got.body != c.again {
+					t.Errorf("complete %t, %q, want %q", got.complete, got.body, c.again)
+				}
+			})
+		})
+	}
+}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -45,6 +45,7 @@
 	body, err := readBuffered(a)
 	if err != nil {
 		q.addToTrail(d.Clock.Now(), "answer "+w.endText()+" at", assignment.Target().ID)
+		d.recordEarlyEnd(q, assignment.Target(), a, err, 0)
 		assignment.Done(failureOutcome(w.exchangeCtx), planner.StreamStats{})
 		return lost{err: err}
 	}
@@ -98,7 +99,7 @@
 		return lost{err: fmt.Errorf("resuming a stream: target answered with status %d", a.Status), answered: true}
 	}
 	out.head(d.headerCodec, a, a.Length)
-	if result := d.relayBody(q, out, a, body); result != nil {
+	if result := d.relayBody(q, out, assignment.Target(), a, body); result != nil {
 		assignment.Done(failureOutcome(w.exchangeCtx), planner.StreamStats{})
 		return result
 	}
@@ -120,7 +121,7 @@
 }
 
 // relayBody relays a body of which a part has been read. It returns nil if the body is complete.
-func (d *delivery) relayBody(q *request, out *answerWriter, a *forward.Answer, part []byte) attempt {
+func (d *delivery) relayBody(q *request, out *answerWriter, target *routing.Target, a *forward.Answer, part []byte) attempt {
 	if err := out.body(part); err != nil {
 		q.sent++
 		return callerGone{err}
@@ -139,6 +140,7 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
+			d.recordEarlyEnd(q, target, a, err, 0)
 			return lost{err: fmt.Errorf("reading the rest of an answer: %w", err), final: true}
 		}
 	}
