Reset callers of HTTP/1.0 whose answers are broken off

To a caller of HTTP/1.0 nothing but its connection's end marks the end of an answer without a length. An answer that an entry broke off, as its target had, looked complete to it: the server closes such a connection in good order.

Servers of callers' requests, on the platform and by own settings, now reset the connection if a handler gives up a request of HTTP/1.0. To callers of HTTP/1.1 the last chunk is missing, also if they asked to close; nothing changes there. What was sent before the break still arrives.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,6 +18,7 @@
 	"quaydock/pkg/common"
 	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
 	"quaydock/pkg/refusal"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/table"
@@ -59,7 +60,8 @@
 		outcomeTimeout: s.OutcomeTimeoutMS,
 	}
 	e.server = &http.Server{
-		Handler:           e.handler(),
+		Handler:           network.ResetOnAbort(e.handler()),
+		ConnContext:       network.WithConn,
 		ReadHeaderTimeout: s.Limits.HeaderTimeoutMS.Duration(),
 		IdleTimeout:       s.Limits.IdleTimeoutMS.Duration(),
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
--- a/pkg/ingress/caller_conn.go
+++ b/pkg/ingress/caller_conn.go
@@ -5,15 +5,9 @@
 	"errors"
 	"net"
 	"syscall"
-)
-
-// connKey is the key of the caller's connection in a request's context.
-type connKey struct{}
 
-// withConn returns the context for the requests of a connection.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
+	"quaydock/pkg/network"
+)
 
 // errCallerDisconnected is why a request is not sent whose caller's connection has ended.
 var errCallerDisconnected = errors.New("caller's connection is closed")
@@ -23,8 +17,7 @@
 // were accepted from the backlog, the requests of 5 to 9 were sent to a target meanwhile, and up to 19 after a
 // shortage of descriptors.
 func callerDisconnected(ctx context.Context) bool {
-	c, _ := ctx.Value(connKey{}).(net.Conn)
-	return peek(c) == peekEnd
+	return peek(network.ConnOf(ctx)) == peekEnd
 }
 
 // hasData reports whether a connection has unread data.
--- a/pkg/ingress/caller_conn_test.go
+++ b/pkg/ingress/caller_conn_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"testing"
+
+	"quaydock/pkg/network"
 )
 
 // A caller's connection is closed locally while its request is read, because a new connection replaces it or the
@@ -23,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx := withConn(context.Background(), accepted)
+	ctx := network.WithConn(context.Background(), accepted)
 	if callerDisconnected(ctx) {
 		t.Error("a waiting caller counts as disconnected")
 	}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -11,6 +11,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/descriptors"
+	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
 )
 
@@ -125,8 +126,8 @@
 // unread request resets it, which would lose the answer.
 func (s *Server) serveRejected() {
 	server := &http.Server{
-		Handler: s.handlers.Reject, MaxHeaderBytes: initialHeaderBytes, ReadTimeout: rejectTimeout.Duration(), WriteTimeout: rejectTimeout.Duration(),
-		BaseContext: s.handlers.baseContext, ConnContext: withConn, ConnState: s.conns.setState, ErrorLog: s.log.standard(),
+		Handler: network.ResetOnAbort(s.handlers.Reject), MaxHeaderBytes: initialHeaderBytes, ReadTimeout: rejectTimeout.Duration(), WriteTimeout: rejectTimeout.Duration(),
+		BaseContext: s.handlers.baseContext, ConnContext: network.WithConn, ConnState: s.conns.setState, ErrorLog: s.log.standard(),
 	}
 	server.SetKeepAlivesEnabled(false)
 	s.mu.Lock()
@@ -158,9 +159,9 @@
 	}
 	s.current = &queueListener{server: s, from: s.accepted, stopped: make(chan struct{})}
 	server := &http.Server{
-		Handler: s.handlers.Serve, MaxHeaderBytes: l.HeaderBytes,
+		Handler: network.ResetOnAbort(s.handlers.Serve), MaxHeaderBytes: l.HeaderBytes,
 		ReadHeaderTimeout: l.HeaderTime.Duration(), IdleTimeout: l.IdleTime.Duration(),
-		BaseContext: s.handlers.baseContext, ConnContext: withConn, ConnState: s.conns.setState, ErrorLog: s.log.standard(),
+		BaseContext: s.handlers.baseContext, ConnContext: network.WithConn, ConnState: s.conns.setState, ErrorLog: s.log.standard(),
 	}
 	s.run(server, s.current)
 }
