Vouch for no answer that its target ended inside an event

By its own settings, an agent puts an end marker behind an answer that its target has ended in good order, by which the entry takes it for complete. The marker counts the bytes that came, torn or not: a closing event of a model that was not terminated, or text in the middle of a line that reads like it, was enough; a plain service's stream could end inside an event; and an answer without length and chunks was vouched for although the target's process had ended.

The agent follows event streams by the same rules as the reader of the entries on the platform (eventstream.Tracker; it keeps no event, as they may be longer than what is buffered), looks for the closing event among whole events only, and asks whether the target's process lives where only the connection ended an answer. Framing has moved to pkg/network, which both ways use.

--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -9,15 +9,18 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/control"
 	"quaydock/pkg/declaration"
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
 	"quaydock/pkg/resume"
@@ -120,7 +123,7 @@
 	if target == nil {
 		return fmt.Errorf("target not declared: %w", errNotReached)
 	}
-	p := &progress{log: log, needsClosingEvent: c.model}
+	p := &progress{log: log, needsClosingEvent: c.model, ended: func() bool { return t.hasEnded(ctx, target) }}
 	streak := resume.NewBreakStreak(maxResumes, t.Clock.Now())
 	response, err := t.send(ctx, target, c)
 	if errors.Is(err, errNotReached) {
@@ -176,6 +179,23 @@
 	}
 }
 
+// hasEnded reports whether the target's process has ended: its address refuses connections. A target that can't be
+// reached for another reason counts as running.
+func (t *targetClient) hasEnded(ctx context.Context, target *declaration.Target) bool {
+	address, err := url.Parse(target.Address)
+	if err != nil {
+		return false // the call has reached it
+	}
+	ctx, stop := context.WithTimeout(ctx, targetDial.Duration())
+	defer stop()
+	conn, err := t.Network.Dial(ctx, address.Host)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // reportBackoff calls onBackoff if a target that rejects a call asks for a back-off.
 func (t *targetClient) reportBackoff(response *http.Response) {
 	if response.StatusCode != http.StatusServiceUnavailable && response.StatusCode != http.StatusTooManyRequests {
@@ -233,18 +253,17 @@
 // progress is the state of an answer over all its connections.
 type progress struct {
 	log               *answerLog
-	size              int64  // bytes received so far
-	begun             bool   // the header has been written to the log
-	needsClosingEvent bool   // an event stream must end with the closing event
-	events            bool   // the answer is an event stream
-	tail              []byte // the last tailBytes of an event stream, to look for the closing event
+	size              int64 // bytes received so far
+	begun             bool  // the header has been written to the log
+	needsClosingEvent bool  // an event stream must end with the closing event
+	events            bool  // the answer is an event stream
+	stream            eventstream.Tracker
+	// ended reports whether the target's process has ended.
+	ended func() bool
 }
 
-// closingEvent is the beginning of the last event of a stream in the OpenAI form.
-var closingEvent = []byte("data: [DONE]")
-
-// tailBytes has room for the closing event and the line breaks behind it.
-const tailBytes = 32
+// closingEvent is the last event of a stream in the OpenAI form.
+const closingEvent = "data: [DONE]\n"
 
 // copyFrom copies one response to its end. It returns nil if the answer is complete.
 func (p *progress) copyFrom(response *http.Response) error {
@@ -260,7 +279,7 @@
 			}
 		}
 		if err == io.EOF {
-			return p.checkEnd()
+			return p.checkEnd(network.FramingOf(response))
 		}
 		if err != nil {
 			return fmt.Errorf("reading the answer: %w", err)
@@ -280,7 +299,7 @@
 		status = http.StatusOK
 	}
 	header := passHeader(response.Header)
-	p.events = p.needsClosingEvent && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+	p.events = strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 	p.log.begin(status, header)
 }
 
@@ -288,17 +307,21 @@
 func (p *progress) add(b []byte) error {
 	p.size += int64(len(b))
 	if p.events {
-		p.tail = append(p.tail, b...)
-		p.tail = p.tail[max(0, len(p.tail)-tailBytes):]
+		p.stream.Add(b)
 	}
 	return p.log.append(b)
 }
 
-// checkEnd checks that an event stream has ended with its closing event, since an engine that stops may end the
-// HTTP body in good order.
-func (p *progress) checkEnd() error {
-	if p.events && !bytes.Contains(p.tail, closingEvent) {
+// checkEnd returns nil if an answer is complete that has ended in good order as far as its connection shows. An engine
+// that stops may end an event stream so, and the kernel closes the connections of a process that has ended.
+func (p *progress) checkEnd(framing network.Framing) error {
+	switch {
+	case p.events && p.stream.InsideEvent():
+		return fmt.Errorf("event stream ended inside an event: %w", errBrokenOff)
+	case p.events && p.needsClosingEvent && string(p.stream.LastEvent()) != closingEvent:
 		return fmt.Errorf("event stream without its closing event: %w", errBrokenOff)
+	case framing == network.FramedByClose && p.ended():
+		return fmt.Errorf("connection closed by the end of the target's process: %w", errBrokenOff)
 	}
 	return nil
 }
--- a/pkg/eventstream/reader_test.go
+++ b/pkg/eventstream/reader_test.go
@@ -120,7 +120,7 @@
 	return ids, !fields && last == ""
 }
 
-// checkAgainstModel compares the reader with the model.
+// checkAgainstModel compares the reader with the model, and Tracker with the reader.
 func checkAgainstModel(t *testing.T, text string, from io.Reader) {
 	t.Helper()
 	events, left, err := read(from)
@@ -139,6 +139,36 @@
 	case raw.String()+left != text:
 		t.Errorf("%q: the bytes read are %q", text, raw.String()+left)
 	}
+	for part := range len(text) + 1 {
+		var tracker eventstream.Tracker
+		tracker.Add([]byte(text[:part]))
+		tracker.Add([]byte(text[part:]))
+		if tracker.InsideEvent() != errors.Is(err, eventstream.ErrInsideEvent) {
+			t.Errorf("%q in parts of %d bytes and the rest: inside an event %t, the reader ended with %v", text, part, tracker.InsideEvent(), err)
+		}
+	}
+}
+
+// TestTrackerKeepsLastEvent guards against a closing event that is not seen, or seen in the text of another.
+func TestTrackerKeepsLastEvent(t *testing.T) {
+	cases := []struct{ text, want string }{
+		{"data: a\n\ndata: [DONE]\n\n", "data: [DONE]\n"},
+		{"data: a\r\n\r\ndata: [DONE]\r\n\r\n: end\r\n\r\n", "data: [DONE]\n"},
+		{": c\ndata: [DONE]\n\n", "data: [DONE]\n"},
+		{"data: a\n\ndata: [DONE]\n", "data: a\n"},
+		{"data: data: [DONE]\n\n", "data: data: [DONE]\n"},
+		{"event: e\ndata: [DONE]\n\n", "event: e\ndata: [DONE]\n"},
+	}
+	for _, c := range cases {
+		for part := range len(c.text) {
+			var tracker eventstream.Tracker
+			tracker.Add([]byte(c.text[:part]))
+			tracker.Add([]byte(c.text[part:]))
+			if got := string(tracker.LastEvent()); got != c.want {
+				t.Errorf("%q: last event %q, want %q", c.text, got, c.want)
+			}
+		}
+	}
 }
 
 // FuzzReader compares the reader with a slow model of the format, for texts that arrive at once or byte by byte.
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -12,6 +12,7 @@
 
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
 )
 
@@ -182,7 +183,7 @@
 // skip discards an answer that belongs to another request. It fails if the connection has no further answer.
 func (e *exchange) skip(response *http.Response) error {
 	e.pool.Metrics.Links.Add("stray_answers", 1)
-	if framingOf(response) == FramedByClose {
+	if network.FramingOf(response) == network.FramedByClose {
 		return errStray
 	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -218,7 +219,7 @@
 		Status:      response.StatusCode,
 		Header:      response.Header,
 		Length:      response.ContentLength,
-		Framing:     framingOf(response),
+		Framing:     network.FramingOf(response),
 		Load:        metadata.Load,
 		ConnectedAt: e.conn.madeAt,
 		body:        &body{exchange: e, response: response},
@@ -236,7 +237,7 @@
 		written = e.writeErr == nil
 	default: // part of the request's body has yet to be written
 	}
-	reusable := framingOf(response) != FramedByClose && !response.Close
+	reusable := network.FramingOf(response) != network.FramedByClose && !response.Close
 	keep := keepFor(response.Header)
 	if complete && stopped && written && reusable && keep > 0 {
 		e.pool.keepIdle(e.target.Incarnation(), e.conn, keep)
@@ -273,7 +274,7 @@
 	switch {
 	case !errors.Is(err, io.EOF):
 		return b.exchange.cause(err)
-	case framingOf(b.response) != FramedByClose:
+	case network.FramingOf(b.response) != network.FramedByClose:
 		return err
 	}
 	if closed := b.exchange.checkClose(keepFor(b.response.Header)); closed != nil {
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -6,6 +6,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
 	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
 )
@@ -76,40 +77,13 @@
 	// Length is the body's length, or -1 if it is not known before the body's end.
 	Length int64
 	// Framing is how the end of the body is marked.
-	Framing Framing
+	Framing network.Framing
 	Load    *Load // nil if the target did not report it
 	// ConnectedAt is the Unix millisecond at which the connection was made, by the clock of this VM.
 	ConnectedAt ids.Start
 	body        *body
 }
 
-// Framing is how the end of an answer's body is marked (RFC 9112, section 6.3).
-type Framing int
-
-//go:generate stringer -type=Framing -trimprefix=FramedBy -output=framing_string.go
-
-// The framings.
-const (
-	// FramedByLength: the head names the length, or the answer has no body.
-	FramedByLength Framing = iota
-	// FramedByChunks: an empty chunk marks the end.
-	FramedByChunks
-	// FramedByClose: the body ends when the target closes the connection.
-	FramedByClose
-)
-
-// framingOf returns the framing of a response.
-func framingOf(response *http.Response) Framing {
-	switch {
-	case len(response.TransferEncoding) > 0:
-		return FramedByChunks
-	case response.ContentLength >= 0, response.Body == http.NoBody:
-		return FramedByLength
-	default:
-		return FramedByClose
-	}
-}
-
 // Read reads the body. It returns io.EOF only after the last byte of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	return a.body.Read(p)
--- a/pkg/ingress/answer_end.go
+++ b/pkg/ingress/answer_end.go
@@ -8,6 +8,7 @@
 
 	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/telemetry"
 )
@@ -22,7 +23,7 @@
 	switch {
 	case !errors.Is(err, io.EOF):
 		return err
-	case a.Framing == forward.FramedByClose && !events.HasFields() && q.resumeAfter() == "":
+	case a.Framing == network.FramedByClose && !events.HasFields() && q.resumeAfter() == "":
 		return errNoEvent
 	default:
 		return nil
--- a/pkg/ingress/answer_end_test.go
+++ b/pkg/ingress/answer_end_test.go
@@ -13,26 +13,26 @@
 	"testing/synctest"
 	"time"
 
-	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
 )
 
 // framings are the ways in which a target marks the end of an answer.
-var framings = []forward.Framing{forward.FramedByLength, forward.FramedByChunks, forward.FramedByClose}
+var framings = []network.Framing{network.FramedByLength, network.FramedByChunks, network.FramedByClose}
 
 // answerWith returns a script that sends a body with the given framing and ends it properly.
-func answerWith(f forward.Framing, contentType, body string) scriptedTarget {
+func answerWith(f network.Framing, contentType, body string) scriptedTarget {
 	return func(c net.Conn, r *http.Request) bool {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: %s\r\n", r.Header.Get("Id"), contentType)
 		switch f {
-		case forward.FramedByLength:
+		case network.FramedByLength:
 			_, _ = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body)
-		case forward.FramedByChunks:
+		case network.FramedByChunks:
 			_, _ = io.WriteString(c, "Transfer-Encoding: chunked\r\n\r\n")
 			if body != "" {
 				_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(body), body)
 			}
 			_, _ = io.WriteString(c, "0\r\n\r\n")
-		case forward.FramedByClose:
+		case network.FramedByClose:
 			_, _ = io.WriteString(c, "\r\n"+body)
 			return false
 		}
@@ -42,7 +42,7 @@
 
 // streamUpTo returns a script that streams the events after the last one that the caller has, up to the one numbered
 // whole, and then a part of the next one.
-func streamUpTo(f forward.Framing, whole int, part string) scriptedTarget {
+func streamUpTo(f network.Framing, whole int, part string) scriptedTarget {
 	return func(c net.Conn, r *http.Request) bool {
 		last, _ := strconv.Atoi(r.Header.Get("Last"))
 		return answerWith(f, "text/event-stream", strings.Join(events(whole)[last:], "")+part)(c, r)
@@ -92,7 +92,7 @@
 	for _, path := range []string{"/stream/a", "/resume/a"} {
 		t.Run("closed before the first event, "+path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newTestbed(t, fakeMeter{}, streamUpTo(forward.FramedByClose, 0, ""))
+				b := newTestbed(t, fakeMeter{}, streamUpTo(network.FramedByClose, 0, ""))
 				checkNotComplete(t, b.call(context.Background(), path, nil), "")
 			})
 		})
@@ -201,9 +201,9 @@
 				var b *testbed
 				ends := func(conn net.Conn, r *http.Request) bool {
 					_ = b.listeners[0].Close()
-					return answerWith(forward.FramedByClose, "text/event-stream", c.body)(conn, r)
+					return answerWith(network.FramedByClose, "text/event-stream", c.body)(conn, r)
 				}
-				goesOn := streamUpTo(forward.FramedByChunks, 10, "")
+				goesOn := streamUpTo(network.FramedByChunks, 10, "")
 				if c.path == "/safe/a" {
 					goesOn = replies(http.StatusOK, "", "yes")
 				}
