Break off also the answers that a leaving target's end closes

Where only its connection ended an answer, a target that was known to leave, or had left the list, was excused: its end was expected. But such a target ends with what it still runs, and its answers then looked whole. It is asked like any other now; one that ends in the moment in which it has ended its last answer costs a repeat. Another incarnation on the list counts as an end too.

--- a/pkg/forward/close.go
+++ b/pkg/forward/close.go
@@ -26,21 +26,21 @@
 		}
 	case <-time.After(endedTimeout.Duration()): // the target has closed one direction only
 	}
-	if e.pool.endedUnplanned(e.ctx, e.target, keep) {
+	if e.pool.hasEnded(e.ctx, e.target, keep) {
 		return fmt.Errorf("%w: the target's process has ended", ErrClosedEarly)
 	}
 	return nil
 }
 
-// endedUnplanned reports whether the process of a target has certainly ended although the target was not leaving. It
-// makes a connection, which it keeps for a request within the time keep.
-func (p *Pool) endedUnplanned(ctx context.Context, t *routing.Target, keep clock.Millis) bool {
-	if p.leaves(t) {
-		return false
+// hasEnded reports whether the process of a target has certainly ended. It makes a connection, which it keeps for a
+// request within the time keep.
+func (p *Pool) hasEnded(ctx context.Context, t *routing.Target, keep clock.Millis) bool {
+	if p.isReplaced(t) {
+		return true
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, endedTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, endedTimeout.Duration())
 	defer cancel()
-	c, err := p.dial(dialCtx, t)
+	c, err := p.dial(ctx, t)
 	switch {
 	case err != nil:
 		return errors.Is(err, syscall.ECONNREFUSED)
@@ -51,18 +51,3 @@
 	}
 	return false
 }
-
-// leaves reports whether a target is leaving, by its own report or the newest target list. One that is no longer listed
-// may be leaving without a report.
-func (p *Pool) leaves(t *routing.Target) bool {
-	if p.advice.Status(t.Incarnation()).Leaving {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.targets == nil {
-		return false
-	}
-	listed := p.targets.Target(t.ID)
-	return listed == nil || listed.Leaving
-}
--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -37,9 +37,9 @@
 		{"the process goes on", head, false, false, nil, advisory.Advice{}, true},
 		{"the process has ended", head, true, false, nil, advisory.Advice{}, false},
 		{"the process has ended, listed", head, true, false, routing.NewDirectory([]*routing.Target{listed}), advisory.Advice{}, false},
-		{"the process has ended, listed as leaving", head, true, false, routing.NewDirectory([]*routing.Target{&leaving}), advisory.Advice{}, true},
-		{"the process has ended, not listed any more", head, true, false, others, advisory.Advice{}, true},
-		{"the process has ended, and had said that it leaves", head, true, false, nil, advisory.Advice{Leaving: true}, true},
+		{"the process has ended, listed as leaving", head, true, false, routing.NewDirectory([]*routing.Target{&leaving}), advisory.Advice{}, false},
+		{"the process has ended, not listed any more", head, true, false, others, advisory.Advice{}, false},
+		{"the process has ended, and had said that it leaves", head, true, false, nil, advisory.Advice{Leaving: true}, false},
 		{"the request was not read", head, false, true, nil, advisory.Advice{}, false},
 		{"the process has ended, an answer with a length", head + "Content-Length: 4\r\n", true, false, nil, advisory.Advice{}, true},
 	}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -69,6 +69,13 @@
 	return p.targets != nil && p.targets.Replaced(incarnation)
 }
 
+// isReplaced is replaced without the lock.
+func (p *Pool) isReplaced(t *routing.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.replaced(t.Incarnation())
+}
+
 // drained reports whether a target's failure domain is drained by the newest target list.
 func (p *Pool) drained(id ids.Target) bool {
 	p.mu.Lock()
@@ -183,10 +190,7 @@
 
 // Probe makes a connection to a target and closes it. It takes no longer than reachTimeout.
 func (p *Pool) Probe(ctx context.Context, t *routing.Target) Reachability {
-	p.mu.Lock()
-	replaced := p.replaced(t.Incarnation())
-	p.mu.Unlock()
-	if replaced {
+	if p.isReplaced(t) {
 		return Refused
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, reachTimeout.Duration())
