Tell the parts of a prompt, and how far the answer had come, where a target ends

The line of a target that has ended under a request names the parts of its prompt but the last (prompt_parts) and for how long events had come (answered_ms, -1 if none had), which separates the three hypotheses. Parts have a named type.

--- a/pkg/ids/ids.go
+++ b/pkg/ids/ids.go
@@ -46,6 +46,26 @@
 // Tokens counts prompt or answer tokens.
 type Tokens int64
 
+// PromptPart identifies a part of a prompt that other requests may have in common, as callers declare it. Its text is in
+// hexadecimal.
+type PromptPart uint64
+
+// String returns the part in hexadecimal.
+func (p PromptPart) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// MarshalText encodes the part for rows of the store and logs.
+func (p PromptPart) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText decodes what MarshalText returns. Any other text gives an error of kind errors.NotValid.
+func (p *PromptPart) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("part of a prompt %q: %w", text, errors.NotValid)
+	}
+	*p = PromptPart(n)
+	return nil
+}
+
 // Request identifies one caller's request: 128 random bits in hexadecimal.
 type Request string
 
--- a/pkg/ingress/header_codec.go
+++ b/pkg/ingress/header_codec.go
@@ -32,7 +32,7 @@
 
 // PromptPart is a part of a prompt that other requests may have in common.
 type PromptPart struct {
-	ID     uint64 // as the caller declares it
+	ID     ids.PromptPart
 	Tokens ids.Tokens
 }
 
--- a/pkg/ingress/quarantined.go
+++ b/pkg/ingress/quarantined.go
@@ -102,6 +102,9 @@
 	id     string // of the request
 	target *routing.Target
 	began  clock.Millis // when the request was sent to the target
+	// answered is for how long events had come when the run broke off, -1 if none had.
+	answered clock.Millis
+	parts    []ids.PromptPart // of the prompt, that others may have in common
 }
 
 // possibleEnd returns the run that a target broke off, nil if the break is no evidence against the request.
@@ -113,7 +116,11 @@
 		return nil // the target was going to end anyway
 	}
 	run := quarantine.Run{Request: q.quarantineRequest(), Incarnation: target.Incarnation(), Again: permit != nil && permit.Again}
-	return &brokenRun{Run: run, id: q.ID, target: target, began: q.placedAt}
+	broken := &brokenRun{Run: run, id: q.ID, target: target, began: q.placedAt, answered: -1, parts: q.sharedParts()}
+	if q.beganAt > 0 {
+		broken.answered = d.Clock.Now() - q.beganAt
+	}
+	return broken
 }
 
 // checkEnded returns whether a target broke off because its process has ended, and reports that to the quarantine. A
@@ -128,6 +135,7 @@
 	d.Log.WithFields(logrus.Fields{
 		telemetry.FieldRequest: run.id, "digest": run.Digest.String(), "account": string(run.Account), "route": string(run.Route),
 		"target": string(run.target.ID), "start": int64(run.target.Start), "running_ms": int64(d.Clock.Now() - run.began), "again": run.Again,
+		"answered_ms": int64(run.answered), "prompt_parts": run.parts,
 	}).Info("a target has ended while it ran a request")
 	d.guard.RecordTargetEnd(run.Run)
 	return true
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -176,6 +176,7 @@
 		}
 		last = now
 		if flow.Events == 0 {
+			q.beganAt = now
 			d.settleOrigin(q, assignment.Target(), a)
 			q.addToTrail(d.Clock.Now(), "first event from", assignment.Target().ID)
 			assignment.Began(load(a))
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -46,6 +46,7 @@
 	endedTargets []ids.Target
 
 	placedAt     clock.Millis // when it was last sent to a target
+	beganAt      clock.Millis // when that target sent its first event; 0 before
 	firstAt      clock.Millis // when its answer, or the first event, arrived; 0 before
 	eventAt      clock.Millis // when the last event, or part of an answer, arrived; 0 before
 	longestPause clock.Millis // the longest pause between two events that arrived
@@ -97,6 +98,15 @@
 	return r.digest
 }
 
+// sharedParts returns the parts of the prompt that other requests may have in common: all but the last.
+func (r *request) sharedParts() []ids.PromptPart {
+	parts := make([]ids.PromptPart, 0, len(r.PromptParts))
+	for _, part := range r.PromptParts[:max(0, len(r.PromptParts)-1)] {
+		parts = append(parts, part.ID)
+	}
+	return parts
+}
+
 // returned reports whether a request is known to have been refused before.
 func (r *request) returned() bool {
 	return r.sinceFirstTry > 0
