Failing test: requests with a fatal part in their prompts end target after target

TestRequestsWithAFatalPartEndFewTargets plays whole entries in virtual time: targets end 20 ms after they begin to answer a prompt with one part (never the last), whatever else it holds, 6 or 1.5 such requests a second, no two alike, from two accounts, each tried three times; beside them 150 sound requests a second, or 60 streams of 1 s, of the same accounts, half of them with the same first part.

--- a/pkg/app/crash_callers_test.go
+++ b/pkg/app/crash_callers_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"quaydock/pkg/ids"
 	"quaydock/platform/wiretest"
 )
 
@@ -29,6 +30,11 @@
 // send is call with a given request id; it also returns the answer's header. Without a complete answer within 3 s the
 // status is 0.
 func (b *crashBed) send(entry int, id, path, key, body string) (status int, head http.Header, text string) {
+	return b.sendWith(entry, id, path, key, body, nil)
+}
+
+// sendWith is send for a prompt of the given parts, none if it is not declared to have any.
+func (b *crashBed) sendWith(entry int, id, path, key, body string, parts []ids.PromptPart) (status int, head http.Header, text string) {
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -43,6 +49,9 @@
 		return 0, nil, ""
 	}
 	wiretest.SetCall(r.Header, id, key, 3*time.Second)
+	if parts != nil {
+		wiretest.SetPromptParts(r.Header, parts...)
+	}
 	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return 0, nil, ""
