Quarantine the part of prompts under which targets end

Cause: the guard knew a request by account, path and body alone, so that each of these was a first one; and whatever ran beside them was evidence against itself. The class: a cause that is looked for among whole requests, though it is a property that many have in common.

A run now names a list of suspects: its body, and each part of its prompt but the last, per service. Of a part, ends count in a row only, each in a run that was sent when the one before was known (a rank, no clocks; the loss of many targets at once is one). A run excuses the ends that were known when it was sent, once it is answered, or events have come for 250 ms; a run that had come so far is no evidence either. A part is quarantined from three ends in a row on, at another service from the first on. The ends that a quarantined part explains count against no request, and so against no account. One register, one queue of reports, one kind of rows and retrials serve both; reports of requests are unchanged on the wire, those of parts are a kind of their own, and the owner of a part tells an entry that lacks something.

--- a/pkg/app/fatal_part_bed_test.go
+++ b/pkg/app/fatal_part_bed_test.go
@@ -29,6 +29,7 @@
 const (
 	soundRate      = 150              // sound requests a second
 	streamRate     = 60               // the same if they are streams, which take most of the targets' slots
+	slowStreamRate = 35               // the same if their first events are slow
 	contactTime    = 3 * time.Second  // within which all entries must know of the fifth end
 	fatalBegins    = time.Second      // when requests with a fatal part begin to come
 	fatalLength    = 18 * time.Second // when they end to come
@@ -46,6 +47,9 @@
 	began   bool          // they end after their first event
 	from    time.Duration // from when on fatal parts end targets
 	streams bool          // sound requests are streams
+	// documents is the number of documents, and firstTime the time to the first event of a sound stream.
+	documents int
+	firstTime time.Duration
 
 	partMu  sync.Mutex
 	ended   []time.Duration
@@ -62,7 +66,7 @@
 
 // newPartBed starts entries and targets.
 func newPartBed(t *testing.T, seed uint64, entries, targets int) *partBed {
-	b := &partBed{crashBed: newCrashBedOf(t, seed, entries, targets)}
+	b := &partBed{crashBed: newCrashBedOf(t, seed, entries, targets), documents: documentCount, firstTime: soundFirstTime}
 	b.intercept = b.answerPrompt
 	configuration := b.configuration(2)
 	route := wiretest.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: "streaming", Timeout: 6000, Objective: 800, Attempts: 1, Service: "s"}
@@ -112,7 +116,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	time.Sleep(soundFirstTime)
+	time.Sleep(b.firstTime)
 	for n := 1; n <= soundEvents; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: a\n\n", n); err != nil || http.NewResponseController(w).Flush() != nil {
 			return
@@ -133,7 +137,7 @@
 
 // document draws one of the documents.
 func (b *partBed) document() ids.PromptPart {
-	return firstDocument + ids.PromptPart(b.draw(documentCount))
+	return firstDocument + ids.PromptPart(b.draw(b.documents))
 }
 
 // sendFatal sends requests with a fatal part, no two alike, at a rate, each of them up to fatalTries times. The parts are
@@ -155,7 +159,10 @@
 // sendSound sends sound requests of both accounts until the end, half of them with the first part of the others.
 func (b *partBed) sendSound(path string) {
 	rate := soundRate
-	if b.streams {
+	switch {
+	case b.streams && b.firstTime > soundFirstTime:
+		rate = slowStreamRate
+	case b.streams:
 		rate = streamRate
 	}
 	b.callAtRate(float64(rate), 0, fatalLength, func() {
--- a/pkg/app/fatal_part_test.go
+++ b/pkg/app/fatal_part_test.go
@@ -17,8 +17,8 @@
 // fatalPlay is a load of requests with a fatal part beside sound ones, and what happens meanwhile.
 type fatalPlay struct {
 	name    string
-	path    string // of the requests with a fatal part
-	rate    float64
+	path    string  // of the requests with a fatal part
+	rate    float64 // a second; 0 for 6, below 0 for none
 	keys    []string
 	parts   func(b *partBed) []ids.PromptPart // nil for behindSystem
 	entries int                               // 0 for 4
@@ -47,14 +47,28 @@
 	{name: "an entry joins", path: "/safe/q", fault: func(b *partBed) {
 		b.killEntry(2)
 		time.Sleep(9 * time.Second)
-		b.setStoreUnreachable(2, true)
 		b.startEntry(2)
 	}, settled: 13 * time.Second},
+	{name: "an entry is partitioned", path: "/safe/q", fault: func(b *partBed) {
+		time.Sleep(500 * time.Millisecond)
+		b.partition(1, true)
+		time.Sleep(8 * time.Second)
+		b.partition(1, false)
+	}, settled: 12 * time.Second},
+	{name: "lost datagrams", path: "/safe/q", fault: func(b *partBed) { b.loseDatagrams(0.2) }},
 	{name: "many entries", path: "/safe/q", rate: 12, entries: 40, targets: 24},
 	{name: "two fatal parts", path: "/safe/q", parts: func(b *partBed) []ids.PromptPart {
 		return []ids.PromptPart{systemPart, []ids.PromptPart{fatalPart, secondFatalPart}[b.draw(2)]}
 	}},
 	{name: "from the middle on", path: "/safe/q", settled: 14 * time.Second, prepare: func(b *partBed) { b.from = 6 * time.Second }},
+	{name: "many documents", path: "/stream/q", prepare: func(b *partBed) { b.streams, b.documents = true, 2000 }},
+	{name: "slow first events", path: "/stream/q", rate: 1.5, settled: 11 * time.Second, prepare: func(b *partBed) { b.streams, b.firstTime = true, 700*time.Millisecond }},
+	{name: "no fatal part, targets end one after the other", rate: -1, settled: 16 * time.Second, prepare: func(b *partBed) { b.streams, b.documents = true, 400 }, fault: func(b *partBed) {
+		for b.now() < 14*time.Second {
+			time.Sleep(400 * time.Millisecond)
+			b.engine(b.draw(len(b.engines))).crash()
+		}
+	}},
 	{name: "targets lost at the same time", path: "/safe/q", settled: 10 * time.Second, fault: func(b *partBed) {
 		time.Sleep(1300 * time.Millisecond)
 		b.endEvery(0, 2)
@@ -119,7 +133,9 @@
 	if p.parts != nil {
 		parts = func() []ids.PromptPart { return p.parts(b) }
 	}
-	go b.sendFatal(p.path, p.rate, p.keys, parts)
+	if p.rate > 0 {
+		go b.sendFatal(p.path, p.rate, p.keys, parts)
+	}
 	sound := "/safe/q"
 	if b.streams {
 		sound = "/stream/q"
--- a/pkg/app/limit_bed_test.go
+++ b/pkg/app/limit_bed_test.go
@@ -153,7 +153,7 @@
 }
 
 // loseDatagrams drops a fraction of all datagrams from now on.
-func (b *limitBed) loseDatagrams(fraction float64) {
+func (b *crashBed) loseDatagrams(fraction float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lossRate = fraction
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -58,8 +58,8 @@
 type attempt interface{ attempt() }
 
 type (
-	// completed: the caller has a complete answer.
-	completed struct{}
+	// completed: the caller has a complete answer, of a status below 300 if success is set.
+	completed struct{ success bool }
 	// withheld: nothing was sent, as the target had asked this entry not to, or its failure domain is drained.
 	withheld struct{}
 	// declined: the target surely did not run the request. The error says why it could not be reached; it is nil if the
--- a/pkg/ingress/exchange.go
+++ b/pkg/ingress/exchange.go
@@ -14,7 +14,7 @@
 // exchange sends the request to the target of an assignment and relays the answer. If the target is silent for too
 // long, another one may take over.
 func (d *delivery) exchange(ctx context.Context, q *request, out *answerWriter, assignment schedule.Assignment) attempt {
-	q.placedAt, q.beganAt = d.Clock.Now(), 0
+	q.placedAt, q.beganAt, q.survived = d.Clock.Now(), 0, false
 	ctx, span := d.Tracer.Start(ctx, "entry.exchange")
 	defer span.End()
 	w := d.watch(ctx, q, assignment)
@@ -28,7 +28,7 @@
 
 // takeOver relays the answer of a target that has taken over from a silent one.
 func (d *delivery) takeOver(ctx context.Context, q *request, out *answerWriter, t *takeover) attempt {
-	q.placedAt, q.beganAt = t.sentAt, 0
+	q.placedAt, q.beganAt, q.survived, q.start = t.sentAt, 0, false, t.start
 	w := d.watchTakeover(ctx, q, t)
 	defer w.close(q)
 	defer t.answer.Close()
--- a/pkg/ingress/quarantined.go
+++ b/pkg/ingress/quarantined.go
@@ -29,6 +29,7 @@
 			return nil, nil, refusal
 		}
 		if d.permitted(q, permit) {
+			q.start = d.guard.Start(q.promptRequest())
 			return assignment, permit, nil
 		}
 		// Targets have ended under the request while it waited for the assignment.
@@ -41,7 +42,7 @@
 // permit returns the permit to run a request, nil if it needs none. It keeps a permit that is held already, and may
 // wait for an exclusive run otherwise.
 func (d *delivery) permit(ctx context.Context, q *request, permit *quarantine.Permit) (*quarantine.Permit, *Refusal) {
-	if permit != nil || !d.guard.HasRecord(q.accountName()) {
+	if permit != nil || !d.concerned(q) {
 		return permit, nil
 	}
 	permit, refused := d.guard.Enter(ctx, q.quarantineRequest())
@@ -55,7 +56,12 @@
 // permitted reports whether a request may still run with the permit that was taken for it, nil if it needed none:
 // targets may have ended under it since.
 func (d *delivery) permitted(q *request, permit *quarantine.Permit) bool {
-	return !d.guard.HasRecord(q.accountName()) || d.guard.Allows(q.quarantineRequest(), permit)
+	return !d.concerned(q) || d.guard.Allows(q.quarantineRequest(), permit)
+}
+
+// concerned reports whether anything may be known against a request.
+func (d *delivery) concerned(q *request) bool {
+	return d.guard.Concerns(q.accountName(), len(q.PromptParts) > 1)
 }
 
 // quarantinedRefusal refuses a request under which targets have ended. Its Retry-After is when the request may run once
@@ -69,7 +75,14 @@
 
 // quarantineRequest returns the request as the quarantine identifies it.
 func (r *request) quarantineRequest() quarantine.Request {
-	return quarantine.Request{Digest: r.requestDigest(), Account: r.accountName(), Route: ids.Route(r.route.Name)}
+	q := r.promptRequest()
+	q.Digest = r.requestDigest()
+	return q
+}
+
+// promptRequest is quarantineRequest without the digest, which takes time.
+func (r *request) promptRequest() quarantine.Request {
+	return quarantine.Request{Account: r.accountName(), Route: ids.Route(r.route.Name), Service: r.service, Parts: r.sharedParts()}
 }
 
 // observe reports the outcome of a run to the quarantine, and releases its permit. If there was no run, it returns the
@@ -82,6 +95,9 @@
 		if d.guard.HasRecord(q.accountName()) {
 			d.guard.Succeeded(q.quarantineRequest())
 		}
+		if result.success {
+			d.survived(q)
+		}
 	case lost:
 		if run := d.possibleEnd(ctx, q, target, permit); run != nil && !result.answered && d.checkEnded(ctx, run) {
 			q.endedTargets = append(q.endedTargets, target.ID)
@@ -96,6 +112,24 @@
 	return nil
 }
 
+// survivalTime is for how long events must have come for the target to have survived the beginning of an answer.
+const survivalTime = 250 * clock.Millisecond
+
+// recordSurvival tells the quarantine once events of the answer have come for survivalTime.
+func (d *delivery) recordSurvival(q *request, now clock.Millis) {
+	if !q.survived && now-q.beganAt >= survivalTime {
+		q.survived = true
+		d.survived(q)
+	}
+}
+
+// survived tells the quarantine that the present target has not ended when it began to answer the request.
+func (d *delivery) survived(q *request) {
+	if !q.start.None() {
+		d.guard.Survived(q.promptRequest(), q.start)
+	}
+}
+
 // brokenRun is a run that its target broke off.
 type brokenRun struct {
 	quarantine.Run
@@ -104,7 +138,6 @@
 	began  clock.Millis // when the request was sent to the target
 	// answered is for how long events had come when the run broke off, -1 if none had.
 	answered clock.Millis
-	parts    []ids.PromptPart // of the prompt, that others may have in common
 }
 
 // possibleEnd returns the run that a target broke off, nil if the break is no evidence against the request.
@@ -115,8 +148,11 @@
 	if listed := d.admission.view.Directory().Target(target.ID); listed != nil && listed.Leaving || d.advice.Status(target.Incarnation()).Leaving {
 		return nil // the target was going to end anyway
 	}
-	run := quarantine.Run{Request: q.quarantineRequest(), Incarnation: target.Incarnation(), Again: permit != nil && permit.Again}
-	broken := &brokenRun{Run: run, id: q.ID, target: target, began: q.placedAt, answered: -1, parts: q.sharedParts()}
+	run := quarantine.Run{
+		Request: q.quarantineRequest(), Incarnation: target.Incarnation(), Again: permit != nil && permit.Again,
+		Start: q.start, Survived: q.survived,
+	}
+	broken := &brokenRun{Run: run, id: q.ID, target: target, began: q.placedAt, answered: -1}
 	if q.beganAt > 0 {
 		broken.answered = d.Clock.Now() - q.beganAt
 	}
@@ -135,7 +171,7 @@
 	d.Log.WithFields(logrus.Fields{
 		telemetry.FieldRequest: run.id, "digest": run.Digest.String(), "account": string(run.Account), "route": string(run.Route),
 		"target": string(run.target.ID), "start": int64(run.target.Start), "running_ms": int64(d.Clock.Now() - run.began), "again": run.Again,
-		"answered_ms": int64(run.answered), "prompt_parts": run.parts,
+		"answered_ms": int64(run.answered), "prompt_parts": run.Parts, "ranks": run.Start.String(),
 	}).Info("a target has ended while it ran a request")
 	d.guard.RecordTargetEnd(run.Run)
 	return true
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -109,7 +109,7 @@
 	} else {
 		assignment.Done(planner.Served, planner.StreamStats{})
 	}
-	return completed{}
+	return completed{success: a.Status < http.StatusMultipleChoices}
 }
 
 // load converts a target's report of its load to the planner's type; nil if the target gave none.
@@ -192,8 +192,9 @@
 		if ended {
 			assignment.Done(planner.Served, flow)
 			q.sent++
-			return completed{}
+			return completed{success: true}
 		}
+		d.recordSurvival(q, now)
 		w.restartTimer()
 	}
 }
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -47,6 +47,8 @@
 
 	placedAt     clock.Millis // when it was last sent to a target
 	beganAt      clock.Millis // when that target sent its first event; 0 before
+	survived     bool         // that target has sent events for survivalTime
+	start        quarantine.Start
 	firstAt      clock.Millis // when its answer, or the first event, arrived; 0 before
 	eventAt      clock.Millis // when the last event, or part of an answer, arrived; 0 before
 	longestPause clock.Millis // the longest pause between two events that arrived
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -15,6 +15,7 @@
 	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/planner"
+	"quaydock/pkg/quarantine"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
 	"quaydock/pkg/telemetry"
@@ -81,6 +82,7 @@
 	events     *eventstream.Reader // of a stream; its next event has been read
 	body       []byte              // of any other answer, up to maxBuffered
 	sentAt     clock.Millis        // when the request was sent to the target
+	start      quarantine.Start
 	// ctx is the context of the exchange, and endExchange cancels it.
 	ctx         context.Context
 	endExchange context.CancelCauseFunc
@@ -192,7 +194,7 @@
 	defer close(opened)
 	go s.followOwner(assignment, opened, end)
 	go s.probeFirst(assignment.Target(), opened)
-	t := &takeover{assignment: assignment, sentAt: d.Clock.Now(), ctx: ctx, endExchange: end}
+	t := &takeover{assignment: assignment, sentAt: d.Clock.Now(), start: d.guard.Start(s.q.promptRequest()), ctx: ctx, endExchange: end}
 	var result attempt
 	if t.answer, result = d.send(ctx, s.q, assignment); t.answer != nil {
 		result = s.read(t)
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -40,4 +40,5 @@
 	KindOriginCopyTaken
 	KindOriginQuery
 	KindOriginReply
+	KindPartEnds // entry to the others: parts of prompts under which targets have ended
 )
--- a/pkg/quarantine/digest.go
+++ b/pkg/quarantine/digest.go
@@ -17,17 +17,28 @@
 // infeasible.
 const digestBytes = 16
 
-// Digest identifies a client account, a path with its query, and a body.
+// Digest identifies a client account, a path with its query, and a body; or a part of the prompts of a service.
 type Digest [digestBytes]byte
 
 // Identify returns the digest of a request. The account is empty on routes without keys.
 func Identify(account ids.Account, path string, body []byte) Digest {
+	return digestOf([]byte(account), []byte(path), body)
+}
+
+// IdentifyPart returns the digest of a part of the prompts of a service. It differs from that of any request, which has
+// one field less.
+func IdentifyPart(service ids.Service, part ids.PromptPart) Digest {
+	return digestOf([]byte(service), binary.BigEndian.AppendUint64(nil, uint64(part)), nil, nil)
+}
+
+// digestOf returns the digest of a list of fields.
+func digestOf(list ...[]byte) Digest {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(account), []byte(path), body} {
+	for _, field := range list {
 		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		_, _ = h.Write(length[:]) // a hash never returns an error
-		_, _ = h.Write(part)
+		_, _ = h.Write(field)
 	}
 	var sum [sha256.Size]byte
 	return Digest(h.Sum(sum[:0])[:digestBytes])
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -19,6 +19,9 @@
 	Digest  Digest
 	Account ids.Account
 	Route   ids.Route
+	Service ids.Service
+	// Parts are the parts of its prompt that other requests of the service may have in common.
+	Parts []ids.PromptPart
 }
 
 // Run is a run of a request at a target that has broken off.
@@ -27,6 +30,10 @@
 	Incarnation ids.TargetIncarnation
 	// Again is that of the permit under which it ran, false if it ran without one.
 	Again bool
+	// Start is that of when it was sent.
+	Start Start
+	// Survived says that its answer had gone on for some time, so that no part of its prompt has ended the target.
+	Survived bool
 }
 
 // Peers are the other entries.
@@ -80,6 +87,7 @@
 		return g
 	}
 	p.Link.Handle(packets.KindTargetEnds, packets.Receive(p.Link, g.receiveReports))
+	p.Link.Handle(packets.KindPartEnds, packets.Receive(p.Link, g.receivePartReports))
 	return g
 }
 
@@ -87,6 +95,15 @@
 // digest.
 func (g *Guard) HasRecord(account ids.Account) bool { return g.register.HasRecord(account) }
 
+// Concerns reports whether anything is recorded against a request of an account, or against any part if its prompt has
+// parts. Otherwise it runs without a permit.
+func (g *Guard) Concerns(account ids.Account, hasParts bool) bool {
+	return g.register.HasRecord(account) || hasParts && g.register.HasParts()
+}
+
+// Start returns what is known against the parts of a request that is sent to a target now.
+func (g *Guard) Start(r Request) Start { return g.register.Start(r) }
+
 // Refused says that a request may not run.
 type Refused struct {
 	// Held says that it is quarantined; otherwise it only waited too long for an exclusive run.
@@ -103,7 +120,7 @@
 // Permit permits one run.
 type Permit struct {
 	guard  *Guard
-	digest Digest        // of the request
+	digest Digest        // of the request, or of the part of which it is a retrial
 	run    *exclusiveRun // nil once released; that of a retrial need not have been granted
 	// Again says that a target end under the request is already known.
 	Again bool
@@ -129,19 +146,22 @@
 	// one that waited in vain: when the run becomes free is not known, it depends on how long the runs of others take.
 	runWait       = clock.Second
 	runRetryAfter = 500 * clock.Millisecond
+	// freshHold is how long a part is so freshly quarantined that its requests wait: runs that are under way may excuse it.
+	freshHold = clock.Second
 	// runPollInterval is the time between two checks whether an exclusive run is available.
 	runPollInterval = 20 * clock.Millisecond
 )
 
-// Allows reports whether a request may still run with the permit that Enter returned some time ago. If it has been
-// quarantined since, only the permit of a retrial is enough; if it or its account is suspected, any permit is.
+// Allows reports whether a request may still run with the permit that Enter returned some time ago. If it or one of its
+// parts has been quarantined since, only the permit of a retrial is enough; if it or its account is suspected, any permit
+// is.
 func (g *Guard) Allows(r Request, p *Permit) bool {
 	s := g.suspicion(r)
 	switch {
 	case s.none():
 		return true
 	case s.verdict == Held:
-		return p != nil && p.retrial
+		return p != nil && p.retrial && p.digest == s.held
 	default:
 		return p != nil
 	}
@@ -160,6 +180,8 @@
 // suspicion is what is currently recorded against a request.
 type suspicion struct {
 	verdict Verdict
+	// held is the digest that is quarantined if the verdict is Held: that of the request, or of one of its parts.
+	held Digest
 	// accountRun says that the request runs exclusively for its account, and wait how long it must wait at least.
 	accountRun bool
 	wait       clock.Millis
@@ -171,11 +193,19 @@
 // suspicion returns what is recorded against a request now, which counts as the time at which it last came.
 func (g *Guard) suspicion(r Request) suspicion {
 	now := g.Clock.Now()
-	s := suspicion{verdict: g.register.Verdict(now, r.Digest)}
+	s := suspicion{verdict: g.register.Verdict(now, r.Digest), held: r.Digest}
 	s.accountRun, s.wait = g.register.AccountSuspicion(now, r)
+	if part, held := g.register.HeldPart(now, r); held && s.verdict != Held {
+		s.verdict, s.held = Held, part
+	}
 	return s
 }
 
+// waits reports whether a quarantined request waits, as its part is quarantined so freshly that this may end at once.
+func (g *Guard) waits(now clock.Millis, r Request, s suspicion) bool {
+	return s.held != r.Digest && g.register.HeldFor(now, s.held) < freshHold
+}
+
 // await waits until a request may run that is suspected or quarantined, or whose account is suspected. Its results are
 // those of Enter: if both are nil, nothing is recorded any more and the request runs without a permit. If ctx ends
 // first, the request is refused.
@@ -187,8 +217,11 @@
 		switch {
 		case s.none():
 			return nil, nil
-		case s.verdict == Held && !g.register.RetrialDue(now, r.Digest):
-			return nil, g.refusedHeld(now, r.Digest)
+		case s.verdict == Held && !g.register.RetrialDue(now, s.held):
+			if g.waits(now, r, s) && ctx.Err() == nil {
+				continue
+			}
+			return nil, g.refusedHeld(now, s.held)
 		case s.wait > 0:
 			return nil, &Refused{RetryAfter: s.wait}
 		}
@@ -196,12 +229,12 @@
 		// A suspected request also waits until settleTime has passed since the last target end under it. A quarantined
 		// one needs a retrial, and an exclusive run only if its account is suspected; all others need an exclusive run.
 		if g.settled(now, r, s) && (s.verdict == Held && !s.accountRun || g.runs.acquire(ctx, run)) {
-			if s.verdict == Held && !g.permitRetrial(ctx, r.Digest) {
-				return nil, g.refusedHeld(now, r.Digest)
+			if s.verdict == Held && !g.permitRetrial(ctx, s.held) {
+				return nil, g.refusedHeld(now, s.held)
 			}
 			taken := run
 			run = nil
-			return &Permit{guard: g, digest: r.Digest, run: taken, Again: s.verdict != Free, retrial: s.verdict == Held}, nil
+			return &Permit{guard: g, digest: s.held, run: taken, Again: s.verdict != Free, retrial: s.verdict == Held}, nil
 		}
 		if ctx.Err() != nil || now >= until {
 			return nil, &Refused{RetryAfter: runRetryAfter}
@@ -245,7 +278,7 @@
 	defer cancel()
 	_, err := g.store.Write(limited, w)
 	g.register.RetrialWritten(&w, err == nil)
-	g.log(&w.Record).WithError(err).WithField("retrials", w.Retrials).Info("retrial of a quarantined request")
+	g.log(&w.Record).WithError(err).WithField("retrials", w.Retrials).Info("retrial of a quarantined " + w.kind())
 	return err == nil
 }
 
@@ -254,6 +287,22 @@
 	g.Metrics.Prometheus.Add("targets_ended_under_requests", "account", string(run.Account))
 	record := Record{Digest: run.Digest, Account: run.Account, Route: run.Route, Ends: []TargetEnd{{Incarnation: run.Incarnation, Again: run.Again}}}
 	g.publish(g.register.Join(g.Clock.Now(), &record))
+	if run.Survived {
+		return
+	}
+	for i, part := range run.parts() {
+		record := newPartRecord(run.Service, part)
+		record.Ends = []TargetEnd{{Incarnation: run.Incarnation, Rank: run.Start.rank(i)}}
+		g.publish(g.register.Join(g.Clock.Now(), &record))
+	}
+}
+
+// Survived records that the answer to a request has gone on for some time, or is complete: none of its parts ends targets,
+// as far as their ends were known when it was sent.
+func (g *Guard) Survived(r Request, s Start) {
+	for _, c := range g.register.Survived(g.Clock.Now(), r, s) {
+		g.publish(c)
+	}
 }
 
 // Completed records that a request has been completed, which clears it of all target ends: a request that ends its
@@ -283,22 +332,35 @@
 	switch {
 	case c.After == Held && c.Before != Held:
 		g.Metrics.Prometheus.Add("quarantine", "event", "held back")
-		g.log(&c.Record).Warn("request quarantined: targets have ended under it")
+		g.log(&c.Record).Warn(c.kind() + " quarantined: targets have ended under it")
 	case c.Before == Held && c.After != Held:
 		g.Metrics.Prometheus.Add("quarantine", "event", "let go")
-		g.log(&c.Record).Info("request is no longer quarantined")
+		g.log(&c.Record).Info(c.kind() + " is no longer quarantined")
 	}
 }
 
+// kind returns in a word or two what a record is of.
+func (r *Record) kind() string {
+	if r.isPart() {
+		return "part of prompts"
+	}
+	return "request"
+}
+
 // log returns the log entry with the fields of a record.
 func (g *Guard) log(r *Record) *logrus.Entry {
 	var targets []ids.Target
 	for _, e := range r.Ends {
 		targets = append(targets, e.Incarnation.Target)
 	}
-	return g.Log.WithFields(logrus.Fields{
-		"digest": r.Digest.String(), "account": string(r.Account), "route": string(r.Route), "ended_targets": targets,
-	})
+	fields := logrus.Fields{"digest": r.Digest.String(), "ended_targets": targets}
+	if r.isPart() {
+		fields["prompt_part"], fields["service"] = r.Part.String(), string(r.Service)
+		fields["ends_in_a_row"], fields["excused_below"] = r.level(), r.Cleared
+	} else {
+		fields["account"], fields["route"] = string(r.Account), string(r.Route)
+	}
+	return g.Log.WithFields(fields)
 }
 
 // EndedIncarnations lists the incarnations of targets that ended under quarantined requests.
--- a/pkg/quarantine/register.go
+++ b/pkg/quarantine/register.go
@@ -14,6 +14,9 @@
 	// or of the account, is dropped; see weakest.
 	maxRecords        = 4096
 	maxAccountRecords = 256
+	// maxPartRecords limits the records of parts in the same way: the innocent parts at a target that ends have one each,
+	// and a caller may invent parts.
+	maxPartRecords = 2048
 	// suspectedRetention and heldRetention are how long a request that doesn't come any more is remembered. One that
 	// comes every few minutes must be quarantined too, and forgetting it costs three targets.
 	suspectedRetention = 60 * clock.Minute
@@ -41,19 +44,24 @@
 
 // Register holds the records that one entry knows. It does no I/O.
 type Register struct {
-	count atomic.Int64 // of records, so that nothing is locked while there are none
+	count     atomic.Int64 // of records, so that nothing is locked while there are none
+	partCount atomic.Int64 // of the records of parts, for the same reason
 
 	mu        sync.Mutex // guards the fields below and the records
 	storeRead bool       // StoreRead has been called
 	records   map[Digest]*trackedRecord
-	accounts  map[ids.Account]*accountState // of the accounts that have records
+	accounts  map[ids.Account]*accountState // of the accounts that have records of requests
+	parts     accountState                  // of the records of parts; it has no routes
+	heldParts map[ids.PromptPart]int        // parts that are quarantined, and at how many services
+	// explained are the incarnations that ended under quarantined parts. Their ends do not count against requests.
+	explained map[ids.TargetIncarnation]bool
 	// dropped are the removals of the rows of records that were dropped for lack of space, at most maxAccountRecords.
 	dropped []Write
 }
 
 // NewRegister returns an empty register. Until StoreRead is called, records may exist that it does not have.
 func NewRegister() *Register {
-	return &Register{records: make(map[Digest]*trackedRecord), accounts: make(map[ids.Account]*accountState)}
+	return &Register{records: make(map[Digest]*trackedRecord), accounts: make(map[ids.Account]*accountState), heldParts: make(map[ids.PromptPart]int)}
 }
 
 // StoreRead records that the store's records have been read. Before that, a missing record does not mean that there is
@@ -107,9 +115,16 @@
 }
 
 // verdict returns the verdict on a record. It is strict, so that one target end is enough for quarantine, until the
-// store has been read, for an account with many quarantined requests, and for a request that is quarantined already.
-// The caller holds the lock.
+// store has been read, for an account with many quarantined requests, and for a request that is quarantined already; for a
+// part, if it is quarantined at another service. The caller holds the lock.
 func (r *Register) verdict(e *trackedRecord) Verdict {
+	if e.isPart() {
+		elsewhere := r.heldParts[e.Part]
+		if e.heldAt > 0 {
+			elsewhere--
+		}
+		return e.verdict(elsewhere > 0, nil)
+	}
 	strict := !r.storeRead
 	if h := r.accounts[e.Account]; h != nil && e.heldAt == 0 {
 		strict = strict || h.held >= accountHeldThreshold
@@ -117,7 +132,15 @@
 	if e.heldAt > 0 && r.storeRead {
 		strict = true // once quarantined, only a completed run frees it
 	}
-	return e.verdict(strict)
+	return e.verdict(strict, r.explained)
+}
+
+// state returns the state that counts a record: that of its account, or that of all parts. The caller holds the lock.
+func (r *Register) state(e *trackedRecord) *accountState {
+	if e.isPart() {
+		return &r.parts
+	}
+	return r.accounts[e.Account]
 }
 
 // Change is the effect of a report on a request: its record afterwards, and the verdict before and after it.
@@ -135,6 +158,9 @@
 	defer r.mu.Unlock()
 	before := r.countEnds(report.Digest)
 	c := r.join(now, report)
+	if report.isPart() {
+		return c
+	}
 	h := r.accounts[report.Account]
 	if h == nil {
 		return c
@@ -157,7 +183,7 @@
 	if e == nil {
 		return 0
 	}
-	count, _ := e.countEnds()
+	count, _ := e.countEndsBut(r.explained)
 	return count
 }
 
@@ -169,7 +195,7 @@
 	}
 	e := r.records[report.Digest]
 	if e == nil {
-		e = &trackedRecord{Record: Record{Digest: report.Digest, Account: report.Account, Route: report.Route}}
+		e = &trackedRecord{Record: Record{Digest: report.Digest, Account: report.Account, Route: report.Route, Service: report.Service, Part: report.Part}}
 		r.insert(now, e)
 	}
 	before := r.verdict(e)
@@ -185,8 +211,9 @@
 // may be revoked. The caller holds the lock.
 func (r *Register) updateVerdict(now clock.Millis, e *trackedRecord, isNew bool, before Verdict) Change {
 	after := r.verdict(e)
-	held := after == Held && r.storeRead
-	switch h := r.accounts[e.Account]; {
+	// A part is not quarantined on the first end, so that its verdict does not wait for the store.
+	held := after == Held && (r.storeRead || e.isPart())
+	switch h := r.state(e); {
 	case held && e.heldAt == 0:
 		e.heldAt = max(1, now)
 		h.held++
@@ -194,6 +221,9 @@
 		e.heldAt = 0
 		h.held--
 	}
+	if e.isPart() && (before == Held || after == Held) {
+		r.partChanged(now)
+	}
 	return Change{Record: e.clone(), New: isNew, Before: before, After: after}
 }
 
@@ -208,6 +238,9 @@
 	}
 	before := r.verdict(e)
 	c := r.updateVerdict(now, e, e.excuse(), before)
+	if e.isPart() {
+		return c
+	}
 	if h := r.accounts[e.Account]; h != nil && before == Held && c.New {
 		// Something else ended the targets, also where other requests of the route were quarantined.
 		delete(h.routes, e.Route)
--- a/pkg/quarantine/register_limits.go
+++ b/pkg/quarantine/register_limits.go
@@ -5,6 +5,14 @@
 // insert adds a record, and drops another one if there are too many. The caller holds the lock.
 func (r *Register) insert(now clock.Millis, e *trackedRecord) {
 	e.lastSeen = now
+	if e.isPart() {
+		if r.parts.records >= maxPartRecords {
+			r.drop(r.weakest((*trackedRecord).isPart))
+		}
+		r.records[e.Digest] = e
+		r.counted(&r.parts, 1)
+		return
+	}
 	h := r.accounts[e.Account]
 	if h == nil {
 		h = &accountState{}
@@ -12,14 +20,20 @@
 	}
 	switch {
 	case h.records >= maxAccountRecords:
-		r.drop(r.weakest(func(other *trackedRecord) bool { return other.Account == e.Account }))
-	case len(r.records) >= maxRecords:
-		r.drop(r.weakest(func(*trackedRecord) bool { return true }))
+		r.drop(r.weakest(func(other *trackedRecord) bool { return !other.isPart() && other.Account == e.Account }))
+	case len(r.records)-r.parts.records >= maxRecords:
+		r.drop(r.weakest(func(other *trackedRecord) bool { return !other.isPart() }))
 	}
 	r.accounts[e.Account] = h // it may have been removed with its last record
 	r.records[e.Digest] = e
-	h.records++
+	r.counted(h, 1)
+}
+
+// counted adds records to a state, and to the counts that are read without the lock. The caller holds the lock.
+func (r *Register) counted(state *accountState, records int) {
+	state.records += records
 	r.count.Store(int64(len(r.records)))
+	r.partCount.Store(int64(r.parts.records))
 }
 
 // weakest returns, of the records for which among is true, the one with the least evidence: not quarantined, with the
@@ -41,14 +55,21 @@
 	if (e.heldAt > 0) != (than.heldAt > 0) {
 		return than.heldAt > 0
 	}
-	own, _ := e.countEnds()
-	other, _ := than.countEnds()
-	if own != other {
+	if own, other := e.evidence(), than.evidence(); own != other {
 		return own < other
 	}
 	return e.lastSeen < than.lastSeen
 }
 
+// evidence returns the number of target ends that count against a request, or of those in a row against a part.
+func (r *Record) evidence() int {
+	if r.isPart() {
+		return r.level()
+	}
+	count, _ := r.countEnds()
+	return count
+}
+
 // drop removes a record for lack of space, and has Expire return the removal of its row; beyond maxAccountRecords such
 // removals the row stays in the store. The caller holds the lock.
 func (r *Register) drop(e *trackedRecord) {
@@ -61,15 +82,17 @@
 // remove removes a record, and with the last one of an account the state of the account. The caller holds the lock.
 func (r *Register) remove(e *trackedRecord) {
 	delete(r.records, e.Digest)
-	h := r.accounts[e.Account]
-	h.records--
+	h := r.state(e)
 	if e.heldAt > 0 {
 		h.held--
 	}
-	if h.records == 0 {
+	r.counted(h, -1)
+	switch {
+	case e.isPart() && e.heldAt > 0:
+		r.partChanged(e.lastSeen)
+	case !e.isPart() && h.records == 0:
 		delete(r.accounts, e.Account)
 	}
-	r.count.Store(int64(len(r.records)))
 }
 
 // Expire removes the records of requests that have not come for a long time. It returns the removals of their rows, and
--- a/pkg/quarantine/register_report.go
+++ b/pkg/quarantine/register_report.go
@@ -38,7 +38,7 @@
 func (r *Register) HeldCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count := 0
+	count := r.parts.held
 	for _, h := range r.accounts {
 		count += h.held
 	}
--- a/pkg/quarantine/register_rows.go
+++ b/pkg/quarantine/register_rows.go
@@ -71,11 +71,10 @@
 // ends have one each.
 const minStoredEnds = 2
 
-// belongsInStore reports whether the store is to hold a record: it is quarantined or has minStoredEnds. The caller
-// holds the register's lock.
+// belongsInStore reports whether the store is to hold a record: it is quarantined or has minStoredEnds, in a row if it is
+// of a part. The caller holds the register's lock.
 func (e *trackedRecord) belongsInStore() bool {
-	count, _ := e.countEnds()
-	return count >= minStoredEnds || e.heldAt > 0
+	return e.evidence() >= minStoredEnds || e.heldAt > 0
 }
 
 // needsWrite reports whether the store's row of a record must be written or removed. It is called for all records, each
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"quaydock/pkg/clock"
-	"quaydock/pkg/packets"
 )
 
 const (
@@ -23,11 +22,17 @@
 	recordOverhead = 40
 )
 
-// targetEnds is the message that reports records.
-type targetEnds struct {
-	_       struct{} `cbor:",toarray"`
-	Records []Record
-}
+// targetEnds is the message that reports records of requests, partEnds the one that reports records of parts.
+type (
+	targetEnds struct {
+		_       struct{} `cbor:",toarray"`
+		Records []requestReport
+	}
+	partEnds struct {
+		_       struct{} `cbor:",toarray"`
+		Records []partReport
+	}
+)
 
 // reportQueue holds what is to be reported to the other entries.
 type reportQueue struct {
@@ -55,7 +60,7 @@
 // take returns the messages to be sent now, and whether more must be sent later. of returns the present record of a
 // digest; those that no longer have one are dropped. A digest for which there is no more room keeps its sends for the
 // next call.
-func (n *reportQueue) take(of func(Digest) (Record, bool)) (messages []targetEnds, more bool) {
+func (n *reportQueue) take(of func(Digest) (Record, bool)) (messages [][]Record, more bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	size := maxMessageBytes
@@ -70,10 +75,10 @@
 			if len(messages) == maxMessages {
 				return messages, true
 			}
-			messages, size = append(messages, targetEnds{}), 0
+			messages, size = append(messages, nil), 0
 		}
 		last := &messages[len(messages)-1]
-		last.Records = append(last.Records, record)
+		*last = append(*last, record)
 		size += length
 		n.pending[d] = times - 1
 		if times <= 1 {
@@ -85,7 +90,7 @@
 
 // bytes returns the maximum size of a record in a message.
 func (r *Record) bytes() int {
-	n := recordOverhead + len(r.Account) + len(r.Route)
+	n := recordOverhead + len(r.Account) + len(r.Route) + len(r.Service)
 	for _, e := range r.Ends {
 		n += endOverhead + len(e.Incarnation.Target)
 	}
@@ -98,9 +103,11 @@
 	if len(messages) == 0 {
 		return more
 	}
-	for _, to := range g.peers.Others() {
-		for _, m := range messages {
-			g.link.Send(to, packets.KindTargetEnds, m)
+	for _, records := range messages {
+		for _, m := range splitByKind(records) {
+			for _, to := range g.peers.Others() {
+				g.link.Send(to, m.kind, m.message)
+			}
 		}
 	}
 	return more
@@ -110,6 +117,25 @@
 func (g *Guard) receiveReports(_ netip.AddrPort, m *targetEnds) {
 	now := g.Clock.Now()
 	for i := range m.Records {
-		g.logChange(g.register.Join(now, &m.Records[i]))
+		record := m.Records[i].record()
+		g.logChange(g.register.Join(now, &record))
+	}
+}
+
+// receivePartReports adds what another entry reports of parts. An entry that has just started, or was cut off, and lacks
+// something is told by the owner of the part.
+func (g *Guard) receivePartReports(from netip.AddrPort, m *partEnds) {
+	now := g.Clock.Now()
+	var lacking []Record
+	for i := range m.Records {
+		record := m.Records[i].record()
+		change := g.register.Join(now, &record)
+		g.logChange(change)
+		if !record.covers(&change.Record) && g.ownsRow(record.Digest) {
+			lacking = append(lacking, change.Record)
+		}
+	}
+	for _, reply := range splitByKind(lacking) {
+		g.link.Send(from, reply.kind, reply.message)
 	}
 }
