Show the parts of prompts in quarantine, to operators and in refused requests' trails

quayctl quarantine lists quarantined parts with their service beside requests, and releases one by its digest; a request that is refused for a part names it in its trail. Suspected and quarantined requests and parts have gauges of their own. Tests of ctl, quarantine and ingress pass.

--- a/pkg/ctl/quarantine.go
+++ b/pkg/ctl/quarantine.go
@@ -14,11 +14,11 @@
 	"quaydock/pkg/quarantine"
 )
 
-// showQuarantine lists the requests that an entry has in quarantine, or has it release one of them.
+// showQuarantine lists the requests and parts of prompts that an entry has in quarantine, or has it release one of them.
 func showQuarantine(ctx context.Context, args []string, out, errs io.Writer) error {
 	flags := flag.NewFlagSet("quayctl quarantine", flag.ContinueOnError)
 	at := flags.String("at", "127.0.0.1:9464", "the `address` of an entry's metrics")
-	release := flags.String("release", "", "the `digest` of a request to release from quarantine")
+	release := flags.String("release", "", "the `digest` of a request or part to release from quarantine")
 	if err := parse(flags, args, errs); err != nil {
 		return err
 	}
@@ -61,14 +61,18 @@
 // writeQuarantine prints the requests in quarantine with the targets that ended under them.
 func writeQuarantine(out io.Writer, reports []quarantine.Report) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "digest\taccount\troute\tfor\tmay run in\tended targets") // Flush returns write errors
+	_, _ = fmt.Fprintln(w, "digest\taccount\troute\tpart\tservice\tfor\tmay run in\tended targets") // Flush returns write errors
 	for i := range reports {
 		r := &reports[i]
 		var targets []string
 		for _, e := range r.Ends {
 			targets = append(targets, string(e.Incarnation.Target))
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%.0f s\t%.0f s\t%s\n", r.Digest, r.Account, r.Route,
+		part := ""
+		if r.Service != "" {
+			part = r.Part.String()
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f s\t%.0f s\t%s\n", r.Digest, r.Account, r.Route, part, r.Service,
 			r.For.Duration().Seconds(), r.RetryIn.Duration().Seconds(), strings.Join(targets, " "))
 	}
 	if err := w.Flush(); err != nil {
--- a/pkg/ctl/quarantine_test.go
+++ b/pkg/ctl/quarantine_test.go
@@ -20,6 +20,7 @@
 		Record: quarantine.Record{Digest: digest, Account: "acme", Route: "chat", Ends: []quarantine.TargetEnd{{Incarnation: ids.TargetIncarnation{Target: "t1"}}, {Incarnation: ids.TargetIncarnation{Target: "t2"}, Again: true}}},
 		For:    61_000, RetryIn: 4000,
 	}}
+	part := []quarantine.Report{{Record: quarantine.Record{Digest: quarantine.IdentifyPart("lm", 0xfa), Service: "lm", Part: 0xfa, Ends: held[0].Ends}, For: 5000, RetryIn: 1000}}
 	scenarios := []struct {
 		name    string
 		reports []quarantine.Report // of the entry
@@ -29,6 +30,7 @@
 	}{
 		{"none", nil, nil, ctl.ExitOK, []string{"no request is held back"}},
 		{"one", held, nil, ctl.ExitOK, []string{digest.String(), "acme", "chat", "61 s", "4 s", "t1 t2"}},
+		{"a part of prompts", part, nil, ctl.ExitOK, []string{part[0].Digest.String(), "fa", "lm", "5 s", "1 s", "t1 t2"}},
 		{"release", held, []string{"-release", digest.String()}, ctl.ExitOK, []string{"let go"}},
 		{"release of another request", held, []string{"-release", "abc"}, ctl.ExitFailed, []string{"status 404"}},
 	}
--- a/pkg/ingress/quarantined.go
+++ b/pkg/ingress/quarantined.go
@@ -47,7 +47,11 @@
 	}
 	permit, refused := d.guard.Enter(ctx, q.quarantineRequest())
 	if refused != nil {
-		q.addToTrail(d.Clock.Now(), "quarantined, as targets have ended under it", "")
+		what := "quarantined, as targets have ended under it"
+		if refused.Part != nil {
+			what = "quarantined, as targets have ended under part " + refused.Part.String() + " of its prompt"
+		}
+		q.addToTrail(d.Clock.Now(), what, "")
 		return nil, quarantinedRefusal(refused)
 	}
 	return permit, nil
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -80,8 +80,10 @@
 func New(p Dependencies) *Guard {
 	g := &Guard{Common: p.Common, register: NewRegister(), peers: p.Peers, store: p.Store, link: p.Link, reports: newReportQueue(), leaves: p.Leaves}
 	g.runs = newExclusiveRuns(p.Common, p.Peers, p.Link, p.Address)
-	p.Metrics.Prometheus.Gauge("requests_suspected", func() float64 { return float64(g.register.Len()) })
-	p.Metrics.Prometheus.Gauge("requests_held_back", func() float64 { return float64(g.register.HeldCount()) })
+	p.Metrics.Prometheus.Gauge("requests_suspected", func() float64 { return float64(g.register.Len() - g.register.PartsLen()) })
+	p.Metrics.Prometheus.Gauge("requests_held_back", func() float64 { return float64(g.register.HeldCount() - g.register.PartsHeldCount()) })
+	p.Metrics.Prometheus.Gauge("prompt_parts_with_ends", func() float64 { return float64(g.register.PartsLen()) })
+	p.Metrics.Prometheus.Gauge("prompt_parts_held_back", func() float64 { return float64(g.register.PartsHeldCount()) })
 	if p.Peers == nil {
 		g.register.StoreRead(p.Clock.Now())
 		return g
@@ -110,11 +112,18 @@
 	Held bool
 	// RetryAfter is the time after which the caller may send it again.
 	RetryAfter clock.Millis
+	// Part is the part of its prompt that is quarantined, nil if the request itself is, or none.
+	Part *ids.PromptPart
 }
 
-// refusedHeld returns the refusal of a quarantined request, with the time until it may run once more.
+// refusedHeld returns the refusal of a request that is quarantined, itself or by a part, with the time until it may run
+// once more.
 func (g *Guard) refusedHeld(now clock.Millis, d Digest) *Refused {
-	return &Refused{Held: true, RetryAfter: g.register.ReadyIn(now, d)}
+	refused := &Refused{Held: true, RetryAfter: g.register.ReadyIn(now, d)}
+	if record, known := g.register.Get(d); known && record.isPart() {
+		refused.Part = &record.Part
+	}
+	return refused
 }
 
 // Permit permits one run.
@@ -363,10 +372,10 @@
 	return g.Log.WithFields(fields)
 }
 
-// EndedIncarnations lists the incarnations of targets that ended under quarantined requests.
+// EndedIncarnations lists the incarnations of targets that ended under quarantined requests and parts.
 func (g *Guard) EndedIncarnations() []ids.TargetIncarnation { return g.register.HeldIncarnations() }
 
-// HeldReports lists the quarantined requests.
+// HeldReports lists the quarantined requests and parts.
 func (g *Guard) HeldReports() []Report { return g.register.HeldReports(g.Clock.Now()) }
 
 // Release releases a request from quarantine on an operator's order. It reports whether any target end that was not
--- a/pkg/quarantine/register_report.go
+++ b/pkg/quarantine/register_report.go
@@ -9,7 +9,7 @@
 	"quaydock/pkg/ids"
 )
 
-// Report describes a quarantined request to operators.
+// Report describes a quarantined request, or part of prompts, to operators.
 type Report struct {
 	Record
 	// For is how long this entry knows it to be quarantined, and RetryIn the time until it may run once more at the
@@ -18,7 +18,7 @@
 	RetryIn clock.Millis `json:"retry_in_ms"`
 }
 
-// HeldReports lists the quarantined requests, the last one quarantined first.
+// HeldReports lists the quarantined requests and parts, the last one quarantined first.
 func (r *Register) HeldReports(now clock.Millis) []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -34,7 +34,7 @@
 	return list
 }
 
-// HeldCount returns the number of quarantined requests.
+// HeldCount returns the number of quarantined requests and parts.
 func (r *Register) HeldCount() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,7 +45,14 @@
 	return count
 }
 
-// HeldIncarnations lists the incarnations that ended under quarantined requests; one that ended under several is listed
+// PartsHeldCount returns the number of quarantined parts.
+func (r *Register) PartsHeldCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.parts.held
+}
+
+// HeldIncarnations lists the incarnations that ended under quarantined requests and parts; one that ended under several is listed
 // for each.
 func (r *Register) HeldIncarnations() []ids.TargetIncarnation {
 	if r.Len() == 0 {
@@ -67,8 +74,9 @@
 	return incarnations
 }
 
-// Len returns the number of requests that something is recorded against.
-func (r *Register) Len() int { return int(r.count.Load()) }
+// Len returns the number of requests and parts that something is recorded against, PartsLen that of parts.
+func (r *Register) Len() int      { return int(r.count.Load()) }
+func (r *Register) PartsLen() int { return int(r.partCount.Load()) }
 
 // Get returns a copy of the record of a digest, false if there is none.
 func (r *Register) Get(d Digest) (Record, bool) {
