--- a/pkg/quarantine/register_report.go
+++ b/pkg/quarantine/register_report.go
@@ -74,8 +74,10 @@
 	return incarnations
 }
 
-// Len returns the number of requests and parts that something is recorded against, PartsLen that of parts.
-func (r *Register) Len() int      { return int(r.count.Load()) }
+// Len returns the number of requests and parts that something is recorded against.
+func (r *Register) Len() int { return int(r.count.Load()) }
+
+// PartsLen returns the number of parts that something is recorded against.
 func (r *Register) PartsLen() int { return int(r.partCount.Load()) }
 
 // Get returns a copy of the record of a digest, false if there is none.
