Work out digests only for accounts with records; comments survive nothing

While anything is recorded against a part, each request with parts had its body hashed, though its account has no record; now only its parts are looked up. A target that sends comments before it begins to answer does not count as having survived the beginning. A model's closing event may have other fields.

--- a/pkg/agent/answer_end_test.go
+++ b/pkg/agent/answer_end_test.go
@@ -35,6 +35,7 @@
 		{"a model's stream", events, token + "data: [DONE]\n\n", true, false, true},
 		{"a model's stream with CR LF", events, "data: a\r\n\r\ndata: [DONE]\r\n\r\n", true, false, true},
 		{"a model's stream and a comment", events, token + "data: [DONE]\n\n: end\n", true, false, true},
+		{"a model's stream whose closing event has a name", events, token + "event: end\ndata: [DONE]\n\n", true, false, true},
 		{"a model's stream, no closing event", events, token, true, false, false},
 		{"a model's stream, torn in the closing event", events, token + "data: [DONE]\n", true, false, false},
 		{"a model's stream, torn behind the closing event", events, token + "data: [DONE]\n\ndata", true, false, false},
--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -262,8 +263,8 @@
 	ended func() bool
 }
 
-// closingEvent is the last event of a stream in the OpenAI form.
-const closingEvent = "data: [DONE]\n"
+// closingLine is the last line of a stream's last event in the OpenAI form.
+const closingLine = "data: [DONE]\n"
 
 // copyFrom copies one response to its end. It returns nil if the answer is complete.
 func (p *progress) copyFrom(response *http.Response) error {
@@ -318,7 +319,7 @@
 	switch {
 	case p.events && p.stream.InsideEvent():
 		return fmt.Errorf("event stream ended inside an event: %w", errBrokenOff)
-	case p.events && p.needsClosingEvent && string(p.stream.LastEvent()) != closingEvent:
+	case p.events && p.needsClosingEvent && !p.closed():
 		return fmt.Errorf("event stream without its closing event: %w", errBrokenOff)
 	case framing == network.FramedByClose && p.ended():
 		return fmt.Errorf("connection closed by the end of the target's process: %w", errBrokenOff)
@@ -326,6 +327,12 @@
 	return nil
 }
 
+// closed reports whether the last event of a stream was the closing one, which may have other fields too.
+func (p *progress) closed() bool {
+	lines := strings.SplitAfter(string(p.stream.LastEvent()), "\n")
+	return slices.Contains(lines, closingLine)
+}
+
 // passHeader returns the header without the fields that belong to the connection with the target or to a resume
 // (Content-Range), and without Date, which the entry's HTTP server sets.
 func passHeader(h http.Header) http.Header {
--- a/pkg/ingress/quarantined.go
+++ b/pkg/ingress/quarantined.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/quarantine"
@@ -29,7 +30,7 @@
 			return nil, nil, refusal
 		}
 		if d.permitted(q, permit) {
-			q.start = d.guard.Start(q.promptRequest())
+			q.start = d.startOf(q)
 			return assignment, permit, nil
 		}
 		// Targets have ended under the request while it waited for the assignment.
@@ -45,7 +46,7 @@
 	if permit != nil || !d.concerned(q) {
 		return permit, nil
 	}
-	permit, refused := d.guard.Enter(ctx, q.quarantineRequest())
+	permit, refused := d.guard.Enter(ctx, d.suspects(q))
 	if refused != nil {
 		what := "quarantined, as targets have ended under it"
 		if refused.Part != nil {
@@ -60,7 +61,24 @@
 // permitted reports whether a request may still run with the permit that was taken for it, nil if it needed none:
 // targets may have ended under it since.
 func (d *delivery) permitted(q *request, permit *quarantine.Permit) bool {
-	return !d.concerned(q) || d.guard.Allows(q.quarantineRequest(), permit)
+	return !d.concerned(q) || d.guard.Allows(d.suspects(q), permit)
+}
+
+// suspects returns the request as the quarantine identifies it, without a digest if nothing is recorded against requests of
+// its account: that takes time.
+func (d *delivery) suspects(q *request) quarantine.Request {
+	if d.guard.HasRecord(q.accountName()) {
+		return q.quarantineRequest()
+	}
+	return q.promptRequest()
+}
+
+// startOf returns what is known against the parts of a request that is sent now.
+func (d *delivery) startOf(q *request) quarantine.Start {
+	if len(q.PromptParts) < 2 || !d.guard.HasParts() {
+		return quarantine.Start{}
+	}
+	return d.guard.Start(q.promptRequest())
 }
 
 // concerned reports whether anything may be known against a request.
@@ -84,7 +102,7 @@
 	return q
 }
 
-// promptRequest is quarantineRequest without the digest, which takes time.
+// promptRequest is quarantineRequest without the digest.
 func (r *request) promptRequest() quarantine.Request {
 	return quarantine.Request{Account: r.accountName(), Route: ids.Route(r.route.Name), Service: r.service, Parts: r.sharedParts()}
 }
@@ -119,9 +137,14 @@
 // survivalTime is for how long events must have come for the target to have survived the beginning of an answer.
 const survivalTime = 250 * clock.Millisecond
 
-// recordSurvival tells the quarantine once events of the answer have come for survivalTime.
-func (d *delivery) recordSurvival(q *request, now clock.Millis) {
-	if !q.survived && now-q.beganAt >= survivalTime {
+// recordProgress records an event of the present target, and tells the quarantine once events have come for survivalTime.
+// Comments say nothing: a target may send them before it begins to answer.
+func (d *delivery) recordProgress(q *request, e eventstream.Event, now clock.Millis) {
+	switch {
+	case !e.HasFields || q.survived:
+	case q.beganAt == 0:
+		q.beganAt = now
+	case now-q.beganAt >= survivalTime:
 		q.survived = true
 		d.survived(q)
 	}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -176,7 +176,6 @@
 		}
 		last = now
 		if flow.Events == 0 {
-			q.beganAt = now
 			d.settleOrigin(q, assignment.Target(), a)
 			q.addToTrail(d.Clock.Now(), "first event from", assignment.Target().ID)
 			assignment.Began(load(a))
@@ -194,7 +193,7 @@
 			q.sent++
 			return completed{success: true}
 		}
-		d.recordSurvival(q, now)
+		d.recordProgress(q, e, now)
 		w.restartTimer()
 	}
 }
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -46,7 +46,7 @@
 	endedTargets []ids.Target
 
 	placedAt     clock.Millis // when it was last sent to a target
-	beganAt      clock.Millis // when that target sent its first event; 0 before
+	beganAt      clock.Millis // when that target sent its first event that is no comment; 0 before
 	survived     bool         // that target has sent events for survivalTime
 	start        quarantine.Start
 	firstAt      clock.Millis // when its answer, or the first event, arrived; 0 before
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -194,7 +194,7 @@
 	defer close(opened)
 	go s.followOwner(assignment, opened, end)
 	go s.probeFirst(assignment.Target(), opened)
-	t := &takeover{assignment: assignment, sentAt: d.Clock.Now(), start: d.guard.Start(s.q.promptRequest()), ctx: ctx, endExchange: end}
+	t := &takeover{assignment: assignment, sentAt: d.Clock.Now(), start: d.startOf(s.q), ctx: ctx, endExchange: end}
 	var result attempt
 	if t.answer, result = d.send(ctx, s.q, assignment); t.answer != nil {
 		result = s.read(t)
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -16,7 +16,7 @@
 
 // Request is a request that is about to run.
 type Request struct {
-	Digest  Digest
+	Digest  Digest // may be left out while HasRecord reports that there is no record of the account
 	Account ids.Account
 	Route   ids.Route
 	Service ids.Service
@@ -100,9 +100,12 @@
 // Concerns reports whether anything is recorded against a request of an account, or against any part if its prompt has
 // parts. Otherwise it runs without a permit.
 func (g *Guard) Concerns(account ids.Account, hasParts bool) bool {
-	return g.register.HasRecord(account) || hasParts && g.register.HasParts()
+	return g.register.HasRecord(account) || hasParts && g.HasParts()
 }
 
+// HasParts reports whether anything is recorded against any part.
+func (g *Guard) HasParts() bool { return g.register.HasParts() }
+
 // Start returns what is known against the parts of a request that is sent to a target now.
 func (g *Guard) Start(r Request) Start { return g.register.Start(r) }
 
