--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -140,6 +140,9 @@
 			t.Errorf("bystander %d: %v", m, v)
 		}
 	}
+	if got := len(r.HeldIncarnations()); got != 3 {
+		t.Errorf("%d ended incarnations are left out of account for versions, want 3", got)
+	}
 	if suspected, _ := r.AccountSuspicion(2, prompt(99)); suspected {
 		t.Error("the account is suspected")
 	}
