--- a/pkg/agent/answer_end_test.go
+++ b/pkg/agent/answer_end_test.go
@@ -17,8 +17,7 @@
 	"quaydock/pkg/network"
 )
 
-// TestAnswerThatEndsEarlyIsNotVouchedFor guards against an end marker behind an answer of which a part is missing: the
-// entry takes that answer for complete.
+// TestAnswerThatEndsEarlyIsNotVouchedFor guards against an end marker behind an answer that lacks a part.
 func TestAnswerThatEndsEarlyIsNotVouchedFor(t *testing.T) {
 	const (
 		unframed = ""
--- a/pkg/app/fatal_part_test.go
+++ b/pkg/app/fatal_part_test.go
@@ -78,8 +78,7 @@
 // partBegins has targets end after the first event of an answer.
 func (b *partBed) partBegins() { b.began = true }
 
-// TestRequestsWithAFatalPartEndFewTargets guards against requests, no two alike, that end target after target by one part of
-// their prompts, and against a guard that refuses the sound requests of their callers for it.
+// TestRequestsWithAFatalPartEndFewTargets also guards against refusing sound requests of their callers.
 func TestRequestsWithAFatalPartEndFewTargets(t *testing.T) {
 	for _, p := range fatalPlays {
 		t.Run(p.name, func(t *testing.T) {
--- a/pkg/app/skew_test.go
+++ b/pkg/app/skew_test.go
@@ -17,8 +17,7 @@
 // skewFraction is the fraction of the new connections that one entry gets.
 const skewFraction = 0.9
 
-// TestMostNewConnectionsAtOneEntryAreServed guards against shares by entry that follow the former load: for some seconds
-// most new connections go to one entry, then to another, while callers open more of them.
+// TestMostNewConnectionsAtOneEntryAreServed guards against shares by entry that follow the former load.
 func TestMostNewConnectionsAtOneEntryAreServed(t *testing.T) {
 	const (
 		usual  = 4 * time.Second // before the skew
--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -17,8 +17,7 @@
 	"quaydock/pkg/routing"
 )
 
-// TestAnswerClosedByEndOfProcessIsNotWhole guards against an answer that nothing but the end of its connection ends, and
-// that looks whole although the target's process has ended, or has not read the request.
+// TestAnswerClosedByEndOfProcessIsNotWhole covers answers that nothing but their connection ends.
 func TestAnswerClosedByEndOfProcessIsNotWhole(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: r1\r\n"
 	listed := &routing.Target{ID: "t", Service: "s", Address: at}
--- a/pkg/ingress/abort_test.go
+++ b/pkg/ingress/abort_test.go
@@ -16,8 +16,7 @@
 	"quaydock/pkg/network"
 )
 
-// TestBrokenOffAnswerLooksCompleteToNoCaller guards against callers to whom an answer that is broken off looks complete:
-// for some nothing but the connection's end marks the end of an answer.
+// TestBrokenOffAnswerLooksCompleteToNoCaller covers callers who only see their connection end.
 func TestBrokenOffAnswerLooksCompleteToNoCaller(t *testing.T) {
 	cases := []struct {
 		name, request string
--- a/pkg/ingress/answer_end_test.go
+++ b/pkg/ingress/answer_end_test.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// TestAnswerThatEndsEarlyDoesNotLookComplete guards against streams that end inside an event, or before the first one,
-// and reach their callers as complete.
+// TestAnswerThatEndsEarlyDoesNotLookComplete covers streams that end inside an event or before one.
 func TestAnswerThatEndsEarlyDoesNotLookComplete(t *testing.T) {
 	cuts := []struct {
 		name  string
@@ -110,8 +109,7 @@
 	}
 }
 
-// TestWholeAnswerStaysWholeUnderEachFraming guards against whole answers that are broken off because nothing but the end
-// of the connection, or a comment, follows their last event.
+// TestWholeAnswerStaysWholeUnderEachFraming guards against whole answers that are broken off.
 func TestWholeAnswerStaysWholeUnderEachFraming(t *testing.T) {
 	whole := strings.Join(events(10), "")
 	bodies := []struct{ name, path, body string }{
@@ -181,8 +179,7 @@
 	}
 }
 
-// TestAnswerThatProcessEndClosesDoesNotLookComplete guards against answers without a length that the end of their
-// target's process closes between two events, or in the middle of a body.
+// TestAnswerThatProcessEndClosesDoesNotLookComplete covers ends between two events and in a body.
 func TestAnswerThatProcessEndClosesDoesNotLookComplete(t *testing.T) {
 	part := strings.Join(events(4), "")
 	bodies := []struct {
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -25,8 +25,7 @@
 	}
 }
 
-// TestPartIsHeldAfterEndsInARowOnly guards against parts that are quarantined because many targets end at the same time,
-// and against a fatal part that is not.
+// TestPartIsHeldAfterEndsInARowOnly guards against innocent parts that are held, and fatal ones that are not.
 func TestPartIsHeldAfterEndsInARowOnly(t *testing.T) {
 	cases := []struct {
 		name string
@@ -104,8 +103,7 @@
 	}
 }
 
-// TestPartAtAnotherServiceIsHeldOnFirstEnd guards against a fatal part that ends as many targets at each service, and
-// against a service that is refused the part for the ends at another.
+// TestPartAtAnotherServiceIsHeldOnFirstEnd guards against a part that ends as many targets at each service.
 func TestPartAtAnotherServiceIsHeldOnFirstEnd(t *testing.T) {
 	r := NewRegister()
 	q, other := prompt(1, 7), prompt(2, 7)
@@ -122,8 +120,7 @@
 	}
 }
 
-// TestEndsUnderFatalPartCountAgainstNoRequest guards against bystanders, and their account, that are taken for guilty of
-// the ends that a part explains.
+// TestEndsUnderFatalPartCountAgainstNoRequest guards against bystanders that are taken for guilty.
 func TestEndsUnderFatalPartCountAgainstNoRequest(t *testing.T) {
 	r := NewRegister()
 	r.StoreRead(0)
@@ -172,8 +169,7 @@
 	}
 }
 
-// TestAllEntriesHoldAFatalPart guards against entries that go on sending a part that others know to be fatal: each sees a
-// third of the ends.
+// TestAllEntriesHoldAFatalPart guards against entries that know only the ends that they have seen.
 func TestAllEntriesHoldAFatalPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newGuardCluster(t, 3)
