Leave the retrial of an innocent part to requests without the fatal one

A part that only requests with the fatal one had had yet, as a new system prompt, was quarantined with it, as it stood under the same ends. Requests with the fatal part then took its two retrials, after 5 s and 10 min, and ended two targets more; sound requests that came with the system prompt later were refused for good.

TestFatalRequestsLeaveTheRetrialOfAnInnocentPartToSoundOnes failed before (the fatal request got the retrial).

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -131,13 +132,12 @@
 
 // Permit permits one run.
 type Permit struct {
-	guard  *Guard
-	digest Digest        // of the request, or of the part of which it is a retrial
-	run    *exclusiveRun // nil once released; that of a retrial need not have been granted
+	guard *Guard
+	run   *exclusiveRun // nil once released; that of a retrial need not have been granted
 	// Again says that a target end under the request is already known.
 	Again bool
-	// retrial says that it is one of the few permitted runs of a quarantined request.
-	retrial bool
+	// retrials are the digests of which it is one of the few permitted runs: the request, or parts of it, if quarantined.
+	retrials []Digest
 }
 
 // Release releases the exclusive run for the next try. It is called after the run has ended and its result has been
@@ -146,8 +146,8 @@
 	if p == nil || p.run == nil {
 		return
 	}
-	if p.retrial && !ran {
-		p.guard.register.ReturnRetrial(p.digest)
+	if !ran {
+		p.guard.returnRetrials(p.retrials)
 	}
 	p.guard.runs.release(p.run)
 	p.run = nil
@@ -173,7 +173,7 @@
 	case s.none():
 		return true
 	case s.verdict == Held:
-		return p != nil && p.retrial && p.digest == s.held
+		return p != nil && !slices.ContainsFunc(s.held, func(d Digest) bool { return !slices.Contains(p.retrials, d) })
 	default:
 		return p != nil
 	}
@@ -192,8 +192,8 @@
 // suspicion is what is currently recorded against a request.
 type suspicion struct {
 	verdict Verdict
-	// held is the digest that is quarantined if the verdict is Held: that of the request, or of one of its parts.
-	held Digest
+	// held are the digests that are quarantined if the verdict is Held: those of parts, and of the request.
+	held []Digest
 	// accountRun says that the request runs exclusively for its account, and wait how long it must wait at least.
 	accountRun bool
 	wait       clock.Millis
@@ -205,17 +205,44 @@
 // suspicion returns what is recorded against a request now, which counts as the time at which it last came.
 func (g *Guard) suspicion(r Request) suspicion {
 	now := g.Clock.Now()
-	s := suspicion{verdict: g.register.Verdict(now, r.Digest), held: r.Digest}
+	s := suspicion{verdict: g.register.Verdict(now, r.Digest), held: g.register.HeldParts(now, r)}
 	s.accountRun, s.wait = g.register.AccountSuspicion(now, r)
-	if part, held := g.register.HeldPart(now, r); held && s.verdict != Held {
-		s.verdict, s.held = Held, part
+	if s.verdict == Held {
+		s.held = append(s.held, r.Digest)
+	}
+	if len(s.held) > 0 {
+		s.verdict = Held
 	}
 	return s
 }
 
-// waits reports whether a quarantined request waits, as its part is quarantined so freshly that this may end at once.
+// waits reports whether a quarantined request waits, as its parts are quarantined so freshly that this may end at once.
 func (g *Guard) waits(now clock.Millis, r Request, s suspicion) bool {
-	return s.held != r.Digest && g.register.HeldFor(now, s.held) < freshHold
+	return !slices.ContainsFunc(s.held, func(d Digest) bool { return d == r.Digest || g.register.HeldFor(now, d) >= freshHold })
+}
+
+// retrialDue reports whether a quarantined request may be a retrial of all for which it is quarantined.
+func (g *Guard) retrialDue(now clock.Millis, s suspicion) bool {
+	now -= severalHeldDelay * clock.Millis(len(s.held)-1)
+	return !slices.ContainsFunc(s.held, func(d Digest) bool { return !g.register.RetrialDue(now, d) })
+}
+
+// permitRetrials is permitRetrial for all for which a request is quarantined.
+func (g *Guard) permitRetrials(ctx context.Context, held []Digest) bool {
+	for i, d := range held {
+		if !g.permitRetrial(ctx, d) {
+			g.returnRetrials(held[:i])
+			return false
+		}
+	}
+	return true
+}
+
+// returnRetrials records that permitted retrials did not take place.
+func (g *Guard) returnRetrials(held []Digest) {
+	for _, d := range held {
+		g.register.ReturnRetrial(d)
+	}
 }
 
 // await waits until a request may run that is suspected or quarantined, or whose account is suspected. Its results are
@@ -229,11 +256,11 @@
 		switch {
 		case s.none():
 			return nil, nil
-		case s.verdict == Held && !g.register.RetrialDue(now, s.held):
+		case s.verdict == Held && !g.retrialDue(now, s):
 			if g.waits(now, r, s) && ctx.Err() == nil {
 				continue
 			}
-			return nil, g.refusedHeld(now, s.held)
+			return nil, g.refusedHeld(now, s.held[0])
 		case s.wait > 0:
 			return nil, &Refused{RetryAfter: s.wait}
 		}
@@ -241,12 +268,12 @@
 		// A suspected request also waits until settleTime has passed since the last target end under it. A quarantined
 		// one needs a retrial, and an exclusive run only if its account is suspected; all others need an exclusive run.
 		if g.settled(now, r, s) && (s.verdict == Held && !s.accountRun || g.runs.acquire(ctx, run)) {
-			if s.verdict == Held && !g.permitRetrial(ctx, s.held) {
-				return nil, g.refusedHeld(now, s.held)
+			if !g.permitRetrials(ctx, s.held) {
+				return nil, g.refusedHeld(now, s.held[0])
 			}
 			taken := run
 			run = nil
-			return &Permit{guard: g, digest: s.held, run: taken, Again: s.verdict != Free, retrial: s.verdict == Held}, nil
+			return &Permit{guard: g, run: taken, Again: s.verdict != Free, retrials: s.held}, nil
 		}
 		if ctx.Err() != nil || now >= until {
 			return nil, &Refused{RetryAfter: runRetryAfter}
--- a/pkg/quarantine/parts.go
+++ b/pkg/quarantine/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
@@ -66,24 +67,25 @@
 // parts returns the parts that are considered.
 func (q Request) parts() []ids.PromptPart { return q.Parts[:min(len(q.Parts), maxParts)] }
 
-// HeldPart returns the digest of a part of a request that is quarantined, false if there is none.
-func (r *Register) HeldPart(now clock.Millis, q Request) (Digest, bool) {
+// HeldParts returns the digests of the parts of a request that are quarantined.
+func (r *Register) HeldParts(now clock.Millis, q Request) []Digest {
 	if !r.HasParts() || len(q.Parts) == 0 {
-		return Digest{}, false
+		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.parts.held == 0 {
-		return Digest{}, false
+		return nil
 	}
+	var held []Digest
 	for _, part := range q.parts() {
 		d := IdentifyPart(q.Service, part)
-		if e := r.records[d]; e != nil && e.heldAt > 0 {
+		if e := r.records[d]; e != nil && e.heldAt > 0 && !slices.Contains(held, d) {
 			e.lastSeen = now
-			return d, true
+			held = append(held, d)
 		}
 	}
-	return Digest{}, false
+	return held
 }
 
 // HeldFor returns for how long this entry knows a request or part to be quarantined, 0 if it is not.
--- a/pkg/quarantine/parts_test.go
+++ b/pkg/quarantine/parts_test.go
@@ -25,6 +25,9 @@
 	}
 }
 
+// isHeld reports whether a part of a request is quarantined.
+func isHeld(r *Register, q Request) bool { return len(r.HeldParts(3, q)) > 0 }
+
 // TestPartIsHeldAfterEndsInARowOnly guards against innocent parts that are held, and fatal ones that are not.
 func TestPartIsHeldAfterEndsInARowOnly(t *testing.T) {
 	cases := []struct {
@@ -93,10 +96,10 @@
 			r := NewRegister()
 			q := prompt(1, 7)
 			c.play(r, q)
-			if _, held := r.HeldPart(3, prompt(2, 5, 7)); held != c.held {
+			if held := isHeld(r, prompt(2, 5, 7)); held != c.held {
 				t.Errorf("held: %t, want %t", held, c.held)
 			}
-			if _, held := r.HeldPart(3, prompt(2, 5)); held {
+			if isHeld(r, prompt(2, 5)) {
 				t.Error("a request without the part is held")
 			}
 		})
@@ -111,11 +114,11 @@
 	for n := range 3 {
 		endPart(r, 1, n, q, r.Start(q))
 	}
-	if _, held := r.HeldPart(2, other); held {
+	if isHeld(r, other) {
 		t.Error("held at a service where no target has ended")
 	}
 	endPart(r, 3, 9, other, r.Start(other))
-	if _, held := r.HeldPart(4, other); !held {
+	if !isHeld(r, other) {
 		t.Error("not held at the second service after an end there")
 	}
 }
@@ -164,7 +167,7 @@
 		t.Errorf("%d records", r.parts.records)
 	}
 	endPart(r, 3, 5, q, r.Start(q))
-	if _, held := r.HeldPart(4, q); !held {
+	if !isHeld(r, q) {
 		t.Error("the part was forgotten")
 	}
 }
@@ -252,3 +255,52 @@
 		t.Errorf("got %+v, want %+v", got, record)
 	}
 }
+
+// TestFatalRequestsLeaveTheRetrialOfAnInnocentPartToSoundOnes guards against a system prompt that only fatal requests had yet.
+func TestFatalRequestsLeaveTheRetrialOfAnInnocentPartToSoundOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newGuardCluster(t, 3)
+		g, fatal, sound := b.guards[0], prompt(1, 5, 7), prompt(2, 5, 6)
+		for n := range 3 {
+			g.RecordTargetEnd(Run{Request: fatal, Incarnation: incarnation(n), Start: g.Start(fatal)})
+		}
+		time.Sleep(firstRetrialDelay.Duration() + time.Second)
+		if _, refused := g.Enter(t.Context(), fatal); refused == nil {
+			t.Error("a request with the fatal part got the retrial")
+		}
+		permit, _ := g.Enter(t.Context(), sound)
+		if permit == nil || !g.Allows(sound, permit) {
+			t.Fatal("a sound request got no retrial")
+		}
+		g.Survived(sound, g.Start(sound))
+		permit.Release(true)
+		if g.Allows(prompt(3, 5, 7), nil) || !g.Allows(prompt(4, 5, 6), nil) {
+			t.Error("the fatal part is free, or the other one still held")
+		}
+	})
+}
+
+// TestRetrialOfSeveralPartsComesLater guards against parts that always come together and are held for good.
+func TestRetrialOfSeveralPartsComesLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newGuardCluster(t, 3)
+		g, q := b.guards[0], prompt(1, 5, 7)
+		for n := range 3 {
+			g.RecordTargetEnd(Run{Request: q, Incarnation: incarnation(n), Start: g.Start(q)})
+		}
+		time.Sleep((firstRetrialDelay + severalHeldDelay).Duration() + time.Second)
+		permit, _ := g.Enter(t.Context(), q)
+		if permit == nil || !g.Allows(q, permit) {
+			t.Fatal("no retrial")
+		}
+		permit.Release(false) // it was not sent
+		if permit, _ = g.Enter(t.Context(), q); permit == nil {
+			t.Fatal("the retrial that was not used is lost")
+		}
+		g.Survived(q, g.Start(q))
+		permit.Release(true)
+		if !g.Allows(prompt(2, 5, 7), nil) {
+			t.Error("the parts are still held")
+		}
+	})
+}
--- a/pkg/quarantine/register_retrials.go
+++ b/pkg/quarantine/register_retrials.go
@@ -9,6 +9,12 @@
 	firstRetrialDelay = 5 * clock.Second
 	nextRetrialDelay  = 10 * clock.Minute
 	maxRetrials       = 2
+	// nextPartRetrialDelay is nextRetrialDelay for a part: an innocent one that is quarantined stops many requests.
+	nextPartRetrialDelay = 30 * clock.Second
+	// severalHeldDelay is how much later a request may be the retrial of a part for each further part of it that is
+	// quarantined. A fatal part may take along those that no other request had, and of the requests with these the ones
+	// without the fatal part are to come first.
+	severalHeldDelay = 30 * clock.Second
 )
 
 // RetrialDue reports whether one more run of a quarantined request is due, or an earlier permitted one was not used.
@@ -64,11 +70,20 @@
 	if e.heldAt == 0 || !e.writtenAt.Known() || e.writingRetrial || e.Retrials >= maxRetrials {
 		return false
 	}
-	wait := firstRetrialDelay
-	if e.Retrials > 0 {
-		wait = nextRetrialDelay
+	return now-e.heldAt >= e.retrialDelay()
+}
+
+// retrialDelay returns when the next retrial is due, counted from the moment at which this entry learned of the
+// quarantine.
+func (r *Record) retrialDelay() clock.Millis {
+	switch {
+	case r.Retrials == 0:
+		return firstRetrialDelay
+	case r.isPart():
+		return nextPartRetrialDelay
+	default:
+		return nextRetrialDelay
 	}
-	return now-e.heldAt >= wait
 }
 
 // RetrialWritten records the outcome of a write that BeginRetrial returned.
@@ -105,6 +120,6 @@
 	case e.Retrials == 0:
 		return max(clock.Second, e.heldAt+firstRetrialDelay-now)
 	default:
-		return nextRetrialDelay
+		return e.retrialDelay()
 	}
 }
