Use the passing slowness that targets report, and learn the time of calls by fill

Cause: a load report with a fourth figure, of how long work takes at the target now, was dropped whole; factor averaged over passing slowness and so learned neither it nor the lasting speed. The cost of a call without a prompt did not depend on how many ran beside it, so the target with the least factor was filled to its last slot.

Change: three or four fields are read, a malformed report is counted. pkg/slowdown keeps each target's newest figure, which decays with a time constant learned from how long reports persist. The planner's estimates use factor times slowdown, observations are divided by it first. A new message kind carries the figure beside the progress. Calls have a mean time by level of fill. Switches: target-slowdown, call-times.

--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -56,6 +56,10 @@
 	Resumption // resumption
 	// Retries: a request whose exchange failed is sent again.
 	Retries // retries
+	// TargetSlowdown: the passing slowness that targets report takes part in placing.
+	TargetSlowdown // target-slowdown
+	// CallTimes: the time of a call without a prompt is learned by how full its target is.
+	CallTimes // call-times
 	// count is the number of mechanisms.
 	count
 )
--- a/pkg/dispatch/assignment.go
+++ b/pkg/dispatch/assignment.go
@@ -44,6 +44,9 @@
 	a.dispatcher.mu.Lock()
 	a.begun = true
 	a.dispatcher.mu.Unlock()
+	if a.local != nil {
+		a.local.Began(load)
+	}
 	a.dispatcher.trials.countReached(a)
 	a.dispatcher.sendProgress(progressMessage{Number: a.number, Service: a.request.Service, Progress: begun, Load: load})
 }
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -90,6 +90,7 @@
 	link.Handle(packets.KindJobSubmit, packets.Receive(link, d.owner.receiveSubmit))
 	link.Handle(packets.KindVersionSubmit, packets.Receive(link, d.owner.receiveVersionSubmit))
 	link.Handle(packets.KindJobProgress, packets.Receive(link, d.owner.receiveProgress))
+	link.Handle(packets.KindSlowdownProgress, packets.Receive(link, d.owner.receiveSlowdownProgress))
 	link.Handle(packets.KindJobSync, packets.Receive(link, d.owner.receiveSync))
 	link.Handle(packets.KindTargetEnd, packets.Receive(link, d.owner.receiveTargetEnd))
 	link.Handle(packets.KindAdvice, packets.Receive(link, d.owner.receiveAdvice))
@@ -130,6 +131,10 @@
 
 // sendProgress reports the progress of a request to the owner of its service. The message may be lost.
 func (d *Dispatcher) sendProgress(s progressMessage) {
+	if s.Load != nil && s.Load.Slowdown > 0 {
+		sendToOwner(d, s.Service, packets.KindSlowdownProgress, d.owner.receiveSlowdownProgress, newSlowdownProgress(&s))
+		return
+	}
 	sendToOwner(d, s.Service, packets.KindJobProgress, d.owner.receiveProgress, &s)
 }
 
--- a/pkg/dispatch/messages.go
+++ b/pkg/dispatch/messages.go
@@ -6,12 +6,14 @@
 package dispatch
 
 import (
+	"math"
 	"net/netip"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/ratelimit"
+	"quaydock/pkg/slowdown"
 )
 
 // submitMessage submits a request for an assignment. It is sent again until there is a final
@@ -98,6 +100,34 @@
 	Load     *planner.Load       // set with begun, if the target reported it
 }
 
+// slowdownProgressMessage reports that a target has begun to answer, and with it how long work takes there now. Owners of
+// earlier builds ignore it, and learn from the next list of running requests that the target has begun.
+type slowdownProgressMessage struct {
+	_        struct{} `cbor:",toarray"`
+	Progress progressMessage
+	// Percent is how long work takes, 100 as usual.
+	Percent int
+}
+
+// newSlowdownProgress returns the message for progress whose load tells the target's slowness.
+func newSlowdownProgress(s *progressMessage) *slowdownProgressMessage {
+	return &slowdownProgressMessage{Progress: *s, Percent: int(math.Round(float64(s.Load.Slowdown) * percent))}
+}
+
+// progress returns the progress with the slowness in its load.
+func (m *slowdownProgressMessage) progress() *progressMessage {
+	s := m.Progress
+	if s.Load != nil {
+		load := *s.Load
+		load.Slowdown = slowdown.Factor(float64(m.Percent) / percent)
+		s.Load = &load
+	}
+	return &s
+}
+
+// percent converts a factor to the unit of slowdownProgressMessage.
+const percent = 100
+
 // syncMessage lists an entry's running requests on the targets of a service. It has those
 // whose number modulo Pages is Page, so that the owner can apply each page without the others.
 type syncMessage struct {
--- a/pkg/dispatch/owner_messages.go
+++ b/pkg/dispatch/owner_messages.go
@@ -130,6 +130,11 @@
 	})
 }
 
+// receiveSlowdownProgress passes progress on with the slowness that the target has reported.
+func (owner *Owner) receiveSlowdownProgress(from netip.AddrPort, s *slowdownProgressMessage) {
+	owner.receiveProgress(from, s.progress())
+}
+
 // receiveSync reconciles the planner with one page of the list of an entry's running requests: it restores those that
 // the planner lacks, and ends those of this page that are not listed.
 func (owner *Owner) receiveSync(from netip.AddrPort, s *syncMessage) {
--- a/pkg/dispatch/owner_summary.go
+++ b/pkg/dispatch/owner_summary.go
@@ -22,7 +22,7 @@
 	owner.Log.WithFields(logrus.Fields{
 		"service": string(service), "targets": s.Targets, "aside": s.Ejected, "slots": s.Slots, "running": s.Running,
 		"waiting": s.Waiting, "per_second": roundToTenth(s.PerSecond),
-		"limited": s.Limited, "limited_per_second": roundToTenth(s.LimitedPerSecond),
+		"slowed": s.Slowed, "limited": s.Limited, "limited_per_second": roundToTenth(s.LimitedPerSecond),
 		"first_ms": roundToTenth(s.FirstEventBase), "first_per_1000_tokens_ms": roundToTenth(s.FirstEventPerThousand),
 		"pause_ms": roundToTenth(s.IntervalBase), "pause_per_run_ms": roundToTenth(s.IntervalPerRun), "hold_ms": roundToTenth(s.PrefillStall), "factors": roundFactors(s.Factors),
 	}).Info("planning")
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -135,6 +135,9 @@
 			return e.failed(err)
 		}
 		metadata := e.pool.readMetadata(response.Header)
+		if metadata.LoadMalformed {
+			e.pool.Metrics.Links.Add("load_reports_malformed", 1)
+		}
 		if metadata.ID != "" && metadata.ID != e.request.ID {
 			if err := e.skip(response); err != nil {
 				return e.failed(err)
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -9,6 +9,7 @@
 	"quaydock/pkg/network"
 	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/slowdown"
 )
 
 // Request is the request that is sent to a target.
@@ -31,6 +32,8 @@
 	NotRun bool
 	// Load is the load that the target reported, if it did.
 	Load *Load
+	// LoadMalformed means that the target reported a load that could not be read.
+	LoadMalformed bool
 	// Leaving means that the target takes no new requests and will end.
 	Leaving bool
 	// Backoff is how long a target that rejects a request wants no other one from this entry; 0 if it does not
@@ -43,6 +46,8 @@
 // Load is a target's report of its own load.
 type Load struct {
 	Running, Waiting, Slots int // all in requests
+	// Slowdown is how many times as long as usual work takes there now; 0 if the target did not report it.
+	Slowdown slowdown.Factor
 }
 
 // Result is the result of one exchange with a target: NotSent, Withheld, Declined, *Answer or Broken.
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -117,7 +117,7 @@
 	if a.Load == nil {
 		return nil
 	}
-	return &planner.Load{Running: a.Load.Running, Waiting: a.Load.Waiting}
+	return &planner.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown}
 }
 
 // relayBody relays a body of which a part has been read. It returns nil if the body is complete.
--- a/pkg/packets/kinds.go
+++ b/pkg/packets/kinds.go
@@ -41,4 +41,6 @@
 	KindOriginQuery
 	KindOriginReply
 	KindPartEnds // entry to the others: parts of prompts under which targets have ended
+	// KindSlowdownProgress is KindJobProgress with the passing slowness that the target has reported.
+	KindSlowdownProgress
 )
--- /dev/null
+++ b/pkg/planner/call_times.go
@@ -0,0 +1,103 @@
+package planner
+
+import (
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+)
+
+// callTimes estimate how long calls without a prompt and without events take on a target of factor 1, by how full the
+// target is: some targets slow down when they are nearly full. Each level has its own mean, as the time may rise only at
+// the last levels.
+type callTimes [fillLevels]levelMean
+
+const (
+	// fillLevels is the number of levels of equal width.
+	fillLevels = 8
+	// levelDecay is the factor by which each observation reduces the weight of the earlier ones of its level.
+	levelDecay = 0.98
+	// levelPrior is the number of observations that the estimate of the level below counts for.
+	levelPrior = 4.0
+)
+
+// levelMean is the mean time of the calls of one level in ms, in which newer ones count more.
+type levelMean struct{ sum, n float64 }
+
+// fillLevel returns the level of a target that runs so many requests.
+func fillLevel(running, capacity int) int {
+	running = min(max(running, 1), capacity)
+	return (running*fillLevels+capacity-1)/capacity - 1
+}
+
+// add adds an observation.
+func (c *callTimes) add(level int, ms float64) {
+	m := &c[level]
+	m.sum = m.sum*levelDecay + ms
+	m.n = m.n*levelDecay + 1
+}
+
+// get returns the estimate for a level, and whether there are enough observations. It never falls with the level: a
+// level without many observations has about that of the levels below.
+func (c *callTimes) get(level int) (ms float64, known bool) {
+	n := 0.0
+	for i := range level + 1 {
+		m := &c[i]
+		if m.n == 0 {
+			continue
+		}
+		if n == 0 {
+			ms = m.sum / m.n
+		} else {
+			ms = max(ms, (m.sum+levelPrior*ms)/(m.n+levelPrior))
+		}
+		n += m.n
+	}
+	return ms, n >= minObservations
+}
+
+// isCall reports whether a job has neither a prompt nor events, so that its first event is its whole answer.
+func (j *Job) isCall() bool { return j.Prompt == 0 && j.Events == 0 }
+
+// firstEventTime estimates the time in ms to a job's first event at a target of factor 1 and capacity slots that has
+// pending prompt tokens to read first and runs so many requests, the job included.
+func (p *Planner) firstEventTime(job *Job, at occupancy) float64 {
+	if job.isCall() && at.pending == 0 && !p.off.Off(ablation.CallTimes) {
+		if ms, known := p.callTimes.get(fillLevel(at.running, at.capacity)); known {
+			return ms
+		}
+	}
+	return p.timings.firstEventTime(at.pending + job.Prompt)
+}
+
+// delayOfCalls estimates in ms by how much a call delays the others that run on a target, over all of them: what they
+// take longer, for the half of their time that is left on average.
+func (p *Planner) delayOfCalls(job *Job, at occupancy) float64 {
+	if !job.isCall() || at.running <= 1 {
+		return 0
+	}
+	const left = 0.5
+	fewer := at
+	fewer.running--
+	return left * float64(fewer.running) * max(0, p.firstEventTime(job, at)-p.firstEventTime(job, fewer))
+}
+
+// learnFirstEvent learns from the time to a run's first event.
+func (p *Planner) learnFirstEvent(now clock.Millis, r *run) {
+	took := float64(now-r.grantedAt) / p.meanSlowdownToFirstEvent(now, r)
+	t := r.target
+	if !r.isCall() || r.promptAhead > 0 || p.off.Off(ablation.CallTimes) {
+		p.timings.learnFirstEvent(&t.factor, r.promptAhead, took)
+		return
+	}
+	level := fillLevel((r.concurrency+len(t.runs)+1)/2, t.capacity())
+	if expected, known := p.callTimes.get(level); known {
+		t.factor.learn(took/max(1, expected), 1)
+	}
+	p.callTimes.add(level, took/t.factor.get())
+	p.timings.firstEvent.add(0, took/t.factor.get())
+}
+
+// meanSlowdownToFirstEvent returns the mean of the slowdowns at the grant of a run and now, at its first event.
+func (p *Planner) meanSlowdownToFirstEvent(now clock.Millis, r *run) float64 {
+	const two = 2
+	return (r.slowdownAtGrant + float64(r.target.slowdown.Forecast(now, &p.persistence).Now())) / two
+}
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -11,6 +11,7 @@
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/slowdown"
 )
 
 // JobID identifies a request: the address of the entry that holds it, and that entry's number for it.
@@ -130,6 +131,9 @@
 type Load struct {
 	_                struct{} `cbor:",toarray"`
 	Running, Waiting int
+	// Slowdown is how many times as long as usual work takes there now; 0 if unknown. It is sent beside the load, since
+	// entries of earlier builds read loads without it.
+	Slowdown slowdown.Factor `cbor:"-"`
 }
 
 // Outcome is the result of a request at a target.
--- a/pkg/planner/limit.go
+++ b/pkg/planner/limit.go
@@ -111,11 +111,16 @@
 	}
 }
 
-// expectedReleases returns how many jobs per second all slots can complete, less the slots of rate-limited targets
-// that the limit leaves unused.
-func (p *Planner) expectedReleases() float64 {
+// expectedReleases returns how many jobs per second all slots can complete, less what targets that are slowed now complete
+// fewer, and the slots of rate-limited targets that the limit leaves unused.
+func (p *Planner) expectedReleases(now clock.Millis) float64 {
 	perSlot := float64(clock.Second) / p.runTime.get()
 	sum := float64(p.slots) * perSlot
+	for _, t := range p.eligible {
+		if c := t.slowdown.Forecast(now, &p.persistence); c.Slowed() {
+			sum -= float64(t.capacity()) * perSlot * (1 - 1/float64(c.Now()))
+		}
+	}
 	for _, t := range p.rateLimited {
 		unlimited := float64(t.capacity()) * perSlot
 		sum -= max(0, unlimited-p.maxRate(t))
--- /dev/null
+++ b/pkg/planner/pace.go
@@ -0,0 +1,47 @@
+package planner
+
+import (
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/slowdown"
+)
+
+// pace is how fast a target works from a moment on, relative to one of factor 1 that reports no slowdown.
+type pace struct {
+	factor   float64 // of the target, which lasts
+	slowdown slowdown.Forecast
+}
+
+// normalPace is that of a target of which nothing is known.
+var normalPace = pace{factor: 1}
+
+// now returns by how much the target is slower at the moment.
+func (c pace) now() float64 { return c.factor * float64(c.slowdown.Now()) }
+
+// take returns for how many ms the target works on what takes a target of normalPace so many ms.
+func (c pace) take(ms float64) float64 {
+	work := c.factor * ms
+	return work * float64(c.slowdown.Over(work))
+}
+
+// pace returns the pace of a target from now on.
+func (p *Planner) pace(now clock.Millis, t *target) pace {
+	return pace{factor: t.factor.get(), slowdown: t.slowdown.Forecast(now, &p.persistence)}
+}
+
+// recordSlowdown records how long work takes at a target now, if the target has reported it.
+func (p *Planner) recordSlowdown(now clock.Millis, t *target, reported slowdown.Factor) {
+	if !p.off.Off(ablation.TargetSlowdown) {
+		t.slowdown.Report(now, reported, &p.persistence)
+	}
+}
+
+// slowdownTotal returns the time by which the target was expected to be slower than usual so far, for meanSlowdown.
+func (p *Planner) slowdownTotal(now clock.Millis, t *target) float64 {
+	return t.slowdown.Total(now, &p.persistence)
+}
+
+// meanSlowdown returns the mean slowdown of a target since a moment at which slowdownTotal was from.
+func (p *Planner) meanSlowdown(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
+	return float64(slowdown.Mean(from, p.slowdownTotal(now, t), now-since))
+}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -5,7 +5,6 @@
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
-	"quaydock/pkg/ids"
 )
 
 const (
@@ -67,7 +66,7 @@
 // grant assigns a job to a target and takes the tokens that hasFreeSlot found in its buckets. The caller removes the
 // job from the queue.
 func (p *Planner) grant(now clock.Millis, w *queuedJob, t *target) *run {
-	r := t.addRun(now, w.Job)
+	r := p.addRun(now, t, w.Job)
 	r.counted = t.limitBucket != nil
 	t.coldBucket.take()
 	t.limitBucket.take()
@@ -98,18 +97,18 @@
 type candidates struct {
 	available    []*target // targets that can take a job now
 	avoidFailing bool      // enough targets are healthy to do without the failing ones
-	// lowestFactor is that of the fastest target that is not ejected, busy or not; valid if known is set.
-	lowestFactor float64
-	known        bool // at least one target is not ejected
+	// fastest is the pace of the fastest target that is not ejected, busy or not; valid if known is set.
+	fastest pace
+	known   bool // at least one target is not ejected
 }
 
 // findCandidates examines all targets. Those ejected are left out while enough others are healthy.
 func (p *Planner) findCandidates(now clock.Millis) candidates {
-	c := candidates{avoidFailing: p.halfHealthy(now), lowestFactor: factorMax}
+	c := candidates{avoidFailing: p.halfHealthy(now), fastest: slowest}
 	for _, t := range p.eligible {
 		ejected := t.health.Ejected(now)
 		if !ejected {
-			c.lowestFactor = min(c.lowestFactor, t.factor.get())
+			c.fastest = p.faster(now, c.fastest, t)
 			c.known = true
 		}
 		if p.hasFreeSlot(now, t, c.avoidFailing) && (!c.avoidFailing || !ejected) {
@@ -122,12 +121,12 @@
 // cheapest returns the candidate target that serves a job at the lowest cost, or nil. If the job would be in time on
 // the fastest target when that is idle, only targets count on which it is in time and stalls no streams.
 func (p *Planner) cheapest(now clock.Millis, c *candidates, w *queuedJob) *target {
-	lowestFactor, known := p.lowestFactor(now, c, &w.Job)
-	inTimeOnly := known && !p.off.Off(ablation.InTime) && p.wouldBeInTime(now, w, lowestFactor, 0, 1)
+	fastest, known := p.fastest(now, c, &w.Job)
+	inTimeOnly := known && !p.off.Off(ablation.InTime) && p.wouldBeInTime(now, w, fastest, idle)
 	var best *target
 	var minCost float64
 	for _, t := range c.available {
-		if !t.mayGet(now, &w.Job) || p.heldForVersion(now, w, t) || !t.admits(now, w.ID.Entry) || inTimeOnly && (!p.wouldBeInTime(now, w, t.factor.get(), t.pendingPrompt, len(t.runs)+1) || p.stallsStreams(t, w)) {
+		if !t.mayGet(now, &w.Job) || p.heldForVersion(now, w, t) || !t.admits(now, w.ID.Entry) || inTimeOnly && (!p.wouldBeInTime(now, w, p.pace(now, t), t.occupancyWith()) || p.stallsStreams(now, t, w)) {
 			continue
 		}
 		// Random jitter spreads jobs over targets of equal cost.
@@ -139,19 +138,30 @@
 	return best
 }
 
-// lowestFactor returns that of the fastest target of a job's version that is not ejected, and whether there is one.
-func (p *Planner) lowestFactor(now clock.Millis, c *candidates, job *Job) (factor float64, known bool) {
+// slowest is a pace that no target falls below.
+var slowest = pace{factor: factorMax * factorMax}
+
+// faster returns the faster of a pace and that of a target.
+func (p *Planner) faster(now clock.Millis, c pace, t *target) pace {
+	if other := p.pace(now, t); other.now() < c.now() {
+		return other
+	}
+	return c
+}
+
+// fastest returns the pace of the fastest target of a job's version that is not ejected, and whether there is one.
+func (p *Planner) fastest(now clock.Millis, c *candidates, job *Job) (fastest pace, known bool) {
 	if job.Version == nil {
-		return c.lowestFactor, c.known
+		return c.fastest, c.known
 	}
-	factor = factorMax
+	fastest = slowest
 	for _, t := range p.eligible {
 		if job.FitsVersion(t.Target) && !t.health.Ejected(now) {
-			factor = min(factor, t.factor.get())
+			fastest = p.faster(now, fastest, t)
 			known = true
 		}
 	}
-	return factor, known
+	return fastest, known
 }
 
 // jitter is the largest fraction by which a cost is raised at random.
@@ -159,23 +169,23 @@
 
 // stallsStreams reports whether reading a job's prompt would probably delay the streams of a target for longer than
 // their allowed gap, for which the job's own stands here.
-func (p *Planner) stallsStreams(t *target, w *queuedJob) bool {
+func (p *Planner) stallsStreams(now clock.Millis, t *target, w *queuedJob) bool {
 	if w.MaxEventGap == 0 || len(t.runs) == 0 || p.off.Off(ablation.Disturbance) {
 		return false
 	}
-	gap := t.factor.get() * p.timings.longestGap(len(t.runs)+1, t.pendingPrompt+w.Prompt)
+	gap := p.pace(now, t).now() * p.timings.longestGap(len(t.runs)+1, t.pendingPrompt+w.Prompt)
 	return gap > gapFraction*float64(w.MaxEventGap)
 }
 
 // wouldBeInTime reports whether a job's first event would be in time, and its answer probably complete by its
-// deadline, on a target of factor f that has pendingPrompt tokens to read first and runs so many requests, the job
-// included.
-func (p *Planner) wouldBeInTime(now clock.Millis, w *queuedJob, f float64, pendingPrompt ids.Tokens, running int) bool {
-	first := f * p.timings.firstEventTime(pendingPrompt+w.Prompt)
+// deadline, on a target of a pace and with so much to do.
+func (p *Planner) wouldBeInTime(now clock.Millis, w *queuedJob, c pace, at occupancy) bool {
+	work := p.firstEventTime(&w.Job, at)
+	first := c.take(work)
 	if now+clock.Millis(first) > w.due() {
 		return false
 	}
-	remaining := float64(w.Events) * f * p.timings.eventInterval(running)
+	remaining := c.take(work+float64(w.Events)*p.timings.eventInterval(at.running)) - first
 	return now+clock.Millis(first+lengthMargin*remaining) <= w.Deadline
 }
 
@@ -195,15 +205,18 @@
 // to its end, and the delay of the answers that run there.
 func (p *Planner) cost(now clock.Millis, t *target, job *Job) float64 {
 	running := len(t.runs) + t.externalLoad.current(now)
-	f := t.factor.get()
-	first := f * p.timings.firstEventTime(t.pendingPrompt+job.Prompt)
-	interval := f * p.timings.eventInterval(running+1)
-	remaining := float64(job.Events) * interval
+	c := p.pace(now, t)
+	f := c.now()
+	at := t.occupancyWith()
+	at.running = running + 1
+	work := p.firstEventTime(job, at)
+	first := c.take(work)
+	remaining := c.take(work+float64(job.Events)*p.timings.eventInterval(running+1)) - first
 	prefill := f * p.timings.prefillTime(job.Prompt)
 	cost := first + completionWeight*remaining
 	weighPrefill := !p.off.Off(ablation.Disturbance)
 	if weighPrefill {
-		cost += prefillWeight * prefill * float64(running)
+		cost += prefillWeight*prefill*float64(running) + f*p.delayOfCalls(job, at)
 	}
 	if weighPrefill && job.MaxEventGap > 0 && f*p.timings.longestGap(running+1, t.pendingPrompt+job.Prompt) > gapFraction*float64(job.MaxEventGap) {
 		cost += lateCost * float64(running)
@@ -219,16 +232,16 @@
 
 // minFirstEventTime estimates the time to a job's first event on the fastest target of its version while that reads no
 // other prompt.
-func (p *Planner) minFirstEventTime(job *Job) clock.Millis {
-	minFactor, known := float64(factorMax), false
+func (p *Planner) minFirstEventTime(now clock.Millis, job *Job) clock.Millis {
+	fastest, known := slowest, false
 	for _, t := range p.eligible {
 		if job.FitsVersion(t.Target) {
-			minFactor = min(minFactor, t.factor.get())
+			fastest = p.faster(now, fastest, t)
 			known = true
 		}
 	}
 	if !known {
-		minFactor = 1
+		fastest = normalPace
 	}
-	return clock.Millis(minFactor * p.timings.firstEventTime(job.Prompt))
+	return clock.Millis(fastest.take(p.firstEventTime(job, idle)))
 }
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -6,6 +6,7 @@
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/slowdown"
 )
 
 // Planner assigns the jobs of one group of targets. It is not safe for concurrent use.
@@ -23,9 +24,11 @@
 	queue        queue
 	runs         map[JobID]*run
 	timings      timings
-	releases     rate         // slots that became free, without those of canary targets
-	runTime      decayingMean // ms from grant to end, of the same slots if their target took the request
-	fullSince    clock.Millis // time since which no eligible target could take a job; 0 if one could or no job waited
+	callTimes    callTimes
+	persistence  slowdown.Persistence // of the slowness that the targets report
+	releases     rate                 // slots that became free, without those of canary targets
+	runTime      decayingMean         // ms from grant to end, of the same slots if their target took the request
+	fullSince    clock.Millis         // time since which no eligible target could take a job; 0 if one could or no job waited
 	floor        floor
 	// versionFloors hold back lower tiers at the targets of one version each.
 	versionFloors map[ids.Version]*floor
@@ -61,7 +64,7 @@
 		return
 	}
 	w := &queuedJob{Job: job, committed: job.Retried, lastPoll: now, size: p.estimateSize(&job)}
-	w.latestStart = job.due() - p.minFirstEventTime(&job)
+	w.latestStart = job.due() - p.minFirstEventTime(now, &job)
 	p.queue.jobs = append(p.queue.jobs, w)
 	p.place(now)
 	if p.queue.find(job.ID) >= 0 && p.shouldRefuse(now, w, p.queue.countAhead(now, w)) {
@@ -103,7 +106,7 @@
 // Jobs that are past their deadline, or that no Submit has repeated for pollTimeout, are dropped without a decision.
 func (p *Planner) Tick(now clock.Millis) {
 	for _, t := range p.eligible {
-		if t.stuck(now, &p.timings) {
+		if p.stuck(now, t) {
 			if !p.off.Off(ablation.Ejection) {
 				t.health.EjectBriefly(now)
 				t.probing = true
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -21,6 +21,8 @@
 	FirstEventBase, FirstEventPerThousand, IntervalBase, IntervalPerRun float64
 	// PrefillStall is the longest delay that prompts being read cause to one event, in ms.
 	PrefillStall float64
+	// Slowed is the number of targets that are slowed now by their own reports.
+	Slowed int
 	// Factors holds by how much each target is slower than the others.
 	Factors map[ids.Target]float64
 }
@@ -40,6 +42,9 @@
 		if t.health.Ejected(now) {
 			s.Ejected++
 		}
+		if t.slowdown.Forecast(now, &p.persistence).Slowed() {
+			s.Slowed++
+		}
 		if t.limitBucket != nil {
 			s.Limited++
 			s.LimitedPerSecond += p.agreement.Rate(t.rateLimit.Rate)
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -5,6 +5,7 @@
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/slowdown"
 )
 
 // target is the planner's state of one incarnation of a target.
@@ -15,6 +16,7 @@
 	runs           map[JobID]*run
 	pendingPrompt  ids.Tokens // prompt tokens of runs without a first event
 	factor         factor
+	slowdown       slowdown.Estimate
 	health         Health
 	lastFirstEvent clock.Millis // time of the most recent first event
 	probing        bool         // was ejected and has served nothing since: gets one job at a time (see hasFreeSlot)
@@ -51,6 +53,9 @@
 	concurrency   int          // runs on the target when it was granted, itself included
 	// maxBacklog is the largest number of prompt tokens pending on the target since the run's first event.
 	maxBacklog ids.Tokens
+	// slowdownAtGrant is what the target's slowdown was believed to be when it was granted; totalAtGrant and
+	// totalAtFirstEvent are those of slowdownTotal.
+	slowdownAtGrant, totalAtGrant, totalAtFirstEvent float64
 }
 
 const (
@@ -75,6 +80,21 @@
 	return max(1, t.Slots)
 }
 
+// occupancy is what a target has to do when it gets a job.
+type occupancy struct {
+	pending  ids.Tokens // prompt tokens to be read before the job's prompt
+	running  int        // requests that run there, the job included
+	capacity int
+}
+
+// idle is the occupancy of a target that has nothing else to do.
+var idle = occupancy{running: 1, capacity: fillLevels}
+
+// occupancyWith returns the occupancy of a target that gets one more job.
+func (t *target) occupancyWith() occupancy {
+	return occupancy{pending: t.pendingPrompt, running: len(t.runs) + 1, capacity: t.capacity()}
+}
+
 // addRun records a job that is granted now as a run on the target. Until its first event its prompt delays the streams
 // that the target already runs.
 func (t *target) addRun(now clock.Millis, job Job) *run {
@@ -141,9 +161,10 @@
 
 // stuck reports whether a run has waited for its first event far longer than expected, and no run of the target has had
 // a first event since it was granted.
-func (t *target) stuck(now clock.Millis, s *timings) bool {
+func (p *Planner) stuck(now clock.Millis, t *target) bool {
 	for _, r := range t.runs {
-		expected := clock.Millis(t.factor.get() * s.firstEventTime(r.promptAhead))
+		usual := p.firstEventTime(&r.Job, occupancy{pending: r.promptAhead - r.Prompt, running: len(t.runs), capacity: t.capacity()})
+		expected := clock.Millis(max(t.factor.get()*r.slowdownAtGrant, p.pace(now, t).now()) * usual)
 		if !r.hasFirstEvent && t.lastFirstEvent < r.grantedAt && now-r.grantedAt > max(stuckMin, stuckRatio*expected) {
 			return true
 		}
--- a/pkg/planner/timings.go
+++ b/pkg/planner/timings.go
@@ -82,7 +82,7 @@
 	return s.eventInterval(running) + min(s.prefillStall.get(), s.prefillTime(tokens))
 }
 
-// learnPrefillStall learns from the longest gap of a stream on a target of factor f that ran so many requests, during
+// learnPrefillStall learns from the longest gap of a stream on a target slower by f that ran so many requests, during
 // which backlog prompt tokens were pending at once. A stream counts only if reading them took long enough to show the
 // whole stall.
 func (s *timings) learnPrefillStall(f float64, backlog ids.Tokens, running int, longest clock.Millis) {
@@ -162,15 +162,15 @@
 	f.value += factorGain * weight * (ratio - f.value)
 }
 
-// learnFirstEvent learns from the time to a first event, before which so many prompt tokens were read.
-func (s *timings) learnFirstEvent(f *factor, tokens ids.Tokens, took clock.Millis) {
+// learnFirstEvent learns from the time in ms to a first event, without the passing slowness of its target, before which so many prompt tokens were read.
+func (s *timings) learnFirstEvent(f *factor, tokens ids.Tokens, took float64) {
 	if s.firstEvent.n >= minObservations {
-		f.learn(float64(took)/max(1, s.firstEventTime(tokens)), 1)
+		f.learn(took/max(1, s.firstEventTime(tokens)), 1)
 	}
-	s.firstEvent.add(float64(tokens), float64(took)/f.get())
+	s.firstEvent.add(float64(tokens), took/f.get())
 }
 
-// learnInterval learns from the mean time in ms between the events of a stream on a target that ran so many requests.
+// learnInterval learns, without the passing slowness of the target, from the mean time in ms between the events of a stream on a target that ran so many requests.
 func (s *timings) learnInterval(f *factor, running int, took float64) {
 	if s.interval.n >= minObservations {
 		f.learn(took/max(0.1, s.eventInterval(running)), 1)
--- a/pkg/planner/wait.go
+++ b/pkg/planner/wait.go
@@ -60,7 +60,7 @@
 	if p.fullSince > 0 && now-p.fullSince >= fullWindow {
 		return max(minReleaseRate, measured)
 	}
-	return max(minReleaseRate, measured, p.expectedReleases())
+	return max(minReleaseRate, measured, p.expectedReleases(now))
 }
 
 // fullWindow is for how long no target must have been able to take a job for the measured releases to show the
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -5,12 +5,14 @@
 	"slices"
 	"sync"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/slowdown"
 	"quaydock/pkg/view"
 )
 
@@ -23,12 +25,16 @@
 
 	mu      sync.Mutex
 	targets map[ids.TargetIncarnation]*targetState
+	// persistence is learned from the reports of all targets.
+	persistence slowdown.Persistence
 }
 
 // targetState is what this entry knows of one incarnation of a target.
 type targetState struct {
 	running int // assignments of this scheduler that are not done
 	health  planner.Health
+	// slowdown is what the target reported with the answers to assignments of this scheduler.
+	slowdown slowdown.Estimate
 }
 
 // NewLocal returns a scheduler without running requests. It assigns none to targets that have told this entry to
@@ -92,6 +98,9 @@
 		r := l.stateOf(t.Incarnation())
 		// The random part, of less than one request, spreads requests over targets with as many running.
 		cost := (float64(r.running) + random.Float64()/2) / float64(max(1, t.Slots))
+		// On a slowed target the request itself takes longer too.
+		slowed := float64(r.slowdown.Forecast(now, &l.persistence).Now())
+		cost = cost*slowed + (slowed-float64(slowdown.Usual))/float64(max(1, t.Slots))
 		if r.health.Ejected(now) {
 			const ejectedCost = 1000 // outweighs the load of the other targets
 			cost += ejectedCost
@@ -107,7 +116,7 @@
 	return best
 }
 
-// localAssignment is an assignment of Local, which ignores load reports and never re-dispatches.
+// localAssignment is an assignment of Local, which never re-dispatches.
 type localAssignment struct {
 	local  *Local
 	target *routing.Target
@@ -115,7 +124,16 @@
 
 func (a *localAssignment) Target() *routing.Target { return a.target }
 
-func (a *localAssignment) Began(*planner.Load) {}
+// Began records the slowness that the target has reported; the rest of the report is not used.
+func (a *localAssignment) Began(load *planner.Load) {
+	l := a.local
+	if load == nil || l.Ablation.Off(ablation.TargetSlowdown) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stateOf(a.target.Incarnation()).slowdown.Report(l.Clock.Now(), load.Slowdown, &l.persistence)
+}
 
 func (a *localAssignment) Redispatched() <-chan struct{} { return nil }
 
--- /dev/null
+++ b/pkg/slowdown/estimate.go
@@ -0,0 +1,95 @@
+// Package slowdown estimates for how long a target that has reported that work takes longer there will go on so. It does
+// no I/O and reads no clock.
+package slowdown
+
+import (
+	"math"
+
+	"quaydock/pkg/clock"
+)
+
+// Factor is how many times as long as usual work takes at a target at a moment, apart from its lasting speed: 1 as
+// usual, 0 if the target did not report it.
+type Factor float64
+
+const (
+	// Usual is the factor of a target of which nothing is known.
+	Usual Factor = 1
+	// minFactor and maxFactor are the limits of reports that are believed.
+	minFactor Factor = 0.2
+	maxFactor Factor = 10
+	// slowedFrom is the factor from which a target counts as slowed, in summaries and logs.
+	slowedFrom Factor = 1.2
+	// maxAge is the age at which a report says nothing any more: a target without answers for so long may have any
+	// factor.
+	maxAge = 2 * clock.Second
+)
+
+// Estimate is the passing slowness of one target by its reports. The zero value is that of a target without reports.
+type Estimate struct {
+	newest     Factor       // of the newest report, within the limits
+	reportedAt clock.Millis // time of that report; 0 without one
+	total      float64      // integral of the expected factor less Usual up to reportedAt, in ms
+}
+
+// Report adds a report and learns from the one before it. It ignores a factor of 0 or less, and NaN.
+func (e *Estimate) Report(now clock.Millis, f Factor, p *Persistence) {
+	if !(f > 0) {
+		return
+	}
+	f = min(maxFactor, max(minFactor, f))
+	if e.reportedAt > 0 {
+		p.learn(now-e.reportedAt, e.newest, f)
+		e.total = e.Total(now, p)
+	}
+	e.newest, e.reportedAt = f, now
+}
+
+// Forecast returns what is expected from a moment on.
+func (e *Estimate) Forecast(now clock.Millis, p *Persistence) Forecast {
+	age := max(0, now-e.reportedAt)
+	if e.reportedAt == 0 || age >= maxAge {
+		return Forecast{}
+	}
+	constant := p.constant()
+	return Forecast{excess: float64(e.newest-Usual) * math.Exp(-float64(age)/constant), constant: constant}
+}
+
+// Total returns the integral of the expected factor less Usual up to a moment, in ms. The difference between two moments
+// gives the mean in between (see Mean).
+func (e *Estimate) Total(now clock.Millis, p *Persistence) float64 {
+	age := float64(min(maxAge, max(0, now-e.reportedAt)))
+	if e.reportedAt == 0 {
+		return 0
+	}
+	constant := p.constant()
+	return e.total + float64(e.newest-Usual)*constant*(1-math.Exp(-age/constant))
+}
+
+// Mean returns the mean factor over a time, given the values of Total at its start and its end.
+func Mean(from, until float64, length clock.Millis) Factor {
+	if length <= 0 {
+		return Usual
+	}
+	return min(maxFactor, max(minFactor, Usual+Factor((until-from)/float64(length))))
+}
+
+// Forecast is the factor that is expected from a moment on. The zero value stands for Usual at all times.
+type Forecast struct {
+	excess   float64 // the factor less Usual, now
+	constant float64 // in ms, in which the excess falls to 1/e
+}
+
+// Now returns the factor at the moment of the forecast.
+func (f Forecast) Now() Factor { return Usual + Factor(f.excess) }
+
+// Slowed reports whether work takes notably longer than usual.
+func (f Forecast) Slowed() bool { return f.Now() >= slowedFrom }
+
+// Over returns the mean factor over the next ms.
+func (f Forecast) Over(ms float64) Factor {
+	if f.excess == 0 || ms <= 0 {
+		return f.Now()
+	}
+	return Usual + Factor(f.excess*f.constant/ms*(1-math.Exp(-ms/f.constant)))
+}
