Leave slots unused where calls then end faster; play slowness in the load model

Cause: targets that slow down as they fill complete fewer calls when full. Change: a target that serves only calls gets no more at once than end fastest, and one more every 3 s to see whether that still holds. The load model plays targets that slow down as they fill, and passing slowness that is reported late and with losses.

--- a/pkg/loadmodel/load.go
+++ b/pkg/loadmodel/load.go
@@ -46,6 +46,21 @@
 	Slots int `json:"slots"`
 	// Factor is the speed factor: their runs take so many times as long.
 	Factor float64 `json:"factor"`
+	// Crowded is how many times as long first events take if all slots are taken; it rises from 1 at half of the slots. 0
+	// means that the number of running requests does not matter.
+	Crowded float64 `json:"crowded,omitempty"`
+}
+
+// Passing slows some of the targets for a while, and then others: in each period of For each target is slowed with
+// probability Fraction. If Reported is set, targets report it with first events, by what held up to Delay earlier. Lost is
+// the fraction of reports that do not arrive.
+type Passing struct {
+	Fraction float64      `json:"share"`
+	Factor   float64      `json:"times"`
+	For      clock.Millis `json:"for_ms"`
+	Reported bool         `json:"reported"`
+	Delay    clock.Millis `json:"delay_ms"`
+	Lost     float64      `json:"lost"`
 }
 
 // Speed gives the times of a target of speed factor 1, in milliseconds.
@@ -83,7 +98,9 @@
 	Targets []TargetGroup `json:"targets"`
 	Speed   Speed         `json:"speed"`
 	Bursts  []Burst       `json:"bursts"`
-	Outages []Outage      `json:"outages"`
+	// Passing is nil if no target is slowed for a while.
+	Passing *Passing `json:"passing,omitempty"`
+	Outages []Outage `json:"outages"`
 	// Restarts are the times, since the start of the simulation, at which the planner is replaced.
 	Restarts []clock.Millis `json:"planner_restarts_ms"`
 	// Seed determines all random draws; the same seed gives the same results.
@@ -118,6 +135,9 @@
 	for _, t := range l.Targets {
 		require(t.Count > 0 && t.Slots > 0 && t.Factor > 0, "targets need count, slots and factor above 0")
 	}
+	if s := l.Passing; s != nil {
+		require(s.For > 0 && s.Factor > 0, "passing needs for_ms and times above 0")
+	}
 	for _, o := range l.Outages {
 		require(o.Fraction > 0 && o.Fraction <= 1, "an outage needs a share above 0 and at most 1")
 	}
--- a/pkg/loadmodel/simulation.go
+++ b/pkg/loadmodel/simulation.go
@@ -11,6 +11,7 @@
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/slowdown"
 )
 
 // Observer has callbacks for events of a simulation, for tests. Each may be nil.
@@ -21,6 +22,8 @@
 	Granted func(now clock.Millis, id planner.JobID, tier ids.TierRank, waited clock.Millis)
 	// Refused is called when a try is refused, with its waiting time.
 	Refused func(now clock.Millis, id planner.JobID, tier ids.TierRank, waited clock.Millis)
+	// Reported is called when a target's report of its slowness has reached the planner.
+	Reported func(p *planner.Planner, target ids.Target, slowdown slowdown.Factor)
 	// PlannerStarted is called with each new planner.
 	PlannerStarted func(p *planner.Planner)
 }
--- a/pkg/loadmodel/targets.go
+++ b/pkg/loadmodel/targets.go
@@ -15,6 +15,8 @@
 type target struct {
 	*routing.Target
 	factor     float64                   // its speed factor
+	number     uint64                    // among the targets
+	crowded    float64                   // as TargetGroup.Crowded
 	prefilling ids.Tokens                // of the prompts of running tries without a first event
 	running    map[planner.JobID]*caller // the tries that run there
 	down       bool                      // stopped by an outage
@@ -25,7 +27,7 @@
 	for _, group := range s.load.Targets {
 		for range group.Count {
 			id := ids.Target("t" + strconv.Itoa(len(s.targets)))
-			t := &target{Target: &routing.Target{ID: id, Service: service, Slots: group.Slots}, factor: group.Factor, running: make(map[planner.JobID]*caller)}
+			t := &target{Target: &routing.Target{ID: id, Service: service, Slots: group.Slots}, factor: group.Factor, number: uint64(len(s.targets)), crowded: group.Crowded, running: make(map[planner.JobID]*caller)}
 			s.targets = append(s.targets, t)
 			s.byID[id] = t
 		}
@@ -43,9 +45,9 @@
 	t.running[c.id] = c
 	t.prefilling += c.prompt
 	const thousand = 1000
-	first := t.factor * (s.load.Speed.FirstEvent + s.load.Speed.PerThousandTokens*float64(t.prefilling)/thousand)
+	first := t.factor * t.crowding() * (s.load.Speed.FirstEvent + s.load.Speed.PerThousandTokens*float64(t.prefilling)/thousand)
 	id := c.id
-	s.schedule(now+clock.Millis(first), func(now clock.Millis) { s.firstEvent(now, c, id) })
+	s.schedule(s.workEnd(now, t, first), func(now clock.Millis) { s.firstEvent(now, c, id) })
 }
 
 // firstEvent records the first event of the try id and schedules its end, unless the try has ended by now.
@@ -55,10 +57,10 @@
 	}
 	c.target.prefilling -= c.prompt
 	c.firstEventAt = now
-	s.planner.RecordFirstEvent(now, id, nil)
+	s.planner.RecordFirstEvent(now, id, s.loadReport(now, c.target))
 	s.applyDecisions(now)
 	decode := c.target.factor * s.load.Speed.Event * float64(c.events)
-	s.schedule(now+clock.Millis(decode), func(now clock.Millis) { s.finish(now, c, id) })
+	s.schedule(s.workEnd(now, c.target, decode), func(now clock.Millis) { s.finish(now, c, id) })
 }
 
 // finish ends the try id with a complete answer, unless the try has ended by now. The answer is in time if its
--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -5,7 +5,7 @@
 	"quaydock/pkg/clock"
 )
 
-// callTimes estimate how long calls without a prompt and without events take on a target of factor 1, by how full the
+// callTimes estimates how long calls without a prompt and without events take on a target of factor 1, by how full the
 // target is: some targets slow down when they are nearly full. Each level has its own mean, as the time may rise only at
 // the last levels.
 type callTimes [fillLevels]levelMean
@@ -54,6 +54,52 @@
 	return ms, n >= minObservations
 }
 
+// limit returns how many calls a target of a capacity runs at once so that it completes the most of them per second. It
+// is less than the capacity only if a full target completes notably fewer.
+func (c *callTimes) limit(capacity int) int {
+	best, bestRate, rate := capacity, 0.0, 0.0
+	for level := range fillLevels {
+		n := (level + 1) * capacity / fillLevels // the most that are on this level
+		ms, known := c.get(level)
+		if !known || n == 0 || fillLevel(n, capacity) != level {
+			continue
+		}
+		if rate = float64(n) / ms; rate > bestRate {
+			best, bestRate = n, rate
+		}
+	}
+	if rate >= notablyFewer*bestRate {
+		return capacity
+	}
+	return best
+}
+
+const (
+	// notablyFewer is the fraction of the highest rate below which the rate of a full target counts as notably lower.
+	notablyFewer = 0.9
+	// beyondLimitInterval is how often a target gets one call more than the limit, which shows whether that has become too
+	// low.
+	beyondLimitInterval = 3 * clock.Second
+)
+
+// slotsForCalls returns how many of a target's slots are used: fewer than it has if it serves only calls and completes
+// more of them then.
+func (p *Planner) slotsForCalls(t *target) int {
+	if p.timings.interval.n > 0 || p.off.Off(ablation.CallTimes) {
+		return t.capacity()
+	}
+	return p.callTimes.limit(t.capacity())
+}
+
+// crowded reports whether a target has a free slot that is better left unused.
+func (p *Planner) crowded(now clock.Millis, t *target) bool {
+	limit := p.slotsForCalls(t)
+	if len(t.runs) < limit {
+		return false
+	}
+	return len(t.runs) > limit || now-t.beyondLimitAt < beyondLimitInterval
+}
+
 // isCall reports whether a job has neither a prompt nor events, so that its first event is its whole answer.
 func (j *Job) isCall() bool { return j.Prompt == 0 && j.Events == 0 }
 
--- a/pkg/planner/export_test.go
+++ b/pkg/planner/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/slowdown"
 )
 
 // WaitOf returns the estimated wait of a job, and whether it waits.
@@ -25,3 +26,8 @@
 func (p *Planner) Incarnations() int {
 	return len(p.targets)
 }
+
+// ReportSlowdown records a report of a target outside of an answer.
+func (p *Planner) ReportSlowdown(now clock.Millis, at ids.TargetIncarnation, f slowdown.Factor) {
+	p.recordSlowdown(now, p.targets[at], f)
+}
--- a/pkg/planner/limit.go
+++ b/pkg/planner/limit.go
@@ -117,8 +117,10 @@
 	perSlot := float64(clock.Second) / p.runTime.get()
 	sum := float64(p.slots) * perSlot
 	for _, t := range p.eligible {
+		used := float64(p.slotsForCalls(t))
+		sum -= (float64(t.capacity()) - used) * perSlot
 		if c := t.slowdown.Forecast(now, &p.persistence); c.Slowed() {
-			sum -= float64(t.capacity()) * perSlot * (1 - 1/float64(c.Now()))
+			sum -= used * perSlot * (1 - 1/float64(c.Now()))
 		}
 	}
 	for _, t := range p.rateLimited {
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -66,6 +66,9 @@
 // grant assigns a job to a target and takes the tokens that hasFreeSlot found in its buckets. The caller removes the
 // job from the queue.
 func (p *Planner) grant(now clock.Millis, w *queuedJob, t *target) *run {
+	if len(t.runs) >= p.slotsForCalls(t) {
+		t.beyondLimitAt = now
+	}
 	r := p.addRun(now, t, w.Job)
 	r.counted = t.limitBucket != nil
 	t.coldBucket.take()
@@ -77,7 +80,7 @@
 
 // hasFreeSlot reports whether a target can take a job now, also by its rate limits.
 func (p *Planner) hasFreeSlot(now clock.Millis, t *target, avoidFailing bool) bool {
-	return t.hasFreeSlot(now, avoidFailing) && p.withinColdRate(now, t) && p.withinLimit(now, t)
+	return t.hasFreeSlot(now, avoidFailing) && !p.crowded(now, t) && p.withinColdRate(now, t) && p.withinLimit(now, t)
 }
 
 // mustWait reports whether a job must wait, though targets have free slots, because one that goes before it was refused
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -19,6 +19,7 @@
 	slowdown       slowdown.Estimate
 	health         Health
 	lastFirstEvent clock.Millis // time of the most recent first event
+	beyondLimitAt  clock.Millis // time of the most recent grant beyond slotsForCalls
 	probing        bool         // was ejected and has served nothing since: gets one job at a time (see hasFreeSlot)
 	externalLoad   externalLoad
 	fillCount      int                     // how often it was chosen as trial.filling
