--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -55,7 +55,8 @@
 	// coldBounds returns the current bounds for requests to cold targets.
 	coldBounds func() planner.ColdBounds
 
-	sampler *telemetry.Sampler // limits the lines of logLimit
+	sampler         *telemetry.Sampler // limits the lines of logLimit
+	slownessSampler *telemetry.Sampler // limits the lines of logSlowness
 	// stalls records when this process was stalled, whether or not it is an owner: what it reports of its own
 	// requests includes them.
 	stalls clock.Stalls
@@ -71,7 +72,7 @@
 func newOwner(c common.Common, deps Dependencies, send func(netip.AddrPort, decisionMessage)) *Owner {
 	return &Owner{
 		Common: c, view: deps.View, members: deps.Members, estimates: newEstimateCache(c, deps.Members, deps.Link, deps.Estimates),
-		rollouts: deps.Rollouts, coldBounds: deps.ColdBounds, id: c.Random.Fork().Uint64(), sendMessage: send, sampler: telemetry.NewSampler(c.Clock, c.Log, logLinesPerSecond), planners: make(map[ids.Service]*servicePlanner),
+		rollouts: deps.Rollouts, coldBounds: deps.ColdBounds, id: c.Random.Fork().Uint64(), sendMessage: send, sampler: telemetry.NewSampler(c.Clock, c.Log, logLinesPerSecond), slownessSampler: telemetry.NewSampler(c.Clock, c.Log, slownessLinesPerSecond), planners: make(map[ids.Service]*servicePlanner),
 	}
 }
 
@@ -102,6 +103,7 @@
 		g = &servicePlanner{planner: planner.New(owner.Random.Fork()), lastMessageAt: make(map[string]clock.Millis), startedAt: now}
 		g.planner.Disable(owner.Ablation)
 		owner.planners[service] = g
+		owner.Metrics.Prometheus.LabelledGauge("targets_slowed", "service", string(service), func() float64 { return owner.slowedTargets(service) })
 		owner.updateLimits(now, g, service)
 		owner.Log.WithField("service", string(service)).Info("this entry now plans for a service")
 	}
@@ -183,6 +185,7 @@
 		owner.refresh(now, g, service, owner.view.Directory())
 		owner.stepTrial(ctx, now, service, g)
 		g.planner.Tick(now)
+		owner.logSlowness(now, g.planner)
 		owner.logSummary(now, service, g)
 		decisions = append(decisions, g.planner.Decisions()...)
 	}
--- /dev/null
+++ b/pkg/dispatch/owner_slowdown.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/slowdown"
+)
+
+// slownessLinesPerSecond is the maximum of log lines on slowed targets: they change several times a second, and the
+// summary and the metrics tell their number.
+const slownessLinesPerSecond = 2
+
+// logSlowness logs which targets have become slowed by their own reports, or are so no more.
+func (owner *Owner) logSlowness(now clock.Millis, p *planner.Planner) {
+	p.VisitSlownessChanges(now, func(t *routing.Target, slowed bool, f slowdown.Factor) {
+		if !owner.slownessSampler.Allow("slowness") {
+			return
+		}
+		line := owner.Log.WithFields(logrus.Fields{"target": string(t.ID), "start": int64(t.Start), "service": string(t.Service), "times": roundToTenth(float64(f))})
+		if slowed {
+			line.Info("a target reports that work takes longer there")
+			return
+		}
+		line.Info("a target no longer counts as slowed")
+	})
+}
+
+// slowedTargets returns the number of targets of a service that are slowed by their own reports, 0 if another entry is
+// the owner.
+func (owner *Owner) slowedTargets(service ids.Service) float64 {
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	if g := owner.planners[service]; g != nil {
+		return float64(g.planner.SlowedTargets(owner.Clock.Now()))
+	}
+	return 0
+}
--- a/pkg/planner/pace.go
+++ b/pkg/planner/pace.go
@@ -3,6 +3,7 @@
 import (
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/routing"
 	"quaydock/pkg/slowdown"
 )
 
@@ -45,3 +46,25 @@
 func (p *Planner) meanSlowdown(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
 	return float64(slowdown.Mean(from, p.slowdownTotal(now, t), now-since))
 }
+
+// VisitSlownessChanges calls visit for each target that has become slowed, or is so no more, since the last call.
+func (p *Planner) VisitSlownessChanges(now clock.Millis, visit func(t *routing.Target, slowed bool, f slowdown.Factor)) {
+	for _, t := range p.eligible {
+		forecast := t.slowdown.Forecast(now, &p.persistence)
+		if slowed := forecast.Slowed(); slowed != t.visitedSlowed {
+			t.visitedSlowed = slowed
+			visit(t.Target, slowed, forecast.Now())
+		}
+	}
+}
+
+// SlowedTargets returns the number of targets that are slowed now by their own reports.
+func (p *Planner) SlowedTargets(now clock.Millis) int {
+	n := 0
+	for _, t := range p.eligible {
+		if t.slowdown.Forecast(now, &p.persistence).Slowed() {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/planner/slowdown_test.go
+++ b/pkg/planner/slowdown_test.go
@@ -106,6 +106,8 @@
 		load func(seed uint64) loadmodel.Load
 	}{
 		{"calls", func(seed uint64) loadmodel.Load { return slowed(calls(250, 3, seed), 600) }},
+		{"calls, shorter slowness", func(seed uint64) loadmodel.Load { return slowed(calls(250, 3, seed), 200) }},
+		{"calls, longer slowness", func(seed uint64) loadmodel.Load { return slowed(calls(250, 3, seed), 2000) }},
 		{"streams", func(seed uint64) loadmodel.Load { return slowed(streams(100, seed), 600) }},
 		{"few streams", func(seed uint64) loadmodel.Load { return slowed(streams(40, seed), 600) }},
 	}
@@ -125,14 +127,73 @@
 
 // TestCallsSpreadOverTargetsThatSlowDownAsTheyFill guards against calls that fill the fastest target to its last slot.
 func TestCallsSpreadOverTargetsThatSlowDownAsTheyFill(t *testing.T) {
-	for _, crowded := range []float64{0, 3, 6} {
-		for _, perSecond := range []float64{150, 250, 400} {
-			t.Run(fmt.Sprint(crowded, perSecond), func(t *testing.T) {
-				load := func(seed uint64) loadmodel.Load { return calls(perSecond, crowded, seed) }
-				before, beforeInTime := earned(load, func() loadmodel.Observer { return switchOff(ablation.CallTimes) })
-				after, inTime := earned(load, func() loadmodel.Observer { return loadmodel.Observer{} })
-				t.Logf("worth before %.3f after %.3f, in time %.3f %.3f", before, after, beforeInTime, inTime)
-			})
+	scenarios := []struct {
+		crowded, perSecond float64
+		gain               float64 // least difference in the fraction in time to a planner that does not learn it
+	}{
+		{0, 250, -0.005}, // targets that do not slow down as they fill
+		{0, 700, -0.01},
+		{3, 150, 0},
+		{3, 250, 0.15},
+		{3, 400, 0.1},
+		{6, 250, 0.4},
+	}
+	for _, s := range scenarios {
+		t.Run(fmt.Sprint(s.crowded, " times, ", s.perSecond, " calls a second"), func(t *testing.T) {
+			load := func(seed uint64) loadmodel.Load { return calls(s.perSecond, s.crowded, seed) }
+			_, before := earned(load, func() loadmodel.Observer { return switchOff(ablation.CallTimes) })
+			_, after := earned(load, func() loadmodel.Observer { return loadmodel.Observer{} })
+			t.Logf("in time %.3f, not learned %.3f", after, before)
+			if after-before < s.gain {
+				t.Errorf("in time %.3f, not learned %.3f", after, before)
+			}
+		})
+	}
+}
+
+// TestNewPlannerKnowsSlownessWithinASecond guards against a new owner that goes on without knowing which targets are
+// slowed.
+func TestNewPlannerKnowsSlownessWithinASecond(t *testing.T) {
+	restarted := func(seed uint64) loadmodel.Load {
+		l := slowed(calls(200, 3, seed), 600)
+		for at := 2 * clock.Second; at < l.Length; at += 4 * clock.Second {
+			l.Restarts = append(l.Restarts, at)
 		}
+		return l
+	}
+	_, whole := earned(func(seed uint64) loadmodel.Load { return slowed(calls(200, 3, seed), 600) }, func() loadmodel.Observer { return loadmodel.Observer{} })
+	_, inTime := earned(restarted, func() loadmodel.Observer { return loadmodel.Observer{} })
+	t.Logf("in time %.3f, without restarts %.3f", inTime, whole)
+	const perRestart = 0.25 // a second of each four, if nothing were in time
+	if inTime < whole*(1-perRestart) {
+		t.Errorf("in time %.3f with a new planner every 4 s, %.3f without", inTime, whole)
+	}
+}
+
+// TestSlownessIsForgottenWhenReportsStop guards against a target that gets nothing for long because of its last report.
+func TestSlownessIsForgottenWhenReportsStop(t *testing.T) {
+	p := newPlanner(8, 8)
+	p.ReportSlowdown(start, ids.TargetIncarnation{Target: "t0"}, 4)
+	targetOf := func(now clock.Millis, number uint64) ids.Target {
+		j := job(number, 0)
+		j.Arrived, j.Deadline = now, now+10*clock.Second
+		p.Submit(now, j)
+		at, _ := p.Granted(j.ID)
+		p.Finish(now, j.ID, planner.Abandoned, planner.StreamStats{})
+		return at.Target
+	}
+	counts := make(map[ids.Target]int)
+	for i := range uint64(20) {
+		counts[targetOf(start, i)]++
+	}
+	if counts["t0"] > 0 || p.Summary(start).Slowed != 1 {
+		t.Errorf("a slowed target got %d of 20 jobs; %d count as slowed", counts["t0"], p.Summary(start).Slowed)
+	}
+	later := start + 3*clock.Second
+	for i := range uint64(20) {
+		counts[targetOf(later, 100+i)]++
+	}
+	if counts["t0"] == 0 || p.Summary(later).Slowed != 0 {
+		t.Errorf("got %d of 20 jobs 3 s after its last report; %d count as slowed", counts["t0"], p.Summary(later).Slowed)
 	}
 }
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -31,7 +31,7 @@
 func (p *Planner) Summary(now clock.Millis) Summary {
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
-		PerSecond: p.releases.perSecond(now), Factors: make(map[ids.Target]float64, len(p.eligible)),
+		PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now), Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
 	s.FirstEventBase, s.FirstEventPerThousand = p.timings.firstEvent.fit()
 	s.FirstEventPerThousand *= 1000
@@ -42,9 +42,6 @@
 		if t.health.Ejected(now) {
 			s.Ejected++
 		}
-		if t.slowdown.Forecast(now, &p.persistence).Slowed() {
-			s.Slowed++
-		}
 		if t.limitBucket != nil {
 			s.Limited++
 			s.LimitedPerSecond += p.agreement.Rate(t.rateLimit.Rate)
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -17,6 +17,7 @@
 	pendingPrompt  ids.Tokens // prompt tokens of runs without a first event
 	factor         factor
 	slowdown       slowdown.Estimate
+	visitedSlowed  bool // as VisitSlownessChanges has last told
 	health         Health
 	lastFirstEvent clock.Millis // time of the most recent first event
 	beyondLimitAt  clock.Millis // time of the most recent grant beyond slotsForCalls
--- a/pkg/schedule/schedule_test.go
+++ b/pkg/schedule/schedule_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
@@ -70,6 +71,31 @@
 	}
 }
 
+// TestLocalAvoidsATargetThatReportsSlowness guards against an entry without an owner that sends as much to a target where
+// work takes longer now.
+func TestLocalAvoidsATargetThatReportsSlowness(t *testing.T) {
+	c := commontest.New(network.NewMemory(nil))
+	report := func(p schedule.Assignment) {
+		load := &planner.Load{Slowdown: 1}
+		if p.Target().ID == "t0" {
+			load.Slowdown = 3
+		}
+		p.Began(load)
+		p.Done(planner.Served, planner.StreamStats{})
+	}
+	s := schedule.NewLocal(c, newView(4), nil)
+	take(t, s, 40, nil, report)
+	if got := take(t, s, 12, nil, keep); got["t0"] > 1 {
+		t.Errorf("a target that takes 3 times as long got %d of 12 requests, want at most 1", got["t0"])
+	}
+	c.Ablation, _ = ablation.Parse(ablation.TargetSlowdown.String())
+	s = schedule.NewLocal(c, newView(4), nil)
+	take(t, s, 40, nil, report)
+	if got := take(t, s, 12, nil, keep); got["t0"] != 3 {
+		t.Errorf("with reports not used it got %d of 12 requests, want 3", got["t0"])
+	}
+}
+
 func TestRoundRobinTakesTurns(t *testing.T) {
 	s := schedule.NewBaseline(commontest.New(network.NewMemory(nil)), newView(4), schedule.RoundRobin, nil)
 	for id, n := range take(t, s, 40, nil, keep) {
--- /dev/null
+++ b/pkg/slowdown/estimate_test.go
@@ -0,0 +1,89 @@
+package slowdown_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/slowdown"
+)
+
+const start = clock.Millis(1_000_000)
+
+// TestReportsFadeWithAge guards against reports that are believed too long, and against values that no target can mean.
+func TestReportsFadeWithAge(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		reported slowdown.Factor
+		age      clock.Millis
+		low      slowdown.Factor
+		high     slowdown.Factor
+	}{
+		{"new", 2.5, 0, 2.5, 2.5},
+		{"a little old", 2.5, 300, 1.3, 2},
+		{"too old", 2.5, 2000, 1, 1},
+		{"faster than usual", 0.5, 0, 0.5, 0.5},
+		{"from later, as clocks are set back", 2.5, -500, 2.5, 2.5},
+		{"not reported", 0, 0, 1, 1},
+		{"negative", -3, 0, 1, 1},
+		{"not a number", slowdown.Factor(math.NaN()), 0, 1, 1},
+		{"infinite", slowdown.Factor(math.Inf(1)), 0, 5, 20},
+		{"next to nothing", 1e-9, 0, 0.1, 0.5},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			var e slowdown.Estimate
+			var p slowdown.Persistence
+			e.Report(start, s.reported, &p)
+			if got := e.Forecast(start+s.age, &p).Now(); !(got >= s.low && got <= s.high) {
+				t.Errorf("got %.2f, want %.2f to %.2f", got, s.low, s.high)
+			}
+		})
+	}
+}
+
+// TestForecastsFollowHowLongReportsPersist guards against a fixed time for which reports are believed: targets that
+// change every 100 ms and targets that change every 2 s.
+func TestForecastsFollowHowLongReportsPersist(t *testing.T) {
+	ahead := func(period int) slowdown.Factor {
+		random := rand.New(rand.NewPCG(1, 1))
+		var e slowdown.Estimate
+		var p slowdown.Persistence
+		value := slowdown.Usual
+		for ms := range 60_000 {
+			if ms%period == 0 {
+				value = slowdown.Usual
+				if random.Float64() < 0.15 {
+					value = 2.5
+				}
+			}
+			if ms%25 == 0 {
+				e.Report(start+clock.Millis(ms), value, &p)
+			}
+		}
+		e.Report(start+60_000, 2.5, &p)
+		return e.Forecast(start+60_200, &p).Now()
+	}
+	short, long := ahead(100), ahead(2000)
+	if short > 1.5 || long < 2 {
+		t.Errorf("200 ms after a report of 2.5: %.2f where reports persist for 100 ms, %.2f where for 2 s", short, long)
+	}
+}
+
+// TestMeanAndForecastAgree guards against observations that are divided by another slowness than they were expected with.
+func TestMeanAndForecastAgree(t *testing.T) {
+	var e slowdown.Estimate
+	var p slowdown.Persistence
+	e.Report(start, 2.5, &p)
+	for _, length := range []clock.Millis{1, 100, 1000} {
+		expected := e.Forecast(start, &p).Over(float64(length))
+		mean := slowdown.Mean(e.Total(start, &p), e.Total(start+length, &p), length)
+		if math.Abs(float64(expected-mean)) > 0.01 {
+			t.Errorf("over %d ms: forecast %.3f, mean %.3f", length, expected, mean)
+		}
+	}
+	if got := slowdown.Mean(0, 0, 0); got != slowdown.Usual {
+		t.Errorf("mean over no time is %.2f", got)
+	}
+}
