Factors learn little from the calls of crowded targets

Change: above half of the slots a factor learns with a tenth of the weight, once the levels below are known. A first event is divided by the reports at grant and end, by how certain each is.

--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -3,6 +3,7 @@
 import (
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/slowdown"
 )
 
 // callTimes estimates how long calls without a prompt and without events take on a target of factor 1, by how full the
@@ -54,6 +55,16 @@
 	return ms, n >= minObservations
 }
 
+// factorWeight returns the weight with which a target's factor learns from a call of a level. While targets are full their
+// factors could otherwise take the place of what full targets take longer.
+func (c *callTimes) factorWeight(level int) float64 {
+	const half, fullWeight = fillLevels/2 - 1, 0.1
+	if _, known := c.get(half); known && level > half {
+		return fullWeight
+	}
+	return 1
+}
+
 // limit returns how many calls a target of a capacity runs at once so that it completes the most of them per second. It
 // is less than the capacity only if a full target completes notably fewer.
 func (c *callTimes) limit(capacity int) int {
@@ -128,7 +139,8 @@
 
 // learnFirstEvent learns from the time to a run's first event.
 func (p *Planner) learnFirstEvent(now clock.Millis, r *run) {
-	took := float64(now-r.grantedAt) / p.meanSlowdownToFirstEvent(now, r)
+	held := slowdown.Between(r.sampleAtGrant, r.target.slowdown.Sample(now, &p.persistence))
+	took := float64(now-r.grantedAt) / float64(held)
 	t := r.target
 	if !r.isCall() || r.promptAhead > 0 || p.off.Off(ablation.CallTimes) {
 		p.timings.learnFirstEvent(&t.factor, r.promptAhead, took)
@@ -136,14 +148,8 @@
 	}
 	level := fillLevel((r.concurrency+len(t.runs)+1)/2, t.capacity())
 	if expected, known := p.callTimes.get(level); known {
-		t.factor.learn(took/max(1, expected), 1)
+		t.factor.learn(took/max(1, expected), p.callTimes.factorWeight(level))
 	}
 	p.callTimes.add(level, took/t.factor.get())
 	p.timings.firstEvent.add(0, took/t.factor.get())
 }
-
-// meanSlowdownToFirstEvent returns the mean of the slowdowns at the grant of a run and now, at its first event.
-func (p *Planner) meanSlowdownToFirstEvent(now clock.Millis, r *run) float64 {
-	const two = 2
-	return (r.slowdownAtGrant + float64(r.target.slowdown.Forecast(now, &p.persistence).Now())) / two
-}
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -118,6 +118,7 @@
 func (p *Planner) addRun(now clock.Millis, t *target, job Job) *run {
 	r := t.addRun(now, job)
 	r.slowdownAtGrant = float64(t.slowdown.Forecast(now, &p.persistence).Now())
+	r.sampleAtGrant = t.slowdown.Sample(now, &p.persistence)
 	r.totalAtGrant = p.slowdownTotal(now, t)
 	return r
 }
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -55,8 +55,9 @@
 	concurrency   int          // runs on the target when it was granted, itself included
 	// maxBacklog is the largest number of prompt tokens pending on the target since the run's first event.
 	maxBacklog ids.Tokens
-	// slowdownAtGrant is what the target's slowdown was believed to be when it was granted; totalAtGrant and
-	// totalAtFirstEvent are those of slowdownTotal.
+	// slowdownAtGrant is what the target's slowdown was expected to be when it was granted, by sampleAtGrant; totalAtGrant
+	// and totalAtFirstEvent are those of slowdownTotal.
+	sampleAtGrant                                    slowdown.Sample
 	slowdownAtGrant, totalAtGrant, totalAtFirstEvent float64
 }
 
--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -66,6 +66,28 @@
 	return e.total + float64(e.newest-Usual)*constant*(1-math.Exp(-age/constant))
 }
 
+// Sample returns the newest report and how certain it is that it holds at a moment, from 1 down to 0.
+func (e *Estimate) Sample(now clock.Millis, p *Persistence) Sample {
+	age := max(0, now-e.reportedAt)
+	if e.reportedAt == 0 || age >= maxAge {
+		return Sample{}
+	}
+	return Sample{factor: e.newest, certainty: math.Exp(-float64(age) / p.constant())}
+}
+
+// Sample is a report at a moment.
+type Sample struct {
+	factor    Factor
+	certainty float64
+}
+
+// Between returns the mean factor between two samples, to which the more certain one contributes more.
+func Between(a, b Sample) Factor {
+	const unknown = 0.1 // the weight of Usual, which decides if both are uncertain
+	sum := unknown + a.certainty + b.certainty
+	return (Usual*unknown + a.factor*Factor(a.certainty) + b.factor*Factor(b.certainty)) / Factor(sum)
+}
+
 // Mean returns the mean factor over a time, given the values of Total at its start and its end.
 func Mean(from, until float64, length clock.Millis) Factor {
 	if length <= 0 {
