--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -21,7 +21,18 @@
 )
 
 // levelMean is the mean time of the calls of one level in ms, in which newer ones count more.
-type levelMean struct{ sum, n float64 }
+type levelMean struct {
+	sum, n float64
+	// short estimates the time in ms that shortQuantile of the calls stay below. Calls that run long see full targets
+	// more often, so that the mean of a level says little on what a full target takes longer.
+	short float64
+}
+
+const (
+	shortQuantile = 0.25
+	// shortGain is the step of the estimate of short, as a fraction.
+	shortGain = 0.1
+)
 
 // fillLevel returns the level of a target that runs so many requests.
 func fillLevel(running, capacity int) int {
@@ -34,6 +45,14 @@
 	m := &c[level]
 	m.sum = m.sum*levelDecay + ms
 	m.n = m.n*levelDecay + 1
+	switch {
+	case m.short == 0:
+		m.short = ms
+	case ms < m.short:
+		m.short *= 1 - shortGain*(1-shortQuantile)
+	default:
+		m.short *= 1 + shortGain*shortQuantile
+	}
 }
 
 // get returns the estimate for a level, and whether there are enough observations. It never falls with the level: a
@@ -71,11 +90,10 @@
 	best, bestRate, rate := capacity, 0.0, 0.0
 	for level := range fillLevels {
 		n := (level + 1) * capacity / fillLevels // the most that are on this level
-		ms, known := c.get(level)
-		if !known || n == 0 || fillLevel(n, capacity) != level {
+		if c[level].n < minObservations || n == 0 || fillLevel(n, capacity) != level {
 			continue
 		}
-		if rate = float64(n) / ms; rate > bestRate {
+		if rate = float64(n) / c[level].short; rate > bestRate {
 			best, bestRate = n, rate
 		}
 	}
@@ -87,7 +105,7 @@
 
 const (
 	// notablyFewer is the fraction of the highest rate below which the rate of a full target counts as notably lower.
-	notablyFewer = 0.9
+	notablyFewer = 0.85
 	// beyondLimitInterval is how often a target gets one call more than the limit, which shows whether that has become too
 	// low.
 	beyondLimitInterval = 3 * clock.Second
