Slowdown: forecasts approach the mean of all targets

Cause: a forecast fell back to the usual pace, while the speed factors no longer held what targets are slowed for in the mean (15 in 100 by 2.5 times: 1.225). TestLongRunsMeetSlownessThatIsYetToCome failed before.

Change: the reports of all targets give a mean over time, which a forecast approaches and which holds for a target without news.

--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -107,7 +107,7 @@
 
 // findCandidates examines all targets. Those ejected are left out while enough others are healthy.
 func (p *Planner) findCandidates(now clock.Millis) candidates {
-	c := candidates{avoidFailing: p.halfHealthy(now), fastest: slowest}
+	c := candidates{avoidFailing: p.halfHealthy(now), fastest: slowest()}
 	for _, t := range p.eligible {
 		ejected := t.health.Ejected(now)
 		if !ejected {
@@ -141,8 +141,8 @@
 	return best
 }
 
-// slowest is a pace that no target falls below.
-var slowest = pace{factor: factorMax * factorMax}
+// slowest returns a pace that no target falls below.
+func slowest() pace { return pace{factor: factorMax * factorMax} }
 
 // faster returns the faster of a pace and that of a target.
 func (p *Planner) faster(now clock.Millis, c pace, t *target) pace {
@@ -157,7 +157,7 @@
 	if job.Version == nil {
 		return c.fastest, c.known
 	}
-	fastest = slowest
+	fastest = slowest()
 	for _, t := range p.eligible {
 		if job.FitsVersion(t.Target) && !t.health.Ejected(now) {
 			fastest = p.faster(now, fastest, t)
@@ -236,7 +236,7 @@
 // minFirstEventTime estimates the time to a job's first event on the fastest target of its version while that reads no
 // other prompt.
 func (p *Planner) minFirstEventTime(now clock.Millis, job *Job) clock.Millis {
-	fastest, known := slowest, false
+	fastest, known := slowest(), false
 	for _, t := range p.eligible {
 		if job.FitsVersion(t.Target) {
 			fastest = p.faster(now, fastest, t)
--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -29,7 +29,7 @@
 type Estimate struct {
 	newest     Factor       // of the newest report, within the limits
 	reportedAt clock.Millis // time of that report; 0 without one
-	total      float64      // integral of the expected factor less Usual up to reportedAt, in ms
+	total      float64      // integral of the expected factor up to reportedAt, in ms
 }
 
 // Report adds a report and learns from the one before it. It ignores a factor of 0 or less, and NaN.
@@ -38,32 +38,32 @@
 		return
 	}
 	f = min(maxFactor, max(minFactor, f))
+	e.total = e.Total(now, p)
 	if e.reportedAt > 0 {
 		p.learn(now-e.reportedAt, e.newest, f)
-		e.total = e.Total(now, p)
 	}
 	e.newest, e.reportedAt = f, now
 }
 
 // Forecast returns what is expected from a moment on.
 func (e *Estimate) Forecast(now clock.Millis, p *Persistence) Forecast {
+	mean, constant := p.mean(), p.constant()
 	age := max(0, now-e.reportedAt)
 	if e.reportedAt == 0 || age >= maxAge {
-		return Forecast{}
+		return Forecast{mean: mean, constant: constant}
 	}
-	constant := p.constant()
-	return Forecast{excess: float64(e.newest-Usual) * math.Exp(-float64(age)/constant), constant: constant}
+	return Forecast{mean: mean, excess: float64(e.newest-mean) * math.Exp(-float64(age)/constant), constant: constant}
 }
 
-// Total returns the integral of the expected factor less Usual up to a moment, in ms. The difference between two moments
-// gives the mean in between (see Mean).
+// Total returns the integral of the expected factor up to a moment, in ms. The difference between two moments gives the
+// mean in between (see Mean).
 func (e *Estimate) Total(now clock.Millis, p *Persistence) float64 {
-	age := float64(min(maxAge, max(0, now-e.reportedAt)))
+	mean, age := p.mean(), float64(max(0, now-e.reportedAt))
 	if e.reportedAt == 0 {
-		return 0
+		return float64(mean) * float64(now)
 	}
-	constant := p.constant()
-	return e.total + float64(e.newest-Usual)*constant*(1-math.Exp(-age/constant))
+	believed, constant := min(age, float64(maxAge)), p.constant()
+	return e.total + float64(mean)*age + float64(e.newest-mean)*constant*(1-math.Exp(-believed/constant))
 }
 
 // Sample returns the newest report and how certain it is that it holds at a moment, from 1 down to 0.
@@ -82,10 +82,10 @@
 }
 
 // Between returns the mean factor between two samples, to which the more certain one contributes more.
-func Between(a, b Sample) Factor {
-	const unknown = 0.1 // the weight of Usual, which decides if both are uncertain
+func Between(a, b Sample, p *Persistence) Factor {
+	const unknown = 0.1 // the weight of the mean of all targets, which decides if both are uncertain
 	sum := unknown + a.certainty + b.certainty
-	return (Usual*unknown + a.factor*Factor(a.certainty) + b.factor*Factor(b.certainty)) / Factor(sum)
+	return (p.mean()*unknown + a.factor*Factor(a.certainty) + b.factor*Factor(b.certainty)) / Factor(sum)
 }
 
 // Mean returns the mean factor over a time, given the values of Total at its start and its end.
@@ -93,25 +93,35 @@
 	if length <= 0 {
 		return Usual
 	}
-	return min(maxFactor, max(minFactor, Usual+Factor((until-from)/float64(length))))
+	return min(maxFactor, max(minFactor, Factor((until-from)/float64(length))))
 }
 
-// Forecast is the factor that is expected from a moment on. The zero value stands for Usual at all times.
+// Forecast is the factor that is expected from a moment on: it approaches the mean of all targets, since a target that
+// works as usual now may be slowed before a long run ends. The zero value stands for Usual at all times.
 type Forecast struct {
-	excess   float64 // the factor less Usual, now
+	mean     Factor  // of all targets; 0 stands for Usual
+	excess   float64 // the factor less the mean, now
 	constant float64 // in ms, in which the excess falls to 1/e
 }
 
 // Now returns the factor at the moment of the forecast.
-func (f Forecast) Now() Factor { return Usual + Factor(f.excess) }
+func (f Forecast) Now() Factor { return f.lasting() + Factor(f.excess) }
+
+// lasting returns the factor that the forecast approaches.
+func (f Forecast) lasting() Factor {
+	if f.mean == 0 {
+		return Usual
+	}
+	return f.mean
+}
 
 // Slowed reports whether work takes notably longer than usual.
-func (f Forecast) Slowed() bool { return f.Now() >= slowedFrom }
+func (f Forecast) Slowed() bool { return f.Now() >= slowedFrom && f.excess > 0 }
 
 // Over returns the mean factor over the next ms.
 func (f Forecast) Over(ms float64) Factor {
 	if f.excess == 0 || ms <= 0 {
 		return f.Now()
 	}
-	return Usual + Factor(f.excess*f.constant/ms*(1-math.Exp(-ms/f.constant)))
+	return f.lasting() + Factor(f.excess*f.constant/ms*(1-math.Exp(-ms/f.constant)))
 }
--- a/pkg/slowdown/estimate_test.go
+++ b/pkg/slowdown/estimate_test.go
@@ -87,3 +87,35 @@
 		t.Errorf("mean over no time is %.2f", got)
 	}
 }
+
+// TestLongRunsMeetSlownessThatIsYetToCome guards against long answers that are expected to end too early, on targets that
+// work as usual now and are slowed for a part of the time.
+func TestLongRunsMeetSlownessThatIsYetToCome(t *testing.T) {
+	var p slowdown.Persistence
+	targets := make([]slowdown.Estimate, 20)
+	random := rand.New(rand.NewPCG(1, 1))
+	now := start
+	for range 100 { // changes of 600 ms, with 15 in 100 slowed to 2.5: a mean of 1.225
+		values := make([]slowdown.Factor, len(targets))
+		for i := range values {
+			values[i] = slowdown.Usual
+			if random.Float64() < 0.15 {
+				values[i] = 2.5
+			}
+		}
+		for range 10 {
+			now += 60
+			for i := range targets {
+				targets[i].Report(now, values[i], &p)
+			}
+		}
+	}
+	targets[0].Report(now, slowdown.Usual, &p)
+	forecast := targets[0].Forecast(now, &p)
+	if soon, late := forecast.Over(20), forecast.Over(10_000); soon > 1.05 || late < 1.15 || late > 1.3 {
+		t.Errorf("expected %.2f over the next 20 ms and %.2f over the next 10 s", soon, late)
+	}
+	if got := targets[0].Forecast(now+5000, &p).Now(); got < 1.15 || got > 1.3 {
+		t.Errorf("expected %.2f of a target without news", got)
+	}
+}
