Slowdown: a target's reports are compared with its own mean

Forecasts fell back to the mean of all, so that long answers were given to lastingly slow targets and ran into their deadlines.

Change: each target has a mean of its own, which forecasts approach; what is above it passes, and says how long that lasts. Capacity counts only what is above it.

Result: TestLastingSpeedInReportsIsKept failed before; go test ./pkg/slowdown passes.

--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -157,7 +157,7 @@
 
 // learnFirstEvent learns from the time to a run's first event.
 func (p *Planner) learnFirstEvent(now clock.Millis, r *run) {
-	held := slowdown.Between(r.sampleAtGrant, r.target.slowdown.Sample(now, &p.persistence), &p.persistence)
+	held := slowdown.Between(r.sampleAtGrant, r.target.slowdown.Sample(now, &p.persistence))
 	took := float64(now-r.grantedAt) / float64(held)
 	t := r.target
 	if !r.isCall() || r.promptAhead > 0 || p.off.Off(ablation.CallTimes) {
--- a/pkg/planner/limit.go
+++ b/pkg/planner/limit.go
@@ -120,7 +120,7 @@
 		used := float64(p.slotsForCalls(t))
 		sum -= (float64(t.capacity()) - used) * perSlot
 		if c := t.slowdown.Forecast(now, &p.persistence); c.Slowed() {
-			sum -= used * perSlot * (1 - 1/float64(c.Now()))
+			sum -= used * perSlot * (1 - 1/c.Excess())
 		}
 	}
 	for _, t := range p.rateLimited {
--- a/pkg/planner/pace.go
+++ b/pkg/planner/pace.go
@@ -44,7 +44,12 @@
 
 // meanSlowdown returns the mean slowdown of a target since a moment at which slowdownTotal was from.
 func (p *Planner) meanSlowdown(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
-	return float64(slowdown.Mean(from, p.slowdownTotal(now, t), now-since))
+	return float64(slowdown.MeanOver(from, p.slowdownTotal(now, t), now-since))
+}
+
+// meanExcess is meanSlowdown in relation to what the target has in the mean.
+func (p *Planner) meanExcess(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
+	return p.meanSlowdown(now, t, since, from) / float64(t.slowdown.Mean(&p.persistence))
 }
 
 // VisitSlownessChanges calls visit for each target that has become slowed, or is so no more, since the last call.
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -88,7 +88,7 @@
 	}
 	p.releases.add(now)
 	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld {
-		p.runTime.add(float64(now-r.grantedAt) / p.meanSlowdown(now, r.target, r.grantedAt, r.totalAtGrant))
+		p.runTime.add(float64(now-r.grantedAt) / p.meanExcess(now, r.target, r.grantedAt, r.totalAtGrant))
 	}
 }
 
--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -18,8 +18,8 @@
 	// minFactor and maxFactor are the limits of reports that are believed.
 	minFactor Factor = 0.2
 	maxFactor Factor = 10
-	// slowedFrom is the factor from which a target counts as slowed, in summaries and logs.
-	slowedFrom Factor = 1.2
+	// slowedFrom is the factor, in relation to its mean, from which a target counts as slowed.
+	slowedFrom = 1.2
 	// maxAge is the age at which a report says nothing any more: a target without answers for so long may have any
 	// factor.
 	maxAge = 2 * clock.Second
@@ -30,6 +30,7 @@
 	newest     Factor       // of the newest report, within the limits
 	reportedAt clock.Millis // time of that report; 0 without one
 	total      float64      // integral of the expected factor up to reportedAt, in ms
+	lasting    average      // of the reports
 }
 
 // Report adds a report and learns from the one before it. It ignores a factor of 0 or less, and NaN.
@@ -40,14 +41,19 @@
 	f = min(maxFactor, max(minFactor, f))
 	e.total = e.Total(now, p)
 	if e.reportedAt > 0 {
-		p.learn(now-e.reportedAt, e.newest, f)
+		p.learn(now-e.reportedAt, e.newest, f, e.Mean(p))
+		const half = 0.5
+		e.lasting.add(min(maxAge, max(0, now-e.reportedAt)), half*(e.newest+f))
 	}
 	e.newest, e.reportedAt = f, now
 }
 
+// Mean returns the factor that the target has in the mean: reports may hold its lasting speed too.
+func (e *Estimate) Mean(p *Persistence) Factor { return e.lasting.get(p.mean()) }
+
 // Forecast returns what is expected from a moment on.
 func (e *Estimate) Forecast(now clock.Millis, p *Persistence) Forecast {
-	mean, constant := p.mean(), p.constant()
+	mean, constant := e.Mean(p), p.constant()
 	age := max(0, now-e.reportedAt)
 	if e.reportedAt == 0 || age >= maxAge {
 		return Forecast{mean: mean, constant: constant}
@@ -56,9 +62,9 @@
 }
 
 // Total returns the integral of the expected factor up to a moment, in ms. The difference between two moments gives the
-// mean in between (see Mean).
+// mean in between (see MeanOver).
 func (e *Estimate) Total(now clock.Millis, p *Persistence) float64 {
-	mean, age := p.mean(), float64(max(0, now-e.reportedAt))
+	mean, age := e.Mean(p), float64(max(0, now-e.reportedAt))
 	if e.reportedAt == 0 {
 		return float64(mean) * float64(now)
 	}
@@ -70,36 +76,37 @@
 func (e *Estimate) Sample(now clock.Millis, p *Persistence) Sample {
 	age := max(0, now-e.reportedAt)
 	if e.reportedAt == 0 || age >= maxAge {
-		return Sample{}
+		return Sample{mean: e.Mean(p)}
 	}
-	return Sample{factor: e.newest, certainty: math.Exp(-float64(age) / p.constant())}
+	return Sample{mean: e.Mean(p), factor: e.newest, certainty: math.Exp(-float64(age) / p.constant())}
 }
 
 // Sample is a report at a moment.
 type Sample struct {
+	mean      Factor // of the target
 	factor    Factor
 	certainty float64
 }
 
 // Between returns the mean factor between two samples, to which the more certain one contributes more.
-func Between(a, b Sample, p *Persistence) Factor {
-	const unknown = 0.1 // the weight of the mean of all targets, which decides if both are uncertain
+func Between(a, b Sample) Factor {
+	const unknown = 0.1 // the weight of the target's mean, which decides if both are uncertain
 	sum := unknown + a.certainty + b.certainty
-	return (p.mean()*unknown + a.factor*Factor(a.certainty) + b.factor*Factor(b.certainty)) / Factor(sum)
+	return (b.mean*unknown + a.factor*Factor(a.certainty) + b.factor*Factor(b.certainty)) / Factor(sum)
 }
 
-// Mean returns the mean factor over a time, given the values of Total at its start and its end.
-func Mean(from, until float64, length clock.Millis) Factor {
+// MeanOver returns the mean factor over a time, given the values of Total at its start and its end.
+func MeanOver(from, until float64, length clock.Millis) Factor {
 	if length <= 0 {
 		return Usual
 	}
 	return min(maxFactor, max(minFactor, Factor((until-from)/float64(length))))
 }
 
-// Forecast is the factor that is expected from a moment on: it approaches the mean of all targets, since a target that
-// works as usual now may be slowed before a long run ends. The zero value stands for Usual at all times.
+// Forecast is the factor that is expected from a moment on: it approaches the target's mean, since a target that works as
+// usual now may be slowed before a long run ends. The zero value stands for Usual at all times.
 type Forecast struct {
-	mean     Factor  // of all targets; 0 stands for Usual
+	mean     Factor  // of the target; 0 stands for Usual
 	excess   float64 // the factor less the mean, now
 	constant float64 // in ms, in which the excess falls to 1/e
 }
@@ -115,8 +122,11 @@
 	return f.mean
 }
 
-// Slowed reports whether work takes notably longer than usual.
-func (f Forecast) Slowed() bool { return f.Now() >= slowedFrom && f.excess > 0 }
+// Slowed reports whether work takes notably longer than in the target's mean.
+func (f Forecast) Slowed() bool { return f.Excess() >= slowedFrom }
+
+// Excess returns by how much work takes longer now than in the target's mean: 1 as long.
+func (f Forecast) Excess() float64 { return float64(f.Now() / f.lasting()) }
 
 // Over returns the mean factor over the next ms.
 func (f Forecast) Over(ms float64) Factor {
--- a/pkg/slowdown/estimate_test.go
+++ b/pkg/slowdown/estimate_test.go
@@ -78,12 +78,12 @@
 	e.Report(start, 2.5, &p)
 	for _, length := range []clock.Millis{1, 100, 1000} {
 		expected := e.Forecast(start, &p).Over(float64(length))
-		mean := slowdown.Mean(e.Total(start, &p), e.Total(start+length, &p), length)
+		mean := slowdown.MeanOver(e.Total(start, &p), e.Total(start+length, &p), length)
 		if math.Abs(float64(expected-mean)) > 0.01 {
 			t.Errorf("over %d ms: forecast %.3f, mean %.3f", length, expected, mean)
 		}
 	}
-	if got := slowdown.Mean(0, 0, 0); got != slowdown.Usual {
+	if got := slowdown.MeanOver(0, 0, 0); got != slowdown.Usual {
 		t.Errorf("mean over no time is %.2f", got)
 	}
 }
@@ -119,3 +119,22 @@
 		t.Errorf("expected %.2f of a target without news", got)
 	}
 }
+
+// TestLastingSpeedInReportsIsKept guards against targets that are believed to be about to become faster or slower, as
+// their reports hold their lasting speed beside the passing slowness.
+func TestLastingSpeedInReportsIsKept(t *testing.T) {
+	var p slowdown.Persistence
+	targets := make([]slowdown.Estimate, 2)
+	now := start
+	for range 200 {
+		now += 50
+		targets[0].Report(now, 0.6, &p)
+		targets[1].Report(now, 1.7, &p)
+	}
+	for i, want := range []slowdown.Factor{0.6, 1.7} {
+		f := targets[i].Forecast(now+1000, &p)
+		if got := f.Over(10_000); math.Abs(float64(got-want)) > 0.1 || f.Slowed() {
+			t.Errorf("expected %.2f of a target that always reports %.2f, slowed %t", got, want, f.Slowed())
+		}
+	}
+}
--- a/pkg/slowdown/persistence.go
+++ b/pkg/slowdown/persistence.go
@@ -2,17 +2,16 @@
 
 import "quaydock/pkg/clock"
 
-// Persistence learns for how long the factors that targets report persist, and their mean over time, from pairs of
-// successive reports of one target. The zero value assumes defaultConstant, and a mean of Usual.
+// Persistence learns for how long targets stay slower than they are in the mean, from pairs of successive reports of one
+// target, and the mean factor of all targets. The zero value assumes defaultConstant, and a mean of Usual.
 type Persistence struct {
-	exposure float64 // ms that reported factors other than Usual were observed for, newer ones with more weight
-	ends     float64 // how often they fell back to Usual meanwhile, with the same weights
-	observed float64 // ms between all pairs, newer ones with more weight
-	total    float64 // integral of the factor over that time
+	exposure float64 // ms for which targets were observed slower than in the mean, newer ones with more weight
+	ends     float64 // how often they fell back meanwhile, with the same weights
+	all      average
 }
 
 const (
-	// defaultConstant is the time in ms in which a factor is assumed to fall back to the mean before any observation, and
+	// defaultConstant is the time in ms in which a factor is assumed to fall back to the target's mean before any observation, and
 	// defaultEnds the number of observed ends that it counts for: targets change several times a second.
 	defaultConstant = 300.0
 	defaultEnds     = 5.0
@@ -22,40 +21,33 @@
 	maxConstant = float64(maxAge)
 	// persistenceDecay is the factor by which each pair reduces the weight of the earlier ones.
 	persistenceDecay = 0.998
-	// meanDecay is the same for the mean, which many targets have to contribute to.
-	meanDecay = 0.9998
-	// meanPrior is the time in ms for which the factor is assumed to have been Usual before any observation.
-	meanPrior = 2000.0
-	// learnFrom is the least difference to Usual from which a report shows whether it persists.
-	learnFrom = 0.15
+	// learnFrom is the least excess, as a fraction of the target's mean, from which a report shows whether it persists.
+	learnFrom = 0.3
 	// maxGap is the longest time between two reports that are compared: after a longer one the factor may have changed
 	// more than once.
 	maxGap = 300 * clock.Millisecond
 )
 
-// learn adds a pair of reports of one target, with the time between them.
-func (p *Persistence) learn(gap clock.Millis, before, after Factor) {
+// learn adds a pair of reports of one target of a mean, with the time between them.
+func (p *Persistence) learn(gap clock.Millis, before, after, mean Factor) {
 	if gap <= 0 || gap > maxGap {
 		return
 	}
 	const half = 0.5
-	p.observed = p.observed*meanDecay + float64(gap)
-	p.total = p.total*meanDecay + half*float64(gap)*float64(before+after)
-	excess := float64(before - Usual)
-	if excess < learnFrom && excess > -learnFrom {
+	p.all.add(gap, half*(before+after))
+	excess := float64(before - mean)
+	if excess < learnFrom*float64(mean) {
 		return
 	}
-	kept := min(1, max(0, float64(after-Usual)/excess))
+	kept := min(1, max(0, float64(after-mean)/excess))
 	p.exposure = p.exposure*persistenceDecay + half*float64(gap)*(1+kept)
 	p.ends = p.ends*persistenceDecay + 1 - kept
 }
 
-// mean returns the mean factor of the targets, which is what one will have that has not reported lately.
-func (p *Persistence) mean() Factor {
-	return Factor((p.total + meanPrior*float64(Usual)) / (p.observed + meanPrior))
-}
+// mean returns the mean factor of the targets, which a target has that has not reported yet.
+func (p *Persistence) mean() Factor { return p.all.get(Usual) }
 
-// constant returns the time in ms in which the difference of a factor to the mean falls to 1/e.
+// constant returns the time in ms in which the excess of a factor over the target's mean falls to 1/e.
 func (p *Persistence) constant() float64 {
 	constant := (p.exposure + defaultConstant*defaultEnds) / (p.ends + defaultEnds)
 	return min(maxConstant, max(minConstant, constant))
