--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -56,6 +56,9 @@
 	Resumption // resumption
 	// Retries: a request whose exchange failed is sent again.
 	Retries // retries
+	// AccountShares: in a tier in which more is asked than fits, requests of client accounts that get more than their
+	// share go behind the others.
+	AccountShares // account-shares
 	// count is the number of mechanisms.
 	count
 )
--- /dev/null
+++ b/pkg/fairshare/account.go
@@ -0,0 +1,80 @@
+// Package fairshare accounts for the service that client accounts get of a scarce capacity. It has no I/O and reads no
+// clock: the time is an argument. A unit of service is whatever the caller charges: tokens, or milliseconds of a place.
+package fairshare
+
+import (
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// Class is where an account stands relative to its share of what all accounts of its tier get together.
+type Class int
+
+//go:generate stringer -type=Class -output=class_string.go
+
+// Classes, in the order in which accounts are to be served. An account Within its share asks for no more than that. One
+// that asks for more is Below it as long as it gets at most its share, and Above it otherwise.
+const (
+	Within Class = iota
+	Below
+	Above
+	// Classes is the number of classes.
+	Classes = iota
+)
+
+// Account is the service and the demand of a client account in one tier.
+type Account struct {
+	Name ids.Account
+	// weight is the account's part of the capacity relative to other accounts.
+	weight float64
+	// served is the service charged so far divided by the weight, as in start-time fair queueing. Idle time is charged
+	// for: see Tier.Join.
+	served float64
+	busy   bool // between Tier.Join and Tier.Leave
+	// running is the number of places that the account holds, and waiting the number that it asks for besides.
+	running, waiting int
+	use              decayingUse
+	class            Class
+	share            float64 // in places, by the last Tier.Classify
+}
+
+// Served returns the charged service divided by the weight.
+func (a *Account) Served() float64 {
+	return a.served
+}
+
+// Class returns the account's class by the last Tier.Classify.
+func (a *Account) Class() Class {
+	return a.class
+}
+
+// Standing is what an account gets and asks for, in places.
+type Standing struct {
+	Account ids.Account
+	Class   Class
+	// Share is the most that the account may hold while others ask for more than they get, Use the mean number of
+	// places that it held lately, and Demand that number and those it waits for.
+	Share, Use, Demand float64
+}
+
+// Standing returns the account's standing by the last Tier.Classify.
+func (a *Account) Standing() Standing {
+	return Standing{Account: a.Name, Class: a.class, Share: a.share, Use: a.use.mean, Demand: a.demand()}
+}
+
+// demand returns how many places the account would hold if it got all that it asks for.
+func (a *Account) demand() float64 {
+	return a.use.mean + float64(a.waiting)
+}
+
+// idle reports whether the account neither holds nor asks for a place, and has hardly held any lately.
+func (a *Account) idle() bool {
+	return a.running == 0 && a.waiting == 0 && a.use.mean < negligibleUse
+}
+
+// negligibleUse, in places, is the use below which an account without requests is forgotten.
+const negligibleUse = 0.01
+
+// useWindow is the time constant of the mean use: short enough for an account that comes back, or whose owner is new,
+// to get its share within about a second, and long enough for short requests to be averaged.
+const useWindow = clock.Second
--- /dev/null
+++ b/pkg/fairshare/tier.go
@@ -0,0 +1,144 @@
+package fairshare
+
+import (
+	"math"
+	"slices"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
+)
+
+// Tier holds the accounts of one tier. It keeps only those that hold or ask for service, or did so lately.
+type Tier struct {
+	byName      map[ids.Account]*Account
+	accounts    []*Account // the same, in the order in which they came, so that sums are repeatable
+	virtualTime float64    // served value of the account that was charged last, before that charge
+	start       clock.Millis
+	claims      []claim // reused by Classify
+}
+
+// NewTier returns a tier without accounts, whose use is observed from now on.
+func NewTier(now clock.Millis) *Tier {
+	return &Tier{byName: make(map[ids.Account]*Account), start: now}
+}
+
+// Account returns the account with a name, which it adds with the given weight if it is missing.
+func (t *Tier) Account(now clock.Millis, name ids.Account, weight float64) *Account {
+	a := t.byName[name]
+	if a == nil {
+		a = &Account{Name: name, weight: positive(weight), use: decayingUse{at: now}}
+		t.byName[name] = a
+		t.accounts = append(t.accounts, a)
+	}
+	return a
+}
+
+// positive returns a weight, or 1 if it is not above 0.
+func positive(weight float64) float64 {
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
+
+// Len returns the number of accounts.
+func (t *Tier) Len() int {
+	return len(t.byName)
+}
+
+// Join starts a busy period of an account, which starts level with the others: it neither keeps a credit for its idle
+// time nor pays for service got before.
+func (t *Tier) Join(a *Account) {
+	a.served = max(a.served, t.virtualTime)
+	a.busy = true
+}
+
+// Charge records that an account is served so many units next, as the least served one.
+func (t *Tier) Charge(a *Account, units, weight float64) {
+	t.virtualTime = a.served
+	a.served += units / positive(weight)
+}
+
+// Leave ends a busy period of an account. Those without one are forgotten once they would start level with the others if
+// they came back, as new ones do.
+func (t *Tier) Leave(a *Account) {
+	a.busy = false
+	t.forget(func(a *Account) bool { return !a.busy && a.served <= t.virtualTime })
+}
+
+// forget removes the accounts for which gone returns true.
+func (t *Tier) forget(gone func(*Account) bool) {
+	t.accounts = slices.DeleteFunc(t.accounts, func(a *Account) bool {
+		if !gone(a) {
+			return false
+		}
+		delete(t.byName, a.Name)
+		return true
+	})
+}
+
+// Hold records that an account holds so many places more, or fewer if n is below 0.
+func (t *Tier) Hold(now clock.Millis, a *Account, n int) {
+	a.use.advance(t.start, now, a.running)
+	a.running = max(0, a.running+n)
+}
+
+// Classify compares the use of each account with its share, given how many places each waits for, and forgets idle
+// accounts. It reports whether at least two accounts are left: with one there is nothing to share. The capacity is what
+// all hold together, so that no account has to leave a place free that no other asks for.
+func (t *Tier) Classify(now clock.Millis, waiting map[ids.Account]int) (shared bool) {
+	t.forget(func(a *Account) bool {
+		a.use.advance(t.start, now, a.running)
+		a.waiting = waiting[a.Name]
+		return a.idle()
+	})
+	capacity := 0.0
+	t.claims = t.claims[:0]
+	for _, a := range t.accounts {
+		capacity += a.use.mean
+		t.claims = append(t.claims, claim{demand: a.demand(), weight: a.weight})
+	}
+	shared = len(t.accounts) > 1
+	lambda := math.Inf(1)
+	if shared {
+		lambda = level(capacity, t.claims)
+	}
+	for _, a := range t.accounts {
+		a.classify(lambda)
+	}
+	return shared
+}
+
+// classify sets the account's share and class by the max-min level.
+func (a *Account) classify(lambda float64) {
+	a.share = lambda * a.weight
+	switch {
+	case a.demand() <= a.share:
+		a.class = Within
+	case a.use.mean <= a.share:
+		a.class = Below
+	default:
+		a.class = Above
+	}
+}
+
+// Reweigh sets the weights of all accounts.
+func (t *Tier) Reweigh(weight func(ids.Account) float64) {
+	for _, a := range t.accounts {
+		a.weight = positive(weight(a.Name))
+	}
+}
+
+// Standings returns the standings of all accounts by the last Classify.
+func (t *Tier) Standings() []Standing {
+	list := make([]Standing, 0, len(t.accounts))
+	for _, a := range t.accounts {
+		list = append(list, a.Standing())
+	}
+	return list
+}
+
+// Find returns the account with a name, or nil.
+func (t *Tier) Find(name ids.Account) *Account {
+	return t.byName[name]
+}
--- a/pkg/gate/heaps.go
+++ b/pkg/gate/heaps.go
@@ -48,10 +48,10 @@
 // before orders accounts by work served, the least first; names break ties, so that the
 // same tickets always give the same order.
 func (l *accountQueue) before(other *accountQueue) bool {
-	if l.served != other.served {
-		return l.served < other.served
+	if l.share.Served() != other.share.Served() {
+		return l.share.Served() < other.share.Served()
 	}
-	return l.account < other.account
+	return l.share.Name < other.share.Name
 }
 
 func (l *accountQueue) setIndex(i int) { l.index = i }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -8,6 +8,7 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 )
 
@@ -41,16 +42,14 @@
 
 // tierQueue holds the queues of the accounts of one tier, the least served first.
 type tierQueue struct {
-	accounts    indexedHeap[*accountQueue]    // those with tickets
-	byName      map[ids.Account]*accountQueue // also those without, while their served value is above virtualTime
-	virtualTime float64                       // served value of the account of the last pop, before that pop
+	accounts indexedHeap[*accountQueue]    // those with tickets
+	byName   map[ids.Account]*accountQueue // the same
+	shares   *fairshare.Tier               // charged with the work of the tickets
 }
 
-// accountQueue holds the tickets of one account in one tier. Its served value is the work
-// granted so far divided by its weight, as in start-time fair queueing.
+// accountQueue holds the tickets of one account in one tier.
 type accountQueue struct {
-	account ids.Account
-	served  float64
+	share   *fairshare.Account
 	tickets indexedHeap[*queuedTicket]
 	index   int // in the heap of its tier
 }
@@ -58,7 +57,7 @@
 // tier returns the queue of a tier, after adding those that are missing up to its rank.
 func (q *Queue) tier(rank ids.TierRank) *tierQueue {
 	for len(q.tiers) <= int(rank) {
-		q.tiers = append(q.tiers, &tierQueue{byName: make(map[ids.Account]*accountQueue)})
+		q.tiers = append(q.tiers, &tierQueue{byName: make(map[ids.Account]*accountQueue), shares: fairshare.NewTier(0)})
 		q.tierWork = append(q.tierWork, 0)
 	}
 	return q.tiers[rank]
@@ -106,13 +105,9 @@
 	t := q.tier(ticket.Tier)
 	l := t.byName[ticket.Account]
 	if l == nil {
-		l = &accountQueue{account: ticket.Account, index: -1}
+		l = &accountQueue{share: t.shares.Account(0, ticket.Account, ticket.Weight), index: -1}
 		t.byName[ticket.Account] = l
-	}
-	if len(l.tickets) == 0 {
-		// An account that was idle starts level with the others: it neither
-		// keeps a credit for its idle time nor pays for work served before.
-		l.served = max(l.served, t.virtualTime)
+		t.shares.Join(l.share)
 		heap.Push(&t.accounts, l)
 	}
 	q.arrivals++
@@ -132,8 +127,7 @@
 		}
 		l := t.accounts[0]
 		w := l.tickets[0]
-		t.virtualTime = l.served
-		l.served += float64(w.ticket.Work()+1) / weightOf(&w.ticket)
+		t.shares.Charge(l.share, float64(w.ticket.Work()+1), w.ticket.Weight)
 		heap.Fix(&t.accounts, 0)
 		q.remove(w)
 		return w
@@ -141,14 +135,6 @@
 	return nil
 }
 
-// weightOf returns the weight of a ticket's account. An account that declares none has weight 1.
-func weightOf(t *control.Ticket) float64 {
-	if t.Weight <= 0 {
-		return 1
-	}
-	return t.Weight
-}
-
 // remove removes a ticket from anywhere in the queue.
 func (q *Queue) remove(w *queuedTicket) {
 	t := q.tiers[w.ticket.Tier]
@@ -156,10 +142,8 @@
 	heap.Remove(&l.tickets, w.index)
 	if len(l.tickets) == 0 {
 		heap.Remove(&t.accounts, l.index)
-	}
-	// If the account came back it would start level with the others, as a new one does.
-	if len(l.tickets) == 0 && l.served <= t.virtualTime {
-		delete(t.byName, l.account)
+		delete(t.byName, l.share.Name)
+		t.shares.Leave(l.share)
 	}
 	delete(q.byRequest, w.ticket.Request)
 	q.work -= w.ticket.Work()
@@ -176,7 +160,7 @@
 		}
 		mostServed := t.accounts[0]
 		for _, l := range t.accounts {
-			if mostServed.served < l.served {
+			if mostServed.share.Served() < l.share.Served() {
 				mostServed = l
 			}
 		}
--- a/pkg/loadmodel/caller.go
+++ b/pkg/loadmodel/caller.go
@@ -41,7 +41,7 @@
 // job returns the caller's latest try as the planner is told of it.
 func (c *caller) job() planner.Job {
 	return planner.Job{
-		ID: c.id, Tier: c.kind.Tier, Prompt: c.prompt, Events: c.events,
+		ID: c.id, Account: c.kind.Account, Tier: c.kind.Tier, Prompt: c.prompt, Events: c.events,
 		Arrived: c.triedAt, Objective: c.kind.Objective, Deadline: c.firstTryAt + c.kind.Deadline,
 		Patience: c.kind.Patience, SinceFirstTry: c.triedAt - c.firstTryAt, Retried: c.tries > 1,
 	}
--- a/pkg/loadmodel/load.go
+++ b/pkg/loadmodel/load.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -19,6 +20,8 @@
 type Kind struct {
 	Name string       `json:"name"`
 	Tier ids.TierRank `json:"tier"`
+	// Account is the client account of the callers; if any kind has one, accounts of equal weight share each tier.
+	Account ids.Account `json:"account,omitempty"`
 	// PerSecond is the rate of new callers.
 	PerSecond float64 `json:"per_second"`
 	// Prompt and Events are the median size, in tokens and in events of the answer; Spread is the standard
@@ -88,6 +91,8 @@
 	Restarts []clock.Millis `json:"planner_restarts_ms"`
 	// Seed determines all random draws; the same seed gives the same results.
 	Seed uint64 `json:"seed"`
+	// Off are the planner's mechanisms that are switched off.
+	Off ablation.Set `json:"-"`
 }
 
 // Read reads and checks a description of a load in JSON. Unknown fields are rejected.
--- a/pkg/planner/floor.go
+++ b/pkg/planner/floor.go
@@ -6,6 +6,7 @@
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 )
 
@@ -15,7 +16,13 @@
 // by size; neither improves the results alone.
 type floor struct {
 	until      map[ids.TierRank]clock.Millis // by tier of a refused job: end of the hold
-	freshUntil map[ids.TierRank]clock.Millis // the same for refused jobs on their first attempt
+	freshUntil map[standing]clock.Millis     // the same for refused jobs on their first attempt
+}
+
+// standing is a tier and a class of accounts in it.
+type standing struct {
+	tier  ids.TierRank
+	class fairshare.Class
 }
 
 const (
@@ -76,12 +83,12 @@
 func (f *floor) raise(now clock.Millis, w *queuedJob, hold clock.Millis) {
 	if f.until == nil {
 		f.until = make(map[ids.TierRank]clock.Millis)
-		f.freshUntil = make(map[ids.TierRank]clock.Millis)
+		f.freshUntil = make(map[standing]clock.Millis)
 	}
 	until := now + hold
 	f.until[w.Tier] = until
 	if !w.Retried {
-		f.freshUntil[w.Tier] = until
+		f.freshUntil[standing{w.Tier, w.class}] = until
 	}
 }
 
@@ -95,7 +102,26 @@
 	return false
 }
 
-// behind reports whether a job is late while one of its tier was recently refused on its first attempt.
+// behind reports whether a job is late while one of its tier was recently refused on its first attempt, unless that
+// one's account gets more of its share than the job's.
 func (f *floor) behind(now clock.Millis, w *queuedJob) bool {
-	return w.late(now) && now < f.freshUntil[w.Tier]
+	if !w.late(now) {
+		return false
+	}
+	for class := range w.class + 1 {
+		if now < f.freshUntil[standing{w.Tier, class}] {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsLate reports whether late jobs of some tier are held back.
+func (f *floor) holdsLate(now clock.Millis) bool {
+	for _, until := range f.freshUntil {
+		if now < until {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
@@ -104,6 +105,8 @@
 	NoTargets bool
 	// BackedOff is set if all targets have asked the job's entry for back-off.
 	BackedOff bool
+	// AboveShare is the standing of the job's account if that gets more than its share, nil otherwise.
+	AboveShare *fairshare.Standing
 }
 
 // Move reports that the target of a job does not respond and that the job should be sent to another one.
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -33,6 +33,9 @@
 		p.fullSince = 0
 		return
 	}
+	if len(p.queue.jobs) > 1 || p.floor.holdsLate(now) {
+		p.shares.refresh(now, &p.queue) // the order and the hold of late jobs depend on it
+	}
 	p.placeOnCanary(now)
 	c := p.findCandidates(now)
 	if len(c.available) == 0 {
@@ -72,6 +75,7 @@
 	t.coldBucket.take()
 	t.limitBucket.take()
 	p.runs[w.ID] = r
+	p.shares.hold(now, &w.Job, 1)
 	p.addDecision(r.grant())
 	return r
 }
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -32,7 +32,8 @@
 	// backoffUntil is the end of the last back-off that a target has asked of any entry.
 	backoffUntil clock.Millis
 	grantRates   map[ids.TierRank]*rateBySize // recent grants, without those to canary targets
-	decisions    []Decision                   // made since the last call of Decisions
+	shares       accountShares
+	decisions    []Decision // made since the last call of Decisions
 	off          ablation.Set
 }
 
@@ -63,8 +64,13 @@
 	w := &queuedJob{Job: job, committed: job.Retried, lastPoll: now, size: p.estimateSize(&job)}
 	w.latestStart = job.due() - p.minFirstEventTime(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
+	p.shares.outdated = true
 	p.place(now)
-	if p.queue.find(job.ID) >= 0 && p.shouldRefuse(now, w, p.queue.countAhead(now, w)) {
+	if p.queue.find(job.ID) < 0 {
+		return
+	}
+	p.shares.refresh(now, &p.queue)
+	if p.shouldRefuse(now, w, p.queue.countAhead(now, w)) {
 		p.queue.removeIf(func(other *queuedJob) bool { return other == w })
 		p.refuse(now, w)
 	}
@@ -78,6 +84,7 @@
 		p.grantRates[w.Tier] = r
 	}
 	r[w.size].add(now)
+	p.shares.countGrant(now, w)
 }
 
 // estimateSize returns the size class of a job's run on an otherwise idle target of factor 1. With the order by size
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/fairshare"
 )
 
 // queuedJob is a job in the queue.
@@ -13,6 +14,8 @@
 	// latestStart is the last moment at which the job can be granted and still be in time.
 	latestStart clock.Millis
 	size        sizeClass
+	// class is that of the job's account, by the last accountShares.refresh; Within if accounts share nothing.
+	class fairshare.Class
 	// committed is set if a refusal would come too late to be useful, or the job was refused once before: it is then
 	// kept while maxWait allows it, even if its first event will be late.
 	committed bool
@@ -34,8 +37,9 @@
 	q.jobs = slices.Delete(q.jobs, i, i+1)
 }
 
-// sort orders the jobs as they are served: by tier; in a tier those that can still be in time by their callers'
-// first attempt before the late ones; in both groups the shortest runs first, and among equal ones the most urgent.
+// sort orders the jobs as they are served: by tier; in a tier by the class of their accounts; in a class those that can
+// still be in time by their callers' first attempt before the late ones; in both groups the shortest runs first, and
+// among equal ones the most urgent.
 func (q *queue) sort(now clock.Millis) {
 	slices.SortStableFunc(q.jobs, func(a, b *queuedJob) int { return compareJobs(now, a, b) })
 }
@@ -45,6 +49,8 @@
 	switch {
 	case a.Tier != b.Tier:
 		return int(a.Tier - b.Tier)
+	case a.class != b.class:
+		return int(a.class - b.class)
 	case a.late(now) != b.late(now):
 		return trueFirst(b.late(now))
 	case a.size != b.size:
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -45,6 +45,7 @@
 		p.refuseNoTarget(&w.Job)
 		return true
 	})
+	p.shares.refresh(now, &p.queue)
 	p.queue.sort(now)
 	var kept, refused []*queuedJob
 	for _, w := range p.queue.jobs {
@@ -116,7 +117,7 @@
 		p.addDecision(Refusal{ID: w.ID, RetryAfter: max(retry, AfterBackoff(backoff, p.random.Float64())), Ahead: ahead, Wait: backoff, BackedOff: true})
 		return
 	}
-	p.addDecision(Refusal{ID: w.ID, RetryAfter: retry, Ahead: ahead, Wait: wait})
+	p.addDecision(Refusal{ID: w.ID, RetryAfter: retry, Ahead: ahead, Wait: wait, AboveShare: p.shares.standing(w)})
 	p.floorFor(&w.Job).raise(now, w, p.holdAfterRefusal(now))
 }
 
--- /dev/null
+++ b/pkg/planner/shares.go
@@ -0,0 +1,189 @@
+package planner
+
+import (
+	"math"
+
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+	"quaydock/pkg/fairshare"
+	"quaydock/pkg/ids"
+)
+
+// accountShares holds what the client accounts of each tier hold and ask for, in slots. It answers tiers in which more is
+// asked than fits: there, jobs of accounts that get more than their share go behind the others, however short they are,
+// and do not count when the wait of the others is estimated.
+type accountShares struct {
+	weight      func(ids.Account) float64 // nil while there is nothing to share
+	tiers       map[ids.TierRank]*tierShares
+	refreshedAt clock.Millis
+	outdated    bool // jobs have been queued since
+}
+
+// tierShares holds the accounts of one tier.
+type tierShares struct {
+	accounts *fairshare.Tier
+	shared   bool // more than one account is present
+	grants   map[ids.Account]*grantsBySize
+	// grantRates are the grants per second by the present class of their account and by size.
+	grantRates [fairshare.Classes][sizeClasses]float64
+	waiting    map[ids.Account]int // reused by refresh
+}
+
+// SetAccountWeights makes jobs of client accounts share the slots by their accounts' weights; nil ends that.
+func (p *Planner) SetAccountWeights(weight func(ids.Account) float64) {
+	switch {
+	case weight == nil || p.off.Off(ablation.AccountShares):
+		p.shares = accountShares{}
+	case p.shares.weight == nil:
+		p.shares = accountShares{weight: weight, tiers: make(map[ids.TierRank]*tierShares)}
+		for _, r := range p.runs {
+			p.shares.hold(r.grantedAt, &r.Job, 1)
+		}
+	default:
+		p.shares.weight = weight
+		for _, t := range p.shares.tiers {
+			t.accounts.Reweigh(weight)
+		}
+	}
+}
+
+// tier returns the shares of a tier, which it adds if they are missing.
+func (s *accountShares) tier(now clock.Millis, rank ids.TierRank) *tierShares {
+	t := s.tiers[rank]
+	if t == nil {
+		t = &tierShares{accounts: fairshare.NewTier(now), grants: make(map[ids.Account]*grantsBySize), waiting: make(map[ids.Account]int)}
+		s.tiers[rank] = t
+	}
+	return t
+}
+
+// hold records that a job's account holds so many slots more, or fewer if n is below 0.
+func (s *accountShares) hold(now clock.Millis, job *Job, n int) {
+	if s.weight == nil {
+		return
+	}
+	t := s.tier(now, job.Tier)
+	t.accounts.Hold(now, t.accounts.Account(now, job.Account, s.weight(job.Account)), n)
+}
+
+// countGrant records a grant in the rate of the job's account.
+func (s *accountShares) countGrant(now clock.Millis, w *queuedJob) {
+	if s.weight == nil {
+		return
+	}
+	t := s.tier(now, w.Tier)
+	g := t.grants[w.Account]
+	if g == nil {
+		g = &grantsBySize{at: now}
+		t.grants[w.Account] = g
+	}
+	g.decay(now)
+	g.counts[w.size]++
+}
+
+// refresh determines the class of each account by what waits, and sets that of the jobs.
+func (s *accountShares) refresh(now clock.Millis, q *queue) {
+	if s.weight == nil || now == s.refreshedAt && !s.outdated {
+		return
+	}
+	s.refreshedAt, s.outdated = now, false
+	for _, t := range s.tiers {
+		clear(t.waiting)
+	}
+	for _, w := range q.jobs {
+		t := s.tier(now, w.Tier)
+		t.accounts.Account(now, w.Account, s.weight(w.Account))
+		t.waiting[w.Account]++
+	}
+	for _, t := range s.tiers {
+		t.classify(now)
+	}
+	for _, w := range q.jobs {
+		w.class = s.tiers[w.Tier].class(w.Account)
+	}
+}
+
+// classify determines the class of each account and the grant rates by class.
+func (t *tierShares) classify(now clock.Millis) {
+	t.shared = t.accounts.Classify(now, t.waiting)
+	t.grantRates = [fairshare.Classes][sizeClasses]float64{}
+	for name, g := range t.grants {
+		a := t.accounts.Find(name)
+		if a == nil {
+			delete(t.grants, name)
+			continue
+		}
+		g.decay(now)
+		for size, n := range g.counts {
+			t.grantRates[a.Class()][size] += n * float64(clock.Second) / float64(grantWindow)
+		}
+	}
+}
+
+// class returns the class of an account.
+func (t *tierShares) class(account ids.Account) fairshare.Class {
+	if a := t.accounts.Find(account); a != nil {
+		return a.Class()
+	}
+	return fairshare.Within
+}
+
+// rateBefore returns the rate per second of recent grants in a job's tier to jobs that go before it, and whether several
+// accounts share the tier: only then does it depend on them.
+func (s *accountShares) rateBefore(w *queuedJob, late bool) (perSecond float64, shared bool) {
+	t := s.tiers[w.Tier]
+	if t == nil || !t.shared {
+		return 0, false
+	}
+	for class := range w.class {
+		perSecond += sum(t.grantRates[class][:])
+	}
+	own := t.grantRates[w.class]
+	if late {
+		return perSecond + sum(own[:]), true
+	}
+	return perSecond + sum(own[:w.size]) + own[w.size]/2, true
+}
+
+// sum returns the sum of some rates.
+func sum(rates []float64) float64 {
+	all := 0.0
+	for _, r := range rates {
+		all += r
+	}
+	return all
+}
+
+// standing returns the standing of a job's account if that gets more than its share.
+func (s *accountShares) standing(w *queuedJob) *fairshare.Standing {
+	if w.class != fairshare.Above {
+		return nil
+	}
+	a := s.tiers[w.Tier].accounts.Find(w.Account)
+	if a == nil {
+		return nil
+	}
+	standing := a.Standing()
+	return &standing
+}
+
+// grantsBySize counts the grants of one account by size class; earlier ones count less.
+type grantsBySize struct {
+	counts [sizeClasses]float64
+	at     clock.Millis // up to when they have decayed
+}
+
+// grantWindow is the time constant by which grants count less: their mean age is that in the window of a rate.
+const grantWindow = rateSteps * rateStep / 2
+
+// decay lets the grants count as of a later time.
+func (g *grantsBySize) decay(now clock.Millis) {
+	if now <= g.at {
+		return
+	}
+	kept := math.Exp(-float64(now-g.at) / float64(grantWindow))
+	for i := range g.counts {
+		g.counts[i] *= kept
+	}
+	g.at = now
+}
--- a/pkg/planner/wait.go
+++ b/pkg/planner/wait.go
@@ -46,12 +46,21 @@
 		case tier < w.Tier:
 			sum += r.perSecond(now)
 		case tier == w.Tier:
-			sum += r.rateBefore(now, w)
+			sum += p.grantRateInTier(now, r, w)
 		}
 	}
 	return sum
 }
 
+// grantRateInTier returns the rate per second of recent grants in a job's own tier to jobs that go before it. Those of
+// accounts that are behind the job's do not count if accounts share the tier.
+func (p *Planner) grantRateInTier(now clock.Millis, r *rateBySize, w *queuedJob) float64 {
+	if perSecond, shared := p.shares.rateBefore(w, w.late(now)); shared {
+		return perSecond
+	}
+	return r.rateBefore(now, w)
+}
+
 // releaseRate returns how many jobs per second can end. Once no target could take a job for fullWindow it is the
 // measured rate; before that too few jobs end, and it is at least the rate expected from the slots and the mean run
 // time.
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -80,6 +80,8 @@
 	routes   map[string]bool     // by name
 	keys     map[string]*Account // by key
 	accounts []*Account
+	byName   map[ids.Account]*Account
+	weights  map[ids.Account]float64 // of the accounts' shares of scarce capacity
 }
 
 // NewCatalog builds a catalog, with the routes of each host sorted for Route.
@@ -92,6 +94,8 @@
 		routes:   make(map[string]bool, len(routes)),
 		keys:     make(map[string]*Account),
 		accounts: accounts,
+		byName:   make(map[ids.Account]*Account, len(accounts)),
+		weights:  shareWeights(accounts),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -104,6 +108,9 @@
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, a := range accounts {
+		if c.byName[a.Name] == nil {
+			c.byName[a.Name] = a
+		}
 		for _, key := range a.Keys {
 			c.keys[key] = a
 		}
@@ -151,12 +158,7 @@
 
 // AccountByName returns the account with a name, or nil.
 func (c *Catalog) AccountByName(name ids.Account) *Account {
-	for _, a := range c.accounts {
-		if a.Name == name {
-			return a
-		}
-	}
-	return nil
+	return c.byName[name]
 }
 
 // Accounts returns all client accounts.
