Owner: weights of client accounts, log lines and metrics of those above their share

Change: the owner gives its planners the weights from the configuration, logs refusals of accounts over their share (sampled) and tells three gauges.

--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -31,6 +31,7 @@
 type servicePlanner struct {
 	planner       *planner.Planner
 	directory     *routing.Directory      // the one whose targets the planner has
+	catalog       *routing.Catalog        // the one whose accounts the planner has
 	lastMessageAt map[string]clock.Millis // by entry address
 	lastLogged    clock.Millis            // when logSummary last wrote a line
 	trial         *rollout.Trial          // of a version; nil without an order
@@ -103,6 +104,8 @@
 		g.planner.Disable(owner.Ablation)
 		owner.planners[service] = g
 		owner.updateLimits(now, g, service)
+		owner.updateAccounts(g)
+		owner.registerAccountMetrics(service)
 		owner.Log.WithField("service", string(service)).Info("this entry now plans for a service")
 	}
 	owner.refresh(now, g, service, directory)
@@ -180,6 +183,7 @@
 			}
 		}
 		owner.updateLimits(now, g, service)
+		owner.updateAccounts(g)
 		owner.refresh(now, g, service, owner.view.Directory())
 		owner.stepTrial(ctx, now, service, g)
 		g.planner.Tick(now)
--- /dev/null
+++ b/pkg/dispatch/owner_accounts.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"quaydock/pkg/ids"
+	"quaydock/pkg/planner"
+)
+
+// updateAccounts passes the weights of the client accounts to a planner if they have changed; the caller holds the lock.
+// With fewer than two accounts there is nothing to share.
+func (owner *Owner) updateAccounts(g *servicePlanner) {
+	catalog := owner.view.Catalog()
+	if catalog == nil || g.catalog == catalog {
+		return
+	}
+	g.catalog = catalog
+	if len(catalog.Accounts()) < 2 {
+		g.planner.SetAccountWeights(nil)
+		return
+	}
+	g.planner.SetAccountWeights(catalog.ShareWeight)
+}
+
+// logAboveShare logs the refusal of a request whose account gets more than its share.
+func (owner *Owner) logAboveShare(d *planner.Refusal) {
+	s := d.AboveShare
+	if s == nil || !owner.sampler.Allow("above_share") {
+		return
+	}
+	owner.Log.WithFields(logrus.Fields{
+		"entry": d.ID.Entry, "number": d.ID.Number, "account": string(s.Account),
+		"share": roundToTenth(s.Share), "use": roundToTenth(s.Use), "demand": roundToTenth(s.Demand),
+	}).Info("refused a request of an account above its share")
+}
+
+// registerAccountMetrics registers the gauges of a service that this entry plans for; labels are services alone, since a
+// deployment may have hundreds of accounts.
+func (owner *Owner) registerAccountMetrics(service ids.Service) {
+	gauge := func(name string, value func(*planner.AccountSummary) int) {
+		owner.Metrics.Prometheus.LabelledGauge(name, "service", string(service), func() float64 {
+			s := owner.accountSummary(service)
+			return float64(value(&s))
+		})
+	}
+	gauge("accounts_present", func(s *planner.AccountSummary) int { return s.Accounts })
+	gauge("accounts_above_share", func(s *planner.AccountSummary) int { return s.Above })
+	gauge("refusals_above_share", func(s *planner.AccountSummary) int { return s.Refusals })
+}
+
+// accountSummary returns what the planner that this entry runs for a service tells of client accounts; nothing if
+// another entry plans for it.
+func (owner *Owner) accountSummary(service ids.Service) planner.AccountSummary {
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	g := owner.planners[service]
+	if g == nil {
+		return planner.AccountSummary{}
+	}
+	return g.planner.AccountSummary()
+}
+
+// accountFields returns what a planner's line tells of client accounts, nothing while none share the targets.
+func accountFields(s *planner.AccountSummary) logrus.Fields {
+	if s.Accounts == 0 {
+		return nil
+	}
+	heaviest := s.Heaviest
+	return logrus.Fields{
+		"accounts": s.Accounts, "accounts_above_share": s.Above, "refusals_above_share": s.Refusals, "heaviest_account": string(heaviest.Account),
+		"heaviest_share": roundToTenth(heaviest.Share), "heaviest_use": roundToTenth(heaviest.Use), "heaviest_demand": roundToTenth(heaviest.Demand),
+	}
+}
--- a/pkg/fairshare/account.go
+++ b/pkg/fairshare/account.go
@@ -3,6 +3,8 @@
 package fairshare
 
 import (
+	"math"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -52,14 +54,18 @@
 type Standing struct {
 	Account ids.Account
 	Class   Class
-	// Share is the most that the account may hold while others ask for more than they get, Use the mean number of
-	// places that it held lately, and Demand that number and those it waits for.
+	// Share is the most that the account is to hold while others ask for more than they get, 0 if nothing limits it. Use is
+	// the mean number of places that it held lately, and Demand that number and those it waits for.
 	Share, Use, Demand float64
 }
 
 // Standing returns the account's standing by the last Tier.Classify.
 func (a *Account) Standing() Standing {
-	return Standing{Account: a.Name, Class: a.class, Share: a.share, Use: a.use.mean, Demand: a.demand()}
+	share := a.share
+	if math.IsInf(share, 1) {
+		share = 0
+	}
+	return Standing{Account: a.Name, Class: a.class, Share: share, Use: a.use.mean, Demand: a.demand()}
 }
 
 // demand returns how many places the account would hold if it got all that it asks for.
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -17,6 +17,7 @@
 	tiers       map[ids.TierRank]*tierShares
 	refreshedAt clock.Millis
 	outdated    bool // jobs have been queued since
+	refusals    int  // of jobs of accounts above their share
 }
 
 // tierShares holds the accounts of one tier.
@@ -154,8 +155,8 @@
 	return all
 }
 
-// standing returns the standing of a job's account if that gets more than its share.
-func (s *accountShares) standing(w *queuedJob) *fairshare.Standing {
+// countRefusal returns the standing of a refused job's account if that gets more than its share, nil otherwise.
+func (s *accountShares) countRefusal(w *queuedJob) *fairshare.Standing {
 	if w.class != fairshare.Above {
 		return nil
 	}
@@ -163,10 +164,37 @@
 	if a == nil {
 		return nil
 	}
+	s.refusals++
 	standing := a.Standing()
 	return &standing
 }
 
+// AccountSummary tells of the client accounts that share the slots.
+type AccountSummary struct {
+	// Accounts is the number of accounts that hold or wait for slots, or did so lately, in all tiers; Above is the number
+	// of those that get more than their share. Refusals counts refusals of jobs of such accounts.
+	Accounts, Above, Refusals int
+	// Heaviest is the standing of the account that holds most slots in a tier.
+	Heaviest fairshare.Standing
+}
+
+// AccountSummary returns the state of the client accounts as of the last Tick or decision on a waiting job.
+func (p *Planner) AccountSummary() AccountSummary {
+	s := AccountSummary{Refusals: p.shares.refusals}
+	for _, t := range p.shares.tiers {
+		for _, standing := range t.accounts.Standings() {
+			s.Accounts++
+			if standing.Class == fairshare.Above {
+				s.Above++
+			}
+			if standing.Use > s.Heaviest.Use {
+				s.Heaviest = standing
+			}
+		}
+	}
+	return s
+}
+
 // grantsBySize counts the grants of one account by size class; earlier ones count less.
 type grantsBySize struct {
 	counts [sizeClasses]float64
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -21,6 +21,8 @@
 	FirstEventBase, FirstEventPerThousand, IntervalBase, IntervalPerRun float64
 	// PrefillStall is the longest delay that prompts being read cause to one event, in ms.
 	PrefillStall float64
+	// Accounts tells of the client accounts that share the slots.
+	Accounts AccountSummary
 	// Factors holds by how much each target is slower than the others.
 	Factors map[ids.Target]float64
 }
@@ -29,7 +31,7 @@
 func (p *Planner) Summary(now clock.Millis) Summary {
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
-		PerSecond: p.releases.perSecond(now), Factors: make(map[ids.Target]float64, len(p.eligible)),
+		Accounts: p.AccountSummary(), PerSecond: p.releases.perSecond(now), Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
 	s.FirstEventBase, s.FirstEventPerThousand = p.timings.firstEvent.fit()
 	s.FirstEventPerThousand *= 1000
