--- a/pkg/dispatch/owner_accounts.go
+++ b/pkg/dispatch/owner_accounts.go
@@ -22,16 +22,16 @@
 	g.planner.SetAccountWeights(catalog.ShareWeight)
 }
 
-// logAboveShare logs the refusal of a request whose account gets more than its share.
-func (owner *Owner) logAboveShare(d *planner.Refusal) {
-	s := d.AboveShare
-	if s == nil || !owner.sampler.Allow("above_share") {
+// logOverShare logs the refusal of a request whose account asks for more than its share.
+func (owner *Owner) logOverShare(d *planner.Refusal) {
+	s := d.OverShare
+	if s == nil || !owner.sampler.Allow("over_share") {
 		return
 	}
 	owner.Log.WithFields(logrus.Fields{
 		"entry": d.ID.Entry, "number": d.ID.Number, "account": string(s.Account),
 		"share": roundToTenth(s.Share), "use": roundToTenth(s.Use), "demand": roundToTenth(s.Demand),
-	}).Info("refused a request of an account above its share")
+	}).Info("refused a request of an account over its share")
 }
 
 // registerAccountMetrics registers the gauges of a service that this entry plans for; labels are services alone, since a
@@ -44,8 +44,8 @@
 		})
 	}
 	gauge("accounts_present", func(s *planner.AccountSummary) int { return s.Accounts })
-	gauge("accounts_above_share", func(s *planner.AccountSummary) int { return s.Above })
-	gauge("refusals_above_share", func(s *planner.AccountSummary) int { return s.Refusals })
+	gauge("accounts_over_share", func(s *planner.AccountSummary) int { return s.OverShare })
+	gauge("refusals_over_share", func(s *planner.AccountSummary) int { return s.Refusals })
 }
 
 // accountSummary returns what the planner that this entry runs for a service tells of client accounts; nothing if
@@ -67,7 +67,7 @@
 	}
 	heaviest := s.Heaviest
 	return logrus.Fields{
-		"accounts": s.Accounts, "accounts_above_share": s.Above, "refusals_above_share": s.Refusals, "heaviest_account": string(heaviest.Account),
+		"accounts": s.Accounts, "accounts_over_share": s.OverShare, "refusals_over_share": s.Refusals, "heaviest_account": string(heaviest.Account),
 		"heaviest_share": roundToTenth(heaviest.Share), "heaviest_use": roundToTenth(heaviest.Use), "heaviest_demand": roundToTenth(heaviest.Demand),
 	}
 }
--- a/pkg/dispatch/owner_messages.go
+++ b/pkg/dispatch/owner_messages.go
@@ -89,7 +89,7 @@
 			case d.BackedOff:
 				kind = backedOff
 			}
-			owner.logAboveShare(&d)
+			owner.logOverShare(&d)
 			owner.sendDecision(d.ID, decisionMessage{Kind: kind, RetryAfter: d.RetryAfter, Ahead: d.Ahead, Wait: d.Wait})
 		case planner.Move:
 			owner.sendDecision(d.ID, decisionMessage{Kind: redispatch})
--- a/pkg/fairshare/account.go
+++ b/pkg/fairshare/account.go
@@ -31,13 +31,14 @@
 	weight float64
 	// served is the service charged so far divided by the weight, as in start-time fair queueing. Idle time is charged
 	// for: see Tier.Join.
-	served float64
-	busy   bool // between Tier.Join and Tier.Leave
-	// running is the number of places that the account holds, and waiting the number that it asks for besides.
-	running, waiting int
-	use              decayingUse
-	class            Class
-	share            float64 // in places, by the last Tier.Classify
+	served  float64
+	busy    bool // between Tier.Join and Tier.Leave
+	running int  // places that the account holds
+	use     decayingUse
+	// asked and granted count the account's recent requests, and those of them that got a place; earlier ones count less.
+	asked, granted float64
+	class          Class
+	share          float64 // in places, by the last Tier.Classify
 }
 
 // Served returns the charged service divided by the weight.
@@ -55,7 +56,7 @@
 	Account ids.Account
 	Class   Class
 	// Share is the most that the account is to hold while others ask for more than they get, 0 if nothing limits it. Use is
-	// the mean number of places that it held lately, and Demand that number and those it waits for.
+	// the mean number of places that it held lately, and Demand what it would hold if it got all that it asked for.
 	Share, Use, Demand float64
 }
 
@@ -68,18 +69,31 @@
 	return Standing{Account: a.Name, Class: a.class, Share: share, Use: a.use.mean, Demand: a.demand()}
 }
 
-// demand returns how many places the account would hold if it got all that it asks for.
+// advance extends the account's means to a time.
+func (a *Account) advance(start, now clock.Millis) {
+	if now <= a.use.at {
+		return
+	}
+	kept := math.Exp(-float64(now-a.use.at) / float64(useWindow))
+	a.asked *= kept
+	a.granted *= kept
+	a.use.advance(start, now, kept, a.running)
+}
+
+// demand returns how many places the account would hold if it got all that it asks for: as many times what it holds as
+// it asks more often than it gets a place. A place that waits or was refused counts for what the account's places last.
+// One request more in both counts keeps the ratio low for an account that has hardly asked.
 func (a *Account) demand() float64 {
-	return a.use.mean + float64(a.waiting)
+	return a.use.mean * max(1, (a.asked+1)/(a.granted+1))
 }
 
-// idle reports whether the account neither holds nor asks for a place, and has hardly held any lately.
+// idle reports whether the account holds no place, and has hardly held or asked for any lately.
 func (a *Account) idle() bool {
-	return a.running == 0 && a.waiting == 0 && a.use.mean < negligibleUse
+	return a.running == 0 && a.use.mean < negligible && a.asked < negligible
 }
 
-// negligibleUse, in places, is the use below which an account without requests is forgotten.
-const negligibleUse = 0.01
+// negligible is the use, in places, and the number of recent requests below which an account is forgotten.
+const negligible = 0.01
 
 // useWindow is the time constant of the mean use: short enough for an account that comes back, or whose owner is new,
 // to get its share within about a second, and long enough for short requests to be averaged.
--- a/pkg/fairshare/tier.go
+++ b/pkg/fairshare/tier.go
@@ -77,19 +77,31 @@
 	})
 }
 
-// Hold records that an account holds so many places more, or fewer if n is below 0.
-func (t *Tier) Hold(now clock.Millis, a *Account, n int) {
-	a.use.advance(t.start, now, a.running)
-	a.running = max(0, a.running+n)
+// Ask records that an account asks for a place.
+func (t *Tier) Ask(now clock.Millis, a *Account) {
+	a.advance(t.start, now)
+	a.asked++
 }
 
-// Classify compares the use of each account with its share, given how many places each waits for, and forgets idle
-// accounts. It reports whether at least two accounts are left: with one there is nothing to share. The capacity is what
-// all hold together, so that no account has to leave a place free that no other asks for.
-func (t *Tier) Classify(now clock.Millis, waiting map[ids.Account]int) (shared bool) {
+// Start records that an account holds one more place, for which it has asked.
+func (t *Tier) Start(now clock.Millis, a *Account) {
+	a.advance(t.start, now)
+	a.granted++
+	a.running++
+}
+
+// End records that an account holds one place fewer.
+func (t *Tier) End(now clock.Millis, a *Account) {
+	a.advance(t.start, now)
+	a.running = max(0, a.running-1)
+}
+
+// Classify compares the demand and the use of each account with its share, and forgets idle accounts. It reports whether
+// at least two accounts are left: with one there is nothing to share. The capacity is what all hold together, so that no
+// account has to leave a place free that no other asks for.
+func (t *Tier) Classify(now clock.Millis) (shared bool) {
 	t.forget(func(a *Account) bool {
-		a.use.advance(t.start, now, a.running)
-		a.waiting = waiting[a.Name]
+		a.advance(t.start, now)
 		return a.idle()
 	})
 	capacity := 0.0
--- a/pkg/fairshare/use.go
+++ b/pkg/fairshare/use.go
@@ -13,12 +13,10 @@
 }
 
 // advance extends the mean to a time up to which so many places were held. Observation has begun at start: what was
-// held before is not known, and the mean is that over the time since then.
-func (u *decayingUse) advance(start, now clock.Millis, held int) {
-	if now <= u.at {
-		return
-	}
-	kept := math.Exp(-float64(now-u.at)/float64(useWindow)) * observed(u.at-start) / observed(now-start)
+// held before is not known, and the mean is that over the time since then. The factor kept is by how much earlier time
+// counts less than before.
+func (u *decayingUse) advance(start, now clock.Millis, kept float64, held int) {
+	kept *= observed(u.at-start) / observed(now-start)
 	u.mean = kept*u.mean + (1-kept)*float64(held)
 	u.at = now
 }
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -105,8 +105,8 @@
 	NoTargets bool
 	// BackedOff is set if all targets have asked the job's entry for back-off.
 	BackedOff bool
-	// AboveShare is the standing of the job's account if that gets more than its share, nil otherwise.
-	AboveShare *fairshare.Standing
+	// OverShare is the standing of the job's account if that asks for more than its share, nil otherwise.
+	OverShare *fairshare.Standing
 }
 
 // Move reports that the target of a job does not respond and that the job should be sent to another one.
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -75,7 +75,7 @@
 	t.coldBucket.take()
 	t.limitBucket.take()
 	p.runs[w.ID] = r
-	p.shares.hold(now, &w.Job, 1)
+	p.shares.start(now, &w.Job)
 	p.addDecision(r.grant())
 	return r
 }
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -69,7 +69,7 @@
 	}
 	t.probing = outcome != Served && (t.probing || t.health.Ejected(now))
 	delete(p.runs, id)
-	p.shares.hold(now, &r.Job, -1)
+	p.shares.end(now, &r.Job)
 	t.removeRun(r)
 	p.countRelease(now, r, outcome)
 	p.forget(t)
@@ -104,7 +104,8 @@
 	r := t.addRun(now, job)
 	r.canary = t.Admission == routing.OnTrial
 	p.runs[job.ID] = r
-	p.shares.hold(now, &r.Job, 1)
+	p.shares.ask(now, &r.Job)
+	p.shares.start(now, &r.Job)
 	if hasFirstEvent {
 		t.recordFirstEvent(now, r)
 	}
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -17,7 +17,7 @@
 	tiers       map[ids.TierRank]*tierShares
 	refreshedAt clock.Millis
 	outdated    bool // jobs have been queued since
-	refusals    int  // of jobs of accounts above their share
+	refusals    int  // of jobs of accounts that ask for more than their share
 }
 
 // tierShares holds the accounts of one tier.
@@ -27,7 +27,6 @@
 	grants   map[ids.Account]*grantsBySize
 	// grantRates are the grants per second by the present class of their account and by size.
 	grantRates [fairshare.Classes][sizeClasses]float64
-	waiting    map[ids.Account]int // reused by refresh
 }
 
 // SetAccountWeights makes jobs of client accounts share the slots by their accounts' weights; nil ends that.
@@ -38,7 +37,8 @@
 	case p.shares.weight == nil:
 		p.shares = accountShares{weight: weight, tiers: make(map[ids.TierRank]*tierShares)}
 		for _, r := range p.runs {
-			p.shares.hold(r.grantedAt, &r.Job, 1)
+			p.shares.ask(r.grantedAt, &r.Job)
+			p.shares.start(r.grantedAt, &r.Job)
 		}
 	default:
 		p.shares.weight = weight
@@ -52,19 +52,41 @@
 func (s *accountShares) tier(now clock.Millis, rank ids.TierRank) *tierShares {
 	t := s.tiers[rank]
 	if t == nil {
-		t = &tierShares{accounts: fairshare.NewTier(now), grants: make(map[ids.Account]*grantsBySize), waiting: make(map[ids.Account]int)}
+		t = &tierShares{accounts: fairshare.NewTier(now), grants: make(map[ids.Account]*grantsBySize)}
 		s.tiers[rank] = t
 	}
 	return t
 }
 
-// hold records that a job's account holds so many slots more, or fewer if n is below 0.
-func (s *accountShares) hold(now clock.Millis, job *Job, n int) {
-	if s.weight == nil {
-		return
+// account returns a job's account with the shares of its tier.
+func (s *accountShares) account(now clock.Millis, job *Job) (*fairshare.Tier, *fairshare.Account) {
+	t := s.tier(now, job.Tier).accounts
+	return t, t.Account(now, job.Account, s.weight(job.Account))
+}
+
+// ask records that a job has been queued.
+func (s *accountShares) ask(now clock.Millis, job *Job) {
+	s.outdated = true
+	if s.weight != nil {
+		t, a := s.account(now, job)
+		t.Ask(now, a)
+	}
+}
+
+// start records that a job that was queued has got a slot.
+func (s *accountShares) start(now clock.Millis, job *Job) {
+	if s.weight != nil {
+		t, a := s.account(now, job)
+		t.Start(now, a)
+	}
+}
+
+// end records that a job's slot is free again.
+func (s *accountShares) end(now clock.Millis, job *Job) {
+	if s.weight != nil {
+		t, a := s.account(now, job)
+		t.End(now, a)
 	}
-	t := s.tier(now, job.Tier)
-	t.accounts.Hold(now, t.accounts.Account(now, job.Account, s.weight(job.Account)), n)
 }
 
 // countGrant records a grant in the rate of the job's account.
@@ -82,31 +104,23 @@
 	g.counts[w.size]++
 }
 
-// refresh determines the class of each account by what waits, and sets that of the jobs.
+// refresh determines the class of each account and sets that of the jobs.
 func (s *accountShares) refresh(now clock.Millis, q *queue) {
 	if s.weight == nil || now == s.refreshedAt && !s.outdated {
 		return
 	}
 	s.refreshedAt, s.outdated = now, false
-	for _, t := range s.tiers {
-		clear(t.waiting)
-	}
-	for _, w := range q.jobs {
-		t := s.tier(now, w.Tier)
-		t.accounts.Account(now, w.Account, s.weight(w.Account))
-		t.waiting[w.Account]++
-	}
 	for _, t := range s.tiers {
 		t.classify(now)
 	}
 	for _, w := range q.jobs {
-		w.class = s.tiers[w.Tier].class(w.Account)
+		w.class = s.tier(now, w.Tier).class(w.Account)
 	}
 }
 
 // classify determines the class of each account and the grant rates by class.
 func (t *tierShares) classify(now clock.Millis) {
-	t.shared = t.accounts.Classify(now, t.waiting)
+	t.shared = t.accounts.Classify(now)
 	t.grantRates = [fairshare.Classes][sizeClasses]float64{}
 	for name, g := range t.grants {
 		a := t.accounts.Find(name)
@@ -155,9 +169,9 @@
 	return all
 }
 
-// countRefusal returns the standing of a refused job's account if that gets more than its share, nil otherwise.
+// countRefusal returns the standing of a refused job's account if that asks for more than its share, nil otherwise.
 func (s *accountShares) countRefusal(w *queuedJob) *fairshare.Standing {
-	if w.class != fairshare.Above {
+	if w.class == fairshare.Within {
 		return nil
 	}
 	a := s.tiers[w.Tier].accounts.Find(w.Account)
@@ -171,9 +185,9 @@
 
 // AccountSummary tells of the client accounts that share the slots.
 type AccountSummary struct {
-	// Accounts is the number of accounts that hold or wait for slots, or did so lately, in all tiers; Above is the number
-	// of those that get more than their share. Refusals counts refusals of jobs of such accounts.
-	Accounts, Above, Refusals int
+	// Accounts is the number of accounts that hold or wait for slots, or did so lately, in all tiers; OverShare is the
+	// number of those that ask for more than their share. Refusals counts refusals of jobs of such accounts.
+	Accounts, OverShare, Refusals int
 	// Heaviest is the standing of the account that holds most slots in a tier.
 	Heaviest fairshare.Standing
 }
@@ -184,8 +198,8 @@
 	for _, t := range p.shares.tiers {
 		for _, standing := range t.accounts.Standings() {
 			s.Accounts++
-			if standing.Class == fairshare.Above {
-				s.Above++
+			if standing.Class != fairshare.Within {
+				s.OverShare++
 			}
 			if standing.Use > s.Heaviest.Use {
 				s.Heaviest = standing
