quayctl status: shares of client accounts; benchmark of shares

Change: quayctl status and /accounts list the accounts that hold most, with share, use and demand; a benchmark of decisions by the number of accounts.

--- a/pkg/app/entry_metrics.go
+++ b/pkg/app/entry_metrics.go
@@ -60,6 +60,7 @@
 	mux.HandleFunc("GET "+operators.PathRollouts, jsonHandler(p, p.dispatcher.RolloutReports))
 	mux.HandleFunc("GET "+operators.PathQuarantine, jsonHandler(p, p.guard.HeldReports))
 	mux.HandleFunc("GET "+operators.PathAdvice, jsonHandler(p, p.adviceReports))
+	mux.HandleFunc("GET "+operators.PathAccounts, jsonHandler(p, p.dispatcher.AccountReports))
 	mux.HandleFunc("GET "+operators.PathDomains, jsonHandler(p, p.failureDomains))
 	mux.HandleFunc("GET "+operators.PathReady, p.ready(http.StatusNoContent))
 	mux.HandleFunc("POST "+operators.PathQuarantine, p.release)
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -15,14 +15,15 @@
 
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/domains"
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/operators"
 )
 
 // statusTimeout limits a command's calls to a process's operators' address. The time given by -wait is added.
 const statusTimeout = 5 * time.Second
 
-// status prints readiness and metrics of one process, and for an entry on the platform also the advice of its targets
-// and the state of failure domains.
+// status prints readiness and metrics of one process, and for an entry on the platform also the advice of its targets,
+// the shares of client accounts and the state of failure domains.
 func status(ctx context.Context, args []string, out, errs io.Writer) error {
 	flags := flag.NewFlagSet("quayctl status", flag.ContinueOnError)
 	wait := flags.Duration("wait", 0, "how long to wait for the process to become ready")
@@ -49,9 +50,40 @@
 	if err := showAdvice(ctx, *at, out); err != nil {
 		return err
 	}
+	if err := showAccounts(ctx, *at, out); err != nil {
+		return err
+	}
 	return showDomains(ctx, *at, out)
 }
 
+// maxAccountsShown limits how many accounts status prints; in each tier those that hold most come first.
+const maxAccountsShown = 20
+
+// showAccounts prints the shares of client accounts in the services that an entry plans for. Only entries on the
+// platform report them.
+func showAccounts(ctx context.Context, at string, out io.Writer) error {
+	reports, _, err := fetchFromEntry[fairshare.Report](ctx, at, operators.PathAccounts)
+	if err != nil {
+		return fmt.Errorf("reading the shares of accounts: %w", err)
+	}
+	if len(reports) == 0 {
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "account\tservice\ttier\tshare\tuse\tdemand") // Flush returns write errors
+	for _, r := range reports[:min(len(reports), maxAccountsShown)] {
+		share := "no limit"
+		if r.Share > 0 {
+			share = fmt.Sprintf("%.1f", r.Share)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%.1f\t%.1f\n", r.Account, r.Service, r.Tier, share, r.Use, r.Demand)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("printing: %w", err)
+	}
+	return nil
+}
+
 // showDomains prints the failure domains that are drained or have cold targets. Only entries on the platform report
 // them.
 func showDomains(ctx context.Context, at string, out io.Writer) error {
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -11,6 +11,7 @@
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/ctl"
 	"quaydock/pkg/domains"
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/operators"
 )
 
@@ -99,3 +100,30 @@
 	}
 	return out.String()
 }
+
+// TestStatusShowsSharesOfAccounts checks that the accounts of a service are printed with what they hold.
+func TestStatusShowsSharesOfAccounts(t *testing.T) {
+	reports := []fairshare.Report{
+		{Service: "s", Tier: 1, Standing: fairshare.Standing{Account: "acme", Class: fairshare.Above, Share: 9, Use: 9.2, Demand: 25}},
+		{Service: "s", Tier: 1, Standing: fairshare.Standing{Account: "other", Use: 2, Demand: 2}},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case operators.PathReady:
+			w.WriteHeader(http.StatusNoContent)
+		case operators.PathMetrics:
+			_, _ = w.Write([]byte(`{"links":{}}`))
+		case operators.PathAccounts:
+			_ = json.NewEncoder(w).Encode(reports)
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	defer server.Close()
+	out := statusOf(t, server)
+	for _, text := range []string{"acme     s        1     9.0       9.2  25.0", "other    s        1     no limit  2.0  2.0"} {
+		if !strings.Contains(out, text) {
+			t.Errorf("output lacks %q:\n%s", text, out)
+		}
+	}
+}
--- a/pkg/dispatch/owner_accounts.go
+++ b/pkg/dispatch/owner_accounts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 )
@@ -71,3 +72,19 @@
 		"heaviest_share": roundToTenth(heaviest.Share), "heaviest_use": roundToTenth(heaviest.Use), "heaviest_demand": roundToTenth(heaviest.Demand),
 	}
 }
+
+// AccountReports returns the shares of client accounts in the services that this entry plans for.
+func (d *Dispatcher) AccountReports() []fairshare.Report {
+	owner := d.owner
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	reports := []fairshare.Report{}
+	for service, g := range owner.planners {
+		for _, r := range g.planner.AccountReports() {
+			r.Service = service
+			reports = append(reports, r)
+		}
+	}
+	fairshare.SortReports(reports)
+	return reports
+}
--- a/pkg/operators/port.go
+++ b/pkg/operators/port.go
@@ -33,6 +33,9 @@
 	// PathAdvice returns which targets are leaving or asked for a back-off, by their own report. It is served as
 	// PathRollouts is.
 	PathAdvice = "/advice"
+	// PathAccounts returns the shares of client accounts in the services that the entry plans for. It is served as
+	// PathAdvice is.
+	PathAccounts = "/accounts"
 	// PathDomains returns for each failure domain whether it is drained and how many of its targets are cold. It
 	// is served as PathRollouts is.
 	PathDomains = "/domains"
--- a/pkg/planner/benchmark_test.go
+++ b/pkg/planner/benchmark_test.go
@@ -133,3 +133,83 @@
 		})
 	}
 }
+
+// BenchmarkDecisionByAccountCount is the end of a run, the grant of its slot and the arrival of a job, and the periodic
+// work, with 100 waiting jobs, by the number of client accounts that share 50 targets of ten slots; 0 is without shares.
+func BenchmarkDecisionByAccountCount(b *testing.B) {
+	const targets, waiting = 50, 100
+	for _, accounts := range []uint64{0, 2, 260} {
+		start := func() (*planner.Planner, *turnover) {
+			p, _, now := fullPlanner(targets, 0)
+			if accounts > 0 {
+				p.SetAccountWeights(func(ids.Account) float64 { return 1 })
+			}
+			u := &turnover{planner: p, now: now, accounts: accounts}
+			for n := range uint64(10 * targets) {
+				u.running = append(u.running, planner.JobID{Entry: fmt.Sprint("10.0.0.", (n+1)%30), Number: n + 1})
+			}
+			for range waiting {
+				u.submit()
+			}
+			for range 10 * targets { // until every run is an account's
+				u.next()
+			}
+			return p, u
+		}
+		b.Run(fmt.Sprintf("turnover, %d accounts", accounts), func(b *testing.B) {
+			_, u := start()
+			b.ReportAllocs()
+			for b.Loop() {
+				u.next()
+			}
+		})
+		b.Run(fmt.Sprintf("tick, %d accounts", accounts), func(b *testing.B) {
+			p, u := start()
+			b.ReportAllocs()
+			for b.Loop() {
+				u.now++
+				p.Tick(u.now)
+			}
+		})
+	}
+}
+
+// turnover ends the oldest run and submits a job, again and again.
+type turnover struct {
+	planner  *planner.Planner
+	now      clock.Millis
+	accounts uint64
+	running  []planner.JobID // the oldest first
+	number   uint64
+}
+
+// submit submits a job that waits as long as it has to, of the next account.
+func (u *turnover) submit() {
+	u.number++
+	id := planner.JobID{Entry: "10.0.1.1", Number: u.number}
+	j := planner.Job{ID: id, Prompt: 600, Events: int(5 + u.number%60), Retried: true, Arrived: u.now, Objective: 800, Deadline: u.now + 10*clock.Minute}
+	if u.accounts > 0 {
+		j.Account = ids.Account(fmt.Sprint("account-", u.number%u.accounts))
+	}
+	u.planner.Submit(u.now, j)
+	u.take()
+}
+
+// take notes the granted jobs.
+func (u *turnover) take() {
+	for _, d := range u.planner.Decisions() {
+		if g, granted := d.(planner.Grant); granted {
+			u.planner.RecordFirstEvent(u.now, g.ID, nil)
+			u.running = append(u.running, g.ID)
+		}
+	}
+}
+
+// next ends the oldest run, whose slot a waiting job gets, and submits a job.
+func (u *turnover) next() {
+	u.now++
+	u.planner.Finish(u.now, u.running[0], planner.Served, planner.StreamStats{})
+	u.running = u.running[1:]
+	u.take()
+	u.submit()
+}
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -195,20 +195,29 @@
 // AccountSummary returns the state of the client accounts as of the last Tick or decision on a waiting job.
 func (p *Planner) AccountSummary() AccountSummary {
 	s := AccountSummary{Refusals: p.shares.refusals}
-	for _, t := range p.shares.tiers {
-		for _, standing := range t.accounts.Standings() {
-			s.Accounts++
-			if standing.Class != fairshare.Within {
-				s.OverShare++
-			}
-			if standing.Use > s.Heaviest.Use {
-				s.Heaviest = standing
-			}
+	for _, r := range p.AccountReports() {
+		s.Accounts++
+		if r.Class != fairshare.Within {
+			s.OverShare++
+		}
+		if r.Use > s.Heaviest.Use {
+			s.Heaviest = r.Standing
 		}
 	}
 	return s
 }
 
+// AccountReports returns the standings of the client accounts in all tiers, as AccountSummary counts them.
+func (p *Planner) AccountReports() []fairshare.Report {
+	var reports []fairshare.Report
+	for rank, t := range p.shares.tiers {
+		for _, standing := range t.accounts.Standings() {
+			reports = append(reports, fairshare.Report{Tier: rank, Standing: standing})
+		}
+	}
+	return reports
+}
+
 // grantsBySize counts the grants of one account by size class; earlier ones count less.
 type grantsBySize struct {
 	counts [sizeClasses]float64
--- a/pkg/planner/shares_test.go
+++ b/pkg/planner/shares_test.go
@@ -231,3 +231,42 @@
 		t.Errorf("got summary %+v", s)
 	}
 }
+
+// TestRefusedFloodDoesNotHoldBackReturnsOfOthers guards against late requests of an account below its share that wait
+// because first tries of an account over its share are refused.
+func TestRefusedFloodDoesNotHoldBackReturnsOfOthers(t *testing.T) {
+	p := newPlanner(2)
+	p.SetAccountWeights(func(ids.Account) float64 { return 1 })
+	now := start
+	number := uint64(0)
+	submit := func(account ids.Account, sinceFirstTry clock.Millis) planner.JobID {
+		number++
+		j := job(number, 0)
+		j.Account, j.Arrived, j.Deadline = account, now, now+5*clock.Second
+		j.SinceFirstTry, j.Retried = sinceFirstTry, sinceFirstTry > 0
+		p.Submit(now, j)
+		return j.ID
+	}
+	first := submit("flood", 0)
+	submit("flood", 0)
+	now += clock.Second
+	late := submit("light", 3*clock.Second)
+	p.Decisions()
+	refused := 0
+	for range 100 {
+		submit("flood", 0)
+		for _, d := range p.Decisions() {
+			if _, is := d.(planner.Refusal); is {
+				refused++
+			}
+		}
+	}
+	if refused == 0 || !p.IsQueued(late) {
+		t.Fatalf("%d requests of the flood are refused, that of the other account waits: %t", refused, p.IsQueued(late))
+	}
+	now++
+	p.Finish(now, first, planner.Served, planner.StreamStats{})
+	if _, granted := p.Granted(late); !granted {
+		t.Error("a late request of an account below its share waits although a slot is free")
+	}
+}
