--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -104,7 +104,7 @@
 		g.planner.Disable(owner.Ablation)
 		owner.planners[service] = g
 		owner.updateLimits(now, g, service)
-		owner.updateAccounts(g)
+		owner.updateAccounts(now, g)
 		owner.registerAccountMetrics(service)
 		owner.Log.WithField("service", string(service)).Info("this entry now plans for a service")
 	}
@@ -183,7 +183,7 @@
 			}
 		}
 		owner.updateLimits(now, g, service)
-		owner.updateAccounts(g)
+		owner.updateAccounts(now, g)
 		owner.refresh(now, g, service, owner.view.Directory())
 		owner.stepTrial(ctx, now, service, g)
 		g.planner.Tick(now)
--- a/pkg/dispatch/owner_accounts.go
+++ b/pkg/dispatch/owner_accounts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
@@ -10,17 +11,17 @@
 
 // updateAccounts passes the weights of the client accounts to a planner if they have changed; the caller holds the lock.
 // With fewer than two accounts there is nothing to share.
-func (owner *Owner) updateAccounts(g *servicePlanner) {
+func (owner *Owner) updateAccounts(now clock.Millis, g *servicePlanner) {
 	catalog := owner.view.Catalog()
 	if catalog == nil || g.catalog == catalog {
 		return
 	}
 	g.catalog = catalog
 	if len(catalog.Accounts()) < 2 {
-		g.planner.SetAccountWeights(nil)
+		g.planner.SetAccountWeights(now, nil)
 		return
 	}
-	g.planner.SetAccountWeights(catalog.ShareWeight)
+	g.planner.SetAccountWeights(now, catalog.ShareWeight)
 }
 
 // logOverShare logs the refusal of a request whose account asks for more than its share.
--- a/pkg/loadmodel/simulation.go
+++ b/pkg/loadmodel/simulation.go
@@ -81,7 +81,7 @@
 	s.planner = planner.New(rand.New(rand.NewPCG(s.load.Seed, 2)))
 	s.planner.Disable(s.load.Off)
 	if slices.ContainsFunc(s.load.Kinds, func(k Kind) bool { return k.Account != "" }) {
-		s.planner.SetAccountWeights(func(ids.Account) float64 { return 1 })
+		s.planner.SetAccountWeights(now, func(ids.Account) float64 { return 1 })
 	}
 	if s.observer.PlannerStarted != nil {
 		s.observer.PlannerStarted(s.planner)
--- a/pkg/planner/benchmark_test.go
+++ b/pkg/planner/benchmark_test.go
@@ -142,7 +142,7 @@
 		start := func() (*planner.Planner, *turnover) {
 			p, _, now := fullPlanner(targets, 0)
 			if accounts > 0 {
-				p.SetAccountWeights(func(ids.Account) float64 { return 1 })
+				p.SetAccountWeights(now, func(ids.Account) float64 { return 1 })
 			}
 			u := &turnover{planner: p, now: now, accounts: accounts}
 			for n := range uint64(10 * targets) {
--- a/pkg/planner/random_test.go
+++ b/pkg/planner/random_test.go
@@ -36,7 +36,7 @@
 	p := newPlanner(slots...)
 	p.Disable(without)
 	if accounts > 0 {
-		p.SetAccountWeights(func(ids.Account) float64 { return 1 })
+		p.SetAccountWeights(start, func(ids.Account) float64 { return 1 })
 	}
 	now := start
 	h := history{
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -30,15 +30,18 @@
 }
 
 // SetAccountWeights makes jobs of client accounts share the slots by their accounts' weights; nil ends that.
-func (p *Planner) SetAccountWeights(weight func(ids.Account) float64) {
+func (p *Planner) SetAccountWeights(now clock.Millis, weight func(ids.Account) float64) {
 	switch {
 	case weight == nil || p.off.Off(ablation.AccountShares):
 		p.shares = accountShares{}
+		for _, w := range p.queue.jobs {
+			w.class = fairshare.Within
+		}
 	case p.shares.weight == nil:
 		p.shares = accountShares{weight: weight, tiers: make(map[ids.TierRank]*tierShares)}
 		for _, r := range p.runs {
-			p.shares.ask(r.grantedAt, &r.Job)
-			p.shares.start(r.grantedAt, &r.Job)
+			p.shares.ask(now, &r.Job)
+			p.shares.start(now, &r.Job)
 		}
 	default:
 		p.shares.weight = weight
--- a/pkg/planner/shares_test.go
+++ b/pkg/planner/shares_test.go
@@ -207,7 +207,7 @@
 // TestRefusalsTellOfAccountsOverTheirShare guards against refusals whose reason nobody can find out.
 func TestRefusalsTellOfAccountsOverTheirShare(t *testing.T) {
 	p := newPlanner(2)
-	p.SetAccountWeights(func(ids.Account) float64 { return 1 })
+	p.SetAccountWeights(start, func(ids.Account) float64 { return 1 })
 	now := start
 	number := uint64(0)
 	submit := func(account ids.Account) planner.JobID {
@@ -247,7 +247,7 @@
 // because first tries of an account over its share are refused.
 func TestRefusedFloodDoesNotHoldBackReturnsOfOthers(t *testing.T) {
 	p := newPlanner(2)
-	p.SetAccountWeights(func(ids.Account) float64 { return 1 })
+	p.SetAccountWeights(start, func(ids.Account) float64 { return 1 })
 	now := start
 	number := uint64(0)
 	submit := func(account ids.Account, sinceFirstTry clock.Millis) planner.JobID {
@@ -281,3 +281,32 @@
 		t.Error("a late request of an account below its share waits although a slot is free")
 	}
 }
+
+// TestSharesBeginAndEndWithTheConfiguration guards against shares that ignore what already runs as they begin, or go on
+// after the last account was removed.
+func TestSharesBeginAndEndWithTheConfiguration(t *testing.T) {
+	p := newPlanner(2)
+	now := start
+	for n := range uint64(4) {
+		j := job(n+1, 0)
+		j.Account, j.Retried = "flood", true
+		if n == 3 {
+			j.Account = "light"
+		}
+		p.Submit(now, j)
+	}
+	p.SetAccountWeights(now, func(ids.Account) float64 { return 1 })
+	now += 100
+	p.Tick(now)
+	if s := p.AccountSummary(); s.Heaviest.Account != "flood" || s.Heaviest.Use != 2 {
+		t.Errorf("got summary %+v, want one of two slots held", s)
+	}
+	p.SetAccountWeights(now, nil)
+	p.Finish(now, planner.JobID{Entry: "e", Number: 1}, planner.Served, planner.StreamStats{})
+	if _, granted := p.Granted(planner.JobID{Entry: "e", Number: 3}); !granted {
+		t.Error("without shares the first of equal requests is not served first")
+	}
+	if s := p.AccountSummary(); s.Accounts != 0 {
+		t.Errorf("got summary %+v after the end of shares", s)
+	}
+}
