fairshare: cheaper refresh with hundreds of accounts

Change: decay factors are kept for a tier in place of one exponential for each account, and grants are kept by the sizes that occur.

--- a/pkg/fairshare/account.go
+++ b/pkg/fairshare/account.go
@@ -70,14 +70,14 @@
 }
 
 // advance extends the account's means to a time.
-func (a *Account) advance(start, now clock.Millis) {
+func (a *Account) advance(o *observation, now clock.Millis) {
 	if now <= a.use.at {
 		return
 	}
-	kept := math.Exp(-float64(now-a.use.at) / float64(useWindow))
+	kept := o.decay.Factor(a.use.at, now)
 	a.asked *= kept
 	a.granted *= kept
-	a.use.advance(start, now, kept, a.running)
+	a.use.advance(o, now, a.running)
 }
 
 // demand returns how many places the account would hold if it got all that it asks for: as many times what it holds as
--- a/pkg/fairshare/level.go
+++ b/pkg/fairshare/level.go
@@ -8,7 +8,8 @@
 }
 
 // level returns the max-min level of a capacity: each claim gets its demand or level times its weight, whichever is
-// less, and these add up to the capacity. It is infinite if the capacity suffices for all demands.
+// less, and these add up to the capacity. It is infinite if the capacity suffices for all demands. The claims are
+// overwritten.
 func level(capacity float64, claims []claim) float64 {
 	asked, weights := 0.0, 0.0
 	for _, c := range claims {
@@ -19,7 +20,7 @@
 		return math.Inf(1)
 	}
 	left := capacity
-	open := append([]claim(nil), claims...)
+	open := claims
 	for {
 		lambda := left / weights
 		unsatisfied := open[:0]
--- a/pkg/fairshare/tier.go
+++ b/pkg/fairshare/tier.go
@@ -13,13 +13,13 @@
 	byName      map[ids.Account]*Account
 	accounts    []*Account // the same, in the order in which they came, so that sums are repeatable
 	virtualTime float64    // served value of the account that was charged last, before that charge
-	start       clock.Millis
+	observed    observation
 	claims      []claim // reused by Classify
 }
 
 // NewTier returns a tier without accounts, whose use is observed from now on.
 func NewTier(now clock.Millis) *Tier {
-	return &Tier{byName: make(map[ids.Account]*Account), start: now}
+	return &Tier{byName: make(map[ids.Account]*Account), observed: newObservation(now)}
 }
 
 // Account returns the account with a name, which it adds with the given weight if it is missing.
@@ -79,20 +79,20 @@
 
 // Ask records that an account asks for a place.
 func (t *Tier) Ask(now clock.Millis, a *Account) {
-	a.advance(t.start, now)
+	a.advance(&t.observed, now)
 	a.asked++
 }
 
 // Start records that an account holds one more place, for which it has asked.
 func (t *Tier) Start(now clock.Millis, a *Account) {
-	a.advance(t.start, now)
+	a.advance(&t.observed, now)
 	a.granted++
 	a.running++
 }
 
 // End records that an account holds one place fewer.
 func (t *Tier) End(now clock.Millis, a *Account) {
-	a.advance(t.start, now)
+	a.advance(&t.observed, now)
 	a.running = max(0, a.running-1)
 }
 
@@ -101,7 +101,7 @@
 // account has to leave a place free that no other asks for.
 func (t *Tier) Classify(now clock.Millis) (shared bool) {
 	t.forget(func(a *Account) bool {
-		a.advance(t.start, now)
+		a.advance(&t.observed, now)
 		return a.idle()
 	})
 	capacity := 0.0
@@ -134,6 +134,11 @@
 	}
 }
 
+// Accounts returns all accounts, in the order in which they came. The caller must not change the slice.
+func (t *Tier) Accounts() []*Account {
+	return t.accounts
+}
+
 // Reweigh sets the weights of all accounts.
 func (t *Tier) Reweigh(weight func(ids.Account) float64) {
 	for _, a := range t.accounts {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -64,7 +64,7 @@
 	w := &queuedJob{Job: job, committed: job.Retried, lastPoll: now, size: p.estimateSize(&job)}
 	w.latestStart = job.due() - p.minFirstEventTime(&job)
 	p.queue.jobs = append(p.queue.jobs, w)
-	p.shares.ask(now, &w.Job)
+	w.class = p.shares.ask(now, &w.Job)
 	p.place(now)
 	if p.queue.find(job.ID) < 0 {
 		return
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -1,7 +1,7 @@
 package planner
 
 import (
-	"math"
+	"maps"
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
@@ -16,7 +16,7 @@
 	weight      func(ids.Account) float64 // nil while there is nothing to share
 	tiers       map[ids.TierRank]*tierShares
 	refreshedAt clock.Millis
-	outdated    bool // jobs have been queued since
+	outdated    bool // an account has come since
 	refusals    int  // of jobs of accounts that ask for more than their share
 }
 
@@ -27,6 +27,7 @@
 	grants   map[ids.Account]*grantsBySize
 	// grantRates are the grants per second by the present class of their account and by size.
 	grantRates [fairshare.Classes][sizeClasses]float64
+	decay      fairshare.Decay // of the grants
 }
 
 // SetAccountWeights makes jobs of client accounts share the slots by their accounts' weights; nil ends that.
@@ -55,7 +56,7 @@
 func (s *accountShares) tier(now clock.Millis, rank ids.TierRank) *tierShares {
 	t := s.tiers[rank]
 	if t == nil {
-		t = &tierShares{accounts: fairshare.NewTier(now), grants: make(map[ids.Account]*grantsBySize)}
+		t = &tierShares{accounts: fairshare.NewTier(now), grants: make(map[ids.Account]*grantsBySize), decay: fairshare.NewDecay(grantWindow)}
 		s.tiers[rank] = t
 	}
 	return t
@@ -67,13 +68,16 @@
 	return t, t.Account(now, job.Account, s.weight(job.Account))
 }
 
-// ask records that a job has been queued.
-func (s *accountShares) ask(now clock.Millis, job *Job) {
-	s.outdated = true
-	if s.weight != nil {
-		t, a := s.account(now, job)
-		t.Ask(now, a)
+// ask records that a job asks for a slot, and returns the class of its account.
+func (s *accountShares) ask(now clock.Millis, job *Job) fairshare.Class {
+	if s.weight == nil {
+		return fairshare.Within
 	}
+	present := s.tier(now, job.Tier).accounts.Find(job.Account) != nil
+	s.outdated = s.outdated || !present
+	t, a := s.account(now, job)
+	t.Ask(now, a)
+	return a.Class()
 }
 
 // start records that a job that was queued has got a slot.
@@ -100,14 +104,16 @@
 	t := s.tier(now, w.Tier)
 	g := t.grants[w.Account]
 	if g == nil {
-		g = &grantsBySize{at: now}
+		g = &grantsBySize{smallest: w.size, largest: w.size, at: now}
 		t.grants[w.Account] = g
 	}
-	g.decay(now)
+	g.decay(now, &t.decay)
+	g.smallest, g.largest = min(g.smallest, w.size), max(g.largest, w.size)
 	g.counts[w.size]++
 }
 
-// refresh determines the class of each account and sets that of the jobs.
+// refresh determines the class of each account and sets that of the jobs, unless that was done at this time and no account
+// has come since.
 func (s *accountShares) refresh(now clock.Millis, q *queue) {
 	if s.weight == nil || now == s.refreshedAt && !s.outdated {
 		return
@@ -117,7 +123,7 @@
 		t.classify(now)
 	}
 	for _, w := range q.jobs {
-		w.class = s.tier(now, w.Tier).class(w.Account)
+		w.class = s.class(&w.Job)
 	}
 }
 
@@ -125,23 +131,25 @@
 func (t *tierShares) classify(now clock.Millis) {
 	t.shared = t.accounts.Classify(now)
 	t.grantRates = [fairshare.Classes][sizeClasses]float64{}
-	for name, g := range t.grants {
-		a := t.accounts.Find(name)
-		if a == nil {
-			delete(t.grants, name)
-			continue
-		}
-		g.decay(now)
-		for size, n := range g.counts {
-			t.grantRates[a.Class()][size] += n * float64(clock.Second) / float64(grantWindow)
+	for _, a := range t.accounts.Accounts() {
+		if g := t.grants[a.Name]; g != nil {
+			g.decay(now, &t.decay)
+			for size := g.smallest; size <= g.largest; size++ {
+				t.grantRates[a.Class()][size] += g.counts[size] * float64(clock.Second) / float64(grantWindow)
+			}
 		}
 	}
+	if len(t.grants) > t.accounts.Len() {
+		maps.DeleteFunc(t.grants, func(name ids.Account, _ *grantsBySize) bool { return t.accounts.Find(name) == nil })
+	}
 }
 
-// class returns the class of an account.
-func (t *tierShares) class(account ids.Account) fairshare.Class {
-	if a := t.accounts.Find(account); a != nil {
-		return a.Class()
+// class returns the class of a job's account.
+func (s *accountShares) class(job *Job) fairshare.Class {
+	if t := s.tiers[job.Tier]; t != nil {
+		if a := t.accounts.Find(job.Account); a != nil {
+			return a.Class()
+		}
 	}
 	return fairshare.Within
 }
@@ -223,21 +231,22 @@
 
 // grantsBySize counts the grants of one account by size class; earlier ones count less.
 type grantsBySize struct {
-	counts [sizeClasses]float64
-	at     clock.Millis // up to when they have decayed
+	counts            [sizeClasses]float64
+	smallest, largest sizeClass    // that have occurred
+	at                clock.Millis // up to when the counts have decayed
 }
 
 // grantWindow is the time constant by which grants count less: their mean age is that in the window of a rate.
 const grantWindow = rateSteps * rateStep / 2
 
 // decay lets the grants count as of a later time.
-func (g *grantsBySize) decay(now clock.Millis) {
+func (g *grantsBySize) decay(now clock.Millis, d *fairshare.Decay) {
 	if now <= g.at {
 		return
 	}
-	kept := math.Exp(-float64(now-g.at) / float64(grantWindow))
-	for i := range g.counts {
-		g.counts[i] *= kept
+	kept := d.Factor(g.at, now)
+	for size := g.smallest; size <= g.largest; size++ {
+		g.counts[size] *= kept
 	}
 	g.at = now
 }
