planner: classes follow each request

Cause: classes were determined again only when time had passed or an account had come, so that a request of a flood was judged by its past. Change: each request that asks makes the classes outdated.

--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -16,7 +16,7 @@
 	weight      func(ids.Account) float64 // nil while there is nothing to share
 	tiers       map[ids.TierRank]*tierShares
 	refreshedAt clock.Millis
-	outdated    bool // an account has come since
+	outdated    bool // a job has been queued since
 	refusals    int  // of jobs of accounts that ask for more than their share
 }
 
@@ -73,8 +73,7 @@
 	if s.weight == nil {
 		return fairshare.Within
 	}
-	present := s.tier(now, job.Tier).accounts.Find(job.Account) != nil
-	s.outdated = s.outdated || !present
+	s.outdated = true
 	t, a := s.account(now, job)
 	t.Ask(now, a)
 	return a.Class()
@@ -112,8 +111,8 @@
 	g.counts[w.size]++
 }
 
-// refresh determines the class of each account and sets that of the jobs, unless that was done at this time and no account
-// has come since.
+// refresh determines the class of each account and sets that of the jobs, unless that was done at this time and no job has
+// been queued since.
 func (s *accountShares) refresh(now clock.Millis, q *queue) {
 	if s.weight == nil || now == s.refreshedAt && !s.outdated {
 		return
