--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -17,6 +17,7 @@
 	tiers       map[ids.TierRank]*tierShares
 	refreshedAt clock.Millis
 	outdated    bool // a job has been queued since
+	newAccount  bool // an account has come since
 	refusals    int  // of jobs of accounts that ask for more than their share
 }
 
@@ -74,6 +75,7 @@
 		return fairshare.Within
 	}
 	s.outdated = true
+	s.newAccount = s.newAccount || s.tier(now, job.Tier).accounts.Find(job.Account) == nil
 	t, a := s.account(now, job)
 	t.Ask(now, a)
 	return a.Class()
@@ -112,12 +114,15 @@
 }
 
 // refresh determines the class of each account and sets that of the jobs, unless that was done at this time and no job has
-// been queued since.
+// been queued since, or was done just before and no account has come since.
 func (s *accountShares) refresh(now clock.Millis, q *queue) {
 	if s.weight == nil || now == s.refreshedAt && !s.outdated {
 		return
 	}
-	s.refreshedAt, s.outdated = now, false
+	if now-s.refreshedAt < s.refreshInterval() && !s.newAccount {
+		return
+	}
+	s.refreshedAt, s.outdated, s.newAccount = now, false, false
 	for _, t := range s.tiers {
 		t.classify(now)
 	}
@@ -126,6 +131,20 @@
 	}
 }
 
+// accountsPerMilli is the number of accounts whose classes may be determined again after each millisecond: for a few at
+// each decision, for hundreds every few milliseconds, since that takes longer than a decision and their means change
+// slowly.
+const accountsPerMilli = 50
+
+// refreshInterval is the shortest time between two calls of refresh that have an effect.
+func (s *accountShares) refreshInterval() clock.Millis {
+	accounts := 0
+	for _, t := range s.tiers {
+		accounts += t.accounts.Len()
+	}
+	return clock.Millis(accounts / accountsPerMilli)
+}
+
 // classify determines the class of each account and the grant rates by class.
 func (t *tierShares) classify(now clock.Millis) {
 	t.shared = t.accounts.Classify(now)
