--- a/pkg/planner/shares_test.go
+++ b/pkg/planner/shares_test.go
@@ -44,6 +44,20 @@
 	return shared(kinds...)
 }
 
+// streams is a load of long streams on the targets of heavy, which serve some 40 of them in a second: an account asks for
+// two fifths of its half beside one that asks for 2.5 times the capacity by streams of a relative length.
+func streams(length float64) loadmodel.Load {
+	const perSecond = 40
+	load := heavy(1, 1)
+	light := load.Kinds[0]
+	light.Name, light.Account, light.PerSecond = "light", "light", 0.4*perSecond/2
+	flood := light
+	flood.Name, flood.Account, flood.PerSecond = "flood", "flood", 2.5*perSecond/length
+	flood.Prompt, flood.Events = ids.Tokens(length*float64(flood.Prompt)), int(length*float64(flood.Events))
+	load.Kinds = []loadmodel.Kind{light, flood}
+	return load
+}
+
 // floods are loads in which some accounts ask for more than their share.
 var floods = []struct {
 	name string
@@ -63,6 +77,8 @@
 	{"sixty accounts, thirty of them 2.5 times by shorter requests", beside(30, 30, 2.5, 0.4), false, true},
 	{"sixteen accounts, two of them 2.5 times by shorter requests", beside(14, 2, 2.5, 0.4), false, false},
 	{"sixteen accounts, eight of them 2.5 times by longer requests", beside(8, 8, 2.5, 4), false, true},
+	{"streams of 2 s, 2.5 times", streams(1), true, true},
+	{"streams of 2 s, 2.5 times by shorter ones", streams(0.25), false, true},
 }
 
 // worstLight returns the lowest fraction in time of the accounts that ask for less than their share. Those with so few
