--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -60,6 +60,9 @@
 	TargetSlowdown // target-slowdown
 	// CallTimes: the time of a call without a prompt is learned by how full its target is.
 	CallTimes // call-times
+	// AccountShares: in a tier in which more is asked than fits, requests of client accounts that get more than their
+	// share go behind the others.
+	AccountShares // account-shares
 	// count is the number of mechanisms.
 	count
 )
--- a/pkg/ablation/mechanism_string.go
+++ b/pkg/ablation/mechanism_string.go
@@ -30,12 +30,13 @@
 	_ = x[Retries-19]
 	_ = x[TargetSlowdown-20]
 	_ = x[CallTimes-21]
-	_ = x[count-22]
+	_ = x[AccountShares-22]
+	_ = x[count-23]
 }
 
-const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriestarget-slowdowncall-timescount"
+const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriestarget-slowdowncall-timesaccount-sharescount"
 
-var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 210, 220, 225}
+var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 210, 220, 234, 239}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -31,6 +31,7 @@
 type servicePlanner struct {
 	planner       *planner.Planner
 	directory     *routing.Directory      // the one whose targets the planner has
+	catalog       *routing.Catalog        // the one whose accounts the planner has
 	lastMessageAt map[string]clock.Millis // by entry address
 	lastLogged    clock.Millis            // when logSummary last wrote a line
 	trial         *rollout.Trial          // of a version; nil without an order
@@ -105,6 +106,8 @@
 		owner.planners[service] = g
 		owner.Metrics.Prometheus.LabelledGauge("targets_slowed", "service", string(service), func() float64 { return owner.slowedTargets(service) })
 		owner.updateLimits(now, g, service)
+		owner.updateAccounts(now, g)
+		owner.registerAccountMetrics(service)
 		owner.Log.WithField("service", string(service)).Info("this entry now plans for a service")
 	}
 	owner.refresh(now, g, service, directory)
@@ -182,6 +185,7 @@
 			}
 		}
 		owner.updateLimits(now, g, service)
+		owner.updateAccounts(now, g)
 		owner.refresh(now, g, service, owner.view.Directory())
 		owner.stepTrial(ctx, now, service, g)
 		g.planner.Tick(now)
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/ratelimit"
 	"quaydock/pkg/routing"
@@ -105,6 +106,8 @@
 	NoTargets bool
 	// BackedOff is set if all targets have asked the job's entry for back-off.
 	BackedOff bool
+	// OverShare is the standing of the job's account if that asks for more than its share, nil otherwise.
+	OverShare *fairshare.Standing
 }
 
 // Move reports that the target of a job does not respond and that the job should be sent to another one.
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -74,6 +74,7 @@
 	}
 	t.probing = outcome != Served && (t.probing || t.health.Ejected(now))
 	delete(p.runs, id)
+	p.shares.end(now, &r.Job)
 	t.removeRun(r)
 	p.countRelease(now, r, outcome)
 	p.forget(t)
@@ -108,6 +109,8 @@
 	r := p.addRun(now, t, job)
 	r.canary = t.Admission == routing.OnTrial
 	p.runs[job.ID] = r
+	p.shares.ask(now, &r.Job)
+	p.shares.start(now, &r.Job)
 	if hasFirstEvent {
 		t.recordFirstEvent(now, r)
 		r.totalAtFirstEvent = r.totalAtGrant
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -23,6 +23,8 @@
 	PrefillStall float64
 	// Slowed is the number of targets that are slowed now by their own reports.
 	Slowed int
+	// Accounts tells of the client accounts that share the slots.
+	Accounts AccountSummary
 	// Factors holds by how much each target is slower than the others.
 	Factors map[ids.Target]float64
 }
@@ -31,7 +33,8 @@
 func (p *Planner) Summary(now clock.Millis) Summary {
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
-		PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now), Factors: make(map[ids.Target]float64, len(p.eligible)),
+		Accounts: p.AccountSummary(), PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now),
+		Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
 	s.FirstEventBase, s.FirstEventPerThousand = p.timings.firstEvent.fit()
 	s.FirstEventPerThousand *= 1000
