--- a/pkg/planner/shares_test.go
+++ b/pkg/planner/shares_test.go
@@ -44,9 +44,9 @@
 	return shared(kinds...)
 }
 
-// streams is a load of long streams on the targets of heavy, which serve some 40 of them in a second: an account asks for
+// longStreams is a load of long streams on the targets of heavy, which serve some 40 of them in a second: an account asks for
 // two fifths of its half beside one that asks for 2.5 times the capacity by streams of a relative length.
-func streams(length float64) loadmodel.Load {
+func longStreams(length float64) loadmodel.Load {
 	const perSecond = 40
 	load := heavy(1, 1)
 	light := load.Kinds[0]
@@ -77,8 +77,8 @@
 	{"sixty accounts, thirty of them 2.5 times by shorter requests", beside(30, 30, 2.5, 0.4), false, true},
 	{"sixteen accounts, two of them 2.5 times by shorter requests", beside(14, 2, 2.5, 0.4), false, false},
 	{"sixteen accounts, eight of them 2.5 times by longer requests", beside(8, 8, 2.5, 4), false, true},
-	{"streams of 2 s, 2.5 times", streams(1), true, true},
-	{"streams of 2 s, 2.5 times by shorter ones", streams(0.25), false, true},
+	{"streams of 2 s, 2.5 times", longStreams(1), true, true},
+	{"streams of 2 s, 2.5 times by shorter ones", longStreams(0.25), false, true},
 }
 
 // worstLight returns the lowest fraction in time of the accounts that ask for less than their share. Those with so few
