Take no copied row of a never read incarnation for a new start

Callers' answers were broken off in the middle ("the target has started again") beside a return of the store from a copy, though their targets, entries and they themselves stayed.

Cause: a row that may be from the copy was held back only if its incarnation was known to be a former one. An entry that has started after a target had started again knows the later incarnation alone; the copy's row of the one before was a start that it had never seen, so the list showed that, and the exchanges with the living incarnation were aborted.

Now such a row is of a former incarnation if the last known one's row was read in an earlier era at a later version, and either the copy certainly includes the row's version, as another row stands unchanged at that version or a later one, or its start is earlier. At the same version or a later one it is a new start, whichever era wrote it. It is held back as before: until another row, or 10 s. What stood in the place of a row that was held back, and a target that went while its row was invalid, are remembered as former ones too; a target that has gone keeps its last row for the comparison.

--- a/pkg/targetlist/list.go
+++ b/pkg/targetlist/list.go
@@ -54,7 +54,7 @@
 		Common: c, parse: parse, onChange: changed, sampler: telemetry.NewSampler(c.Clock, c.Log, maxLogLinesPerSecond),
 		targets: make(map[ids.Target]*routing.Target), lastValid: make(map[ids.Target]*routing.Target),
 		faults: follow.NewFaults(c, "targets"), expired: make(map[ids.Target]clock.Millis),
-		copied: copiedRows{former: make(map[ids.TargetIncarnation]clock.Millis), held: make(map[ids.Target]heldRow)},
+		copied: newCopiedRows(),
 	}
 }
 
@@ -65,6 +65,9 @@
 	now := l.recordContact(freshness)
 	if l.copied.enterEra(now, !l.read, freshness.Position) {
 		l.graceUntil = max(l.graceUntil, now+restoreGrace) // targets write the rows again that the copy lacks
+		for _, row := range rows {
+			l.copied.recordUnchanged(l.lastKnown(ids.Target(row.Key)), row.Position)
+		}
 	}
 	l.read = true
 	// The first list takes one log line: when all entries start together, each would log a line for every target
@@ -94,7 +97,7 @@
 	}
 	for id := range l.lastValid {
 		if !present[id] {
-			delete(l.lastValid, id)
+			l.dropInvalid(now, id)
 		}
 	}
 	for id := range l.copied.held {
@@ -113,8 +116,8 @@
 	for _, row := range rows {
 		if row.Gone {
 			l.faults.Clear(row.Key)
-			delete(l.lastValid, ids.Target(row.Key))
 			delete(l.copied.held, ids.Target(row.Key))
+			l.dropInvalid(now, ids.Target(row.Key))
 			l.drop(now, ids.Target(row.Key))
 			continue
 		}
@@ -152,7 +155,7 @@
 		return
 	}
 	if now >= l.graceUntil {
-		l.copied.recordFormer(now, l.targets[id].Incarnation())
+		l.copied.recordGone(now, l.targets[id])
 		delete(l.targets, id)
 		l.logGone(id, "target gone")
 		return
@@ -162,6 +165,12 @@
 	time.AfterFunc((until - now).Duration(), func() { l.dropExpired(id, until) })
 }
 
+// dropInvalid forgets the last valid data of a target whose row was invalid and has gone. The lock is held.
+func (l *List) dropInvalid(now clock.Millis, id ids.Target) {
+	l.copied.recordGone(now, l.lastValid[id])
+	delete(l.lastValid, id)
+}
+
 // dropExpired drops a target whose expired row has not come back by the given time, when it is called by a timer. If
 // the row came back since, it does nothing; if it also expired again, another time applies.
 func (l *List) dropExpired(id ids.Target, until clock.Millis) {
@@ -171,7 +180,7 @@
 		return
 	}
 	delete(l.expired, id)
-	l.copied.recordFormer(l.Clock.Now(), l.targets[id].Incarnation())
+	l.copied.recordGone(l.Clock.Now(), l.targets[id])
 	delete(l.targets, id)
 	l.logGone(id, "target gone: its row did not come back")
 	l.publish()
--- a/pkg/targetlist/rows.go
+++ b/pkg/targetlist/rows.go
@@ -23,17 +23,13 @@
 	}
 	target.Revision = row.Position.Ordinal()
 	inherit(before, target)
-	delete(l.copied.held, target.ID)
+	if l.holdCopied(row, before, target) {
+		return
+	}
 	if l.copied.mayInclude(row) {
-		if l.holdCopied(row, target) {
-			return
-		}
 		target.Leaving = target.Leaving || before != nil && before.Leaving && before.Incarnation() == target.Incarnation()
 	}
-	delete(l.copied.former, target.Incarnation())
-	if before != nil && before.Incarnation() != target.Incarnation() {
-		l.copied.recordFormer(l.Clock.Now(), before.Incarnation())
-	}
+	l.copied.recordListed(l.Clock.Now(), before, target)
 	target.ColdUntil = l.coldUntil(before, target)
 	if !l.starting && (l.targets[target.ID] == nil || before.Leaving != target.Leaving || before.Incarnation() != target.Incarnation()) {
 		l.logListed(before, target)
@@ -69,6 +65,7 @@
 	}
 	delete(l.targets, id)
 	delete(l.expired, id)
+	delete(l.copied.held, id)
 }
 
 // inherit carries over what earlier rows reported about the same incarnation of a target: its start, and the revision
@@ -111,6 +108,7 @@
 	kindLeaving   = "target leaving"
 	kindRestarted = "target started again"
 	kindGone      = "target gone"
+	kindHeld      = "target row held back"
 )
 
 // logGone logs line for a target that was dropped, unless too many were in this second.
