Count a grant that an entry returns against no target

A healthy target got no request for seconds: the planner had it aside though none of its requests was lost or had failed.

Cause: an entry returns a grant when, by its own target list, the request must not go there: the owner has a row that the entry has not read yet, or the other way round. The owner took the outcome (Moved) for a failure of the target, of the weight of one that is not reached, and ejected it for all entries: 300 ms at first, 2.4 s from the second on and 3 s from the third, as nothing was served there in between.

Now such a grant has an outcome of its own, Declined. It holds back the entry that returned it, at this target, for 300 ms, and says nothing of the target: which of the two lists is older is not known.

Two tests failed before. TestTargetIsUsedThoughOneEntryLags (whole dispatchers, virtual time): 0 of 100 requests of another entry on the target while one lags, and 0 of 100 of that entry within 0.5 s of its row; 20 at least wanted. TestReturnedGrantHoldsBackOneEntry (the planner alone).

Ways: ejecting for all entries without doubling the time keeps the target from all while one lags; a back-off of the entry raises the target's cost for the others and lets one job at a time go there until one was served, which long runs that go on there prevent. Both were not built.

--- a/pkg/dispatch/incarnations_test.go
+++ b/pkg/dispatch/incarnations_test.go
@@ -141,3 +141,27 @@
 		b.total[id]++
 	}
 }
+
+// Guards against a healthy target that gets no request for seconds because one entry lags behind the others, does not
+// list the target yet, and returns what it was granted there.
+func TestTargetIsUsedThoughOneEntryLags(t *testing.T) {
+	const hold = 300 * time.Millisecond // for which an entry is granted nothing at a target after it has returned a grant
+	synctest.Test(t, func(t *testing.T) {
+		b := newCluster(t)
+		owner := b.ownerIndex(-1)
+		lagging, other := (owner+1)%entryCount, (owner+2)%entryCount
+		b.views[lagging].SetDirectory(routing.NewDirectory(b.targets[1:]))
+		time.Sleep(100 * time.Millisecond)
+		b.runRequests([]int{lagging, other}, 200, 5*time.Millisecond, 20*time.Millisecond)
+		if n := b.total["t0"]; n < 20 {
+			t.Errorf("%d of 100 requests of another entry on the target", n)
+		}
+		b.views[lagging].SetDirectory(routing.NewDirectory(b.targets))
+		clear(b.total)
+		time.Sleep(hold)
+		b.runRequests([]int{lagging}, 100, 5*time.Millisecond, 20*time.Millisecond)
+		if n := b.total["t0"]; n < 20 {
+			t.Errorf("%d of 100 requests of the entry on the target once it lists it", n)
+		}
+	})
+}
--- a/pkg/dispatch/pending.go
+++ b/pkg/dispatch/pending.go
@@ -127,11 +127,11 @@
 }
 
 // decline returns a grant for a target that must not be used (see usableTarget), and excludes the target. The owner
-// gets the outcome Moved, which counts against the target. The request goes on under a new number.
+// grants this entry nothing there for a short time. The request goes on under a new number.
 func (d *Dispatcher) decline(p *pending, incarnation ids.TargetIncarnation) {
 	d.Metrics.Links.Add("grants_declined", 1)
 	p.request.Exclude = append(slices.Clone(p.request.Exclude), incarnation)
-	d.returnGrant(p, planner.Moved)
+	d.returnGrant(p, planner.Declined)
 }
 
 // returnGrant ends the run of a grant at the owner, with an outcome that says why it was not used, and registers the
--- a/pkg/planner/advice.go
+++ b/pkg/planner/advice.go
@@ -41,10 +41,37 @@
 	p.backoffUntil = max(p.backoffUntil, t.backoffs[entry])
 }
 
-// admits reports whether a target accepts a job of an entry now as far as back-offs are concerned. After a back-off
-// the entry's jobs go there one at a time until one was served, so that a target that rejected all requests is not
-// filled again at once.
+// declineHold is for how long an entry is granted nothing at a target after it has returned a grant there, as its target
+// list differs from the owner's. Mostly one of them is about to read a row that the other one has; while the store does
+// not answer one of them, each hold costs a request the time to return a grant. Which list is right is not known, so
+// that this tells nothing of the target: others go on there.
+const declineHold = 300 * clock.Millisecond
+
+// recordDecline records that an entry has returned a grant because of its own target list.
+func (t *target) recordDecline(now clock.Millis, entry string) {
+	if t.declines == nil {
+		t.declines = make(map[string]clock.Millis)
+	}
+	t.declines[entry] = now + declineHold
+}
+
+// declinedBy reports whether an entry has returned a grant within declineHold.
+func (t *target) declinedBy(now clock.Millis, entry string) bool {
+	until, declined := t.declines[entry]
+	if declined && now >= until {
+		delete(t.declines, entry)
+		return false
+	}
+	return declined
+}
+
+// admits reports whether a target accepts a job of an entry now as far as returned grants and back-offs are concerned.
+// After a back-off the entry's jobs go there one at a time until one was served, so that a target that rejected all
+// requests is not filled again at once.
 func (t *target) admits(now clock.Millis, entry string) bool {
+	if t.declinedBy(now, entry) {
+		return false
+	}
 	until, requested := t.backoffs[entry]
 	switch {
 	case !requested:
@@ -120,9 +147,10 @@
 	}
 }
 
-// forgetBackoffs removes the back-offs of an entry that is gone.
-func (p *Planner) forgetBackoffs(entry string) {
+// forgetAdvice removes the back-offs and the returned grants of an entry that is gone.
+func (p *Planner) forgetAdvice(entry string) {
 	for _, t := range p.targets {
 		delete(t.backoffs, entry)
+		delete(t.declines, entry)
 	}
 }
--- a/pkg/planner/advice_test.go
+++ b/pkg/planner/advice_test.go
@@ -27,6 +27,17 @@
 	return targets
 }
 
+// grantedEntries returns the entries whose jobs were granted.
+func grantedEntries(list []planner.Decision) []string {
+	var entries []string
+	for _, d := range list {
+		if g, ok := d.(planner.Grant); ok {
+			entries = append(entries, g.ID.Entry)
+		}
+	}
+	return entries
+}
+
 // firstTarget is the incarnation of t0 in tests without restarts, where starts are unknown.
 var firstTarget = ids.TargetIncarnation{Target: "t0"}
 
@@ -217,3 +228,40 @@
 		}
 	}
 }
+
+// TestReturnedGrantHoldsBackOneEntry guards against a healthy target that is ejected since an entry whose target list
+// differs returns its grants.
+func TestReturnedGrantHoldsBackOneEntry(t *testing.T) {
+	const hold = 300 * clock.Millisecond
+	p := newPlanner(4)
+	now := start
+	for n := range uint64(8) { // more than once, as while the lists differ for longer
+		p.Submit(now, jobOf("lagging", n, now))
+		if got := targetsOf(p.Decisions()); len(got) != 1 {
+			t.Fatalf("granted %v after %v", got, now-start)
+		}
+		p.Finish(now, jobOf("lagging", n, now).ID, planner.Declined, planner.StreamStats{})
+		now += hold
+	}
+	now -= hold
+	waiting := jobOf("lagging", 10, now)
+	waiting.Objective = 5 * clock.Second
+	p.Submit(now, waiting)
+	for n := range uint64(4) {
+		p.Submit(now, jobOf("other", n, now))
+	}
+	if got := grantedEntries(p.Decisions()); !slices.Equal(got, []string{"other", "other", "other", "other"}) {
+		t.Errorf("granted to %v", got)
+	}
+	p.Finish(now, jobOf("other", 0, now).ID, planner.Served, planner.StreamStats{})
+	now += hold - 1
+	p.Submit(now, waiting)
+	p.Tick(now)
+	if got := grantedEntries(p.Decisions()); len(got) != 0 {
+		t.Errorf("granted to %v within the hold", got)
+	}
+	p.Tick(now + 1)
+	if got := grantedEntries(p.Decisions()); !slices.Equal(got, []string{"lagging"}) {
+		t.Errorf("granted to %v after the hold", got)
+	}
+}
--- a/pkg/planner/health.go
+++ b/pkg/planner/health.go
@@ -22,7 +22,7 @@
 	maxFailures = 8
 )
 
-// Record records the outcome of a request. Abandoned and Withheld tell nothing of the target.
+// Record records the outcome of a request. Abandoned, Withheld and Declined tell nothing of the target.
 func (h *Health) Record(now clock.Millis, o Outcome) {
 	switch o {
 	case Served:
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -153,4 +153,6 @@
 	Abandoned
 	// Withheld: the entry did not send the request because the target had asked it not to.
 	Withheld
+	// Declined: the entry did not send the request because by its own target list it must not go there.
+	Declined
 )
--- a/pkg/planner/outcome_string.go
+++ b/pkg/planner/outcome_string.go
@@ -15,11 +15,12 @@
 	_ = x[Moved-4]
 	_ = x[Abandoned-5]
 	_ = x[Withheld-6]
+	_ = x[Declined-7]
 }
 
-const _Outcome_name = "ServedFailedUnreachedFullMovedAbandonedWithheld"
+const _Outcome_name = "ServedFailedUnreachedFullMovedAbandonedWithheldDeclined"
 
-var _Outcome_index = [...]uint8{0, 6, 12, 21, 25, 30, 39, 47}
+var _Outcome_index = [...]uint8{0, 6, 12, 21, 25, 30, 39, 47, 55}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -63,6 +63,9 @@
 	}
 	if !p.off.Off(ablation.Ejection) {
 		t.health.Record(now, outcome)
+		if outcome == Declined {
+			t.recordDecline(now, id.Entry)
+		}
 	}
 	if outcome == Served {
 		t.servedAfterBackoff(now, id.Entry)
@@ -82,7 +85,7 @@
 		return
 	}
 	p.releases.add(now)
-	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld {
+	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld && outcome != Declined {
 		p.runTime.add(float64(now - r.grantedAt))
 	}
 }
@@ -117,11 +120,11 @@
 	p.abandon(now, entry, func(r *run) bool { return now-r.grantedAt > grantTransit && !keep(r.ID) })
 }
 
-// DropEntry removes the jobs and back-offs of an entry that has stopped sending heartbeats.
+// DropEntry removes the jobs, back-offs and returned grants of an entry that has stopped sending heartbeats.
 func (p *Planner) DropEntry(now clock.Millis, entry string) {
 	p.queue.removeIf(func(w *queuedJob) bool { return w.ID.Entry == entry })
 	p.abandon(now, entry, func(*run) bool { return true })
-	p.forgetBackoffs(entry)
+	p.forgetAdvice(entry)
 }
 
 // abandon ends the runs of an entry for which gone returns true. Finish changes p.runs during the range, which Go
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -26,6 +26,7 @@
 	rateLimit      ratelimit.Report        // request rate limit that it reports
 	limitBucket    *tokenBucket            // nil while it reports no limit
 	backoffs       map[string]clock.Millis // by entry: end of the back-off it asked for; kept until it has served that entry again
+	declines       map[string]clock.Millis // by entry: until when it is granted nothing here; see declineHold
 }
 
 // incarnations are the incarnations of one target that have runs or may get them. A restarted target gets no more
