Eject a target briefly if several entries return grants for it

With the commit before, each entry had to find out by itself, and again each 300 ms, that a target is gone which an owner without the store still lists: with many such targets and entries a good part of the requests would be returned once.

Returns of two entries within 300 ms say that the owner's own list is the older one: the target is ejected for 600 ms, without doubling, and is back at once when it serves a request all the same, as it does where several entries lag. Such an ejection does not lead to one job at a time: long runs that go on there would block that.

What it costs with many targets and entries was not measured.

--- a/pkg/planner/advice.go
+++ b/pkg/planner/advice.go
@@ -41,18 +41,33 @@
 	p.backoffUntil = max(p.backoffUntil, t.backoffs[entry])
 }
 
-// declineHold is for how long an entry is granted nothing at a target after it has returned a grant there, as its target
-// list differs from the owner's. Mostly one of them is about to read a row that the other one has; while the store does
-// not answer one of them, each hold costs a request the time to return a grant. Which list is right is not known, so
-// that this tells nothing of the target: others go on there.
-const declineHold = 300 * clock.Millisecond
+const (
+	// declineHold is for how long an entry is granted nothing at a target after it has returned a grant there, as its
+	// target list differs from the owner's. Mostly one of them is about to read a row that the other one has; while the
+	// store does not answer one of them, each hold costs a request the time to return a grant. Which list is right is
+	// not known: other entries go on there.
+	declineHold = 300 * clock.Millisecond
+	// outdatedDeclines is how many entries must be held back at a target for the owner's own list to count as the
+	// outdated one, so that not each entry has to return grants there.
+	outdatedDeclines = 2
+)
 
-// recordDecline records that an entry has returned a grant because of its own target list.
+// recordDecline records that an entry has returned a grant because of its own target list. If several have, the target
+// is ejected for a short time, or until it serves a request all the same.
 func (t *target) recordDecline(now clock.Millis, entry string) {
 	if t.declines == nil {
 		t.declines = make(map[string]clock.Millis)
 	}
 	t.declines[entry] = now + declineHold
+	declining := 0
+	for _, until := range t.declines {
+		if now < until {
+			declining++
+		}
+	}
+	if declining >= outdatedDeclines {
+		t.health.EjectBriefly(now)
+	}
 }
 
 // declinedBy reports whether an entry has returned a grant within declineHold.
--- a/pkg/planner/advice_test.go
+++ b/pkg/planner/advice_test.go
@@ -265,3 +265,49 @@
 		t.Errorf("granted to %v after the hold", got)
 	}
 }
+
+// TestGrantsReturnedBySeveralEntriesEjectTarget guards against requests of each entry in turn that are granted a target
+// which only the owner still lists.
+func TestGrantsReturnedBySeveralEntriesEjectTarget(t *testing.T) {
+	const ejection = 600 * clock.Millisecond
+	scenarios := []struct {
+		name   string
+		served bool // the target serves a request that was granted before
+		at     clock.Millis
+		want   int // jobs of a third entry that are granted the target
+	}{
+		{"within the ejection", false, ejection - 1, 0},
+		{"after it", false, ejection, 3},
+		{"it has served a request", true, 1, 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			p := newPlanner(4, 4, 4)
+			p.SetTargets(start, targets(4, 4, 4)[:1])
+			p.Submit(start, jobOf("d", 1, start))
+			for _, entry := range []string{"a", "b"} {
+				p.Submit(start, jobOf(entry, 1, start))
+				p.Finish(start, jobOf(entry, 1, start).ID, planner.Declined, planner.StreamStats{})
+			}
+			p.SetTargets(start, targets(4, 4, 4)) // enough healthy ones, so that an ejected one is left out
+			p.RecordFirstEvent(start, jobOf("d", 1, start).ID, nil)
+			for id := range uint64(8) {
+				p.Submit(start, jobOf("e", id, start))
+				p.RecordFirstEvent(start, jobOf("e", id, start).ID, nil)
+			}
+			p.Decisions()
+			if s.served {
+				p.Finish(start, jobOf("d", 1, start).ID, planner.Served, planner.StreamStats{})
+			}
+			for id := range uint64(5) {
+				w := jobOf("c", id, start+s.at)
+				w.Objective = 5 * clock.Second
+				p.Submit(start+s.at, w)
+			}
+			p.Tick(start + s.at)
+			if got := grantedEntries(p.Decisions()); len(got) != s.want {
+				t.Errorf("granted to %v, want %d", got, s.want)
+			}
+		})
+	}
+}
--- a/pkg/planner/health.go
+++ b/pkg/planner/health.go
@@ -52,7 +52,7 @@
 // briefEjection is how long a target that seems stuck is ejected; it is renewed while the target seems stuck.
 const briefEjection = 600 * clock.Millisecond
 
-// EjectBriefly ejects a target for a short time without counting a failure.
+// EjectBriefly ejects a target for a short time, or until it serves a request, without counting a failure.
 func (h *Health) EjectBriefly(now clock.Millis) {
 	h.until = max(h.until, now+briefEjection)
 }
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -70,7 +70,7 @@
 	if outcome == Served {
 		t.servedAfterBackoff(now, id.Entry)
 	}
-	t.probing = outcome != Served && (t.probing || t.health.Ejected(now))
+	t.probing = outcome != Served && (t.probing || outcome != Declined && t.health.Ejected(now))
 	delete(p.runs, id)
 	t.removeRun(r)
 	p.countRelease(now, r, outcome)
