--- a/pkg/planner/advice_test.go
+++ b/pkg/planner/advice_test.go
@@ -27,6 +27,17 @@
 	return targets
 }
 
+// grantedEntries returns the entries whose jobs were granted.
+func grantedEntries(list []planner.Decision) []string {
+	var entries []string
+	for _, d := range list {
+		if g, ok := d.(planner.Grant); ok {
+			entries = append(entries, g.ID.Entry)
+		}
+	}
+	return entries
+}
+
 // firstTarget is the incarnation of t0 in tests without restarts, where starts are unknown.
 var firstTarget = ids.TargetIncarnation{Target: "t0"}
 
@@ -217,3 +228,86 @@
 		}
 	}
 }
+
+// TestReturnedGrantHoldsBackOneEntry guards against a healthy target that is ejected since an entry whose target list
+// differs returns its grants.
+func TestReturnedGrantHoldsBackOneEntry(t *testing.T) {
+	const hold = 300 * clock.Millisecond
+	p := newPlanner(4)
+	now := start
+	for n := range uint64(8) { // more than once, as while the lists differ for longer
+		p.Submit(now, jobOf("lagging", n, now))
+		if got := targetsOf(p.Decisions()); len(got) != 1 {
+			t.Fatalf("granted %v after %v", got, now-start)
+		}
+		p.Finish(now, jobOf("lagging", n, now).ID, planner.Declined, planner.StreamStats{})
+		now += hold
+	}
+	now -= hold
+	waiting := jobOf("lagging", 10, now)
+	waiting.Objective = 5 * clock.Second
+	p.Submit(now, waiting)
+	for n := range uint64(4) {
+		p.Submit(now, jobOf("other", n, now))
+	}
+	if got := grantedEntries(p.Decisions()); !slices.Equal(got, []string{"other", "other", "other", "other"}) {
+		t.Errorf("granted to %v", got)
+	}
+	p.Finish(now, jobOf("other", 0, now).ID, planner.Served, planner.StreamStats{})
+	now += hold - 1
+	p.Submit(now, waiting)
+	p.Tick(now)
+	if got := grantedEntries(p.Decisions()); len(got) != 0 {
+		t.Errorf("granted to %v within the hold", got)
+	}
+	p.Tick(now + 1)
+	if got := grantedEntries(p.Decisions()); !slices.Equal(got, []string{"lagging"}) {
+		t.Errorf("granted to %v after the hold", got)
+	}
+}
+
+// TestGrantsReturnedBySeveralEntriesEjectTarget guards against requests of each entry in turn that are granted a target
+// which only the owner still lists.
+func TestGrantsReturnedBySeveralEntriesEjectTarget(t *testing.T) {
+	const ejection = 600 * clock.Millisecond
+	scenarios := []struct {
+		name   string
+		served bool // the target serves a request that was granted before
+		at     clock.Millis
+		want   int // jobs of a third entry that are granted the target
+	}{
+		{"within the ejection", false, ejection - 1, 0},
+		{"after it", false, ejection, 3},
+		{"it has served a request", true, 1, 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			p := newPlanner(4, 4, 4)
+			p.SetTargets(start, targets(4, 4, 4)[:1])
+			p.Submit(start, jobOf("d", 1, start))
+			for _, entry := range []string{"a", "b"} {
+				p.Submit(start, jobOf(entry, 1, start))
+				p.Finish(start, jobOf(entry, 1, start).ID, planner.Declined, planner.StreamStats{})
+			}
+			p.SetTargets(start, targets(4, 4, 4)) // enough healthy ones, so that an ejected one is left out
+			p.RecordFirstEvent(start, jobOf("d", 1, start).ID, nil)
+			for id := range uint64(8) {
+				p.Submit(start, jobOf("e", id, start))
+				p.RecordFirstEvent(start, jobOf("e", id, start).ID, nil)
+			}
+			p.Decisions()
+			if s.served {
+				p.Finish(start, jobOf("d", 1, start).ID, planner.Served, planner.StreamStats{})
+			}
+			for id := range uint64(5) {
+				w := jobOf("c", id, start+s.at)
+				w.Objective = 5 * clock.Second
+				p.Submit(start+s.at, w)
+			}
+			p.Tick(start + s.at)
+			if got := grantedEntries(p.Decisions()); len(got) != s.want {
+				t.Errorf("granted to %v, want %d", got, s.want)
+			}
+		})
+	}
+}
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -68,11 +68,14 @@
 	}
 	if !p.off.Off(ablation.Ejection) {
 		t.health.Record(now, outcome)
+		if outcome == Declined {
+			t.recordDecline(now, id.Entry)
+		}
 	}
 	if outcome == Served {
 		t.servedAfterBackoff(now, id.Entry)
 	}
-	t.probing = outcome != Served && (t.probing || t.health.Ejected(now))
+	t.probing = outcome != Served && (t.probing || outcome != Declined && t.health.Ejected(now))
 	delete(p.runs, id)
 	p.shares.end(now, &r.Job)
 	t.removeRun(r)
@@ -88,7 +91,7 @@
 		return
 	}
 	p.releases.add(now)
-	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld {
+	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld && outcome != Declined {
 		p.runTime.add(float64(now-r.grantedAt) / p.meanExcess(now, r.target, r.grantedAt, r.totalAtGrant))
 	}
 }
@@ -135,11 +138,11 @@
 	p.abandon(now, entry, func(r *run) bool { return now-r.grantedAt > grantTransit && !keep(r.ID) })
 }
 
-// DropEntry removes the jobs and back-offs of an entry that has stopped sending heartbeats.
+// DropEntry removes the jobs, back-offs and returned grants of an entry that has stopped sending heartbeats.
 func (p *Planner) DropEntry(now clock.Millis, entry string) {
 	p.queue.removeIf(func(w *queuedJob) bool { return w.ID.Entry == entry })
 	p.abandon(now, entry, func(*run) bool { return true })
-	p.forgetBackoffs(entry)
+	p.forgetAdvice(entry)
 }
 
 // abandon ends the runs of an entry for which gone returns true. Finish changes p.runs during the range, which Go
