--- a/pkg/network/memory_conn.go
+++ b/pkg/network/memory_conn.go
@@ -85,6 +85,17 @@
 	return written, nil
 }
 
+// writeNow buffers as much of p as there is room for.
+func (s *stream) writeNow(p []byte) (int, error) {
+	s.mu.Lock()
+	room := max(0, pipeBytes-len(s.data))
+	s.mu.Unlock()
+	if len(p) > 0 && room == 0 {
+		return 0, nil
+	}
+	return s.write(p[:min(len(p), room)])
+}
+
 // close closes the stream from one side; flag is ended for the writer and broken for the reader.
 func (s *stream) close(flag *bool) {
 	s.mu.Lock()
@@ -151,6 +162,9 @@
 func (c *memoryConn) Read(p []byte) (int, error)  { return c.in.read(p) }
 func (c *memoryConn) Write(p []byte) (int, error) { return c.out.write(p) }
 
+// WriteNow implements NowWriter.
+func (c *memoryConn) WriteNow(p []byte) (int, error) { return c.out.writeNow(p) }
+
 // Close closes both directions. The peer can still read what was written before.
 func (c *memoryConn) Close() error {
 	c.in.close(&c.in.broken)
