Ingress: answers are read at their targets' pace

Callers that paused for 1 s or 4 s left their answers unread at their targets for as long, as each event was written to the caller before the next was read. The pause also counted as the target's own gap, and made the answer late.

Change: while an answer is relayed, the caller's connection is written to without waiting; what it does not take is buffered, within the account of buffers, and written by a goroutine that ends when nothing is left. The target's slot is free once its answer is read, the request ends once its caller has it. Over the account's bound the slowest reader is broken off (ended_by SlowReader, with its bytes and times), and bodies are refused as not run (BuffersFull). Whole plain answers free their target before they are written. A caller that is gone no longer counts as its target's failure in the rest of a plain answer. Switch: read-ahead.

With the switch off, which is how it was before, these tests fail: TestPausingCallerDoesNotHoldUpItsTarget (all 8: no answer was read during the pause), TestPausingCallerGetsItsWholePlainAnswer (1 MiB + 1), TestOnlySlowestReadersAreBrokenOff, TestReaderThatIsBrokenOffIsLoggedAndCounted, TestCallerThatLeavesWithBufferedAnswerEndsExchange, TestEndsWhileCallerPauses (a request outlived its deadline and the end of the process while its caller did not read). TestPauseOfCallerIsNotItsTargets failed with the former arithmetic: a gap of 3,970 ms, one late answer. TestReaderOfPlainAnswerThatIsBrokenOffIsNotItsTargets passed before too: which of the write's error and the request's end is seen first is left to chance there.

The test bed of ingress now wraps callers' connections as the server does, and checks at the end of every test that nothing is held.

--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -56,6 +56,8 @@
 	Resumption // resumption
 	// Retries: a request whose exchange failed is sent again.
 	Retries // retries
+	// ReadAhead: an answer is read at its target's pace, also if its caller reads more slowly.
+	ReadAhead // read-ahead
 	// count is the number of mechanisms.
 	count
 )
--- a/pkg/ablation/mechanism_string.go
+++ b/pkg/ablation/mechanism_string.go
@@ -28,12 +28,13 @@
 	_ = x[KeyTrust-17]
 	_ = x[Resumption-18]
 	_ = x[Retries-19]
-	_ = x[count-20]
+	_ = x[ReadAhead-20]
+	_ = x[count-21]
 }
 
-const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriescount"
+const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriesread-aheadcount"
 
-var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 200}
+var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 205, 210}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"quaydock/pkg/ablation"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/membership"
@@ -68,6 +68,7 @@
 	tries       *firstTries
 	drain       *drainAdmission
 	entries     Entries
+	buffers     *buffers.Account // what is held for callers and targets
 	// keyGrace is up to which age of the configuration's freshness keys are used, in clock.Millis.
 	keyGrace atomic.Int64
 	// leasedKeyGrace is the same while this entry holds its membership lease; 0 if that makes no difference.
@@ -257,10 +258,12 @@
 	left := max(q.deadline-a.Clock.Now(), clock.Second)
 	// A writer without deadlines, as in tests, is limited only by the caller.
 	_ = control.SetReadDeadline(time.Now().Add(left.Duration()))
-	body, err := readAll(reader, q.http.ContentLength)
+	body, err := a.readBody(q, reader)
 	_ = control.SetReadDeadline(noDeadline)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBuffersFull):
+		return notRun(CauseBuffersFull, a.buffersRetryAfter())
 	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, CauseTooLarge)
 	case err != nil:
@@ -270,16 +273,6 @@
 	return nil
 }
 
-// readAll reads a body of the given length in bytes, -1 if it is not known. A shorter body is an error.
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
-}
-
 // host returns a Host field without its port.
 func host(field string) string {
 	if name, _, err := net.SplitHostPort(field); err == nil {
--- /dev/null
+++ b/pkg/ingress/answer_buffer.go
@@ -0,0 +1,233 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"quaydock/pkg/buffers"
+	"quaydock/pkg/clock"
+)
+
+// errSlowReader ends an answer whose caller did not read, as the entry held too much for callers.
+var errSlowReader = errors.New("the caller did not read its answer, and too much was held for callers")
+
+const (
+	// minChunk and maxChunk are the sizes in bytes of the pieces in which an answer is buffered.
+	minChunk = 4 << 10
+	maxChunk = 64 << 10
+)
+
+// answerBuffer buffers an answer between its target and a caller that reads more slowly. It is written to by one
+// goroutine. What the caller takes at once is not buffered. Otherwise a second goroutine writes to the caller until
+// nothing is left.
+type answerBuffer struct {
+	conn    *bufferedConn
+	ctx     context.Context // of the request; its end ends waiting for the caller
+	clock   clock.Clock
+	account *buffers.Account
+	reader  buffers.Reader
+	// progress gets a token after each step of drain. It holds one token, and a send never blocks.
+	progress chan struct{}
+
+	mu       sync.Mutex // guards the fields below
+	chunks   [][]byte   // in order, without the one that is being written
+	held     int        // bytes of all chunks by their capacity, with the one that is being written
+	draining bool       // drain runs
+	limit    int        // of held
+	err      error      // why nothing can be written to the caller any more
+	end      *buffers.End
+}
+
+// openBuffer begins to buffer an answer on a caller's connection, up to limit bytes.
+func openBuffer(ctx context.Context, conn *bufferedConn, now clock.Clock, account *buffers.Account, limit int) *answerBuffer {
+	b := &answerBuffer{conn: conn, ctx: ctx, clock: now, account: account, limit: limit}
+	b.reader.BreakOff = b.breakOff
+	conn.answer.Store(b)
+	return b
+}
+
+// write passes p on to the caller or buffers it. It waits for the caller only if the limit is reached.
+func (b *answerBuffer) write(p []byte) (int, error) {
+	b.mu.Lock()
+	err, draining := b.err, b.draining
+	b.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	written := 0
+	if !draining {
+		// No other goroutine writes to the connection now.
+		if written, err = b.conn.now.WriteNow(p); err != nil || written == len(p) {
+			return written, err
+		}
+	}
+	for written < len(p) {
+		n, err := b.add(p[written:])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// add buffers the beginning of p, after waiting for room.
+func (b *answerBuffer) add(p []byte) (int, error) {
+	b.mu.Lock()
+	for b.err == nil && b.spare() == 0 && b.held > 0 && b.held+minChunk > b.limit {
+		b.mu.Unlock()
+		if err := b.await(); err != nil {
+			return 0, err
+		}
+		b.mu.Lock()
+	}
+	if b.err != nil {
+		defer b.mu.Unlock()
+		return 0, b.err
+	}
+	var slowest []*buffers.Reader
+	if b.spare() == 0 {
+		size := max(minChunk, min(len(p), maxChunk, b.limit-b.held))
+		b.chunks = append(b.chunks, make([]byte, 0, size))
+		b.held += size
+		slowest = b.account.Hold(b.clock.Now(), &b.reader, size)
+	}
+	n := min(len(p), b.spare())
+	last := len(b.chunks) - 1
+	b.chunks[last] = append(b.chunks[last], p[:n]...)
+	if !b.draining {
+		b.draining = true
+		if b.progress == nil {
+			b.progress = make(chan struct{}, 1)
+		}
+		go b.drain()
+	}
+	b.mu.Unlock()
+	buffers.BreakOff(slowest)
+	return n, nil
+}
+
+// spare returns how many more bytes fit into the last chunk. The lock is held.
+func (b *answerBuffer) spare() int {
+	if len(b.chunks) == 0 {
+		return 0
+	}
+	last := b.chunks[len(b.chunks)-1]
+	return cap(last) - len(last)
+}
+
+// drain writes what is buffered to the caller, until nothing is left or the caller can't be written to.
+func (b *answerBuffer) drain() {
+	for {
+		chunk := b.next()
+		if chunk == nil {
+			b.signal()
+			return
+		}
+		_, err := b.conn.Conn.Write(chunk)
+		if err != nil {
+			b.abandon(fmt.Errorf("writing what was buffered: %w", err))
+		}
+		b.taken(cap(chunk))
+		b.signal()
+	}
+}
+
+// next returns the chunk to be written next, nil if there is none.
+func (b *answerBuffer) next() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err != nil || len(b.chunks) == 0 {
+		b.draining = false
+		return nil
+	}
+	chunk := b.chunks[0]
+	b.chunks[0] = nil
+	b.chunks = b.chunks[1:]
+	return chunk
+}
+
+// taken counts a chunk as written.
+func (b *answerBuffer) taken(size int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held -= size
+	b.account.Take(b.clock.Now(), &b.reader, size)
+}
+
+// signal reports a step of drain.
+func (b *answerBuffer) signal() {
+	select {
+	case b.progress <- struct{}{}:
+	default: // a token is there already
+	}
+}
+
+// await waits for the next step of drain, and fails at the end of the request.
+func (b *answerBuffer) await() error {
+	select {
+	case <-b.progress:
+		return nil
+	case <-b.ctx.Done():
+		err := fmt.Errorf("waiting for the caller to read: %w", context.Cause(b.ctx))
+		b.abandon(err)
+		return err
+	}
+}
+
+// finish waits until the caller has taken everything, and ends the buffering.
+func (b *answerBuffer) finish() error {
+	for {
+		b.mu.Lock()
+		err, draining := b.err, b.draining
+		b.mu.Unlock()
+		switch {
+		case err != nil:
+			return err
+		case !draining:
+			b.conn.answer.Store(nil)
+			return nil
+		}
+		if err := b.await(); err != nil {
+			return err
+		}
+	}
+}
+
+// abandon drops what is buffered, for the given reason, unless the answer was abandoned before.
+func (b *answerBuffer) abandon(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fail(err)
+	b.account.Drop(&b.reader)
+}
+
+// fail is the part of abandon within this buffer; the lock is held.
+func (b *answerBuffer) fail(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+	b.chunks = nil
+}
+
+// breakOff ends the answer, as its caller reads too slowly. The connection is reset, so that a caller of HTTP/1.0 does
+// not take what it has for the whole answer.
+func (b *answerBuffer) breakOff(end buffers.End) {
+	b.mu.Lock()
+	if b.err == nil {
+		b.end = &end
+	}
+	b.fail(errSlowReader)
+	b.mu.Unlock()
+	_ = b.conn.SetLinger(0) // an error means that the connection is closed already
+	_ = b.conn.Conn.Close()
+}
+
+// brokenOff returns the state in which the account broke the answer off, nil if it did not.
+func (b *answerBuffer) brokenOff() *buffers.End {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end
+}
--- a/pkg/ingress/answer_writer.go
+++ b/pkg/ingress/answer_writer.go
@@ -1,10 +1,13 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
 
+	"quaydock/pkg/buffers"
+	"quaydock/pkg/clock"
 	"quaydock/pkg/forward"
 )
 
@@ -13,6 +16,34 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController // nil if only a refusal is written
 	started bool                     // the status and headers of a target's answer are written
+	conn    *bufferedConn            // nil if answers are not read ahead of their callers
+	ctx     context.Context          // of the request, if conn is set
+	clock   clock.Clock
+	account *buffers.Account
+	buffer  *answerBuffer // nil before readAhead
+}
+
+// readAhead lets up to limit bytes of the body be written without waiting for the caller.
+func (o *answerWriter) readAhead(limit int) {
+	if o.conn != nil && o.buffer == nil {
+		o.buffer = openBuffer(o.ctx, o.conn, o.clock, o.account, limit)
+	}
+}
+
+// finish waits until the caller has taken what is buffered; after an error the caller can't be written to any more.
+func (o *answerWriter) finish() error {
+	if o.buffer == nil {
+		return nil
+	}
+	return o.buffer.finish()
+}
+
+// slowReader returns the state of a caller whose answer was broken off as it did not read, and nil for any other.
+func (o *answerWriter) slowReader() *buffers.End {
+	if o.buffer == nil {
+		return nil
+	}
+	return o.buffer.brokenOff()
 }
 
 // head writes the status and headers of a target's answer. A length of -1 stands for a body whose end is marked
--- a/pkg/ingress/broken_off.go
+++ b/pkg/ingress/broken_off.go
@@ -27,6 +27,8 @@
 	EnderEntry
 	// EnderCaller: its caller left before its deadline.
 	EnderCaller
+	// EnderSlowReader: its caller did not read, and this entry held too much for callers.
+	EnderSlowReader
 )
 
 // errGivenUp marks an exchange that this entry ended although its target may still have been running the request.
@@ -48,6 +50,8 @@
 	switch {
 	case cause == CauseLeft:
 		return EnderCaller
+	case cause == CauseSlowReader:
+		return EnderSlowReader
 	case cause == CauseDeadline:
 		return EnderDeadline
 	case cause == CauseLeaving:
@@ -62,7 +66,7 @@
 }
 
 // brokenOff counts and logs an answer that had begun and was broken off.
-func (c *Controller) brokenOff(q *request, refusal *Refusal) {
+func (c *Controller) brokenOff(q *request, refusal *Refusal, out *answerWriter) {
 	by := q.endedBy(refusal.Cause)
 	c.Metrics.Prometheus.Add("answers_broken_off", "by", by.String())
 	if !c.sampler.Allow("broken off") {
@@ -74,6 +78,12 @@
 	fields["cause"] = refusal.Cause.String()
 	fields["silence_ms"] = int64(now - q.eventAt)
 	fields["left_ms"] = int64(q.deadline - now)
+	if slow := out.slowReader(); slow != nil {
+		fields["held_bytes"] = slow.Held
+		fields["untaken_ms"] = int64(slow.Untaken)
+		fields["behind_ms"] = int64(slow.Behind)
+		fields["all_held_bytes"] = slow.Total
+	}
 	entry := c.Log.WithFields(fields)
 	if q.lostErr != nil {
 		entry = entry.WithError(q.lostErr)
--- a/pkg/ingress/cause_string.go
+++ b/pkg/ingress/cause_string.go
@@ -30,11 +30,13 @@
 	_ = x[CauseResting-19]
 	_ = x[CauseVersionGone-20]
 	_ = x[CauseOriginUnknown-21]
+	_ = x[CauseSlowReader-22]
+	_ = x[CauseBuffersFull-23]
 }
 
-const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeavingCrowdedHeldBackNoTurnRestingVersionGoneOriginUnknown"
+const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeavingCrowdedHeldBackNoTurnRestingVersionGoneOriginUnknownSlowReaderBuffersFull"
 
-var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119, 126, 134, 140, 147, 158, 171}
+var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119, 126, 134, 140, 147, 158, 171, 181, 192}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -11,10 +11,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/ablation"
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
 	"quaydock/pkg/quarantine"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/routing"
@@ -56,6 +59,9 @@
 	// MaxExtra limits how many requests on connections beyond the callers' limit are served at once. Only
 	// requests of a higher tier than one in progress are.
 	MaxExtra int
+	// Buffers counts what is held for callers and targets; if nil, the controller uses an account for a VM whose memory
+	// is not known.
+	Buffers *buffers.Account
 }
 
 // KeyGrace says how long a key may still be used after its removal.
@@ -93,12 +99,16 @@
 
 // NewController returns a controller with its dependencies.
 func NewController(p Dependencies) *Controller {
-	a := &admission{Common: p.Common, view: p.View, headerCodec: p.HeaderCodec, meter: p.Meter, entries: p.Entries, tries: newFirstTries(), drain: newDrainAdmission()}
+	if p.Buffers == nil {
+		p.Buffers = buffers.NewAccount(buffers.LimitsFor(0))
+	}
+	a := &admission{Common: p.Common, view: p.View, headerCodec: p.HeaderCodec, meter: p.Meter, entries: p.Entries, tries: newFirstTries(), drain: newDrainAdmission(), buffers: p.Buffers}
 	a.setKeyGrace(p.Keys)
 	d := &delivery{
 		Common: p.Common, admission: a, headerCodec: p.HeaderCodec, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries, guard: p.Guard, advice: p.Advice,
 		ended: newEndedTargets(), targetEnded: p.TargetEnded, sampler: telemetry.NewSampler(p.Clock, p.Log, linesPerSecond),
+		buffers: p.Buffers,
 	}
 	if d.guard == nil {
 		d.guard = quarantine.New(quarantine.Dependencies{Common: p.Common})
@@ -181,6 +191,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refusal := c.admission.admit(w, r)
+	defer c.releaseBuffers(q)
 	if refusal == nil {
 		refusal = c.deliver(r, q, out)
 	}
@@ -197,7 +208,20 @@
 	defer cancel()
 	ctx, span := c.Tracer.Start(ctx, "entry.request")
 	defer span.End()
-	return c.delivery.run(ctx, q, out)
+	if conn, ok := network.ConnOf(ctx).(*bufferedConn); ok && !c.Ablation.Off(ablation.ReadAhead) {
+		out.conn, out.ctx, out.clock, out.account = conn, ctx, c.Clock, c.delivery.buffers
+	}
+	refusal := c.delivery.run(ctx, q, out)
+	if refusal != nil {
+		refusal = endUnfinished(refusal, out)
+	}
+	return refusal
+}
+
+// releaseBuffers takes back what was counted in the account of buffers for a request.
+func (c *Controller) releaseBuffers(q *request) {
+	c.delivery.buffers.ReleaseBody(q.heldBody)
+	c.delivery.buffers.ReleaseAnswer(q.heldAnswers)
 }
 
 // conclude gives the final answer if none was given, and aborts one that cannot be completed, so that it does
@@ -210,7 +234,7 @@
 	c.Metrics.Requests.Add(refusal.Cause.String(), 1)
 	c.refused(q, refusal, out)
 	if out.started {
-		c.brokenOff(q, refusal)
+		c.brokenOff(q, refusal, out)
 	}
 	if out.started || refusal.Cause == CauseLeft {
 		panic(http.ErrAbortHandler)
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -9,6 +9,7 @@
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/forward"
@@ -38,6 +39,7 @@
 	ended       *endedTargets
 	targetEnded func(*routing.Target) // never nil
 	sampler     *telemetry.Sampler    // limits log lines
+	buffers     *buffers.Account      // what is held for callers and targets; never nil
 }
 
 const (
@@ -100,7 +102,7 @@
 		refusal = d.runAttempts(ctx, q, out)
 	}
 	if refusal != nil && d.writeHeldFailure(ctx, q, out, refusal) {
-		return nil
+		return d.finishAnswer(ctx, q, out)
 	}
 	if refusal != nil && q.sent == 0 {
 		d.admission.refund(q, admitted)
@@ -132,9 +134,9 @@
 		switch result := result.(type) {
 		case completed:
 			d.forgetStream(q)
-			return nil
+			return d.finishAnswer(ctx, q, out)
 		case callerGone:
-			return d.callerGoneRefusal(q, result.err)
+			return d.unreadRefusal(ctx, q, result.err)
 		case withheld:
 			// Nothing has reached the target, so the next attempt is not a retry.
 			q.recordWithheld(target.Incarnation())
--- a/pkg/ingress/ender_string.go
+++ b/pkg/ingress/ender_string.go
@@ -14,11 +14,12 @@
 	_ = x[EnderDeadline-3]
 	_ = x[EnderEntry-4]
 	_ = x[EnderCaller-5]
+	_ = x[EnderSlowReader-6]
 }
 
-const _EndedBy_name = "TargetNewStartGivenUpDeadlineEntryCaller"
+const _EndedBy_name = "TargetNewStartGivenUpDeadlineEntryCallerSlowReader"
 
-var _EndedBy_index = [...]uint8{0, 6, 14, 21, 29, 34, 40}
+var _EndedBy_index = [...]uint8{0, 6, 14, 21, 29, 34, 40, 50}
 
 func (i EndedBy) String() string {
 	idx := int(i) - 0
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -37,6 +37,8 @@
 	// CauseVersionGone: no target runs the version at which the stream began, or its route leads to another service.
 	CauseVersionGone
 	CauseOriginUnknown // nobody knows where the stream began that the caller takes up again
+	CauseSlowReader    // its caller did not read the answer, and too much was held for callers
+	CauseBuffersFull   // too much is held for callers and targets to take the request's body
 )
 
 // Refusal is an answer that the entry gives itself, instead of a target's.
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -14,10 +14,6 @@
 	"quaydock/pkg/schedule"
 )
 
-// maxBuffered is the number of bytes of an answer, if it is not a stream, that are read before any of it goes to the
-// caller, so that a request whose answer breaks off may be retried.
-const maxBuffered = 1 << 20
-
 // relayBytes is how much of an answer's rest, beyond maxBuffered, is read at once.
 const relayBytes = 4 << 10
 
@@ -42,7 +38,7 @@
 	if q.streams(a) {
 		return d.relayStream(w, q, out, assignment, a, eventstream.NewReader(a))
 	}
-	body, err := readBuffered(a)
+	body, err := d.readBuffered(a)
 	if err != nil {
 		q.addToTrail(d.Clock.Now(), "answer "+w.endText()+" at", assignment.Target().ID)
 		d.recordEarlyEnd(q, assignment.Target(), a, err, 0)
@@ -61,19 +57,10 @@
 	return r.route.Kind == routing.Stream && a.Status < http.StatusMultipleChoices
 }
 
-// readBuffered reads an answer that is not a stream, up to maxBuffered. If it returns as many bytes, there may be more.
-func readBuffered(a *forward.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, maxBuffered))
-	if err != nil {
-		return nil, fmt.Errorf("reading the answer: %w", err)
-	}
-	return body, nil
-}
-
-// relayBuffered relays an answer that is not a stream; body is what was read of it, up to maxBuffered. A failure (a
-// status of 500 or higher) is kept instead while another target may still do better. In the middle of a stream, where
+// relayBuffered relays an answer that is not a stream; body is what was read of it. A failure (a status of 500 or higher) is kept instead while another target may still do better. In the middle of a stream, where
 // the caller can't get such an answer, it returns lost.
-func (d *delivery) relayBuffered(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, body []byte) attempt {
+func (d *delivery) relayBuffered(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, body plainBody) attempt {
+	q.heldAnswers += body.held
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && !out.started && w.isSearching() {
 		q.addToTrail(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+", while another target is tried, from", assignment.Target().ID)
@@ -99,15 +86,36 @@
 		return lost{err: fmt.Errorf("resuming a stream: target answered with status %d", a.Status), answered: true}
 	}
 	out.head(d.headerCodec, a, a.Length)
-	if result := d.relayBody(q, out, assignment.Target(), a, body); result != nil {
-		assignment.Done(failureOutcome(w.exchangeCtx), planner.StreamStats{})
+	outcome := planner.Served
+	if failed {
+		outcome = planner.Failed
+	}
+	if body.whole {
+		// The caller may take its time: the target is free.
+		assignment.Done(outcome, planner.StreamStats{})
+		return d.writeWhole(q, out, a, body.data)
+	}
+	if result := d.relayBody(q, out, assignment.Target(), a, body.data); result != nil {
+		if _, gone := result.(callerGone); gone {
+			assignment.Done(planner.Abandoned, planner.StreamStats{})
+		} else {
+			assignment.Done(failureOutcome(w.exchangeCtx), planner.StreamStats{})
+		}
 		return result
 	}
 	q.sent++
-	if failed {
-		assignment.Done(planner.Failed, planner.StreamStats{})
-	} else {
-		assignment.Done(planner.Served, planner.StreamStats{})
+	assignment.Done(outcome, planner.StreamStats{})
+	return completed{success: a.Status < http.StatusMultipleChoices}
+}
+
+// writeWhole writes the body of an answer that has been read to its end.
+func (d *delivery) writeWhole(q *request, out *answerWriter, a *forward.Answer, body []byte) attempt {
+	q.sent++
+	if len(body) > minChunk {
+		out.readAhead(minChunk) // it is held whole already
+	}
+	if err := out.body(body); err != nil {
+		return callerGone{err}
 	}
 	return completed{success: a.Status < http.StatusMultipleChoices}
 }
@@ -122,6 +130,7 @@
 
 // relayBody relays a body of which a part has been read. It returns nil if the body is complete.
 func (d *delivery) relayBody(q *request, out *answerWriter, target *routing.Target, a *forward.Answer, part []byte) attempt {
+	out.readAhead(d.buffers.Limits().Exchange)
 	if err := out.body(part); err != nil {
 		q.sent++
 		return callerGone{err}
@@ -130,11 +139,11 @@
 	for {
 		n, err := a.Read(buffer)
 		if n > 0 {
-			q.eventAt = d.Clock.Now()
 			if err := out.body(buffer[:n]); err != nil {
 				q.sent++
 				return callerGone{err}
 			}
+			q.eventAt = d.Clock.Now()
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -174,13 +183,13 @@
 		if flow.Events > 0 {
 			flow.LongestGap = max(flow.LongestGap, now-last)
 		}
-		last = now
 		if flow.Events == 0 {
 			d.settleOrigin(q, assignment.Target(), a)
 			q.addToTrail(d.Clock.Now(), "first event from", assignment.Target().ID)
 			assignment.Began(load(a))
 			if !out.started {
 				out.head(d.headerCodec, a, -1)
+				out.readAhead(d.buffers.Limits().Exchange)
 			}
 		}
 		if err := d.relayEvent(q, out, e, ended || !events.Buffered()); err != nil {
@@ -194,6 +203,9 @@
 			return completed{success: true}
 		}
 		d.recordProgress(q, e, now)
+		// The time that the caller took to make room is not the target's.
+		last = d.Clock.Now()
+		q.eventAt = last
 		w.restartTimer()
 	}
 }
--- /dev/null
+++ b/pkg/ingress/request_body.go
@@ -0,0 +1,69 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+
+	"quaydock/pkg/buffers"
+	"quaydock/pkg/clock"
+)
+
+// errBuffersFull means that this entry holds too much for callers and targets to take a body.
+var errBuffersFull = errors.New("too much is held for callers and targets")
+
+// bodyStep is the number of bytes by which the memory for a body of unknown length grows at least.
+const bodyStep = 4 << 10
+
+// readBody reads the body of a request, and counts it in the account of buffers. A body that is shorter than stated is an
+// error.
+func (a *admission) readBody(q *request, from io.Reader) ([]byte, error) {
+	length := q.http.ContentLength
+	if length >= 0 {
+		if !a.holdBody(q, int(length)) {
+			return nil, errBuffersFull
+		}
+		body := make([]byte, length)
+		_, err := io.ReadFull(from, body)
+		return body, err
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := max(bodyStep, 2*cap(body))
+			if !a.holdBody(q, grown-cap(body)) {
+				return nil, errBuffersFull
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// holdBody counts n more bytes of a request's body, and reports whether they are within the bounds.
+func (a *admission) holdBody(q *request, n int) bool {
+	slowest, held := a.buffers.HoldBody(a.Clock.Now(), q.tier(), n)
+	buffers.BreakOff(slowest)
+	if held {
+		q.heldBody += n
+	}
+	return held
+}
+
+// Callers whose bodies are refused come back after buffersRetry or later, spread over buffersSpread, so that they do not
+// come back together.
+const (
+	buffersRetry  = 500 * clock.Millisecond
+	buffersSpread = clock.Second
+)
+
+// buffersRetryAfter returns when a caller should come back whose body there was no room for.
+func (a *admission) buffersRetryAfter() clock.Millis {
+	return buffersRetry + clock.Millis(a.Random.Fork().Float64()*float64(buffersSpread))
+}
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
@@ -80,7 +81,7 @@
 	assignment schedule.Assignment
 	answer     *forward.Answer
 	events     *eventstream.Reader // of a stream; its next event has been read
-	body       []byte              // of any other answer, up to maxBuffered
+	body       plainBody           // of any other answer
 	sentAt     clock.Millis        // when the request was sent to the target
 	start      quarantine.Start
 	// ctx is the context of the exchange, and endExchange cancels it.
@@ -211,7 +212,7 @@
 	if detach() && s.watch.replaceTarget(s, t) {
 		return nil
 	}
-	t.drop()
+	t.drop(d.buffers)
 	return lost{err: errNotNeeded}
 }
 
@@ -247,7 +248,7 @@
 	case a.Status >= http.StatusInternalServerError || s.q.route.Kind == routing.Stream:
 		err = fmt.Errorf("target %s answered with status %d", t.assignment.Target().ID, a.Status)
 	default:
-		t.body, err = readBuffered(a)
+		t.body, err = s.delivery.readBuffered(a)
 	}
 	if err == nil {
 		return nil
@@ -323,7 +324,8 @@
 }
 
 // drop ends an answer that is not needed.
-func (t *takeover) drop() {
+func (t *takeover) drop(account *buffers.Account) {
+	account.ReleaseAnswer(t.body.held)
 	t.answer.Close()
 	t.endExchange(errNotNeeded)
 	t.assignment.Done(planner.Abandoned, planner.StreamStats{})
@@ -334,7 +336,7 @@
 	if s.takeover == nil || s.relayed {
 		return false
 	}
-	s.takeover.drop()
+	s.takeover.drop(s.delivery.buffers)
 	return true
 }
 
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -87,7 +87,7 @@
 			clock.Pause(context.Background(), acceptRetryDelay)
 			continue
 		}
-		s.handleConn(c)
+		s.handleConn(newBufferedConn(c))
 	}
 }
 
--- /dev/null
+++ b/pkg/ingress/slow_reader.go
@@ -0,0 +1,42 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+)
+
+// finishAnswer waits until the caller has taken an answer that its target has completed, and returns nil then. The
+// target and its slot are free meanwhile.
+func (d *delivery) finishAnswer(ctx context.Context, q *request, out *answerWriter) *Refusal {
+	if err := out.finish(); err != nil {
+		return d.unreadRefusal(ctx, q, err)
+	}
+	return nil
+}
+
+// unreadRefusal returns why a caller did not get the rest of an answer, given the error of writing to it.
+func (d *delivery) unreadRefusal(ctx context.Context, q *request, err error) *Refusal {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errEnded):
+		return &Refusal{Status: http.StatusBadGateway, Cause: CauseLeaving, Err: err}
+	case errors.Is(cause, errDeadline):
+		return &Refusal{Status: http.StatusGatewayTimeout, Cause: CauseDeadline, Err: err}
+	default:
+		return d.callerGoneRefusal(q, err)
+	}
+}
+
+// endUnfinished returns the refusal of an answer that may have begun. If targets broke it off, the caller gets what it
+// has not taken yet before the answer ends. A caller whose answer the account of buffers broke off looks as if it had
+// left.
+func endUnfinished(refusal *Refusal, out *answerWriter) *Refusal {
+	if refusal.Cause == CauseLost {
+		_ = out.finish() // the answer ends either way
+	}
+	if out.slowReader() != nil {
+		return &Refusal{Cause: CauseSlowReader, Err: errSlowReader}
+	}
+	return refusal
+}
--- a/pkg/ingress/target_failure.go
+++ b/pkg/ingress/target_failure.go
@@ -14,10 +14,10 @@
 	body   []byte
 }
 
-// keepFailure keeps a target's failure answer. One that is too long was not read to its end, and is lost.
-func (r *request) keepFailure(a *forward.Answer, body []byte) {
-	if len(body) < maxBuffered {
-		r.heldFailure = &targetFailure{answer: a, body: body}
+// keepFailure keeps a target's failure answer. One that was not read to its end is lost.
+func (r *request) keepFailure(a *forward.Answer, body plainBody) {
+	if body.whole {
+		r.heldFailure = &targetFailure{answer: a, body: body.data}
 	}
 }
 
@@ -29,7 +29,8 @@
 	}
 	q.addToTrail(d.Clock.Now(), "passed on the failure kept from a target", "")
 	out.head(d.headerCodec, q.heldFailure.answer, q.heldFailure.answer.Length)
-	return out.body(q.heldFailure.body) == nil
+	_, written := d.writeWhole(q, out, q.heldFailure.answer, q.heldFailure.body).(completed)
+	return written
 }
 
 // callerHasLeft reports whether a request's context was canceled by its caller, and not by its deadline or the
--- a/pkg/ingress/testbed_test.go
+++ b/pkg/ingress/testbed_test.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
@@ -101,9 +102,10 @@
 	// refuseRepeats refuses all requests for an assignment but the first, and repeatDelay delays all but the first.
 	refuseRepeats bool
 	repeatDelay   time.Duration
-	mu            sync.Mutex // guards refuseRepeats, repeatDelay and the fields below
-	acquires      int        // calls of Acquire
-	outcomes      []string   // target and outcome of each assignment that has ended, in that order
+	mu            sync.Mutex            // guards refuseRepeats, repeatDelay and the fields below
+	acquires      int                   // calls of Acquire
+	outcomes      []string              // target and outcome of each assignment that has ended, in that order
+	stats         []planner.StreamStats // of the same assignments
 }
 
 func (s *orderedScheduler) Acquire(ctx context.Context, ask schedule.Request) (schedule.Assignment, *schedule.Refused, error) {
@@ -164,10 +166,11 @@
 	}
 	return nil
 }
-func (p *orderedAssignment) Done(o planner.Outcome, _ planner.StreamStats) {
+func (p *orderedAssignment) Done(o planner.Outcome, stats planner.StreamStats) {
 	p.s.mu.Lock()
 	defer p.s.mu.Unlock()
 	p.s.outcomes = append(p.s.outcomes, string(p.t.ID)+" "+o.String())
+	p.s.stats = append(p.s.stats, stats)
 }
 
 // arrival is a request as it arrived at a target.
@@ -200,6 +203,7 @@
 	metrics    *telemetry.Metrics
 	dialer     *slowDialer
 	guard      *quarantine.Guard
+	buffers    *buffers.Account
 	path       string // of the request of TestDisturbancesOfRequestInProgress
 	stopped    bool   // the server of callers has been shut down
 
@@ -251,6 +255,11 @@
 // and without keys), its accounts acme with the key "key" and full with "fullkey". Times of routes are in ms, and
 // retries are limited to 100 and a fifth of the requests in 10 s.
 func newTestbed(t *testing.T, meter fakeMeter, engines ...scriptedTarget) *testbed {
+	return newTestbedWithin(t, buffers.LimitsFor(0), meter, engines...)
+}
+
+// newTestbedWithin is newTestbed with limits for what the entry holds for callers and targets.
+func newTestbedWithin(t *testing.T, limits buffers.Limits, meter fakeMeter, engines ...scriptedTarget) *testbed {
 	b := &testbed{t: t, network: network.NewMemory(nil), started: make(map[net.Conn]ids.Start)}
 	b.dialer = &slowDialer{Memory: b.network}
 	c := commontest.New(b.dialer)
@@ -283,21 +292,25 @@
 	pool := forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, b.advice)
 	b.retries = quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second)
 	b.guard = quarantine.New(quarantine.Dependencies{Common: c})
+	b.buffers = buffers.NewAccount(limits)
 	b.controller = ingress.NewController(ingress.Dependencies{
 		Common: c, View: b.view, HeaderCodec: testCodec{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
 		Retries: b.retries, Keys: ingress.KeyGrace{Limit: 5000, Strict: true}, MaxExtra: extraRequests,
-		Advice: b.advice, Guard: b.guard,
+		Advice: b.advice, Guard: b.guard, Buffers: b.buffers,
 	})
-	server := &http.Server{Handler: b.controller, BaseContext: func(net.Listener) context.Context { return b.controller.Context() }}
+	server := &http.Server{Handler: b.controller, BaseContext: func(net.Listener) context.Context { return b.controller.Context() }, ConnContext: network.WithConn}
 	listener, err := b.network.Listen(entryAt)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(ingress.BufferedListener{Listener: listener}) }()
 	t.Cleanup(func() {
 		_ = server.Close()
 		pool.Close()
 		time.Sleep(10 * time.Second) // until all targets have finished
+		if held := b.buffers.Usage(); held != (buffers.Usage{}) {
+			t.Errorf("at the end there are buffers left: %+v", held)
+		}
 	})
 	return b
 }
