Forward: a long body is not copied when it is sent

A target that reads slowly had the body of its request held twice: once by the request, and once behind its head. Bodies above 4 KiB are now written from where they are (net.Buffers); shorter ones go out with the head in one write as before.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -118,14 +119,27 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	head.Write(r.Body)
 	if err == nil {
-		e.written, err = e.conn.Write(head.Bytes())
+		e.written, err = e.writeParts(head.Bytes(), r.Body)
 	}
 	e.writeErr = err
 	close(e.writeEnd)
 }
 
+// maxCopiedBody is the length in bytes up to which a body is copied behind its head, for one plain write. A longer one is
+// not: a target that reads slowly would have it held twice.
+const maxCopiedBody = 4 << 10
+
+// writeParts writes the head and the body of the request, and returns how many bytes were written.
+func (e *exchange) writeParts(head, body []byte) (int, error) {
+	if len(body) <= maxCopiedBody {
+		return e.conn.Write(append(head, body...))
+	}
+	parts := net.Buffers{head, body}
+	written, err := parts.WriteTo(e.conn.Conn)
+	return int(written), err
+}
+
 // read returns the result of a request that is being sent. It skips answers of other requests,
 // and fails at the maxStrayAnswers-th of them.
 func (e *exchange) read() Result {
