--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -59,7 +59,8 @@
 	// firstStart tells entries that start from now on that the system starts for the first time.
 	firstStart bool
 	// version is the version of targets that start from now on; empty means "v1".
-	version ids.Version
+	version  ids.Version
+	memoryMB int // of each entry's VM; 0 if not known
 	// intercept, if set, is called for each request that reaches its intended target, and reports whether it has
 	// answered the request. It has to be set before the first request.
 	intercept func(e *crashEngine, w http.ResponseWriter, r *http.Request) bool
@@ -207,8 +208,8 @@
 	s := platform.Settings{
 		Process: ids.Process(fmt.Sprint("entry-", i)), IP: entryIP(i), Domain: b.entryDomain(i), Internal: []int{7600, 7615},
 		Listen: platform.Listen{Callers: entryIP(i) + ":80", Ready: entryIP(i) + ":81"},
-		Bounds: bounds,
-		Store:  platform.StoreSettings{Address: storeAddress(i)}, Bootstrap: firstStart,
+		Bounds: bounds, Limits: platform.VMLimits{MemoryMB: b.memoryMB},
+		Store: platform.StoreSettings{Address: storeAddress(i)}, Bootstrap: firstStart,
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	link := packets.NewLink(c, b.counted(b.datagrams.Socket(netip.MustParseAddrPort(s.InternalAddress(0)))))
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -18,6 +18,7 @@
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/descriptors"
@@ -94,6 +95,7 @@
 	domains       *domains.Filter // gets the target list first and passes it on, by way of rollouts if there are any
 	// maxKeyGrace is entryOptions.maxKeyGrace.
 	maxKeyGrace clock.Millis
+	buffers     *buffers.Account // of what is held for callers and targets
 	// descriptors is how many descriptors the process may have for connections.
 	descriptors int
 }
@@ -229,10 +231,11 @@
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.descriptors = descriptorLimit(c, s.Limits)
 	limits := descriptors.LimitsFor(p.descriptors)
+	p.buffers = buffers.NewAccount(buffers.LimitsFor(s.Limits.MemoryMB))
 	p.controller = ingress.NewController(ingress.Dependencies{
 		Common: c, View: p.view, HeaderCodec: platform.HeaderCodec{}, Scheduler: p.scheduler(o.policy),
 		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: p.keyGrace(s.Bounds),
-		Retries: p.retries, Guard: p.guard, Advice: p.advice, Origins: p.origins, TargetEnded: p.dispatcher.ReportEnd, MaxExtra: limits.Extra,
+		Retries: p.retries, Guard: p.guard, Advice: p.advice, Origins: p.origins, TargetEnded: p.dispatcher.ReportEnd, MaxExtra: limits.Extra, Buffers: p.buffers,
 	})
 	p.members.SetGrace(p.keyGrace(s.Bounds).Max)
 	handlers := ingress.Handlers{Serve: p.controller, Reject: http.HandlerFunc(p.controller.Reject), Context: p.controller.Context()}
