Ingress: a completed answer is delivered also when late

An answer that its target had completed was broken off at the request's deadline if its caller had not taken it by then; without reading ahead a plain answer was delivered. It is ready, so only its caller, the account of buffers or the end of the process end it now. While the target still makes the answer, the deadline ends it, also while the buffer is full.

--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -23,8 +23,9 @@
 // goroutine. What the caller takes at once is not buffered. Otherwise a second goroutine writes to the caller until
 // nothing is left.
 type answerBuffer struct {
-	conn    *bufferedConn
-	ctx     context.Context // of the request; its end ends waiting for the caller
+	conn *bufferedConn
+	// ctx ends waiting for the caller: the request's context, and after untilCallerLeaves that of the connection.
+	ctx     context.Context
 	clock   clock.Clock
 	account *buffers.Account
 	reader  buffers.Reader
@@ -177,6 +178,10 @@
 	}
 }
 
+// untilCallerLeaves lets the rest of the answer wait for its caller beyond the request's deadline, with the context that
+// the server gave the request: it is ready, and is delivered also when late.
+func (b *answerBuffer) untilCallerLeaves(server context.Context) { b.ctx = server }
+
 // finish waits until the caller has taken everything, and ends the buffering.
 func (b *answerBuffer) finish() error {
 	for {
--- a/pkg/ingress/answer_writer.go
+++ b/pkg/ingress/answer_writer.go
@@ -18,6 +18,7 @@
 	started bool                     // the status and headers of a target's answer are written
 	conn    *bufferedConn            // nil if answers are not read ahead of their callers
 	ctx     context.Context          // of the request, if conn is set
+	server  context.Context          // its parent, without the deadline
 	clock   clock.Clock
 	account *buffers.Account
 	buffer  *answerBuffer // nil before readAhead
@@ -30,11 +31,19 @@
 	}
 }
 
+// targetDone says that the target has completed its answer, so that only the caller is waited for.
+func (o *answerWriter) targetDone() {
+	if o.buffer != nil {
+		o.buffer.untilCallerLeaves(o.server)
+	}
+}
+
 // finish waits until the caller has taken what is buffered; after an error the caller can't be written to any more.
 func (o *answerWriter) finish() error {
 	if o.buffer == nil {
 		return nil
 	}
+	o.targetDone()
 	return o.buffer.finish()
 }
 
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -113,6 +113,7 @@
 	q.sent++
 	if len(body) > minChunk {
 		out.readAhead(minChunk) // it is held whole already
+		out.targetDone()
 	}
 	if err := out.body(body); err != nil {
 		return callerGone{err}
