--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -63,6 +63,8 @@
 	// AccountShares: in a tier in which more is asked than fits, requests of client accounts that get more than their
 	// share go behind the others.
 	AccountShares // account-shares
+	// ReadAhead: an answer is read at its target's pace, also if its caller reads more slowly.
+	ReadAhead // read-ahead
 	// count is the number of mechanisms.
 	count
 )
--- a/pkg/ablation/mechanism_string.go
+++ b/pkg/ablation/mechanism_string.go
@@ -31,12 +31,13 @@
 	_ = x[TargetSlowdown-20]
 	_ = x[CallTimes-21]
 	_ = x[AccountShares-22]
-	_ = x[count-23]
+	_ = x[ReadAhead-23]
+	_ = x[count-24]
 }
 
-const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriestarget-slowdowncall-timesaccount-sharescount"
+const _Mechanism_name = "planner-hometier-floorlate-floorshort-firstfirst-tryearly-refusalmovesset-asidedisturbancein-timedomain-costlearnedquota-homestier-keepone-readerpeer-newsquick-greetingskey-trustresumptionretriestarget-slowdowncall-timesaccount-sharesread-aheadcount"
 
-var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 210, 220, 234, 239}
+var _Mechanism_index = [...]uint8{0, 12, 22, 32, 43, 52, 65, 70, 79, 90, 97, 108, 115, 126, 135, 145, 154, 169, 178, 188, 195, 210, 220, 234, 244, 249}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
