Slowdown: time before a target's first report has the usual pace

Cause: the integral of a target without reports was the mean of all targets times the whole time, so that a change of that mean while a request ran there gave an arbitrary slowness, and wrong observations.

Change: up to the first report the pace is the usual one.

Result: TestRunsBeforeFirstReportHaveUsualPace failed before; go test ./pkg/slowdown ./pkg/planner passes.

--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -62,12 +62,12 @@
 }
 
 // Total returns the integral of the expected factor up to a moment, in ms. The difference between two moments gives the
-// mean in between (see MeanOver).
+// mean in between (see MeanOver). Up to the first report it is Usual.
 func (e *Estimate) Total(now clock.Millis, p *Persistence) float64 {
-	mean, age := e.Mean(p), float64(max(0, now-e.reportedAt))
 	if e.reportedAt == 0 {
-		return float64(mean) * float64(now)
+		return float64(Usual) * float64(now)
 	}
+	mean, age := e.Mean(p), float64(max(0, now-e.reportedAt))
 	believed, constant := min(age, float64(maxAge)), p.constant()
 	return e.total + float64(mean)*age + float64(e.newest-mean)*constant*(1-math.Exp(-believed/constant))
 }
--- a/pkg/slowdown/estimate_test.go
+++ b/pkg/slowdown/estimate_test.go
@@ -138,3 +138,21 @@
 		}
 	}
 }
+
+// TestRunsBeforeFirstReportHaveUsualPace guards against observations that are divided by an arbitrary slowness, as the mean of
+// all targets has changed while a target without reports ran a request.
+func TestRunsBeforeFirstReportHaveUsualPace(t *testing.T) {
+	var p slowdown.Persistence
+	var silent, other slowdown.Estimate
+	from := silent.Total(start, &p)
+	for i := range 100 {
+		other.Report(start+clock.Millis(50*i), 2.5, &p)
+	}
+	if got := slowdown.MeanOver(from, silent.Total(start+5000, &p), 5000); got != slowdown.Usual {
+		t.Errorf("%.2f for a target without reports", got)
+	}
+	silent.Report(start+5000, 2.5, &p)
+	if got := slowdown.MeanOver(from, silent.Total(start+5000, &p), 5000); got != slowdown.Usual {
+		t.Errorf("%.2f for a target at its first report", got)
+	}
+}
