Planner: among accounts over their share, in time goes before late

Cause: late requests of accounts below their share went before requests of floods that could still be in time. Where most accounts ask for more than their share, as in a burst of all, that gave up the order in time first.

Change: those within their share still go before all others; among the others in time goes first, then Below before Above. The hold of late requests and the estimate of waits follow.

Result: go test ./pkg/planner ./pkg/gate ./pkg/fairshare passes, unchanged.

--- a/pkg/planner/floor.go
+++ b/pkg/planner/floor.go
@@ -102,13 +102,13 @@
 	return false
 }
 
-// behind reports whether a job is late while one of its tier was recently refused on its first attempt, unless that
-// one's account gets more of its share than the job's.
+// behind reports whether a job is late while one of its tier was recently refused on its first attempt that would go
+// before it.
 func (f *floor) behind(now clock.Millis, w *queuedJob) bool {
 	if !w.late(now) {
 		return false
 	}
-	for class := range w.class + 1 {
+	for class := range lastBeforeLate(w.class) + 1 {
 		if now < f.freshUntil[standing{w.Tier, class}] {
 			return true
 		}
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -37,9 +37,9 @@
 	q.jobs = slices.Delete(q.jobs, i, i+1)
 }
 
-// sort orders the jobs as they are served: by tier; in a tier by the class of their accounts; in a class those that can
-// still be in time by their callers' first attempt before the late ones; in both groups the shortest runs first, and
-// among equal ones the most urgent.
+// sort orders the jobs as they are served: by tier; in a tier those of accounts within their share before the others; of
+// both those that can still be in time by their callers' first attempt before the late ones; then by the class of their
+// accounts; in a class the shortest runs first, and among equal ones the most urgent.
 func (q *queue) sort(now clock.Millis) {
 	slices.SortStableFunc(q.jobs, func(a, b *queuedJob) int { return compareJobs(now, a, b) })
 }
@@ -49,10 +49,12 @@
 	switch {
 	case a.Tier != b.Tier:
 		return int(a.Tier - b.Tier)
-	case a.class != b.class:
-		return int(a.class - b.class)
+	case a.withinShare() != b.withinShare():
+		return trueFirst(a.withinShare())
 	case a.late(now) != b.late(now):
 		return trueFirst(b.late(now))
+	case a.class != b.class:
+		return int(a.class - b.class)
 	case a.size != b.size:
 		return int(a.size - b.size)
 	default:
@@ -68,6 +70,9 @@
 	return 1
 }
 
+// withinShare reports whether the job's account asks for no more than its share.
+func (w *queuedJob) withinShare() bool { return w.class == fairshare.Within }
+
 // late reports whether it is too late for the job to be in time.
 func (w *queuedJob) late(now clock.Millis) bool {
 	return now > w.latestStart
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -179,16 +179,30 @@
 	if t == nil || !t.shared {
 		return 0, false
 	}
-	for class := range w.class {
+	before := w.class
+	if late {
+		before = lastBeforeLate(w.class) + 1
+	}
+	for class := range before {
 		perSecond += sum(t.grantRates[class][:])
 	}
-	own := t.grantRates[w.class]
 	if late {
-		return perSecond + sum(own[:]), true
+		return perSecond, true
 	}
+	own := t.grantRates[w.class]
 	return perSecond + sum(own[:w.size]) + own[w.size]/2, true
 }
 
+// lastBeforeLate returns the last class of which jobs that can be in time go before a late one of a class. Accounts within
+// their share are served before all others, so that a job of theirs which was refused once does not wait for a flood; among
+// the others a late answer is worth less to its caller than one in time to another.
+func lastBeforeLate(class fairshare.Class) fairshare.Class {
+	if class == fairshare.Within {
+		return fairshare.Within
+	}
+	return fairshare.Above
+}
+
 // sum returns the sum of some rates.
 func sum(rates []float64) float64 {
 	all := 0.0
