--- a/pkg/fairshare/account.go
+++ b/pkg/fairshare/account.go
@@ -1,5 +1,7 @@
 // Package fairshare accounts for the service that client accounts get of a scarce capacity. It has no I/O and reads no
-// clock: the time is an argument. A unit of service is whatever the caller charges: tokens, or milliseconds of a place.
+// clock: the time is an argument. A Tier offers two independent accounts of service: Join, Charge and Leave order accounts
+// by charged units (start-time fair queueing), and Ask, Start, End and Classify compare the places that accounts hold with
+// their max-min shares. A unit is whatever the caller charges.
 package fairshare
 
 import (
--- a/pkg/fairshare/tier.go
+++ b/pkg/fairshare/tier.go
@@ -13,6 +13,7 @@
 	byName      map[ids.Account]*Account
 	accounts    []*Account // the same, in the order in which they came, so that sums are repeatable
 	virtualTime float64    // served value of the account that was charged last, before that charge
+	leaves      int        // calls of Leave since accounts were last forgotten by it
 	observed    observation
 	claims      []claim // reused by Classify
 }
@@ -26,7 +27,7 @@
 func (t *Tier) Account(now clock.Millis, name ids.Account, weight float64) *Account {
 	a := t.byName[name]
 	if a == nil {
-		a = &Account{Name: name, weight: positive(weight), use: decayingUse{at: now}}
+		a = &Account{Name: name, weight: positive(weight), use: decayingUse{at: max(now, t.observed.start)}}
 		t.byName[name] = a
 		t.accounts = append(t.accounts, a)
 	}
@@ -60,9 +61,13 @@
 }
 
 // Leave ends a busy period of an account. Those without one are forgotten once they would start level with the others if
-// they came back, as new ones do.
+// they came back, as new ones do; all are looked at once in as many calls as there are accounts.
 func (t *Tier) Leave(a *Account) {
 	a.busy = false
+	if t.leaves++; t.leaves < len(t.accounts) {
+		return
+	}
+	t.leaves = 0
 	t.forget(func(a *Account) bool { return !a.busy && a.served <= t.virtualTime })
 }
 
--- a/pkg/fairshare/tier_test.go
+++ b/pkg/fairshare/tier_test.go
@@ -181,3 +181,20 @@
 		t.Fatalf("every account is above its share: %+v", standings)
 	}
 }
+
+// TestAccountFromBeforeItsTierIsCounted guards against shares that are no numbers, as messages are handled a moment after
+// their time was read, and the first of a tier may be the later one.
+func TestAccountFromBeforeItsTierIsCounted(t *testing.T) {
+	tier := fairshare.NewTier(1000)
+	a := tier.Account(999, "a", 1)
+	tier.Ask(999, a)
+	tier.Start(999, a)
+	tier.Start(1000, tier.Account(1000, "b", 1))
+	tier.Classify(1000)
+	tier.Classify(3000)
+	for _, s := range tier.Standings() {
+		if math.Abs(s.Use-1) > 0.01 {
+			t.Errorf("account %s holds one place and counts as holding %f", s.Account, s.Use)
+		}
+	}
+}
--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -74,8 +74,8 @@
 	return ms, n >= minObservations
 }
 
-// factorWeight returns the weight with which a target's factor learns from a call of a level. While targets are full their
-// factors could otherwise take the place of what full targets take longer.
+// factorWeight returns the weight with which a target's factor learns from a call of a level. It is low for full targets,
+// whose longer times would otherwise be learned as a lasting slowness of the target.
 func (c *callTimes) factorWeight(level int) float64 {
 	const half, fullWeight = fillLevels/2 - 1, 0.1
 	if _, known := c.get(half); known && level > half {
@@ -93,7 +93,7 @@
 		if c[level].n < minObservations || n == 0 || fillLevel(n, capacity) != level {
 			continue
 		}
-		if rate = float64(n) / c[level].short; rate > bestRate {
+		if rate = float64(n) / max(1, c[level].short); rate > bestRate {
 			best, bestRate = n, rate
 		}
 	}
@@ -111,8 +111,8 @@
 	beyondLimitInterval = 3 * clock.Second
 )
 
-// slotsForCalls returns how many of a target's slots are used: fewer than it has if it serves only calls and completes
-// more of them then.
+// slotsForCalls returns how many of a target's slots are used. It is fewer than the target has only as long as the service
+// has not had a stream, and if targets then complete more calls.
 func (p *Planner) slotsForCalls(t *target) int {
 	if p.timings.interval.n > 0 || p.off.Off(ablation.CallTimes) {
 		return t.capacity()
@@ -157,7 +157,7 @@
 
 // learnFirstEvent learns from the time to a run's first event.
 func (p *Planner) learnFirstEvent(now clock.Millis, r *run) {
-	held := slowdown.Between(r.sampleAtGrant, r.target.slowdown.Sample(now, &p.persistence))
+	held := slowdown.Between(r.sampleAtGrant, r.target.slowdown.Sample(now))
 	took := float64(now-r.grantedAt) / float64(held)
 	t := r.target
 	if !r.isCall() || r.promptAhead > 0 || p.off.Off(ablation.CallTimes) {
--- a/pkg/planner/floor.go
+++ b/pkg/planner/floor.go
@@ -16,11 +16,11 @@
 // by size; neither improves the results alone.
 type floor struct {
 	until      map[ids.TierRank]clock.Millis // by tier of a refused job: end of the hold
-	freshUntil map[standing]clock.Millis     // the same for refused jobs on their first attempt
+	freshUntil map[tierClass]clock.Millis    // the same for refused jobs on their first attempt
 }
 
-// standing is a tier and a class of accounts in it.
-type standing struct {
+// tierClass is a tier and a class of accounts in it.
+type tierClass struct {
 	tier  ids.TierRank
 	class fairshare.Class
 }
@@ -83,12 +83,12 @@
 func (f *floor) raise(now clock.Millis, w *queuedJob, hold clock.Millis) {
 	if f.until == nil {
 		f.until = make(map[ids.TierRank]clock.Millis)
-		f.freshUntil = make(map[standing]clock.Millis)
+		f.freshUntil = make(map[tierClass]clock.Millis)
 	}
 	until := now + hold
 	f.until[w.Tier] = until
 	if !w.Retried {
-		f.freshUntil[standing{w.Tier, w.class}] = until
+		f.freshUntil[tierClass{w.Tier, w.class}] = until
 	}
 }
 
@@ -109,13 +109,23 @@
 		return false
 	}
 	for class := range lastBeforeLate(w.class) + 1 {
-		if now < f.freshUntil[standing{w.Tier, class}] {
+		if now < f.freshUntil[tierClass{w.Tier, class}] {
 			return true
 		}
 	}
 	return false
 }
 
+// holdsLate reports whether late jobs of some tier are held back at some targets.
+func (p *Planner) holdsLate(now clock.Millis) bool {
+	for _, f := range p.versionFloors {
+		if f.holdsLate(now) {
+			return true
+		}
+	}
+	return p.floor.holdsLate(now)
+}
+
 // holdsLate reports whether late jobs of some tier are held back.
 func (f *floor) holdsLate(now clock.Millis) bool {
 	for _, until := range f.freshUntil {
--- a/pkg/planner/incarnations.go
+++ b/pkg/planner/incarnations.go
@@ -34,6 +34,7 @@
 	p.eligible = p.eligible[:0]
 	p.trial.targets = p.trial.targets[:0]
 	p.slots = 0
+	p.expected = expectedRate{}
 	for _, t := range p.offered {
 		switch {
 		case t.draining:
--- a/pkg/planner/limit.go
+++ b/pkg/planner/limit.go
@@ -111,15 +111,30 @@
 	}
 }
 
-// expectedReleases returns how many jobs per second all slots can complete, less what targets that are slowed now complete
-// fewer, and the slots of rate-limited targets that the limit leaves unused.
+// expectedReleases returns how many jobs per second all slots can complete, less what targets that are slowed now
+// complete fewer, and the slots of rate-limited targets that the limit leaves unused. It is computed once at a time, as
+// the wait of each queued job depends on it.
 func (p *Planner) expectedReleases(now clock.Millis) float64 {
+	if p.expected.at != now {
+		p.expected = expectedRate{at: now, perSecond: p.computeExpectedReleases(now)}
+	}
+	return p.expected.perSecond
+}
+
+// expectedRate is the result of expectedReleases at a time; the zero value is none.
+type expectedRate struct {
+	at        clock.Millis
+	perSecond float64
+}
+
+// computeExpectedReleases computes expectedReleases.
+func (p *Planner) computeExpectedReleases(now clock.Millis) float64 {
 	perSlot := float64(clock.Second) / p.runTime.get()
 	sum := float64(p.slots) * perSlot
 	for _, t := range p.eligible {
 		used := float64(p.slotsForCalls(t))
 		sum -= (float64(t.capacity()) - used) * perSlot
-		if c := t.slowdown.Forecast(now, &p.persistence); c.Slowed() {
+		if c := t.slowdown.Forecast(now); c.Slowed() {
 			sum -= used * perSlot * (1 - 1/c.Excess())
 		}
 	}
--- a/pkg/planner/pace.go
+++ b/pkg/planner/pace.go
@@ -13,21 +13,21 @@
 	slowdown slowdown.Forecast
 }
 
-// normalPace is that of a target of which nothing is known.
-var normalPace = pace{factor: 1}
+// normalPace returns that of a target of which nothing is known.
+func normalPace() pace { return pace{factor: 1} }
 
-// now returns by how much the target is slower at the moment.
-func (c pace) now() float64 { return c.factor * float64(c.slowdown.Now()) }
+// current returns by how much the target is slower at the moment.
+func (c pace) current() float64 { return c.factor * float64(c.slowdown.Now()) }
 
-// take returns for how many ms the target works on what takes a target of normalPace so many ms.
-func (c pace) take(ms float64) float64 {
+// duration returns the time in ms for which the target works on what takes ms at the normal pace.
+func (c pace) duration(ms float64) float64 {
 	work := c.factor * ms
 	return work * float64(c.slowdown.Over(work))
 }
 
 // pace returns the pace of a target from now on.
 func (p *Planner) pace(now clock.Millis, t *target) pace {
-	return pace{factor: t.factor.get(), slowdown: t.slowdown.Forecast(now, &p.persistence)}
+	return pace{factor: t.factor.get(), slowdown: t.slowdown.Forecast(now)}
 }
 
 // recordSlowdown records how long work takes at a target now, if the target has reported it.
@@ -39,7 +39,7 @@
 
 // slowdownTotal returns the time by which the target was expected to be slower than usual so far, for meanSlowdown.
 func (p *Planner) slowdownTotal(now clock.Millis, t *target) float64 {
-	return t.slowdown.Total(now, &p.persistence)
+	return t.slowdown.Total(now)
 }
 
 // meanSlowdown returns the mean slowdown of a target since a moment at which slowdownTotal was from.
@@ -49,13 +49,13 @@
 
 // meanExcess is meanSlowdown in relation to what the target has in the mean.
 func (p *Planner) meanExcess(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
-	return p.meanSlowdown(now, t, since, from) / float64(t.slowdown.Mean(&p.persistence))
+	return p.meanSlowdown(now, t, since, from) / float64(t.slowdown.Mean())
 }
 
 // VisitSlownessChanges calls visit for each target that has become slowed, or is so no more, since the last call.
 func (p *Planner) VisitSlownessChanges(now clock.Millis, visit func(t *routing.Target, slowed bool, f slowdown.Factor)) {
 	for _, t := range p.eligible {
-		forecast := t.slowdown.Forecast(now, &p.persistence)
+		forecast := t.slowdown.Forecast(now)
 		if slowed := forecast.Slowed(); slowed != t.visitedSlowed {
 			t.visitedSlowed = slowed
 			visit(t.Target, slowed, forecast.Now())
@@ -67,7 +67,7 @@
 func (p *Planner) SlowedTargets(now clock.Millis) int {
 	n := 0
 	for _, t := range p.eligible {
-		if t.slowdown.Forecast(now, &p.persistence).Slowed() {
+		if t.slowdown.Forecast(now).Slowed() {
 			n++
 		}
 	}
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 
 	"quaydock/pkg/ablation"
@@ -32,7 +33,7 @@
 		p.fullSince = 0
 		return
 	}
-	if len(p.queue.jobs) > 1 || p.floor.holdsLate(now) {
+	if len(p.queue.jobs) > 1 || p.holdsLate(now) {
 		p.shares.refresh(now, &p.queue) // the order and the hold of late jobs depend on it
 	}
 	p.placeOnCanary(now)
@@ -129,7 +130,7 @@
 // the fastest target when that is idle, only targets count on which it is in time and stalls no streams.
 func (p *Planner) cheapest(now clock.Millis, c *candidates, w *queuedJob) *target {
 	fastest, known := p.fastest(now, c, &w.Job)
-	inTimeOnly := known && !p.off.Off(ablation.InTime) && p.wouldBeInTime(now, w, fastest, idle)
+	inTimeOnly := known && !p.off.Off(ablation.InTime) && p.wouldBeInTime(now, w, fastest, idle())
 	var best *target
 	var minCost float64
 	for _, t := range c.available {
@@ -145,12 +146,12 @@
 	return best
 }
 
-// slowest returns a pace that no target falls below.
-func slowest() pace { return pace{factor: factorMax * factorMax} }
+// slowest returns a pace slower than that of any target.
+func slowest() pace { return pace{factor: math.Inf(1)} }
 
 // faster returns the faster of a pace and that of a target.
 func (p *Planner) faster(now clock.Millis, c pace, t *target) pace {
-	if other := p.pace(now, t); other.now() < c.now() {
+	if other := p.pace(now, t); other.current() < c.current() {
 		return other
 	}
 	return c
@@ -180,7 +181,7 @@
 	if w.MaxEventGap == 0 || len(t.runs) == 0 || p.off.Off(ablation.Disturbance) {
 		return false
 	}
-	gap := p.pace(now, t).now() * p.timings.longestGap(len(t.runs)+1, t.pendingPrompt+w.Prompt)
+	gap := p.pace(now, t).current() * p.timings.longestGap(len(t.runs)+1, t.pendingPrompt+w.Prompt)
 	return gap > gapFraction*float64(w.MaxEventGap)
 }
 
@@ -188,11 +189,11 @@
 // deadline, on a target of a pace and with so much to do.
 func (p *Planner) wouldBeInTime(now clock.Millis, w *queuedJob, c pace, at occupancy) bool {
 	work := p.firstEventTime(&w.Job, at)
-	first := c.take(work)
+	first := c.duration(work)
 	if now+clock.Millis(first) > w.due() {
 		return false
 	}
-	remaining := c.take(work+float64(w.Events)*p.timings.eventInterval(at.running)) - first
+	remaining := c.duration(work+float64(w.Events)*p.timings.eventInterval(at.running)) - first
 	return now+clock.Millis(first+lengthMargin*remaining) <= w.Deadline
 }
 
@@ -213,12 +214,12 @@
 func (p *Planner) cost(now clock.Millis, t *target, job *Job) float64 {
 	running := len(t.runs) + t.externalLoad.current(now)
 	c := p.pace(now, t)
-	f := c.now()
+	f := c.current()
 	at := t.occupancyWith()
 	at.running = running + 1
 	work := p.firstEventTime(job, at)
-	first := c.take(work)
-	remaining := c.take(work+float64(job.Events)*p.timings.eventInterval(running+1)) - first
+	first := c.duration(work)
+	remaining := c.duration(work+float64(job.Events)*p.timings.eventInterval(running+1)) - first
 	prefill := f * p.timings.prefillTime(job.Prompt)
 	cost := first + completionWeight*remaining
 	weighPrefill := !p.off.Off(ablation.Disturbance)
@@ -248,7 +249,7 @@
 		}
 	}
 	if !known {
-		fastest = normalPace
+		fastest = normalPace()
 	}
-	return clock.Millis(fastest.take(p.firstEventTime(job, idle)))
+	return clock.Millis(fastest.duration(p.firstEventTime(job, idle())))
 }
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -25,6 +25,7 @@
 	runs         map[JobID]*run
 	timings      timings
 	callTimes    callTimes
+	expected     expectedRate
 	persistence  slowdown.Persistence // of the slowness that the targets report
 	releases     rate                 // slots that became free, without those of canary targets
 	runTime      decayingMean         // ms from grant to end, of the same slots if their target took the request
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -123,8 +123,8 @@
 // addRun records a job as a run on a target, with what is known of the target's slowdown.
 func (p *Planner) addRun(now clock.Millis, t *target, job Job) *run {
 	r := t.addRun(now, job)
-	r.slowdownAtGrant = float64(t.slowdown.Forecast(now, &p.persistence).Now())
-	r.sampleAtGrant = t.slowdown.Sample(now, &p.persistence)
+	r.slowdownAtGrant = float64(t.slowdown.Forecast(now).Now())
+	r.sampleAtGrant = t.slowdown.Sample(now)
 	r.totalAtGrant = p.slowdownTotal(now, t)
 	return r
 }
--- a/pkg/planner/shares.go
+++ b/pkg/planner/shares.go
@@ -1,7 +1,9 @@
 package planner
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
@@ -16,8 +18,7 @@
 	weight      func(ids.Account) float64 // nil while there is nothing to share
 	tiers       map[ids.TierRank]*tierShares
 	refreshedAt clock.Millis
-	outdated    bool // a job has been queued since
-	newAccount  bool // an account has come since
+	outdated    bool // a job has asked for a slot since
 	refusals    int  // of jobs of accounts that ask for more than their share
 }
 
@@ -41,10 +42,7 @@
 		}
 	case p.shares.weight == nil:
 		p.shares = accountShares{weight: weight, tiers: make(map[ids.TierRank]*tierShares)}
-		for _, r := range p.runs {
-			p.shares.ask(now, &r.Job)
-			p.shares.start(now, &r.Job)
-		}
+		p.adoptJobs(now)
 	default:
 		p.shares.weight = weight
 		for _, t := range p.shares.tiers {
@@ -53,6 +51,17 @@
 	}
 }
 
+// adoptJobs counts the jobs that run as they begin to share the slots. Their order is fixed, so that sums are repeatable.
+func (p *Planner) adoptJobs(now clock.Millis) {
+	running := slices.SortedFunc(maps.Values(p.runs), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.ID.Entry, b.ID.Entry), cmp.Compare(a.ID.Number, b.ID.Number))
+	})
+	for _, r := range running {
+		p.shares.ask(now, &r.Job)
+		p.shares.start(now, &r.Job)
+	}
+}
+
 // tier returns the shares of a tier, which it adds if they are missing.
 func (s *accountShares) tier(now clock.Millis, rank ids.TierRank) *tierShares {
 	t := s.tiers[rank]
@@ -75,7 +84,6 @@
 		return fairshare.Within
 	}
 	s.outdated = true
-	s.newAccount = s.newAccount || s.tier(now, job.Tier).accounts.Find(job.Account) == nil
 	t, a := s.account(now, job)
 	t.Ask(now, a)
 	return a.Class()
@@ -113,16 +121,16 @@
 	g.counts[w.size]++
 }
 
-// refresh determines the class of each account and sets that of the jobs, unless that was done at this time and no job has
-// been queued since, or was done just before and no account has come since.
+// refresh determines the class of each account and sets that of the jobs, unless that was done at this time and no job
+// has asked for a slot since, or was done just before.
 func (s *accountShares) refresh(now clock.Millis, q *queue) {
 	if s.weight == nil || now == s.refreshedAt && !s.outdated {
 		return
 	}
-	if now-s.refreshedAt < s.refreshInterval() && !s.newAccount {
+	if now-s.refreshedAt < s.refreshInterval() {
 		return
 	}
-	s.refreshedAt, s.outdated, s.newAccount = now, false, false
+	s.refreshedAt, s.outdated = now, false
 	for _, t := range s.tiers {
 		t.classify(now)
 	}
@@ -228,7 +236,7 @@
 
 // AccountSummary tells of the client accounts that share the slots.
 type AccountSummary struct {
-	// Accounts is the number of accounts that hold or wait for slots, or did so lately, in all tiers; OverShare is the
+	// Accounts is the number of accounts that hold slots, or held or asked for some lately, in all tiers; OverShare is the
 	// number of those that ask for more than their share. Refusals counts refusals of jobs of such accounts.
 	Accounts, OverShare, Refusals int
 	// Heaviest is the standing of the account that holds most slots in a tier.
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -91,8 +91,8 @@
 	capacity int
 }
 
-// idle is the occupancy of a target that has nothing else to do.
-var idle = occupancy{running: 1, capacity: fillLevels}
+// idle returns the occupancy of a target that has nothing else to do.
+func idle() occupancy { return occupancy{running: 1, capacity: fillLevels} }
 
 // occupancyWith returns the occupancy of a target that gets one more job.
 func (t *target) occupancyWith() occupancy {
@@ -167,9 +167,12 @@
 // a first event since it was granted.
 func (p *Planner) stuck(now clock.Millis, t *target) bool {
 	for _, r := range t.runs {
+		if r.hasFirstEvent || t.lastFirstEvent >= r.grantedAt || now-r.grantedAt <= stuckMin {
+			continue
+		}
 		usual := p.firstEventTime(&r.Job, occupancy{pending: r.promptAhead - r.Prompt, running: len(t.runs), capacity: t.capacity()})
-		expected := clock.Millis(max(t.factor.get()*r.slowdownAtGrant, p.pace(now, t).now()) * usual)
-		if !r.hasFirstEvent && t.lastFirstEvent < r.grantedAt && now-r.grantedAt > max(stuckMin, stuckRatio*expected) {
+		expected := clock.Millis(max(t.factor.get()*r.slowdownAtGrant, p.pace(now, t).current()) * usual)
+		if now-r.grantedAt > stuckRatio*expected {
 			return true
 		}
 	}
--- a/pkg/planner/timings.go
+++ b/pkg/planner/timings.go
@@ -162,7 +162,8 @@
 	f.value += factorGain * weight * (ratio - f.value)
 }
 
-// learnFirstEvent learns from the time in ms to a first event, without the passing slowness of its target, before which so many prompt tokens were read.
+// learnFirstEvent learns from the time in ms to a first event, before which so many prompt tokens were read. The time is
+// given without the slowdown of the target.
 func (s *timings) learnFirstEvent(f *factor, tokens ids.Tokens, took float64) {
 	if s.firstEvent.n >= minObservations {
 		f.learn(took/max(1, s.firstEventTime(tokens)), 1)
@@ -170,7 +171,8 @@
 	s.firstEvent.add(float64(tokens), took/f.get())
 }
 
-// learnInterval learns, without the passing slowness of the target, from the mean time in ms between the events of a stream on a target that ran so many requests.
+// learnInterval learns from the mean time in ms between the events of a stream on a target that ran so many requests. The
+// time is given without the slowdown of the target.
 func (s *timings) learnInterval(f *factor, running int, took float64) {
 	if s.interval.n >= minObservations {
 		f.learn(took/max(0.1, s.eventInterval(running)), 1)
--- a/pkg/planner/trial.go
+++ b/pkg/planner/trial.go
@@ -256,7 +256,9 @@
 	o.Loaded = float64(r.concurrency) >= loadedFraction*float64(r.target.capacity())
 	// The job is expected to have run beside as many as the mean of those at its grant and now.
 	expected := p.timings.firstEventTime(r.promptAhead) + float64(flow.Events)*p.timings.eventInterval((r.concurrency+len(r.target.runs))/2)
-	o.Ratio = float64(max(0, now-r.grantedAt-flow.Stalled)) / max(1, expected)
+	// What passes at the target is not its version's; a version that is slow for good still shows.
+	took := float64(max(0, now-r.grantedAt-flow.Stalled)) / p.meanExcess(now, r.target, r.grantedAt, r.totalAtGrant)
+	o.Ratio = took / max(1, expected)
 	switch {
 	case outcome == Served, outcome == Failed:
 	case outcome == Abandoned && o.Ratio >= abandonedSlowRatio:
--- a/pkg/schedule/local.go
+++ b/pkg/schedule/local.go
@@ -99,7 +99,7 @@
 		// The random part, of less than one request, spreads requests over targets with as many running.
 		cost := (float64(r.running) + random.Float64()/2) / float64(max(1, t.Slots))
 		// On a slowed target the request itself takes longer too.
-		slowed := float64(r.slowdown.Forecast(now, &l.persistence).Now())
+		slowed := float64(r.slowdown.Forecast(now).Now())
 		cost = cost*slowed + (slowed-float64(slowdown.Usual))/float64(max(1, t.Slots))
 		if r.health.Ejected(now) {
 			const ejectedCost = 1000 // outweighs the load of the other targets
--- a/pkg/slowdown/average.go
+++ b/pkg/slowdown/average.go
@@ -16,7 +16,7 @@
 	// averageConstant is the time in ms in which the weight of an observation falls to 1/e: several times what a passing
 	// slowness lasts, so that only what lasts is in the mean.
 	averageConstant = 10_000.0
-	// averagePrior is the time in ms for which the factor is assumed to have been the initial one.
+	// averagePrior is the time in ms for which the factor is assumed to have been the initial one before the first.
 	averagePrior = 500.0
 )
 
--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -31,54 +31,57 @@
 	reportedAt clock.Millis // time of that report; 0 without one
 	total      float64      // integral of the expected factor up to reportedAt, in ms
 	lasting    average      // of the reports
+	// constant is that of the Persistence at the newest report, so that what is expected of a silent target does not
+	// depend on what others report meanwhile.
+	constant float64 // ms
 }
 
 // Report adds a report and learns from the one before it. It ignores a factor of 0 or less, and NaN.
 func (e *Estimate) Report(now clock.Millis, f Factor, p *Persistence) {
-	if !(f > 0) {
+	if !(f > 0) { // also NaN
 		return
 	}
 	f = min(maxFactor, max(minFactor, f))
-	e.total = e.Total(now, p)
+	e.total = e.Total(now)
 	if e.reportedAt > 0 {
-		p.learn(now-e.reportedAt, e.newest, f, e.Mean(p))
+		gap := max(0, now-e.reportedAt)
+		p.learn(gap, e.newest, f, e.Mean())
 		const half = 0.5
-		e.lasting.add(min(maxAge, max(0, now-e.reportedAt)), half*(e.newest+f))
+		e.lasting.add(min(maxAge, gap), half*(e.newest+f))
 	}
-	e.newest, e.reportedAt = f, now
+	e.newest, e.reportedAt, e.constant = f, now, p.constant()
 }
 
 // Mean returns the factor that the target has in the mean: reports may hold its lasting speed too.
-func (e *Estimate) Mean(p *Persistence) Factor { return e.lasting.get(p.mean()) }
+func (e *Estimate) Mean() Factor { return e.lasting.get(Usual) }
 
 // Forecast returns what is expected from a moment on.
-func (e *Estimate) Forecast(now clock.Millis, p *Persistence) Forecast {
-	mean, constant := e.Mean(p), p.constant()
-	age := max(0, now-e.reportedAt)
+func (e *Estimate) Forecast(now clock.Millis) Forecast {
+	mean, age := e.Mean(), max(0, now-e.reportedAt)
 	if e.reportedAt == 0 || age >= maxAge {
-		return Forecast{mean: mean, constant: constant}
+		return Forecast{mean: mean}
 	}
-	return Forecast{mean: mean, excess: float64(e.newest-mean) * math.Exp(-float64(age)/constant), constant: constant}
+	return Forecast{mean: mean, excess: float64(e.newest-mean) * math.Exp(-float64(age)/e.constant), constant: e.constant}
 }
 
 // Total returns the integral of the expected factor up to a moment, in ms. The difference between two moments gives the
-// mean in between (see MeanOver). Up to the first report it is Usual.
-func (e *Estimate) Total(now clock.Millis, p *Persistence) float64 {
+// mean in between (see MeanOver).
+func (e *Estimate) Total(now clock.Millis) float64 {
 	if e.reportedAt == 0 {
 		return float64(Usual) * float64(now)
 	}
-	mean, age := e.Mean(p), float64(max(0, now-e.reportedAt))
-	believed, constant := min(age, float64(maxAge)), p.constant()
-	return e.total + float64(mean)*age + float64(e.newest-mean)*constant*(1-math.Exp(-believed/constant))
+	mean, age := e.Mean(), float64(max(0, now-e.reportedAt))
+	believed := min(age, float64(maxAge))
+	return e.total + float64(mean)*age + float64(e.newest-mean)*e.constant*(1-math.Exp(-believed/e.constant))
 }
 
 // Sample returns the newest report and how certain it is that it holds at a moment, from 1 down to 0.
-func (e *Estimate) Sample(now clock.Millis, p *Persistence) Sample {
+func (e *Estimate) Sample(now clock.Millis) Sample {
 	age := max(0, now-e.reportedAt)
 	if e.reportedAt == 0 || age >= maxAge {
-		return Sample{mean: e.Mean(p)}
+		return Sample{mean: e.Mean()}
 	}
-	return Sample{mean: e.Mean(p), factor: e.newest, certainty: math.Exp(-float64(age) / p.constant())}
+	return Sample{mean: e.Mean(), factor: e.newest, certainty: math.Exp(-float64(age) / e.constant)}
 }
 
 // Sample is a report at a moment.
--- a/pkg/slowdown/estimate_test.go
+++ b/pkg/slowdown/estimate_test.go
@@ -36,7 +36,7 @@
 			var e slowdown.Estimate
 			var p slowdown.Persistence
 			e.Report(start, s.reported, &p)
-			if got := e.Forecast(start+s.age, &p).Now(); !(got >= s.low && got <= s.high) {
+			if got := e.Forecast(start + s.age).Now(); !(got >= s.low && got <= s.high) {
 				t.Errorf("got %.2f, want %.2f to %.2f", got, s.low, s.high)
 			}
 		})
@@ -63,7 +63,7 @@
 			}
 		}
 		e.Report(start+60_000, 2.5, &p)
-		return e.Forecast(start+60_200, &p).Now()
+		return e.Forecast(start + 60_200).Now()
 	}
 	short, long := ahead(100), ahead(2000)
 	if short > 1.5 || long < 2 {
@@ -77,8 +77,8 @@
 	var p slowdown.Persistence
 	e.Report(start, 2.5, &p)
 	for _, length := range []clock.Millis{1, 100, 1000} {
-		expected := e.Forecast(start, &p).Over(float64(length))
-		mean := slowdown.MeanOver(e.Total(start, &p), e.Total(start+length, &p), length)
+		expected := e.Forecast(start).Over(float64(length))
+		mean := slowdown.MeanOver(e.Total(start), e.Total(start+length), length)
 		if math.Abs(float64(expected-mean)) > 0.01 {
 			t.Errorf("over %d ms: forecast %.3f, mean %.3f", length, expected, mean)
 		}
@@ -111,11 +111,11 @@
 		}
 	}
 	targets[0].Report(now, slowdown.Usual, &p)
-	forecast := targets[0].Forecast(now, &p)
+	forecast := targets[0].Forecast(now)
 	if soon, late := forecast.Over(20), forecast.Over(10_000); soon > 1.05 || late < 1.15 || late > 1.3 {
 		t.Errorf("expected %.2f over the next 20 ms and %.2f over the next 10 s", soon, late)
 	}
-	if got := targets[0].Forecast(now+5000, &p).Now(); got < 1.15 || got > 1.3 {
+	if got := targets[0].Forecast(now + 5000).Now(); got < 1.15 || got > 1.3 {
 		t.Errorf("expected %.2f of a target without news", got)
 	}
 }
@@ -132,7 +132,7 @@
 		targets[1].Report(now, 1.7, &p)
 	}
 	for i, want := range []slowdown.Factor{0.6, 1.7} {
-		f := targets[i].Forecast(now+1000, &p)
+		f := targets[i].Forecast(now + 1000)
 		if got := f.Over(10_000); math.Abs(float64(got-want)) > 0.1 || f.Slowed() {
 			t.Errorf("expected %.2f of a target that always reports %.2f, slowed %t", got, want, f.Slowed())
 		}
@@ -144,15 +144,31 @@
 func TestRunsBeforeFirstReportHaveUsualPace(t *testing.T) {
 	var p slowdown.Persistence
 	var silent, other slowdown.Estimate
-	from := silent.Total(start, &p)
+	from := silent.Total(start)
 	for i := range 100 {
 		other.Report(start+clock.Millis(50*i), 2.5, &p)
 	}
-	if got := slowdown.MeanOver(from, silent.Total(start+5000, &p), 5000); got != slowdown.Usual {
+	if got := slowdown.MeanOver(from, silent.Total(start+5000), 5000); got != slowdown.Usual {
 		t.Errorf("%.2f for a target without reports", got)
 	}
 	silent.Report(start+5000, 2.5, &p)
-	if got := slowdown.MeanOver(from, silent.Total(start+5000, &p), 5000); got != slowdown.Usual {
+	if got := slowdown.MeanOver(from, silent.Total(start+5000), 5000); got != slowdown.Usual {
 		t.Errorf("%.2f for a target at its first report", got)
 	}
 }
+
+// TestSilentTargetIsNotJudgedByOthers guards against observations at a target without news that are divided by an
+// arbitrary slowness, as others have reported meanwhile.
+func TestSilentTargetIsNotJudgedByOthers(t *testing.T) {
+	var p slowdown.Persistence
+	var silent, other slowdown.Estimate
+	silent.Report(start, slowdown.Usual, &p)
+	from := start + 60_000
+	total := silent.Total(from)
+	for i := range 200 {
+		other.Report(from+clock.Millis(i), []slowdown.Factor{1, 2.5}[i%2], &p)
+	}
+	if got := slowdown.MeanOver(total, silent.Total(from+200), 200); math.Abs(float64(got-slowdown.Usual)) > 0.01 {
+		t.Errorf("a target without news had %.2f", got)
+	}
+}
--- a/pkg/slowdown/persistence.go
+++ b/pkg/slowdown/persistence.go
@@ -3,16 +3,15 @@
 import "quaydock/pkg/clock"
 
 // Persistence learns for how long targets stay slower than they are in the mean, from pairs of successive reports of one
-// target, and the mean factor of all targets. The zero value assumes defaultConstant, and a mean of Usual.
+// target. The zero value assumes defaultConstant.
 type Persistence struct {
 	exposure float64 // ms for which targets were observed slower than in the mean, newer ones with more weight
 	ends     float64 // how often they fell back meanwhile, with the same weights
-	all      average
 }
 
 const (
-	// defaultConstant is the time in ms in which a factor is assumed to fall back to the target's mean before any observation, and
-	// defaultEnds the number of observed ends that it counts for: targets change several times a second.
+	// defaultConstant is the time in ms in which a factor is assumed to fall back to the target's mean before any
+	// observation, and defaultEnds the number of observed ends that it counts for: targets change several times a second.
 	defaultConstant = 300.0
 	defaultEnds     = 5.0
 	// minConstant and maxConstant limit the time constant. Below the time between two reports of a busy target nothing
@@ -33,20 +32,16 @@
 	if gap <= 0 || gap > maxGap {
 		return
 	}
-	const half = 0.5
-	p.all.add(gap, half*(before+after))
 	excess := float64(before - mean)
 	if excess < learnFrom*float64(mean) {
 		return
 	}
 	kept := min(1, max(0, float64(after-mean)/excess))
+	const half = 0.5
 	p.exposure = p.exposure*persistenceDecay + half*float64(gap)*(1+kept)
 	p.ends = p.ends*persistenceDecay + 1 - kept
 }
 
-// mean returns the mean factor of the targets, which a target has that has not reported yet.
-func (p *Persistence) mean() Factor { return p.all.get(Usual) }
-
 // constant returns the time in ms in which the excess of a factor over the target's mean falls to 1/e.
 func (p *Persistence) constant() float64 {
 	constant := (p.exposure + defaultConstant*defaultEnds) / (p.ends + defaultEnds)
