--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -8,6 +8,7 @@
 
 	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/network"
 )
 
 // errSlowReader ends an answer whose caller did not read, as the entry held too much for callers.
@@ -226,7 +227,7 @@
 	}
 	b.fail(errSlowReader)
 	b.mu.Unlock()
-	_ = b.conn.SetLinger(0) // an error means that the connection is closed already
+	network.ResetOnClose(b.conn.Conn)
 	_ = b.conn.Conn.Close()
 }
 
--- a/pkg/ingress/answer_buffer_test.go
+++ b/pkg/ingress/answer_buffer_test.go
@@ -105,7 +105,7 @@
 
 // TestEndOfRequestEndsWaitingForCaller guards against a request that outlives its deadline as its caller does not read.
 func TestEndOfRequestEndsWaitingForCaller(t *testing.T) {
-	entry, _ := callerPair(t, network.NewTCP())
+	entry, caller := callerPair(t, network.NewTCP())
 	account := buffers.NewAccount(buffers.LimitsFor(0))
 	ctx, cancel := context.WithCancelCause(context.Background())
 	openBuffer(ctx, entry, clock.New(), account, 4<<10)
@@ -117,6 +117,10 @@
 		t.Error("the answer goes on")
 	}
 	_ = entry.Close()
+	// A caller of HTTP/1.0 would take an orderly end for that of the whole answer.
+	if _, err := io.Copy(io.Discard, caller); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the caller sees %v", err)
+	}
 	if u := account.Usage(); u != (buffers.Usage{}) {
 		t.Errorf("%+v is held", u)
 	}
--- a/pkg/ingress/buffered_conn.go
+++ b/pkg/ingress/buffered_conn.go
@@ -35,10 +35,13 @@
 	return c.Conn.Write(p)
 }
 
-// Close closes the connection, and releases what is held for the caller.
+// Close closes the connection, and releases what is held for the caller. If its answer is not finished the connection is
+// reset, as a caller of HTTP/1.0 would take an orderly end for that of the answer. net/http closes the connection by
+// itself when a write fails, before the handler can abort the answer.
 func (c *bufferedConn) Close() error {
 	if b := c.answer.Load(); b != nil {
 		b.abandon(net.ErrClosed)
+		network.ResetOnClose(c.Conn)
 	}
 	return c.Conn.Close()
 }
--- a/pkg/network/abort.go
+++ b/pkg/network/abort.go
@@ -28,7 +28,7 @@
 		ended := false
 		defer func() {
 			if !ended && !r.ProtoAtLeast(1, 1) {
-				resetOnClose(ConnOf(r.Context()))
+				ResetOnClose(ConnOf(r.Context()))
 			}
 		}()
 		next.ServeHTTP(w, r)
@@ -36,8 +36,8 @@
 	})
 }
 
-// resetOnClose has a connection reset when it is closed. It does nothing for one that is not of the kernel.
-func resetOnClose(c net.Conn) {
+// ResetOnClose has a connection reset when it is closed. It does nothing for one that is not of the kernel.
+func ResetOnClose(c net.Conn) {
 	if kernel, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		_ = kernel.SetLinger(0) // an error means that it is closed already
 	}
