--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -39,6 +39,7 @@
 	draining bool       // drain runs
 	limit    int        // of held
 	err      error      // why nothing can be written to the caller any more
+	finished bool       // the caller has taken everything
 	end      *buffers.End
 }
 
@@ -188,6 +189,7 @@
 	for {
 		b.mu.Lock()
 		err, draining := b.err, b.draining
+		b.finished = err == nil && !draining
 		b.mu.Unlock()
 		switch {
 		case err != nil:
@@ -219,9 +221,13 @@
 }
 
 // breakOff ends the answer, as its caller reads too slowly. The connection is reset, so that a caller of HTTP/1.0 does
-// not take what it has for the whole answer.
+// not take what it has for the whole answer. It does nothing if the answer has been finished since the account chose it.
 func (b *answerBuffer) breakOff(end buffers.End) {
 	b.mu.Lock()
+	if b.finished {
+		b.mu.Unlock()
+		return
+	}
 	if b.err == nil {
 		b.end = &end
 	}
--- a/pkg/ingress/answer_buffer_test.go
+++ b/pkg/ingress/answer_buffer_test.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// TestFinishedAnswerIsNotBrokenOff guards against the reset of a connection whose answer has been finished between the
+// account's choice and its execution.
+func TestFinishedAnswerIsNotBrokenOff(t *testing.T) {
+	entry, caller := callerPair(t, network.NewTCP())
+	b := openBuffer(context.Background(), entry, clock.New(), buffers.NewAccount(buffers.LimitsFor(0)), 1<<20)
+	if _, err := entry.Write([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.finish(); err != nil {
+		t.Fatal(err)
+	}
+	b.breakOff(buffers.End{})
+	_ = entry.Close()
+	if got, err := io.ReadAll(caller); string(got) != "a" || err != nil {
+		t.Errorf("the caller got %q, %v", got, err)
+	}
+}
+
 // TestEndOfRequestEndsWaitingForCaller guards against a request that outlives its deadline as its caller does not read.
 func TestEndOfRequestEndsWaitingForCaller(t *testing.T) {
 	entry, caller := callerPair(t, network.NewTCP())
