Ingress: a caller that can't be written to ends its exchange at once

The buffer now cancels the request's context. TestFailedWriteEndsExchangeWithSilentTarget failed before (after 5 s, cause Deadline).

--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -26,7 +26,9 @@
 type answerBuffer struct {
 	conn *bufferedConn
 	// ctx ends waiting for the caller: the request's context, and after untilCallerLeaves that of the connection.
-	ctx     context.Context
+	ctx context.Context
+	// cancel ends the request once its caller can't be written to any more, as nothing else may notice that.
+	cancel  context.CancelCauseFunc
 	clock   clock.Clock
 	account *buffers.Account
 	reader  buffers.Reader
@@ -43,9 +45,9 @@
 	end      *buffers.End
 }
 
-// openBuffer begins to buffer an answer on a caller's connection, up to limit bytes.
-func openBuffer(ctx context.Context, conn *bufferedConn, now clock.Clock, account *buffers.Account, limit int) *answerBuffer {
-	b := &answerBuffer{conn: conn, ctx: ctx, clock: now, account: account, limit: limit}
+// openBuffer begins to buffer an answer on a caller's connection, up to limit bytes. The function cancels ctx.
+func openBuffer(ctx context.Context, cancel context.CancelCauseFunc, conn *bufferedConn, clk clock.Clock, account *buffers.Account, limit int) *answerBuffer {
+	b := &answerBuffer{conn: conn, ctx: ctx, cancel: cancel, clock: clk, account: account, limit: limit}
 	b.reader.BreakOff = b.breakOff
 	conn.answer.Store(b)
 	return b
@@ -212,12 +214,13 @@
 	b.account.Drop(&b.reader)
 }
 
-// fail is the part of abandon within this buffer; the lock is held.
+// fail is the part of abandon within this buffer, and ends the request; the lock is held.
 func (b *answerBuffer) fail(err error) {
 	if b.err == nil {
 		b.err = err
 	}
 	b.chunks = nil
+	b.cancel(err) // no effect if the context has ended
 }
 
 // breakOff ends the answer, as its caller reads too slowly. The connection is reset, so that a caller of HTTP/1.0 does
--- a/pkg/ingress/answer_buffer_test.go
+++ b/pkg/ingress/answer_buffer_test.go
@@ -15,6 +15,9 @@
 	"quaydock/pkg/network"
 )
 
+// ignoreCause cancels nothing.
+func ignoreCause(error) {}
+
 // callerPair returns the entry's end of a connection, wrapped, and the caller's.
 func callerPair(t *testing.T, n network.Network) (entry *bufferedConn, caller net.Conn) {
 	t.Helper()
@@ -55,7 +58,7 @@
 			got <- read
 		}()
 		for len(want) < length {
-			b := openBuffer(context.Background(), entry, clock.New(), account, []int{4 << 10, 100 << 10, 1 << 20}[random.IntN(3)])
+			b := openBuffer(context.Background(), ignoreCause, entry, clock.New(), account, []int{4 << 10, 100 << 10, 1 << 20}[random.IntN(3)])
 			for range random.IntN(100) {
 				p := make([]byte, min(length-len(want), random.IntN(40_000)))
 				for i := range p {
@@ -84,7 +87,7 @@
 func TestBrokenOffReaderSeesReset(t *testing.T) {
 	entry, caller := callerPair(t, network.NewTCP())
 	account := buffers.NewAccount(buffers.Limits{Total: 256 << 10, Exchange: 1 << 20})
-	b := openBuffer(context.Background(), entry, clock.New(), account, 1<<20)
+	b := openBuffer(context.Background(), ignoreCause, entry, clock.New(), account, 1<<20)
 	piece := make([]byte, 10_000)
 	var err error
 	for range 10_000 {
@@ -107,7 +110,7 @@
 // account's choice and its execution.
 func TestFinishedAnswerIsNotBrokenOff(t *testing.T) {
 	entry, caller := callerPair(t, network.NewTCP())
-	b := openBuffer(context.Background(), entry, clock.New(), buffers.NewAccount(buffers.LimitsFor(0)), 1<<20)
+	b := openBuffer(context.Background(), ignoreCause, entry, clock.New(), buffers.NewAccount(buffers.LimitsFor(0)), 1<<20)
 	if _, err := entry.Write([]byte("a")); err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +129,7 @@
 	entry, caller := callerPair(t, network.NewTCP())
 	account := buffers.NewAccount(buffers.LimitsFor(0))
 	ctx, cancel := context.WithCancelCause(context.Background())
-	openBuffer(ctx, entry, clock.New(), account, 4<<10)
+	openBuffer(ctx, cancel, entry, clock.New(), account, 4<<10)
 	cancel(errDeadline)
 	if _, err := entry.Write(make([]byte, 1<<24)); !errors.Is(err, errDeadline) {
 		t.Errorf("%v", err)
--- a/pkg/ingress/answer_writer.go
+++ b/pkg/ingress/answer_writer.go
@@ -18,6 +18,7 @@
 	started bool                     // the status and headers of a target's answer are written
 	conn    *bufferedConn            // nil if answers are not read ahead of their callers
 	ctx     context.Context          // of the request, if conn is set
+	cancel  context.CancelCauseFunc  // of ctx
 	server  context.Context          // its parent, without the deadline
 	clock   clock.Clock
 	account *buffers.Account
@@ -27,7 +28,7 @@
 // readAhead lets up to limit bytes of the body be written without waiting for the caller.
 func (o *answerWriter) readAhead(limit int) {
 	if o.conn != nil && o.buffer == nil {
-		o.buffer = openBuffer(o.ctx, o.conn, o.clock, o.account, limit)
+		o.buffer = openBuffer(o.ctx, o.cancel, o.conn, o.clock, o.account, limit)
 	}
 }
 
--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -209,7 +209,10 @@
 	ctx, span := c.Tracer.Start(ctx, "entry.request")
 	defer span.End()
 	if conn, ok := network.ConnOf(ctx).(*bufferedConn); ok && !c.Ablation.Off(ablation.ReadAhead) {
-		out.conn, out.ctx, out.server = conn, ctx, r.Context()
+		var stop context.CancelCauseFunc
+		ctx, stop = context.WithCancelCause(ctx)
+		defer stop(nil)
+		out.conn, out.ctx, out.cancel, out.server = conn, ctx, stop, r.Context()
 		out.clock, out.account = c.Clock, c.delivery.buffers
 	}
 	refusal := c.delivery.run(ctx, q, out)
--- a/pkg/ingress/slow_caller_test.go
+++ b/pkg/ingress/slow_caller_test.go
@@ -369,6 +369,35 @@
 	}
 }
 
+// TestFailedWriteEndsExchangeWithSilentTarget guards against a target that works on, in silence, for a caller who has
+// left. net/http no longer notices that itself after a further byte of the caller.
+func TestFailedWriteEndsExchangeWithSilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Duration, 1)
+		b := newTestbed(t, fakeMeter{}, func(c net.Conn, r *http.Request) bool {
+			text := strings.Repeat("data: a\n\n", 1<<15) // more than the connection takes
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(text), text)
+			began := time.Now()
+			_, _ = c.Read(make([]byte, 1))
+			ended <- time.Since(began)
+			return false
+		})
+		c, _ := b.network.Dial(context.Background(), entryAt)
+		_, _ = io.WriteString(c, "POST /stream/a HTTP/1.1\r\nHost: h\r\nKey: key\r\nId: r1\r\nContent-Length: 8\r\n\r\nquestion")
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(c, "\r\n")
+		time.Sleep(time.Millisecond)
+		_ = c.Close()
+		if after := <-ended; after > time.Second {
+			t.Errorf("the exchange ended after %v", after)
+		}
+		synctest.Wait()
+		if cause := b.causeOf(); cause != "Left" {
+			t.Errorf("cause %s", cause)
+		}
+	})
+}
+
 // TestStreamGoesOnBehindBufferedEvents has a target break off while the caller pauses.
 func TestStreamGoesOnBehindBufferedEvents(t *testing.T) {
 	cases := []struct {
--- a/pkg/ingress/write_bench_test.go
+++ b/pkg/ingress/write_bench_test.go
@@ -19,7 +19,7 @@
 			c := dialReader(b)
 			if ahead {
 				wrapped := newBufferedConn(c).(*bufferedConn)
-				openBuffer(context.Background(), wrapped, clock.New(), buffers.NewAccount(buffers.LimitsFor(0)), 1<<20)
+				openBuffer(context.Background(), ignoreCause, wrapped, clock.New(), buffers.NewAccount(buffers.LimitsFor(0)), 1<<20)
 				c = wrapped
 			}
 			event := make([]byte, 200)
