--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -57,8 +57,9 @@
 	return r.route.Kind == routing.Stream && a.Status < http.StatusMultipleChoices
 }
 
-// relayBuffered relays an answer that is not a stream; body is what was read of it. A failure (a status of 500 or higher) is kept instead while another target may still do better. In the middle of a stream, where
-// the caller can't get such an answer, it returns lost.
+// relayBuffered relays an answer that is not a stream; body is what was read of it. A failure (a status of 500 or higher)
+// is kept instead while another target may still do better. In the middle of a stream, where the caller can't get such an
+// answer, it returns lost.
 func (d *delivery) relayBuffered(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, body plainBody) attempt {
 	q.heldAnswers += body.held
 	failed := a.Status >= http.StatusInternalServerError
@@ -139,6 +140,9 @@
 	buffer := make([]byte, relayBytes)
 	for {
 		n, err := a.Read(buffer)
+		if errors.Is(err, io.EOF) {
+			out.targetDone()
+		}
 		if n > 0 {
 			if err := out.body(buffer[:n]); err != nil {
 				q.sent++
@@ -193,13 +197,19 @@
 				out.readAhead(d.buffers.Limits().Exchange)
 			}
 		}
+		if ended {
+			// Only the caller is waited for from now on, also for room for the last event.
+			out.targetDone()
+			assignment.Done(planner.Served, flow)
+		}
 		if err := d.relayEvent(q, out, e, ended || !events.Buffered()); err != nil {
-			assignment.Done(planner.Abandoned, flow)
+			if !ended {
+				assignment.Done(planner.Abandoned, flow)
+			}
 			q.sent++
 			return callerGone{err}
 		}
 		if ended {
-			assignment.Done(planner.Served, flow)
 			q.sent++
 			return completed{success: true}
 		}
