--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -94,7 +94,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	reserved := a.limits.Bodies / tierReserveDivisor * min(int(tier), tiersWithReserve)
-	if a.bodies+n > a.limits.Bodies-reserved || a.unsent+a.bodies+n > a.limits.Total {
+	// n may be any length that a caller states, so nothing is added to it.
+	if n > a.limits.Bodies-reserved-a.bodies || n > a.limits.Total-a.unsent-a.bodies {
 		return nil, false
 	}
 	a.bodies += n
--- a/pkg/buffers/account_test.go
+++ b/pkg/buffers/account_test.go
@@ -1,6 +1,7 @@
 package buffers_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -69,6 +70,16 @@
 	}
 }
 
+// TestLargestStatedLengthIsRefused guards against a sum that overflows.
+func TestLargestStatedLengthIsRefused(t *testing.T) {
+	a := buffers.NewAccount(buffers.LimitsFor(0))
+	for _, n := range []int{1, math.MaxInt} {
+		if _, held := a.HoldBody(0, 0, n); held != (n == 1) {
+			t.Errorf("%d bytes are held: %t", n, held)
+		}
+	}
+}
+
 // TestBodiesOfLowerTiersAreRefusedFirst guards against a higher tier that is refused before a lower one.
 func TestBodiesOfLowerTiersAreRefusedFirst(t *testing.T) {
 	a := buffers.NewAccount(buffers.Limits{Total: 1600, Exchange: 100, Bodies: 800})
