--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -8,6 +8,7 @@
 
 	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/network"
 )
 
 // errSlowReader ends an answer whose caller did not read, as the entry held too much for callers.
@@ -25,7 +26,9 @@
 type answerBuffer struct {
 	conn *bufferedConn
 	// ctx ends waiting for the caller: the request's context, and after untilCallerLeaves that of the connection.
-	ctx     context.Context
+	ctx context.Context
+	// cancel ends the request once its caller can't be written to any more, as nothing else may notice that.
+	cancel  context.CancelCauseFunc
 	clock   clock.Clock
 	account *buffers.Account
 	reader  buffers.Reader
@@ -38,12 +41,13 @@
 	draining bool       // drain runs
 	limit    int        // of held
 	err      error      // why nothing can be written to the caller any more
+	finished bool       // the caller has taken everything
 	end      *buffers.End
 }
 
-// openBuffer begins to buffer an answer on a caller's connection, up to limit bytes.
-func openBuffer(ctx context.Context, conn *bufferedConn, now clock.Clock, account *buffers.Account, limit int) *answerBuffer {
-	b := &answerBuffer{conn: conn, ctx: ctx, clock: now, account: account, limit: limit}
+// openBuffer begins to buffer an answer on a caller's connection, up to limit bytes. The function cancels ctx.
+func openBuffer(ctx context.Context, cancel context.CancelCauseFunc, conn *bufferedConn, clk clock.Clock, account *buffers.Account, limit int) *answerBuffer {
+	b := &answerBuffer{conn: conn, ctx: ctx, cancel: cancel, clock: clk, account: account, limit: limit}
 	b.reader.BreakOff = b.breakOff
 	conn.answer.Store(b)
 	return b
@@ -187,6 +191,7 @@
 	for {
 		b.mu.Lock()
 		err, draining := b.err, b.draining
+		b.finished = err == nil && !draining
 		b.mu.Unlock()
 		switch {
 		case err != nil:
@@ -209,24 +214,29 @@
 	b.account.Drop(&b.reader)
 }
 
-// fail is the part of abandon within this buffer; the lock is held.
+// fail is the part of abandon within this buffer, and ends the request; the lock is held.
 func (b *answerBuffer) fail(err error) {
 	if b.err == nil {
 		b.err = err
 	}
 	b.chunks = nil
+	b.cancel(err) // no effect if the context has ended
 }
 
 // breakOff ends the answer, as its caller reads too slowly. The connection is reset, so that a caller of HTTP/1.0 does
-// not take what it has for the whole answer.
+// not take what it has for the whole answer. It does nothing if the answer has been finished since the account chose it.
 func (b *answerBuffer) breakOff(end buffers.End) {
 	b.mu.Lock()
+	if b.finished {
+		b.mu.Unlock()
+		return
+	}
 	if b.err == nil {
 		b.end = &end
 	}
 	b.fail(errSlowReader)
 	b.mu.Unlock()
-	_ = b.conn.SetLinger(0) // an error means that the connection is closed already
+	network.ResetOnClose(b.conn.Conn)
 	_ = b.conn.Conn.Close()
 }
 
--- a/pkg/ingress/slow_caller_test.go
+++ b/pkg/ingress/slow_caller_test.go
@@ -369,6 +369,35 @@
 	}
 }
 
+// TestFailedWriteEndsExchangeWithSilentTarget guards against a target that works on, in silence, for a caller who has
+// left. net/http no longer notices that itself after a further byte of the caller.
+func TestFailedWriteEndsExchangeWithSilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Duration, 1)
+		b := newTestbed(t, fakeMeter{}, func(c net.Conn, r *http.Request) bool {
+			text := strings.Repeat("data: a\n\n", 1<<15) // more than the connection takes
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), len(text), text)
+			began := time.Now()
+			_, _ = c.Read(make([]byte, 1))
+			ended <- time.Since(began)
+			return false
+		})
+		c, _ := b.network.Dial(context.Background(), entryAt)
+		_, _ = io.WriteString(c, "POST /stream/a HTTP/1.1\r\nHost: h\r\nKey: key\r\nId: r1\r\nContent-Length: 8\r\n\r\nquestion")
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(c, "\r\n")
+		time.Sleep(time.Millisecond)
+		_ = c.Close()
+		if after := <-ended; after > time.Second {
+			t.Errorf("the exchange ended after %v", after)
+		}
+		synctest.Wait()
+		if cause := b.causeOf(); cause != "Left" {
+			t.Errorf("cause %s", cause)
+		}
+	})
+}
+
 // TestStreamGoesOnBehindBufferedEvents has a target break off while the caller pauses.
 func TestStreamGoesOnBehindBufferedEvents(t *testing.T) {
 	cases := []struct {
@@ -491,6 +520,30 @@
 	}
 }
 
+// TestStatedLengthsTakeNoRoom guards against callers that send only heads and so have the bodies of others refused, and
+// against a body that can't fit being told to come back.
+func TestStatedLengthsTakeNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbedWithin(t, buffers.Limits{Total: 1 << 20, Exchange: 1 << 16, Bodies: 200_000}, fakeMeter{}, replies(200, "", "yes"))
+		for range 10 {
+			c, _ := b.network.Dial(context.Background(), entryAt)
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nKey: key\r\nId: r1\r\nContent-Length: 50000\r\n\r\n")
+		}
+		synctest.Wait()
+		if got := b.callAndPause("/safe/a", 0, nil); got.status != http.StatusOK {
+			t.Errorf("status %d beside heads", got.status)
+		}
+		c, _ := b.network.Dial(context.Background(), entryAt)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nKey: key\r\nId: r1\r\nContent-Length: 9223372036854775807\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || response.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Errorf("%v, %v", response, err)
+		}
+	})
+}
+
 // TestStatsOfKeepingCaller guards against gaps that vanish with the buffer.
 func TestStatsOfKeepingCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
