Ingress: plain answers count for the callers that do not take them

A plain answer that had been read whole stayed counted for nobody until its request ended, while its caller ranked with 4 KiB, so callers that only paused were broken off in its place. Trial: TestPlainAnswersCountForTheirCallers failed before (callers that paused got 65,372 bytes).

--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -109,13 +109,18 @@
 	return completed{success: a.Status < http.StatusMultipleChoices}
 }
 
-// writeWhole writes the body of an answer that has been read to its end.
+// writeWhole writes the body of an answer that has been read to its end. What the caller does not take at once counts as
+// its own from then on, and is waited for in finishAnswer.
 func (d *delivery) writeWhole(q *request, out *answerWriter, a *forward.Answer, body []byte) attempt {
 	q.sent++
 	if len(body) > minChunk {
-		out.readAhead(minChunk) // it is held whole already
+		out.readAhead(len(body) + maxChunk) // it is held whole already, so there has to be room for all of it
 		out.targetDone()
 	}
+	if out.buffer != nil {
+		d.buffers.ReleaseAnswer(q.heldAnswers)
+		q.heldAnswers = 0
+	}
 	if err := out.body(body); err != nil {
 		return callerGone{err}
 	}
--- a/pkg/ingress/slow_caller_test.go
+++ b/pkg/ingress/slow_caller_test.go
@@ -281,6 +281,38 @@
 	})
 }
 
+// TestPlainAnswersCountForTheirCallers has callers that never read a long plain answer beside streams whose callers only
+// pause, and guards against these being broken off in place of those.
+func TestPlainAnswersCountForTheirCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stuck, pausing, events = 12, 60, 10
+		target, plain := &pacedTarget{events: events}, replies(200, "", strings.Repeat("a", 1_000_000))
+		b := newTestbedWithin(t, buffers.Limits{Total: 16 << 20, Exchange: 1 << 20, Bodies: 1 << 20}, fakeMeter{}, func(c net.Conn, r *http.Request) bool {
+			if strings.HasPrefix(r.URL.Path, "/safe") {
+				return plain(c, r)
+			}
+			return target.script(c, r)
+		})
+		var all sync.WaitGroup
+		for range stuck {
+			all.Go(func() { b.callAndPause("/safe/a", 4*time.Second, nil) })
+		}
+		time.Sleep(time.Second)
+		for range pausing {
+			all.Go(func() {
+				if got := b.callAndPause("/stream/a", time.Second, nil); !got.complete || got.body != bigEvents(events) {
+					t.Errorf("a caller that paused has %d bytes, complete %t", len(got.body), got.complete)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		if u := b.buffers.Usage(); u.Answers > 16<<20 || u.Readers < pausing {
+			t.Errorf("%+v is held", u)
+		}
+		all.Wait()
+	})
+}
+
 // TestReaderThatIsBrokenOffIsLoggedAndCounted guards against answers that end in the middle without a trace of why.
 func TestReaderThatIsBrokenOffIsLoggedAndCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
