--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -186,7 +186,7 @@
 // the server gave the request: it is ready, and is delivered also when late.
 func (b *answerBuffer) untilCallerLeaves(server context.Context) { b.ctx = server }
 
-// finish waits until the caller has taken everything, and ends the buffering.
+// finish waits until the caller has taken everything that was written, and ends the buffering.
 func (b *answerBuffer) finish() error {
 	for {
 		b.mu.Lock()
--- a/pkg/ingress/answer_writer.go
+++ b/pkg/ingress/answer_writer.go
@@ -39,12 +39,16 @@
 	}
 }
 
-// finish waits until the caller has taken what is buffered; after an error the caller can't be written to any more.
+// finish waits until the caller has taken what is written so far, also what net/http has buffered of it; after an error
+// the caller can't be written to any more. The last chunk follows when the request ends.
 func (o *answerWriter) finish() error {
 	if o.buffer == nil {
 		return nil
 	}
 	o.targetDone()
+	if err := o.flush(); err != nil {
+		return err
+	}
 	return o.buffer.finish()
 }
 
--- a/pkg/ingress/slow_reader.go
+++ b/pkg/ingress/slow_reader.go
@@ -7,8 +7,10 @@
 )
 
 // finishAnswer waits until the caller has taken an answer that its target has completed, and returns nil then. The
-// target and its slot are free meanwhile.
+// target and its slot are free meanwhile, and the request's body is released, as it is not sent again.
 func (d *delivery) finishAnswer(ctx context.Context, q *request, out *answerWriter) *Refusal {
+	d.buffers.ReleaseBody(q.heldBody)
+	q.body, q.heldBody = nil, 0
 	if err := out.finish(); err != nil {
 		return d.unreadRefusal(ctx, q, err)
 	}
@@ -28,9 +30,9 @@
 	}
 }
 
-// endUnfinished returns the refusal of an answer that may have begun. If targets broke it off, the caller gets what it
-// has not taken yet before the answer ends. A caller whose answer the account of buffers broke off looks as if it had
-// left.
+// endUnfinished returns the final refusal of a request whose answer may have begun. If targets broke the answer off, it
+// first waits until the caller has taken what is buffered. If the account broke it off, the cause is CauseSlowReader, as
+// the error alone looks like a caller that has left.
 func endUnfinished(refusal *Refusal, out *answerWriter) *Refusal {
 	if refusal.Cause == CauseLost {
 		_ = out.finish() // the answer ends either way
