--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -32,13 +32,13 @@
 	clock   clock.Clock
 	account *buffers.Account
 	reader  buffers.Reader
-	// progress gets a token after each step of drain. It holds one token, and a send never blocks.
+	// progress gets a token after each step of writeOut. It holds one token, and a send never blocks.
 	progress chan struct{}
 
 	mu       sync.Mutex // guards the fields below
 	chunks   [][]byte   // in order, without the one that is being written
 	held     int        // bytes of all chunks by their capacity, with the one that is being written
-	draining bool       // drain runs
+	writing  bool       // writeOut runs
 	limit    int        // of held
 	err      error      // why nothing can be written to the caller any more
 	finished bool       // the caller has taken everything
@@ -56,15 +56,15 @@
 // write passes p on to the caller or buffers it. It waits for the caller only if the limit is reached.
 func (b *answerBuffer) write(p []byte) (int, error) {
 	b.mu.Lock()
-	err, draining := b.err, b.draining
+	err, writing := b.err, b.writing
 	b.mu.Unlock()
 	if err != nil {
 		return 0, err
 	}
 	written := 0
-	if !draining {
+	if !writing {
 		// No other goroutine writes to the connection now.
-		if written, err = b.conn.now.WriteNow(p); err != nil || written == len(p) {
+		if written, err = b.conn.writer.WriteNow(p); err != nil || written == len(p) {
 			return written, err
 		}
 	}
@@ -102,12 +102,12 @@
 	n := min(len(p), b.spare())
 	last := len(b.chunks) - 1
 	b.chunks[last] = append(b.chunks[last], p[:n]...)
-	if !b.draining {
-		b.draining = true
+	if !b.writing {
+		b.writing = true
 		if b.progress == nil {
 			b.progress = make(chan struct{}, 1)
 		}
-		go b.drain()
+		go b.writeOut()
 	}
 	b.mu.Unlock()
 	buffers.BreakOff(slowest)
@@ -123,8 +123,8 @@
 	return cap(last) - len(last)
 }
 
-// drain writes what is buffered to the caller, until nothing is left or the caller can't be written to.
-func (b *answerBuffer) drain() {
+// writeOut writes what is buffered to the caller, until nothing is left or the caller can't be written to.
+func (b *answerBuffer) writeOut() {
 	for {
 		chunk := b.next()
 		if chunk == nil {
@@ -145,7 +145,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.err != nil || len(b.chunks) == 0 {
-		b.draining = false
+		b.writing = false
 		return nil
 	}
 	chunk := b.chunks[0]
@@ -162,7 +162,7 @@
 	b.account.Take(b.clock.Now(), &b.reader, size)
 }
 
-// signal reports a step of drain.
+// signal reports a step of writeOut.
 func (b *answerBuffer) signal() {
 	select {
 	case b.progress <- struct{}{}:
@@ -170,7 +170,7 @@
 	}
 }
 
-// await waits for the next step of drain, and fails at the end of the request.
+// await waits for the next step of writeOut, and fails at the end of the request.
 func (b *answerBuffer) await() error {
 	select {
 	case <-b.progress:
@@ -190,13 +190,13 @@
 func (b *answerBuffer) finish() error {
 	for {
 		b.mu.Lock()
-		err, draining := b.err, b.draining
-		b.finished = err == nil && !draining
+		err, writing := b.err, b.writing
+		b.finished = err == nil && !writing
 		b.mu.Unlock()
 		switch {
 		case err != nil:
 			return err
-		case !draining:
+		case !writing:
 			b.conn.answer.Store(nil)
 			return nil
 		}
--- a/pkg/ingress/buffered_conn.go
+++ b/pkg/ingress/buffered_conn.go
@@ -14,17 +14,17 @@
 // but buffers what it does not take yet; at any other time it is an ordinary connection.
 type bufferedConn struct {
 	net.Conn
-	now    network.NowWriter
+	writer network.NowWriter
 	answer atomic.Pointer[answerBuffer] // of the answer that is read ahead, nil if there is none
 }
 
 // newBufferedConn wraps a connection, if it can be written to without waiting.
 func newBufferedConn(c net.Conn) net.Conn {
-	now := network.NewNowWriter(c)
-	if now == nil {
+	writer := network.NewNowWriter(c)
+	if writer == nil {
 		return c
 	}
-	return &bufferedConn{Conn: c, now: now}
+	return &bufferedConn{Conn: c, writer: writer}
 }
 
 // Write implements net.Conn.
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -194,13 +194,7 @@
 			flow.LongestGap = max(flow.LongestGap, now-last)
 		}
 		if flow.Events == 0 {
-			d.settleOrigin(q, assignment.Target(), a)
-			q.addToTrail(d.Clock.Now(), "first event from", assignment.Target().ID)
-			assignment.Began(load(a))
-			if !out.started {
-				out.head(d.headerCodec, a, -1)
-				out.readAhead(d.buffers.Limits().Exchange)
-			}
+			d.beginStream(q, out, assignment, a)
 		}
 		if ended {
 			// Only the caller is waited for from now on, also for room for the last event.
@@ -226,6 +220,17 @@
 	}
 }
 
+// beginStream records the first event of a target, and begins the answer if no target did before.
+func (d *delivery) beginStream(q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer) {
+	d.settleOrigin(q, assignment.Target(), a)
+	q.addToTrail(d.Clock.Now(), "first event from", assignment.Target().ID)
+	assignment.Began(load(a))
+	if !out.started {
+		out.head(d.headerCodec, a, -1)
+		out.readAhead(d.buffers.Limits().Exchange)
+	}
+}
+
 // relayEvent relays one event, unless the caller has it already: one whose id is not above that of the last event. With
 // flush the event is sent to the caller at once; otherwise it may stay buffered until a later one is sent.
 func (d *delivery) relayEvent(q *request, out *answerWriter, e eventstream.Event, flush bool) error {
--- a/pkg/network/memory_conn.go
+++ b/pkg/network/memory_conn.go
@@ -89,10 +89,14 @@
 func (s *stream) writeNow(p []byte) (int, error) {
 	s.mu.Lock()
 	room := max(0, pipeBytes-len(s.data))
+	gone := s.ended || s.broken || s.writeDeadline.expired
 	s.mu.Unlock()
-	if len(p) > 0 && room == 0 {
+	if len(p) > 0 && room == 0 && !gone {
 		return 0, nil
 	}
+	if gone {
+		return s.write(p) // fails at once
+	}
 	return s.write(p[:min(len(p), room)])
 }
 
