--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -192,8 +192,7 @@
 		q.recordArrival(now)
 		if flow.Events > 0 {
 			flow.LongestGap = max(flow.LongestGap, now-last)
-		}
-		if flow.Events == 0 {
+		} else {
 			d.beginStream(q, out, assignment, a)
 		}
 		if ended {
