--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -38,7 +38,7 @@
 	bodiesDivisor = 2
 )
 
-// LimitsFor returns the limits for a VM with so many MB of memory; 0 if that is not known.
+// LimitsFor returns the limits for a VM with so many MiB of memory; 0 if that is not known.
 func LimitsFor(megabytes int) Limits {
 	total := defaultTotal
 	if megabytes > 0 {
@@ -61,7 +61,7 @@
 // Usage is what an account holds.
 type Usage struct {
 	Answers, Bodies int // bytes
-	// Readers is the number of callers that have yet to take bytes held for them.
+	// Readers is the number of readers with bytes held.
 	Readers int
 }
 
@@ -94,7 +94,7 @@
 
 // HoldBody counts n bytes of a request's body. It reports false, and counts nothing, if the bodies would exceed their
 // bound, or everything its own even without the callers that are slow to read. Lower tiers leave a part of the bodies'
-// bound to higher ones, and so are refused before them. It also returns the callers whose answers have to be broken off.
+// bound to higher ones, and so are refused before them. Tier 0 is the highest. It also returns the callers whose answers have to be broken off.
 func (a *Account) HoldBody(now clock.Millis, tier ids.TierRank, n int) (slowest []*Reader, held bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
