--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -94,7 +94,8 @@
 
 // HoldBody counts n bytes of a request's body. It reports false, and counts nothing, if the bodies would exceed their
 // bound, or everything its own even without the callers that are slow to read. Lower tiers leave a part of the bodies'
-// bound to higher ones, and so are refused before them. Tier 0 is the highest. It also returns the callers whose answers have to be broken off.
+// bound to higher ones, and so are refused before them. Tier 0 is the highest. It also returns the callers
+// whose answers have to be broken off.
 func (a *Account) HoldBody(now clock.Millis, tier ids.TierRank, n int) (slowest []*Reader, held bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
