Planner: factors of targets keep a mean of one

Cause: factors are learned from times divided by estimates, estimates from times divided by factors, and nothing fixes their scale. The first answers of new processes are slow, so that the mean time of calls begins too high; the factors of all targets fell from 1 to .26 within a second and on to .11, and the interval between events rose to 117 ms beside four runs and 29 beside one where 15 is right for both. Answers of the canary, whose targets run fewer at once, then looked up to three times as slow as those of the old version.

Change: each tick divides the known factors by their mean, in services with streams. Also tried: multiplying the estimates by the mean, so that what is expected stays the same: estimates then kept a scale that another one's error had set (11 ms where 16 were observed), and the version was rolled back in 3 of 3 runs.

--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -122,6 +122,7 @@
 			p.moveStuckRuns(t)
 		}
 	}
+	p.centerFactors()
 	p.pruneBackoffs(now)
 	p.updateRateLimited(now)
 	p.place(now)
