Owner: read the gauges of planners once a scrape

Cause: each gauge of a service took the owner's lock by itself, four times a scrape and service, three of them for the same summary of client accounts. The lock is the one under which requests are placed, and the values of one scrape were of different moments.

Change: a group of gauges is a function that is called once for each read of the metrics (telemetry.GaugeGroup); the owner has one, for all services that it plans for.

--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -71,10 +71,12 @@
 
 // newOwner returns an owner without planners. It passes decisions to send, without its lock.
 func newOwner(c common.Common, deps Dependencies, send func(netip.AddrPort, decisionMessage)) *Owner {
-	return &Owner{
+	owner := &Owner{
 		Common: c, view: deps.View, members: deps.Members, estimates: newEstimateCache(c, deps.Members, deps.Link, deps.Estimates),
 		rollouts: deps.Rollouts, coldBounds: deps.ColdBounds, id: c.Random.Fork().Uint64(), sendMessage: send, sampler: telemetry.NewSampler(c.Clock, c.Log, logLinesPerSecond), slownessSampler: telemetry.NewSampler(c.Clock, c.Log, slownessLinesPerSecond), planners: make(map[ids.Service]*servicePlanner),
 	}
+	c.Metrics.Prometheus.GaugeGroup(owner.gauges)
+	return owner
 }
 
 // plannerShard returns the shard whose owner plans for a service.
@@ -104,10 +106,8 @@
 		g = &servicePlanner{planner: planner.New(owner.Random.Fork()), lastMessageAt: make(map[string]clock.Millis), startedAt: now}
 		g.planner.Disable(owner.Ablation)
 		owner.planners[service] = g
-		owner.Metrics.Prometheus.LabelledGauge("targets_slowed", "service", string(service), func() float64 { return owner.slowedTargets(service) })
 		owner.updateLimits(now, g, service)
 		owner.updateAccounts(now, g)
-		owner.registerAccountMetrics(service)
 		owner.Log.WithField("service", string(service)).Info("this entry now plans for a service")
 	}
 	owner.refresh(now, g, service, directory)
--- a/pkg/dispatch/owner_accounts.go
+++ b/pkg/dispatch/owner_accounts.go
@@ -5,7 +5,6 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/fairshare"
-	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 )
 
@@ -36,32 +35,6 @@
 	}).Info("refused a request of an account over its share")
 }
 
-// registerAccountMetrics registers the gauges of a service that this entry plans for; labels are services alone, since a
-// deployment may have hundreds of accounts.
-func (owner *Owner) registerAccountMetrics(service ids.Service) {
-	gauge := func(name string, value func(*planner.AccountSummary) int) {
-		owner.Metrics.Prometheus.LabelledGauge(name, "service", string(service), func() float64 {
-			s := owner.accountSummary(service)
-			return float64(value(&s))
-		})
-	}
-	gauge("accounts_present", func(s *planner.AccountSummary) int { return s.Accounts })
-	gauge("accounts_over_share", func(s *planner.AccountSummary) int { return s.OverShare })
-	gauge("refusals_over_share", func(s *planner.AccountSummary) int { return s.Refusals })
-}
-
-// accountSummary returns what the planner that this entry runs for a service tells of client accounts; nothing if
-// another entry plans for it.
-func (owner *Owner) accountSummary(service ids.Service) planner.AccountSummary {
-	owner.mu.Lock()
-	defer owner.mu.Unlock()
-	g := owner.planners[service]
-	if g == nil {
-		return planner.AccountSummary{}
-	}
-	return g.planner.AccountSummary()
-}
-
 // accountFields returns what a planner's line tells of client accounts, nothing while none share the targets.
 func accountFields(s *planner.AccountSummary) logrus.Fields {
 	if s.Accounts == 0 {
--- a/pkg/dispatch/owner_slowdown.go
+++ b/pkg/dispatch/owner_slowdown.go
@@ -4,7 +4,6 @@
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/clock"
-	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/slowdown"
@@ -28,14 +27,3 @@
 		line.Info("a target no longer counts as slowed")
 	})
 }
-
-// slowedTargets returns the number of targets of a service that are slowed by their own reports, 0 if another entry is
-// the owner.
-func (owner *Owner) slowedTargets(service ids.Service) float64 {
-	owner.mu.Lock()
-	defer owner.mu.Unlock()
-	if g := owner.planners[service]; g != nil {
-		return float64(g.planner.SlowedTargets(owner.Clock.Now()))
-	}
-	return 0
-}
--- a/pkg/telemetry/prometheus.go
+++ b/pkg/telemetry/prometheus.go
@@ -1,8 +1,11 @@
 package telemetry
 
 import (
+	"cmp"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -63,6 +66,26 @@
 	m.set.GetOrCreateGauge(fmt.Sprintf("quaydock_%s{%s=%q}", name, label, labelled), value)
 }
 
+// LabelledValue is the value of the gauge quaydock_NAME whose label is set to Labelled.
+type LabelledValue struct {
+	Name, Label, Labelled string
+	Value                 float64
+}
+
+// GaugeGroup registers a function that is called once on each read of the metrics and returns the values of gauges of one
+// moment.
+func (m *PrometheusMetrics) GaugeGroup(read func() []LabelledValue) {
+	m.set.RegisterMetricsWriter(func(w io.Writer) {
+		values := read()
+		slices.SortFunc(values, func(a, b LabelledValue) int {
+			return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Labelled, b.Labelled))
+		})
+		for _, v := range values {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("quaydock_%s{%s=%q}", v.Name, v.Label, v.Labelled), v.Value)
+		}
+	})
+}
+
 // ServeHTTP writes all metrics in the text format of Prometheus.
 func (m *PrometheusMetrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
--- a/pkg/telemetry/telemetry_test.go
+++ b/pkg/telemetry/telemetry_test.go
@@ -85,6 +85,27 @@
 	})
 }
 
+// TestGaugeGroupIsReadOnceForAllItsGauges guards against a group that is determined anew for each of its gauges, which costs
+// a lock each time and mixes values of several moments.
+func TestGaugeGroupIsReadOnceForAllItsGauges(t *testing.T) {
+	f := telemetry.NewPrometheusMetrics()
+	reads := 0
+	f.GaugeGroup(func() []telemetry.LabelledValue {
+		reads++
+		return []telemetry.LabelledValue{
+			{Name: "waiting", Label: "service", Labelled: "b", Value: 1.5},
+			{Name: "running", Label: "service", Labelled: "b", Value: 2},
+			{Name: "waiting", Label: "service", Labelled: "a", Value: 3},
+		}
+	})
+	recorder := httptest.NewRecorder()
+	f.ServeHTTP(recorder, nil)
+	want := `quaydock_running{service="b"} 2` + "\n" + `quaydock_waiting{service="a"} 3` + "\n" + `quaydock_waiting{service="b"} 1.5` + "\n"
+	if !strings.Contains(recorder.Body.String(), want) || reads != 1 {
+		t.Errorf("%d reads; want the lines\n%sin\n%s", reads, want, recorder.Body.String())
+	}
+}
+
 // TestPrometheusMetrics checks the names, labels and values of lines, which operators' tools read.
 func TestPrometheusMetrics(t *testing.T) {
 	f := telemetry.NewPrometheusMetrics()
