quayctl status: cut the accounts of each tier, and say how many are left out

Cause: the list of client accounts was cut at twenty over all services and tiers, in their order, so that a higher tier with twenty accounts hid all lower ones, where requests are refused first; nothing said that some were left out.

Change: twenty accounts of each tier of a service, and a row that says how many more there are. The code moves to status_load.go.

--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -15,7 +15,6 @@
 
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/domains"
-	"quaydock/pkg/fairshare"
 	"quaydock/pkg/operators"
 )
 
@@ -47,39 +46,10 @@
 		readiness = "not ready"
 	}
 	report(out, fmt.Sprintf("%s %s\n%s", *at, readiness, metrics))
-	if err := showAdvice(ctx, *at, out); err != nil {
-		return err
-	}
-	if err := showAccounts(ctx, *at, out); err != nil {
-		return err
-	}
-	return showDomains(ctx, *at, out)
-}
-
-// maxAccountsShown limits how many accounts status prints; in each tier those that hold most come first.
-const maxAccountsShown = 20
-
-// showAccounts prints the shares of client accounts in the services that an entry plans for. Only entries on the
-// platform report them.
-func showAccounts(ctx context.Context, at string, out io.Writer) error {
-	reports, _, err := fetchFromEntry[fairshare.Report](ctx, at, operators.PathAccounts)
-	if err != nil {
-		return fmt.Errorf("reading the shares of accounts: %w", err)
-	}
-	if len(reports) == 0 {
-		return nil
-	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "account\tservice\ttier\tshare\tuse\tdemand") // Flush returns write errors
-	for _, r := range reports[:min(len(reports), maxAccountsShown)] {
-		share := "no limit"
-		if r.Share > 0 {
-			share = fmt.Sprintf("%.1f", r.Share)
+	for _, show := range []func(context.Context, string, io.Writer) error{showAdvice, showAccounts, showDomains} {
+		if err := show(ctx, *at, out); err != nil {
+			return err
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%.1f\t%.1f\n", r.Account, r.Service, r.Tier, share, r.Use, r.Demand)
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
 	}
 	return nil
 }
@@ -87,7 +57,7 @@
 // showDomains prints the failure domains that are drained or have cold targets. Only entries on the platform report
 // them.
 func showDomains(ctx context.Context, at string, out io.Writer) error {
-	reports, _, err := fetchFromEntry[domains.Report](ctx, at, operators.PathDomains)
+	reports, _, err := fetchFromEntry[[]domains.Report](ctx, at, operators.PathDomains)
 	if err != nil {
 		return fmt.Errorf("reading the failure domains: %w", err)
 	}
@@ -105,7 +75,7 @@
 // showAdvice prints the targets that are leaving, backed off or limited by their own report. Only entries on the
 // platform report them.
 func showAdvice(ctx context.Context, at string, out io.Writer) error {
-	targets, known, err := fetchFromEntry[advisory.Report](ctx, at, operators.PathAdvice)
+	targets, known, err := fetchFromEntry[[]advisory.Report](ctx, at, operators.PathAdvice)
 	if err != nil {
 		return fmt.Errorf("reading the advice of targets: %w", err)
 	}
@@ -127,17 +97,17 @@
 	return nil
 }
 
-// fetchFromEntry fetches a list that only entries on the platform serve. known is false, without an error, if the
+// fetchFromEntry fetches a page that only entries on the platform serve. known is false, without an error, if the
 // status of the answer is not 200, as with other processes.
-func fetchFromEntry[T any](ctx context.Context, at, path string) (reports []T, known bool, err error) {
+func fetchFromEntry[T any](ctx context.Context, at, path string) (page T, known bool, err error) {
 	code, document, err := get(ctx, at, path)
 	if err != nil || code != http.StatusOK {
-		return nil, false, err
+		return page, false, err
 	}
-	if err := json.Unmarshal(document, &reports); err != nil {
-		return nil, false, fmt.Errorf("parsing the answer: %w", err)
+	if err := json.Unmarshal(document, &page); err != nil {
+		return page, false, fmt.Errorf("parsing the answer: %w", err)
 	}
-	return reports, true, nil
+	return page, true, nil
 }
 
 // describeAdvice puts the advice of one target into words.
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 	"quaydock/pkg/ctl"
 	"quaydock/pkg/domains"
 	"quaydock/pkg/fairshare"
+	"quaydock/pkg/ids"
 	"quaydock/pkg/operators"
 )
 
@@ -127,3 +129,41 @@
 		}
 	}
 }
+
+// TestStatusShowsAccountsOfEachTier guards against accounts of lower tiers that are never shown, as those of a higher
+// one fill the list.
+func TestStatusShowsAccountsOfEachTier(t *testing.T) {
+	var reports []fairshare.Report
+	for tier := range ids.TierRank(2) {
+		for i := range 23 {
+			reports = append(reports, fairshare.Report{Service: "s", Tier: tier, Standing: fairshare.Standing{Account: ids.Account(fmt.Sprintf("a%d-%d", tier, i)), Use: float64(30 - i)}})
+		}
+	}
+	reports = append(reports, fairshare.Report{Service: "u", Tier: 1, Standing: fairshare.Standing{Account: "a", Use: 1}})
+	out := statusOf(t, serveOnly(t, operators.PathAccounts, reports))
+	for _, text := range []string{"a0-0 ", "a0-19 ", "a1-0 ", "a1-19 ", "3 more   s        0", "3 more   s        1", "a        u        1"} {
+		if !strings.Contains(out, text) {
+			t.Errorf("output lacks %q:\n%s", text, out)
+		}
+	}
+	if strings.Contains(out, "a0-20 ") || strings.Contains(out, "a1-20 ") || strings.Count(out, " more") != 2 {
+		t.Errorf("more than 20 accounts of a tier:\n%s", out)
+	}
+}
+
+// serveOnly runs a process that is ready and serves one page of the operators' address.
+func serveOnly(t *testing.T, path string, document any) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case operators.PathReady:
+			w.WriteHeader(http.StatusNoContent)
+		case path:
+			_ = json.NewEncoder(w).Encode(document)
+		default:
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
