quayctl status: slowed targets, and the bytes held for callers and targets

Cause: operators could see how many targets are slowed and how many bytes an entry holds, but not which targets, how old their reports are, or how far callers that are slow to read are behind.

Change: an entry serves two more pages. /slowed has, for each service that the entry plans for, how many of its targets are slowed now by their own reports, and of the twenty slowest the factor, the mean and the age of the report. /buffers has the bytes of answers and bodies, their bounds, the number of callers that are slow to read, and the state of the five that would be broken off first. quayctl status prints both.

The page does not name the request of a slow caller: buffers.Reader does not know it. Its line in the log, once it is broken off, does.

--- a/pkg/app/entry_metrics.go
+++ b/pkg/app/entry_metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/domains"
 	"quaydock/pkg/operators"
 	"quaydock/pkg/quarantine"
@@ -65,6 +66,8 @@
 	mux.HandleFunc("GET "+operators.PathQuarantine, jsonHandler(p, p.guard.HeldReports))
 	mux.HandleFunc("GET "+operators.PathAdvice, jsonHandler(p, p.adviceReports))
 	mux.HandleFunc("GET "+operators.PathAccounts, jsonHandler(p, p.dispatcher.AccountReports))
+	mux.HandleFunc("GET "+operators.PathSlowed, jsonHandler(p, p.dispatcher.SlownessReports))
+	mux.HandleFunc("GET "+operators.PathBuffers, jsonHandler(p, func() buffers.Report { return p.buffers.Report(p.Clock.Now()) }))
 	mux.HandleFunc("GET "+operators.PathDomains, jsonHandler(p, p.failureDomains))
 	mux.HandleFunc("GET "+operators.PathReady, p.ready(http.StatusNoContent))
 	mux.HandleFunc("POST "+operators.PathQuarantine, p.release)
--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -77,6 +77,11 @@
 func (a *Account) Usage() Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.usage()
+}
+
+// usage is Usage with the lock held.
+func (a *Account) usage() Usage {
 	return Usage{Answers: a.unsent + a.untaken, Bodies: a.bodies, Readers: len(a.waiting)}
 }
 
@@ -199,7 +204,7 @@
 				slowest = r
 			}
 		}
-		slowest.end = End{Held: slowest.held, Untaken: now - slowest.takenAt, Behind: now - slowest.behindSince, Total: a.total()}
+		slowest.end = End{ReaderState: slowest.state(now), Total: a.total()}
 		a.drop(slowest)
 		dropped = append(dropped, slowest)
 	}
--- a/pkg/buffers/account_test.go
+++ b/pkg/buffers/account_test.go
@@ -70,6 +70,33 @@
 	}
 }
 
+// TestReportNamesTheSlowestReaders checks that the readers that would be broken off next come first, and that their number
+// is bounded.
+func TestReportNamesTheSlowestReaders(t *testing.T) {
+	var broken []int
+	limits := buffers.Limits{Total: 10_000, Exchange: 1000, Bodies: 5000}
+	a := buffers.NewAccount(limits)
+	const count = 30
+	for i, r := range newReaders(count, &broken) {
+		a.Hold(clock.Millis(i), r, 2*(1+i)) // the longer behind, the less is held
+		a.Take(100, r, 1+i)
+	}
+	a.HoldBody(100, 0, 70)
+	report := a.Report(200)
+	if want := (buffers.Usage{Answers: count * (count + 1) / 2, Bodies: 70, Readers: count}); report.Held != want || report.Limits != limits {
+		t.Errorf("%+v", report)
+	}
+	if len(report.Slowest) == 0 || len(report.Slowest) >= count {
+		t.Fatalf("%d readers are named", len(report.Slowest))
+	}
+	if want := (buffers.ReaderState{Held: count, Untaken: 100, Behind: 200 - (count - 1)}); report.Slowest[0] != want {
+		t.Errorf("the slowest is %+v, want %+v", report.Slowest[0], want)
+	}
+	if empty := buffers.NewAccount(limits).Report(0); empty.Slowest == nil || len(empty.Slowest) > 0 {
+		t.Errorf("an empty account names %v", empty.Slowest)
+	}
+}
+
 // TestLargestStatedLengthIsRefused guards against a sum that overflows.
 func TestLargestStatedLengthIsRefused(t *testing.T) {
 	a := buffers.NewAccount(buffers.LimitsFor(0))
--- a/pkg/buffers/reader.go
+++ b/pkg/buffers/reader.go
@@ -14,12 +14,22 @@
 	end         End
 }
 
+// ReaderState is the state of a reader at a moment.
+type ReaderState struct {
+	Held    int          // bytes that it has not taken
+	Untaken clock.Millis // how long it has taken nothing
+	Behind  clock.Millis // how long it has not taken all that was there for it
+}
+
 // End is the state of a reader whose answer is broken off.
 type End struct {
-	Held    int          // bytes that it had not taken
-	Untaken clock.Millis // how long it had taken nothing
-	Behind  clock.Millis // how long it had not taken all that was there for it
-	Total   int          // bytes in the whole account
+	ReaderState
+	Total int // bytes in the whole account
+}
+
+// state returns the state of a reader.
+func (r *Reader) state(now clock.Millis) ReaderState {
+	return ReaderState{Held: r.held, Untaken: now - r.takenAt, Behind: now - r.behindSince}
 }
 
 // slowness ranks readers: the one with the highest is broken off first. It is the product of the bytes held and the time
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -22,7 +22,7 @@
 const statusTimeout = 5 * time.Second
 
 // status prints readiness and metrics of one process, and for an entry on the platform also the advice of its targets,
-// the shares of client accounts and the state of failure domains.
+// which of them are slowed, the shares of client accounts, the bytes held and the state of failure domains.
 func status(ctx context.Context, args []string, out, errs io.Writer) error {
 	flags := flag.NewFlagSet("quayctl status", flag.ContinueOnError)
 	wait := flags.Duration("wait", 0, "how long to wait for the process to become ready")
@@ -46,7 +46,7 @@
 		readiness = "not ready"
 	}
 	report(out, fmt.Sprintf("%s %s\n%s", *at, readiness, metrics))
-	for _, show := range []func(context.Context, string, io.Writer) error{showAdvice, showAccounts, showDomains} {
+	for _, show := range []func(context.Context, string, io.Writer) error{showAdvice, showSlowed, showAccounts, showBuffers, showDomains} {
 		if err := show(ctx, *at, out); err != nil {
 			return err
 		}
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -10,11 +10,13 @@
 	"testing"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/ctl"
 	"quaydock/pkg/domains"
 	"quaydock/pkg/fairshare"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/operators"
+	"quaydock/pkg/slowdown"
 )
 
 // TestStatusShowsTargetAdvice: an entry without advice is told apart from a process that serves no advice, for which
@@ -151,6 +153,76 @@
 	}
 }
 
+// TestStatusShowsSlowedTargets checks that slowed targets are told apart from a service that has none, and from an entry
+// that plans for no service.
+func TestStatusShowsSlowedTargets(t *testing.T) {
+	slow := slowdown.TargetReport{Target: "t1", Start: 17, Factor: 2.54, Mean: 1.04, Age: 312}
+	scenarios := []struct {
+		name    string
+		reports []slowdown.ServiceReport
+		want    []string // parts of the output
+		without string   // must not be in the output
+	}{
+		{"plans for no service", []slowdown.ServiceReport{}, []string{" ready"}, "slowed"},
+		{"none is slowed", []slowdown.ServiceReport{{Service: "s", Targets: 4}, {Service: "u", Targets: 2}}, []string{"no target of s, u is slowed by its own reports"}, "times"},
+		{"one is slowed", []slowdown.ServiceReport{{Service: "s", Targets: 4, Slowed: 1, Slowest: []slowdown.TargetReport{slow}}, {Service: "u"}},
+			[]string{"slowed target  service  start  times  usually  reported", "t1             s        17     2.5    1.0      0.3 s ago", "no target of u is"}, "more"},
+		{"more than are named", []slowdown.ServiceReport{{Service: "s", Targets: 40, Slowed: 25, Slowest: []slowdown.TargetReport{slow}}}, []string{"24 more        s"}, "no target"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			out := statusOf(t, serveOnly(t, operators.PathSlowed, s.reports))
+			for _, text := range s.want {
+				if !strings.Contains(out, text) {
+					t.Errorf("output lacks %q:\n%s", text, out)
+				}
+			}
+			if strings.Contains(out, s.without) {
+				t.Errorf("unexpected %q in output:\n%s", s.without, out)
+			}
+		})
+	}
+}
+
+// TestStatusShowsBytesHeld checks that what is held is printed beside its bounds, and the callers that are slow to read.
+func TestStatusShowsBytesHeld(t *testing.T) {
+	const mebibyte = 1 << 20
+	limits := buffers.Limits{Total: 20 * mebibyte, Exchange: mebibyte, Bodies: 10 * mebibyte}
+	scenarios := []struct {
+		name    string
+		report  buffers.Report
+		want    []string // parts of the output
+		without string   // must not be in the output
+	}{
+		{"nothing", buffers.Report{Limits: limits}, []string{"held: 0.0 of 20.0 MiB (answers 0.0, request bodies 0.0 of 10.0); callers slow to read: 0"}, "behind"},
+		{"slow callers", buffers.Report{
+			Held: buffers.Usage{Answers: 3 * mebibyte, Bodies: mebibyte / 2, Readers: 8}, Limits: limits,
+			Slowest: []buffers.ReaderState{{Held: mebibyte, Untaken: 1250, Behind: 8300}},
+		}, []string{
+			"held: 3.5 of 20.0 MiB (answers 3.0, request bodies 0.5 of 10.0); callers slow to read: 8",
+			"slow caller holds  behind for  took nothing for", "1024 KiB           8.3 s       1.2 s",
+		}, "read: 0"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			out := statusOf(t, serveOnly(t, operators.PathBuffers, s.report))
+			for _, text := range s.want {
+				if !strings.Contains(out, text) {
+					t.Errorf("output lacks %q:\n%s", text, out)
+				}
+			}
+			if strings.Contains(out, s.without) {
+				t.Errorf("unexpected %q in output:\n%s", s.without, out)
+			}
+		})
+	}
+	t.Run("another process", func(t *testing.T) {
+		if out := statusOf(t, serveOnly(t, "/none", nil)); strings.Contains(out, "held") {
+			t.Errorf("unexpected bytes held:\n%s", out)
+		}
+	})
+}
+
 // serveOnly runs a process that is ready and serves one page of the operators' address.
 func serveOnly(t *testing.T, path string, document any) *httptest.Server {
 	t.Helper()
--- a/pkg/dispatch/owner_slowdown.go
+++ b/pkg/dispatch/owner_slowdown.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/clock"
@@ -27,3 +30,16 @@
 		line.Info("a target no longer counts as slowed")
 	})
 }
+
+// SlownessReports shows which targets are slowed now by their own reports, for each service that this entry plans for.
+func (d *Dispatcher) SlownessReports() []slowdown.ServiceReport {
+	owner := d.owner
+	now := owner.Clock.Now()
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	reports := []slowdown.ServiceReport{}
+	for _, service := range slices.Sorted(maps.Keys(owner.planners)) {
+		reports = append(reports, owner.planners[service].planner.SlownessReport(now, service))
+	}
+	return reports
+}
--- a/pkg/dispatch/slowdown_test.go
+++ b/pkg/dispatch/slowdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,3 +54,36 @@
 		})
 	}
 }
+
+// TestOnlyTheOwnerShowsSlowedTargets checks what operators are shown, on the page and by the gauges.
+func TestOnlyTheOwnerShowsSlowedTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newCluster(t)
+		owner := b.ownerIndex(-1)
+		assignment, refused, err := b.entries[(owner+1)%entryCount].Acquire(context.Background(), b.urgentRequest())
+		if assignment == nil {
+			t.Fatalf("refused %+v, %v", refused, err)
+		}
+		assignment.Began(&planner.Load{Running: 1, Slowdown: 5})
+		time.Sleep(50 * time.Millisecond)
+		for i, e := range b.entries {
+			reports := e.SlownessReports()
+			if i != owner {
+				if len(reports) > 0 {
+					t.Errorf("an entry that plans for no service reports %+v", reports)
+				}
+				continue
+			}
+			if len(reports) != 1 || reports[0].Service != "s" || reports[0].Targets != targetCount || reports[0].Slowed != 1 {
+				t.Fatalf("the owner reports %+v", reports)
+			}
+			if slowest := reports[0].Slowest[0]; slowest.Target != assignment.Target().ID || slowest.Age < 40 || slowest.Age > 60 {
+				t.Errorf("the owner reports %+v", slowest)
+			}
+		}
+		if lines := b.gauges(); !slices.Contains(lines, `quaydock_targets_slowed{service="s"} 1`) {
+			t.Errorf("gauges: %q", lines)
+		}
+		assignment.Done(planner.Served, planner.StreamStats{})
+	})
+}
--- a/pkg/operators/port.go
+++ b/pkg/operators/port.go
@@ -36,6 +36,12 @@
 	// PathAccounts returns the shares of client accounts in the services that the entry plans for. It is served as
 	// PathAdvice is.
 	PathAccounts = "/accounts"
+	// PathSlowed returns the targets that are slowed now by their own reports, in the services that the entry plans for.
+	// It is served as PathAdvice is.
+	PathSlowed = "/slowed"
+	// PathBuffers returns what the entry holds for callers and targets, and how far its slowest callers are behind. It is
+	// served as PathAdvice is.
+	PathBuffers = "/buffers"
 	// PathDomains returns for each failure domain whether it is drained and how many of its targets are cold. It
 	// is served as PathRollouts is.
 	PathDomains = "/domains"
--- a/pkg/planner/pace.go
+++ b/pkg/planner/pace.go
@@ -3,6 +3,7 @@
 import (
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/slowdown"
 )
@@ -73,3 +74,15 @@
 	}
 	return n
 }
+
+// SlownessReport shows operators which targets of the service are slowed now by their own reports.
+func (p *Planner) SlownessReport(now clock.Millis, service ids.Service) slowdown.ServiceReport {
+	var slowed []slowdown.TargetReport
+	for _, t := range p.eligible {
+		forecast := t.slowdown.Forecast(now)
+		if forecast.Slowed() {
+			slowed = append(slowed, slowdown.TargetReport{Target: t.ID, Start: t.Start, Factor: forecast.Now(), Mean: t.slowdown.Mean(), Age: t.slowdown.Age(now)})
+		}
+	}
+	return slowdown.NewServiceReport(service, len(p.eligible), slowed)
+}
--- a/pkg/planner/slowdown_test.go
+++ b/pkg/planner/slowdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"quaydock/pkg/ablation"
@@ -205,3 +206,24 @@
 		t.Errorf("got %d of 20 jobs 3 s after its last report; %d count as slowed", counts["t0"], p.Summary(later).Slowed)
 	}
 }
+
+// TestSlownessReport checks that operators see the slowest of the targets that are slowed now, in a bounded number.
+func TestSlownessReport(t *testing.T) {
+	const count = 60
+	p := newPlanner(slices.Repeat([]int{4}, count)...)
+	reported := func(i int) slowdown.Factor { return 2 + slowdown.Factor(i)/100 }
+	for i := range count / 2 {
+		p.ReportSlowdown(start, ids.TargetIncarnation{Target: ids.Target(fmt.Sprint("t", i))}, reported(i))
+	}
+	p.ReportSlowdown(start, ids.TargetIncarnation{Target: "t40"}, 1.05)
+	r := p.SlownessReport(start+100, "s")
+	if r.Service != "s" || r.Targets != count || r.Slowed != count/2 || len(r.Slowest) == 0 || len(r.Slowest) >= count/2 {
+		t.Fatalf("%+v", r)
+	}
+	if slowest := r.Slowest[0]; slowest.Target != "t29" || slowest.Age != 100 || slowest.Mean != 1 || slowest.Factor <= 1.2 || slowest.Factor > reported(29) {
+		t.Errorf("the slowest is %+v", slowest)
+	}
+	if r := p.SlownessReport(start+3*clock.Second, "s"); r.Slowed != 0 || len(r.Slowest) != 0 {
+		t.Errorf("3 s later: %+v", r)
+	}
+}
--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -55,6 +55,14 @@
 // Mean returns the factor that the target has in the mean: reports may hold its lasting speed too.
 func (e *Estimate) Mean() Factor { return e.lasting.get(Usual) }
 
+// Age returns the time since the newest report, and 0 without one.
+func (e *Estimate) Age(now clock.Millis) clock.Millis {
+	if e.reportedAt == 0 {
+		return 0
+	}
+	return max(0, now-e.reportedAt)
+}
+
 // Forecast returns what is expected from a moment on.
 func (e *Estimate) Forecast(now clock.Millis) Forecast {
 	mean, age := e.Mean(), max(0, now-e.reportedAt)
