--- a/pkg/dispatch/owner_slowdown.go
+++ b/pkg/dispatch/owner_slowdown.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/clock"
-	"quaydock/pkg/ids"
 	"quaydock/pkg/planner"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/slowdown"
@@ -29,13 +31,15 @@
 	})
 }
 
-// slowedTargets returns the number of targets of a service that are slowed by their own reports, 0 if another entry is
-// the owner.
-func (owner *Owner) slowedTargets(service ids.Service) float64 {
+// SlownessReports shows which targets are slowed now by their own reports, for each service that this entry plans for.
+func (d *Dispatcher) SlownessReports() []slowdown.ServiceReport {
+	owner := d.owner
+	now := owner.Clock.Now()
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
-	if g := owner.planners[service]; g != nil {
-		return float64(g.planner.SlowedTargets(owner.Clock.Now()))
+	reports := []slowdown.ServiceReport{}
+	for _, service := range slices.Sorted(maps.Keys(owner.planners)) {
+		reports = append(reports, owner.planners[service].planner.SlownessReport(now, service))
 	}
-	return 0
+	return reports
 }
