Buffers: the page of bytes held has names as other pages have

Cause: its JSON had the names of Go fields, and bytes and ms without their unit. Change: names in the manner of the other operators' pages. Result: tests of buffers, ctl, slowdown, telemetry and TestStatusPagesOfWholeEntries pass.

--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -14,11 +14,11 @@
 // Limits are the bounds of an account, in bytes.
 type Limits struct {
 	// Total is the bound of everything that is held.
-	Total int
+	Total int `json:"total_bytes"`
 	// Exchange is how much one answer may be read ahead of its caller.
-	Exchange int
+	Exchange int `json:"exchange_bytes"`
 	// Bodies is the bound of all request bodies together.
-	Bodies int
+	Bodies int `json:"body_bytes"`
 }
 
 const (
@@ -60,9 +60,9 @@
 
 // Usage is what an account holds.
 type Usage struct {
-	Answers, Bodies int // bytes
-	// Readers is the number of readers with bytes held.
-	Readers int
+	Answers int `json:"answer_bytes"`
+	Bodies  int `json:"body_bytes"`
+	Readers int `json:"readers"` // with bytes held
 }
 
 // NewAccount returns an account that holds nothing.
--- a/pkg/buffers/reader.go
+++ b/pkg/buffers/reader.go
@@ -16,9 +16,9 @@
 
 // ReaderState is the state of a reader at a moment.
 type ReaderState struct {
-	Held    int          // bytes that it has not taken
-	Untaken clock.Millis // how long it has taken nothing
-	Behind  clock.Millis // how long it has not taken all that was there for it
+	Held    int          `json:"held_bytes"` // that it has not taken
+	Untaken clock.Millis `json:"untaken_ms"` // how long it has taken nothing
+	Behind  clock.Millis `json:"behind_ms"`  // how long it has not taken all that was there for it
 }
 
 // End is the state of a reader whose answer is broken off.
--- a/pkg/buffers/report.go
+++ b/pkg/buffers/report.go
@@ -10,10 +10,10 @@
 
 // Report shows operators what an account holds.
 type Report struct {
-	Held   Usage
-	Limits Limits
+	Held   Usage  `json:"held"`
+	Limits Limits `json:"limits"`
 	// Slowest are the slowest readers, in the order in which they would be broken off now, up to maxReported.
-	Slowest []ReaderState
+	Slowest []ReaderState `json:"slowest"`
 }
 
 // maxReported limits the readers that a Report names: an entry may have thousands.
