Ingress: a test for the last bytes of an answer that ends early

Callers: of a long plain answer that its target broke off, the last 2 to 69 bytes that had arrived could be missing; it did not look complete. Cause: net/http keeps up to 2 KiB of an answer in the response's own buffer and drops them when the handler panics with http.ErrAbortHandler. How many bytes lie there depends on the sizes of the reads, so that TestAnswerThatProcessEndClosesDoesNotLookComplete failed by chance. Ruled out: the product taking a part for whole; the caller always saw the end as an error. This one sends a last piece of 69 bytes and breaks off.

--- a/pkg/ingress/answer_end_test.go
+++ b/pkg/ingress/answer_end_test.go
@@ -215,3 +215,23 @@
 		})
 	}
 }
+
+// TestAnswerThatEndsEarlyKeepsItsLastBytes guards against the loss of what a target sent just before it broke off.
+func TestAnswerThatEndsEarlyKeepsItsLastBytes(t *testing.T) {
+	const (
+		whole = 1 << 20 // read before any of it goes to the caller
+		last  = 69
+	)
+	endsEarly := func(c net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), longBody)
+		_, _ = io.WriteString(c, strings.Repeat("a", whole))
+		time.Sleep(time.Millisecond)
+		_, _ = io.WriteString(c, strings.Repeat("b", last))
+		return false
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, fakeMeter{}, endsEarly)
+		got := b.call(context.Background(), "/safe/a", nil)
+		checkNotComplete(t, got, strings.Repeat("a", whole)+strings.Repeat("b", last))
+	})
+}
