Dispatch: the duration of a request that ended in a stall is unknown

Cause: the whole length of a stall is subtracted from the time of each request that ran meanwhile, although it delays its end by less, or not at all. The slow answers themselves were never stalled. Ruled out: answers that look slow because a stall delayed them; failed answers among the durations of that target (it had none). Change: if the stalls make up more than half of a request's time, all of it is left out and the duration is unknown, which evidence neither calls slow nor compares others with. Up to a half, it is wrong by a factor of two at most, less than the 2.5 from which on an answer is slow.

--- a/pkg/dispatch/owner_messages.go
+++ b/pkg/dispatch/owner_messages.go
@@ -122,7 +122,7 @@
 			flow := s.Flow
 			if since, granted := p.GrantedAt(id); granted {
 				// If both processes stalled, the stalls mostly overlapped: take the longer, not the sum.
-				flow.Stalled = max(flow.Stalled, owner.stalls.Within(since, now))
+				flow.Stalled = notCharged(now-since, max(flow.Stalled, owner.stalls.Within(since, now)))
 			}
 			p.Finish(now, id, s.Outcome, flow)
 		case withdrawn:
