Ingress: a last event that waits for room is not cut at the deadline

Cause: the end of a stream was read only once its last event had been passed on. If that event had to wait for room in the buffer until the deadline, an answer was cut that its target had completed, and its slot stayed taken.

Change: while an event waits for room, the entry reads on (targetEnd). If nothing follows and the stream is whole, the target and its slot are free, and only the caller is waited for. An event whose caller keeps up starts no goroutine.

Left: the end is seen only if it follows the event that waits, not behind a further one.

--- a/pkg/ingress/answer_buffer.go
+++ b/pkg/ingress/answer_buffer.go
@@ -32,6 +32,8 @@
 	clock   clock.Clock
 	account *buffers.Account
 	reader  buffers.Reader
+	// target tells of the end of the target's answer while write waits; may be nil.
+	target *targetEnd
 	// progress gets a token after each step of writeOut. It holds one token, and a send never blocks.
 	progress chan struct{}
 
@@ -83,6 +85,7 @@
 	b.mu.Lock()
 	for b.err == nil && b.spare() == 0 && b.held > 0 && b.held+minChunk > b.limit {
 		b.mu.Unlock()
+		b.target.begin()
 		if err := b.await(); err != nil {
 			return 0, err
 		}
@@ -170,11 +173,14 @@
 	}
 }
 
-// await waits for the next step of writeOut, and fails at the end of the request.
+// await waits for the next step of writeOut, or of the target, and fails at the end of the request.
 func (b *answerBuffer) await() error {
 	select {
 	case <-b.progress:
 		return nil
+	case <-b.target.read():
+		b.target.take()
+		return nil
 	case <-b.ctx.Done():
 		err := fmt.Errorf("waiting for the caller to read: %w", context.Cause(b.ctx))
 		b.abandon(err)
--- a/pkg/ingress/answer_writer.go
+++ b/pkg/ingress/answer_writer.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// expectEnd has the end of the target's answer read ahead while there is no room for what is written; nil stops that.
+func (o *answerWriter) expectEnd(e *targetEnd) {
+	if o.buffer != nil {
+		o.buffer.target = e
+	}
+}
+
 // finish waits until the caller has taken what is written so far, also what net/http has buffered of it; after an error
 // the caller can't be written to any more. The last chunk follows when the request ends.
 func (o *answerWriter) finish() error {
