Ingress: the rest of a plain answer that waits for room is not cut at the deadline

Cause: as with streams, the end of a plain answer beyond the first MiB was read only once the part before it had been passed on. While that waited for room the deadline cut an answer that its target had completed. Its slot stayed taken also while the last part, known as the last, waited.

Change: relayBody reads the end ahead like a stream (targetEnd), and the assignment ends with the target answer, in relayRest.

--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -96,16 +97,32 @@
 		assignment.Done(outcome, planner.StreamStats{})
 		return d.writeWhole(q, out, a, body.data)
 	}
-	if result := d.relayBody(q, out, assignment.Target(), a, body.data); result != nil {
+	return d.relayRest(w, q, out, assignment, a, body.data, outcome)
+}
+
+// relayRest relays an answer of which a part has been read. The assignment ends with the given outcome once the target
+// has completed the answer.
+func (d *delivery) relayRest(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, part []byte, outcome planner.Outcome) attempt {
+	ended := false
+	end := func(o planner.Outcome) {
+		if !ended {
+			ended = true
+			assignment.Done(o, planner.StreamStats{})
+		}
+	}
+	complete := func() {
+		out.targetDone()
+		end(outcome)
+	}
+	if result := d.relayBody(q, out, assignment.Target(), a, part, complete); result != nil {
 		if _, gone := result.(callerGone); gone {
-			assignment.Done(planner.Abandoned, planner.StreamStats{})
+			end(planner.Abandoned)
 		} else {
-			assignment.Done(failureOutcome(w.exchangeCtx), planner.StreamStats{})
+			end(failureOutcome(w.exchangeCtx))
 		}
 		return result
 	}
 	q.sent++
-	assignment.Done(outcome, planner.StreamStats{})
 	return completed{success: a.Status < http.StatusMultipleChoices}
 }
 
@@ -135,18 +152,25 @@
 	return &planner.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown}
 }
 
-// relayBody relays a body of which a part has been read. It returns nil if the body is complete.
-func (d *delivery) relayBody(q *request, out *answerWriter, target *routing.Target, a *forward.Answer, part []byte) attempt {
+// relayBody relays a body of which a part has been read. It calls complete once the target has completed it, maybe twice,
+// and returns nil if the caller has it, too.
+func (d *delivery) relayBody(q *request, out *answerWriter, target *routing.Target, a *forward.Answer, part []byte, complete func()) attempt {
 	out.readAhead(d.buffers.Limits().Exchange)
+	from := bufio.NewReaderSize(a, relayBytes)
+	end := targetEnd{peek: func() error { _, err := from.Peek(1); return err }, reached: complete}
+	defer end.join()
+	out.expectEnd(&end)
+	defer out.expectEnd(nil)
 	if err := out.body(part); err != nil {
 		q.sent++
 		return callerGone{err}
 	}
 	buffer := make([]byte, relayBytes)
 	for {
-		n, err := a.Read(buffer)
+		end.join()
+		n, err := from.Read(buffer)
 		if errors.Is(err, io.EOF) {
-			out.targetDone()
+			complete()
 		}
 		if n > 0 {
 			if err := out.body(buffer[:n]); err != nil {
--- a/pkg/ingress/slow_caller_ends_test.go
+++ b/pkg/ingress/slow_caller_ends_test.go
@@ -67,3 +67,37 @@
 		}
 	}
 }
+
+// TestRestOfPlainAnswerThatWaitsForRoomIsNotCut guards against the same for plain answers that are not read whole before
+// they are passed on.
+func TestRestOfPlainAnswerThatWaitsForRoomIsNotCut(t *testing.T) {
+	const limit, length = 64 << 10, 1 << 20
+	for _, whole := range []bool{true, false} {
+		t.Run(fmt.Sprintf("whole %t", whole), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body := strings.Repeat("a", length)
+				b := newTestbedWithin(t, buffers.Limits{Total: 1 << 24, Exchange: limit, Bodies: 1 << 20}, fakeMeter{}, func(c net.Conn, r *http.Request) bool {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", r.Header.Get("Id"), length, body)
+					time.Sleep(eventInterval)
+					if whole {
+						_, _ = io.WriteString(c, "0\r\n\r\n")
+					}
+					return whole
+				})
+				time.AfterFunc(900*time.Millisecond, func() {
+					if whole {
+						b.checkOutcomes(1, "t1 Served")
+					}
+				})
+				got := b.callAndPause("/safe/a", 3*time.Second, map[string]string{"Wait": "1000"})
+				if got.complete != whole || whole && got.body != body {
+					t.Errorf("complete %t, %d bytes", got.complete, len(got.body))
+				}
+				synctest.Wait()
+				if cause := b.causeOf(); (cause == "none") != whole {
+					t.Errorf("cause %s", cause)
+				}
+			})
+		})
+	}
+}
