Buffers: an answer that cannot fit breaks no reader off

Cause: the memory for a plain answer was made first and counted then. If it did not fit even without slow readers, all of them were dropped, and the account stayed over its bound; the answer, passed on then, was dropped in its turn.

Change: HoldAnswer counts nothing and breaks nobody off then, like HoldBody, and is asked before the memory is made (growPlain). Such an answer goes to its caller as far as it was read, as before. So the account is never over its bound. What fits only without the slowest readers still breaks these off.

--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -117,14 +117,17 @@
 	a.bodies -= n
 }
 
-// HoldAnswer counts n bytes of an answer that is read before any of it goes to its caller. It returns the callers whose
-// answers have to be broken off, and whether the account is full even without them.
-func (a *Account) HoldAnswer(now clock.Millis, n int) (slowest []*Reader, full bool) {
+// HoldAnswer counts n bytes of an answer that is read before any of it goes to its caller. It reports false, and counts
+// nothing, if they would not fit even without the callers that are slow to read, as breaking these off would not help. It
+// also returns the callers whose answers have to be broken off.
+func (a *Account) HoldAnswer(now clock.Millis, n int) (slowest []*Reader, held bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if n > a.limits.Total-a.unsent-a.bodies {
+		return nil, false
+	}
 	a.unsent += n
-	slowest = a.dropSlowest(now)
-	return slowest, a.total() > a.limits.Total
+	return a.dropSlowest(now), true
 }
 
 // ReleaseAnswer takes back what HoldAnswer counted.
--- a/pkg/ingress/plain_body.go
+++ b/pkg/ingress/plain_body.go
@@ -28,13 +28,16 @@
 
 // readBuffered reads an answer that is not a stream, up to maxBuffered, or until the buffers of this entry are full.
 func (d *delivery) readBuffered(a *forward.Answer) (plainBody, error) {
-	b := plainBody{data: make([]byte, 0, max(minBody, min(int(a.Length)+1, maxStatedBody)))}
-	for full := d.holdPlain(&b); len(b.data) < maxBuffered && !full; {
+	var b plainBody
+	size := max(minBody, min(int(a.Length)+1, maxStatedBody))
+	for len(b.data) < maxBuffered {
 		if len(b.data) == cap(b.data) {
-			b.data = append(b.data, 0)[:len(b.data)]
-			full = d.holdPlain(&b)
+			if !d.growPlain(&b, min(size, maxBuffered)) {
+				break
+			}
+			size += size/4 + minBody
 		}
-		n, err := a.Read(b.data[len(b.data):min(cap(b.data), maxBuffered)])
+		n, err := a.Read(b.data[len(b.data):cap(b.data)])
 		b.data = b.data[:len(b.data)+n]
 		switch {
 		case errors.Is(err, io.EOF):
@@ -48,11 +51,15 @@
 	return b, nil
 }
 
-// holdPlain counts the memory of a body, and reports whether the buffers of this entry are full.
-func (d *delivery) holdPlain(b *plainBody) bool {
-	more := cap(b.data) - b.held
-	b.held += more
-	slowest, full := d.buffers.HoldAnswer(d.Clock.Now(), more)
+// growPlain counts and makes memory of the given size for a body. It reports false if the buffers of this entry have no
+// room for that.
+func (d *delivery) growPlain(b *plainBody, size int) bool {
+	slowest, held := d.buffers.HoldAnswer(d.Clock.Now(), size-b.held)
 	buffers.BreakOff(slowest)
-	return full
+	if !held {
+		return false
+	}
+	b.held = size
+	b.data = append(make([]byte, 0, size), b.data...)
+	return true
 }
