Ingress: unreadRefusal asks finalRefusal

Cause: unreadRefusal repeated a part of finalRefusal: the end of the process, the deadline, and the caller that has left.

Change: it says only which of the two a failed write means, and finalRefusal does the rest. They still differ where the deadline of the route ends the request: a caller that can not be written to may still be there (504 Deadline), one whose connection was seen to have ended has left. No behaviour changes.

Result: TestRefusalOfCallerThatIsGone holds both behaviours; it passes on the code before too, and fails without the case of the deadline (trial). Tests of ends and slow callers ok.

--- a/pkg/ingress/slow_reader.go
+++ b/pkg/ingress/slow_reader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 )
 
 // finishAnswer waits until the caller has taken an answer that its target has completed, and returns nil then. The
@@ -17,17 +16,14 @@
 	return nil
 }
 
-// unreadRefusal returns why a caller did not get the rest of an answer, given the error of writing to it.
+// unreadRefusal returns why a caller did not get the rest of an answer, given the error of writing to it: it has left,
+// unless the request's deadline ended the writing. A refusal as CauseLeft alone stays that at the deadline of the route.
 func (d *delivery) unreadRefusal(ctx context.Context, q *request, err error) *Refusal {
-	cause := context.Cause(ctx)
-	switch {
-	case errors.Is(cause, errEnded):
-		return &Refusal{Status: http.StatusBadGateway, Cause: CauseLeaving, Err: err}
-	case errors.Is(cause, errDeadline):
-		return &Refusal{Status: http.StatusGatewayTimeout, Cause: CauseDeadline, Err: err}
-	default:
-		return d.callerGoneRefusal(q, err)
+	refusal := &Refusal{Cause: CauseLeft, Err: err}
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		refusal.Cause = CauseDeadline
 	}
+	return d.finalRefusal(ctx, q, refusal)
 }
 
 // endUnfinished returns the final refusal of a request whose answer may have begun. If targets broke the answer off, it
