--- a/pkg/ingress/slow_caller_ends_test.go
+++ b/pkg/ingress/slow_caller_ends_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 
 	"quaydock/pkg/buffers"
 	"quaydock/pkg/ingress"
+	"quaydock/pkg/network"
 )
 
 // TestCallerThatLeavesWithBufferedAnswerEndsExchange guards against targets that work on for callers who have left.
@@ -247,3 +249,74 @@
 		})
 	}
 }
+
+// TestEndBehindLastEventThatWaitsForRoomIsNotCut guards against a deadline that cuts a stream whose end was read together
+// with what waits for room: comments behind the last event.
+func TestEndBehindLastEventThatWaitsForRoomIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		text := "data: a\n\n:" + strings.Repeat(" ", 256<<10) + "\n"
+		limits := buffers.Limits{Total: 1 << 24, Exchange: 64 << 10, Bodies: 1 << 20}
+		b := newTestbedWithin(t, limits, fakeMeter{}, answerWith(network.FramedByLength, "text/event-stream; charset=utf-8", text))
+		time.AfterFunc(900*time.Millisecond, func() { b.checkOutcomes(1, "t1 Served") })
+		if got := b.callAndPause("/stream/a", 3*time.Second, map[string]string{"Wait": "1000"}); !got.complete || got.body != text {
+			t.Errorf("complete %t, %d bytes", got.complete, len(got.body))
+		}
+	})
+}
+
+// TestBodyIsReleasedOnceTargetIsDone guards against bodies that stay counted while callers take their time.
+func TestBodyIsReleasedOnceTargetIsDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, fakeMeter{}, (&pacedTarget{events: 40}).script)
+		time.AfterFunc(200*time.Millisecond, func() {
+			if b.buffers.Usage().Bodies == 0 {
+				t.Error("the body is not counted while its target works")
+			}
+		})
+		time.AfterFunc(900*time.Millisecond, func() {
+			if held := b.buffers.Usage(); held.Bodies != 0 || held.Readers != 1 {
+				t.Errorf("%+v is held while only the caller is waited for", held)
+			}
+		})
+		if got := b.callAndPause("/stream/a", 2*time.Second, nil); !got.complete || got.body != bigEvents(40) {
+			t.Errorf("complete %t, %d bytes", got.complete, len(got.body))
+		}
+	})
+}
+
+// TestRequestRunsUntilCallerHasLastBytes guards against a request that ends while net/http still holds the end of its
+// answer: a drain would not wait for it.
+func TestRequestRunsUntilCallerHasLastBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const inConnection = 64 << 10            // bytes that a connection in memory takes
+		body := strings.Repeat("a", 1<<20+4<<10) // the last 4 KiB fit into the buffer of net/http
+		b := newTestbed(t, fakeMeter{}, replies(200, "", body))
+		c, err := b.network.Dial(context.Background(), entryAt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "POST /safe/a HTTP/1.1\r\nHost: h\r\nKey: key\r\nId: r1\r\nContent-Length: 8\r\n\r\nquestion")
+		from := bufio.NewReaderSize(c, 16)
+		response, err := http.ReadResponse(from, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		left := len(body)
+		for ; left > 0; left -= 1 << 10 {
+			if synctest.Wait(); b.controller.Running() == 0 {
+				break
+			}
+			if _, err := io.ReadFull(response.Body, make([]byte, 1<<10)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if left > inConnection {
+			t.Errorf("the request has ended, and %d bytes are not taken", left)
+		}
+		rest, err := io.ReadAll(response.Body)
+		if err != nil || len(rest) != left {
+			t.Errorf("the rest has %d bytes, %v", len(rest), err)
+		}
+	})
+}
