--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -96,16 +97,32 @@
 		assignment.Done(outcome, planner.StreamStats{})
 		return d.writeWhole(q, out, a, body.data)
 	}
-	if result := d.relayBody(q, out, assignment.Target(), a, body.data); result != nil {
+	return d.relayRest(w, q, out, assignment, a, body.data, outcome)
+}
+
+// relayRest relays an answer of which a part has been read. The assignment ends with the given outcome once the target
+// has completed the answer.
+func (d *delivery) relayRest(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, part []byte, outcome planner.Outcome) attempt {
+	ended := false
+	end := func(o planner.Outcome) {
+		if !ended {
+			ended = true
+			assignment.Done(o, planner.StreamStats{})
+		}
+	}
+	complete := func() {
+		out.targetDone()
+		end(outcome)
+	}
+	if result := d.relayBody(q, out, assignment.Target(), a, part, complete); result != nil {
 		if _, gone := result.(callerGone); gone {
-			assignment.Done(planner.Abandoned, planner.StreamStats{})
+			end(planner.Abandoned)
 		} else {
-			assignment.Done(failureOutcome(w.exchangeCtx), planner.StreamStats{})
+			end(failureOutcome(w.exchangeCtx))
 		}
 		return result
 	}
 	q.sent++
-	assignment.Done(outcome, planner.StreamStats{})
 	return completed{success: a.Status < http.StatusMultipleChoices}
 }
 
@@ -135,18 +152,25 @@
 	return &planner.Load{Running: a.Load.Running, Waiting: a.Load.Waiting, Slowdown: a.Load.Slowdown}
 }
 
-// relayBody relays a body of which a part has been read. It returns nil if the body is complete.
-func (d *delivery) relayBody(q *request, out *answerWriter, target *routing.Target, a *forward.Answer, part []byte) attempt {
+// relayBody relays a body of which a part has been read. It calls complete once the target has completed it, maybe twice,
+// and returns nil if the caller has it, too.
+func (d *delivery) relayBody(q *request, out *answerWriter, target *routing.Target, a *forward.Answer, part []byte, complete func()) attempt {
 	out.readAhead(d.buffers.Limits().Exchange)
+	from := bufio.NewReaderSize(a, relayBytes)
+	end := targetEnd{peek: func() error { _, err := from.Peek(1); return err }, reached: complete}
+	defer end.join()
+	out.expectEnd(&end)
+	defer out.expectEnd(nil)
 	if err := out.body(part); err != nil {
 		q.sent++
 		return callerGone{err}
 	}
 	buffer := make([]byte, relayBytes)
 	for {
-		n, err := a.Read(buffer)
+		end.join()
+		n, err := from.Read(buffer)
 		if errors.Is(err, io.EOF) {
-			out.targetDone()
+			complete()
 		}
 		if n > 0 {
 			if err := out.body(buffer[:n]); err != nil {
@@ -165,71 +189,6 @@
 	}
 }
 
-// relayStream relays a stream event by event. Only complete events are written, so that a resumable stream can go on at
-// another target after the last one, and so that what the caller has of a stream that ends inside an event ends before
-// that event.
-func (d *delivery) relayStream(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, events *eventstream.Reader) attempt {
-	var flow planner.StreamStats
-	last := q.placedAt
-	for ; ; flow.Events++ {
-		e, err := events.Next()
-		ended := err != nil
-		if ended {
-			err = streamEnd(q, a, events, err)
-		}
-		if err != nil {
-			now := d.Clock.Now()
-			q.addToTrail(now, fmt.Sprintf("stream %s after %d events, %d ms after the last, at", w.endText(), flow.Events, now-last), assignment.Target().ID)
-			d.recordEarlyEnd(q, assignment.Target(), a, err, len(e.Raw))
-			assignment.Done(failureOutcome(w.exchangeCtx), flow)
-			return lost{err: err}
-		}
-		if !w.recordEvent(e, a) {
-			assignment.Done(planner.Failed, flow)
-			return lost{err: errRedispatched}
-		}
-		now := d.Clock.Now()
-		q.recordArrival(now)
-		if flow.Events > 0 {
-			flow.LongestGap = max(flow.LongestGap, now-last)
-		} else {
-			d.beginStream(q, out, assignment, a)
-		}
-		if ended {
-			// Only the caller is waited for from now on, also for room for the last event.
-			out.targetDone()
-			assignment.Done(planner.Served, flow)
-		}
-		if err := d.relayEvent(q, out, e, ended || !events.Buffered()); err != nil {
-			if !ended {
-				assignment.Done(planner.Abandoned, flow)
-			}
-			q.sent++
-			return callerGone{err}
-		}
-		if ended {
-			q.sent++
-			return completed{success: true}
-		}
-		d.recordProgress(q, e, now)
-		// The time that the caller took to make room is not the target's.
-		last = d.Clock.Now()
-		q.eventAt = last
-		w.restartTimer()
-	}
-}
-
-// beginStream records the first event of a target, and begins the answer if no target did before.
-func (d *delivery) beginStream(q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer) {
-	d.settleOrigin(q, assignment.Target(), a)
-	q.addToTrail(d.Clock.Now(), "first event from", assignment.Target().ID)
-	assignment.Began(load(a))
-	if !out.started {
-		out.head(d.headerCodec, a, -1)
-		out.readAhead(d.buffers.Limits().Exchange)
-	}
-}
-
 // relayEvent relays one event, unless the caller has it already: one whose id is not above that of the last event. With
 // flush the event is sent to the caller at once; otherwise it may stay buffered until a later one is sent.
 func (d *delivery) relayEvent(q *request, out *answerWriter, e eventstream.Event, flush bool) error {
