Planner: factors are centered only once their mean has drifted far

Cause: dividing all factors by their mean at each tick makes up for small errors of the factors of busy targets, but shrinks those of targets that get few requests: the slowest old target counted as 2.9 to 3.4 times as slow as the usual one, without centering as 3.9, and the canary's are 4.6 and 4.3 times as slow. Change: the factors are divided by their mean only once that is below .5 or above 2.

--- a/pkg/planner/factors.go
+++ b/pkg/planner/factors.go
@@ -1,9 +1,17 @@
 package planner
 
-// centerFactors divides the known factors of the targets by their mean. Factors are learned from times divided by
-// estimates, and estimates from times divided by factors: if an estimate is too high at first, the factors fall, these
-// raise the other estimates, and so on, until the factors reach their limit and targets of different speeds seem alike. It
-// answers services with streams; without any, one estimate is all that the factors are used with.
+const (
+	// lowestMeanFactor and highestMeanFactor are the bounds of the mean of the targets' factors: targets of a service differ in
+	// speed by a few times, and within these bounds their factors stay clear of factorMin and factorMax.
+	lowestMeanFactor  = 0.5
+	highestMeanFactor = 2.0
+)
+
+// centerFactors divides the known factors of the targets by their mean once that has drifted far from one. Factors are
+// learned from times divided by estimates, and estimates from times divided by factors: if an estimate is too high at
+// first, the factors fall, these raise the other estimates, and so on, until the factors reach their limit and targets of
+// different speeds seem alike. It answers services with streams; without any, one estimate is all that the factors are used
+// with.
 func (p *Planner) centerFactors() {
 	if p.timings.interval.n == 0 {
 		return
@@ -15,10 +23,10 @@
 			known++
 		}
 	}
-	if known == 0 {
+	mean := sum / max(1, known)
+	if known == 0 || mean >= lowestMeanFactor && mean <= highestMeanFactor {
 		return
 	}
-	mean := sum / known
 	for _, t := range p.eligible {
 		t.factor.value /= mean
 	}
