Revert part E: requests that stay in their failure domain

Cause: part E, merged in; what of it is not traced. Ruled out: centering of factors (fails without it, too), mends of stalls and of slow readers (in the code that passes).

--- a/pkg/ablation/ablation.go
+++ b/pkg/ablation/ablation.go
@@ -35,7 +35,7 @@
 	Disturbance // disturbance
 	// InTime: a request that can be in time only gets targets on which it will probably be.
 	InTime // in-time
-	// DomainCost: a request stays in its failure domain while it can be in time there.
+	// DomainCost: a target in another failure domain than the request's costs more.
 	DomainCost // domain-cost
 	// Learned: planners take over the estimates of others.
 	Learned // learned
--- a/pkg/dispatch/owner_gauges.go
+++ b/pkg/dispatch/owner_gauges.go
@@ -18,10 +18,6 @@
 		add("accounts_over_share", accounts.OverShare)
 		add("refusals_over_share", accounts.Refusals)
 		add("targets_slowed", g.planner.SlowedTargets(now))
-		spills := g.planner.SpillCount()
-		add("requests_local", spills.Local)
-		add("requests_spilled", spills.Spilled)
-		add("prompt_tokens_spilled", int(spills.SpilledTokens))
 	}
 	return values
 }
--- a/pkg/loadmodel/caller.go
+++ b/pkg/loadmodel/caller.go
@@ -30,19 +30,18 @@
 	tries      int          // so far, refused ones included
 	status     status
 
-	triedAt       clock.Millis  // time of its latest try
-	id            planner.JobID // of its latest try
-	grantedAt     clock.Millis  // time of the latest grant; 0 before the first
-	firstEventAt  clock.Millis  // 0 until the first event
-	target        *target       // nil unless its latest try is running
-	sent, spilled ids.Tokens    // of prompts and events: that were granted targets, and of these in other failure domains
-	heldFor       clock.Millis  // total waiting time of tries that were not granted
+	triedAt      clock.Millis  // time of its latest try
+	id           planner.JobID // of its latest try
+	grantedAt    clock.Millis  // time of the latest grant; 0 before the first
+	firstEventAt clock.Millis  // 0 until the first event
+	target       *target       // nil unless its latest try is running
+	heldFor      clock.Millis  // total waiting time of tries that were not granted
 }
 
 // job returns the caller's latest try as the planner is told of it.
 func (c *caller) job() planner.Job {
 	return planner.Job{
-		ID: c.id, Account: c.kind.Account, Domain: c.kind.Domain, Tier: c.kind.Tier, Prompt: c.prompt, Events: c.events,
+		ID: c.id, Account: c.kind.Account, Tier: c.kind.Tier, Prompt: c.prompt, Events: c.events,
 		Arrived: c.triedAt, Objective: c.kind.Objective, Deadline: c.firstTryAt + c.kind.Deadline,
 		Patience: c.kind.Patience, SinceFirstTry: c.triedAt - c.firstTryAt, Retried: c.tries > 1,
 	}
--- a/pkg/planner/incarnations.go
+++ b/pkg/planner/incarnations.go
@@ -45,7 +45,6 @@
 			p.slots += t.capacity()
 		}
 	}
-	p.spills.relist(p.eligible)
 	p.updateRateLimited(now)
 }
 
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -14,6 +14,9 @@
 	// prefillWeight is the weight of the delay that reading a prompt adds to each answer streaming on the same
 	// target.
 	prefillWeight = 0.3
+	// crossDomainCost is the cost in ms of sending a request to another failure domain: latency and price of the
+	// traffic.
+	crossDomainCost = 100.0
 	// lateCost is the cost in ms of making one running answer late.
 	lateCost = 400.0
 	// lengthMargin multiplies the estimated remaining time of an answer when it is compared with the deadline.
@@ -40,17 +43,23 @@
 		return
 	}
 	p.queue.sort(now)
-	for i, w := range p.queue.jobs {
-		for !w.granted {
-			t := p.choose(now, &c, w)
-			if t == nil {
-				break
-			}
-			p.grantQueued(now, p.taker(now, &c, p.queue.jobs[i:], p.queue.jobs[:i], t), t)
-			c.available = slices.DeleteFunc(c.available, func(t *target) bool { return !p.hasFreeSlot(now, t, c.avoidFailing) })
+	remaining := p.queue.jobs[:0]
+	for _, w := range p.queue.jobs {
+		var t *target
+		if len(c.available) > 0 && !p.mustWait(now, w) && !p.trial.canaryOnly(w) {
+			t = p.cheapest(now, &c, w)
 		}
+		if t == nil {
+			remaining = append(remaining, w)
+			continue
+		}
+		p.grant(now, w, t)
+		p.countGrant(now, w)
+		p.trial.addCredit(w.Route)
+		c.available = slices.DeleteFunc(c.available, func(t *target) bool { return !p.hasFreeSlot(now, t, c.avoidFailing) })
 	}
-	p.queue.removeIf(func(w *queuedJob) bool { return w.granted })
+	clear(p.queue.jobs[len(remaining):])
+	p.queue.jobs = remaining
 	if len(c.available) > 0 {
 		p.fullSince = 0
 	} else {
@@ -58,22 +67,6 @@
 	}
 }
 
-// choose returns the target that a queued job gets now, nil if it gets none.
-func (p *Planner) choose(now clock.Millis, c *candidates, w *queuedJob) *target {
-	if len(c.available) == 0 || p.mustWait(now, w) || p.trial.canaryOnly(w) {
-		return nil
-	}
-	return p.cheapest(now, c, w)
-}
-
-// grantQueued assigns a queued job to a target and marks it as granted; the caller removes it from the queue.
-func (p *Planner) grantQueued(now clock.Millis, w *queuedJob, t *target) {
-	w.granted = true
-	p.grant(now, w, t)
-	p.countGrant(now, w)
-	p.trial.addCredit(w.Route)
-}
-
 // grant assigns a job to a target and takes the tokens that hasFreeSlot found in its buckets. The caller removes the
 // job from the queue.
 func (p *Planner) grant(now clock.Millis, w *queuedJob, t *target) *run {
@@ -86,7 +79,6 @@
 	t.limitBucket.take()
 	p.runs[w.ID] = r
 	p.shares.start(now, &w.Job)
-	p.spills.countGrant(&w.Job, t)
 	p.addDecision(r.grant())
 	return r
 }
@@ -240,7 +232,10 @@
 	if now < p.backoffUntil && t.backsOffAny(now) {
 		cost += backoffCost
 	}
-	return cost + p.spillCost(now, job, t)
+	if job.Domain != t.Domain && !p.off.Off(ablation.DomainCost) {
+		cost += crossDomainCost
+	}
+	return cost
 }
 
 // minFirstEventTime estimates the time to a job's first event on the fastest target of its version while that reads no
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -37,7 +37,6 @@
 	backoffUntil clock.Millis
 	grantRates   map[ids.TierRank]*rateBySize // recent grants, without those to canary targets
 	shares       accountShares
-	spills       spills
 	decisions    []Decision // made since the last call of Decisions
 	off          ablation.Set
 }
--- a/pkg/planner/queue.go
+++ b/pkg/planner/queue.go
@@ -20,7 +20,6 @@
 	// kept while maxWait allows it, even if its first event will be late.
 	committed bool
 	lastPoll  clock.Millis // time of its last Submit
-	granted   bool         // it has got a target and is about to leave the queue
 }
 
 // queue holds the waiting jobs. It is short, since jobs that cannot be in time are refused soon after they arrive.
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -85,7 +85,7 @@
 	wait := p.estimateWait(now, w, ahead)
 	latest := w.Arrived + clock.Millis(refuseWithin*float64(w.Objective))
 	if w.committed {
-		limit := w.Arrived + w.maxWait()
+		limit := w.Arrived + p.maxWait(w)
 		return now > limit || now+wait > limit && !p.off.Off(ablation.EarlyRefusal)
 	}
 	if now+wait <= w.latestStart || p.off.Off(ablation.EarlyRefusal) {
@@ -98,10 +98,10 @@
 
 // maxWait returns how long a job may wait: a fraction of its time, and short enough for its first event to come
 // within its caller's patience.
-func (j *Job) maxWait() clock.Millis {
-	wait := clock.Millis(maxWaitFraction * float64(j.Deadline-j.Arrived))
-	if j.Patience > 0 {
-		wait = min(wait, clock.Millis(patienceFraction*float64(j.Patience)))
+func (p *Planner) maxWait(w *queuedJob) clock.Millis {
+	wait := clock.Millis(maxWaitFraction * float64(w.Deadline-w.Arrived))
+	if w.Patience > 0 {
+		wait = min(wait, clock.Millis(patienceFraction*float64(w.Patience)))
 	}
 	return wait
 }
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -91,7 +91,6 @@
 		return
 	}
 	p.releases.add(now)
-	p.spills.countRelease(now, r.target)
 	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld && outcome != Declined {
 		p.runTime.add(float64(now-r.grantedAt) / p.meanExcess(now, r.target, r.grantedAt, r.totalAtGrant))
 	}
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -25,9 +25,6 @@
 	Slowed int
 	// Accounts tells of the client accounts that share the slots.
 	Accounts AccountSummary
-	// Spills counts jobs by the failure domain that they got, and Domains those of the eligible targets.
-	Spills  SpillCount
-	Domains int
 	// Factors holds by how much each target is slower than the others.
 	Factors map[ids.Target]float64
 }
@@ -37,7 +34,6 @@
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
 		Accounts: p.AccountSummary(), PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now),
-		Spills: p.spills.count, Domains: len(p.spills.domains),
 		Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
 	s.FirstEventBase, s.FirstEventPerThousand = p.timings.firstEvent.fit()
