ctl: one piece prints tables, one checks the output of status

Change: printTable serves all seven; checkContains, checkLacks and serveOnly serve the tests of status, older ones too. No assertion is changed. TestStatusShowsSharesOfAccounts no longer serves the page of metrics, as the other tests don't.

--- a/pkg/ctl/bound.go
+++ b/pkg/ctl/bound.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"text/tabwriter"
 
 	"quaydock/pkg/loadmodel"
 )
@@ -43,16 +42,17 @@
 
 // writeBound prints the results of the simulation and of the upper bound by kind, and their sums.
 func writeBound(out io.Writer, simulated, bound loadmodel.Result) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "kind\tasked\tin time\tlate\trefused\trefused again\tlost\tearned\tbound\tnet\t")
-	upperBounds := append(bound.Outcomes, bound.Total())
-	for i, o := range append(simulated.Outcomes, simulated.Total()) {
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t\n", o.Kind, o.Callers,
-			percent(o.InTime, o.Callers), percent(o.Late, o.Callers), percent(o.Refused, o.Callers), percent(o.RefusedAgain, o.Callers), percent(o.Lost, o.Callers),
-			o.EarnedFraction(), upperBounds[i].EarnedFraction(), o.NetFraction())
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
+	err := printTable(out, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "kind\tasked\tin time\tlate\trefused\trefused again\tlost\tearned\tbound\tnet\t")
+		upperBounds := append(bound.Outcomes, bound.Total())
+		for i, o := range append(simulated.Outcomes, simulated.Total()) {
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t\n", o.Kind, o.Callers,
+				percent(o.InTime, o.Callers), percent(o.Late, o.Callers), percent(o.Refused, o.Callers), percent(o.RefusedAgain, o.Callers), percent(o.Lost, o.Callers),
+				o.EarnedFraction(), upperBounds[i].EarnedFraction(), o.NetFraction())
+		}
+	})
+	if err != nil {
+		return err
 	}
 	report(out, "earned, bound, net: parts of what all in time would have been worth; net is less what it costs callers to wait or come back for nothing")
 	return nil
--- a/pkg/ctl/quarantine.go
+++ b/pkg/ctl/quarantine.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"text/tabwriter"
 
 	"quaydock/pkg/operators"
 	"quaydock/pkg/quarantine"
@@ -60,23 +59,20 @@
 
 // writeQuarantine prints the requests in quarantine with the targets that ended under them.
 func writeQuarantine(out io.Writer, reports []quarantine.Report) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "digest\taccount\troute\tpart\tservice\tfor\tmay run in\tended targets") // Flush returns write errors
-	for i := range reports {
-		r := &reports[i]
-		var targets []string
-		for _, e := range r.Ends {
-			targets = append(targets, string(e.Incarnation.Target))
+	return printTable(out, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "digest\taccount\troute\tpart\tservice\tfor\tmay run in\tended targets")
+		for i := range reports {
+			r := &reports[i]
+			var targets []string
+			for _, e := range r.Ends {
+				targets = append(targets, string(e.Incarnation.Target))
+			}
+			part := ""
+			if r.Service != "" {
+				part = r.Part.String()
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f s\t%.0f s\t%s\n", r.Digest, r.Account, r.Route, part, r.Service,
+				r.For.Duration().Seconds(), r.RetryIn.Duration().Seconds(), strings.Join(targets, " "))
 		}
-		part := ""
-		if r.Service != "" {
-			part = r.Part.String()
-		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f s\t%.0f s\t%s\n", r.Digest, r.Account, r.Route, part, r.Service,
-			r.For.Duration().Seconds(), r.RetryIn.Duration().Seconds(), strings.Join(targets, " "))
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
-	}
-	return nil
+	})
 }
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -86,15 +85,12 @@
 		report(out, "no target leaves or rests by its own word, or names a limit")
 		return nil
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "target\tservice\tin the list\tby its own word") // Flush returns write errors
-	for _, t := range targets {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", t.Target, t.Service, t.Listed, describeAdvice(t))
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
-	}
-	return nil
+	return printTable(out, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "target\tservice\tin the list\tby its own word")
+		for _, t := range targets {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", t.Target, t.Service, t.Listed, describeAdvice(t))
+		}
+	})
 }
 
 // fetchFromEntry fetches a page that only entries on the platform serve. known is false, without an error, if the
--- a/pkg/ctl/status_load.go
+++ b/pkg/ctl/status_load.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"text/tabwriter"
 
 	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
@@ -44,20 +43,17 @@
 	if len(services) == 0 {
 		return nil
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "slowed target\tservice\tstart\ttimes\tusually\treported") // Flush returns write errors
-	for _, s := range services {
-		for _, t := range s.Slowest {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.1f\t%.1f\t%s ago\n", t.Target, s.Service, t.Start, t.Factor, t.Mean, seconds(t.Age))
-		}
-		if more := s.Slowed - len(s.Slowest); more > 0 {
-			_, _ = fmt.Fprintf(w, "%d more\t%s\t\t\t\t\n", more, s.Service)
+	return printTable(out, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "slowed target\tservice\tstart\ttimes\tusually\treported")
+		for _, s := range services {
+			for _, t := range s.Slowest {
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.1f\t%.1f\t%s ago\n", t.Target, s.Service, t.Start, t.Factor, t.Mean, seconds(t.Age))
+			}
+			if more := s.Slowed - len(s.Slowest); more > 0 {
+				_, _ = fmt.Fprintf(w, "%d more\t%s\t\t\t\t\n", more, s.Service)
+			}
 		}
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
-	}
-	return nil
+	})
 }
 
 // maxAccountsShown limits how many accounts of a tier of a service status prints; those that hold most come first.
@@ -73,17 +69,14 @@
 	if len(reports) == 0 {
 		return nil
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "account\tservice\ttier\tshare\tuse\tdemand") // Flush returns write errors
-	for len(reports) > 0 {
-		n := lengthOfTier(reports)
-		showTier(w, reports[:n])
-		reports = reports[n:]
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
-	}
-	return nil
+	return printTable(out, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "account\tservice\ttier\tshare\tuse\tdemand")
+		for len(reports) > 0 {
+			n := lengthOfTier(reports)
+			showTier(w, reports[:n])
+			reports = reports[n:]
+		}
+	})
 }
 
 // lengthOfTier returns how many reports at the beginning of a list are of the same tier of the same service.
@@ -125,15 +118,12 @@
 	if len(r.Slowest) == 0 {
 		return nil
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "slow caller holds\tbehind for\ttook nothing for") // Flush returns write errors
-	for _, reader := range r.Slowest {
-		_, _ = fmt.Fprintf(w, "%d KiB\t%s\t%s\n", reader.Held/kibibyte, seconds(reader.Behind), seconds(reader.Untaken))
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("printing: %w", err)
-	}
-	return nil
+	return printTable(out, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "slow caller holds\tbehind for\ttook nothing for")
+		for _, reader := range r.Slowest {
+			_, _ = fmt.Fprintf(w, "%d KiB\t%s\t%s\n", reader.Held/kibibyte, seconds(reader.Behind), seconds(reader.Untaken))
+		}
+	})
 }
 
 const (
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -50,14 +50,8 @@
 			}))
 			defer server.Close()
 			out := statusOf(t, server)
-			for _, text := range s.want {
-				if !strings.Contains(out, text) {
-					t.Errorf("output lacks %q:\n%s", text, out)
-				}
-			}
-			if strings.Contains(out, s.without) {
-				t.Errorf("unexpected %q in output:\n%s", s.without, out)
-			}
+			checkContains(t, out, s.want)
+			checkLacks(t, out, s.without)
 		})
 	}
 }
@@ -76,18 +70,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				switch r.URL.Path {
-				case operators.PathReady:
-					w.WriteHeader(http.StatusNoContent)
-				case operators.PathDomains:
-					_ = json.NewEncoder(w).Encode(s.reports)
-				default:
-					w.WriteHeader(http.StatusNotFound)
-				}
-			}))
-			defer server.Close()
-			out := statusOf(t, server)
+			out := statusOf(t, serveOnly(t, operators.PathDomains, s.reports))
 			if !strings.Contains(out, s.want) || strings.Contains(out, s.without) {
 				t.Errorf("output lacks %q, or has unexpected %q:\n%s", s.want, s.without, out)
 			}
@@ -105,31 +88,32 @@
 	return out.String()
 }
 
+// checkContains checks that an output has all of these parts.
+func checkContains(t *testing.T, out string, want []string) {
+	t.Helper()
+	for _, text := range want {
+		if !strings.Contains(out, text) {
+			t.Errorf("output lacks %q:\n%s", text, out)
+		}
+	}
+}
+
+// checkLacks checks that an output has no such part.
+func checkLacks(t *testing.T, out, text string) {
+	t.Helper()
+	if strings.Contains(out, text) {
+		t.Errorf("unexpected %q in output:\n%s", text, out)
+	}
+}
+
 // TestStatusShowsSharesOfAccounts checks that the accounts of a service are printed with what they hold.
 func TestStatusShowsSharesOfAccounts(t *testing.T) {
 	reports := []fairshare.Report{
 		{Service: "s", Tier: 1, Standing: fairshare.Standing{Account: "acme", Class: fairshare.Above, Share: 9, Use: 9.2, Demand: 25}},
 		{Service: "s", Tier: 1, Standing: fairshare.Standing{Account: "other", Use: 2, Demand: 2}},
 	}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch r.URL.Path {
-		case operators.PathReady:
-			w.WriteHeader(http.StatusNoContent)
-		case operators.PathMetrics:
-			_, _ = w.Write([]byte(`{"links":{}}`))
-		case operators.PathAccounts:
-			_ = json.NewEncoder(w).Encode(reports)
-		default:
-			w.WriteHeader(http.StatusNotFound)
-		}
-	}))
-	defer server.Close()
-	out := statusOf(t, server)
-	for _, text := range []string{"acme     s        1     9.0       9.2  25.0", "other    s        1     no limit  2.0  2.0"} {
-		if !strings.Contains(out, text) {
-			t.Errorf("output lacks %q:\n%s", text, out)
-		}
-	}
+	out := statusOf(t, serveOnly(t, operators.PathAccounts, reports))
+	checkContains(t, out, []string{"acme     s        1     9.0       9.2  25.0", "other    s        1     no limit  2.0  2.0"})
 }
 
 // TestStatusShowsAccountsOfEachTier guards against accounts of lower tiers that are never shown, as those of a higher
@@ -143,11 +127,7 @@
 	}
 	reports = append(reports, fairshare.Report{Service: "u", Tier: 1, Standing: fairshare.Standing{Account: "a", Use: 1}})
 	out := statusOf(t, serveOnly(t, operators.PathAccounts, reports))
-	for _, text := range []string{"a0-0 ", "a0-19 ", "a1-0 ", "a1-19 ", "3 more   s        0", "3 more   s        1", "a        u        1"} {
-		if !strings.Contains(out, text) {
-			t.Errorf("output lacks %q:\n%s", text, out)
-		}
-	}
+	checkContains(t, out, []string{"a0-0 ", "a0-19 ", "a1-0 ", "a1-19 ", "3 more   s        0", "3 more   s        1", "a        u        1"})
 	if strings.Contains(out, "a0-20 ") || strings.Contains(out, "a1-20 ") || strings.Count(out, " more") != 2 {
 		t.Errorf("more than 20 accounts of a tier:\n%s", out)
 	}
@@ -172,14 +152,8 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			out := statusOf(t, serveOnly(t, operators.PathSlowed, s.reports))
-			for _, text := range s.want {
-				if !strings.Contains(out, text) {
-					t.Errorf("output lacks %q:\n%s", text, out)
-				}
-			}
-			if strings.Contains(out, s.without) {
-				t.Errorf("unexpected %q in output:\n%s", s.without, out)
-			}
+			checkContains(t, out, s.want)
+			checkLacks(t, out, s.without)
 		})
 	}
 }
@@ -206,14 +180,8 @@
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			out := statusOf(t, serveOnly(t, operators.PathBuffers, s.report))
-			for _, text := range s.want {
-				if !strings.Contains(out, text) {
-					t.Errorf("output lacks %q:\n%s", text, out)
-				}
-			}
-			if strings.Contains(out, s.without) {
-				t.Errorf("unexpected %q in output:\n%s", s.without, out)
-			}
+			checkContains(t, out, s.want)
+			checkLacks(t, out, s.without)
 		})
 	}
 	t.Run("another process", func(t *testing.T) {
