Planner: what a run keeps of its target's slowness is derived

Cause: slowdownAtGrant followed from sampleAtGrant; Forecast and Sample computed the same decay, and the age of a report stood in four places; four methods took the planner without using it; the total at the first event was set in two places; two loops sought the fastest target. Change: Estimate.certainty and Age, Sample.Expected, methods of run, target.addRun and recordFirstEvent set what they know, fastestOf. The third loop, in findCandidates, stays, as it finds more on its way. Result: behaviour is the same; pkg/planner, slowdown, schedule, dispatch and loadmodel pass.

--- a/pkg/planner/pace.go
+++ b/pkg/planner/pace.go
@@ -38,19 +38,15 @@
 	}
 }
 
-// slowdownTotal returns the time by which the target was expected to be slower than usual so far, for meanSlowdown.
-func (p *Planner) slowdownTotal(now clock.Millis, t *target) float64 {
-	return t.slowdown.Total(now)
+// meanSlowdown returns the mean slowdown of a run's target since a moment at which the total of the target's slowdown was
+// from.
+func (r *run) meanSlowdown(now, since clock.Millis, from float64) float64 {
+	return float64(slowdown.MeanOver(from, r.target.slowdown.Total(now), now-since))
 }
 
-// meanSlowdown returns the mean slowdown of a target since a moment at which slowdownTotal was from.
-func (p *Planner) meanSlowdown(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
-	return float64(slowdown.MeanOver(from, p.slowdownTotal(now, t), now-since))
-}
-
-// meanExcess is meanSlowdown in relation to what the target has in the mean.
-func (p *Planner) meanExcess(now clock.Millis, t *target, since clock.Millis, from float64) float64 {
-	return p.meanSlowdown(now, t, since, from) / float64(t.slowdown.Mean())
+// meanExcess returns the mean slowdown since the grant in relation to what the target has in the mean.
+func (r *run) meanExcess(now clock.Millis) float64 {
+	return r.meanSlowdown(now, r.grantedAt, r.totalAtGrant) / float64(r.target.slowdown.Mean())
 }
 
 // VisitSlownessChanges calls visit for each target that has become slowed, or is so no more, since the last call.
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -73,7 +73,7 @@
 	if len(t.runs) >= p.slotsForCalls(t) {
 		t.beyondLimitAt = now
 	}
-	r := p.addRun(now, t, w.Job)
+	r := t.addRun(now, w.Job)
 	r.counted = t.limitBucket != nil
 	t.coldBucket.take()
 	t.limitBucket.take()
@@ -162,9 +162,14 @@
 	if job.Version == nil {
 		return c.fastest, c.known
 	}
+	return p.fastestOf(now, func(t *target) bool { return job.FitsVersion(t.Target) && !t.health.Ejected(now) })
+}
+
+// fastestOf returns the pace of the fastest of the targets for which fits returns true, and whether there is one.
+func (p *Planner) fastestOf(now clock.Millis, fits func(*target) bool) (fastest pace, known bool) {
 	fastest = slowest()
 	for _, t := range p.eligible {
-		if job.FitsVersion(t.Target) && !t.health.Ejected(now) {
+		if fits(t) {
 			fastest = p.faster(now, fastest, t)
 			known = true
 		}
@@ -241,13 +246,7 @@
 // minFirstEventTime estimates the time to a job's first event on the fastest target of its version while that reads no
 // other prompt.
 func (p *Planner) minFirstEventTime(now clock.Millis, job *Job) clock.Millis {
-	fastest, known := slowest(), false
-	for _, t := range p.eligible {
-		if job.FitsVersion(t.Target) {
-			fastest = p.faster(now, fastest, t)
-			known = true
-		}
-	}
+	fastest, known := p.fastestOf(now, func(t *target) bool { return job.FitsVersion(t.Target) })
 	if !known {
 		fastest = normalPace()
 	}
--- a/pkg/planner/runs.go
+++ b/pkg/planner/runs.go
@@ -42,7 +42,6 @@
 	if load != nil {
 		p.recordSlowdown(now, r.target, load.Slowdown)
 	}
-	r.totalAtFirstEvent = p.slowdownTotal(now, r.target)
 	if !r.canary {
 		p.learnFirstEvent(now, r)
 	}
@@ -62,7 +61,7 @@
 	p.observe(now, r, outcome, flow)
 	if r.hasFirstEvent && flow.Events >= minEvents && !r.canary {
 		// The number of concurrent runs is the mean of those at the grant and now.
-		slowdown := p.meanSlowdown(now, t, r.firstEventAt, r.totalAtFirstEvent)
+		slowdown := r.meanSlowdown(now, r.firstEventAt, r.totalAtFirstEvent)
 		p.timings.learnInterval(&t.factor, (r.concurrency+len(t.runs))/2, float64(now-r.firstEventAt)/slowdown/float64(flow.Events))
 		p.timings.learnPrefillStall(t.factor.get()*slowdown, r.maxBacklog, len(t.runs), flow.LongestGap)
 	}
@@ -92,7 +91,7 @@
 	}
 	p.releases.add(now)
 	if outcome != Unreached && outcome != Full && outcome != Moved && outcome != Withheld && outcome != Declined {
-		p.runTime.add(float64(now-r.grantedAt) / p.meanExcess(now, r.target, r.grantedAt, r.totalAtGrant))
+		p.runTime.add(float64(now-r.grantedAt) / r.meanExcess(now))
 	}
 }
 
@@ -109,26 +108,16 @@
 	if t == nil {
 		return // the target is gone
 	}
-	r := p.addRun(now, t, job)
+	r := t.addRun(now, job)
 	r.canary = t.Admission == routing.OnTrial
 	p.runs[job.ID] = r
 	p.shares.ask(now, &r.Job)
 	p.shares.start(now, &r.Job)
 	if hasFirstEvent {
 		t.recordFirstEvent(now, r)
-		r.totalAtFirstEvent = r.totalAtGrant
 	}
 }
 
-// addRun records a job as a run on a target, with what is known of the target's slowdown.
-func (p *Planner) addRun(now clock.Millis, t *target, job Job) *run {
-	r := t.addRun(now, job)
-	r.slowdownAtGrant = float64(t.slowdown.Forecast(now).Now())
-	r.sampleAtGrant = t.slowdown.Sample(now)
-	r.totalAtGrant = p.slowdownTotal(now, t)
-	return r
-}
-
 // grantTransit is how long a grant may be in transit to its entry, which does not list the job as running meanwhile.
 const grantTransit = 150 * clock.Millisecond
 
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -56,10 +56,10 @@
 	concurrency   int          // runs on the target when it was granted, itself included
 	// maxBacklog is the largest number of prompt tokens pending on the target since the run's first event.
 	maxBacklog ids.Tokens
-	// slowdownAtGrant is what the target's slowdown was expected to be when it was granted, by sampleAtGrant; totalAtGrant
-	// and totalAtFirstEvent are those of slowdownTotal.
-	sampleAtGrant                                    slowdown.Sample
-	slowdownAtGrant, totalAtGrant, totalAtFirstEvent float64
+	// sampleAtGrant is the newest report of the target's slowdown when it was granted; totalAtGrant and totalAtFirstEvent
+	// are the totals of that slowdown.
+	sampleAtGrant                   slowdown.Sample
+	totalAtGrant, totalAtFirstEvent float64
 }
 
 const (
@@ -108,7 +108,10 @@
 			other.maxBacklog = max(other.maxBacklog, t.pendingPrompt)
 		}
 	}
-	r := &run{Job: job, target: t, grantedAt: now, promptAhead: t.pendingPrompt, concurrency: len(t.runs) + 1}
+	r := &run{
+		Job: job, target: t, grantedAt: now, promptAhead: t.pendingPrompt, concurrency: len(t.runs) + 1,
+		sampleAtGrant: t.slowdown.Sample(now), totalAtGrant: t.slowdown.Total(now),
+	}
 	t.runs[job.ID] = r
 	t.incarnations.runs++
 	return r
@@ -118,6 +121,7 @@
 func (t *target) recordFirstEvent(now clock.Millis, r *run) {
 	r.hasFirstEvent = true
 	r.firstEventAt = now
+	r.totalAtFirstEvent = t.slowdown.Total(now)
 	t.pendingPrompt -= r.Prompt
 	r.maxBacklog = t.pendingPrompt
 	t.lastFirstEvent = now
@@ -171,7 +175,7 @@
 			continue
 		}
 		usual := p.firstEventTime(&r.Job, occupancy{pending: r.promptAhead - r.Prompt, running: len(t.runs), capacity: t.capacity()})
-		expected := clock.Millis(max(t.factor.get()*r.slowdownAtGrant, p.pace(now, t).current()) * usual)
+		expected := clock.Millis(max(t.factor.get()*float64(r.sampleAtGrant.Expected()), p.pace(now, t).current()) * usual)
 		if now-r.grantedAt > stuckRatio*expected {
 			return true
 		}
--- a/pkg/planner/trial.go
+++ b/pkg/planner/trial.go
@@ -257,7 +257,7 @@
 	// The job is expected to have run beside as many as the mean of those at its grant and now.
 	expected := p.timings.firstEventTime(r.promptAhead) + float64(flow.Events)*p.timings.eventInterval((r.concurrency+len(r.target.runs))/2)
 	// What passes at the target is not its version's; a version that is slow for good still shows.
-	took := float64(max(0, now-r.grantedAt-flow.Stalled)) / p.meanExcess(now, r.target, r.grantedAt, r.totalAtGrant)
+	took := float64(max(0, now-r.grantedAt-flow.Stalled)) / r.meanExcess(now)
 	o.Ratio = took / max(1, expected)
 	switch {
 	case outcome == Served, outcome == Failed:
--- a/pkg/slowdown/estimate.go
+++ b/pkg/slowdown/estimate.go
@@ -63,13 +63,19 @@
 	return max(0, now-e.reportedAt)
 }
 
-// Forecast returns what is expected from a moment on.
-func (e *Estimate) Forecast(now clock.Millis) Forecast {
-	mean, age := e.Mean(), max(0, now-e.reportedAt)
+// certainty returns how certain it is that the newest report holds at a moment, from 1 down to 0.
+func (e *Estimate) certainty(now clock.Millis) float64 {
+	age := e.Age(now)
 	if e.reportedAt == 0 || age >= maxAge {
-		return Forecast{mean: mean}
+		return 0
 	}
-	return Forecast{mean: mean, excess: float64(e.newest-mean) * math.Exp(-float64(age)/e.constant), constant: e.constant}
+	return math.Exp(-float64(age) / e.constant)
+}
+
+// Forecast returns what is expected from a moment on.
+func (e *Estimate) Forecast(now clock.Millis) Forecast {
+	s := e.Sample(now)
+	return Forecast{mean: s.mean, excess: s.excess(), constant: e.constant}
 }
 
 // Total returns the integral of the expected factor up to a moment, in ms. The difference between two moments gives the
@@ -78,27 +84,29 @@
 	if e.reportedAt == 0 {
 		return float64(Usual) * float64(now)
 	}
-	mean, age := e.Mean(), float64(max(0, now-e.reportedAt))
+	mean, age := e.Mean(), float64(e.Age(now))
 	believed := min(age, float64(maxAge))
 	return e.total + float64(mean)*age + float64(e.newest-mean)*e.constant*(1-math.Exp(-believed/e.constant))
 }
 
-// Sample returns the newest report and how certain it is that it holds at a moment, from 1 down to 0.
+// Sample returns the newest report and how certain it is that it holds at a moment.
 func (e *Estimate) Sample(now clock.Millis) Sample {
-	age := max(0, now-e.reportedAt)
-	if e.reportedAt == 0 || age >= maxAge {
-		return Sample{mean: e.Mean()}
-	}
-	return Sample{mean: e.Mean(), factor: e.newest, certainty: math.Exp(-float64(age) / e.constant)}
+	return Sample{mean: e.Mean(), factor: e.newest, certainty: e.certainty(now)}
 }
 
 // Sample is a report at a moment.
 type Sample struct {
 	mean      Factor // of the target
 	factor    Factor
-	certainty float64
+	certainty float64 // from 1 down to 0
 }
 
+// Expected returns the factor that is expected at the moment.
+func (s Sample) Expected() Factor { return s.mean + Factor(s.excess()) }
+
+// excess returns the expected factor less the mean.
+func (s Sample) excess() float64 { return float64(s.factor-s.mean) * s.certainty }
+
 // Between returns the mean factor between two samples, to which the more certain one contributes more.
 func Between(a, b Sample) Factor {
 	const unknown = 0.1 // the weight of the target's mean, which decides if both are uncertain
