network, targetlist: two functions without what they did twice

Cause: writeNow had three ways where two differ; recordListed forgot a gone target twice. Change: what fits is cut off unless writing fails anyway; one delete each. Result: both packages pass.

--- a/pkg/network/memory_conn.go
+++ b/pkg/network/memory_conn.go
@@ -91,13 +91,10 @@
 	room := max(0, pipeBytes-len(s.data))
 	gone := s.ended || s.broken || s.writeDeadline.expired
 	s.mu.Unlock()
-	if len(p) > 0 && room == 0 && !gone {
-		return 0, nil
+	if !gone { // else write fails at once
+		p = p[:min(len(p), room)]
 	}
-	if gone {
-		return s.write(p) // fails at once
-	}
-	return s.write(p[:min(len(p), room)])
+	return s.write(p)
 }
 
 // close closes the stream from one side; flag is ended for the writer and broken for the reader.
--- a/pkg/targetlist/copied_rows.go
+++ b/pkg/targetlist/copied_rows.go
@@ -131,7 +131,7 @@
 // recordListed records that an incarnation is listed, in place of the one before if that is not nil: that one, and the
 // one of a row that was held back, are former ones.
 func (c *copiedRows) recordListed(now clock.Millis, before, target *routing.Target) {
-	c.forget(target.Incarnation())
+	delete(c.former, target.Incarnation())
 	delete(c.gone, target.ID)
 	if before != nil && before.Incarnation() != target.Incarnation() {
 		c.recordFormer(now, before.Incarnation())
