Ingress: one loop reads request bodies and plain answers into counted memory

Cause: readBody and readBuffered had the same loop, in which memory grows and is counted, and plainBody kept a count that is the capacity of its data. Change: readCounted; what differs, how much to grow and which account to ask, is a function of each. plainBody.held is derived.

--- a/pkg/ingress/plain_body.go
+++ b/pkg/ingress/plain_body.go
@@ -1,9 +1,7 @@
 package ingress
 
 import (
-	"errors"
 	"fmt"
-	"io"
 
 	"quaydock/pkg/buffers"
 	"quaydock/pkg/forward"
@@ -23,43 +21,25 @@
 type plainBody struct {
 	data  []byte
 	whole bool // there is no more
-	held  int  // bytes counted in the account of buffers
 }
 
+// held returns how many bytes are counted in the account of buffers: all memory of the body.
+func (b plainBody) held() int { return cap(b.data) }
+
 // readBuffered reads an answer that is not a stream, up to maxBuffered, or until the buffers of this entry are full.
 func (d *delivery) readBuffered(a *forward.Answer) (plainBody, error) {
-	var b plainBody
-	size := max(minBody, min(int(a.Length)+1, maxStatedBody))
-	for len(b.data) < maxBuffered {
-		if len(b.data) == cap(b.data) {
-			if !d.growPlain(&b, min(size, maxBuffered)) {
-				break
-			}
-			size += size/4 + minBody
-		}
-		n, err := a.Read(b.data[len(b.data):cap(b.data)])
-		b.data = b.data[:len(b.data)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			b.whole = true
-			return b, nil
-		case err != nil:
-			d.buffers.ReleaseAnswer(b.held)
-			return plainBody{}, fmt.Errorf("reading the answer: %w", err)
-		}
+	next := max(minBody, min(int(a.Length)+1, maxStatedBody))
+	data, whole, err := readCounted(a, maxBuffered, func(size int) (int, bool) {
+		grown := min(next, maxBuffered)
+		next += next/4 + minBody
+		slowest, held := d.buffers.HoldAnswer(d.Clock.Now(), grown-size)
+		buffers.BreakOff(slowest)
+		return grown, held
+	})
+	b := plainBody{data: data, whole: whole}
+	if err != nil {
+		d.buffers.ReleaseAnswer(b.held())
+		return plainBody{}, fmt.Errorf("reading the answer: %w", err)
 	}
 	return b, nil
 }
-
-// growPlain counts and makes memory of the given size for a body. It reports false if the buffers of this entry have no
-// room for that.
-func (d *delivery) growPlain(b *plainBody, size int) bool {
-	slowest, held := d.buffers.HoldAnswer(d.Clock.Now(), size-b.held)
-	buffers.BreakOff(slowest)
-	if !held {
-		return false
-	}
-	b.held = size
-	b.data = append(make([]byte, 0, size), b.data...)
-	return true
-}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -62,7 +62,7 @@
 // is kept instead while another target may still do better. In the middle of a stream, where the caller can't get such an
 // answer, it returns lost.
 func (d *delivery) relayBuffered(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, body plainBody) attempt {
-	q.heldAnswers += body.held
+	q.heldAnswers += body.held()
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && !out.started && w.isSearching() {
 		q.addToTrail(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+", while another target is tried, from", assignment.Target().ID)
--- a/pkg/ingress/request_body.go
+++ b/pkg/ingress/request_body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 
 	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
@@ -17,27 +18,20 @@
 // readBody reads the body of a request, and counts it in the account of buffers as it arrives: a caller that has only
 // stated a length takes no room from others. A body that is shorter than stated is an error.
 func (a *admission) readBody(q *request, from io.Reader) ([]byte, error) {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			grown := max(bodyStep, 2*cap(body))
-			if stated := q.http.ContentLength; stated >= int64(len(body)) && int64(grown) >= stated {
-				grown = int(stated) + 1 // one more, to find the end
-			}
-			if !a.holdBody(q, grown-cap(body)) {
-				return nil, errBuffersFull
-			}
-			body = append(make([]byte, 0, grown), body...)
-		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
+	body, whole, err := readCounted(from, math.MaxInt, func(size int) (int, bool) {
+		grown := max(bodyStep, 2*size)
+		if stated := q.http.ContentLength; stated >= int64(size) && int64(grown) >= stated {
+			grown = int(stated) + 1 // one more, to find the end
 		}
+		return grown, a.holdBody(q, grown-size)
+	})
+	switch {
+	case err != nil:
+		return nil, err
+	case !whole:
+		return nil, errBuffersFull
 	}
+	return body, nil
 }
 
 // holdBody counts n more bytes of a request's body, and reports whether they are within the bounds.
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -325,7 +325,7 @@
 
 // drop ends an answer that is not needed.
 func (t *takeover) drop(account *buffers.Account) {
-	account.ReleaseAnswer(t.body.held)
+	account.ReleaseAnswer(t.body.held())
 	t.answer.Close()
 	t.endExchange(errNotNeeded)
 	t.assignment.Done(planner.Abandoned, planner.StreamStats{})
