review: an entry cuts streams of engines that read a body of 12 KB late

An engine may begin its answer before it has read a long body. If its receive window is smaller than the body, the entry's TCP_USER_TIMEOUT ends the connection after 2.5 s, for bodies of up to 16 KiB (unreadBody in pkg/forward/exchange.go). After a SIGHUP of the entry LOST counts that.

--- a/review/testdata/harness/client.go
+++ b/review/testdata/harness/client.go
@@ -28,17 +28,24 @@
 type client struct {
 	http    http.Client
 	entries []*entry
+	body    string
 }
 
+// Bodies of requests: short ones, and those of notice-draft, of which the sheet says 12,000 bytes.
+var (
+	shortBody = strings.Repeat("x", 1200)
+	longBody  = strings.Repeat("x", 12000)
+)
+
 func newClient(entries []*entry) *client {
-	return &client{http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50}}, entries: entries}
+	return &client{http: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50}}, entries: entries, body: shortBody}
 }
 
 // send sends a request with a body once, and reads the answer.
 func (c *client) send(to *entry, id, path string, wait time.Duration) *answer {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.front+path, strings.NewReader(strings.Repeat("x", 1200)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.front+path, strings.NewReader(c.body))
 	if err != nil {
 		return &answer{id: id, err: err}
 	}
--- a/review/testdata/harness/main.go
+++ b/review/testdata/harness/main.go
@@ -28,6 +28,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*play) (int, error){
+	"early":   playEarly,
 	"garbage": playGarbage,
 	"reborn":  playReborn,
 }
@@ -45,6 +46,9 @@
 }
 
 func run(args []string) int {
+	if len(args) == 3 && (args[0] == modeEarly || args[0] == modeLate) {
+		return runWindowEngine(args[1], args[2], args[0] == modeEarly)
+	}
 	if len(args) == 3 && args[0] == "engine" {
 		return runEngine(args[1], args[2])
 	}
--- a/review/testdata/harness/servers.go
+++ b/review/testdata/harness/servers.go
@@ -42,7 +42,7 @@
 func (s *server) start() error {
 	s.lives++
 	id := fmt.Sprintf("i-%08x", (s.n+1)<<16|s.lives)
-	command := exec.Command(os.Args[0], "engine", id, s.private)
+	command := exec.Command(os.Args[0], engineMode, id, s.private)
 	command.Stderr = os.Stderr
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := command.StdoutPipe()
@@ -77,7 +77,7 @@
 	switch words[0] {
 	case "event":
 		s.record.event(words[1])
-	case "run", "end", "left":
+	case "run", "end", "left", "body":
 		s.record.add("engine %s: %s", id, strings.Join(words, " "))
 		s.record.engine(id, words)
 	}
