--- a/review/testdata/harness/main.go
+++ b/review/testdata/harness/main.go
@@ -28,6 +28,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*play) (int, error){
+	"drill":   playDrill,
 	"early":   playEarly,
 	"garbage": playGarbage,
 	"reborn":  playReborn,
--- a/review/testdata/harness/record.go
+++ b/review/testdata/harness/record.go
@@ -68,6 +68,13 @@
 	return r.ends[request]
 }
 
+// ran returns the engines that ran a request.
+func (r *record) ran(request string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[request]
+}
+
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
