forward: what is held of the heads of answers is counted and shown

No line or figure told what held that memory: pkg/buffers counts bodies and what callers have not taken, and the head of an answer was in no figure.

Change: what a connection receives while the head of an answer is read is counted in the account of buffers, beyond the first 4 KiB of an exchange, with 64 bytes for each line. quaydock_incoming_answer_bytes and the page /buffers show it. Nothing is limited yet.

--- a/pkg/app/entry_metrics.go
+++ b/pkg/app/entry_metrics.go
@@ -58,6 +58,7 @@
 	f.Gauge("buffered_answer_bytes", func() float64 { return float64(p.buffers.Usage().Answers) })
 	f.Gauge("buffered_body_bytes", func() float64 { return float64(p.buffers.Usage().Bodies) })
 	f.Gauge("buffered_bytes_limit", func() float64 { return float64(p.buffers.Limits().Total) })
+	f.Gauge("incoming_answer_bytes", func() float64 { return float64(p.buffers.Usage().Incoming) })
 	f.Gauge("callers_slow_to_read", func() float64 { return float64(p.buffers.Usage().Readers) })
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, f)
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -202,7 +202,8 @@
 	p.members = membership.New(c, membership.Self{Name: s.Process, Address: address, Weight: max(s.Limits.CPUShare, minWeight), Domain: s.Domain}, p.store.Table(platform.TableMembers), link)
 	p.advice = advisory.NewTracker(c)
 	p.view.Watch(p.advice.SetDirectory)
-	p.pool = forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return platform.HeaderCodec{}.AnswerMetadata(h) }, p.advice)
+	p.buffers = buffers.NewAccount(buffers.LimitsFor(s.Limits.MemoryMB))
+	p.pool = forward.NewPoolWithin(c, func(h map[string][]string) forward.AnswerMetadata { return platform.HeaderCodec{}.AnswerMetadata(h) }, p.advice, p.buffers)
 	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
 	p.guard = quarantine.New(quarantine.Dependencies{Common: c, Address: address, Peers: p.members, Link: link, Store: p.store.Quarantine(), Leaves: p.leaves})
 	p.origins = streams.New(streams.Dependencies{
@@ -231,7 +232,6 @@
 	p.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	p.descriptors = descriptorLimit(c, s.Limits)
 	limits := descriptors.LimitsFor(p.descriptors)
-	p.buffers = buffers.NewAccount(buffers.LimitsFor(s.Limits.MemoryMB))
 	p.controller = ingress.NewController(ingress.Dependencies{
 		Common: c, View: p.view, HeaderCodec: platform.HeaderCodec{}, Scheduler: p.scheduler(o.policy),
 		Pool: p.pool, Meter: p.meter, Entries: p.members, Keys: p.keyGrace(s.Bounds),
--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -55,7 +55,9 @@
 	unsent  int        // bytes of answers of which their callers have got nothing yet
 	untaken int        // bytes that callers have not taken
 	bodies  int        // bytes of request bodies
-	waiting map[*Reader]struct{}
+	// incoming is the bytes of answers that can't be passed on yet. They are no part of the total.
+	incoming int
+	waiting  map[*Reader]struct{}
 }
 
 // Usage is what an account holds.
@@ -63,6 +65,8 @@
 	Answers int `json:"answer_bytes"`
 	Bodies  int `json:"body_bytes"`
 	Readers int `json:"readers"` // with bytes held
+	// Incoming is the bytes of answers that can't be passed on yet: heads, and events without their ends.
+	Incoming int `json:"incoming_bytes"`
 }
 
 // NewAccount returns an account that holds nothing.
@@ -82,7 +86,7 @@
 
 // usage is Usage with the lock held.
 func (a *Account) usage() Usage {
-	return Usage{Answers: a.unsent + a.untaken, Bodies: a.bodies, Readers: len(a.waiting)}
+	return Usage{Answers: a.unsent + a.untaken, Bodies: a.bodies, Readers: len(a.waiting), Incoming: a.incoming}
 }
 
 // tiersWithReserve is the number of tiers below the highest whose bodies leave a part of the bound to higher ones, and
--- a/pkg/forward/connection.go
+++ b/pkg/forward/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,15 +20,35 @@
 // connection is one connection to a target. It carries one request at a time.
 type connection struct {
 	net.Conn
-	reader     *bufio.Reader
-	reused     bool         // taken from the idle connections at least once
-	reuseUntil clock.Millis // when an idle connection is too old to be used again
+	source     *source
+	reader     *bufio.Reader // of source
+	reused     bool          // taken from the idle connections at least once
+	reuseUntil clock.Millis  // when an idle connection is too old to be used again
 	// madeAt is the Unix millisecond at which the connection was made, to be compared with starts of targets.
 	madeAt ids.Start
 }
 
 func newConnection(c net.Conn) *connection {
-	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), madeAt: ids.Start(time.Now().UnixMilli())}
+	s := &source{Reader: c}
+	return &connection{Conn: c, source: s, reader: bufio.NewReaderSize(s, readBuffer), madeAt: ids.Start(time.Now().UnixMilli())}
+}
+
+// source is what a connection's buffer is filled from.
+type source struct {
+	io.Reader
+	// count is called with all that arrives while the head of an answer is read, and may end that; nil otherwise.
+	count func(piece []byte) error
+}
+
+// Read reads from the connection.
+func (s *source) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if s.count != nil {
+		if countErr := s.count(p[:n]); countErr != nil {
+			return 0, countErr
+		}
+	}
+	return n, err
 }
 
 // usable reports whether an idle connection is still open and has nothing to read: what a target sends between two
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
@@ -23,17 +24,19 @@
 
 // exchange is one request on one connection.
 type exchange struct {
-	pool     *Pool
-	target   *routing.Target
-	conn     *connection // nil until there is one
-	request  *Request
-	ctx      context.Context         // the context of Send, which AbortReplaced may end too
-	cancel   context.CancelCauseFunc // with ErrReplaced if the target has started again
-	sentAt   clock.Millis            // when the request began to be written
-	stop     func() bool             // undoes the breaking off at the end of ctx; false if that has begun
-	writeEnd chan struct{}           // closed when write ends; written and writeErr are read only after that
-	written  int                     // bytes of the request, its head included
-	writeErr error
+	pool      *Pool
+	target    *routing.Target
+	conn      *connection // nil until there is one
+	request   *Request
+	ctx       context.Context         // the context of Send, which AbortReplaced may end too
+	cancel    context.CancelCauseFunc // with ErrReplaced if the target has started again
+	sentAt    clock.Millis            // when the request began to be written
+	stop      func() bool             // undoes the breaking off at the end of ctx; false if that has begun
+	writeEnd  chan struct{}           // closed when write ends; written and writeErr are read only after that
+	written   int                     // bytes of the request, its head included
+	writeErr  error
+	headBytes int // of all heads that were read, with lineBytes for each line
+	incoming  buffers.Incoming
 }
 
 // Send makes one exchange. When ctx ends, or the target has started again, the connection is broken off. The caller has
@@ -96,6 +99,7 @@
 // unregister removes the exchange from the pool and ends its context.
 func (e *exchange) unregister() {
 	e.pool.unregister(e.target.Incarnation(), e)
+	e.pool.account.DropIncoming(&e.incoming)
 	e.cancel(nil)
 }
 
@@ -191,19 +195,6 @@
 	e.pool.advice.Observe(e.target.Incarnation(), e.conn.madeAt, e.request.ID, advice)
 }
 
-// readHead reads the head of the next answer that is not an interim one.
-func (e *exchange) readHead() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
-		if err != nil {
-			return nil, fmt.Errorf("reading the head of the answer: %w", err)
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // skip discards an answer that belongs to another request. It fails if the connection has no further answer.
 func (e *exchange) skip(response *http.Response) error {
 	e.pool.Metrics.Links.Add("stray_answers", 1)
--- /dev/null
+++ b/pkg/forward/head.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+// lineBytes is the memory that a line of a head takes beside its text, as a field of the parsed head.
+const lineBytes = 64
+
+// freeHeadBytes is how much of an exchange's heads is not counted in the account: each connection has a buffer of that
+// size anyway.
+const freeHeadBytes = readBuffer
+
+// readHead reads the head of the next answer that is not an interim one.
+func (e *exchange) readHead() (*http.Response, error) {
+	e.conn.source.count = e.countHead
+	defer func() { e.conn.source.count = nil }()
+	for {
+		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
+		if err != nil {
+			return nil, fmt.Errorf("reading the head of the answer: %w", err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// countHead counts a piece of the exchange's heads.
+func (e *exchange) countHead(piece []byte) error {
+	before := e.headBytes
+	e.headBytes += len(piece) + lineBytes*bytes.Count(piece, []byte("\n"))
+	if e.headBytes > freeHeadBytes {
+		e.pool.account.HoldIncoming(&e.incoming, e.headBytes-max(before, freeHeadBytes))
+	}
+	return nil
+}
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -11,10 +11,12 @@
 	"syscall"
 
 	"quaydock/pkg/advisory"
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
+	"quaydock/pkg/telemetry"
 )
 
 // Pool keeps connections to targets, and tracks the exchanges on them.
@@ -22,6 +24,8 @@
 	common.Common
 	readMetadata func(header map[string][]string) AnswerMetadata
 	advice       *advisory.Tracker // nil if the advice of targets is ignored
+	account      *buffers.Account  // of what is held of answers that can't be passed on yet
+	sampler      *telemetry.Sampler
 
 	mu   sync.Mutex
 	idle map[ids.TargetIncarnation][]*connection          // the last used one at the end
@@ -33,12 +37,24 @@
 // ErrReplaced means that the target has started again: the exchange belongs to its former incarnation.
 var ErrReplaced = errors.New("the target has started again")
 
-// NewPool returns a pool without connections. The function readMetadata reads the head of an answer; what it
-// contains about the target is passed to the advice tracker.
+// NewPool is NewPoolWithin with an account of its own, for a VM whose memory is not known.
 func NewPool(c common.Common, readMetadata func(header map[string][]string) AnswerMetadata, advice *advisory.Tracker) *Pool {
-	return &Pool{Common: c, readMetadata: readMetadata, advice: advice, idle: make(map[ids.TargetIncarnation][]*connection), busy: make(map[ids.TargetIncarnation]map[*exchange]struct{})}
+	return NewPoolWithin(c, readMetadata, advice, buffers.NewAccount(buffers.LimitsFor(0)))
 }
 
+// NewPoolWithin returns a pool without connections. The function readMetadata reads the head of an answer; what it
+// contains about the target is passed to the advice tracker. What is held of answers is counted in the account.
+func NewPoolWithin(c common.Common, readMetadata func(header map[string][]string) AnswerMetadata, advice *advisory.Tracker, account *buffers.Account) *Pool {
+	return &Pool{
+		Common: c, readMetadata: readMetadata, advice: advice, account: account,
+		sampler: telemetry.NewSampler(c.Clock, c.Log, logLinesPerSecond),
+		idle:    make(map[ids.TargetIncarnation][]*connection), busy: make(map[ids.TargetIncarnation]map[*exchange]struct{}),
+	}
+}
+
+// logLinesPerSecond limits the log lines of each kind.
+const logLinesPerSecond = 20
+
 // register adds an exchange, so that it is aborted once its target has started again. It returns false if that has
 // happened already.
 func (p *Pool) register(incarnation ids.TargetIncarnation, e *exchange) bool {
--- a/pkg/ingress/testbed_test.go
+++ b/pkg/ingress/testbed_test.go
@@ -293,10 +293,10 @@
 	b.configure(1)
 	b.view.Confirmed(b.clock.Now())
 	b.advice = advisory.NewTracker(c)
-	pool := forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, b.advice)
+	b.buffers = buffers.NewAccount(limits)
+	pool := forward.NewPoolWithin(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, b.advice, b.buffers)
 	b.retries = quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second)
 	b.guard = quarantine.New(quarantine.Dependencies{Common: c})
-	b.buffers = buffers.NewAccount(limits)
 	b.controller = ingress.NewController(ingress.Dependencies{
 		Common: c, View: b.view, HeaderCodec: testCodec{}, Scheduler: b.scheduler, Pool: pool, Meter: meter, Entries: meter,
 		Retries: b.retries, Keys: ingress.KeyGrace{Limit: 5000, Strict: true}, MaxExtra: extraRequests,
