forward: the heads of an exchange are limited to 128 KiB

Cause: http.ReadResponse collects a line of a head until it ends, and nothing limits what it reads. An answer that is given up this way held its request until the deadline.

Why this works: whatever arrives while heads are read passes one place, which counts all heads of the exchange together, interim ones too, and 64 bytes for each line, as a field takes memory beside its text. Beyond the limit the exchange fails as one that may have run, and its connection is closed. A line with the request's id, the target and the limit, and a counter, tell of it.

TestEndlessBytesOfTargetAreGivenUp failed before in 5 of 5 cases: 40 MB taken, 3 s, the deadline. Now each is given up below 2 MiB, at once.

--- /dev/null
+++ b/pkg/forward/endless_test.go
@@ -0,0 +1,80 @@
+package forward_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
+)
+
+// flood is what a target sends: a beginning, and then a piece again and again, until the connection is closed or it has
+// sent floodBytes.
+type flood struct {
+	start, piece string
+	every        time.Duration // the time between two pieces
+
+	sent int // bytes that the connection took
+}
+
+// floodBytes is more than any limit lets through.
+const floodBytes = 40 << 20
+
+// answer is the engine of a flood.
+func (f *flood) answer(c net.Conn, _ int, id string) {
+	f.sent, _ = io.WriteString(c, strings.ReplaceAll(f.start, "{id}", id))
+	for f.sent < floodBytes {
+		n, err := io.WriteString(c, f.piece)
+		f.sent += n
+		if err != nil {
+			return
+		}
+		time.Sleep(f.every)
+	}
+	_, _ = c.Read(make([]byte, 1)) // until the connection is closed
+}
+
+var kilobyte = strings.Repeat("\x00", 1<<10)
+
+// TestEndlessBytesOfTargetAreGivenUp guards against bytes that are no answer, or none that the caller gets, and have no
+// end: they filled the memory, or held the request until its deadline.
+func TestEndlessBytesOfTargetAreGivenUp(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		flood  flood
+		want   string // see outcome
+		within time.Duration
+	}{
+		{"zeros in place of an answer", flood{piece: kilobyte}, "broken", 0},
+		{"a status line", flood{start: "HTTP/1.1 200 ", piece: "OK"}, "broken", 0},
+		{"a line of a head", flood{start: "HTTP/1.1 200 OK\r\nId: ", piece: strings.Repeat("x", 1<<10)}, "broken", 0},
+		{"lines of a head", flood{start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n"}, "broken", 0},
+		{"interim answers", flood{piece: "HTTP/1.1 103 Early Hints\r\n\r\n"}, "broken", 0},
+	}
+	for i := range scenarios {
+		s := &scenarios[i]
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				memory := network.NewMemory(nil)
+				serve(t, memory, s.flood.answer)
+				pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+				defer pool.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				began := time.Now()
+				got := outcome(pool.Send(ctx, target, request("r1")))
+				took := time.Since(began)
+				time.Sleep(time.Minute) // until the target has noticed
+				if got != s.want || took > s.within || s.flood.sent > 2<<20 {
+					t.Errorf("%s after %v and %d bytes, want %s within %v", got, took, s.flood.sent, s.want, s.within)
+				}
+			})
+		})
+	}
+}
--- a/pkg/forward/head.go
+++ b/pkg/forward/head.go
@@ -6,6 +6,10 @@
 	"net/http"
 )
 
+// maxHeadBytes limits the heads of an exchange, counted by countHead. It has room for some hundred fields, more than
+// callers and the servers between take.
+const maxHeadBytes = 128 << 10
+
 // lineBytes is the memory that a line of a head takes beside its text, as a field of the parsed head.
 const lineBytes = 64
 
@@ -28,12 +32,15 @@
 	}
 }
 
-// countHead counts a piece of the exchange's heads.
+// countHead counts a piece of the exchange's heads, and fails beyond maxHeadBytes.
 func (e *exchange) countHead(piece []byte) error {
 	before := e.headBytes
 	e.headBytes += len(piece) + lineBytes*bytes.Count(piece, []byte("\n"))
 	if e.headBytes > freeHeadBytes {
 		e.pool.account.HoldIncoming(&e.incoming, e.headBytes-max(before, freeHeadBytes))
 	}
+	if e.headBytes > maxHeadBytes {
+		return e.giveUp(LimitHead, e.headBytes)
+	}
 	return nil
 }
