forward: errors don't quote whole lines that a target sent

What operators saw: a log line of several times the length of what a target sent in place of a head, as the errors of net/http quote the whole line, four bytes for each that can't be printed; the request keeps the error, too.

Change: an error of a head is cut after 256 bytes.

Result: TestLongLineThatIsNoHeadGivesShortError failed before with an error of 409,693 bytes for 100 KiB of zeros and a line's end, and passes now.

--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -78,3 +78,22 @@
 		})
 	}
 }
+
+// TestLongLineThatIsNoHeadGivesShortError guards against log lines as long as what a target sent in place of a head.
+func TestLongLineThatIsNoHeadGivesShortError(t *testing.T) {
+	const most = 1 << 10
+	for _, start := range []string{"", "HTTP/1.1 200 OK\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			memory := network.NewMemory(nil)
+			serve(t, memory, func(c net.Conn, _ int, _ string) {
+				_, _ = io.WriteString(c, start+strings.Repeat(kilobyte, 100)+"\r\n\r\n")
+			})
+			pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+			defer pool.Close()
+			result, isBroken := pool.Send(context.Background(), target, request("r1")).(forward.Broken)
+			if !isBroken || len(result.Err.Error()) > most {
+				t.Errorf("%T, an error of %d bytes, want at most %d", result, len(result.Err.Error()), most)
+			}
+		})
+	}
+}
--- a/pkg/forward/head.go
+++ b/pkg/forward/head.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // maxHeadBytes limits the heads of an exchange, counted by countHead. It has room for some hundred fields, more than
@@ -24,7 +26,7 @@
 	for {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
 		if err != nil {
-			return nil, fmt.Errorf("reading the head of the answer: %w", err)
+			return nil, fmt.Errorf("reading the head of the answer: %w", shortened(err))
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
@@ -32,6 +34,19 @@
 	}
 }
 
+// maxErrorBytes limits the text of an error that quotes what a target sent.
+const maxErrorBytes = 256
+
+// shortened returns an error whose text is cut after maxErrorBytes if it is longer, as those of net/http quote whole
+// lines.
+func shortened(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return errors.New(strings.ToValidUTF8(text[:maxErrorBytes], "") + "...")
+}
+
 // countHead counts a piece of the exchange's heads, and fails beyond maxHeadBytes.
 func (e *exchange) countHead(piece []byte) error {
 	before := e.headBytes
