buffers: heads of all exchanges together are bounded by the VM's memory

What callers would see: requests cut with their entry, as many targets send heads that are each within their limit and together more than the VM has.

Cause: the limit of one head is not that of the process. 128 KiB each for the exchanges that an entry may have at once (its descriptors allow some 2,000) are more than the smallest VM has, 112 MB.

Change: what exchanges hold of answers that can't be passed on yet is bounded by a twentieth of the VM's memory, 16 MiB if that is not known. It takes nothing from callers and bodies, whose bound stays as it was. Beyond it the exchange that holds most is dropped, so that a sound answer beside those without an end goes through. The head counts until the answer is closed, and for the request if the answer is a failure that is kept.

--- a/pkg/buffers/account.go
+++ b/pkg/buffers/account.go
@@ -19,6 +19,8 @@
 	Exchange int `json:"exchange_bytes"`
 	// Bodies is the bound of all request bodies together.
 	Bodies int `json:"body_bytes"`
+	// Incoming is the bound of answers that can't be passed on yet, 0 for a default. They are no part of Total.
+	Incoming int `json:"incoming_bytes"`
 }
 
 const (
@@ -36,15 +38,21 @@
 	// bodiesDivisor gives the part of the account that request bodies may take, so that neither they nor answers can
 	// take all of it.
 	bodiesDivisor = 2
+	// incomingDivisor gives the part of the VM's memory that answers may take which can't be passed on yet. Parsing one
+	// takes several times its bytes for a moment.
+	incomingDivisor = 20
+	// defaultIncoming applies if the VM's memory is not known.
+	defaultIncoming = 16 * mebibyte
 )
 
 // LimitsFor returns the limits for a VM with so many MiB of memory; 0 if that is not known.
 func LimitsFor(megabytes int) Limits {
-	total := defaultTotal
+	total, incoming := defaultTotal, defaultIncoming
 	if megabytes > 0 {
 		total = megabytes * mebibyte / totalDivisor
+		incoming = megabytes * mebibyte / incomingDivisor
 	}
-	return Limits{Total: total, Exchange: min(maxExchange, total/minReaders), Bodies: total / bodiesDivisor}
+	return Limits{Total: total, Exchange: min(maxExchange, total/minReaders), Bodies: total / bodiesDivisor, Incoming: incoming}
 }
 
 // Account counts the bytes held. It is safe for concurrent use.
@@ -56,8 +64,9 @@
 	untaken int        // bytes that callers have not taken
 	bodies  int        // bytes of request bodies
 	// incoming is the bytes of answers that can't be passed on yet. They are no part of the total.
-	incoming int
-	waiting  map[*Reader]struct{}
+	incoming  int
+	exchanges map[*Incoming]struct{} // that hold such bytes
+	waiting   map[*Reader]struct{}
 }
 
 // Usage is what an account holds.
@@ -71,7 +80,7 @@
 
 // NewAccount returns an account that holds nothing.
 func NewAccount(limits Limits) *Account {
-	return &Account{limits: limits, waiting: make(map[*Reader]struct{})}
+	return &Account{limits: limits, exchanges: make(map[*Incoming]struct{}), waiting: make(map[*Reader]struct{})}
 }
 
 // Limits returns the bounds of the account.
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/network"
@@ -97,3 +101,51 @@
 		})
 	}
 }
+
+// TestManyLongHeadsFitIntoMemory guards against heads that are each within their limit and together more than the VM has.
+func TestManyLongHeadsFitIntoMemory(t *testing.T) {
+	const (
+		bound     = 1 << 20
+		exchanges = 60
+		longHead  = 100 << 10
+		soundHead = 12 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		serve(t, memory, func(c net.Conn, _ int, id string) {
+			head := "HTTP/1.1 200 OK\r\nId: " + id + "\r\nFill: "
+			if id == "sound" {
+				_, _ = io.WriteString(c, head+strings.Repeat("x", soundHead)+"\r\nContent-Length: 3\r\n\r\nyes")
+				return
+			}
+			_, _ = io.WriteString(c, head+strings.Repeat("x", longHead))
+			_, _ = c.Read(make([]byte, 1)) // the head has no end
+		})
+		account := buffers.NewAccount(buffers.Limits{Incoming: bound})
+		pool := forward.NewPoolWithin(commontest.New(memory), readMetadata, nil, account)
+		defer pool.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		var dropped atomic.Int64
+		var all sync.WaitGroup
+		for range exchanges {
+			all.Go(func() {
+				var limit *forward.LimitError
+				if r, isBroken := pool.Send(ctx, target, request("long")).(forward.Broken); isBroken && errors.As(r.Err, &limit) && limit.Limit == forward.LimitMemory {
+					dropped.Add(1)
+				}
+			})
+		}
+		synctest.Wait()
+		if held, most := account.Usage().Incoming, int64(exchanges-bound/longHead); held > bound || dropped.Load() < most {
+			t.Errorf("%d bytes are held of %d, %d exchanges dropped, want %d", held, bound, dropped.Load(), most)
+		}
+		if got := outcome(pool.Send(ctx, target, request("sound"))); got != "200 yes" {
+			t.Errorf("a sound answer beside them: %s", got)
+		}
+		all.Wait()
+		if left := account.Usage(); left != (buffers.Usage{}) {
+			t.Errorf("at the end there is held %+v", left)
+		}
+	})
+}
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -47,6 +47,7 @@
 	}
 	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan struct{})}
 	e.ctx, e.cancel = context.WithCancelCause(ctx)
+	e.incoming.BreakOff = e.drop
 	if !p.register(t.Incarnation(), e) {
 		e.cancel(nil)
 		return unreached(t, ErrReplaced)
@@ -99,15 +100,16 @@
 // unregister removes the exchange from the pool and ends its context.
 func (e *exchange) unregister() {
 	e.pool.unregister(e.target.Incarnation(), e)
-	e.pool.account.DropIncoming(&e.incoming)
 	e.cancel(nil)
 }
 
-// cause returns why an exchange failed: ErrReplaced if the target has started again, or else err. The error of the
-// connection would only say that it was closed at this end.
+// cause returns why an exchange failed: ErrReplaced if the target has started again, a LimitError if it was dropped, or
+// else err. The error of the connection would only say that it was closed at this end.
 func (e *exchange) cause(err error) error {
-	if errors.Is(context.Cause(e.ctx), ErrReplaced) {
-		return ErrReplaced
+	cause := context.Cause(e.ctx)
+	var limit *LimitError
+	if errors.Is(cause, ErrReplaced) || errors.As(cause, &limit) {
+		return cause
 	}
 	return err
 }
@@ -213,6 +215,7 @@
 	err = e.cause(err)
 	e.stop()
 	e.unregister()
+	e.pool.account.DropIncoming(&e.incoming)
 	discard(e.conn)
 	<-e.writeEnd
 	if e.writeErr != nil && e.written == 0 {
@@ -225,6 +228,7 @@
 func (e *exchange) declined(response *http.Response, metadata AnswerMetadata) Result {
 	_, err := io.Copy(io.Discard, response.Body)
 	e.finish(response, err == nil)
+	e.pool.account.DropIncoming(&e.incoming)
 	return Declined{Status: response.StatusCode, Load: metadata.Load}
 }
 
@@ -310,8 +314,9 @@
 	return err
 }
 
-// close finishes the exchange, which closes the connection, unless Read has done so.
+// close finishes the exchange, which closes the connection, unless Read has done so. The answer is not needed any more.
 func (b *body) close() {
+	defer b.exchange.pool.account.DropIncoming(&b.exchange.incoming)
 	if !b.ended {
 		b.ended = true
 		b.exchange.finish(b.response, false)
--- a/pkg/forward/head.go
+++ b/pkg/forward/head.go
@@ -47,15 +47,16 @@
 	return errors.New(strings.ToValidUTF8(text[:maxErrorBytes], "") + "...")
 }
 
-// countHead counts a piece of the exchange's heads, and fails beyond maxHeadBytes.
+// countHead counts a piece of the exchange's heads, and fails beyond maxHeadBytes or if there is no room for it.
 func (e *exchange) countHead(piece []byte) error {
 	before := e.headBytes
 	e.headBytes += len(piece) + lineBytes*bytes.Count(piece, []byte("\n"))
-	if e.headBytes > freeHeadBytes {
-		e.pool.account.HoldIncoming(&e.incoming, e.headBytes-max(before, freeHeadBytes))
-	}
-	if e.headBytes > maxHeadBytes {
+	switch {
+	case e.headBytes > maxHeadBytes:
 		return e.giveUp(LimitHead, e.headBytes)
+	case e.headBytes > freeHeadBytes:
+		return e.hold(e.headBytes - max(before, freeHeadBytes))
+	default:
+		return nil
 	}
-	return nil
 }
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/sirupsen/logrus"
 
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/telemetry"
 )
 
@@ -17,8 +19,13 @@
 const (
 	// LimitHead is that of the heads of an exchange, with those of interim answers and of answers to other requests.
 	LimitHead Limit = iota
+	// LimitMemory is that of what all exchanges together hold of answers that can't be passed on yet.
+	LimitMemory
 )
 
+// errDropped stands for the error of giveUp until drop has been called.
+var errDropped = errors.New("too much is held of answers that can't be passed on yet")
+
 // LimitError means that an answer was given up at a limit. The target may have run the request.
 type LimitError struct {
 	Limit Limit
@@ -30,6 +37,20 @@
 	return fmt.Sprintf("answer given up at the limit %s after %d bytes", e.Limit, e.Bytes)
 }
 
+// hold counts n more bytes that the exchange holds of its answer. It fails if all exchanges hold too much, and this one
+// most.
+func (e *exchange) hold(n int) error {
+	largest, held := e.pool.account.HoldIncoming(&e.incoming, n)
+	buffers.BreakOffIncoming(largest)
+	if !held {
+		return e.cause(errDropped)
+	}
+	return nil
+}
+
+// drop ends the exchange, as it held more than any other one when there was too much.
+func (e *exchange) drop(held int) { e.cancel(e.giveUp(LimitMemory, held)) }
+
 // giveUp logs and counts that the answer is given up after so many bytes, and returns the error of that.
 func (e *exchange) giveUp(limit Limit, size int) error {
 	p := e.pool
--- a/pkg/forward/limit_string.go
+++ b/pkg/forward/limit_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[LimitHead-0]
+	_ = x[LimitMemory-1]
 }
 
-const _Limit_name = "Head"
+const _Limit_name = "HeadMemory"
 
-var _Limit_index = [...]uint8{0, 4}
+var _Limit_index = [...]uint8{0, 4, 10}
 
 func (i Limit) String() string {
 	idx := int(i) - 0
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -94,6 +94,9 @@
 	return a.body.Read(p)
 }
 
+// HeldBytes returns how many bytes of the head are counted in the account of buffers, until Close.
+func (a *Answer) HeldBytes() int { return max(0, a.body.exchange.headBytes-freeHeadBytes) }
+
 // Close ends the exchange. Before the end of the body it closes the connection, upon which the target drops the
 // request.
 func (a *Answer) Close() {
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -66,7 +66,7 @@
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && !out.started && w.isSearching() {
 		q.addToTrail(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+", while another target is tried, from", assignment.Target().ID)
-		q.keepFailure(a, body)
+		d.keepFailure(q, a, body)
 		assignment.Done(planner.Failed, planner.StreamStats{})
 		return lost{err: fmt.Errorf("target %s answered with status %d", assignment.Target().ID, a.Status), answered: true}
 	}
@@ -79,7 +79,7 @@
 	q.addToTrail(d.Clock.Now(), "status "+strconv.Itoa(a.Status)+" from", assignment.Target().ID)
 	// If no retry is allowed, the caller gets this target's own answer.
 	if failed && !out.started && d.movable(q) && d.takeRetry(q) {
-		q.keepFailure(a, body)
+		d.keepFailure(q, a, body)
 		assignment.Done(planner.Failed, planner.StreamStats{})
 		return lost{err: fmt.Errorf("target %s answered with status %d", assignment.Target().ID, a.Status), retryTaken: true, answered: true}
 	}
--- a/pkg/ingress/target_failure.go
+++ b/pkg/ingress/target_failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"quaydock/pkg/buffers"
 	"quaydock/pkg/forward"
 )
 
@@ -14,11 +15,20 @@
 	body   []byte
 }
 
-// keepFailure keeps a target's failure answer. One that was not read to its end is lost.
-func (r *request) keepFailure(a *forward.Answer, body plainBody) {
-	if body.whole {
-		r.heldFailure = &targetFailure{answer: a, body: body.data}
+// keepFailure keeps a target's failure answer, unless it was not read to its end or there is no room for its head.
+func (d *delivery) keepFailure(q *request, a *forward.Answer, body plainBody) {
+	if !body.whole {
+		return
 	}
+	if head := a.HeldBytes(); head > 0 {
+		slowest, held := d.buffers.HoldAnswer(d.Clock.Now(), head)
+		buffers.BreakOff(slowest)
+		if !held {
+			return
+		}
+		q.heldAnswers += head
+	}
+	q.heldFailure = &targetFailure{answer: a, body: body.data}
 }
 
 // writeHeldFailure passes on a target's kept failure answer if no other target has answered: a target's answer is
