forward: a request that was not run does not wait for the body that says so

What callers saw: a request whose target answers that it did not run it, with a body that has no end, was told as not run only at its deadline, too late to go elsewhere, and kept its connection and its slot at the planner until then.

Cause: the body was read to its end, to use the connection again.

Change: it is read for 50 ms and 64 KiB at the most; beyond that the connection is closed. The request counts as not run all the same, at once.

Result: TestEndlessBytesOfTargetAreGivenUp, two new cases, failed before: 3 s, the deadline, and 40 MB; or 3 s with a body of one byte each 20 ms. Now at once, and within 100 ms.

--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -44,6 +44,12 @@
 	_, _ = c.Read(make([]byte, 1)) // until the connection is closed
 }
 
+const (
+	notRunHead = "HTTP/1.1 503 Full\r\nId: {id}\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	// endlessChunk is a part of a chunk that has no end.
+	endlessChunk = "7fffffff\r\n"
+)
+
 var kilobyte = strings.Repeat("\x00", 1<<10)
 
 // TestEndlessBytesOfTargetAreGivenUp guards against bytes that are no answer, or none that the caller gets, and have no
@@ -60,6 +66,8 @@
 		{"a line of a head", flood{start: "HTTP/1.1 200 OK\r\nId: ", piece: strings.Repeat("x", 1<<10)}, "broken", 0},
 		{"lines of a head", flood{start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n"}, "broken", 0},
 		{"interim answers", flood{piece: "HTTP/1.1 103 Early Hints\r\n\r\n"}, "broken", 0},
+		{"a body of what was not run", flood{start: notRunHead + endlessChunk, piece: kilobyte}, "declined 503", 0},
+		{"a slow body of what was not run", flood{start: notRunHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "declined 503", 100 * time.Millisecond},
 	}
 	for i := range scenarios {
 		s := &scenarios[i]
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -62,7 +62,7 @@
 		discard(e.conn)
 		return Withheld{}
 	}
-	e.stop = context.AfterFunc(e.ctx, func() { _ = e.conn.SetDeadline(time.Unix(1, 0)) })
+	e.stop = context.AfterFunc(e.ctx, e.breakOff)
 	e.sentAt = p.Clock.Now()
 	go e.write()
 	return e.read()
@@ -224,9 +224,16 @@
 	return Broken{fmt.Errorf("target %s, reused connection %t: %w", e.target.ID, e.conn.reused, err)}
 }
 
+// The rest of an answer that says that the request was not run is read so that its connection can be used again. Sound
+// ones arrive with their heads. A request waits no longer for it, as another target may run it.
+const (
+	maxNotRunBytes = 64 << 10
+	notRunTime     = 50 * clock.Millisecond
+)
+
 // declined ends an exchange whose target reported that it did not run the request.
 func (e *exchange) declined(response *http.Response, metadata AnswerMetadata) Result {
-	_, err := io.Copy(io.Discard, response.Body)
+	err := e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun)
 	e.finish(response, err == nil)
 	e.pool.account.DropIncoming(&e.incoming)
 	return Declined{Status: response.StatusCode, Load: metadata.Load}
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -21,6 +21,8 @@
 	LimitHead Limit = iota
 	// LimitMemory is that of what all exchanges together hold of answers that can't be passed on yet.
 	LimitMemory
+	// LimitNotRun is that of the rest of an answer that says that the request was not run, in bytes and in time.
+	LimitNotRun
 )
 
 // errDropped stands for the error of giveUp until drop has been called.
--- a/pkg/forward/limit_string.go
+++ b/pkg/forward/limit_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[LimitHead-0]
 	_ = x[LimitMemory-1]
+	_ = x[LimitNotRun-2]
 }
 
-const _Limit_name = "HeadMemory"
+const _Limit_name = "HeadMemoryNotRun"
 
-var _Limit_index = [...]uint8{0, 4, 10}
+var _Limit_index = [...]uint8{0, 4, 10, 16}
 
 func (i Limit) String() string {
 	idx := int(i) - 0
