forward: an answer to another request is skipped within a limit

What callers saw: a request whose target sends an answer to another one first, with a body that has no end, was lost at its deadline, and kept its connection and its slot at the planner until then.

Cause: the surplus answer was read to its end, however long that took.

Change: its rest is skipped for half a second and 1 MiB at the most. Beyond that the exchange fails as one that may have run, so that another target gets what may be repeated.

--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -46,6 +46,7 @@
 
 const (
 	notRunHead = "HTTP/1.1 503 Full\r\nId: {id}\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	strayHead  = "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n"
 	// endlessChunk is a part of a chunk that has no end.
 	endlessChunk = "7fffffff\r\n"
 )
@@ -68,6 +69,8 @@
 		{"interim answers", flood{piece: "HTTP/1.1 103 Early Hints\r\n\r\n"}, "broken", 0},
 		{"a body of what was not run", flood{start: notRunHead + endlessChunk, piece: kilobyte}, "declined 503", 0},
 		{"a slow body of what was not run", flood{start: notRunHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "declined 503", 100 * time.Millisecond},
+		{"an answer to another request", flood{start: strayHead + endlessChunk, piece: kilobyte}, "broken", 0},
+		{"a slow answer to another request", flood{start: strayHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "broken", time.Second},
 	}
 	for i := range scenarios {
 		s := &scenarios[i]
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -197,13 +197,20 @@
 	e.pool.advice.Observe(e.target.Incarnation(), e.conn.madeAt, e.request.ID, advice)
 }
 
+// An answer to another request was complete before this one was sent, or nearly so. Its rest is skipped within these
+// limits.
+const (
+	maxStrayBytes = 1 << 20
+	strayTime     = 500 * clock.Millisecond
+)
+
 // skip discards an answer that belongs to another request. It fails if the connection has no further answer.
 func (e *exchange) skip(response *http.Response) error {
 	e.pool.Metrics.Links.Add("stray_answers", 1)
 	if network.FramingOf(response) == network.FramedByClose {
 		return errStray
 	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	if err := e.discardBody(response, maxStrayBytes, strayTime, LimitStray); err != nil {
 		return fmt.Errorf("skipping the answer of another request: %w", err)
 	}
 	return nil
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -23,6 +23,8 @@
 	LimitMemory
 	// LimitNotRun is that of the rest of an answer that says that the request was not run, in bytes and in time.
 	LimitNotRun
+	// LimitStray is that of an answer to another request, in bytes and in time.
+	LimitStray
 )
 
 // errDropped stands for the error of giveUp until drop has been called.
--- a/pkg/forward/limit_string.go
+++ b/pkg/forward/limit_string.go
@@ -11,11 +11,12 @@
 	_ = x[LimitHead-0]
 	_ = x[LimitMemory-1]
 	_ = x[LimitNotRun-2]
+	_ = x[LimitStray-3]
 }
 
-const _Limit_name = "HeadMemoryNotRun"
+const _Limit_name = "HeadMemoryNotRunStray"
 
-var _Limit_index = [...]uint8{0, 4, 10, 16}
+var _Limit_index = [...]uint8{0, 4, 10, 16, 21}
 
 func (i Limit) String() string {
 	idx := int(i) - 0
