forward: a dropped exchange always tells at which limit

Cause: an exchange that another one had dropped could ask for more before it was broken off, and then failed with an error that named no limit. TestManyLongHeadsFitIntoMemory failed by that once, with 45 of 50 exchanges counted (984,650 bytes held of 1,048,576, as it should be).

Change: it waits until it is broken off, which whoever dropped it does at once.

--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"errors"
+	"context"
 	"fmt"
 
 	"github.com/sirupsen/logrus"
@@ -27,9 +27,6 @@
 	LimitStray
 )
 
-// errDropped stands for the error of giveUp until drop has been called.
-var errDropped = errors.New("too much is held of answers that can't be passed on yet")
-
 // LimitError means that an answer was given up at a limit. The target may have run the request.
 type LimitError struct {
 	Limit Limit
@@ -47,7 +44,8 @@
 	largest, held := e.pool.account.HoldIncoming(&e.incoming, n)
 	buffers.BreakOffIncoming(largest)
 	if !held {
-		return e.cause(errDropped)
+		<-e.ctx.Done() // whoever dropped it calls drop
+		return context.Cause(e.ctx)
 	}
 	return nil
 }
