eventstream: events that are read are counted in the memory of the entry

What callers would see: requests cut with their entry, as several targets send events without an end at a time. Each is limited to 1 MiB, but what is read of one was counted nowhere, and a fourth of it or more beside that, by the way in which its memory grew. No line told of an event that was too long but by the request's error.

Change: the reader of a stream counts the memory of the event that it reads, and of the one that it has returned last, beyond 4 KiB each, with what else is held of answers that can't be passed on yet. Over the bound of all the largest goes. An event beyond its limit has a line and a counter with the limit Event.

Whole packages eventstream, forward, ingress pass.

--- a/pkg/eventstream/reader.go
+++ b/pkg/eventstream/reader.go
@@ -38,11 +38,23 @@
 	HasID bool
 	// HasFields is false if there are only comments and empty lines.
 	HasFields bool
+
+	held int // bytes of Raw that are counted
+}
+
+// Memory counts the bytes of events.
+type Memory interface {
+	// Hold counts n bytes more, or fails if there is no room for them.
+	Hold(n int) error
+	// Release takes back n bytes that Hold has counted.
+	Release(n int)
 }
 
 // Reader splits a stream into events. It is not safe for concurrent use.
 type Reader struct {
 	from    *bufio.Reader
+	memory  Memory  // nil if events are not counted
+	given   int     // bytes of the event that Next has returned, as far as they are counted
 	peeked  *peeked // read by Peek, nil if none
 	afterCR bool    // the last line ended with a CR, and an LF that follows it belongs to it
 	begun   bool    // a line has been read
@@ -55,19 +67,40 @@
 	err   error
 }
 
-// NewReader returns a reader of a stream.
+// NewReader returns a reader of a stream, whose events are not counted.
 func NewReader(from io.Reader) *Reader {
-	return &Reader{from: bufio.NewReaderSize(from, bufferBytes)}
+	return NewReaderWithin(from, nil)
+}
+
+// NewReaderWithin returns a reader of a stream, which counts the event that it reads and the one that Next has returned
+// last, if they are larger than 4 KiB. What it has counted at the end of the stream is not taken back.
+func NewReaderWithin(from io.Reader, memory Memory) *Reader {
+	return &Reader{from: bufio.NewReaderSize(from, bufferBytes), memory: memory}
 }
 
 // Next returns the next event. After the last one it returns io.EOF, together with the bytes of comments behind it, if
 // any. ErrInsideEvent says that the stream ended inside an event, ErrTooLong that an event is too long, and any other
-// error is one of the underlying reader; the event is then incomplete.
+// error is one of the underlying reader or of its memory; the event is then incomplete.
 func (r *Reader) Next() (Event, error) {
+	if r.given > 0 {
+		r.memory.Release(r.given)
+	}
+	e, err := r.take()
+	r.given = e.held
+	return e, err
+}
+
+// take returns what Peek has read ahead, or else reads the next event.
+func (r *Reader) take() (Event, error) {
 	if ahead := r.peeked; ahead != nil {
 		r.peeked = nil
 		return ahead.event, ahead.err
 	}
+	return r.read()
+}
+
+// read reads the next event.
+func (r *Reader) read() (Event, error) {
 	var e Event
 	for {
 		start, err := r.readLine(&e)
@@ -89,7 +122,7 @@
 
 // Peek reads ahead what Next then returns, and returns its error.
 func (r *Reader) Peek() error {
-	e, err := r.Next()
+	e, err := r.take()
 	r.peeked = &peeked{e, err}
 	return err
 }
@@ -116,6 +149,9 @@
 		available, _ := r.from.Peek(r.from.Buffered())
 		n, ended := lineLength(available)
 		r.afterCR = ended && n == len(available) && available[n-1] == '\r'
+		if err := r.grow(e, n); err != nil {
+			return start, err
+		}
 		e.Raw = append(e.Raw, available[:n]...)
 		_, _ = r.from.Discard(n) // it is buffered
 		switch {
@@ -127,6 +163,20 @@
 	}
 }
 
+// grow makes room for n bytes more in an event. Beyond the size of the buffer the memory that it takes is counted.
+func (r *Reader) grow(e *Event, n int) error {
+	if r.memory == nil || len(e.Raw)+n <= max(cap(e.Raw), bufferBytes) {
+		return nil
+	}
+	size := max(len(e.Raw)+n, min(2*cap(e.Raw), maxEventBytes+bufferBytes))
+	if err := r.memory.Hold(size - e.held); err != nil {
+		return err
+	}
+	e.held = size
+	e.Raw = append(make([]byte, 0, size), e.Raw...)
+	return nil
+}
+
 // readRestOfLineEnd appends an LF that follows the CR of the line before.
 func (r *Reader) readRestOfLineEnd(e *Event) error {
 	if !r.afterCR {
--- a/pkg/eventstream/reader_test.go
+++ b/pkg/eventstream/reader_test.go
@@ -195,3 +195,55 @@
 		checkAgainstModel(t, text.String(), iotest.OneByteReader(strings.NewReader(text.String())))
 	}
 }
+
+// countingMemory counts what is held, up to a limit.
+type countingMemory struct{ held, limit int }
+
+var errNoRoom = errors.New("no room")
+
+func (m *countingMemory) Hold(n int) error {
+	if m.held+n > m.limit {
+		return errNoRoom
+	}
+	m.held += n
+	return nil
+}
+
+func (m *countingMemory) Release(n int) { m.held -= n }
+
+// TestEventsAreCounted guards against memory of events that nobody counts, or that stays counted behind them.
+func TestEventsAreCounted(t *testing.T) {
+	event := func(size int) string { return "data: " + strings.Repeat("x", size) + "\n\n" }
+	steps := []struct {
+		peek        bool // before the step
+		size        int
+		least, most int // held after it
+	}{
+		{false, 100, 0, 0},
+		{false, 20 << 10, 20 << 10, 48 << 10},
+		{false, 100, 0, 0}, // of the one before nothing is left
+		{false, 20 << 10, 20 << 10, 48 << 10},
+		{true, 30 << 10, 30 << 10, 72 << 10}, // read ahead, beside the one before
+		{false, 100, 0, 0},
+	}
+	var text strings.Builder
+	for _, s := range steps {
+		text.WriteString(event(s.size))
+	}
+	memory := &countingMemory{limit: 100 << 10}
+	r := eventstream.NewReaderWithin(strings.NewReader(text.String()+event(200<<10)), memory)
+	for n, s := range steps {
+		before := memory.held
+		if s.peek {
+			if err := r.Peek(); err != nil || memory.held <= before {
+				t.Errorf("step %d: %d bytes held, %v, want more than %d", n, memory.held, err, before)
+			}
+		}
+		if e, err := r.Next(); err != nil || len(e.Raw) != len(event(s.size)) || memory.held < s.least || memory.held > s.most {
+			t.Errorf("step %d: %d bytes of an event, %d held, %v", n, len(e.Raw), memory.held, err)
+		}
+	}
+	if _, err := r.Next(); !errors.Is(err, errNoRoom) || memory.held > memory.limit {
+		t.Errorf("an event beyond the limit: %v, %d bytes held", err, memory.held)
+	}
+}
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -25,6 +25,8 @@
 	LimitNotRun
 	// LimitStray is that of an answer to another request, in bytes and in time.
 	LimitStray
+	// LimitEvent is that of one event of a stream.
+	LimitEvent
 )
 
 // LimitError means that an answer was given up at a limit. The target may have run the request.
--- a/pkg/forward/limit_string.go
+++ b/pkg/forward/limit_string.go
@@ -12,11 +12,12 @@
 	_ = x[LimitMemory-1]
 	_ = x[LimitNotRun-2]
 	_ = x[LimitStray-3]
+	_ = x[LimitEvent-4]
 }
 
-const _Limit_name = "HeadMemoryNotRunStray"
+const _Limit_name = "HeadMemoryNotRunStrayEvent"
 
-var _Limit_index = [...]uint8{0, 4, 10, 16, 21}
+var _Limit_index = [...]uint8{0, 4, 10, 16, 21, 26}
 
 func (i Limit) String() string {
 	idx := int(i) - 0
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -97,6 +97,18 @@
 // HeldBytes returns how many bytes of the head are counted in the account of buffers, until Close.
 func (a *Answer) HeldBytes() int { return max(0, a.body.exchange.headBytes-freeHeadBytes) }
 
+// Hold counts n more bytes of the answer that can't be passed on yet. It fails with a LimitError if the exchanges of this
+// process hold too much, and this one most.
+func (a *Answer) Hold(n int) error { return a.body.exchange.hold(n) }
+
+// Release takes back n bytes that Hold has counted. Close takes back all that is left.
+func (a *Answer) Release(n int) {
+	a.body.exchange.pool.account.ReleaseIncoming(&a.body.exchange.incoming, n)
+}
+
+// GiveUp logs and counts that the answer is given up at a limit, after so many bytes. Close has still to be called.
+func (a *Answer) GiveUp(limit Limit, size int) { _ = a.body.exchange.giveUp(limit, size) }
+
 // Close ends the exchange. Before the end of the body it closes the connection, upon which the target drops the
 // request.
 func (a *Answer) Close() {
--- a/pkg/ingress/answer_end.go
+++ b/pkg/ingress/answer_end.go
@@ -31,8 +31,13 @@
 }
 
 // recordEarlyEnd logs and counts an answer that its target ended early, although its connection was closed in good
-// order; leftBytes are those of an event that was not terminated. It does nothing for other errors of an answer.
+// order, or whose event was too long; leftBytes are those of an event that was not terminated. It does nothing for other
+// errors of an answer.
 func (d *delivery) recordEarlyEnd(q *request, target *routing.Target, a *forward.Answer, err error, leftBytes int) {
+	if errors.Is(err, eventstream.ErrTooLong) {
+		a.GiveUp(forward.LimitEvent, leftBytes)
+		return
+	}
 	if !errors.Is(err, eventstream.ErrInsideEvent) && !errors.Is(err, errNoEvent) && !errors.Is(err, forward.ErrClosedEarly) {
 		return
 	}
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -37,7 +37,7 @@
 		return lost{err: errEncoded, answered: true}
 	}
 	if q.streams(a) {
-		return d.relayStream(w, q, out, assignment, a, eventstream.NewReader(a))
+		return d.relayStream(w, q, out, assignment, a, eventstream.NewReaderWithin(a, a))
 	}
 	body, err := d.readBuffered(a)
 	if err != nil {
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -241,7 +241,7 @@
 	case isEncoded(a):
 		err = errEncoded
 	case streams:
-		t.events = eventstream.NewReader(a)
+		t.events = eventstream.NewReaderWithin(a, a)
 		if err = t.events.Peek(); err != nil {
 			err = streamEnd(s.q, a, t.events, err)
 		}
