ingress: a failure's body gets a quarter of a second while another target may serve

What callers saw: a request whose target answers with a failure (status 500) and a body without an end waited for that until its deadline, though another target could have served it.

Cause: a failure is read whole before another target is tried, up to 1 MiB, and for as long as its target likes.

Change: while the request may be sent to another target, the body of a failure has 250 ms; then the exchange is given up at the limit Rest and counts as lost, so that the request goes on elsewhere.

--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -27,6 +27,8 @@
 	LimitStray
 	// LimitEvent is that of one event of a stream.
 	LimitEvent
+	// LimitRest is that of the time for the rest of an answer; see Answer.LimitRest.
+	LimitRest
 )
 
 // LimitError means that an answer was given up at a limit. The target may have run the request.
--- a/pkg/forward/limit_string.go
+++ b/pkg/forward/limit_string.go
@@ -13,11 +13,12 @@
 	_ = x[LimitNotRun-2]
 	_ = x[LimitStray-3]
 	_ = x[LimitEvent-4]
+	_ = x[LimitRest-5]
 }
 
-const _Limit_name = "HeadMemoryNotRunStrayEvent"
+const _Limit_name = "HeadMemoryNotRunStrayEventRest"
 
-var _Limit_index = [...]uint8{0, 4, 10, 16, 21, 26}
+var _Limit_index = [...]uint8{0, 4, 10, 16, 21, 26, 30}
 
 func (i Limit) String() string {
 	idx := int(i) - 0
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -94,6 +94,9 @@
 	return a.body.Read(p)
 }
 
+// LimitRest gives the answer up if its body is not complete within a time from now: Read then returns a LimitError.
+func (a *Answer) LimitRest(within clock.Millis) { a.body.limitRest(within) }
+
 // HeldBytes returns how many bytes of the head are counted in the account of buffers, until Close.
 func (a *Answer) HeldBytes() int { return max(0, a.body.exchange.headBytes-freeHeadBytes) }
 
--- a/pkg/ingress/endless_test.go
+++ b/pkg/ingress/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -84,3 +85,22 @@
 		t.Error("no line tells of it")
 	})
 }
+
+// TestSlowFailureDoesNotHoldRequest guards against a request that waits for the body of a failure, which has no end,
+// although another target would serve it.
+func TestSlowFailureDoesNotHoldRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t, fakeMeter{}, func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 500 X\r\nId: %s\r\n\r\n", r.Header.Get("Id"))
+			for {
+				time.Sleep(20 * time.Millisecond)
+				if _, err := io.WriteString(c, "x"); err != nil {
+					return false
+				}
+			}
+		}, replies(http.StatusOK, "", "yes"))
+		if got := b.call(context.Background(), "/safe/a", nil); got.body != "yes" || got.took > 500*time.Millisecond {
+			t.Errorf("status %d, %q after %v", got.status, got.body, got.took)
+		}
+	})
+}
--- a/pkg/ingress/plain_body.go
+++ b/pkg/ingress/plain_body.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"quaydock/pkg/buffers"
+	"quaydock/pkg/clock"
 	"quaydock/pkg/forward"
 )
 
@@ -17,6 +18,9 @@
 	maxStatedBody = 64 << 10
 )
 
+// failureTime limits the time for the body of a failure while another target may still do better.
+const failureTime = 250 * clock.Millisecond
+
 // plainBody is what was read of an answer that is not a stream.
 type plainBody struct {
 	data  []byte
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -39,6 +39,9 @@
 	if q.streams(a) {
 		return d.relayStream(w, q, out, assignment, a, eventstream.NewReaderWithin(a, a))
 	}
+	if a.Status >= http.StatusInternalServerError && d.movable(q) {
+		a.LimitRest(failureTime)
+	}
 	body, err := d.readBuffered(a)
 	if err != nil {
 		q.addToTrail(d.Clock.Now(), "answer "+w.endText()+" at", assignment.Target().ID)
