network: what targets send and nobody reads stays at what a new connection takes

What callers would see: requests cut with their entry, as bytes that have arrived and are not yet read count as its memory. A target may send ahead of a caller that pauses, or on a connection that is kept idle.

Cause: the kernel makes the receive buffer of a connection larger the faster it is read, here up to 32 MB (tcp_rmem), and keeps it so when reading stops.

--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -15,6 +15,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/telemetry"
 )
@@ -177,6 +178,7 @@
 		return nil, err
 	}
 	p.Metrics.Links.Add("target_connections", 1)
+	network.LimitReceiveBuffer(c)
 	return newConnection(c), nil
 }
 
