network: answers of other servers are limited, in heads and in bodies

What callers would see: requests cut with their entry, as another server that it reads (the store, the table, an agent, a model behind an agent) sends bytes without an end.

Cause: net/http's transport takes 10 MB of a head for each call, and the store's and the table's answers are decoded whole, of any length.

The bodies that agents and entries pass on were bounded before. Messages of other entries (net/rpc) are read as before: they are no servers' answers.

--- a/pkg/network/transport.go
+++ b/pkg/network/transport.go
@@ -24,6 +24,9 @@
 	Wrap func(net.Conn) net.Conn
 }
 
+// maxHeadBytes limits the head of an answer, with the interim ones before it.
+const maxHeadBytes = 128 << 10
+
 // NewTransport returns an HTTP transport that dials by way of network.
 func NewTransport(network Network, o TransportOptions) *http.Transport {
 	return &http.Transport{
@@ -33,6 +36,8 @@
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     o.IdleAfter.Duration(),
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -64,9 +64,13 @@
 // ErrClosed is returned by calls to a closed table.
 var ErrClosed = errors.New("the table's client is closed")
 
+// maxAnswerBytes limits an answer of the table, which has one row at the most.
+const maxAnswerBytes = 64 << 20
+
 // NewTable returns a client of the table at the URL base. Each call is limited by timeout.
 func NewTable(via network.Network, base string, timeout clock.Millis) *Table {
-	return &Table{base: base, client: &http.Client{Transport: network.NewTransport(via, network.TransportOptions{})}, timeout: timeout}
+	transport := network.LimitBodies(network.NewTransport(via, network.TransportOptions{}), maxAnswerBytes)
+	return &Table{base: base, client: &http.Client{Transport: transport}, timeout: timeout}
 }
 
 // Read returns the row at key. The error is of kind errors.NotFound if there is no such row.
