forward: the lines of a body don't count as those of its head

What callers would see: a sound answer given up at the limit of heads, if its body is full of short lines and arrives with the head.

Cause (a fault of, found by reading): each piece that was read while a head was read counted as a head, with 64 bytes for each line, also what lay behind the head's end.

Change: a piece counts once more has to be read for the head, which is when all of it belongs to the head. Besides, the rest of an answer that says that the request was not run is not read if its connection can't be used again.

--- a/pkg/forward/connection.go
+++ b/pkg/forward/connection.go
@@ -36,18 +36,24 @@
 // source is what a connection's buffer is filled from.
 type source struct {
 	io.Reader
-	// count is called with all that arrives while the head of an answer is read, and may end that; nil otherwise.
-	count func(piece []byte) error
+	// count is called with the size of each piece of a head, and may end reading it; nil while no head is read.
+	count func(size int) error
+	last  int // size of the latest piece, which may go on behind the end of the head
 }
 
-// Read reads from the connection.
+// countHead has the next head counted.
+func (s *source) countHead(count func(size int) error) { s.count, s.last = count, 0 }
+
+// Read reads from the connection. While a head is read, more is read only once all of the piece before belongs to it.
 func (s *source) Read(p []byte) (int, error) {
-	n, err := s.Reader.Read(p)
-	if s.count != nil {
-		if countErr := s.count(p[:n]); countErr != nil {
-			return 0, countErr
-		}
+	if s.count == nil {
+		return s.Reader.Read(p)
 	}
+	if err := s.count(s.last); err != nil {
+		return 0, err
+	}
+	n, err := s.Reader.Read(p)
+	s.last = headSize(p[:n])
 	return n, err
 }
 
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// TestLinesBehindHeadAreNoHead guards against a sound answer that is given up for the lines of its body, which arrive with
+// its head.
+func TestLinesBehindHeadAreNoHead(t *testing.T) {
+	body := strings.Repeat("\n", 1<<12)
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		serve(t, memory, func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, answer(id, body)) })
+		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "200 "+body {
+			t.Errorf("%.100q", got)
+		}
+	})
+}
+
 // TestLongLineThatIsNoHeadGivesShortError guards against log lines as long as what a target sent in place of a head.
 func TestLongLineThatIsNoHeadGivesShortError(t *testing.T) {
 	const most = 1 << 10
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -33,7 +33,7 @@
 	writeEnd  chan struct{}           // closed when write ends; written and writeErr are read only after that
 	written   int                     // bytes of the request, its head included
 	writeErr  error
-	headBytes int // of all heads that were read, with lineBytes for each line
+	headBytes int // of all heads, by headSize, but for the last piece of each
 	incoming  buffers.Incoming
 }
 
@@ -238,8 +238,8 @@
 
 // declined ends an exchange whose target reported that it did not run the request.
 func (e *exchange) declined(response *http.Response, metadata AnswerMetadata) Result {
-	err := e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun)
-	e.finish(response, err == nil)
+	complete := reusable(response) && e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun) == nil
+	e.finish(response, complete)
 	e.pool.account.DropIncoming(&e.incoming)
 	return Declined{Status: response.StatusCode, Load: metadata.Load}
 }
@@ -268,11 +268,15 @@
 		written = e.writeErr == nil
 	default: // part of the request's body has yet to be written
 	}
-	reusable := network.FramingOf(response) != network.FramedByClose && !response.Close
 	keep := keepFor(response.Header)
-	if complete && stopped && written && reusable && keep > 0 {
+	if complete && stopped && written && reusable(response) && keep > 0 {
 		e.pool.keepIdle(e.target.Incarnation(), e.conn, keep)
 		return
 	}
 	discard(e.conn)
 }
+
+// reusable reports whether a target lets a connection be used again after an answer.
+func reusable(response *http.Response) bool {
+	return network.FramingOf(response) != network.FramedByClose && !response.Close
+}
--- a/pkg/forward/head.go
+++ b/pkg/forward/head.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// maxHeadBytes limits the heads of an exchange, counted by countHead. It has room for some hundred fields, more than
+// maxHeadBytes limits the heads of an exchange, by headSize. It has room for some hundred fields, more than
 // callers and the servers between take.
 const maxHeadBytes = 128 << 10
 
@@ -21,8 +21,8 @@
 
 // readHead reads the head of the next answer that is not an interim one.
 func (e *exchange) readHead() (*http.Response, error) {
-	e.conn.source.count = e.countHead
-	defer func() { e.conn.source.count = nil }()
+	e.conn.source.countHead(e.countHead)
+	defer e.conn.source.countHead(nil)
 	for {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
 		if err != nil {
@@ -47,10 +47,13 @@
 	return errors.New(strings.ToValidUTF8(text[:maxErrorBytes], "") + "...")
 }
 
+// headSize returns the size of a piece of a head: its bytes, and lineBytes for each line.
+func headSize(piece []byte) int { return len(piece) + lineBytes*bytes.Count(piece, []byte("\n")) }
+
 // countHead counts a piece of the exchange's heads, and fails beyond maxHeadBytes or if there is no room for it.
-func (e *exchange) countHead(piece []byte) error {
+func (e *exchange) countHead(size int) error {
 	before := e.headBytes
-	e.headBytes += len(piece) + lineBytes*bytes.Count(piece, []byte("\n"))
+	e.headBytes += size
 	switch {
 	case e.headBytes > maxHeadBytes:
 		return e.giveUp(LimitHead, e.headBytes)
