--- a/pkg/ctl/status_load.go
+++ b/pkg/ctl/status_load.go
@@ -115,6 +115,9 @@
 	}
 	report(out, fmt.Sprintf("held: %.1f of %.1f MiB (answers %.1f, request bodies %.1f of %.1f); callers slow to read: %d",
 		mebibytes(r.Held.Answers+r.Held.Bodies), mebibytes(r.Limits.Total), mebibytes(r.Held.Answers), mebibytes(r.Held.Bodies), mebibytes(r.Limits.Bodies), r.Held.Readers))
+	if r.Held.Incoming > 0 {
+		report(out, fmt.Sprintf("held of answers that can't be passed on yet: %.1f of %.1f MiB", mebibytes(r.Held.Incoming), mebibytes(r.Limits.Incoming)))
+	}
 	if len(r.Slowest) == 0 {
 		return nil
 	}
--- a/pkg/ctl/status_test.go
+++ b/pkg/ctl/status_test.go
@@ -176,6 +176,9 @@
 			"held: 3.5 of 20.0 MiB (answers 3.0, request bodies 0.5 of 10.0); callers slow to read: 8",
 			"slow caller holds  behind for  took nothing for", "1024 KiB           8.3 s       1.2 s",
 		}, "read: 0"},
+		{"answers that can't be passed on yet", buffers.Report{
+			Held: buffers.Usage{Incoming: 3 * mebibyte / 2}, Limits: buffers.Limits{Total: 20 * mebibyte, Incoming: 5 * mebibyte},
+		}, []string{"held of answers that can't be passed on yet: 1.5 of 5.0 MiB"}, "behind"},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
