--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -24,7 +24,7 @@
 	start, piece string
 	every        time.Duration // the time between two pieces
 
-	sent int // bytes that the connection took
+	sent atomic.Int64 // bytes that the connection took
 }
 
 // floodBytes is more than any limit lets through.
@@ -32,11 +32,10 @@
 
 // answer is the engine of a flood.
 func (f *flood) answer(c net.Conn, _ int, id string) {
-	f.sent, _ = io.WriteString(c, strings.ReplaceAll(f.start, "{id}", id))
-	for f.sent < floodBytes {
-		n, err := io.WriteString(c, f.piece)
-		f.sent += n
-		if err != nil {
+	n, _ := io.WriteString(c, strings.ReplaceAll(f.start, "{id}", id))
+	for f.sent.Add(int64(n)) < floodBytes {
+		var err error
+		if n, err = io.WriteString(c, f.piece); err != nil {
 			return
 		}
 		time.Sleep(f.every)
@@ -58,22 +57,21 @@
 func TestEndlessBytesOfTargetAreGivenUp(t *testing.T) {
 	scenarios := []struct {
 		name   string
-		flood  flood
+		flood  *flood
 		want   string // see outcome
 		within time.Duration
 	}{
-		{"zeros in place of an answer", flood{piece: kilobyte}, "broken", 0},
-		{"a status line", flood{start: "HTTP/1.1 200 ", piece: "OK"}, "broken", 0},
-		{"a line of a head", flood{start: "HTTP/1.1 200 OK\r\nId: ", piece: strings.Repeat("x", 1<<10)}, "broken", 0},
-		{"lines of a head", flood{start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n"}, "broken", 0},
-		{"interim answers", flood{piece: "HTTP/1.1 103 Early Hints\r\n\r\n"}, "broken", 0},
-		{"a body of what was not run", flood{start: notRunHead + endlessChunk, piece: kilobyte}, "declined 503", 0},
-		{"a slow body of what was not run", flood{start: notRunHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "declined 503", 100 * time.Millisecond},
-		{"an answer to another request", flood{start: strayHead + endlessChunk, piece: kilobyte}, "broken", 0},
-		{"a slow answer to another request", flood{start: strayHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "broken", time.Second},
+		{"zeros in place of an answer", &flood{piece: kilobyte}, "broken", 0},
+		{"a status line", &flood{start: "HTTP/1.1 200 ", piece: "OK"}, "broken", 0},
+		{"a line of a head", &flood{start: "HTTP/1.1 200 OK\r\nId: ", piece: strings.Repeat("x", 1<<10)}, "broken", 0},
+		{"lines of a head", &flood{start: "HTTP/1.1 200 OK\r\n", piece: "A: b\r\n"}, "broken", 0},
+		{"interim answers", &flood{piece: "HTTP/1.1 103 Early Hints\r\n\r\n"}, "broken", 0},
+		{"a body of what was not run", &flood{start: notRunHead + endlessChunk, piece: kilobyte}, "declined 503", 0},
+		{"a slow body of what was not run", &flood{start: notRunHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "declined 503", 100 * time.Millisecond},
+		{"an answer to another request", &flood{start: strayHead + endlessChunk, piece: kilobyte}, "broken", 0},
+		{"a slow answer to another request", &flood{start: strayHead + endlessChunk, piece: "x", every: 20 * time.Millisecond}, "broken", time.Second},
 	}
-	for i := range scenarios {
-		s := &scenarios[i]
+	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				memory := network.NewMemory(nil)
@@ -86,8 +84,8 @@
 				got := outcome(pool.Send(ctx, target, request("r1")))
 				took := time.Since(began)
 				time.Sleep(time.Minute) // until the target has noticed
-				if got != s.want || took > s.within || s.flood.sent > 2<<20 {
-					t.Errorf("%s after %v and %d bytes, want %s within %v", got, took, s.flood.sent, s.want, s.within)
+				if got != s.want || took > s.within || s.flood.sent.Load() > 2<<20 {
+					t.Errorf("%s after %v and %d bytes, want %s within %v", got, took, s.flood.sent.Load(), s.want, s.within)
 				}
 			})
 		})
