--- a/pkg/app/stream_bed_test.go
+++ b/pkg/app/stream_bed_test.go
@@ -17,6 +17,7 @@
 
 	"quaydock/pkg/ids"
 	"quaydock/platform"
+	"quaydock/platform/storetest"
 	"quaydock/platform/wiretest"
 )
 
@@ -65,7 +66,12 @@
 
 // newStreamBed starts entries and targets, half of them of version v1 and half of v2, or all of v1.
 func newStreamBed(t *testing.T, seed uint64, entries int, oneVersion bool) *streamBed {
-	b := &streamBed{crashBed: newBed(t, seed, entries, streamTargets, 0, true), unread: make(map[string]bool), sentTo: make(map[string]int)}
+	return newStreamBedWith(t, seed, entries, oneVersion, nil)
+}
+
+// newStreamBedWith is newStreamBed with a fault of the store's calls until two seconds after the start; nil for none.
+func newStreamBedWith(t *testing.T, seed uint64, entries int, oneVersion bool, fault func(*http.Request) storetest.Fault) *streamBed {
+	b := &streamBed{crashBed: newBed(t, seed, entries, streamTargets+spareTargets, 0, true), unread: make(map[string]bool), sentTo: make(map[string]int)}
 	b.intercept = b.stream
 	configuration := b.configuration(2)
 	configuration.Routes = append(configuration.Routes, wiretest.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: "streaming", Timeout: 6000, Objective: 800, Attempts: 3, Resumable: true, Service: "s"})
@@ -78,6 +84,7 @@
 		b.startEngine(n)
 	}
 	b.firstStart = true
+	b.store.InjectFaults(fault)
 	for i := range entries {
 		b.startEntry(i)
 	}
@@ -85,6 +92,7 @@
 	b.firstStart = false
 	b.mu.Unlock()
 	time.Sleep(2 * time.Second)
+	b.store.InjectFaults(nil)
 	b.began = time.Now()
 	return b
 }
