--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -4,6 +4,7 @@
 	"quaydock/pkg/common"
 	"quaydock/pkg/domains"
 	"quaydock/pkg/follow"
+	"quaydock/pkg/history"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/view"
 	"quaydock/platform"
@@ -14,6 +15,7 @@
 	common.Common
 	view      *view.View
 	onApplied func(*routing.Catalog) // called after a configuration was put in force
+	onRead    func(history.Position) // called once the table has been read and applied up to a position
 	orders    orderReceiver          // nil if roll-outs are disabled in this deployment
 	domains   *domains.Filter
 	faults    *follow.Faults // the invalid rows of the configuration; those of orders are in orders
@@ -62,6 +64,7 @@
 	if !h.faulty && !h.lost {
 		h.view.Confirmed(freshness.CurrentAt)
 	}
+	h.onRead(freshness.Position)
 }
 
 // applyDrainOrders applies the operators' rows that drain failure domains. In a snapshot, a domain without one is
--- a/pkg/app/configuration_handler_test.go
+++ b/pkg/app/configuration_handler_test.go
@@ -30,7 +30,7 @@
 	for _, returned := range [][]follow.Row{in(5, 5), nil} {
 		c := commontest.New(network.NewMemory(nil))
 		v := view.New(c.Check)
-		h := &configurationHandler{Common: c, view: v, onApplied: func(*routing.Catalog) {}, domains: domains.NewFilter(c, v.SetDirectory), faults: follow.NewFaults(c, "configuration")}
+		h := &configurationHandler{Common: c, view: v, onApplied: func(*routing.Catalog) {}, onRead: func(history.Position) {}, domains: domains.NewFilter(c, v.SetDirectory), faults: follow.NewFaults(c, "configuration")}
 		h.Snapshot(in(4, 7), at(4, 100))
 		h.Snapshot(returned, at(5, 200))
 		h.Changed(nil, at(5, 300))
--- a/pkg/app/entries_handler.go
+++ b/pkg/app/entries_handler.go
@@ -4,15 +4,17 @@
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
 	"quaydock/pkg/quarantine"
+	"quaydock/pkg/streams"
 	"quaydock/platform"
 )
 
-// entriesHandler follows the table of the entries, which also holds the records of roll-outs and of
-// quarantined requests, and passes each row to the component that it is for.
+// entriesHandler follows the table of the entries, which also holds the records of roll-outs, of quarantined requests and
+// of services' streams, and passes each row to the component that it is for.
 type entriesHandler struct {
 	members  follow.Handler // gets the rows of entries, and those of unknown keys
 	rollouts *rollouts      // nil if they are disabled in this deployment
 	guard    *quarantine.Guard
+	origins  *streams.Origins
 	// faults are the invalid records of requests.
 	faults *follow.Faults
 }
@@ -20,14 +22,15 @@
 var _ follow.Handler = (*entriesHandler)(nil)
 
 // newEntriesHandler returns a handler; r is nil if roll-outs are disabled.
-func newEntriesHandler(c common.Common, members follow.Handler, r *rollouts, g *quarantine.Guard) *entriesHandler {
-	return &entriesHandler{members: members, rollouts: r, guard: g, faults: follow.NewFaults(c, "records of requests")}
+func newEntriesHandler(c common.Common, members follow.Handler, r *rollouts, g *quarantine.Guard, o *streams.Origins) *entriesHandler {
+	return &entriesHandler{members: members, rollouts: r, guard: g, origins: o, faults: follow.NewFaults(c, "records of requests")}
 }
 
 // Snapshot applies all rows of the table.
 func (h *entriesHandler) Snapshot(rows []follow.Row, freshness follow.Freshness) {
 	d := h.splitRows(rows)
 	h.faults.Retain(d.requests)
+	h.origins.ApplyRecords(d.streams, true, freshness)
 	h.members.Snapshot(d.entries, freshness)
 	h.applyQuarantine(d.requests, true)
 	if h.rollouts != nil {
@@ -39,6 +42,7 @@
 // Changed applies rows that have changed.
 func (h *entriesHandler) Changed(rows []follow.Row, freshness follow.Freshness) {
 	d := h.splitRows(rows)
+	h.origins.ApplyRecords(d.streams, false, freshness)
 	h.members.Changed(d.entries, freshness)
 	h.applyQuarantine(d.requests, false)
 	if h.rollouts != nil {
@@ -50,7 +54,7 @@
 func (h *entriesHandler) ReadFailed(err error) { h.members.ReadFailed(err) }
 
 // rowsBySubject are the rows of the table, split by what they describe.
-type rowsBySubject struct{ entries, rollouts, requests []follow.Row }
+type rowsBySubject struct{ entries, rollouts, requests, streams []follow.Row }
 
 // splitRows splits rows by their keys. Rows of unknown keys, and of roll-outs if these are disabled, are among the
 // entries.
@@ -59,7 +63,10 @@
 	for _, row := range rows {
 		_, isRollout := platform.RolloutService(row.Key)
 		_, isRequest := platform.QuarantineDigest(row.Key)
+		record, isStreams := platform.StreamRecord(row)
 		switch {
+		case isStreams:
+			d.streams = append(d.streams, record)
 		case isRequest:
 			d.requests = append(d.requests, row)
 		case isRollout && h.rollouts != nil:
--- a/pkg/app/entry_follow.go
+++ b/pkg/app/entry_follow.go
@@ -14,7 +14,7 @@
 
 // followEntries follows the table of the entries until ctx ends.
 func (p *entryProcess) followEntries(ctx context.Context) {
-	handler := newEntriesHandler(p.Common, p.members, p.rollouts, p.guard)
+	handler := newEntriesHandler(p.Common, p.members, p.rollouts, p.guard, p.origins)
 	p.follower(platform.TableMembers, handler, follow.Options{Wait: membersWait, AnswerTimeout: storeTimeout}).Run(ctx)
 }
 
@@ -28,7 +28,7 @@
 	case <-ctx.Done():
 		return
 	}
-	configuration := &configurationHandler{Common: p.Common, view: p.view, onApplied: p.applyCatalog, domains: p.domains, faults: follow.NewFaults(p.Common, "configuration")}
+	configuration := &configurationHandler{Common: p.Common, view: p.view, onApplied: p.applyCatalog, domains: p.domains, onRead: p.origins.ConfigurationRead, faults: follow.NewFaults(p.Common, "configuration")}
 	if p.rollouts != nil {
 		configuration.orders = p.rollouts
 	}
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -207,7 +207,7 @@
 	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
 	p.guard = quarantine.New(quarantine.Dependencies{Common: c, Address: address, Peers: p.members, Link: link, Store: p.store.Quarantine(), Leaves: p.leaves})
 	p.origins = streams.New(streams.Dependencies{
-		Common: c, Peers: p.members, Link: link, Store: p.store.Table(platform.TableStreamVersions), FirstStart: s.Bootstrap,
+		Common: c, Peers: p.members, Link: link, Store: p.store.StreamRecords(), FirstStart: s.Bootstrap,
 		Streams: func(service ids.Service) bool { c := p.view.Catalog(); return c != nil && c.HasStreams(service) },
 	})
 	p.view.Watch(p.origins.SetDirectory)
@@ -225,7 +225,7 @@
 		listed = p.rollouts.filter.SetDirectory
 		dependencies.Rollouts = p.rollouts.dependencies(p.exposure, p.store.Rollouts(), p.guard)
 	}
-	p.domains = domains.NewFilter(c, listed)
+	p.domains = domains.NewFilter(c, p.origins.FilterTargets(listed))
 	p.dispatcher = dispatch.New(dependencies)
 	p.advice.OnChange(p.dispatcher.ForwardAdvice)
 	p.retries = quota.NewRetryBudget(retryBounds(s.Bounds), c.Clock.Now())
--- a/pkg/app/foreign_rows_test.go
+++ b/pkg/app/foreign_rows_test.go
@@ -51,7 +51,7 @@
 		t.Run(d.name, func(t *testing.T) {
 			c := commontest.New(network.NewMemory(nil))
 			v := view.New(c.Check)
-			h := &configurationHandler{Common: c, view: v, onApplied: func(*routing.Catalog) {}, domains: domains.NewFilter(c, v.SetDirectory), faults: follow.NewFaults(c, "configuration")}
+			h := &configurationHandler{Common: c, view: v, onApplied: func(*routing.Catalog) {}, onRead: func(history.Position) {}, domains: domains.NewFilter(c, v.SetDirectory), faults: follow.NewFaults(c, "configuration")}
 			h.Snapshot([]follow.Row{validConfiguration(7)}, follow.Freshness{CurrentAt: 100})
 			for i, take := range []func([]follow.Row, follow.Freshness){h.Changed, h.Snapshot} {
 				now := clock.Millis(200 * (i + 1))
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -99,20 +99,24 @@
 	}
 }
 
-// findOrigin finds out where a stream began that its caller takes up again. It refuses the request if nobody knows, or if
-// its route leads there no more: then the caller has to begin anew.
+// findOrigin finds out where a stream began that its caller takes up again, and has a new one wait until it may begin. It
+// refuses the request if nobody knows, or if its route leads there no more: then the caller has to begin anew.
 func (d *delivery) findOrigin(ctx context.Context, q *request) *Refusal {
-	if q.route.Kind != routing.Stream || q.LastEvent == "" {
+	if q.route.Kind != routing.Stream {
 		return nil
 	}
+	if q.LastEvent == "" {
+		return d.awaitBegin(ctx, q)
+	}
 	key, hasKey := q.streamKey()
 	found := d.origins.Find(ctx, streams.Stream{Key: key, HasKey: hasKey, Route: q.route.Name, Service: q.service})
 	d.Metrics.Prometheus.Add("streams_taken_up", "known_by", found.Source.String())
+	q.knownBy = found
 	if found.Origin == nil {
 		q.addToTrail(d.Clock.Now(), fmt.Sprintf("not known where the stream began, by %d of %d entries asked", found.Answered, found.Asked), "")
 		return d.cannotGoOn(q, notRun(CauseOriginUnknown, 0))
 	}
-	q.origin, q.knownBy = found.Origin, found.Source
+	q.origin = found.Origin
 	if !q.route.LeadsTo(found.Origin.Service) {
 		q.addToTrail(d.Clock.Now(), "the stream began at another service than the route leads to: "+string(found.Origin.Service), "")
 		return d.cannotGoOn(q, notRun(CauseVersionGone, 0))
@@ -121,6 +125,15 @@
 	return nil
 }
 
+// awaitBegin waits until a new stream may begin on its route.
+func (d *delivery) awaitBegin(ctx context.Context, q *request) *Refusal {
+	if d.origins.AwaitBegin(ctx, q.route.Name, q.service) {
+		return nil
+	}
+	q.addToTrail(d.Clock.Now(), "the record of another service still has the streams of the route", "")
+	return notRun(CauseRouteMoved, retryDelay)
+}
+
 // cannotGoOn logs that a stream can't go on that its caller takes up again, and returns the refusal.
 func (d *delivery) cannotGoOn(q *request, refusal *Refusal) *Refusal {
 	if !d.sampler.Allow("stream can't go on") {
@@ -128,7 +141,8 @@
 	}
 	fields := logrus.Fields{
 		telemetry.FieldRequest: q.ID, "resumes": q.Resumes, "after_event": q.resumeAfter(), "service": string(q.service),
-		"cause": refusal.Cause.String(), "known_by": q.knownBy.String(), "trail": q.formatTrail(),
+		"cause": refusal.Cause.String(), "known_by": q.knownBy.Source.String(), "trail": q.formatTrail(),
+		"record": q.knownBy.Record.String(), "record_age_ms": int64(q.knownBy.RecordAge),
 	}
 	if q.origin != nil {
 		fields["began_version"] = string(q.origin.Version)
@@ -182,7 +196,9 @@
 	}
 	if q.origin != nil {
 		fields["began_at"] = string(q.origin.Incarnation.Target)
-		fields["known_by"] = q.knownBy.String()
+		fields["known_by"] = q.knownBy.Source.String()
+		fields["record"] = q.knownBy.Record.String()
+		fields["record_age_ms"] = int64(q.knownBy.RecordAge)
 		fields["began_version"] = string(q.origin.Version)
 	}
 	d.Log.WithFields(fields).Info("a stream goes on")
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -39,6 +39,8 @@
 	CauseOriginUnknown // nobody knows where the stream began that the caller takes up again
 	CauseSlowReader    // its caller did not read the answer, and too much was held for callers
 	CauseBuffersFull   // too much is held for callers and targets to take the request's body
+	// CauseRouteMoved: the store still says that the streams of its route have all begun at another service.
+	CauseRouteMoved
 )
 
 // Refusal is an answer that the entry gives itself, instead of a target's.
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -37,7 +37,7 @@
 	lastEvent   int64 // id of the last event that was relayed to the caller, if hasEvent
 	hasEvent    bool
 	origin      *streams.Origin // where the stream began; nil before its first event, and if that is not known
-	knownBy     streams.Source  // how that is known of a stream that its caller has taken up again
+	knownBy     streams.Finding // how that is known of a stream that its caller has taken up again
 
 	trail []trailEntry
 	// lostErr is the error of the latest exchange that may have run.
--- a/pkg/streams/bed_test.go
+++ b/pkg/streams/bed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -14,8 +15,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/follow"
+	"quaydock/pkg/history"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
 	"quaydock/pkg/packets"
@@ -28,7 +31,7 @@
 type bed struct {
 	t       *testing.T
 	net     *packets.Memory
-	store   *rowStore
+	store   *recordStore
 	entries []*streams.Origins
 	stops   []context.CancelFunc
 	first   bool // entries that start now are told that the system starts for the first time
@@ -38,60 +41,83 @@
 	alive []bool
 }
 
-// rowStore is the table of versions.
-type rowStore struct {
-	mu    sync.Mutex
-	rows  map[string][]byte
-	away  bool
-	calls int
+// recordStore is the records in the store, which each entry reads as they change, unless the store is away.
+type recordStore struct {
+	mu     sync.Mutex
+	era    history.Era
+	newest int64 // version of the latest write
+	rows   map[string]follow.Row
+	away   bool
+	writes int
 }
 
 var errAway = errors.New("the store is away")
 
 // setAway makes all calls fail, or succeed again.
-func (s *rowStore) setAway(away bool) {
+func (s *recordStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away = away
 }
 
 // clear removes all rows.
-func (s *rowStore) clear() {
+func (s *recordStore) clear() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.rows)
 }
 
-// count returns the number of calls so far.
-func (s *rowStore) count() int {
+// count returns the number of writes so far.
+func (s *recordStore) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.calls
+	return s.writes
 }
 
-func (s *rowStore) Put(_ context.Context, key string, value []byte) error {
+func (s *recordStore) Write(_ context.Context, service ids.Service, value []byte, over history.Position) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
-	if s.away {
+	s.writes++
+	switch {
+	case s.away:
 		return errAway
+	case s.rows[string(service)].Position != over:
+		return streams.ErrRecordChanged
 	}
-	s.rows[key] = value
+	s.newest++
+	s.rows[string(service)] = follow.Row{Key: string(service), Value: value, Position: history.At(s.era, s.newest)}
 	return nil
 }
 
-func (s *rowStore) Snapshot(context.Context) (follow.Batch, error) {
+// read returns all rows, and up to where they have been read; false if the store is away.
+func (s *recordStore) read() ([]follow.Row, history.Position, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
-	if s.away {
-		return follow.Batch{}, errAway
-	}
-	var batch follow.Batch
-	for key, value := range s.rows {
-		batch.Rows = append(batch.Rows, follow.Row{Key: key, Value: value})
+	return slices.Collect(maps.Values(s.rows)), history.At(s.era, s.newest), !s.away
+}
+
+// readEvery is how often an entry of a bed reads the store.
+const readEvery = 20 * time.Millisecond
+
+// ignoreRows is a handler of targets' rows that does nothing.
+type ignoreRows struct{}
+
+func (ignoreRows) Snapshot([]follow.Row, follow.Freshness) {}
+func (ignoreRows) Changed([]follow.Row, follow.Freshness)  {}
+func (ignoreRows) ReadFailed(error)                        {}
+
+// follow has an entry read the store until ctx ends: at once, and every readEvery.
+func (s *recordStore) follow(ctx context.Context, c clock.Clock, o *streams.Origins) {
+	targets := o.ObserveTargets(ignoreRows{})
+	for ctx.Err() == nil {
+		if rows, position, ok := s.read(); ok {
+			freshness := follow.Freshness{RequestedAt: c.Now(), CurrentAt: c.Now(), Position: position}
+			o.ApplyRecords(rows, true, freshness)
+			targets.Changed(nil, freshness)
+			o.ConfigurationRead(position)
+		}
+		clock.Pause(ctx, clock.Millis(readEvery.Milliseconds()))
 	}
-	return batch, nil
 }
 
 // peers is an entry's view of the others.
@@ -141,7 +167,7 @@
 
 // newBed starts a number of entries for the first time, with the targets and routes given.
 func newBed(t *testing.T, entries int, targets []*routing.Target, routes []*routing.Route) *bed {
-	b := &bed{t: t, net: packets.NewMemory(), store: &rowStore{rows: make(map[string][]byte)}, first: true, entries: make([]*streams.Origins, entries), stops: make([]context.CancelFunc, entries), alive: make([]bool, entries)}
+	b := &bed{t: t, net: packets.NewMemory(), store: &recordStore{era: 1, newest: 1, rows: make(map[string]follow.Row)}, first: true, entries: make([]*streams.Origins, entries), stops: make([]context.CancelFunc, entries), alive: make([]bool, entries)}
 	for i := range entries {
 		b.start(i, targets, routes)
 	}
@@ -158,6 +184,20 @@
 
 // start starts an entry, which knows the targets and routes at once.
 func (b *bed) start(i int, targets []*routing.Target, routes []*routing.Route) {
+	b.startWith(i, targets, routes, b.store.follow)
+}
+
+// startStale starts an entry that reads the store once.
+func (b *bed) startStale(i int, targets []*routing.Target, routes []*routing.Route) {
+	b.startWith(i, targets, routes, func(ctx context.Context, c clock.Clock, o *streams.Origins) {
+		ctx, cancel := context.WithTimeout(ctx, readEvery/2)
+		defer cancel()
+		b.store.follow(ctx, c, o)
+	})
+}
+
+// startWith starts an entry with a function by which it reads the store.
+func (b *bed) startWith(i int, targets []*routing.Target, routes []*routing.Route, follow func(context.Context, clock.Clock, *streams.Origins)) {
 	c := commontest.New(network.NewMemory(nil))
 	b.starts++
 	c.Random = random.NewSource(b.starts)
@@ -175,6 +215,7 @@
 	o.SetRoutes(routes)
 	go link.Run(ctx)
 	go o.Run(ctx)
+	go follow(ctx, c.Clock, o)
 }
 
 // kill ends an entry.
--- a/pkg/streams/feed_gaps.go
+++ b/pkg/streams/feed_gaps.go
@@ -34,6 +34,7 @@
 		g.keys[row.Key] = true
 	}
 	g.Handler.Snapshot(rows, freshness)
+	g.origins.targetsRead(freshness.Position)
 }
 
 // Changed passes changes on.
@@ -52,4 +53,5 @@
 	}
 	g.currentAt = max(g.currentAt, freshness.CurrentAt)
 	g.Handler.Changed(rows, freshness)
+	g.origins.targetsRead(freshness.Position)
 }
--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/history"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/packets"
 )
@@ -55,6 +56,10 @@
 	Source Source
 	// Asked is how many entries were asked, and Answered how many of them answered in time.
 	Asked, Answered int
+	// Record is where the record of the service was written that this entry has read last, not Known if it has read none, and
+	// RecordAge for how long it may have changed since without this entry having read it.
+	Record    history.Position
+	RecordAge clock.Millis
 }
 
 // reply is an answer to a lookup.
@@ -91,24 +96,41 @@
 // Find returns where a stream began that its caller takes up again. It asks other entries if this one does not know, and
 // takes up to lookupLimit then.
 func (o *Origins) Find(ctx context.Context, s Stream) Finding {
+	now := o.Clock.Now()
+	stored, _ := o.records.of(s.Service)
+	found := Finding{Record: stored.at, RecordAge: o.records.age(now)}
 	if origin := o.recorded(s); origin != nil {
-		return Finding{Origin: origin, Source: ByThisEntry}
+		found.Origin, found.Source = origin, ByThisEntry
+		return found
 	}
-	if origin := o.onlyOrigin(o.Clock.Now(), s); origin != nil {
-		return Finding{Origin: origin, Source: ByOnlyVersion}
+	if origin := o.onlyOrigin(now, s); origin != nil && (o.peers == nil || o.isCurrent(now)) {
+		found.Origin, found.Source = origin, ByOnlyVersion
+		return found
 	}
 	if o.peers == nil {
-		return Finding{}
+		return found
 	}
-	found := o.ask(ctx, s)
-	if found.Origin == nil {
-		if origin := o.onlyOrigin(o.Clock.Now(), s); origin != nil {
-			found.Origin, found.Source = origin, ByOnlyVersion
-		}
+	told := o.ask(ctx, s, &found)
+	if origin := o.onlyOrigin(o.Clock.Now(), s); found.Origin == nil && origin != nil && !told.hasOther(origin.Version) {
+		found.Origin, found.Source = origin, ByOnlyVersion
 	}
 	return found
 }
 
+// isCurrent reports whether the records, as read here, may be relied on without asking other entries.
+func (o *Origins) isCurrent(now clock.Millis) bool {
+	position, read := o.records.readUpTo()
+	return read && o.records.age(now) <= maxViewAge && position.Era >= o.writer.targetsRead().Era
+}
+
+// toldVersions are the versions of a service that other entries know.
+type toldVersions []ids.Version
+
+// hasOther reports whether another version than the given one is among them.
+func (v toldVersions) hasOther(version ids.Version) bool {
+	return slices.ContainsFunc(v, func(told ids.Version) bool { return told != version })
+}
+
 // recorded returns the origin that this entry has of a stream, or nil.
 func (o *Origins) recorded(s Stream) *Origin {
 	if !s.HasKey {
@@ -144,13 +166,13 @@
 }
 
 // ask asks other entries until one has the origin, or none has it and the versions of the service are known, or the time
-// is over. Entries that have just started may know neither yet.
-func (o *Origins) ask(ctx context.Context, s Stream) Finding {
+// is over. Entries that have just started may know neither yet. It returns the versions of which others have told.
+func (o *Origins) ask(ctx context.Context, s Stream, found *Finding) (told toldVersions) {
 	number, replies := o.lookups.begin()
 	defer o.lookups.end(number)
 	asked := o.asked(s)
 	silent, rounds := slices.Clone(asked), 1
-	found := Finding{Asked: len(asked)}
+	found.Asked = len(asked)
 	query := originQuery{Number: number, Service: s.Service, Route: s.Route}
 	if s.HasKey {
 		query.Key = s.Key
@@ -169,9 +191,12 @@
 				found.Answered = len(asked) - len(silent)
 			}
 			o.learn(s, &r.originReply)
+			if r.Service == s.Service {
+				told = append(told, r.Versions...)
+			}
 			if r.Origin != nil {
 				found.Origin, found.Source = r.Origin, ByAnotherEntry
-				return found
+				return told
 			}
 		case <-again.C:
 			if len(silent) == 0 {
@@ -180,12 +205,12 @@
 			}
 			o.query(silent, &query)
 		case <-limit.C:
-			return found
+			return told
 		case <-ctx.Done():
-			return found
+			return told
 		}
 	}
-	return found
+	return told
 }
 
 // knowsVersions reports whether all versions at which streams of a service may have begun are known here.
--- a/pkg/streams/origins.go
+++ b/pkg/streams/origins.go
@@ -9,6 +9,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/follow"
+	"quaydock/pkg/history"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/packets"
 	"quaydock/pkg/routing"
@@ -23,12 +24,6 @@
 	Owner(shard string) (netip.AddrPort, bool)
 }
 
-// Store is the table of the platform's store in which the versions of services outlast all entries, one row per service.
-type Store interface {
-	Put(ctx context.Context, key string, value []byte) error
-	Snapshot(ctx context.Context) (follow.Batch, error)
-}
-
 // Dependencies are what Origins work with. Without Peers, Link and Store an entry is the only one.
 type Dependencies struct {
 	common.Common
@@ -50,6 +45,7 @@
 	store      Store
 	firstStart bool
 	streams    func(ids.Service) bool
+	faults     *follow.Faults // invalid records of services
 
 	versions *versions
 	routes   *routes
@@ -57,7 +53,9 @@
 	held     *records // copies for other entries
 	copies   *copies
 	lookups  lookups
-	rows     savedRows
+	records  *recordView
+	filter   *versionFilter
+	writer   recordWriter
 }
 
 // New returns origins that know of no stream, and registers the handlers of their messages on the link.
@@ -65,11 +63,14 @@
 	o := &Origins{
 		Common: p.Common, peers: p.Peers, link: p.Link, store: p.Store, firstStart: p.FirstStart, streams: p.Streams,
 		versions: newVersions(), routes: newRoutes(), own: &records{}, held: &records{}, copies: newCopies(p.Random.Fork().Uint64()),
-		lookups: lookups{number: p.Random.Fork().Uint64(), waiting: make(map[uint64]chan reply)}, rows: savedRows{wake: make(chan struct{}, 1), services: make(map[ids.Service]*savedRow)},
+		lookups: lookups{number: p.Random.Fork().Uint64(), waiting: make(map[uint64]chan reply)}, records: &recordView{}, writer: newRecordWriter(),
+		faults: follow.NewFaults(p.Common, "records of streams"),
 	}
+	o.filter = newVersionFilter(o.records, o.mayHaveStreams)
 	o.versions.always, o.routes.always = p.Peers == nil, p.Peers == nil
 	p.Metrics.Prometheus.Gauge("streams_origins_own", func() float64 { return float64(o.own.len()) })
 	p.Metrics.Prometheus.Gauge("streams_origins_held", func() float64 { return float64(o.held.len()) })
+	p.Metrics.Prometheus.Gauge("targets_undeclared", func() float64 { return float64(o.filter.heldTargets()) })
 	if p.Link != nil {
 		p.Link.Handle(packets.KindOriginCopy, packets.Receive(p.Link, o.receiveCopy))
 		p.Link.Handle(packets.KindOriginCopyTaken, packets.Receive(p.Link, o.receiveTaken))
@@ -79,26 +80,132 @@
 	return o
 }
 
-// Run sends copies, and keeps the versions of services that this entry owns in the store, until ctx ends.
+// mayHaveStreams reports whether a service may have streams; before the first configuration that is not known.
+func (o *Origins) mayHaveStreams(service ids.Service) bool {
+	return !o.routes.known() || o.streams(service)
+}
+
+// Run sends copies, and keeps the records of services that this entry owns, until ctx ends.
 func (o *Origins) Run(ctx context.Context) {
 	if o.peers == nil {
 		return
 	}
 	var all sync.WaitGroup
 	all.Go(func() { o.sendCopies(ctx) })
-	all.Go(func() { o.keepVersions(ctx) })
+	all.Go(func() { o.keepRecords(ctx) })
 	all.Wait()
 }
 
+// FilterTargets returns a function that marks the targets of a list at whose versions no stream may begin yet, and passes
+// it on to another one, again whenever the marks change. That one must not call it.
+func (o *Origins) FilterTargets(next func(*routing.Directory)) func(*routing.Directory) {
+	o.filter.onChange = next
+	return o.filter.setDirectory
+}
+
 // SetDirectory applies a list of targets. It must be called before requests are placed by the list.
 func (o *Origins) SetDirectory(d *routing.Directory) {
 	added := o.versions.setTargets(o.Clock.Now(), d.All())
-	if len(added) == 0 || o.peers == nil {
+	if o.peers == nil {
+		return
+	}
+	o.sendOwn(added)
+	o.writer.changed()
+}
+
+// sendOwn sends copies of the origins of streams under way of some services: these may have begun while a single version
+// made copies needless.
+func (o *Origins) sendOwn(services []ids.Service) {
+	if len(services) > 0 {
+		o.send(o.own.newest(maxRecords, func(_ Key, origin *Origin) bool { return slices.Contains(services, origin.Service) }), o.holders)
+	}
+}
+
+// ApplyRecords applies rows with records of services' streams, whose keys are the services; all says that they are a
+// snapshot.
+func (o *Origins) ApplyRecords(rows []follow.Row, all bool, f follow.Freshness) {
+	changes, faults := o.records.apply(rows, all, f)
+	if all {
+		o.faults.Retain(rows)
+		o.startFirst()
+	}
+	for _, row := range rows {
+		if err := faults[row.Key]; err != nil {
+			o.faults.Add(row, err)
+		} else {
+			o.faults.Clear(row.Key)
+		}
+	}
+	now := o.Clock.Now()
+	var added []ids.Service
+	for _, c := range changes {
+		if o.applyRecord(now, c) {
+			added = append(added, c.service)
+		}
+	}
+	if o.versions.missedBefore(f.CurrentAt) {
+		o.adoptRecords()
+	}
+	o.sendOwn(added)
+	o.filter.refresh(len(changes) > 0)
+	if len(changes) > 0 {
+		o.writer.changed()
+	}
+}
+
+// startFirst applies the first snapshot of the records if the system starts for the first time: no stream has begun before
+// this entry's start, or only as the records say that the other entries have written meanwhile. A record that says nothing
+// in this era shows that it is not the first time.
+func (o *Origins) startFirst() {
+	if !o.firstStart {
 		return
 	}
-	// The streams under way may have begun while a single version made copies needless.
-	o.send(o.own.newest(maxRecords, func(_ Key, origin *Origin) bool { return slices.Contains(added, origin.Service) }), o.holders)
-	o.rows.changed()
+	o.firstStart = false
+	stored, valid := o.records.all()
+	switch {
+	case !valid:
+	case len(stored) == 0:
+		o.versions.startFirst()
+		o.routes.startFirst()
+	default:
+		o.records.setStart()
+	}
+}
+
+// applyRecord applies a record that has changed. It reports whether the service has one version more than before.
+func (o *Origins) applyRecord(now clock.Millis, c recordChange) (added bool) {
+	log := o.Log.WithField("at", c.stored.at.String())
+	if c.stored.record == nil {
+		log.WithField("service", string(c.service)).Info("no record of a service's streams in this era of the store")
+		o.routes.setRecorded(c.service, nil)
+		return o.versions.setRecorded(now, c.service, nil)
+	}
+	log.WithFields(c.stored.record.fields(c.service)).Info("record of a service's streams read")
+	added = o.versions.setRecorded(now, c.service, c.stored.record.Versions)
+	o.adoptRecord(now, c.service, c.stored)
+	return added
+}
+
+// adoptRecord adopts what a record tells of all streams of a service.
+func (o *Origins) adoptRecord(now clock.Millis, service ids.Service, stored storedRecord) {
+	routes := stored.record.Routes
+	atStart := o.records.isOfStart(service, stored.at)
+	if atStart {
+		routes = union(routes, stored.record.Announced)
+	}
+	if _, settled := stored.record.settled(); settled || atStart {
+		o.versions.adopt(now, service, stored.record.Versions)
+	}
+	o.routes.setRecorded(service, routes)
+}
+
+// adoptRecords adopts what all records tell.
+func (o *Origins) adoptRecords() {
+	now := o.Clock.Now()
+	stored, _ := o.records.all()
+	for service, s := range stored {
+		o.adoptRecord(now, service, s)
+	}
 }
 
 // send queues copies of origins to be sent to the entries that are to keep them.
@@ -127,14 +234,59 @@
 
 // SetRoutes applies the routes of streams of a configuration. It must be called before requests are admitted by them.
 func (o *Origins) SetRoutes(list []*routing.Route) {
-	o.routes.set(o.Clock.Now(), list)
-	o.rows.changed()
+	if first := o.routes.set(o.Clock.Now(), list); first {
+		o.adoptRecords()
+	}
+	o.filter.refresh(true)
+	o.writer.changed()
+}
+
+// ConfigurationRead records that the configuration has been read and applied up to a position.
+func (o *Origins) ConfigurationRead(to history.Position) {
+	o.writer.readConfiguration(to)
+	o.wakeForAnnounced()
+}
+
+// targetsRead records that the targets have been read and applied up to a position.
+func (o *Origins) targetsRead(to history.Position) {
+	o.writer.readTargets(to)
+	o.wakeForAnnounced()
+}
+
+// wakeForAnnounced has the records looked at if one has announced routes.
+func (o *Origins) wakeForAnnounced() {
+	if o.records.hasAnnounced() {
+		o.writer.changed()
+	}
 }
 
 // MissedTargets records that this entry may have missed targets that came and went.
 func (o *Origins) MissedTargets() {
 	o.versions.missed(o.Clock.Now())
-	o.rows.reset()
+}
+
+// beginLimit is for how long a stream waits until it may begin on its route.
+const beginLimit = 500 * clock.Millisecond
+
+// AwaitBegin waits until a stream of a route may begin at a service, as no record says any more that all streams of the
+// route begin at another one. It returns false after half a second, or when ctx ends.
+func (o *Origins) AwaitBegin(ctx context.Context, route string, service ids.Service) bool {
+	if may, _ := o.records.mayBegin(ids.Route(route), service); may {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, beginLimit.Duration())
+	defer cancel()
+	for {
+		may, changed := o.records.mayBegin(ids.Route(route), service)
+		if may {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // copiesOfOrigin is how many other entries keep the origin of a stream.
--- /dev/null
+++ b/pkg/streams/record.go
@@ -0,0 +1,73 @@
+package streams
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"quaydock/pkg/history"
+	"quaydock/pkg/ids"
+)
+
+// Record is what the store keeps of the streams of a service, as it outlasts all entries. A stream may begin at a version
+// only once the record names it, and on a route only while no other service's record has that route. So whoever reads
+// the record knows of all streams, also if all entries that relayed them are gone.
+type Record struct {
+	// Era is that of the store in which the record was written. In another one it says nothing: streams may have begun
+	// since that a later record named, which the store has lost.
+	Era history.Era `json:"era"`
+	// Versions are those at which streams may begin, or may have begun that callers may still take up again, in order.
+	Versions []ids.Version `json:"versions"`
+	// Routes are those whose streams have all begun at this service, and so at its version if it has one only. In order, as
+	// Announced.
+	Routes []ids.Route `json:"routes"`
+	// Announced are routes that become Routes once the targets and the configuration have been read up to this record:
+	// until then a stream may have begun elsewhere, at an entry that had not read it.
+	Announced []ids.Route `json:"announced"`
+}
+
+// errNoVersions means that a record names no version, as no entry writes it.
+var errNoVersions = errors.New("no versions")
+
+// ParseRecord parses the value of a record's row.
+func ParseRecord(value []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("record of a service's streams: %w", err)
+	}
+	if len(r.Versions) == 0 {
+		return nil, fmt.Errorf("record of a service's streams: %w", errNoVersions)
+	}
+	return &r, nil
+}
+
+// Encode returns the value of the record's row.
+func (r *Record) Encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("record of a service's streams: %w", err)
+	}
+	return value, nil
+}
+
+// equal reports whether both say the same.
+func (r *Record) equal(other *Record) bool {
+	return r.Era == other.Era && slices.Equal(r.Versions, other.Versions) && slices.Equal(r.Routes, other.Routes) && slices.Equal(r.Announced, other.Announced)
+}
+
+// names reports whether streams may begin at a version.
+func (r *Record) names(version ids.Version) bool { return slices.Contains(r.Versions, version) }
+
+// has reports whether streams of a route may begin at this service alone.
+func (r *Record) has(route ids.Route) bool {
+	return slices.Contains(r.Routes, route) || slices.Contains(r.Announced, route)
+}
+
+// settled returns the version at which all streams of Routes have begun; false if there are none.
+func (r *Record) settled() (ids.Version, bool) {
+	if len(r.Versions) != 1 || len(r.Routes) == 0 {
+		return "", false
+	}
+	return r.Versions[0], true
+}
--- /dev/null
+++ b/pkg/streams/record_test.go
@@ -0,0 +1,184 @@
+package streams_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/history"
+	"quaydock/pkg/ids"
+	"quaydock/pkg/routing"
+	"quaydock/pkg/streams"
+)
+
+func ExampleParseRecord() {
+	record, err := streams.ParseRecord([]byte(`{"era":2,"versions":["v1"],"routes":["chat"],"announced":[]}`))
+	fmt.Println(record.Versions, record.Routes, err)
+	_, err = streams.ParseRecord([]byte(`{"era":2}`))
+	fmt.Println(err)
+	// Output:
+	// [v1] [chat] <nil>
+	// record of a service's streams: no versions
+}
+
+// record returns the record of the service in the store.
+func (b *bed) record() *streams.Record {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	record, err := streams.ParseRecord(b.store.rows["s"].Value)
+	if err != nil {
+		return &streams.Record{}
+	}
+	return record
+}
+
+// filtered returns the versions at which streams may begin at an entry that lists targets.
+func (b *bed) filtered(entry int, targets []*routing.Target) (get func() []ids.Version) {
+	var present *routing.Directory
+	b.entries[entry].FilterTargets(func(d *routing.Directory) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		present = d
+	})(routing.NewDirectory(targets))
+	return func() (list []ids.Version) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, t := range present.Serving("s") {
+			list = append(list, t.Version)
+		}
+		return list
+	}
+}
+
+// TestNoStreamBeginsAtVersionThatIsNotRecorded guards against streams of a version that the store does not name, so that
+// nobody knows of it once all entries were killed.
+func TestNoStreamBeginsAtVersionThatIsNotRecorded(t *testing.T) {
+	scenarios := []struct {
+		name string
+		away bool // the store, when the second version is listed
+		want string
+	}{
+		{"the record names it soon", false, "[v1 v2]"},
+		{"the store is away", true, "[v1]"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, 3, of("v1"), route("s"))
+				b.store.setAway(s.away)
+				serving := b.filtered(0, of("v1", "v2"))
+				if got := fmt.Sprint(serving()); got != "[v1]" {
+					t.Errorf("%s at once", got)
+				}
+				b.list(of("v1", "v2"))
+				time.Sleep(500 * time.Millisecond)
+				if got := fmt.Sprint(serving()); got != s.want {
+					t.Errorf("%s, want %s; the record has %v", got, s.want, b.record().Versions)
+				}
+			})
+		})
+	}
+}
+
+// TestVersionIsRecordedByAnotherEntryThanTheOwner guards against versions that are not used while the owner of their service
+// cannot write.
+func TestVersionIsRecordedByAnotherEntryThanTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		owner := b.ranked("stream-versions/s")[0]
+		for i, o := range b.entries {
+			if i != owner {
+				o.SetDirectory(routing.NewDirectory(of("v1", "v2"))) // the owner has not read it
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if got := fmt.Sprint(b.record().Versions); got != "[v1 v2]" {
+			t.Errorf("recorded: %s", got)
+		}
+	})
+}
+
+// TestRecordOfFormerEraSaysNothing guards against streams that go on by what the store lost a part of.
+func TestRecordOfFormerEraSaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		for i := range 3 {
+			b.kill(i)
+		}
+		b.store.mu.Lock()
+		b.store.era++
+		for key, row := range b.store.rows {
+			row.Position = history.At(b.store.era, row.Position.Version)
+			b.store.rows[key] = row
+		}
+		b.store.mu.Unlock()
+		for i := range 3 {
+			b.start(i, of("v1"), route("s"))
+		}
+		time.Sleep(time.Second)
+		if found := b.find(1, "r1"); found.Origin != nil {
+			t.Errorf("found %+v by %v", found.Origin, found.Source)
+		}
+		if got := b.record(); got.Era != b.store.era || len(got.Routes) > 0 {
+			t.Errorf("record %+v", got)
+		}
+	})
+}
+
+// TestVersionLeavesRecordWhenNoStreamOfItIsLeft guards against services that count as having two versions for good.
+func TestVersionLeavesRecordWhenNoStreamOfItIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1", "v2"), route("s"))
+		b.list(of("v1"))
+		time.Sleep(4 * time.Minute)
+		if got := fmt.Sprint(b.record().Versions); got != "[v1 v2]" {
+			t.Errorf("after 4 minutes: %s", got)
+		}
+		time.Sleep(2 * time.Minute)
+		if got := b.record(); fmt.Sprint(got.Versions, got.Routes) != "[v1] [r]" {
+			t.Errorf("after 6 minutes: %+v", got)
+		}
+	})
+}
+
+// TestStreamWaitsUntilItsRouteIsFree guards against streams of one route at two services, of which the store names one.
+func TestStreamWaitsUntilItsRouteIsFree(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		t.Run(fmt.Sprint("store away: ", away), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBed(t, 3, of("v1"), route("s"))
+				b.store.setAway(away)
+				for _, o := range b.entries {
+					o.SetRoutes(route("other"))
+				}
+				if may := b.entries[0].AwaitBegin(context.Background(), "r", "other"); may == away {
+					t.Errorf("may begin at the other service: %t; the record has %v", may, b.record().Routes)
+				}
+				if !b.entries[0].AwaitBegin(context.Background(), "r", "s") {
+					t.Error("may not begin where its route led")
+				}
+			})
+		})
+	}
+}
+
+// TestStaleRecordIsNotReliedOn guards against streams that go on by what an entry read before it was suspended or cut off.
+func TestStaleRecordIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		cut := b.ranked("stream-versions/s")[2] // neither the owner nor next in line
+		b.stops[cut]()
+		b.startStale(cut, of("v1"), route("s"))
+		for i, o := range b.entries {
+			if i != cut {
+				o.SetDirectory(routing.NewDirectory(of("v1", "v2")))
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if found := b.find(cut, "r1"); found.Origin != nil {
+			t.Errorf("found %+v by %v, from a record read %d ms ago", found.Origin, found.Source, found.RecordAge)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/streams/record_writer.go
@@ -0,0 +1,309 @@
+package streams
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"quaydock/pkg/clock"
+	"quaydock/pkg/history"
+	"quaydock/pkg/ids"
+)
+
+const (
+	// keepInterval is how often this entry compares the records with what it knows, unless something changes. While it does
+	// not know all versions, it asks their owner again after minAskPause, and each time after twice that, up to maxAskPause.
+	keepInterval = clock.Second
+	minAskPause  = 100 * clock.Millisecond
+	maxAskPause  = 10 * clock.Second
+	// storeTimeout limits a call to the store.
+	storeTimeout = 600 * clock.Millisecond
+	// rewriteAfter is when an entry writes a record again that it has not read as written since.
+	rewriteAfter = 250 * clock.Millisecond
+	// Another entry than the owner writes what streams wait for once they have waited for standInAfter and a drawn time of up
+	// to standInSpread: the owner may not reach the store.
+	standInAfter  = 300 * clock.Millisecond
+	standInSpread = clock.Second
+)
+
+// ErrRecordChanged means that the stored record was another one than the write expected; nothing was written.
+var ErrRecordChanged = errors.New("the record has changed since it was read")
+
+// Store writes the records.
+type Store interface {
+	// Write replaces the value of a service's record, if it is still the one that was written at a position, or there is none
+	// if that is not Known. It returns ErrRecordChanged otherwise. After any other error it may still be written.
+	Write(ctx context.Context, service ids.Service, value []byte, over history.Position) error
+}
+
+// recordWriter is what this entry keeps of the writes of records.
+type recordWriter struct {
+	wake chan struct{} // signalled when something has changed that records depend on
+
+	mu sync.Mutex
+	// targets and configuration are the positions up to which this entry has read and applied them.
+	targets, configuration history.Position
+	services               map[ids.Service]*recordWrites
+}
+
+// recordWrites are the writes of one record.
+type recordWrites struct {
+	writtenAt clock.Millis // the latest try
+	writtenTo history.Position
+	standInAt clock.Millis // when this entry writes the record though it does not own it; 0 if nothing is due
+}
+
+func newRecordWriter() recordWriter {
+	return recordWriter{wake: make(chan struct{}, 1), services: make(map[ids.Service]*recordWrites)}
+}
+
+// changed makes keepRecords look at the records soon.
+func (w *recordWriter) changed() {
+	select {
+	case w.wake <- struct{}{}:
+	default: // signalled already
+	}
+}
+
+// readTargets and readConfiguration record up to where these have been read and applied.
+func (w *recordWriter) readTargets(to history.Position) { w.recordRead(&w.targets, to) }
+
+func (w *recordWriter) readConfiguration(to history.Position) { w.recordRead(&w.configuration, to) }
+
+func (w *recordWriter) recordRead(field *history.Position, to history.Position) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*field = history.Latest(*field, to)
+}
+
+// readPast reports whether the targets and the configuration have been read up to a position of the present era.
+func (w *recordWriter) readPast(at history.Position) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	past := func(read history.Position) bool { return read.Era == at.Era && !read.Before(at) }
+	return past(w.targets) && past(w.configuration)
+}
+
+// targetsRead returns the position up to which the targets have been read.
+func (w *recordWriter) targetsRead() history.Position {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.targets
+}
+
+// versionsShard returns the shard whose owner keeps the record of a service.
+func versionsShard(service ids.Service) string { return "stream-versions/" + string(service) }
+
+// keepRecords keeps the records of the services that this entry owns, and asks the owners of the others for versions that
+// it does not know, until ctx ends.
+func (o *Origins) keepRecords(ctx context.Context) {
+	askPause := minAskPause
+	askAt := clock.Millis(0)
+	for ctx.Err() == nil {
+		now := o.Clock.Now()
+		ask := now >= askAt
+		complete, pause := true, keepInterval
+		for _, service := range o.versions.names() {
+			if !o.routes.known() || !o.streams(service) {
+				continue
+			}
+			if !o.keepRecord(ctx, service) {
+				pause = rewriteAfter
+			}
+			complete = o.askVersions(service, ask) && complete
+		}
+		switch {
+		case complete:
+			askPause, askAt = minAskPause, 0
+		case ask:
+			askAt = now + askPause
+			askPause = min(2*askPause, maxAskPause)
+		}
+		if !complete {
+			pause = min(pause, max(askAt-now, 1))
+		}
+		o.awaitChange(ctx, pause)
+	}
+}
+
+// awaitChange waits until something changes that records depend on, or a time is over.
+func (o *Origins) awaitChange(ctx context.Context, pause clock.Millis) {
+	ctx, cancel := context.WithTimeout(ctx, pause.Duration())
+	defer cancel()
+	select {
+	case <-o.writer.wake:
+	case <-ctx.Done():
+	}
+}
+
+// askVersions asks the owner of a service for its versions if this entry may not know them all and ask is set. It reports
+// whether it knows them, and the routes.
+func (o *Origins) askVersions(service ids.Service, ask bool) bool {
+	owner, self := o.peers.Owner(versionsShard(service))
+	_, complete := o.versions.known(o.Clock.Now(), service)
+	if self {
+		return complete
+	}
+	if complete && !o.routes.unsettledFromStart(o.Clock.Now()) {
+		return true
+	}
+	if ask {
+		o.query([]netip.AddrPort{owner}, &originQuery{Service: service})
+	}
+	return false
+}
+
+// keepRecord writes the record of a service if it does not say what it should. It reports false if that is still to come.
+func (o *Origins) keepRecord(ctx context.Context, service ids.Service) bool {
+	now := o.Clock.Now()
+	stored, read := o.records.of(service)
+	if !read {
+		return true
+	}
+	_, owned := o.peers.Owner(versionsShard(service))
+	next, urgent := o.nextRecord(now, service, stored, owned)
+	if next == nil || !owned && !urgent {
+		o.writer.settled(service)
+		return true
+	}
+	if o.writer.due(now, service, stored.at, owned, o.standIn) {
+		o.writeRecord(ctx, service, next, stored.at)
+	}
+	return false
+}
+
+// standIn draws for how long an entry waits for the owner to write a record.
+func (o *Origins) standIn() clock.Millis { return standInAfter + o.Random.DurationUpTo(standInSpread) }
+
+// due reports whether a record is to be written now over the one at a position, and if so, records that it is.
+func (w *recordWriter) due(now clock.Millis, service ids.Service, at history.Position, owned bool, standIn func() clock.Millis) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.services[service]
+	if s == nil {
+		s = &recordWrites{}
+		w.services[service] = s
+	}
+	if s.standInAt == 0 {
+		s.standInAt = now + standIn()
+	}
+	justWritten := s.writtenAt > 0 && s.writtenTo == at && now-s.writtenAt < rewriteAfter
+	if justWritten || !owned && now < s.standInAt {
+		return false
+	}
+	s.writtenAt, s.writtenTo = now, at
+	return true
+}
+
+// settled records that nothing is to be written.
+func (w *recordWriter) settled(service ids.Service) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s := w.services[service]; s != nil {
+		s.standInAt = 0
+	}
+}
+
+// nextRecord returns what the record of a service should say instead of what is stored, or nil if that is right; urgent says
+// that streams wait for it. Only its owner takes versions off, and adds routes: what an entry may do that has not read all
+// is to add versions and to take routes off.
+func (o *Origins) nextRecord(now clock.Millis, service ids.Service, stored storedRecord, owned bool) (next *Record, urgent bool) {
+	versions := o.versions.watched(now, service)
+	if stored.record == nil {
+		if !owned || len(versions.recent) == 0 {
+			return nil, false
+		}
+		position, _ := o.records.readUpTo()
+		next = &Record{Era: position.Era, Versions: versions.recent}
+		o.announce(now, service, versions, next)
+		return next, false
+	}
+	record := stored.record
+	changed := *record
+	next = &changed
+	leading := o.routes.leadingTo(service)
+	if owned {
+		// A route that has led elsewhere meanwhile is taken off, too.
+		leading = o.routes.settledAt(now, service)
+	}
+	next.Routes = intersect(record.Routes, leading)
+	next.Announced = intersect(record.Announced, leading)
+	urgent = len(next.Routes) < len(record.Routes) || len(next.Announced) < len(record.Announced)
+	if added := union(record.Versions, versions.listed); len(added) > len(record.Versions) {
+		next.Versions = added
+		return next, true
+	}
+	if owned && versions.complete {
+		o.complete(now, service, versions, stored.at, next)
+	}
+	if next.equal(record) {
+		return nil, false
+	}
+	return next, urgent
+}
+
+// complete takes versions off a record that have gone, and adds routes whose streams have all begun at the service, as this
+// entry knows; at is where the record stands in the store.
+func (o *Origins) complete(now clock.Millis, service ids.Service, versions watchedVersions, at history.Position, next *Record) {
+	remaining := intersect(next.Versions, versions.recent)
+	switch {
+	case len(remaining) > 0 && len(remaining) < len(next.Versions):
+		next.Versions = remaining
+		next.Routes, next.Announced = nil, union(next.Routes, next.Announced)
+	case slices.Equal(next.Versions, versions.recent) && o.writer.readPast(at):
+		next.Routes, next.Announced = union(next.Routes, next.Announced), nil
+	}
+	o.announce(now, service, versions, next)
+}
+
+// announce announces the routes whose streams have all begun at a service, as far as this entry knows.
+func (o *Origins) announce(now clock.Millis, service ids.Service, versions watchedVersions, next *Record) {
+	if !versions.complete || !slices.Equal(next.Versions, versions.recent) {
+		return
+	}
+	added := slices.DeleteFunc(o.routes.settledAt(now, service), func(route ids.Route) bool { return next.has(route) })
+	next.Announced = union(next.Announced, added)
+}
+
+// writeRecord writes a record over the one that was read. What it then says is known once it has been read.
+func (o *Origins) writeRecord(ctx context.Context, service ids.Service, next *Record, over history.Position) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout.Duration())
+	defer cancel()
+	value, err := next.Encode()
+	if err == nil {
+		err = o.store.Write(ctx, service, value, over)
+	}
+	log := o.Log.WithFields(next.fields(service)).WithField("over", over.String())
+	switch {
+	case err == nil:
+		o.Metrics.Prometheus.Add("stream_records_written", "result", "written")
+		log.Info("record of a service's streams written")
+	case errors.Is(err, ErrRecordChanged):
+		o.Metrics.Prometheus.Add("stream_records_written", "result", "changed")
+		log.Info("record of a service's streams not written, as another entry has")
+	default:
+		o.Metrics.Prometheus.Add("stream_records_written", "result", "failed")
+		log.WithError(err).Info("writing the record of a service's streams failed; it may be written late")
+	}
+}
+
+// fields returns what the log says of a record.
+func (r *Record) fields(service ids.Service) logrus.Fields {
+	return logrus.Fields{"service": string(service), "era": int64(r.Era), "versions": r.Versions, "routes": len(r.Routes), "announced": len(r.Announced)}
+}
+
+// union returns what is in either of two lists, in order.
+func union[T ids.Route | ids.Version](a, b []T) []T {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// intersect returns what is in both of two lists, in the order of the first.
+func intersect[T ids.Route | ids.Version](a, b []T) []T {
+	return slices.DeleteFunc(slices.Clone(a), func(it T) bool { return !slices.Contains(b, it) })
+}
--- a/pkg/streams/versions.go
+++ b/pkg/streams/versions.go
@@ -20,14 +20,21 @@
 	services map[ids.Service]*serviceVersions
 	// seenFrom is since when this entry has followed the targets without a gap, 0 before.
 	seenFrom clock.Millis
-	// always says that no stream can have begun before this entry's start, as it is the only entry.
-	always bool
+	// missedAt is when this entry last may have missed targets; 0 if that has not happened, or the records have been
+	// adopted since.
+	missedAt clock.Millis
+	// always says that no stream can have begun before this entry's start, as it is the only entry, and first that none has,
+	// as the system has started for the first time.
+	always, first bool
 }
 
 // serviceVersions are the versions of a service.
 type serviceVersions struct {
 	listed map[ids.Version]bool
 	goneAt map[ids.Version]clock.Millis // versions that are no longer listed
+	// recorded are the versions that the record in the store names: other entries may have begun streams there, before
+	// this one has listed a target of them.
+	recorded []ids.Version
 	// complete says that an entry that knew has told all versions up to a moment from which on this entry knows them.
 	complete bool
 }
@@ -91,8 +98,15 @@
 	s.listed = all
 }
 
-// recent returns the versions that are listed, or were within settledAfter, in order.
+// recent returns the versions that are listed, or were within settledAfter, or that the record names, in order.
 func (s *serviceVersions) recent(now clock.Millis) []ids.Version {
+	all := append(s.watched(now), s.recorded...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// watched returns the versions that are listed, or were within settledAfter, in order.
+func (s *serviceVersions) watched(now clock.Millis) []ids.Version {
 	all := slices.Collect(maps.Keys(s.listed))
 	for version, at := range s.goneAt {
 		if now-at <= settledAfter {
@@ -103,16 +117,70 @@
 	return all
 }
 
+// setRecorded sets the versions that the record of a service names, and reports whether the service has one version more
+// than before.
+func (v *versions) setRecorded(now clock.Millis, service ids.Service, all []ids.Version) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service(service)
+	before := len(s.recent(now))
+	for _, version := range all {
+		// Other entries may have listed it until now.
+		if _, gone := s.goneAt[version]; !gone && !s.listed[version] && !slices.Contains(s.recorded, version) {
+			s.goneAt[version] = now
+		}
+	}
+	s.recorded = all
+	return len(s.recent(now)) > before
+}
+
+// watchedVersions are the versions of a service by the targets that this entry has listed.
+type watchedVersions struct {
+	listed   []ids.Version // now, in order
+	recent   []ids.Version // now or within settledAfter, in order
+	complete bool          // recent are certainly all
+}
+
+// watched returns the versions of a service by its targets.
+func (v *versions) watched(now clock.Millis, service ids.Service) watchedVersions {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[service]
+	if s == nil {
+		return watchedVersions{}
+	}
+	return watchedVersions{listed: slices.Sorted(maps.Keys(s.listed)), recent: s.watched(now), complete: v.isComplete(now, s)}
+}
+
+// startFirst records that no stream can have begun before this entry's start.
+func (v *versions) startFirst() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.first = true
+}
+
 // missed records that this entry may have missed versions that came and went.
 func (v *versions) missed(now clock.Millis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.seenFrom = now
+	v.seenFrom, v.missedAt = now, now
+	v.first = false
 	for _, s := range v.services {
 		s.complete = false
 	}
 }
 
+// missedBefore reports, once, whether this entry may have missed targets before a moment.
+func (v *versions) missedBefore(at clock.Millis) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	missed := v.missedAt > 0 && v.missedAt <= at
+	if missed {
+		v.missedAt = 0
+	}
+	return missed
+}
+
 // adopt adds the versions that an entry or the store has told, which knows all that were listed within settledAfter. It
 // does nothing if they are known: told again and again, a version would never count as gone.
 func (v *versions) adopt(now clock.Millis, service ids.Service, told []ids.Version) {
@@ -132,7 +200,7 @@
 
 // isComplete reports whether all versions of a service that were listed within settledAfter are known. The lock is held.
 func (v *versions) isComplete(now clock.Millis, s *serviceVersions) bool {
-	return s.complete || v.always || v.seenFrom > 0 && now-v.seenFrom >= settledAfter
+	return s.complete || v.always || v.first || v.seenFrom > 0 && now-v.seenFrom >= settledAfter
 }
 
 // known returns the versions of a service that were listed within settledAfter, and whether these are certainly all.
