streams: a record says whether its versions are all

Cause: an entry that had read a record of several versions did not know whether these were all, and asked until its time was over. Change: a record says so once it is confirmed; entries that read it know all versions. A reply with several versions ends a lookup, too.

--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -186,7 +186,7 @@
 	for len(silent) > 0 || !o.knowsVersions(s.Service) || s.HasKey && rounds < lookupRounds {
 		select {
 		case r := <-replies:
-			if i := slices.Index(silent, r.from); i >= 0 && (r.Complete || r.from != owner) {
+			if i := slices.Index(silent, r.from); i >= 0 && (r.Complete || len(r.Versions) > 1 || r.from != owner) {
 				silent = slices.Delete(silent, i, i+1)
 				found.Answered = len(asked) - len(silent)
 			}
@@ -213,10 +213,11 @@
 	return told
 }
 
-// knowsVersions reports whether all versions at which streams of a service may have begun are known here.
+// knowsVersions reports whether all versions at which streams of a service may have begun are known here, or that there
+// are several.
 func (o *Origins) knowsVersions(service ids.Service) bool {
-	_, complete := o.versions.known(o.Clock.Now(), service)
-	return complete
+	recent, complete := o.versions.known(o.Clock.Now(), service)
+	return complete || len(recent) > 1
 }
 
 // query sends a query to some entries.
--- a/pkg/streams/origins.go
+++ b/pkg/streams/origins.go
@@ -193,7 +193,7 @@
 	if atStart {
 		routes = union(routes, stored.record.Announced)
 	}
-	if _, settled := stored.record.settled(); settled || atStart {
+	if stored.record.Complete || atStart {
 		o.versions.adopt(now, service, stored.record.Versions)
 	}
 	o.routes.setRecorded(service, routes)
@@ -244,18 +244,18 @@
 // ConfigurationRead records that the configuration has been read and applied up to a position.
 func (o *Origins) ConfigurationRead(to history.Position) {
 	o.writer.readConfiguration(to)
-	o.wakeForAnnounced()
+	o.wakeForUnconfirmed()
 }
 
 // targetsRead records that the targets have been read and applied up to a position.
 func (o *Origins) targetsRead(to history.Position) {
 	o.writer.readTargets(to)
-	o.wakeForAnnounced()
+	o.wakeForUnconfirmed()
 }
 
-// wakeForAnnounced has the records looked at if one has announced routes.
-func (o *Origins) wakeForAnnounced() {
-	if o.records.hasAnnounced() {
+// wakeForUnconfirmed has the records looked at if one may be confirmed now.
+func (o *Origins) wakeForUnconfirmed() {
+	if o.records.hasUnconfirmed() {
 		o.writer.changed()
 	}
 }
--- a/pkg/streams/record.go
+++ b/pkg/streams/record.go
@@ -19,11 +19,12 @@
 	Era history.Era `json:"era"`
 	// Versions are those at which streams may begin, or may have begun that callers may still take up again, in order.
 	Versions []ids.Version `json:"versions"`
-	// Routes are those whose streams have all begun at this service, and so at its version if it has one only. In order, as
-	// Announced.
-	Routes []ids.Route `json:"routes"`
-	// Announced are routes that become Routes once the targets and the configuration have been read up to this record:
-	// until then a stream may have begun elsewhere, at an entry that had not read it.
+	// Complete says that streams have begun at no other version. It is set, and Announced become Routes, once the targets
+	// and the configuration have been read up to a record without it: until then a stream may have begun elsewhere, at an
+	// entry that had not read that record.
+	Complete bool `json:"complete"`
+	// Routes are those whose streams have all begun at this service. In order, as Announced.
+	Routes    []ids.Route `json:"routes"`
 	Announced []ids.Route `json:"announced"`
 }
 
@@ -53,7 +54,7 @@
 
 // equal reports whether both say the same.
 func (r *Record) equal(other *Record) bool {
-	return r.Era == other.Era && slices.Equal(r.Versions, other.Versions) && slices.Equal(r.Routes, other.Routes) && slices.Equal(r.Announced, other.Announced)
+	return r.Era == other.Era && r.Complete == other.Complete && slices.Equal(r.Versions, other.Versions) && slices.Equal(r.Routes, other.Routes) && slices.Equal(r.Announced, other.Announced)
 }
 
 // names reports whether streams may begin at a version.
@@ -63,11 +64,3 @@
 func (r *Record) has(route ids.Route) bool {
 	return slices.Contains(r.Routes, route) || slices.Contains(r.Announced, route)
 }
-
-// settled returns the version at which all streams of Routes have begun; false if there are none.
-func (r *Record) settled() (ids.Version, bool) {
-	if len(r.Versions) != 1 || len(r.Routes) == 0 {
-		return "", false
-	}
-	return r.Versions[0], true
-}
--- a/pkg/streams/record_view.go
+++ b/pkg/streams/record_view.go
@@ -125,11 +125,11 @@
 	return true, nil
 }
 
-// hasAnnounced reports whether a record has announced routes.
-func (v *recordView) hasAnnounced() bool {
+// hasUnconfirmed reports whether a record is not complete, or has announced routes.
+func (v *recordView) hasUnconfirmed() bool {
 	list, _ := v.all()
 	for _, stored := range list {
-		if len(stored.record.Announced) > 0 {
+		if !stored.record.Complete || len(stored.record.Announced) > 0 {
 			return true
 		}
 	}
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -246,15 +246,15 @@
 	return next, urgent
 }
 
-// complete takes versions off a record that have gone, and adds routes whose streams have all begun at the service, as this
-// entry knows; at is where the record stands in the store.
+// complete takes versions off a record that have gone, and confirms it and adds routes, as far as this entry knows; at is
+// where the record stands in the store.
 func (o *Origins) complete(now clock.Millis, service ids.Service, versions watchedVersions, at history.Position, next *Record) {
 	remaining := intersect(next.Versions, versions.recent)
 	switch {
 	case len(remaining) > 0 && len(remaining) < len(next.Versions):
-		next.Versions = remaining
-		next.Routes, next.Announced = nil, union(next.Routes, next.Announced)
+		next.Versions, next.Complete = remaining, false
 	case slices.Equal(next.Versions, versions.recent) && o.writer.readPast(at):
+		next.Complete = true
 		next.Routes, next.Announced = union(next.Routes, next.Announced), nil
 	}
 	o.announce(now, service, versions, next)
@@ -293,7 +293,7 @@
 
 // fields returns what the log says of a record.
 func (r *Record) fields(service ids.Service) logrus.Fields {
-	return logrus.Fields{"service": string(service), "era": int64(r.Era), "versions": r.Versions, "routes": len(r.Routes), "announced": len(r.Announced)}
+	return logrus.Fields{"service": string(service), "era": int64(r.Era), "versions": r.Versions, "complete": r.Complete, "routes": len(r.Routes), "announced": len(r.Announced)}
 }
 
 // union returns what is in either of two lists, in order.
