streams: a record fits into a row of the store

Cause: found on reading: a record of some thousand routes would be larger than the store's rows, refused each time, and no version would be used. Change: the names of the routes in a record have 32 KiB at most; what is left out goes on where it is known where each stream began. Result: TestRecordFitsIntoRow, 4,000 routes.

--- a/pkg/streams/record.go
+++ b/pkg/streams/record.go
@@ -28,6 +28,10 @@
 	Announced []ids.Route `json:"announced"`
 }
 
+// maxRouteBytes limits the names of the routes in a record, which has to fit into a row of the store. Streams of the routes
+// that are left out go on where it is known where each began.
+const maxRouteBytes = 32 << 10
+
 // errNoVersions means that a record names no version, as no entry writes it.
 var errNoVersions = errors.New("no versions")
 
@@ -62,5 +66,13 @@
 
 // has reports whether streams of a route may begin at this service alone.
 func (r *Record) has(route ids.Route) bool {
-	return slices.Contains(r.Routes, route) || slices.Contains(r.Announced, route)
+	return contains(r.Routes, route) || contains(r.Announced, route)
+}
+
+// routeBytes returns the size of the names of the routes.
+func (r *Record) routeBytes() (size int) {
+	for _, route := range slices.Concat(r.Routes, r.Announced) {
+		size += len(route)
+	}
+	return size
 }
--- a/pkg/streams/record_test.go
+++ b/pkg/streams/record_test.go
@@ -182,3 +182,23 @@
 		}
 	})
 }
+
+// TestRecordFitsIntoRow guards against records that the store refuses for their size, so that no version is used.
+func TestRecordFitsIntoRow(t *testing.T) {
+	const rowBytes, routes = 64 << 10, 4000
+	synctest.Test(t, func(t *testing.T) {
+		var list []*routing.Route
+		for n := range routes {
+			r := *route("s")[0]
+			r.Name = fmt.Sprintf("a-route-with-a-long-name-%05d", n)
+			list = append(list, &r)
+		}
+		b := newBed(t, 3, of("v1"), list)
+		time.Sleep(2 * time.Second)
+		record := b.record()
+		value, err := record.Encode()
+		if err != nil || len(value) > rowBytes || !record.Complete || len(record.Routes) == 0 {
+			t.Errorf("%d bytes with %d routes, complete %t, %v", len(value), len(record.Routes), record.Complete, err)
+		}
+	})
+}
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -265,7 +265,14 @@
 	if !versions.complete || !slices.Equal(next.Versions, versions.recent) {
 		return
 	}
-	added := slices.DeleteFunc(o.routes.settledAt(now, service), func(route ids.Route) bool { return next.has(route) })
+	var added []ids.Route
+	room := maxRouteBytes - next.routeBytes()
+	for _, route := range o.routes.settledAt(now, service) {
+		if !next.has(route) && len(route) <= room {
+			added = append(added, route)
+			room -= len(route)
+		}
+	}
 	next.Announced = union(next.Announced, added)
 }
 
@@ -303,7 +310,13 @@
 	return slices.Compact(all)
 }
 
-// intersect returns what is in both of two lists, in the order of the first.
+// intersect returns what is in both of two lists that are in order.
 func intersect[T ids.Route | ids.Version](a, b []T) []T {
-	return slices.DeleteFunc(slices.Clone(a), func(it T) bool { return !slices.Contains(b, it) })
+	return slices.DeleteFunc(slices.Clone(a), func(it T) bool { return !contains(b, it) })
+}
+
+// contains reports whether something is in a list that is in order.
+func contains[T ids.Route | ids.Version](list []T, it T) bool {
+	_, found := slices.BinarySearch(list, it)
+	return found
 }
--- a/pkg/streams/routes.go
+++ b/pkg/streams/routes.go
@@ -115,7 +115,7 @@
 	defer r.mu.Unlock()
 	for name, route := range r.byName {
 		if route.service == service {
-			route.recorded = slices.Contains(list, ids.Route(name))
+			route.recorded = contains(list, ids.Route(name))
 		}
 	}
 }
