streams: nobody knows the only version without a record

What callers might see: after a return of the store from a copy, or while there is no record, a stream goes on at another version, if an entry that has not listed the new version yet is asked. Cause: an entry's own list of versions was believed without a record, though without one streams begin at any version that another entry has listed. Change: the only version of a service counts where a record of the present era names it, here or at the entry that tells; else copies of origins are kept. Result: TestNothingIsKnownWithoutRecord found v1 before, and nothing now.

--- a/pkg/streams/bed_test.go
+++ b/pkg/streams/bed_test.go
@@ -48,7 +48,9 @@
 	newest int64 // version of the latest write
 	rows   map[string]follow.Row
 	away   bool
-	writes int
+	// refusing is set while the store can be read and takes no writes.
+	refusing bool
+	writes   int
 }
 
 var errAway = errors.New("the store is away")
@@ -79,7 +81,7 @@
 	defer s.mu.Unlock()
 	s.writes++
 	switch {
-	case s.away:
+	case s.away, s.refusing:
 		return errAway
 	case s.rows[string(service)].Position != over:
 		return streams.ErrRecordChanged
--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -103,7 +103,7 @@
 		found.Origin, found.Source = origin, ByThisEntry
 		return found
 	}
-	if origin := o.onlyOrigin(now, s); origin != nil && (o.peers == nil || o.isCurrent(now)) {
+	if origin := o.onlyOrigin(now, s); origin != nil && (o.peers == nil || stored.record != nil && o.isCurrent(now)) {
 		found.Origin, found.Source = origin, ByOnlyVersion
 		return found
 	}
@@ -111,7 +111,8 @@
 		return found
 	}
 	told := o.ask(ctx, s, &found)
-	if origin := o.onlyOrigin(o.Clock.Now(), s); found.Origin == nil && origin != nil && !told.hasOther(origin.Version) {
+	stored, _ = o.records.of(s.Service)
+	if origin := o.onlyOrigin(o.Clock.Now(), s); found.Origin == nil && origin != nil && (stored.record != nil || told.complete) && !told.hasOther(origin.Version) {
 		found.Origin, found.Source = origin, ByOnlyVersion
 	}
 	return found
@@ -124,11 +125,14 @@
 }
 
 // toldVersions are the versions of a service that other entries know.
-type toldVersions []ids.Version
+type toldVersions struct {
+	versions []ids.Version
+	complete bool // an entry has told all
+}
 
 // hasOther reports whether another version than the given one is among them.
-func (v toldVersions) hasOther(version ids.Version) bool {
-	return slices.ContainsFunc(v, func(told ids.Version) bool { return told != version })
+func (v *toldVersions) hasOther(version ids.Version) bool {
+	return slices.ContainsFunc(v.versions, func(told ids.Version) bool { return told != version })
 }
 
 // recorded returns the origin that this entry has of a stream, or nil.
@@ -192,7 +196,8 @@
 			}
 			o.learn(s, &r.originReply)
 			if r.Service == s.Service {
-				told = append(told, r.Versions...)
+				told.versions = append(told.versions, r.Versions...)
+				told.complete = told.complete || r.Complete
 			}
 			if r.Origin != nil {
 				found.Origin, found.Source = r.Origin, ByAnotherEntry
@@ -246,6 +251,9 @@
 	now := o.Clock.Now()
 	answer := originReply{Number: q.Number, Service: q.Service, RouteSettled: o.routes.isSettled(now, q.Route, q.Service), Routes: o.routes.digest(now)}
 	answer.Versions, answer.Complete = o.versions.known(now, q.Service)
+	if stored, _ := o.records.of(q.Service); stored.record == nil {
+		answer.Complete = false // a stream may have begun at a version that this entry has not listed yet
+	}
 	if q.Key != (Key{}) {
 		answer.Origin = o.recorded(Stream{Key: q.Key, HasKey: true})
 	}
--- a/pkg/streams/origins.go
+++ b/pkg/streams/origins.go
@@ -172,13 +172,15 @@
 	}
 }
 
-// applyRecord applies a record that has changed. It reports whether the service has one version more than before.
+// applyRecord applies a record that has changed. It reports whether other entries may need the origins of streams of the
+// service from now on: it has one version more than before, or no record.
 func (o *Origins) applyRecord(now clock.Millis, c recordChange) (added bool) {
 	log := o.Log.WithField("at", c.stored.at.String())
 	if c.stored.record == nil {
 		log.WithField("service", string(c.service)).Info("no record of a service's streams in this era of the store")
 		o.routes.setRecorded(c.service, nil)
-		return o.versions.setRecorded(now, c.service, nil)
+		o.versions.setRecorded(now, c.service, nil)
+		return true
 	}
 	log.WithFields(c.stored.record.fields(c.service)).Info("record of a service's streams read")
 	added = o.versions.setRecorded(now, c.service, c.stored.record.Versions)
@@ -310,6 +312,9 @@
 
 // begunAtOne reports whether all streams of a route that may still be taken up again began at one version of a service.
 func (o *Origins) begunAtOne(now clock.Millis, route string, service ids.Service) bool {
+	if stored, _ := o.records.of(service); stored.record == nil {
+		return false
+	}
 	return o.onlyOrigin(now, Stream{Route: route, Service: service}) != nil
 }
 
--- a/pkg/streams/record.go
+++ b/pkg/streams/record.go
@@ -44,6 +44,9 @@
 	if len(r.Versions) == 0 {
 		return nil, fmt.Errorf("record of a service's streams: %w", errNoVersions)
 	}
+	slices.Sort(r.Versions)
+	slices.Sort(r.Routes)
+	slices.Sort(r.Announced)
 	return &r, nil
 }
 
--- a/pkg/streams/record_test.go
+++ b/pkg/streams/record_test.go
@@ -202,3 +202,26 @@
 		}
 	})
 }
+
+// TestNothingIsKnownWithoutRecord guards against streams that go on at the only version that entries have listed, while
+// others may have begun streams at one that no record names.
+func TestNothingIsKnownWithoutRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		b.store.mu.Lock()
+		b.store.era++ // the store has returned from a copy of before the record, and takes no writes
+		clear(b.store.rows)
+		b.store.refusing = true
+		b.store.mu.Unlock()
+		time.Sleep(time.Second)
+		if found := b.find(1, "r1"); found.Origin != nil {
+			t.Errorf("found %+v by %v", found.Origin, found.Source)
+		}
+		b.begin(0, "r2", "v1")
+		time.Sleep(50 * time.Millisecond)
+		b.kill(0)
+		if found := b.find(1, "r2"); found.Origin == nil {
+			t.Error("no copy of the origin of a stream that an entry relayed")
+		}
+	})
+}
