streams: an owner that has just started takes no route off a record

What callers saw: after a kill of all entries a stream of a service of one version did not go on, in 1 of some 20 runs of TestWhoKnowsWhereStreamBegan. Cause: between reading the record and adopting it the owner took the routes that it did not know as settled yet for routes that had moved, and took them off. Change: it takes off those that lead elsewhere, or have since it started.

--- a/pkg/streams/record_test.go
+++ b/pkg/streams/record_test.go
@@ -225,3 +225,23 @@
 		}
 	})
 }
+
+// TestRestartWritesNoRecord guards against owners that take off the record what they have not adopted yet.
+func TestRestartWritesNoRecord(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBed(t, 3, of("v1"), route("s"))
+			before := b.store.count()
+			for i := range 3 {
+				b.kill(i)
+			}
+			for i := range 3 {
+				b.start(i, of("v1"), route("s"))
+			}
+			time.Sleep(2 * time.Second)
+			if after := b.store.count(); after != before {
+				t.Errorf("%d writes, the record has %+v", after-before, b.record())
+			}
+		})
+	}
+}
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -228,7 +228,7 @@
 	leading := o.routes.leadingTo(service)
 	if owned {
 		// A route that has led elsewhere meanwhile is taken off, too.
-		leading = o.routes.settledAt(now, service)
+		leading = o.routes.unmoved(now, service)
 	}
 	next.Routes = intersect(record.Routes, leading)
 	next.Announced = intersect(record.Announced, leading)
--- a/pkg/streams/routes.go
+++ b/pkg/streams/routes.go
@@ -165,6 +165,12 @@
 	return r.those(func(s *routeService) bool { return s.service == service && s.isSettled(now) })
 }
 
+// unmoved returns the routes that lead to a service alone and, since the first configuration, have led nowhere else that
+// streams may still be taken up from, in order.
+func (r *routes) unmoved(now clock.Millis, service ids.Service) []ids.Route {
+	return r.those(func(s *routeService) bool { return s.service == service && (s.since == r.firstAt || s.isSettled(now)) })
+}
+
 // leadingTo returns the routes that lead to a service alone, in order.
 func (r *routes) leadingTo(service ids.Service) []ids.Route {
 	return r.those(func(s *routeService) bool { return s.service == service })
