--- a/pkg/streams/bed_test.go
+++ b/pkg/streams/bed_test.go
@@ -37,8 +37,9 @@
 	first   bool // entries that start now are told that the system starts for the first time
 	starts  uint64
 
-	mu    sync.Mutex
-	alive []bool
+	mu        sync.Mutex
+	alive     []bool
+	noStreams map[ids.Service]bool // services to which no route of streams leads; all others have streams
 }
 
 // recordStore is the records in the store, which each entry reads as they change, unless the store is away.
@@ -167,6 +168,11 @@
 	return address(p.self), true
 }
 
+func (p peers) FeedReaderRank(shard string) (rank, rankAmongAlive int) {
+	rank = slices.Index(p.b.ranked(shard), p.self)
+	return rank, rank
+}
+
 // newBed starts a number of entries for the first time, with the targets and routes given.
 func newBed(t *testing.T, entries int, targets []*routing.Target, routes []*routing.Route) *bed {
 	b := &bed{t: t, net: packets.NewMemory(), store: &recordStore{era: 1, newest: 1, rows: make(map[string]follow.Row)}, first: true, entries: make([]*streams.Origins, entries), stops: make([]context.CancelFunc, entries), alive: make([]bool, entries)}
@@ -206,7 +212,7 @@
 	link := packets.NewLink(c, b.net.Socket(address(i)))
 	o := streams.New(streams.Dependencies{
 		Common: c, Peers: peers{b, i}, Link: link, Store: b.store, FirstStart: b.first,
-		Streams: func(ids.Service) bool { return true },
+		Streams: b.hasStreams,
 	})
 	b.mu.Lock()
 	b.alive[i] = true
@@ -220,6 +226,23 @@
 	go follow(ctx, c.Clock, o)
 }
 
+// hasStreams reports whether a service has streams.
+func (b *bed) hasStreams(service ids.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.noStreams[service]
+}
+
+// moveRoute has the route lead to another service than before, to which no other route of streams leads.
+func (b *bed) moveRoute(from, to ids.Service) {
+	b.mu.Lock()
+	b.noStreams = map[ids.Service]bool{from: true}
+	b.mu.Unlock()
+	for _, o := range b.entries {
+		o.SetRoutes(route(to))
+	}
+}
+
 // kill ends an entry.
 func (b *bed) kill(i int) {
 	b.mu.Lock()
--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -23,6 +23,9 @@
 	// begun may still be under way.
 	lookupRounds = 2
 	lookupLimit  = 200 * clock.Millisecond
+	// confirmLimit is how long a lookup takes at most where the record says that there is only one version: another one may
+	// have been recorded since this entry read it.
+	confirmLimit = 40 * clock.Millisecond
 )
 
 // Source says how an entry knows where a stream began.
@@ -93,8 +96,8 @@
 	delete(l.waiting, number)
 }
 
-// Find returns where a stream began that its caller takes up again. It asks other entries if this one does not know, and
-// takes up to lookupLimit then.
+// Find returns where a stream began that its caller takes up again. It asks other entries if this one has no origin of it,
+// and takes up to lookupLimit then, or confirmLimit if the record says that there is only one version.
 func (o *Origins) Find(ctx context.Context, s Stream) Finding {
 	now := o.Clock.Now()
 	stored, _ := o.records.of(s.Service)
@@ -103,22 +106,36 @@
 		found.Origin, found.Source = origin, ByThisEntry
 		return found
 	}
-	if origin := o.onlyOrigin(now, s); origin != nil && (o.peers == nil || stored.record != nil && o.isCurrent(now)) {
-		found.Origin, found.Source = origin, ByOnlyVersion
+	only := o.onlyOrigin(now, s)
+	if o.peers == nil {
+		found.use(only)
 		return found
 	}
-	if o.peers == nil {
+	limit, current := lookupLimit, o.isCurrent(now)
+	if only != nil && current {
+		limit = confirmLimit
+	}
+	told := o.ask(ctx, s, &found, limit)
+	if found.Origin != nil || !current && told.replies == 0 {
 		return found
 	}
-	told := o.ask(ctx, s, &found)
-	stored, _ = o.records.of(s.Service)
-	if origin := o.onlyOrigin(o.Clock.Now(), s); found.Origin == nil && origin != nil && (stored.record != nil || told.complete) && !told.hasOther(origin.Version) {
-		found.Origin, found.Source = origin, ByOnlyVersion
+	if only = o.onlyOrigin(o.Clock.Now(), s); only == nil {
+		only = told.only
+	}
+	if only != nil && !told.hasOther(only.Version) {
+		found.use(only)
 	}
 	return found
 }
 
-// isCurrent reports whether the records, as read here, may be relied on without asking other entries.
+// use has the finding say that a stream began at the only version, if there is one.
+func (f *Finding) use(only *Origin) {
+	if only != nil {
+		f.Origin, f.Source = only, ByOnlyVersion
+	}
+}
+
+// isCurrent reports whether the records, as read here, may be relied on though other entries do not answer.
 func (o *Origins) isCurrent(now clock.Millis) bool {
 	position, read := o.records.readUpTo()
 	return read && o.records.age(now) <= maxViewAge && position.Era >= o.writer.targetsRead().Era
@@ -126,8 +143,9 @@
 
 // toldVersions are the versions of a service that other entries know.
 type toldVersions struct {
+	replies  int
 	versions []ids.Version
-	complete bool // an entry has told all
+	only     *Origin // where all streams of the route began, as an entry has told; nil if none has
 }
 
 // hasOther reports whether another version than the given one is among them.
@@ -146,12 +164,16 @@
 	return o.held.get(s.Key)
 }
 
-// onlyOrigin returns the origin of all streams of a route, or nil if there may be several.
+// onlyOrigin returns the origin of all streams of a route, or nil if there may be several. Unless this is the only entry,
+// the record has to say so, and this entry must have listed no other version.
 func (o *Origins) onlyOrigin(now clock.Millis, s Stream) *Origin {
 	version, one := o.versions.only(now, s.Service)
 	if !one || !o.routes.isSettled(now, s.Route, s.Service) {
 		return nil
 	}
+	if stored, _ := o.records.of(s.Service); o.peers != nil && !stored.settles(version, ids.Route(s.Route)) {
+		return nil
+	}
 	return &Origin{Service: s.Service, Version: version}
 }
 
@@ -171,7 +193,7 @@
 
 // ask asks other entries until one has the origin, or none has it and the versions of the service are known, or the time
 // is over. Entries that have just started may know neither yet. It returns the versions of which others have told.
-func (o *Origins) ask(ctx context.Context, s Stream, found *Finding) (told toldVersions) {
+func (o *Origins) ask(ctx context.Context, s Stream, found *Finding, within clock.Millis) (told toldVersions) {
 	number, replies := o.lookups.begin()
 	defer o.lookups.end(number)
 	asked := o.asked(s)
@@ -181,7 +203,7 @@
 	if s.HasKey {
 		query.Key = s.Key
 	}
-	limit := time.NewTimer(lookupLimit.Duration())
+	limit := time.NewTimer(within.Duration())
 	defer limit.Stop()
 	again := time.NewTicker(askAgainAfter.Duration())
 	defer again.Stop()
@@ -195,9 +217,12 @@
 				found.Answered = len(asked) - len(silent)
 			}
 			o.learn(s, &r.originReply)
+			told.replies++
 			if r.Service == s.Service {
 				told.versions = append(told.versions, r.Versions...)
-				told.complete = told.complete || r.Complete
+				if r.Complete && r.RouteSettled && len(r.Versions) == 1 {
+					told.only = &Origin{Service: r.Service, Version: r.Versions[0]}
+				}
 			}
 			if r.Origin != nil {
 				found.Origin, found.Source = r.Origin, ByAnotherEntry
@@ -251,9 +276,11 @@
 	now := o.Clock.Now()
 	answer := originReply{Number: q.Number, Service: q.Service, RouteSettled: o.routes.isSettled(now, q.Route, q.Service), Routes: o.routes.digest(now)}
 	answer.Versions, answer.Complete = o.versions.known(now, q.Service)
-	if stored, _ := o.records.of(q.Service); stored.record == nil {
+	stored, _ := o.records.of(q.Service)
+	if stored.record == nil {
 		answer.Complete = false // a stream may have begun at a version that this entry has not listed yet
 	}
+	answer.RouteSettled = answer.RouteSettled && stored.record != nil && stored.record.Complete && contains(stored.record.Routes, ids.Route(q.Route))
 	if q.Key != (Key{}) {
 		answer.Origin = o.recorded(Stream{Key: q.Key, HasKey: true})
 	}
--- a/pkg/streams/origins.go
+++ b/pkg/streams/origins.go
@@ -22,6 +22,9 @@
 	Ranked(shard string, most int) []netip.AddrPort
 	// Owner returns the owner of a shard, and whether it is this entry.
 	Owner(shard string) (netip.AddrPort, bool)
+	// FeedReaderRank returns how many entries that are believed to reach the store precede this one for a shard, and how many
+	// alive ones do.
+	FeedReaderRank(shard string) (rank, rankAmongAlive int)
 }
 
 // Dependencies are what Origins work with. Without Peers, Link and Store an entry is the only one.
@@ -312,9 +315,6 @@
 
 // begunAtOne reports whether all streams of a route that may still be taken up again began at one version of a service.
 func (o *Origins) begunAtOne(now clock.Millis, route string, service ids.Service) bool {
-	if stored, _ := o.records.of(service); stored.record == nil {
-		return false
-	}
 	return o.onlyOrigin(now, Stream{Route: route, Service: service}) != nil
 }
 
--- a/pkg/streams/record_test.go
+++ b/pkg/streams/record_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"quaydock/pkg/history"
 	"quaydock/pkg/ids"
+	"quaydock/pkg/packets"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/streams"
 )
@@ -245,3 +247,99 @@
 		})
 	}
 }
+
+// TestStreamsBeginOnRouteOfServiceWithoutOtherStreams guards against streams that are refused for good once the only route
+// of a service has moved to another one.
+func TestStreamsBeginOnRouteOfServiceWithoutOtherStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		b.moveRoute("s", "other")
+		time.Sleep(time.Minute)
+		if !b.entries[0].AwaitBegin(context.Background(), "r", "other") {
+			t.Errorf("may not begin a minute after the route has moved; the record of the former service has %v", b.record().Routes)
+		}
+	})
+}
+
+// TestRecordIsNotReliedOnWithoutAnswers guards against streams that go on by an old record at an entry that is cut off from
+// the store and from the other entries.
+func TestRecordIsNotReliedOnWithoutAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		cut := b.ranked("stream-versions/s")[2]
+		b.stops[cut]()
+		b.startStale(cut, of("v1"), route("s"))
+		time.Sleep(100 * time.Millisecond)
+		b.net.Lose(func(from, to netip.AddrPort, _ packets.Kind) bool { return from == address(cut) || to == address(cut) })
+		for i, o := range b.entries {
+			if i != cut {
+				o.SetDirectory(routing.NewDirectory(of("v1", "v2")))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		b.begin((cut+1)%3, "r1", "v2")
+		if found := b.find(cut, "r1"); found.Origin != nil {
+			t.Errorf("found %+v by %v, from a record read %d ms ago, by %d answers of %d", found.Origin, found.Source, found.RecordAge, found.Answered, found.Asked)
+		}
+	})
+}
+
+// TestRecordOfAMomentAgoIsNotReliedOn guards against streams that go on at an entry that reads the store later than the one
+// where they began.
+func TestRecordOfAMomentAgoIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 9, of("v1"), route("s"))
+		key := streams.NewKey("acme", "r1")
+		ranked := b.ranked("streams/" + string(key[:]))
+		late := ranked[len(ranked)-1]
+		b.stops[late]()
+		b.startStale(late, of("v1"), route("s"))
+		time.Sleep(100 * time.Millisecond)
+		for i, o := range b.entries {
+			if i != late {
+				o.SetDirectory(routing.NewDirectory(of("v1", "v2")))
+			}
+		}
+		time.Sleep(time.Second)
+		b.begin((late+1)%9, "r1", "v2")
+		time.Sleep(40 * time.Millisecond)
+		if found := b.find(late, "r1"); found.Origin != nil && found.Origin.Version != "v2" {
+			t.Errorf("found %+v by %v, from a record read %d ms ago, %d asked; the record names %v", found.Origin, found.Source, found.RecordAge, found.Asked, b.record().Versions)
+		}
+	})
+}
+
+// TestRouteTakenOffRecordIsNotReliedOn guards against streams that go on at the service that their route has left, at an
+// entry that reads the configuration late.
+func TestRouteTakenOffRecordIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 3, of("v1"), route("s"))
+		late := b.ranked("stream-versions/s")[2]
+		for i, o := range b.entries {
+			if i != late {
+				o.SetRoutes(route("other"))
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if !b.entries[(late+1)%3].AwaitBegin(context.Background(), "r", "other") {
+			t.Fatal("no stream may begin at the other service")
+		}
+		if found := b.find(late, "r1"); found.Origin != nil {
+			t.Errorf("found %+v by %v; the record has %v", found.Origin, found.Source, b.record().Routes)
+		}
+	})
+}
+
+// TestWritesAreFewWhileStoreRefusesThem guards against entries that use up the store's writes for a record that it refuses.
+func TestWritesAreFewWhileStoreRefusesThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, 9, of("v1"), route("s"))
+		b.store.setAway(true)
+		b.list(of("v1", "v2"))
+		before := b.store.count()
+		time.Sleep(time.Minute)
+		if writes := b.store.count() - before; writes > 120 {
+			t.Errorf("%d writes of one record in a minute", writes)
+		}
+	})
+}
--- a/pkg/streams/record_view.go
+++ b/pkg/streams/record_view.go
@@ -36,6 +36,12 @@
 	return s.at == other.at && (s.record == nil) == (other.record == nil)
 }
 
+// settles reports whether the record says that all streams of a route began at a version.
+func (s storedRecord) settles(version ids.Version, route ids.Route) bool {
+	r := s.record
+	return r != nil && r.Complete && len(r.Versions) == 1 && r.Versions[0] == version && contains(r.Routes, route)
+}
+
 // recordChange is a record that was read with another content than before.
 type recordChange struct {
 	service ids.Service
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -22,12 +22,15 @@
 	maxAskPause  = 10 * clock.Second
 	// storeTimeout limits a call to the store.
 	storeTimeout = 600 * clock.Millisecond
-	// rewriteAfter is when an entry writes a record again that it has not read as written since.
-	rewriteAfter = 250 * clock.Millisecond
-	// Another entry than the owner writes what streams wait for once they have waited for standInAfter and a drawn time of up
-	// to standInSpread: the owner may not reach the store.
-	standInAfter  = 300 * clock.Millisecond
-	standInSpread = clock.Second
+	// rewriteAfter is when an entry writes a record again that it has not read as written since; each time after twice that,
+	// up to maxRewritePause.
+	rewriteAfter    = 250 * clock.Millisecond
+	maxRewritePause = 4 * clock.Second
+	// maxRewriteDoublings keeps the pause within its type.
+	maxRewriteDoublings = 8
+	// standInAfter is when another entry than the owner writes what streams wait for, as the owner may not reach the store:
+	// after so long for each entry that goes before it, and a drawn time of up to as long.
+	standInAfter = 300 * clock.Millisecond
 )
 
 // ErrRecordChanged means that the stored record was another one than the write expected; nothing was written.
@@ -52,9 +55,10 @@
 
 // recordWrites are the writes of one record.
 type recordWrites struct {
-	writtenAt clock.Millis // the latest try
-	writtenTo history.Position
-	standInAt clock.Millis // when this entry writes the record though it does not own it; 0 if nothing is due
+	dueSince clock.Millis     // 0 if nothing is due
+	over     history.Position // where the record stands that is to be replaced
+	tries    int              // to replace it
+	nextAt   clock.Millis     // when the next one is due
 }
 
 func newRecordWriter() recordWriter {
@@ -108,7 +112,7 @@
 		ask := now >= askAt
 		complete, pause := true, keepInterval
 		for _, service := range o.versions.names() {
-			if !o.routes.known() || !o.streams(service) {
+			if !o.hasRecord(service) {
 				continue
 			}
 			if !o.keepRecord(ctx, service) {
@@ -130,6 +134,12 @@
 	}
 }
 
+// hasRecord reports whether a service has streams by the configuration, or a record from when it had some.
+func (o *Origins) hasRecord(service ids.Service) bool {
+	stored, _ := o.records.of(service)
+	return o.routes.known() && (o.streams(service) || stored.record != nil)
+}
+
 // awaitChange waits until something changes that records depend on, or a time is over.
 func (o *Origins) awaitChange(ctx context.Context, pause clock.Millis) {
 	ctx, cancel := context.WithTimeout(ctx, pause.Duration())
@@ -170,17 +180,23 @@
 		o.writer.settled(service)
 		return true
 	}
-	if o.writer.due(now, service, stored.at, owned, o.standIn) {
+	if o.writer.due(now, service, stored.at, func() clock.Millis { return o.firstPause(service, owned) }) {
 		o.writeRecord(ctx, service, next, stored.at)
 	}
 	return false
 }
 
-// standIn draws for how long an entry waits for the owner to write a record.
-func (o *Origins) standIn() clock.Millis { return standInAfter + o.Random.DurationUpTo(standInSpread) }
+// firstPause returns for how long this entry leaves it to others to write a record.
+func (o *Origins) firstPause(service ids.Service, owned bool) clock.Millis {
+	if owned {
+		return 0
+	}
+	rank, _ := o.peers.FeedReaderRank(versionsShard(service))
+	return standInAfter*clock.Millis(1+rank) + o.Random.DurationUpTo(standInAfter)
+}
 
-// due reports whether a record is to be written now over the one at a position, and if so, records that it is.
-func (w *recordWriter) due(now clock.Millis, service ids.Service, at history.Position, owned bool, standIn func() clock.Millis) bool {
+// due reports whether a record is to be written now over the one at a position, and if so, counts a try.
+func (w *recordWriter) due(now clock.Millis, service ids.Service, at history.Position, firstPause func() clock.Millis) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.services[service]
@@ -188,14 +204,14 @@
 		s = &recordWrites{}
 		w.services[service] = s
 	}
-	if s.standInAt == 0 {
-		s.standInAt = now + standIn()
+	if s.dueSince == 0 || s.over != at {
+		*s = recordWrites{dueSince: now, over: at, nextAt: now + firstPause()}
 	}
-	justWritten := s.writtenAt > 0 && s.writtenTo == at && now-s.writtenAt < rewriteAfter
-	if justWritten || !owned && now < s.standInAt {
+	if now < s.nextAt {
 		return false
 	}
-	s.writtenAt, s.writtenTo = now, at
+	s.nextAt = now + min(rewriteAfter<<s.tries, maxRewritePause) + firstPause()
+	s.tries = min(s.tries+1, maxRewriteDoublings)
 	return true
 }
 
@@ -203,9 +219,7 @@
 func (w *recordWriter) settled(service ids.Service) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if s := w.services[service]; s != nil {
-		s.standInAt = 0
-	}
+	delete(w.services, service)
 }
 
 // nextRecord returns what the record of a service should say instead of what is stored, or nil if that is right; urgent says
