--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -168,7 +168,7 @@
 	switch {
 	case t == nil, !t.Incarnation().Same(incarnation), t.Service != p.request.Service, !p.request.FitsVersion(t):
 		return nil
-	case t.Leaving, t.Drained, t.Undeclared, t.Admission == routing.Withheld:
+	case t.Leaving, t.Drained, t.Admission == routing.Withheld:
 		return nil
 	case t.Admission == routing.OnTrial && !d.trials.useReservation(p, t):
 		return nil
--- a/pkg/dispatch/owner_messages.go
+++ b/pkg/dispatch/owner_messages.go
@@ -11,7 +11,11 @@
 // receiveSubmit handles a request that may get targets of any version.
 func (owner *Owner) receiveSubmit(from netip.AddrPort, a *submitMessage) {
 	now := owner.Clock.Now()
-	owner.submit(now, from, a.Service, a.job(from, now))
+	job := a.job(from, now)
+	if c := owner.view.Catalog(); c != nil {
+		job.BeginsStream = c.IsStream(job.Route)
+	}
+	owner.submit(now, from, a.Service, job)
 }
 
 // receiveVersionSubmit handles a request that may get targets of one version.
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -165,7 +165,7 @@
 		Prompt: q.Prompt, Events: d.admission.estimateEvents(q), MaxEventGap: q.route.EventGap,
 		Arrived: q.arrived, SinceFirstTry: q.sinceFirstTry, Objective: q.route.Objective, Deadline: q.deadline, Patience: q.patience(),
 		Retried: q.returned(), Movable: d.movable(q), Exclude: d.excluded(q),
-		Route: ids.Route(q.route.Name), Version: q.version(),
+		Route: ids.Route(q.route.Name), Version: q.version(), BeginsStream: q.beginsStream(),
 	}})
 	now := d.Clock.Now()
 	switch {
@@ -213,6 +213,9 @@
 	if q.origin != nil && d.ended.has(d.Clock.Now(), assignment.Target().Incarnation()) {
 		return notRun(CauseNoTarget, retryDelay)
 	}
+	if q.beginsStream() && !d.origins.MayBegin(q.route.Name, q.service) {
+		return notRun(CauseRouteMoved, retryDelay)
+	}
 	if !q.fits(assignment.Target()) {
 		d.Check.Verify(false, invariant.StreamVersion, "request %s assigned to target %s", q.ID, assignment.Target().ID)
 		return notRun(CauseNoTarget, retryDelay)
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -20,6 +20,9 @@
 	return r.origin == nil || r.origin.Fits(t)
 }
 
+// beginsStream reports whether a stream begins with the request, at whichever target answers it first.
+func (r *request) beginsStream() bool { return r.route.Kind == routing.Stream && r.origin == nil }
+
 // version returns the only version whose targets the request may get, nil if it may get any.
 func (r *request) version() *ids.Version {
 	if r.origin == nil {
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -59,6 +59,9 @@
 	// Version is the only version whose targets the job may get, as its stream began there; nil if it may get any. It is
 	// sent beside the job, since entries of earlier builds read jobs without it.
 	Version *ids.Version `cbor:"-"`
+	// BeginsStream is set if a stream begins with the job, so that it may get no undeclared target. It is not sent: owners
+	// tell it by the route.
+	BeginsStream bool `cbor:"-"`
 }
 
 // MayGet reports whether a job may get a target, by the target's version and by what the job excludes.
@@ -68,7 +71,10 @@
 
 // FitsVersion reports whether a job may get targets of a target's version.
 func (j *Job) FitsVersion(t *routing.Target) bool {
-	return j.Version == nil || *j.Version == t.Version
+	if j.Version != nil {
+		return *j.Version == t.Version
+	}
+	return !j.BeginsStream || !t.Undeclared
 }
 
 // competesWith reports whether there are versions whose targets both jobs may get.
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -159,7 +159,7 @@
 
 // fastest returns the pace of the fastest target of a job's version that is not ejected, and whether there is one.
 func (p *Planner) fastest(now clock.Millis, c *candidates, job *Job) (fastest pace, known bool) {
-	if job.Version == nil {
+	if job.Version == nil && !job.BeginsStream {
 		return c.fastest, c.known
 	}
 	return p.fastestOf(now, func(t *target) bool { return job.FitsVersion(t.Target) && !t.health.Ejected(now) })
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -77,7 +77,7 @@
 	Limits   Limits
 	services map[ids.Service]*Service
 	hosts    map[string][]*Route // by host, the longest prefix first
-	routes   map[string]bool     // by name
+	routes   map[string]*Route   // by name
 	keys     map[string]*Account // by key
 	accounts []*Account
 	byName   map[ids.Account]*Account
@@ -91,7 +91,7 @@
 		Limits:   limits,
 		services: make(map[ids.Service]*Service, len(services)),
 		hosts:    make(map[string][]*Route),
-		routes:   make(map[string]bool, len(routes)),
+		routes:   make(map[string]*Route, len(routes)),
 		keys:     make(map[string]*Account),
 		accounts: accounts,
 		byName:   make(map[ids.Account]*Account, len(accounts)),
@@ -102,7 +102,7 @@
 	}
 	for _, r := range routes {
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
-		c.routes[r.Name] = true
+		c.routes[r.Name] = r
 	}
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -130,7 +130,13 @@
 
 // HasRoute reports whether there is a route with a name.
 func (c *Catalog) HasRoute(name string) bool {
-	return c.routes[name]
+	return c.routes[name] != nil
+}
+
+// IsStream reports whether there is a route with a name, and its requests are answered by streams.
+func (c *Catalog) IsStream(name ids.Route) bool {
+	r := c.routes[string(name)]
+	return r != nil && r.Kind == Stream
 }
 
 // StreamRoutes returns the routes whose requests are answered by streams.
--- a/pkg/routing/target.go
+++ b/pkg/routing/target.go
@@ -33,7 +33,7 @@
 	ListedRevision, Revision int64
 	// Admission says whether its version may get requests.
 	Admission Admission
-	// Undeclared says that no stream may begin at its version yet, as the store does not name it. It gets no requests.
+	// Undeclared says that no stream may begin at its version yet, as the store does not name it.
 	Undeclared bool
 }
 
@@ -78,8 +78,8 @@
 	byID      map[ids.Target]*Target
 }
 
-// NewDirectory builds a directory. Targets that are leaving, in a drained failure domain, withheld or undeclared are known
-// to it, but neither Serving nor OnTrial lists them.
+// NewDirectory builds a directory. Targets that are leaving, in a drained failure domain or withheld are known to it,
+// but neither Serving nor OnTrial lists them.
 func NewDirectory(targets []*Target) *Directory {
 	d := &Directory{
 		byService: make(map[ids.Service][]*Target),
@@ -91,7 +91,7 @@
 	for _, t := range d.all {
 		d.byID[t.ID] = t
 		switch {
-		case t.Leaving, t.Drained, t.Undeclared:
+		case t.Leaving, t.Drained:
 		case t.Admission == Admitted:
 			d.byService[t.Service] = append(d.byService[t.Service], t)
 		case t.Admission == OnTrial:
--- a/pkg/streams/origins.go
+++ b/pkg/streams/origins.go
@@ -47,6 +47,7 @@
 	link       *packets.Link
 	store      Store
 	firstStart bool
+	startedAt  clock.Millis
 	streams    func(ids.Service) bool
 	faults     *follow.Faults // invalid records of services
 
@@ -59,17 +60,20 @@
 	records  *recordView
 	filter   *versionFilter
 	writer   recordWriter
+	// adopting is held from when records have been read until what they tell is known, and while it is decided what they
+	// should say.
+	adopting sync.Mutex
 }
 
 // New returns origins that know of no stream, and registers the handlers of their messages on the link.
 func New(p Dependencies) *Origins {
 	o := &Origins{
-		Common: p.Common, peers: p.Peers, link: p.Link, store: p.Store, firstStart: p.FirstStart, streams: p.Streams,
+		Common: p.Common, peers: p.Peers, link: p.Link, store: p.Store, firstStart: p.FirstStart, startedAt: p.Clock.Now(), streams: p.Streams,
 		versions: newVersions(), routes: newRoutes(), own: &records{}, held: &records{}, copies: newCopies(p.Random.Fork().Uint64()),
 		lookups: lookups{number: p.Random.Fork().Uint64(), waiting: make(map[uint64]chan reply)}, records: &recordView{}, writer: newRecordWriter(),
 		faults: follow.NewFaults(p.Common, "records of streams"),
 	}
-	o.filter = newVersionFilter(o.records, o.mayHaveStreams)
+	o.filter = newVersionFilter(p.Clock, o.records, o.mayHaveStreams)
 	o.versions.always, o.routes.always = p.Peers == nil, p.Peers == nil
 	p.Metrics.Prometheus.Gauge("streams_origins_own", func() float64 { return float64(o.own.len()) })
 	p.Metrics.Prometheus.Gauge("streams_origins_held", func() float64 { return float64(o.held.len()) })
@@ -127,6 +131,19 @@
 // ApplyRecords applies rows with records of services' streams, whose keys are the services; all says that they are a
 // snapshot.
 func (o *Origins) ApplyRecords(rows []follow.Row, all bool, f follow.Freshness) {
+	changed, added := o.adoptRows(rows, all, f)
+	o.sendOwn(added)
+	o.filter.refresh(changed)
+	if changed {
+		o.writer.changed()
+	}
+}
+
+// adoptRows reads rows with records, and adopts what they tell. It reports whether a record has changed, and the services
+// of whose streams other entries may need the origins from now on.
+func (o *Origins) adoptRows(rows []follow.Row, all bool, f follow.Freshness) (changed bool, added []ids.Service) {
+	o.adopting.Lock()
+	defer o.adopting.Unlock()
 	changes, faults := o.records.apply(rows, all, f)
 	if all {
 		o.faults.Retain(rows)
@@ -140,7 +157,6 @@
 		}
 	}
 	now := o.Clock.Now()
-	var added []ids.Service
 	for _, c := range changes {
 		if o.applyRecord(now, c) {
 			added = append(added, c.service)
@@ -149,13 +165,12 @@
 	if o.versions.missedBefore(f.CurrentAt) {
 		o.adoptRecords()
 	}
-	o.sendOwn(added)
-	o.filter.refresh(len(changes) > 0)
-	if len(changes) > 0 {
-		o.writer.changed()
-	}
+	return len(changes) > 0, added
 }
 
+// firstStartTime is the time after the start within which the records have to be read for the first time.
+const firstStartTime = 5 * clock.Second
+
 // startFirst applies the first snapshot of the records if the system starts for the first time: no stream has begun before
 // this entry's start, or only as the records say that the other entries have written meanwhile. A record that says nothing
 // in this era shows that it is not the first time.
@@ -164,6 +179,9 @@
 		return
 	}
 	o.firstStart = false
+	if o.Clock.Now()-o.startedAt > firstStartTime {
+		return // streams may have begun meanwhile of which no record tells
+	}
 	stored, valid := o.records.all()
 	switch {
 	case !valid:
@@ -270,13 +288,20 @@
 	o.versions.missed(o.Clock.Now())
 }
 
+// MayBegin reports whether streams of a route may begin at a service: no record says that all streams of the route begin at
+// another one.
+func (o *Origins) MayBegin(route string, service ids.Service) bool {
+	may, _ := o.records.mayBegin(ids.Route(route), service)
+	return may
+}
+
 // beginLimit is for how long a stream waits until it may begin on its route.
 const beginLimit = 500 * clock.Millisecond
 
 // AwaitBegin waits until a stream of a route may begin at a service, as no record says any more that all streams of the
 // route begin at another one. It returns false after half a second, or when ctx ends.
 func (o *Origins) AwaitBegin(ctx context.Context, route string, service ids.Service) bool {
-	if may, _ := o.records.mayBegin(ids.Route(route), service); may {
+	if o.MayBegin(route, service) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, beginLimit.Duration())
--- a/pkg/streams/record_test.go
+++ b/pkg/streams/record_test.go
@@ -48,7 +48,9 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		for _, t := range present.Serving("s") {
-			list = append(list, t.Version)
+			if !t.Undeclared {
+				list = append(list, t.Version)
+			}
 		}
 		return list
 	}
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -170,12 +170,15 @@
 // keepRecord writes the record of a service if it does not say what it should. It reports false if that is still to come.
 func (o *Origins) keepRecord(ctx context.Context, service ids.Service) bool {
 	now := o.Clock.Now()
+	_, owned := o.peers.Owner(versionsShard(service))
+	o.adopting.Lock()
 	stored, read := o.records.of(service)
-	if !read {
-		return true
+	var next *Record
+	urgent := false
+	if read {
+		next, urgent = o.nextRecord(now, service, stored, owned)
 	}
-	_, owned := o.peers.Owner(versionsShard(service))
-	next, urgent := o.nextRecord(now, service, stored, owned)
+	o.adopting.Unlock()
 	if next == nil || !owned && !urgent {
 		o.writer.settled(service)
 		return true
--- a/pkg/streams/versions.go
+++ b/pkg/streams/versions.go
@@ -174,7 +174,7 @@
 func (v *versions) missedBefore(at clock.Millis) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	missed := v.missedAt > 0 && v.missedAt <= at
+	missed := v.missedAt > 0 && v.missedAt < at
 	if missed {
 		v.missedAt = 0
 	}
