--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -148,6 +148,18 @@
 	only     *Origin // where all streams of the route began, as an entry has told; nil if none has
 }
 
+// add adds what a reply tells.
+func (v *toldVersions) add(s Stream, r *originReply) {
+	v.replies++
+	if r.Service != s.Service {
+		return
+	}
+	v.versions = append(v.versions, r.Versions...)
+	if r.Complete && r.RouteSettled && len(r.Versions) == 1 {
+		v.only = &Origin{Service: r.Service, Version: r.Versions[0]}
+	}
+}
+
 // hasOther reports whether another version than the given one is among them.
 func (v *toldVersions) hasOther(version ids.Version) bool {
 	return slices.ContainsFunc(v.versions, func(told ids.Version) bool { return told != version })
@@ -217,13 +229,7 @@
 				found.Answered = len(asked) - len(silent)
 			}
 			o.learn(s, &r.originReply)
-			told.replies++
-			if r.Service == s.Service {
-				told.versions = append(told.versions, r.Versions...)
-				if r.Complete && r.RouteSettled && len(r.Versions) == 1 {
-					told.only = &Origin{Service: r.Service, Version: r.Versions[0]}
-				}
-			}
+			told.add(s, &r.originReply)
 			if r.Origin != nil {
 				found.Origin, found.Source = r.Origin, ByAnotherEntry
 				return told
