ingress: sight of repeated events, of events out of order, and of bursts of streams that go on

Cause: an event that a target sends again was dropped without a word, an id that went back too, and a target that went on with another event than the next one had no line. Of a burst of streams that go on, all lines beyond 40 a second were lost but for their number. Change: what each event is to its caller is decided by one function (eventOrder.step). Repeats have a line and a counter for each target, events out of order as well; what the caller gets is unchanged. Streams that go on beyond the 40 lines are summed by service, versions and cause, up to 32 lines a second. A benchmark of the relay of one event. Result: pkg/ingress passes with -race.

--- a/pkg/ingress/controller.go
+++ b/pkg/ingress/controller.go
@@ -110,7 +110,7 @@
 		Common: p.Common, admission: a, headerCodec: p.HeaderCodec, scheduler: p.Scheduler,
 		pool: p.Pool, retries: p.Retries, entries: p.Entries, guard: p.Guard, advice: p.Advice,
 		ended: newEndedTargets(), targetEnded: p.TargetEnded, sampler: telemetry.NewSampler(p.Clock, p.Log, linesPerSecond),
-		buffers: p.Buffers,
+		buffers: p.Buffers, unlogged: newContinuationTally(p.Common),
 	}
 	if d.guard == nil {
 		d.guard = quarantine.New(quarantine.Dependencies{Common: p.Common})
--- a/pkg/ingress/deliver_bench_test.go
+++ b/pkg/ingress/deliver_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,8 +10,10 @@
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
+	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/network"
+	"quaydock/pkg/planner"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
@@ -54,3 +57,64 @@
 		}
 	}
 }
+
+// endlessEvents is a stream of events whose ids rise by one.
+type endlessEvents struct {
+	id   int
+	left []byte
+}
+
+func (e *endlessEvents) Read(p []byte) (int, error) {
+	if len(e.left) == 0 {
+		e.id++
+		e.left = fmt.Appendf(e.left, "id: %d\ndata: %0100d\n\n", e.id, 1)
+	}
+	n := copy(p, e.left)
+	e.left = e.left[n:]
+	return n, nil
+}
+
+// discardAnswer is a response writer that drops what is written.
+type discardAnswer struct{ header http.Header }
+
+func (d discardAnswer) Header() http.Header       { return d.header }
+func (discardAnswer) Write(p []byte) (int, error) { return len(p), nil }
+func (discardAnswer) WriteHeader(int)             {}
+func (discardAnswer) Flush()                      {}
+
+// placedAssignment is an assignment to a target.
+type placedAssignment struct{ target *routing.Target }
+
+func (p placedAssignment) Target() *routing.Target                 { return p.target }
+func (placedAssignment) Began(*planner.Load)                       {}
+func (placedAssignment) Redispatched() <-chan struct{}             { return nil }
+func (placedAssignment) Done(planner.Outcome, planner.StreamStats) {}
+
+// noHeaders copies no headers.
+type noHeaders struct{ HeaderCodec }
+
+func (noHeaders) CopyAnswer(_, _ http.Header) {}
+
+// BenchmarkRelayEvent measures the cost of an event of a stream that may be resumed, without its connections.
+func BenchmarkRelayEvent(b *testing.B) {
+	c := commontest.New(network.NewMemory(nil))
+	controller := NewController(Dependencies{
+		Common: c, View: view.New(c.Check), Scheduler: refusingScheduler{}, Pool: forward.NewPool(c, nil, nil), Entries: onlyEntry{}, HeaderCodec: noHeaders{},
+	})
+	d := controller.delivery
+	route := &routing.Route{Name: "r", Kind: routing.Stream, Attempts: 2, Timeout: clock.Minute, Objective: clock.Second, Resumable: true}
+	now := c.Clock.Now()
+	q := &request{http: httptest.NewRequest(http.MethodPost, "http://h/a", nil), route: route, service: "s", arrived: now, deadline: now + clock.Minute, placedAt: now}
+	writer := discardAnswer{header: http.Header{}}
+	out := &answerWriter{writer: writer, control: http.NewResponseController(writer)}
+	assignment := placedAssignment{&routing.Target{ID: "t1", Service: "s", Version: "v1"}}
+	w := d.watch(context.Background(), q, assignment)
+	defer w.close(q)
+	r := newStreamRelay(d, w, q, out, assignment, &forward.Answer{Status: http.StatusOK}, eventstream.NewReader(&endlessEvents{}))
+	b.ReportAllocs()
+	for b.Loop() {
+		if result := r.relayNext(); result != nil {
+			b.Fatalf("ended: %+v", result)
+		}
+	}
+}
--- a/pkg/ingress/delivery.go
+++ b/pkg/ingress/delivery.go
@@ -39,6 +39,7 @@
 	ended       *endedTargets
 	targetEnded func(*routing.Target) // never nil
 	sampler     *telemetry.Sampler    // limits log lines
+	unlogged    *continuationTally    // of streams that go on beyond that limit
 	buffers     *buffers.Account      // what is held for callers and targets; never nil
 }
 
--- /dev/null
+++ b/pkg/ingress/event_order_log_test.go
@@ -0,0 +1,67 @@
+package ingress_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+)
+
+// TestRepeatsAndDisorderAreLogged guards against events that are dropped, or out of order, without a line that says so.
+func TestRepeatsAndDisorderAreLogged(t *testing.T) {
+	const repeated, disorder = "a target repeated events that its caller had", "a target's events are out of order"
+	scenarios := []struct {
+		name    string
+		targets []scriptedTarget
+		message string // of the only line
+		fields  map[string]any
+		counter string
+	}{
+		{"a sound stream that goes on", []scriptedTarget{streams(5), streams(0)}, "", nil, ""},
+		{
+			"repeats", []scriptedTarget{streams(5), sendsFrom(3, 10)}, repeated,
+			map[string]any{"target": "t2", "events": 2, "first_event": int64(3), "after_event": "4"}, `quaydock_streams_with_repeats_total{after="break"} 1`,
+		},
+		{
+			"goes back", []scriptedTarget{sendsIDs(1, 2, 3, 2), streams(0)}, disorder,
+			map[string]any{"target": "t1", "last_event": int64(3), "event": int64(2), "step": "Back"}, `quaydock_streams_out_of_order_total{event="Back"} 1`,
+		},
+		{
+			"skips", []scriptedTarget{streams(5), sendsFrom(6, 10)}, disorder,
+			map[string]any{"target": "t2", "last_event": int64(4), "event": int64(6), "step": "Skips"}, `quaydock_streams_out_of_order_total{event="Skips"} 1`,
+		},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, fakeMeter{}, s.targets...)
+				b.call(context.Background(), "/resume/a", nil)
+				synctest.Wait()
+				lines := 0
+				for _, line := range b.logs.AllEntries() {
+					if line.Message != repeated && line.Message != disorder {
+						continue
+					}
+					lines++
+					for name, want := range s.fields {
+						if line.Data[name] != want {
+							t.Errorf("%s is %v, want %v", name, line.Data[name], want)
+						}
+					}
+					if line.Message != s.message || line.Data["request"] != "r1" {
+						t.Errorf("line %q of request %v", line.Message, line.Data["request"])
+					}
+				}
+				if s.message != "" && lines != 1 || s.message == "" && lines != 0 {
+					t.Errorf("%d lines", lines)
+				}
+				page := httptest.NewRecorder()
+				b.metrics.Prometheus.ServeHTTP(page, nil)
+				if !strings.Contains(page.Body.String(), s.counter) {
+					t.Errorf("no counter %q", s.counter)
+				}
+			})
+		})
+	}
+}
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -173,12 +173,17 @@
 	}
 }
 
+// goesOnAfter says after what the stream goes on at a target: a break of this answer, or its caller's coming back.
+func (r *request) goesOnAfter() string {
+	if r.hasEvent {
+		return "break"
+	}
+	return "caller"
+}
+
 // recordContinuation logs and counts a stream that goes on at a target.
 func (d *delivery) recordContinuation(q *request, target *routing.Target) {
-	after, version := "caller", "unknown"
-	if q.hasEvent {
-		after = "break"
-	}
+	after, version := q.goesOnAfter(), "unknown"
 	if q.origin != nil {
 		version = "same"
 		if q.origin.Version != target.Version {
@@ -188,6 +193,7 @@
 	d.Metrics.Prometheus.Add("streams_gone_on", "after", after)
 	d.Metrics.Prometheus.Add("streams_gone_on_version", "version", version)
 	if !d.sampler.Allow("stream goes on") {
+		d.unlogged.add(newContinuation(q, target, after))
 		return
 	}
 	fields := logrus.Fields{
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -36,6 +36,7 @@
 	heldAnswers int   // bytes of answers that are counted there
 	lastEvent   int64 // id of the last event that was relayed to the caller, if hasEvent
 	hasEvent    bool
+	order       eventOrder      // what the caller has of a stream
 	origin      *streams.Origin // where the stream began; nil before its first event, and if that is not known
 	knownBy     streams.Finding // how that is known of a stream that its caller has taken up again
 
--- a/pkg/ingress/stream_relay.go
+++ b/pkg/ingress/stream_relay.go
@@ -22,17 +22,27 @@
 	events     *eventstream.Reader
 	end        targetEnd
 	flow       planner.StreamStats
+	order      exchangeOrder
+	repeats    repeats
+	disorder   bool         // an event was out of order
 	last       clock.Millis // when the last event was passed on
 	done       bool         // the target has completed the stream, and its assignment has ended
 }
 
+// newStreamRelay returns a relay whose stream is about to begin, or to go on.
+func newStreamRelay(d *delivery, w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, events *eventstream.Reader) *streamRelay {
+	r := &streamRelay{delivery: d, watch: w, q: q, out: out, assignment: assignment, answer: a, events: events, last: q.placedAt, order: q.order.goingOn()}
+	r.end = targetEnd{peek: events.Peek, reached: r.endReached}
+	return r
+}
+
 // relayStream relays a stream event by event. Only complete events are written, so that a resumable stream can go on at
 // another target after the last one, and so that what the caller has of a stream that ends inside an event ends before
 // that event.
 func (d *delivery) relayStream(w *watch, q *request, out *answerWriter, assignment schedule.Assignment, a *forward.Answer, events *eventstream.Reader) attempt {
-	r := &streamRelay{delivery: d, watch: w, q: q, out: out, assignment: assignment, answer: a, events: events, last: q.placedAt}
-	r.end = targetEnd{peek: events.Peek, reached: r.endReached}
+	r := newStreamRelay(d, w, q, out, assignment, a, events)
 	defer r.end.join()
+	defer r.reportRepeats()
 	for {
 		if result := r.relayNext(); result != nil {
 			return result
@@ -51,6 +61,9 @@
 	if err != nil {
 		return r.breakOff(e, err)
 	}
+	if !ended {
+		r.recordOrder(e)
+	}
 	if !r.done && !r.watch.recordEvent(e, r.answer) {
 		r.assignment.Done(planner.Failed, r.flow)
 		return lost{err: errRedispatched}
