ingress: what a caller has of a stream is left out wherever it goes on

What callers saw: events twice, where a target that went on sent again what the caller had named itself, or events without an id that it had. Cause: only an id was compared, and only with an event that this entry had relayed in the answer. Change: a caller has a stream up to a place: behind an event with an id, and behind so many events without one that follow it. A caller that comes back names the first part, on routes whose streams may be taken up again. What a target sends before that place is left out. So streams without ids, with ids that are no numbers or beyond int64 go on without repeats too. A search has the same place. The test of ids on other routes is new.

--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -125,8 +125,7 @@
 
 // newRequest returns a request that has just arrived.
 func (a *admission) newRequest(r *http.Request) *request {
-	call := a.headerCodec.Describe(r.Header)
-	return &request{Call: call, http: r, arrived: a.Clock.Now(), splitDraw: a.Random.Fork().Float64(), order: newEventOrder(call.LastEvent)}
+	return &request{Call: a.headerCodec.Describe(r.Header), http: r, arrived: a.Clock.Now(), splitDraw: a.Random.Fork().Float64()}
 }
 
 // admit reads a request and checks its route, key, size and allowance. The request is admitted if there is no refusal.
--- a/pkg/ingress/event_order.go
+++ b/pkg/ingress/event_order.go
@@ -72,6 +72,9 @@
 	return eventOrder{at: position{id: id, hasID: true}}
 }
 
+// begun reports whether the caller got an event from this entry.
+func (o eventOrder) begun() bool { return o.numbered > 0 || o.at.unnumbered > 0 }
+
 // exchangeOrder is how far one target has come in a stream.
 type exchangeOrder struct {
 	at      position
@@ -101,17 +104,21 @@
 	}
 }
 
-// add returns both orders after a new event.
-func (o eventOrder) add(x exchangeOrder, e eventstream.Event) (eventOrder, exchangeOrder) {
-	if !e.HasFields {
-		return o, x
+// follow returns both orders behind the next event of a target, and what the event is.
+func (o eventOrder) follow(x exchangeOrder, e eventstream.Event) (eventOrder, exchangeOrder, EventStep) {
+	step := o.step(x, e)
+	if !e.HasFields || step == EventBack {
+		return o, x, step
+	}
+	x.at = x.at.after(e)
+	if step == EventRepeated {
+		return o, x, step
 	}
 	if e.HasID {
 		o.uneven = o.uneven || o.numbered > 0 && e.ID != o.at.id+1
 		o.numbered++
 		x.sentNew = true
 	}
-	x.at = x.at.after(e)
 	o.at = x.at
-	return o, x
+	return o, x, step
 }
--- a/pkg/ingress/event_order_log.go
+++ b/pkg/ingress/event_order_log.go
@@ -15,14 +15,12 @@
 	goesAfter string            // what it went on after
 }
 
-// recordOrder counts what the next event is to the caller, and logs it if it is out of order.
-func (r *streamRelay) recordOrder(e eventstream.Event) {
-	switch step := r.q.order.step(r.order, e); step {
+// recordStep counts what the next event is to the caller, and logs it if it is out of order.
+func (r *streamRelay) recordStep(step EventStep, e eventstream.Event) {
+	switch step {
 	case EventNew:
-		r.q.order, r.order = r.q.order.add(r.order, e)
 	case EventRepeated:
 		r.recordRepeat(e)
-		r.order.at = r.order.at.after(e)
 	case EventBack, EventSkips:
 		if !r.disorder {
 			r.disorder = true
--- a/pkg/ingress/event_order_log_test.go
+++ b/pkg/ingress/event_order_log_test.go
@@ -20,7 +20,7 @@
 	}{
 		{"a sound stream that goes on", []scriptedTarget{streams(5), streams(0)}, "", nil, ""},
 		{
-			"repeats", []scriptedTarget{streams(5), sendsFrom(3, 10)}, repeated,
+			"repeats", []scriptedTarget{streams(5), sendsFrom(3)}, repeated,
 			map[string]any{"target": "t2", "events": 2, "first_event": int64(3), "after_event": "4"}, `quaydock_streams_with_repeats_total{after="break"} 1`,
 		},
 		{
@@ -28,7 +28,7 @@
 			map[string]any{"target": "t1", "last_event": int64(3), "event": int64(2), "step": "Back"}, `quaydock_streams_out_of_order_total{event="Back"} 1`,
 		},
 		{
-			"skips", []scriptedTarget{streams(5), sendsFrom(6, 10)}, disorder,
+			"skips", []scriptedTarget{streams(5), sendsFrom(6)}, disorder,
 			map[string]any{"target": "t2", "last_event": int64(4), "event": int64(6), "step": "Skips"}, `quaydock_streams_out_of_order_total{event="Skips"} 1`,
 		},
 	}
--- a/pkg/ingress/event_order_test.go
+++ b/pkg/ingress/event_order_test.go
@@ -41,9 +41,9 @@
 	})
 }
 
-// sendsFrom sends the events from one to another.
-func sendsFrom(first, last int) scriptedTarget {
-	return sendsEvents(func(string) []string { return events(last)[first-1:] })
+// sendsFrom sends the events from one to the tenth.
+func sendsFrom(first int) scriptedTarget {
+	return sendsEvents(func(string) []string { return events(10)[first-1:] })
 }
 
 // The tests below let one target leave a stream in the middle, and have another one go on that repeats events, goes back
@@ -253,7 +253,7 @@
 // while the first one would go on.
 func TestSilentTargetIsKeptFromOneThatSkips(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newTestbed(t, fakeMeter{}, pausesMidStream(1500*time.Millisecond), sendsFrom(6, 10))
+		b := newTestbed(t, fakeMeter{}, pausesMidStream(1500*time.Millisecond), sendsFrom(6))
 		got := b.call(context.Background(), "/resume/a", nil)
 		if !got.complete || got.body != strings.Join(events(10), "") || len(b.arrived()) != 2 {
 			t.Errorf("complete %t, body %q, %d arrivals", got.complete, got.body, len(b.arrived()))
@@ -279,3 +279,20 @@
 		})
 	}
 }
+
+// TestIDOfOtherRouteLeavesNothingOut guards against events that are left out for an id that means nothing, as the route's
+// streams can't be taken up again.
+func TestIDOfOtherRouteLeavesNothingOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newVersionedTestbed(t, versioned{"v", streams(5)}, versioned{"v", sendsFrom(1)})
+		b.leave(func(i int) bool { return i > 0 })
+		b.call(context.Background(), "/resume/a", map[string]string{"Id": "first"})
+		b.leave(func(i int) bool { return i == 0 })
+		b.updateRoute("resume", func(r *routing.Route) { r.Resumable = false })
+		b.configure(3)
+		got := b.call(context.Background(), "/resume/a", map[string]string{"Last": "4", "Resumes": "first"})
+		if !got.complete || got.body != strings.Join(events(10), "") {
+			t.Errorf("status %d, complete %t, body %q", got.status, got.complete, got.body)
+		}
+	})
+}
--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -73,7 +73,7 @@
 
 // continues reports whether a target's answer to the request continues a stream that has begun: the caller has events
 // of it, from this entry or from an earlier try.
-func (r *request) continues() bool { return r.hasEvent || r.LastEvent != "" }
+func (r *request) continues() bool { return r.order.begun() || r.LastEvent != "" }
 
 // settleOrigin records, before the first event from a target is relayed, where the stream began, or that it goes on
 // there.
@@ -108,6 +108,9 @@
 	if q.LastEvent == "" {
 		return d.awaitBegin(ctx, q)
 	}
+	if q.route.Resumable {
+		q.order = newEventOrder(q.LastEvent)
+	}
 	key, hasKey := q.streamKey()
 	found := d.origins.Find(ctx, streams.Stream{Key: key, HasKey: hasKey, Route: q.route.Name, Service: q.service})
 	d.Metrics.Prometheus.Add("streams_taken_up", "known_by", found.Source.String())
@@ -175,7 +178,7 @@
 
 // goesOnAfter says after what the stream goes on at a target: a break of this answer, or its caller's coming back.
 func (r *request) goesOnAfter() string {
-	if r.hasEvent {
+	if r.order.begun() {
 		return "break"
 	}
 	return "caller"
--- a/pkg/ingress/relay.go
+++ b/pkg/ingress/relay.go
@@ -20,11 +20,11 @@
 
 var errEncoded = errors.New("answer has a Content-Encoding that was not requested")
 
-// resumeAfter returns the id of the event after which a stream goes on: the last one relayed, or else the one that the
-// caller named. It is empty at the beginning of the stream.
+// resumeAfter returns the id of the event after which a stream goes on: the last one relayed that has one, or else the one
+// that the caller named. It is empty at the beginning of the stream.
 func (r *request) resumeAfter() string {
-	if r.hasEvent {
-		return strconv.FormatInt(r.lastEvent, 10)
+	if r.order.numbered > 0 {
+		return strconv.FormatInt(r.order.at.id, 10)
 	}
 	return r.LastEvent
 }
@@ -192,16 +192,9 @@
 	}
 }
 
-// relayEvent relays one event, unless the caller has it already: one whose id is not above that of the last event. With
-// flush the event is sent to the caller at once; otherwise it may stay buffered until a later one is sent.
-func (d *delivery) relayEvent(q *request, out *answerWriter, e eventstream.Event, flush bool) error {
-	if e.HasID && q.hasEvent && e.ID <= q.lastEvent {
-		return nil
-	}
-	if e.HasID {
-		q.lastEvent = e.ID
-		q.hasEvent = true
-	}
+// relayEvent relays one event. With flush it is sent to the caller at once; otherwise it may stay buffered until a later
+// one is sent.
+func (d *delivery) relayEvent(out *answerWriter, e eventstream.Event, flush bool) error {
 	if err := out.body(e.Raw); err != nil {
 		return err
 	}
--- a/pkg/ingress/request.go
+++ b/pkg/ingress/request.go
@@ -32,10 +32,8 @@
 	tried    []ids.TargetIncarnation // excluded from further assignments: it was sent to them, or withheld too often
 	// heldFailure is a failure that a target answered; the caller gets it if no other target does better.
 	heldFailure *targetFailure
-	heldBody    int   // bytes of the body that are counted in the account of buffers
-	heldAnswers int   // bytes of answers that are counted there
-	lastEvent   int64 // id of the last event that was relayed to the caller, if hasEvent
-	hasEvent    bool
+	heldBody    int             // bytes of the body that are counted in the account of buffers
+	heldAnswers int             // bytes of answers that are counted there
 	order       eventOrder      // what the caller has of a stream
 	origin      *streams.Origin // where the stream began; nil before its first event, and if that is not known
 	knownBy     streams.Finding // how that is known of a stream that its caller has taken up again
--- a/pkg/ingress/stream_relay.go
+++ b/pkg/ingress/stream_relay.go
@@ -61,10 +61,9 @@
 	if err != nil {
 		return r.breakOff(e, err)
 	}
-	if !ended {
-		r.recordOrder(e)
-	}
-	if !r.done && !r.watch.recordEvent(e, r.answer) {
+	order, exchange, step := r.q.order.follow(r.order, e)
+	r.recordStep(step, e)
+	if !r.done && !r.watch.recordEvent(order, r.answer) {
 		r.assignment.Done(planner.Failed, r.flow)
 		return lost{err: errRedispatched}
 	}
@@ -75,6 +74,10 @@
 	} else {
 		r.flow.Events++
 	}
+	r.q.order, r.order = order, exchange
+	if step == EventRepeated || step == EventBack {
+		e.Raw = nil // what the caller has is left out
+	}
 	if err := r.write(e, ended || !r.events.Buffered()); err != nil {
 		if !r.done {
 			r.assignment.Done(planner.Abandoned, r.flow)
@@ -128,7 +131,7 @@
 func (r *streamRelay) write(e eventstream.Event, flush bool) error {
 	r.out.expectEnd(&r.end)
 	defer r.out.expectEnd(nil)
-	return r.relayEvent(r.q, r.out, e, flush)
+	return r.relayEvent(r.out, e, flush)
 }
 
 // endReached ends the assignment, as nothing follows the event that waits for room, unless the stream is not whole or
--- a/pkg/ingress/watch.go
+++ b/pkg/ingress/watch.go
@@ -9,7 +9,6 @@
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
-	"quaydock/pkg/eventstream"
 	"quaydock/pkg/forward"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/routing"
@@ -65,8 +64,6 @@
 	state watchState
 	// began is the request as searches see it, with the present exchange counted.
 	began       request
-	lastEvent   int64 // id of the last event from this target, if hasEvent
-	hasEvent    bool
 	origin      *streams.Origin // where the stream began, if the target has sent an event
 	silentSince clock.Millis    // when the target last sent an event, or got the request
 	timer       *time.Timer     // starts the next search; nil until first armed
@@ -127,10 +124,10 @@
 	}
 }
 
-// recordEvent records an event of a stream in an answer, which ends a search under way. It reports false if the target has been
-// given up. The target's silence doesn't count until restartTimer is called, as the caller may be slow to read the
-// event.
-func (w *watch) recordEvent(e eventstream.Event, a *forward.Answer) bool {
+// recordEvent records an event of a stream in an answer, which ends a search under way; order is what the caller has with
+// it. It reports false if the target has been given up. The target's silence doesn't count until restartTimer is called,
+// as the caller may be slow to read the event.
+func (w *watch) recordEvent(order eventOrder, a *forward.Answer) bool {
 	if !w.movable {
 		return true
 	}
@@ -145,9 +142,7 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if e.HasID {
-		w.lastEvent, w.hasEvent = e.ID, true
-	}
+	w.began.order = order
 	if w.origin == nil {
 		w.origin = w.delivery.originAt(&w.began, w.target, a)
 	}
@@ -190,17 +185,13 @@
 	}
 }
 
-// copyRequest returns a copy of the request for a search, with what earlier searches have used and the target's last
-// event. The caller holds the lock.
+// copyRequest returns a copy of the request for a search, with what earlier searches have used and what the caller has. The caller holds the lock.
 func (w *watch) copyRequest() *request {
 	q := w.began
 	q.sends += w.usage.sends
 	q.sent += w.usage.sent
 	q.declines += w.usage.declines
 	q.tried = slices.Concat(q.tried, w.usage.tried)
-	if w.hasEvent {
-		q.lastEvent, q.hasEvent = w.lastEvent, true
-	}
 	if w.origin != nil {
 		q.origin = w.origin
 	}
