ingress: an id that goes back is a break

What callers saw: an answer that looked whole though its target's ids had gone back in it, the events concerned dropped in silence. Cause: any event whose id was not above the last one was taken for a repeat. Change: once a target has sent an event with an id that was new, one whose id does not rise ends its exchange like any other break: another target goes on, or the answer is broken off. It is no sign that the target's process has ended.

--- a/pkg/ingress/event_order.go
+++ b/pkg/ingress/event_order.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"errors"
+	"fmt"
 	"strconv"
 
 	"quaydock/pkg/eventstream"
@@ -36,6 +38,9 @@
 	}
 }
 
+// errOutOfOrder means that a target's events are out of order.
+var errOutOfOrder = errors.New("events out of order")
+
 // EventStep is what an event of a target is to what its caller has of the stream.
 type EventStep int
 
@@ -53,6 +58,14 @@
 	EventSkips
 )
 
+// check returns an error if an event that is such a step breaks the order behind what the caller has.
+func (s EventStep) check(e eventstream.Event, o eventOrder) error {
+	if s != EventBack {
+		return nil
+	}
+	return fmt.Errorf("%w: %s, event %d after %d", errOutOfOrder, s, e.ID, o.at.id)
+}
+
 // minNumbered is how many events with ids a stream must have had for its ids to be taken to rise by one.
 const minNumbered = 2
 
--- a/pkg/ingress/stream_relay.go
+++ b/pkg/ingress/stream_relay.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -63,6 +64,9 @@
 	}
 	order, exchange, step := r.q.order.follow(r.order, e)
 	r.recordStep(step, e)
+	if err := step.check(e, r.q.order); err != nil {
+		return r.breakOff(e, err)
+	}
 	if !r.done && !r.watch.recordEvent(order, r.answer) {
 		r.assignment.Done(planner.Failed, r.flow)
 		return lost{err: errRedispatched}
@@ -75,7 +79,7 @@
 		r.flow.Events++
 	}
 	r.q.order, r.order = order, exchange
-	if step == EventRepeated || step == EventBack {
+	if step == EventRepeated {
 		e.Raw = nil // what the caller has is left out
 	}
 	if err := r.write(e, ended || !r.events.Buffered()); err != nil {
@@ -103,7 +107,7 @@
 	r.q.addToTrail(now, fmt.Sprintf("stream %s after %d events, %d ms after the last, at", r.watch.endText(), r.flow.Events, now-r.last), r.assignment.Target().ID)
 	r.recordEarlyEnd(r.q, r.assignment.Target(), r.answer, err, len(e.Raw))
 	r.assignment.Done(failureOutcome(r.watch.exchangeCtx), r.flow)
-	return lost{err: err}
+	return lost{err: err, answered: errors.Is(err, errOutOfOrder)}
 }
 
 // recordArrival records an event, and begins the answer with the first one of this target.
