ingress: a target that goes on with another event than the next is a break

What callers saw: an answer that lacks an event and looks whole. Cause: nothing compared the first new event of a target that goes on with the last one that the caller has. Change: where all ids of an answer so far, of at least two events, have risen by one, the first new one of a target that goes on must be the next; otherwise its exchange ends like a break. A target that is searched for while the first one is silent is asked the same before it takes over. A caller's later try is not checked: this entry has seen no step of it, and ids need only rise.

--- a/pkg/eventstream/reader.go
+++ b/pkg/eventstream/reader.go
@@ -127,6 +127,14 @@
 	return err
 }
 
+// Peeked returns the event that Peek has read ahead; none if Next has returned it since.
+func (r *Reader) Peeked() Event {
+	if r.peeked == nil {
+		return Event{}
+	}
+	return r.peeked.event
+}
+
 // HasFields reports whether there has been an event with a field, and not only comments and empty lines.
 func (r *Reader) HasFields() bool { return r.fields }
 
--- a/pkg/eventstream/reader_test.go
+++ b/pkg/eventstream/reader_test.go
@@ -247,3 +247,16 @@
 		t.Errorf("an event beyond the limit: %v, %d bytes held", err, memory.held)
 	}
 }
+
+// TestPeekedEventIsTheNext guards against judging another event than the one that is read then.
+func TestPeekedEventIsTheNext(t *testing.T) {
+	r := eventstream.NewReader(strings.NewReader("id: 7\ndata: a\n\nid: 8\n\n"))
+	for _, id := range []int64{7, 8} {
+		if err := r.Peek(); err != nil || r.Peeked().ID != id {
+			t.Errorf("peeked %+v, %v, want id %d", r.Peeked(), err, id)
+		}
+		if e, err := r.Next(); err != nil || e.ID != id || r.Peeked().HasID {
+			t.Errorf("next %+v, %v, want id %d", e, err, id)
+		}
+	}
+}
--- a/pkg/ingress/event_order.go
+++ b/pkg/ingress/event_order.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"errors"
-	"fmt"
 	"strconv"
 
 	"quaydock/pkg/eventstream"
@@ -38,9 +36,6 @@
 	}
 }
 
-// errOutOfOrder means that a target's events are out of order.
-var errOutOfOrder = errors.New("events out of order")
-
 // EventStep is what an event of a target is to what its caller has of the stream.
 type EventStep int
 
@@ -58,14 +53,6 @@
 	EventSkips
 )
 
-// check returns an error if an event that is such a step breaks the order behind what the caller has.
-func (s EventStep) check(e eventstream.Event, o eventOrder) error {
-	if s != EventBack {
-		return nil
-	}
-	return fmt.Errorf("%w: %s, event %d after %d", errOutOfOrder, s, e.ID, o.at.id)
-}
-
 // minNumbered is how many events with ids a stream must have had for its ids to be taken to rise by one.
 const minNumbered = 2
 
@@ -120,7 +107,7 @@
 // follow returns both orders behind the next event of a target, and what the event is.
 func (o eventOrder) follow(x exchangeOrder, e eventstream.Event) (eventOrder, exchangeOrder, EventStep) {
 	step := o.step(x, e)
-	if !e.HasFields || step == EventBack {
+	if !e.HasFields || step == EventBack || step == EventSkips {
 		return o, x, step
 	}
 	x.at = x.at.after(e)
--- a/pkg/ingress/event_order_log.go
+++ b/pkg/ingress/event_order_log.go
@@ -1,12 +1,19 @@
 package ingress
 
 import (
+	"errors"
+	"fmt"
+
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/eventstream"
+	"quaydock/pkg/routing"
 	"quaydock/pkg/telemetry"
 )
 
+// errOutOfOrder means that a target's events are out of order.
+var errOutOfOrder = errors.New("events out of order")
+
 // repeats counts the events of one target that its caller had already.
 type repeats struct {
 	events    int
@@ -15,20 +22,6 @@
 	goesAfter string            // what it went on after
 }
 
-// recordStep counts what the next event is to the caller, and logs it if it is out of order.
-func (r *streamRelay) recordStep(step EventStep, e eventstream.Event) {
-	switch step {
-	case EventNew:
-	case EventRepeated:
-		r.recordRepeat(e)
-	case EventBack, EventSkips:
-		if !r.disorder {
-			r.disorder = true
-			r.reportOutOfOrder(step, e)
-		}
-	}
-}
-
 // recordRepeat counts an event that the caller has.
 func (r *streamRelay) recordRepeat(e eventstream.Event) {
 	if r.repeats.events == 0 {
@@ -57,14 +50,17 @@
 	r.Log.WithFields(fields).Info("a target repeated events that its caller had")
 }
 
-// reportOutOfOrder counts and logs an event that is out of order.
-func (r *streamRelay) reportOutOfOrder(step EventStep, e eventstream.Event) {
-	r.Metrics.Prometheus.Add("streams_out_of_order", "event", step.String())
-	if !r.sampler.Allow("stream out of order") {
-		return
+// checkOrder returns an error for an event of a target that is out of order, which it counts and logs.
+func (d *delivery) checkOrder(q *request, target *routing.Target, step EventStep, e eventstream.Event) error {
+	if step == EventNew || step == EventRepeated {
+		return nil
 	}
-	r.Log.WithFields(logrus.Fields{
-		telemetry.FieldRequest: r.q.ID, "resumes": r.q.Resumes, "target": string(r.assignment.Target().ID),
-		"last_event": r.q.order.at.id, "event": e.ID, "step": step.String(),
-	}).Warn("a target's events are out of order")
+	d.Metrics.Prometheus.Add("streams_out_of_order", "event", step.String())
+	if d.sampler.Allow("stream out of order") {
+		d.Log.WithFields(logrus.Fields{
+			telemetry.FieldRequest: q.ID, "resumes": q.Resumes, "target": string(target.ID),
+			"last_event": q.order.at.id, "event": e.ID, "step": step.String(),
+		}).Warn("a target's events are out of order")
+	}
+	return fmt.Errorf("%w: %s, event %d after %d", errOutOfOrder, step, e.ID, q.order.at.id)
 }
--- a/pkg/ingress/search.go
+++ b/pkg/ingress/search.go
@@ -242,9 +242,7 @@
 		err = errEncoded
 	case streams:
 		t.events = eventstream.NewReaderWithin(a, a)
-		if err = t.events.Peek(); err != nil {
-			err = streamEnd(s.q, a, t.events, err)
-		}
+		err = s.peek(t)
 	case a.Status >= http.StatusInternalServerError || s.q.route.Kind == routing.Stream:
 		err = fmt.Errorf("target %s answered with status %d", t.assignment.Target().ID, a.Status)
 	default:
@@ -323,6 +321,15 @@
 	return answer
 }
 
+// peek waits for the first event of a stream, and checks that it follows what the caller has.
+func (s *search) peek(t *takeover) error {
+	if err := t.events.Peek(); err != nil {
+		return streamEnd(s.q, t.answer, t.events, err)
+	}
+	e := t.events.Peeked()
+	return s.delivery.checkOrder(s.q, t.assignment.Target(), s.q.order.step(s.q.order.goingOn(), e), e)
+}
+
 // drop ends an answer that is not needed.
 func (t *takeover) drop(account *buffers.Account) {
 	account.ReleaseAnswer(t.body.held())
--- a/pkg/ingress/stream_relay.go
+++ b/pkg/ingress/stream_relay.go
@@ -25,7 +25,6 @@
 	flow       planner.StreamStats
 	order      exchangeOrder
 	repeats    repeats
-	disorder   bool         // an event was out of order
 	last       clock.Millis // when the last event was passed on
 	done       bool         // the target has completed the stream, and its assignment has ended
 }
@@ -63,8 +62,7 @@
 		return r.breakOff(e, err)
 	}
 	order, exchange, step := r.q.order.follow(r.order, e)
-	r.recordStep(step, e)
-	if err := step.check(e, r.q.order); err != nil {
+	if err := r.checkOrder(r.q, r.assignment.Target(), step, e); err != nil {
 		return r.breakOff(e, err)
 	}
 	if !r.done && !r.watch.recordEvent(order, r.answer) {
@@ -80,6 +78,7 @@
 	}
 	r.q.order, r.order = order, exchange
 	if step == EventRepeated {
+		r.recordRepeat(e)
 		e.Raw = nil // what the caller has is left out
 	}
 	if err := r.write(e, ended || !r.events.Buffered()); err != nil {
