ingress: a stream that ends before what its caller has is a break

What callers saw: an answer that looked whole after its fourth event of ten, as the target that went on sent the first three and ended. Cause: only the format and the framing of the end were asked. Change: a target that goes on must come as far as its caller has come; its end before that is a break, with a line and a counter. It need not repeat events without an id behind the one that it was told. The test of lines now names all lines of a case, as one of them has two.

--- a/pkg/ingress/event_order.go
+++ b/pkg/ingress/event_order.go
@@ -87,6 +87,12 @@
 	return exchangeOrder{at: position{id: o.at.id, hasID: o.at.hasID}}
 }
 
+// endsBefore reports whether a target that ends the stream has not come as far as its caller. It need not repeat events
+// without an id that follow the one that it is told.
+func (o eventOrder) endsBefore(x exchangeOrder) bool {
+	return o.at.isBehind(x.at) && (o.at.id != x.at.id || !o.at.hasID)
+}
+
 // step returns what the next event of a target is to its caller.
 func (o eventOrder) step(x exchangeOrder, e eventstream.Event) EventStep {
 	switch {
--- a/pkg/ingress/event_order_log.go
+++ b/pkg/ingress/event_order_log.go
@@ -14,6 +14,9 @@
 // errOutOfOrder means that a target's events are out of order.
 var errOutOfOrder = errors.New("events out of order")
 
+// errEndsBefore means that a target ended a stream before what its caller has of it.
+var errEndsBefore = fmt.Errorf("%w: stream ended before what the caller has", errOutOfOrder)
+
 // repeats counts the events of one target that its caller had already.
 type repeats struct {
 	events    int
@@ -55,12 +58,18 @@
 	if step == EventNew || step == EventRepeated {
 		return nil
 	}
-	d.Metrics.Prometheus.Add("streams_out_of_order", "event", step.String())
-	if d.sampler.Allow("stream out of order") {
-		d.Log.WithFields(logrus.Fields{
-			telemetry.FieldRequest: q.ID, "resumes": q.Resumes, "target": string(target.ID),
-			"last_event": q.order.at.id, "event": e.ID, "step": step.String(),
-		}).Warn("a target's events are out of order")
-	}
+	d.reportOutOfOrder(q, target, step.String(), e.ID)
 	return fmt.Errorf("%w: %s, event %d after %d", errOutOfOrder, step, e.ID, q.order.at.id)
 }
+
+// reportOutOfOrder counts and logs a stream that is out of order; event is the id at which it is.
+func (d *delivery) reportOutOfOrder(q *request, target *routing.Target, step string, event int64) {
+	d.Metrics.Prometheus.Add("streams_out_of_order", "event", step)
+	if !d.sampler.Allow("stream out of order") {
+		return
+	}
+	d.Log.WithFields(logrus.Fields{
+		telemetry.FieldRequest: q.ID, "resumes": q.Resumes, "target": string(target.ID),
+		"last_event": q.order.at.id, "event": event, "step": step,
+	}).Warn("a target's events are out of order")
+}
--- a/pkg/ingress/event_order_log_test.go
+++ b/pkg/ingress/event_order_log_test.go
@@ -11,26 +11,28 @@
 // TestRepeatsAndDisorderAreLogged guards against events that are dropped, or out of order, without a line that says so.
 func TestRepeatsAndDisorderAreLogged(t *testing.T) {
 	const repeated, disorder = "a target repeated events that its caller had", "a target's events are out of order"
+	type fields map[string]any
 	scenarios := []struct {
 		name    string
 		targets []scriptedTarget
-		message string // of the only line
-		fields  map[string]any
+		lines   map[string]fields // by message; there is one line of each, and no other of these two
 		counter string
 	}{
-		{"a sound stream that goes on", []scriptedTarget{streams(5), streams(0)}, "", nil, ""},
-		{
-			"repeats", []scriptedTarget{streams(5), sendsFrom(3)}, repeated,
-			map[string]any{"target": "t2", "events": 2, "first_event": int64(3), "after_event": "4"}, `quaydock_streams_with_repeats_total{after="break"} 1`,
-		},
-		{
-			"goes back", []scriptedTarget{sendsIDs(1, 2, 3, 2), streams(0)}, disorder,
-			map[string]any{"target": "t1", "last_event": int64(3), "event": int64(2), "step": "Back"}, `quaydock_streams_out_of_order_total{event="Back"} 1`,
-		},
-		{
-			"skips", []scriptedTarget{streams(5), sendsFrom(6)}, disorder,
-			map[string]any{"target": "t2", "last_event": int64(4), "event": int64(6), "step": "Skips"}, `quaydock_streams_out_of_order_total{event="Skips"} 1`,
-		},
+		{"a sound stream that goes on", []scriptedTarget{streams(5), streams(0)}, nil, ""},
+		{"an empty rest", []scriptedTarget{streams(5), sendsIDs()}, nil, ""},
+		{"repeats", []scriptedTarget{streams(5), sendsFrom(3)}, map[string]fields{
+			repeated: {"target": "t2", "events": 2, "first_event": int64(3), "after_event": "4"},
+		}, `quaydock_streams_with_repeats_total{after="break"} 1`},
+		{"goes back", []scriptedTarget{sendsIDs(1, 2, 3, 2), streams(0)}, map[string]fields{
+			disorder: {"target": "t1", "last_event": int64(3), "event": int64(2), "step": "Back"},
+		}, `quaydock_streams_out_of_order_total{event="Back"} 1`},
+		{"skips", []scriptedTarget{streams(5), sendsFrom(6)}, map[string]fields{
+			disorder: {"target": "t2", "last_event": int64(4), "event": int64(6), "step": "Skips"},
+		}, `quaydock_streams_out_of_order_total{event="Skips"} 1`},
+		{"repeats some, and ends before the last", []scriptedTarget{streams(5), sendsIDs(1, 2)}, map[string]fields{
+			repeated: {"target": "t2", "events": 2, "first_event": int64(1), "after_event": "4"},
+			disorder: {"target": "t2", "last_event": int64(4), "event": int64(2), "step": "EndsBefore"},
+		}, `quaydock_streams_out_of_order_total{event="EndsBefore"} 1`},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
@@ -44,16 +46,16 @@
 						continue
 					}
 					lines++
-					for name, want := range s.fields {
+					if s.lines[line.Message] == nil || line.Data["request"] != "r1" {
+						t.Errorf("line %q of request %v", line.Message, line.Data["request"])
+					}
+					for name, want := range s.lines[line.Message] {
 						if line.Data[name] != want {
 							t.Errorf("%s is %v, want %v", name, line.Data[name], want)
 						}
 					}
-					if line.Message != s.message || line.Data["request"] != "r1" {
-						t.Errorf("line %q of request %v", line.Message, line.Data["request"])
-					}
 				}
-				if s.message != "" && lines != 1 || s.message == "" && lines != 0 {
+				if lines != len(s.lines) {
 					t.Errorf("%d lines", lines)
 				}
 				page := httptest.NewRecorder()
--- a/pkg/ingress/stream_relay.go
+++ b/pkg/ingress/stream_relay.go
@@ -56,7 +56,7 @@
 	e, err := r.events.Next()
 	ended := err != nil
 	if ended {
-		err = streamEnd(r.q, r.answer, r.events, err)
+		err = r.checkEnd(err)
 	}
 	if err != nil {
 		return r.breakOff(e, err)
@@ -100,9 +100,23 @@
 	return nil
 }
 
+// checkEnd returns nil if the stream is whole that ended with an error of its reader, and otherwise why it is not.
+func (r *streamRelay) checkEnd(err error) error {
+	if err := streamEnd(r.q, r.answer, r.events, err); err != nil {
+		return err
+	}
+	if r.q.order.endsBefore(r.order) {
+		return errEndsBefore
+	}
+	return nil
+}
+
 // breakOff returns the result of a stream that ended with an error, and e as the rest of it.
 func (r *streamRelay) breakOff(e eventstream.Event, err error) attempt {
 	now := r.Clock.Now()
+	if errors.Is(err, errEndsBefore) {
+		r.reportOutOfOrder(r.q, r.assignment.Target(), "EndsBefore", r.order.at.id)
+	}
 	r.q.addToTrail(now, fmt.Sprintf("stream %s after %d events, %d ms after the last, at", r.watch.endText(), r.flow.Events, now-r.last), r.assignment.Target().ID)
 	r.recordEarlyEnd(r.q, r.assignment.Target(), r.answer, err, len(e.Raw))
 	r.assignment.Done(failureOutcome(r.watch.exchangeCtx), r.flow)
@@ -140,7 +154,7 @@
 // endReached ends the assignment, as nothing follows the event that waits for room, unless the stream is not whole or
 // another target has taken over.
 func (r *streamRelay) endReached() {
-	if streamEnd(r.q, r.answer, r.events, io.EOF) == nil && r.watch.completeAnswer(r.q) {
+	if r.checkEnd(io.EOF) == nil && r.watch.completeAnswer(r.q) {
 		r.complete()
 	}
 }
