agent: a rest that begins at another byte than asked is not joined

What callers saw, by an entry's own settings: an answer with bytes twice, or without some, that is vouched for as whole. Cause: the agent did not read from which byte a target goes on. Change: a Content-Range that names another byte, or none that can be read, is a break; without one the rest is taken as asked, as before.

--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -232,9 +232,24 @@
 		_ = response.Body.Close()
 		return fmt.Errorf("resuming at the target: status %d: %w", response.StatusCode, errBrokenOff)
 	}
+	if stated := response.Header.Get("Content-Range"); !beginsAt(stated, p.size) {
+		_ = response.Body.Close()
+		t.Metrics.Links.Add("target_resumes_elsewhere", 1)
+		return fmt.Errorf("resuming at the target: range %q, not from byte %d: %w", stated, p.size, errBrokenOff)
+	}
 	return p.copyFrom(response)
 }
 
+// beginsAt reports whether a Content-Range names a part that begins at a byte. Targets need not send one.
+func beginsAt(contentRange string, offset int64) bool {
+	if contentRange == "" {
+		return true
+	}
+	text, _, _ := strings.Cut(strings.TrimPrefix(contentRange, "bytes "), "-")
+	first, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	return err == nil && first == offset
+}
+
 // cancelAtTarget has the target stop work that nobody waits for.
 func (t *targetClient) cancelAtTarget(target *declaration.Target, id ids.Request) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout.Duration())
