--- a/pkg/ingress/event_order_log_test.go
+++ b/pkg/ingress/event_order_log_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 // TestRepeatsAndDisorderAreLogged guards against events that are dropped, or out of order, without a line that says so.
@@ -67,3 +69,32 @@
 		})
 	}
 }
+
+// TestEachStreamOfBurstThatGoesOnIsLoggedOrSummed guards against bursts of which the lines beyond the limit are lost.
+func TestEachStreamOfBurstThatGoesOnIsLoggedOrSummed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const burst = 70
+		b := newVersionedTestbed(t, versioned{"v1", streams(5)}, versioned{"v1", streams(0)})
+		var calls sync.WaitGroup
+		for range burst {
+			calls.Go(func() { b.call(context.Background(), "/resume/a", nil) })
+		}
+		calls.Wait()
+		time.Sleep(2 * time.Second)
+		lines, summed := 0, 0
+		for _, line := range b.logs.AllEntries() {
+			switch line.Message {
+			case "a stream goes on":
+				lines++
+			case "streams that went on in a second without lines of their own":
+				summed += line.Data["streams"].(int)
+				if line.Data["service"] != "s" || line.Data["began_version"] != "v1" || line.Data["version"] != "v1" || line.Data["after"] != "break" {
+					t.Errorf("summed as %v", line.Data)
+				}
+			}
+		}
+		if lines+summed != burst || summed == 0 {
+			t.Errorf("%d lines and %d summed, of %d streams", lines, summed, burst)
+		}
+	})
+}
