forward: the judged end of an answer is logged and counted

Cause: an answer with neither a length nor chunks is judged when its connection closes, and nothing told afterwards what had judged it. Change: a log line, sampled, and a counter for each such end, also if the answer is taken for whole. Nothing is judged differently.

--- a/pkg/forward/close.go
+++ b/pkg/forward/close.go
@@ -19,35 +19,50 @@
 // kernel also closes the connections of a process that has ended. It reports a reset only once, and possibly to write;
 // reading then finds nothing but the end. A target that can't be reached counts as running.
 func (e *exchange) checkClose(keep clock.Millis) error {
+	began := e.pool.Clock.Now()
+	verdict := e.judgeClose(keep)
+	e.recordEnd(verdict, began)
+	switch {
+	case verdict.whole():
+		return nil
+	case verdict == EndUnread:
+		return fmt.Errorf("%w: sending the request: %w", ErrClosedEarly, e.writeErr)
+	default:
+		return fmt.Errorf("%w: the target's process has ended", ErrClosedEarly)
+	}
+}
+
+// judgeClose judges the end of an answer whose connection the target has closed. The verdict is EndUnread only after
+// write has ended.
+func (e *exchange) judgeClose(keep clock.Millis) EndVerdict {
 	select {
 	case <-e.writeEnd:
 		if e.writeErr != nil {
-			return fmt.Errorf("%w: sending the request: %w", ErrClosedEarly, e.writeErr)
+			return EndUnread
 		}
 	case <-time.After(endedTimeout.Duration()): // the target has closed one direction only
 	}
-	if e.pool.hasEnded(e.ctx, e.target, keep) {
-		return fmt.Errorf("%w: the target's process has ended", ErrClosedEarly)
-	}
-	return nil
+	return e.pool.judgeProcess(e.ctx, e.target, keep)
 }
 
-// hasEnded reports whether the process of a target has certainly ended. It makes a connection, which it keeps for a
+// judgeProcess asks whether the process of a target has certainly ended. It makes a connection, which it keeps for a
 // request within the time keep.
-func (p *Pool) hasEnded(ctx context.Context, t *routing.Target, keep clock.Millis) bool {
+func (p *Pool) judgeProcess(ctx context.Context, t *routing.Target, keep clock.Millis) EndVerdict {
 	if p.isReplaced(t) {
-		return true
+		return EndReplaced
 	}
 	ctx, cancel := context.WithTimeout(ctx, endedTimeout.Duration())
 	defer cancel()
 	c, err := p.dial(ctx, t)
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return EndRefused
 	case err != nil:
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return EndNotKnown
 	case keep > 0:
 		p.keepIdle(t.Incarnation(), c, keep)
 	default:
 		discard(c)
 	}
-	return false
+	return EndAccepted
 }
--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
@@ -140,3 +143,30 @@
 		}
 	})
 }
+
+// TestJudgedEndIsLoggedAndCounted guards against answers whose end nobody can trace to what judged it.
+func TestJudgedEndIsLoggedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		serve(t, memory, func(c net.Conn, _ int, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+			_ = c.Close()
+		})
+		common := commontest.New(memory)
+		logs := logtest.NewLocal(common.Log.Logger)
+		pool := forward.NewPool(common, readMetadata, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "200 yes" {
+			t.Fatal(got)
+		}
+		line := logs.LastEntry()
+		if line == nil || line.Data["request"] != "r1" || line.Data["target"] != "t" || line.Data["framing"] != "Close" || line.Data["whole"] != true || line.Data["by"] == "" {
+			t.Errorf("the last line is %v", line)
+		}
+		counted := httptest.NewRecorder()
+		common.Metrics.Prometheus.ServeHTTP(counted, nil)
+		if want := fmt.Sprintf("quaydock_answer_ends_judged_total{by=%q} 1\n", line.Data["by"]); !strings.Contains(counted.Body.String(), want) {
+			t.Errorf("no %q in %s", want, counted.Body)
+		}
+	})
+}
