--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,3 +171,66 @@
 		}
 	})
 }
+
+// TestAnswerOfEndedProcessIsNotWholeWhereAnotherListens guards against a part of an answer that looks whole, as another
+// process has taken the address of the one that ended.
+func TestAnswerOfEndedProcessIsNotWholeWhereAnotherListens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		listener, err := memory.Listen(at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		go func() {
+			for owner := "t"; ; owner = "next" {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go converseAs(c, owner, 1, func(c net.Conn, _ int, id string) {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+					_ = c.Close()
+				})
+			}
+		}()
+		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "broken off" {
+			t.Error(got)
+		}
+	})
+}
+
+// TestAnswerIsNotWholeIfNobodySaysWhoClosedIt guards against a part of an answer that looks whole, as its target can't be
+// asked any more.
+func TestAnswerIsNotWholeIfNobodySaysWhoClosedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		dialer := &cutDialer{Network: memory}
+		serve(t, memory, func(c net.Conn, _ int, id string) {
+			dialer.cut.Store(true)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+			_ = c.Close()
+		})
+		pool := forward.NewPool(commontest.New(dialer), readMetadata, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "broken off" {
+			t.Error(got)
+		}
+	})
+}
+
+// cutDialer makes no connection once it is cut.
+type cutDialer struct {
+	network.Network
+	cut atomic.Bool
+}
+
+func (d *cutDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.cut.Load() {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.Cause(ctx)}
+	}
+	return d.Network.Dial(ctx, address)
+}
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -47,9 +47,15 @@
 	}()
 }
 
-// converse serves one connection. The engine is called once a request's body has been read, or before that if the
-// request has the header field Early; the rest of the body is then never read.
-func converse(c net.Conn, n int, e engine) {
+// converse serves one connection as the target.
+func converse(c net.Conn, n int, e engine) { converseAs(c, "t", n, e) }
+
+// pathWho is where targets say who they are, in the header field Target.
+const pathWho = "/who"
+
+// converseAs serves one connection as the process of a target. The engine is called once a request's body has been read,
+// or before that if the request has the header field Early; the rest of the body is then never read.
+func converseAs(c net.Conn, process string, n int, e engine) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
@@ -57,6 +63,10 @@
 		if err != nil {
 			return
 		}
+		if request.URL.Path == pathWho {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTarget: %s\r\nContent-Length: 0\r\n\r\n", process)
+			continue
+		}
 		if request.Header.Get("Early") == "" {
 			_, _ = io.Copy(io.Discard, request.Body)
 		}
--- a/pkg/ingress/answer_end_test.go
+++ b/pkg/ingress/answer_end_test.go
@@ -216,6 +216,28 @@
 	}
 }
 
+// TestPartOfStreamDoesNotLookWholeWhereAnotherProcessListens guards against a part of a stream that looks whole, as its
+// target has ended and another process has taken the address.
+func TestPartOfStreamDoesNotLookWholeWhereAnotherProcessListens(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/resume/a"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var b *testbed
+				b = newTestbed(t, fakeMeter{}, func(c net.Conn, r *http.Request) bool {
+					b.replace("t1", "next")
+					return streamUpTo(network.FramedByClose, 4, "")(c, r)
+				}, streamUpTo(network.FramedByChunks, 10, ""))
+				got := b.call(context.Background(), path, nil)
+				if path == "/stream/a" {
+					checkNotComplete(t, got, strings.Join(events(4), ""))
+				} else if want := strings.Join(events(10), ""); !got.complete || got.body != want {
+					t.Errorf("complete %t, %q, want %q", got.complete, got.body, want)
+				}
+			})
+		})
+	}
+}
+
 // TestAnswerThatEndsEarlyKeepsItsLastBytes guards against the loss of what a target sent just before it broke off.
 func TestAnswerThatEndsEarlyKeepsItsLastBytes(t *testing.T) {
 	const (
--- a/pkg/ingress/testbed_test.go
+++ b/pkg/ingress/testbed_test.go
@@ -214,6 +214,8 @@
 	mu       sync.Mutex
 	arrivals []arrival
 	started  map[net.Conn]ids.Start // of the incarnation that accepted a connection
+	// processes are those that answer at targets' addresses in place of the targets.
+	processes map[string]string
 }
 
 // scriptedTarget answers one request; the connection is closed when it returns false.
@@ -264,7 +266,7 @@
 
 // newTestbedWithin is newTestbed with limits for what the entry holds for callers and targets.
 func newTestbedWithin(t *testing.T, limits buffers.Limits, meter fakeMeter, engines ...scriptedTarget) *testbed {
-	b := &testbed{t: t, network: network.NewMemory(nil), started: make(map[net.Conn]ids.Start)}
+	b := &testbed{t: t, network: network.NewMemory(nil), started: make(map[net.Conn]ids.Start), processes: make(map[string]string)}
 	b.dialer = &slowDialer{Memory: b.network}
 	c := commontest.New(b.dialer)
 	b.spans = tracetest.NewSpanRecorder()
@@ -363,6 +365,12 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == pathWho {
+			if !b.saysWho(c, target) {
+				return
+			}
+			continue
+		}
 		b.mu.Lock()
 		b.arrivals = append(b.arrivals, arrival{target: target, start: b.started[c], header: r.Header, body: string(body), at: time.Now()})
 		b.mu.Unlock()
@@ -372,6 +380,28 @@
 	}
 }
 
+// pathWho is where targets say who they are, in the header field Target.
+const pathWho = "/who"
+
+// saysWho has the process at a target's address say who it is, and reports whether its connection goes on.
+func (b *testbed) saysWho(c net.Conn, target string) bool {
+	b.mu.Lock()
+	process, other := b.processes[target]
+	b.mu.Unlock()
+	if !other {
+		process = target
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nTarget: %s\r\nContent-Length: 0\r\n\r\n", process)
+	return err == nil
+}
+
+// replace has another process answer at a target's address from now on.
+func (b *testbed) replace(target, process string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.processes[target] = process
+}
+
 // arrived returns the requests that have arrived at all targets so far, in that order.
 func (b *testbed) arrived() []arrival {
 	b.mu.Lock()
