forward: an end counts as proper only if the same process says so

What callers saw: a part of a stream with neither a length nor chunks that looked whole: its target crashed behind a cut and started again at its address. Cause: whatever accepted a connection at the target's address, or no answer at all, passed for the process that had sent the answer. Change: the address is asked who answers there, at the service's health path and with the id that is expected. One question serves all answers of a target that ended before it was sent.

--- a/pkg/app/entry_drain_test.go
+++ b/pkg/app/entry_drain_test.go
@@ -120,7 +120,7 @@
 	p.view.SetDirectory(routing.NewDirectory([]*routing.Target{drainAssignment{}.Target()}))
 	p.view.SetCatalog(routing.NewCatalog(1, routing.Limits{BodyBytes: 1 << 16}, drainRoutes(), nil, nil))
 	p.view.Confirmed(c.Clock.Now())
-	p.pool = forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return drainHeaderCodec{}.AnswerMetadata(h) }, nil)
+	p.pool = forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return drainHeaderCodec{}.AnswerMetadata(h) }, nil, nil)
 	p.controller = ingress.NewController(ingress.Dependencies{
 		Common: c, View: p.view, HeaderCodec: drainHeaderCodec{}, Scheduler: b, Pool: p.pool, Meter: unlimitedMeter{}, Entries: p.members,
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyGrace{Limit: clock.Minute},
--- a/pkg/app/entry_process.go
+++ b/pkg/app/entry_process.go
@@ -36,6 +36,7 @@
 	"quaydock/pkg/quarantine"
 	"quaydock/pkg/quota"
 	"quaydock/pkg/random"
+	"quaydock/pkg/routing"
 	"quaydock/pkg/schedule"
 	"quaydock/pkg/settings"
 	"quaydock/pkg/streams"
@@ -203,7 +204,7 @@
 	p.advice = advisory.NewTracker(c)
 	p.view.Watch(p.advice.SetDirectory)
 	p.buffers = buffers.NewAccount(buffers.LimitsFor(s.Limits.MemoryMB))
-	p.pool = forward.NewPoolWithin(c, func(h map[string][]string) forward.AnswerMetadata { return platform.HeaderCodec{}.AnswerMetadata(h) }, p.advice, p.buffers)
+	p.pool = forward.NewPoolWithin(c, func(h map[string][]string) forward.AnswerMetadata { return platform.HeaderCodec{}.AnswerMetadata(h) }, p.questionFor, p.advice, p.buffers)
 	p.meter = metering.New(c, quotaBounds(s.Bounds), p.view, p.members, link)
 	p.guard = quarantine.New(quarantine.Dependencies{Common: c, Address: address, Peers: p.members, Link: link, Store: p.store.Quarantine(), Leaves: p.leaves})
 	p.origins = streams.New(streams.Dependencies{
@@ -245,6 +246,19 @@
 	return p, nil
 }
 
+// questionFor returns the request that a target answers with its id, nil if the configuration names none for its service.
+func (p *entryProcess) questionFor(t *routing.Target) *forward.Request {
+	c := p.view.Catalog()
+	if c == nil {
+		return nil
+	}
+	service := c.Service(t.Service)
+	if service == nil || service.HealthPath == "" {
+		return nil
+	}
+	return platform.HeaderCodec{}.Question(t, service.HealthPath)
+}
+
 // leaves reports whether an incarnation of a target has reported that it is leaving.
 func (p *entryProcess) leaves(incarnation ids.TargetIncarnation) bool {
 	return p.advice.Status(incarnation).Leaving
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -63,7 +63,7 @@
 	case network.FramingOf(b.response) != network.FramedByClose:
 		return err
 	}
-	if closed := b.exchange.checkClose(keepFor(b.response.Header)); closed != nil {
+	if closed := b.exchange.checkClose(); closed != nil {
 		return closed
 	}
 	return err
--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -52,7 +52,7 @@
 				memory := network.NewMemory(nil)
 				common := commontest.New(memory)
 				tracker := advisory.NewTracker(common)
-				pool := forward.NewPool(common, readMetadata, tracker)
+				pool := forward.NewPool(common, readMetadata, askWho, tracker)
 				defer pool.Close()
 				if c.list != nil {
 					pool.SetDirectory(c.list)
@@ -89,8 +89,8 @@
 // longBody is more than a connection buffers.
 var longBody = strings.Repeat("a", 100<<10)
 
-// serveOnce lets a target answer its first connection by a script, and accept all others. It closes the first one when
-// the script returns.
+// serveOnce lets a target answer its first connection by a script, and say who it is on all others. It closes the first
+// one when the script returns.
 func serveOnce(t *testing.T, memory *network.Memory, script func(net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := memory.Listen(at)
@@ -104,12 +104,14 @@
 			if err != nil {
 				return
 			}
-			if first {
-				go func() {
-					script(c)
-					_ = c.Close()
-				}()
+			if !first {
+				go converse(c, 1, func(net.Conn, int, string) {})
+				continue
 			}
+			go func() {
+				script(c)
+				_ = c.Close()
+			}()
 		}
 	}()
 	return listener
@@ -125,7 +127,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
 			_ = c.Close()
 		})
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		const requests = 10
 		for range requests {
@@ -155,7 +157,7 @@
 		})
 		common := commontest.New(memory)
 		logs := logtest.NewLocal(common.Log.Logger)
-		pool := forward.NewPool(common, readMetadata, nil)
+		pool := forward.NewPool(common, readMetadata, askWho, nil)
 		defer pool.Close()
 		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "200 yes" {
 			t.Fatal(got)
@@ -194,7 +196,7 @@
 				})
 			}
 		}()
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "broken off" {
 			t.Error(got)
@@ -213,7 +215,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
 			_ = c.Close()
 		})
-		pool := forward.NewPool(commontest.New(dialer), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(dialer), readMetadata, askWho, nil)
 		defer pool.Close()
 		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "broken off" {
 			t.Error(got)
--- a/pkg/forward/end_verdict.go
+++ b/pkg/forward/end_verdict.go
@@ -15,10 +15,12 @@
 
 // The verdicts.
 const (
-	// EndNotKnown: nothing was learnt of the process that answered.
+	// EndNotKnown: no process at the target's address said in time who it is.
 	EndNotKnown EndVerdict = iota
-	// EndAccepted: a process at the target's address accepted a connection.
-	EndAccepted
+	// EndSameProcess: the process that sent the answer said so behind its end.
+	EndSameProcess
+	// EndOtherProcess: another process answers at the target's address.
+	EndOtherProcess
 	// EndRefused: the target's address refuses connections.
 	EndRefused
 	// EndReplaced: another incarnation of the target is listed.
@@ -28,7 +30,7 @@
 )
 
 // whole reports whether an answer whose end was judged so is whole.
-func (v EndVerdict) whole() bool { return v == EndAccepted || v == EndNotKnown }
+func (v EndVerdict) whole() bool { return v == EndSameProcess }
 
 // recordEnd logs and counts how the end of an answer was judged, since the given time.
 func (e *exchange) recordEnd(verdict EndVerdict, since clock.Millis) {
--- a/pkg/forward/end_verdict_string.go
+++ b/pkg/forward/end_verdict_string.go
@@ -9,15 +9,16 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[EndNotKnown-0]
-	_ = x[EndAccepted-1]
-	_ = x[EndRefused-2]
-	_ = x[EndReplaced-3]
-	_ = x[EndUnread-4]
+	_ = x[EndSameProcess-1]
+	_ = x[EndOtherProcess-2]
+	_ = x[EndRefused-3]
+	_ = x[EndReplaced-4]
+	_ = x[EndUnread-5]
 }
 
-const _EndVerdict_name = "NotKnownAcceptedRefusedReplacedUnread"
+const _EndVerdict_name = "NotKnownSameProcessOtherProcessRefusedReplacedUnread"
 
-var _EndVerdict_index = [...]uint8{0, 8, 16, 23, 31, 37}
+var _EndVerdict_index = [...]uint8{0, 8, 19, 31, 38, 46, 52}
 
 func (i EndVerdict) String() string {
 	idx := int(i) - 0
--- a/pkg/forward/endless_test.go
+++ b/pkg/forward/endless_test.go
@@ -76,7 +76,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				memory := network.NewMemory(nil)
 				serve(t, memory, s.flood.answer)
-				pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+				pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 				defer pool.Close()
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 				defer cancel()
@@ -99,7 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		memory := network.NewMemory(nil)
 		serve(t, memory, func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, answer(id, body)) })
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "200 "+body {
 			t.Errorf("%.100q", got)
@@ -116,7 +116,7 @@
 			serve(t, memory, func(c net.Conn, _ int, _ string) {
 				_, _ = io.WriteString(c, start+strings.Repeat(kilobyte, 100)+"\r\n\r\n")
 			})
-			pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+			pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 			defer pool.Close()
 			result, isBroken := pool.Send(context.Background(), target, request("r1")).(forward.Broken)
 			if !isBroken || len(result.Err.Error()) > most {
@@ -146,7 +146,7 @@
 			_, _ = c.Read(make([]byte, 1)) // the head has no end
 		})
 		account := buffers.NewAccount(buffers.Limits{Incoming: bound})
-		pool := forward.NewPoolWithin(commontest.New(memory), readMetadata, nil, account)
+		pool := forward.NewPoolWithin(commontest.New(memory), readMetadata, askWho, nil, account)
 		defer pool.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -43,9 +43,7 @@
 	if p.withholds(t) {
 		return Withheld{}
 	}
-	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan struct{})}
-	e.ctx, e.cancel = context.WithCancelCause(ctx)
-	e.incoming.BreakOff = e.drop
+	e := p.newExchange(ctx, t, r)
 	if !p.register(t.Incarnation(), e) {
 		e.cancel(nil)
 		return unreached(t, ErrReplaced)
@@ -60,10 +58,23 @@
 		discard(e.conn)
 		return Withheld{}
 	}
+	e.begin()
+	return e.read()
+}
+
+// newExchange returns an exchange without a connection.
+func (p *Pool) newExchange(ctx context.Context, t *routing.Target, r *Request) *exchange {
+	e := &exchange{pool: p, target: t, request: r, writeEnd: make(chan struct{})}
+	e.ctx, e.cancel = context.WithCancelCause(ctx)
+	e.incoming.BreakOff = e.drop
+	return e
+}
+
+// begin sends the request on the connection.
+func (e *exchange) begin() {
 	e.stop = context.AfterFunc(e.ctx, e.breakOff)
-	e.sentAt = p.Clock.Now()
+	e.sentAt = e.pool.Clock.Now()
 	go e.write()
-	return e.read()
 }
 
 // withholds reports whether the target's advice blocks requests from this entry, or its failure domain is drained, and
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -17,6 +17,7 @@
 	"quaydock/pkg/clock"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
+	"quaydock/pkg/ids"
 	"quaydock/pkg/network"
 	"quaydock/pkg/routing"
 )
@@ -77,10 +78,15 @@
 	}
 }
 
-// readMetadata reads the fields that the scripted engines set: Id and Not-Run.
+// askWho returns the request that a target answers with its id.
+func askWho(*routing.Target) *forward.Request {
+	return &forward.Request{Method: "GET", Path: pathWho, Host: "h"}
+}
+
+// readMetadata reads the fields that the scripted engines set: Id, Target and Not-Run.
 func readMetadata(h map[string][]string) forward.AnswerMetadata {
 	header := http.Header(h)
-	return forward.AnswerMetadata{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+	return forward.AnswerMetadata{ID: header.Get("Id"), Target: ids.Target(header.Get("Target")), NotRun: header.Get("Not-Run") != ""}
 }
 
 // answer returns the bytes of a complete answer to a request, with status 200.
@@ -157,7 +163,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				memory := network.NewMemory(nil)
 				serve(t, memory, s.engine)
-				pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+				pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 				defer pool.Close()
 				if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != s.want {
 					t.Errorf("%s, want %s", got, s.want)
@@ -169,7 +175,7 @@
 
 // TestUnreachableTargetIsNotSent: nothing listens at the address, so the request may be sent to another target.
 func TestUnreachableTargetIsNotSent(t *testing.T) {
-	pool := forward.NewPool(commontest.New(network.NewMemory(nil)), readMetadata, nil)
+	pool := forward.NewPool(commontest.New(network.NewMemory(nil)), readMetadata, askWho, nil)
 	if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "not sent" {
 		t.Error(got)
 	}
@@ -189,7 +195,7 @@
 			}
 			_, _ = io.WriteString(c, answer(id, "yes"))
 		})
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		for _, id := range []string{"r1", "r2", "r3"} {
 			outcome(pool.Send(context.Background(), target, request(id)))
@@ -228,7 +234,7 @@
 					connections = max(connections, n)
 					_, _ = io.WriteString(c, strings.ReplaceAll(s.answer, "{id}", id))
 				})
-				pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+				pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 				defer pool.Close()
 				for _, id := range []string{"r1", "r2"} {
 					r := request(id)
@@ -260,7 +266,7 @@
 			_, _ = c.Read(make([]byte, 1)) // returns when the connection ends
 			closed <- time.Now()
 		})
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		ctx, leave := context.WithTimeout(context.Background(), time.Second)
 		defer leave()
@@ -298,7 +304,7 @@
 			})
 			c := commontest.New(slowDial{memory, 300 * time.Millisecond})
 			tracker := advisory.NewTracker(c)
-			pool := forward.NewPool(c, readMetadata, tracker)
+			pool := forward.NewPool(c, readMetadata, askWho, tracker)
 			time.AfterFunc(100*time.Millisecond, func() { tracker.Observe(target.Incarnation(), 0, "other", a.advice) })
 			if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != a.want || arrived.Load() != a.arrived {
 				t.Errorf("%+v: %s, arrived %d times; want %s, %d", a.advice, got, arrived.Load(), a.want, a.arrived)
--- a/pkg/forward/incarnations_test.go
+++ b/pkg/forward/incarnations_test.go
@@ -66,7 +66,7 @@
 					_, _ = c.Read(make([]byte, 1))
 					closed <- struct{}{}
 				})
-				pool := forward.NewPool(commontest.New(slowDial{memory, 100 * time.Millisecond}), readMetadata, nil)
+				pool := forward.NewPool(commontest.New(slowDial{memory, 100 * time.Millisecond}), readMetadata, askWho, nil)
 				defer pool.Close()
 				pool.SetDirectory(routing.NewDirectory([]*routing.Target{former}))
 				restart := func() { setDirectory(pool, restarted) }
@@ -104,7 +104,7 @@
 			connections.Store(int64(n))
 			_, _ = io.WriteString(c, answer(id, "yes"))
 		})
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		pool.SetDirectory(routing.NewDirectory([]*routing.Target{former}))
 		a, ok := pool.Send(context.Background(), former, request("r1")).(*forward.Answer)
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -24,6 +24,7 @@
 type Pool struct {
 	common.Common
 	readMetadata func(header map[string][]string) AnswerMetadata
+	questionFor  func(*routing.Target) *Request
 	advice       *advisory.Tracker // nil if the advice of targets is ignored
 	account      *buffers.Account  // of what is held of answers that can't be passed on yet
 	sampler      *telemetry.Sampler
@@ -31,6 +32,8 @@
 	mu   sync.Mutex
 	idle map[ids.TargetIncarnation][]*connection          // the last used one at the end
 	busy map[ids.TargetIncarnation]map[*exchange]struct{} // exchanges that have not ended
+	// questions are those that wait to be sent, by target. There is a nil one while the target is being asked.
+	questions map[ids.TargetIncarnation]*question
 	// targets is the newest target list, nil before the first.
 	targets *routing.Directory
 }
@@ -39,17 +42,20 @@
 var ErrReplaced = errors.New("the target has started again")
 
 // NewPool is NewPoolWithin with an account of its own, for a VM whose memory is not known.
-func NewPool(c common.Common, readMetadata func(header map[string][]string) AnswerMetadata, advice *advisory.Tracker) *Pool {
-	return NewPoolWithin(c, readMetadata, advice, buffers.NewAccount(buffers.LimitsFor(0)))
+func NewPool(c common.Common, readMetadata func(header map[string][]string) AnswerMetadata, questionFor func(*routing.Target) *Request, advice *advisory.Tracker) *Pool {
+	return NewPoolWithin(c, readMetadata, questionFor, advice, buffers.NewAccount(buffers.LimitsFor(0)))
 }
 
 // NewPoolWithin returns a pool without connections. The function readMetadata reads the head of an answer; what it
-// contains about the target is passed to the advice tracker. What is held of answers is counted in the account.
-func NewPoolWithin(c common.Common, readMetadata func(header map[string][]string) AnswerMetadata, advice *advisory.Tracker, account *buffers.Account) *Pool {
+// contains about the target is passed to the advice tracker. The function questionFor returns the request that any process
+// at a target's address answers with its id, whatever it is asked to run, or nil if there is none. What is held of answers
+// is counted in the account.
+func NewPoolWithin(c common.Common, readMetadata func(header map[string][]string) AnswerMetadata, questionFor func(*routing.Target) *Request, advice *advisory.Tracker, account *buffers.Account) *Pool {
 	return &Pool{
-		Common: c, readMetadata: readMetadata, advice: advice, account: account,
+		Common: c, readMetadata: readMetadata, questionFor: questionFor, advice: advice, account: account,
 		sampler: telemetry.NewSampler(c.Clock, c.Log, logLinesPerSecond),
 		idle:    make(map[ids.TargetIncarnation][]*connection), busy: make(map[ids.TargetIncarnation]map[*exchange]struct{}),
+		questions: make(map[ids.TargetIncarnation]*question),
 	}
 }
 
--- a/pkg/forward/result.go
+++ b/pkg/forward/result.go
@@ -28,6 +28,8 @@
 type AnswerMetadata struct {
 	// ID is the request that the answer belongs to; empty if the head does not name it.
 	ID string
+	// Target is the process that answered; empty if the head does not name it.
+	Target ids.Target
 	// NotRun means that the target did not run the request and never will.
 	NotRun bool
 	// Load is the load that the target reported, if it did.
--- a/pkg/forward/unread_answer_test.go
+++ b/pkg/forward/unread_answer_test.go
@@ -58,7 +58,7 @@
 					sent.Add(int64(n))
 				}
 			}()
-			pool := forward.NewPool(commontest.New(tcp), readMetadata, nil)
+			pool := forward.NewPool(commontest.New(tcp), readMetadata, askWho, nil)
 			defer pool.Close()
 			at := &routing.Target{ID: "t", Service: "s", Address: listener.Addr().String()}
 			answer, ok := pool.Send(context.Background(), at, request("r1")).(*forward.Answer)
--- a/pkg/forward/unread_test.go
+++ b/pkg/forward/unread_test.go
@@ -45,7 +45,7 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 	}()
-	pool := forward.NewPool(commontest.New(tcp), readMetadata, nil)
+	pool := forward.NewPool(commontest.New(tcp), readMetadata, askWho, nil)
 	defer pool.Close()
 	long := request("r1")
 	long.Method, long.Body = http.MethodPost, make([]byte, 16<<20)
--- a/pkg/ingress/deliver_bench_test.go
+++ b/pkg/ingress/deliver_bench_test.go
@@ -37,7 +37,7 @@
 	c := commontest.New(network.NewMemory(nil))
 	v := view.New(c.Check)
 	controller := NewController(Dependencies{
-		Common: c, View: v, Scheduler: refusingScheduler{}, Pool: forward.NewPool(c, nil, nil), Entries: onlyEntry{},
+		Common: c, View: v, Scheduler: refusingScheduler{}, Pool: forward.NewPool(c, nil, nil, nil), Entries: onlyEntry{},
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()),
 	})
 	ctx, cancel := context.WithCancel(controller.Context()) // when the caller leaves
--- a/pkg/ingress/descriptors_test.go
+++ b/pkg/ingress/descriptors_test.go
@@ -113,7 +113,7 @@
 	scheduler := &orderedScheduler{b: &testbed{targets: []*routing.Target{target}}, redispatched: ids.Target("none")}
 	return ingress.NewController(ingress.Dependencies{
 		Common: c, View: v, HeaderCodec: testCodec{}, Scheduler: scheduler, Meter: meter, Entries: fakeMeter{},
-		Pool:    forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, nil),
+		Pool:    forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, askWho, nil),
 		Retries: quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second), Keys: ingress.KeyGrace{Limit: clock.Minute},
 	})
 }
--- a/pkg/ingress/starting_test.go
+++ b/pkg/ingress/starting_test.go
@@ -34,7 +34,7 @@
 				b := newTestbed(t, fakeMeter{}, replies(200, "", "yes"))
 				c := commontest.New(b.network)
 				v := view.New(c.Check)
-				pool := forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, nil)
+				pool := forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, askWho, nil)
 				defer pool.Close()
 				started := ingress.NewController(ingress.Dependencies{
 					Common: c, View: v, HeaderCodec: testCodec{}, Scheduler: b.scheduler, Pool: pool, Meter: fakeMeter{}, Entries: fakeMeter{},
--- a/pkg/ingress/testbed_test.go
+++ b/pkg/ingress/testbed_test.go
@@ -59,7 +59,7 @@
 
 func (testCodec) AnswerMetadata(h http.Header) forward.AnswerMetadata {
 	rest, _ := strconv.Atoi(h.Get("Rest")) // in ms; none is 0
-	return forward.AnswerMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", Backoff: clock.Millis(rest)}
+	return forward.AnswerMetadata{ID: h.Get("Id"), Target: ids.Target(h.Get("Target")), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", Backoff: clock.Millis(rest)}
 }
 
 func (testCodec) CopyAnswer(from, to http.Header) {
@@ -296,7 +296,7 @@
 	b.view.Confirmed(b.clock.Now())
 	b.advice = advisory.NewTracker(c)
 	b.buffers = buffers.NewAccount(limits)
-	pool := forward.NewPoolWithin(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, b.advice, b.buffers)
+	pool := forward.NewPoolWithin(c, func(h map[string][]string) forward.AnswerMetadata { return testCodec{}.AnswerMetadata(h) }, askWho, b.advice, b.buffers)
 	b.retries = quota.NewRetryBudget(quota.RetryBounds{Ratio: 0.2, Slack: 100, Window: 10 * clock.Second}, c.Clock.Now()-10*clock.Second)
 	b.guard = quarantine.New(quarantine.Dependencies{Common: c})
 	b.controller = ingress.NewController(ingress.Dependencies{
@@ -383,6 +383,11 @@
 // pathWho is where targets say who they are, in the header field Target.
 const pathWho = "/who"
 
+// askWho returns the request that a target answers with its id.
+func askWho(*routing.Target) *forward.Request {
+	return &forward.Request{Method: "GET", Path: pathWho, Host: "h"}
+}
+
 // saysWho has the process at a target's address say who it is, and reports whether its connection goes on.
 func (b *testbed) saysWho(c net.Conn, target string) bool {
 	b.mu.Lock()
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -44,6 +44,8 @@
 	Name ids.Service
 	// Connections is how many connections one target accepts from all entries together.
 	Connections int
+	// HealthPath is where targets say who they are, in any state; empty if they don't.
+	HealthPath string
 	// ColdPerSecond is how many requests per second a cold target can take; 0 means no limit. ColdTime is how long
 	// targets stay cold after their start.
 	ColdPerSecond float64
