--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"quaydock/pkg/advisory"
 	"quaydock/pkg/commontest"
 	"quaydock/pkg/forward"
@@ -48,7 +52,7 @@
 				memory := network.NewMemory(nil)
 				common := commontest.New(memory)
 				tracker := advisory.NewTracker(common)
-				pool := forward.NewPool(common, readMetadata, tracker)
+				pool := forward.NewPool(common, readMetadata, askWho, tracker)
 				defer pool.Close()
 				if c.list != nil {
 					pool.SetDirectory(c.list)
@@ -85,8 +89,8 @@
 // longBody is more than a connection buffers.
 var longBody = strings.Repeat("a", 100<<10)
 
-// serveOnce lets a target answer its first connection by a script, and accept all others. It closes the first one when
-// the script returns.
+// serveOnce lets a target answer its first connection by a script, and say who it is on all others. It closes the first
+// one when the script returns.
 func serveOnce(t *testing.T, memory *network.Memory, script func(net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := memory.Listen(at)
@@ -100,12 +104,14 @@
 			if err != nil {
 				return
 			}
-			if first {
-				go func() {
-					script(c)
-					_ = c.Close()
-				}()
+			if !first {
+				go converse(c, 1, func(net.Conn, int, string) {})
+				continue
 			}
+			go func() {
+				script(c)
+				_ = c.Close()
+			}()
 		}
 	}()
 	return listener
@@ -121,7 +127,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
 			_ = c.Close()
 		})
-		pool := forward.NewPool(commontest.New(memory), readMetadata, nil)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		const requests = 10
 		for range requests {
@@ -140,3 +146,93 @@
 		}
 	})
 }
+
+// TestJudgedEndIsLoggedAndCounted guards against answers whose end nobody can trace to what judged it.
+func TestJudgedEndIsLoggedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		serve(t, memory, func(c net.Conn, _ int, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+			_ = c.Close()
+		})
+		common := commontest.New(memory)
+		logs := logtest.NewLocal(common.Log.Logger)
+		pool := forward.NewPool(common, readMetadata, askWho, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "200 yes" {
+			t.Fatal(got)
+		}
+		line := logs.LastEntry()
+		if line == nil || line.Data["request"] != "r1" || line.Data["target"] != "t" || line.Data["framing"] != "Close" || line.Data["whole"] != true || line.Data["by"] == "" {
+			t.Errorf("the last line is %v", line)
+		}
+		counted := httptest.NewRecorder()
+		common.Metrics.Prometheus.ServeHTTP(counted, nil)
+		if want := fmt.Sprintf("quaydock_answer_ends_judged_total{by=%q} 1\n", line.Data["by"]); !strings.Contains(counted.Body.String(), want) {
+			t.Errorf("no %q in %s", want, counted.Body)
+		}
+	})
+}
+
+// TestAnswerOfEndedProcessIsNotWholeWhereAnotherListens guards against a part of an answer that looks whole, as another
+// process has taken the address of the one that ended.
+func TestAnswerOfEndedProcessIsNotWholeWhereAnotherListens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		listener, err := memory.Listen(at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		go func() {
+			for owner := "t"; ; owner = "next" {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go converseAs(c, owner, 1, func(c net.Conn, _ int, id string) {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+					_ = c.Close()
+				})
+			}
+		}()
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "broken off" {
+			t.Error(got)
+		}
+	})
+}
+
+// TestAnswerIsNotWholeIfNobodySaysWhoClosedIt guards against a part of an answer that looks whole, as its target can't be
+// asked any more.
+func TestAnswerIsNotWholeIfNobodySaysWhoClosedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		dialer := &cutDialer{Network: memory}
+		serve(t, memory, func(c net.Conn, _ int, id string) {
+			dialer.cut.Store(true)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\nyes", id)
+			_ = c.Close()
+		})
+		pool := forward.NewPool(commontest.New(dialer), readMetadata, askWho, nil)
+		defer pool.Close()
+		if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != "broken off" {
+			t.Error(got)
+		}
+	})
+}
+
+// cutDialer makes no connection once it is cut.
+type cutDialer struct {
+	network.Network
+	cut atomic.Bool
+}
+
+func (d *cutDialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.cut.Load() {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.Cause(ctx)}
+	}
+	return d.Network.Dial(ctx, address)
+}
