--- a/pkg/ingress/deliver_bench_test.go
+++ b/pkg/ingress/deliver_bench_test.go
@@ -99,7 +99,7 @@
 func BenchmarkRelayEvent(b *testing.B) {
 	c := commontest.New(network.NewMemory(nil))
 	controller := NewController(Dependencies{
-		Common: c, View: view.New(c.Check), Scheduler: refusingScheduler{}, Pool: forward.NewPool(c, nil, nil), Entries: onlyEntry{}, HeaderCodec: noHeaders{},
+		Common: c, View: view.New(c.Check), Scheduler: refusingScheduler{}, Pool: forward.NewPool(c, nil, nil, nil), Entries: onlyEntry{}, HeaderCodec: noHeaders{},
 	})
 	d := controller.delivery
 	route := &routing.Route{Name: "r", Kind: routing.Stream, Attempts: 2, Timeout: clock.Minute, Objective: clock.Second, Resumable: true}
