app: more ways in which streams of two versions meet a kill of all entries

What callers saw: streams joined from two versions after all entries were killed. So far three ways were tested.

--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -60,7 +60,8 @@
 	firstStart bool
 	// version is the version of targets that start from now on; empty means "v1".
 	version  ids.Version
-	memoryMB int // of each entry's VM; 0 if not known
+	service  ids.Service // of targets that start from now on; empty means "s"
+	memoryMB int         // of each entry's VM; 0 if not known
 	// intercept, if set, is called for each request that reaches its intended target, and reports whether it has
 	// answered the request. It has to be set before the first request.
 	intercept func(e *crashEngine, w http.ResponseWriter, r *http.Request) bool
--- a/pkg/app/crash_engines_test.go
+++ b/pkg/app/crash_engines_test.go
@@ -19,6 +19,7 @@
 	bed     *crashBed
 	n       int // it is the nth target in all its incarnations
 	id      string
+	service ids.Service
 	version ids.Version
 	born    ids.Start
 	row     wiretest.Engine // as it wrote it when it started
@@ -51,7 +52,7 @@
 		return
 	}
 	b.started++
-	e := &crashEngine{bed: b, n: n, id: cmp.Or(id, fmt.Sprintf("t-%d-%d", n, b.started)), version: cmp.Or(b.version, "v1")}
+	e := &crashEngine{bed: b, n: n, id: cmp.Or(id, fmt.Sprintf("t-%d-%d", n, b.started)), service: cmp.Or(b.service, "s"), version: cmp.Or(b.version, "v1")}
 	e.born = ids.Start(time.Now().UnixMilli())
 	e.server = &http.Server{Handler: e}
 	b.engines[n] = e
@@ -62,7 +63,7 @@
 		return
 	}
 	go func() { _ = e.server.Serve(listener) }()
-	row := wiretest.Engine{Service: "s", Address: address, Domain: b.domainOf(n), Version: e.version, Slots: crashSlots, State: wiretest.Ready, ColdFor: b.coldFor(), Sequence: 1, Born: e.born}
+	row := wiretest.Engine{Service: e.service, Address: address, Domain: b.domainOf(n), Version: e.version, Slots: crashSlots, State: wiretest.Ready, ColdFor: b.coldFor(), Sequence: 1, Born: e.born}
 	e.row = row
 	b.store.Put(platform.TableTargets, e.id, row.Row())
 }
--- a/pkg/app/process_network_test.go
+++ b/pkg/app/process_network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 
@@ -17,23 +18,52 @@
 	mu    sync.Mutex
 	open  []interface{ Close() error } // all that was opened so far, also what is closed again
 	ended bool
+	// unreachable, if set, reports whether the process cannot connect to an address.
+	unreachable func(address string) bool
+	dialled     map[net.Conn]string // with their addresses
 }
 
 // errProcessEnded is returned for connections and listeners that are opened after the end.
 var errProcessEnded = errors.New("the process has ended")
 
 // newProcessNetwork returns the network of a process that runs.
-func newProcessNetwork(n network.Network) *processNetwork { return &processNetwork{Network: n} }
+func newProcessNetwork(n network.Network) *processNetwork {
+	return &processNetwork{Network: n, dialled: make(map[net.Conn]string)}
+}
 
 // Dial connects to an address.
 func (p *processNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	p.mu.Lock()
+	unreachable := p.unreachable != nil && p.unreachable(address)
+	p.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+		return nil, fmt.Errorf("dialling %s: %w", address, ctx.Err())
+	}
 	c, err := p.Network.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
+	p.dialled[c] = address
+	p.mu.Unlock()
 	return c, p.track(c)
 }
 
+// cutOff closes the connections to the addresses for which unreachable holds, and lets none be made from now on; nil ends
+// that.
+func (p *processNetwork) cutOff(unreachable func(address string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreachable = unreachable
+	for c, address := range p.dialled {
+		if unreachable != nil && unreachable(address) {
+			_ = c.Close()
+			delete(p.dialled, c)
+		}
+	}
+}
+
 // Listen listens at an address.
 func (p *processNetwork) Listen(address string) (net.Listener, error) {
 	l, err := p.Network.Listen(address)
--- a/pkg/app/stream_bed_test.go
+++ b/pkg/app/stream_bed_test.go
@@ -26,6 +26,7 @@
 	streamEvents   = 30 // of a stream
 	streamEvery    = 25 * time.Millisecond
 	streamTargets  = 8
+	streamVMs      = 48 // of targets, one after the other
 	streamCallers  = 20
 	streamTries    = 5               // of one stream, its first try included
 	streamDeadline = 8 * time.Second // of a stream over all its tries
@@ -42,6 +43,12 @@
 	breaks     float64       // fraction of the streams that targets break off
 	noResumes  bool          // callers do not name the try that brought the first event
 	returnWait time.Duration // pause before a stream is taken up again; 0 is streamReturn
+	// chooseEntry, if set, returns the entry of a try, which takes a stream up again or begins one.
+	chooseEntry func(again bool) int
+	// begunAt is when the first event of each service and version was written.
+	begunAt map[string]time.Duration
+	// releasedAt is when targets of a new version replaced all others.
+	releasedAt time.Duration
 	tally      streamTally
 	joined     []string // descriptions of streams with events of two versions
 	// unread are the tries that reached a target that had started again under its id within rowDelay, before their entry
@@ -71,10 +78,9 @@
 
 // newStreamBedWith is newStreamBed with a fault of the store's calls until two seconds after the start; nil for none.
 func newStreamBedWith(t *testing.T, seed uint64, entries int, oneVersion bool, fault func(*http.Request) storetest.Fault) *streamBed {
-	b := &streamBed{crashBed: newBed(t, seed, entries, streamTargets+spareTargets, 0, true), unread: make(map[string]bool), sentTo: make(map[string]int)}
+	b := &streamBed{crashBed: newBed(t, seed, entries, streamVMs, 0, true), unread: make(map[string]bool), sentTo: make(map[string]int), begunAt: make(map[string]time.Duration)}
 	b.intercept = b.stream
-	configuration := b.configuration(2)
-	configuration.Routes = append(configuration.Routes, wiretest.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: "streaming", Timeout: 6000, Objective: 800, Attempts: 3, Resumable: true, Service: "s"})
+	configuration := b.streamConfiguration(2, "s")
 	b.store.Put(platform.TableOperators, platform.KeyConfiguration, configuration.Row())
 	for n := range streamTargets {
 		b.setVersion("v1")
@@ -97,6 +103,16 @@
 	return b
 }
 
+// streamConfiguration returns a version of the configuration in which the route of streams leads to a service.
+func (b *streamBed) streamConfiguration(version int, service ids.Service) wiretest.Configuration {
+	c := b.configuration(version)
+	if service != "s" {
+		c.Services = append(c.Services, wiretest.Service{Name: service, Connections: 200})
+	}
+	c.Routes = append(c.Routes, wiretest.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: "streaming", Timeout: 6000, Objective: 800, Attempts: 3, Resumable: true, Service: service})
+	return c
+}
+
 // setVersion sets the version of targets that start from now on.
 func (b *streamBed) setVersion(version ids.Version) {
 	b.mu.Lock()
@@ -145,7 +161,8 @@
 	control := http.NewResponseController(w)
 	for n := after + 1; n <= streamEvents; n++ {
 		time.Sleep(streamEvery)
-		text := fmt.Sprintf("id: %d\ndata: %s\n\n", n, e.version)
+		text := fmt.Sprintf("id: %d\ndata: %s\n\n", n, e.origin())
+		b.recordBegun(e)
 		if n == cut {
 			_, _ = io.WriteString(w, text[:len(text)/2])
 			_ = control.Flush()
@@ -158,6 +175,18 @@
 	return true
 }
 
+// origin is what the target's events are marked with.
+func (e *crashEngine) origin() string { return fmt.Sprint(e.service, "/", e.version) }
+
+// recordBegun records when a target of a service and version first writes an event.
+func (b *streamBed) recordBegun(e *crashEngine) {
+	b.streamMu.Lock()
+	defer b.streamMu.Unlock()
+	if _, begun := b.begunAt[e.origin()]; !begun {
+		b.begunAt[e.origin()] = b.now()
+	}
+}
+
 // recordUnread records a try whose entry has not read the row of a target that has just started again.
 func (b *streamBed) recordUnread(e *crashEngine, id string) {
 	b.streamMu.Lock()
@@ -188,10 +217,17 @@
 
 // runCallers has callers request one stream after another until a time, and waits until all have ended.
 func (b *streamBed) runCallers(until time.Duration) {
+	b.runCallersWhile(streamCallers, 0, func() bool { return b.now() < until })
+}
+
+// runCallersWhile has a number of callers request one stream after another while a condition holds, and waits until all
+// have ended. They begin within a time, 0 for at once.
+func (b *streamBed) runCallersWhile(callers int, within time.Duration, holds func() bool) {
 	var all sync.WaitGroup
-	for range streamCallers {
+	for i := range callers {
 		all.Go(func() {
-			for b.now() < until {
+			time.Sleep(within * time.Duration(i) / time.Duration(callers))
+			for holds() {
 				b.requestStream()
 				time.Sleep(time.Duration(b.draw(30)) * time.Millisecond)
 			}
@@ -247,7 +283,7 @@
 
 // tryStream makes one try at a random entry. A try that no entry answers is not counted.
 func (b *streamBed) tryStream(s *callerStream, left time.Duration) tryResult {
-	id, entry := b.newRequestID(), b.draw(len(b.entries))
+	id, entry := b.newRequestID(), b.entryFor(s)
 	s.ids = append(s.ids, id)
 	b.streamMu.Lock()
 	b.sentTo[id] = entry
@@ -282,6 +318,17 @@
 	return result
 }
 
+// entryFor returns the entry of a stream's next try.
+func (b *streamBed) entryFor(s *callerStream) int {
+	b.streamMu.Lock()
+	choose := b.chooseEntry
+	b.streamMu.Unlock()
+	if choose != nil {
+		return choose(s.last > 0)
+	}
+	return b.draw(len(b.entries))
+}
+
 // readStream sends one request for the rest of a stream and reads its events. The status is 0 without an answer.
 func (b *streamBed) readStream(s *callerStream, id string, entry int, left time.Duration) (status int, complete bool) {
 	transport := &http.Transport{
