streams: the only version of a service is confirmed by the store

What callers would see: streams joined at entries that hear neither the others nor the store, when the entry that served them is killed. Cause: an entry relied on a record that was up to 1.5 s old if nobody answered, and on one of any age if another entry answered, however old what that one knew. Change: where this entry takes a service for one of one version, it reads the record from the store first; one read serves all lookups that began before it was sent. While the store can't be read, an entry that has read the records within 0.3 s may tell; else the caller is told to come back, and entries whose records are old send copies of origins as with several versions. Why it works: a version is recorded before a stream begins at it, so that a read after the caller came shows it.

--- a/pkg/ingress/origin.go
+++ b/pkg/ingress/origin.go
@@ -120,7 +120,7 @@
 	q.knownBy = found
 	if found.Origin == nil {
 		q.addToTrail(d.Clock.Now(), fmt.Sprintf("not known where the stream began, by %d of %d entries asked", found.Answered, found.Asked), "")
-		return d.cannotGoOn(q, notRun(CauseOriginUnknown, 0))
+		return d.cannotGoOn(q, notRun(CauseOriginUnknown, retryAfterUnknown(found)))
 	}
 	q.origin = found.Origin
 	if !q.route.LeadsTo(found.Origin.Service) {
@@ -131,6 +131,18 @@
 	return nil
 }
 
+// unconfirmedRetryAfter is when a caller may come back whose stream began at the only version as far as this entry knows:
+// by then entries that do not answer are taken for gone.
+const unconfirmedRetryAfter = 500 * clock.Millisecond
+
+// retryAfterUnknown returns when to come back with a stream of which nobody knows where it began; 0 if that is of no use.
+func retryAfterUnknown(found streams.Finding) clock.Millis {
+	if found.Unconfirmed {
+		return unconfirmedRetryAfter
+	}
+	return 0
+}
+
 // awaitBegin waits until a new stream may begin on its route.
 func (d *delivery) awaitBegin(ctx context.Context, q *request) *Refusal {
 	if d.origins.AwaitBegin(ctx, q.route.Name, q.service) {
--- a/pkg/streams/bed_test.go
+++ b/pkg/streams/bed_test.go
@@ -92,6 +92,17 @@
 	return nil
 }
 
+func (s *recordStore) Read(_ context.Context, service ids.Service) (follow.Row, history.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return follow.Row{}, history.Position{}, errAway
+	}
+	row, found := s.rows[string(service)]
+	row.Gone = !found
+	return row, history.At(s.era, s.newest), nil
+}
+
 // read returns all rows, and up to where they have been read; false if the store is away.
 func (s *recordStore) read() ([]follow.Row, history.Position, bool) {
 	s.mu.Lock()
--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -23,8 +23,7 @@
 	// begun may still be under way.
 	lookupRounds = 2
 	lookupLimit  = 200 * clock.Millisecond
-	// confirmLimit is how long a lookup takes at most where the record says that there is only one version: another one may
-	// have been recorded since this entry read it.
+	// confirmLimit is how long a lookup waits for others once an entry has told that there is only one version.
 	confirmLimit = 40 * clock.Millisecond
 )
 
@@ -59,6 +58,8 @@
 	Source Source
 	// Asked is how many entries were asked, and Answered how many of them answered in time.
 	Asked, Answered int
+	// Unconfirmed says that the stream began at the only version as far as this entry knows, and no other one has told so yet.
+	Unconfirmed bool
 	// Record is where the record of the service was written that this entry has read last, not Known if it has read none, and
 	// RecordAge for how long it may have changed since without this entry having read it.
 	Record    history.Position
@@ -96,8 +97,9 @@
 	delete(l.waiting, number)
 }
 
-// Find returns where a stream began that its caller takes up again. It asks other entries if this one has no origin of it,
-// and takes up to lookupLimit then, or confirmLimit if the record says that there is only one version.
+// Find returns where a stream began that its caller takes up again, and takes up to lookupLimit if this entry has no origin
+// of it. The only version of a service has to be confirmed by the store, as this entry may not have read yet that another
+// one was recorded, or, while the store can't be read, by another entry that has read it a moment ago.
 func (o *Origins) Find(ctx context.Context, s Stream) Finding {
 	now := o.Clock.Now()
 	stored, _ := o.records.of(s.Service)
@@ -111,23 +113,39 @@
 		found.use(only)
 		return found
 	}
-	limit, current := lookupLimit, o.isCurrent(now)
-	if only != nil && current {
-		limit = confirmLimit
-	}
-	told := o.ask(ctx, s, &found, limit)
-	if found.Origin != nil || !current && told.replies == 0 {
+	ctx, cancel := context.WithTimeout(ctx, lookupLimit.Duration())
+	defer cancel()
+	confirmed, err := o.confirm(ctx, s, only)
+	if confirmed {
+		found.use(only)
+		found.RecordAge = 0
 		return found
 	}
-	if only = o.onlyOrigin(o.Clock.Now(), s); only == nil {
-		only = told.only
+	told := o.ask(ctx, s, &found)
+	if found.Origin != nil {
+		return found
 	}
-	if only != nil && !told.hasOther(only.Version) {
-		found.use(only)
+	recent, _ := o.versions.known(o.Clock.Now(), s.Service)
+	if told.versions = append(told.versions, recent...); told.only != nil && !told.hasOther(told.only.Version) {
+		found.use(told.only)
 	}
+	found.Unconfirmed = found.Origin == nil && only != nil && err != nil
 	return found
 }
 
+// confirm reports whether the store says that all streams of a route began where this entry takes it. It returns an error
+// if the store could not be read.
+func (o *Origins) confirm(ctx context.Context, s Stream, only *Origin) (bool, error) {
+	if only == nil {
+		return false, nil
+	}
+	record, err := o.readFresh(ctx, s.Service)
+	if err != nil {
+		return false, err
+	}
+	return record.settles(only.Version, ids.Route(s.Route)), nil
+}
+
 // use has the finding say that a stream began at the only version, if there is one.
 func (f *Finding) use(only *Origin) {
 	if only != nil {
@@ -135,22 +153,20 @@
 	}
 }
 
-// isCurrent reports whether the records, as read here, may be relied on though other entries do not answer.
-func (o *Origins) isCurrent(now clock.Millis) bool {
+// isCurrent reports whether the records, as read here, are not older than an age.
+func (o *Origins) isCurrent(now, age clock.Millis) bool {
 	position, read := o.records.readUpTo()
-	return read && o.records.age(now) <= maxViewAge && position.Era >= o.writer.targetsRead().Era
+	return read && o.records.age(now) <= age && position.Era >= o.writer.targetsRead().Era
 }
 
 // toldVersions are the versions of a service that other entries know.
 type toldVersions struct {
-	replies  int
 	versions []ids.Version
 	only     *Origin // where all streams of the route began, as an entry has told; nil if none has
 }
 
 // add adds what a reply tells.
 func (v *toldVersions) add(s Stream, r *originReply) {
-	v.replies++
 	if r.Service != s.Service {
 		return
 	}
@@ -183,7 +199,7 @@
 	if !one || !o.routes.isSettled(now, s.Route, s.Service) {
 		return nil
 	}
-	if stored, _ := o.records.of(s.Service); o.peers != nil && !stored.settles(version, ids.Route(s.Route)) {
+	if stored, _ := o.records.of(s.Service); o.peers != nil && !stored.record.settles(version, ids.Route(s.Route)) {
 		return nil
 	}
 	return &Origin{Service: s.Service, Version: version}
@@ -205,7 +221,7 @@
 
 // ask asks other entries until one has the origin, or none has it and the versions of the service are known, or the time
 // is over. Entries that have just started may know neither yet. It returns the versions of which others have told.
-func (o *Origins) ask(ctx context.Context, s Stream, found *Finding, within clock.Millis) (told toldVersions) {
+func (o *Origins) ask(ctx context.Context, s Stream, found *Finding) (told toldVersions) {
 	number, replies := o.lookups.begin()
 	defer o.lookups.end(number)
 	asked := o.asked(s)
@@ -215,13 +231,15 @@
 	if s.HasKey {
 		query.Key = s.Key
 	}
-	limit := time.NewTimer(within.Duration())
-	defer limit.Stop()
+	began := o.Clock.Now()
 	again := time.NewTicker(askAgainAfter.Duration())
 	defer again.Stop()
 	o.query(silent, &query)
 	owner, _ := o.peers.Owner(versionsShard(s.Service))
 	for len(silent) > 0 || !o.knowsVersions(s.Service) || s.HasKey && rounds < lookupRounds {
+		if told.only != nil && o.Clock.Now()-began >= confirmLimit {
+			return told
+		}
 		select {
 		case r := <-replies:
 			if i := slices.Index(silent, r.from); i >= 0 && (r.Complete || len(r.Versions) > 1 || r.from != owner) {
@@ -240,8 +258,6 @@
 				rounds++
 			}
 			o.query(silent, &query)
-		case <-limit.C:
-			return told
 		case <-ctx.Done():
 			return told
 		}
@@ -283,10 +299,10 @@
 	answer := originReply{Number: q.Number, Service: q.Service, RouteSettled: o.routes.isSettled(now, q.Route, q.Service), Routes: o.routes.digest(now)}
 	answer.Versions, answer.Complete = o.versions.known(now, q.Service)
 	stored, _ := o.records.of(q.Service)
-	if stored.record == nil {
-		answer.Complete = false // a stream may have begun at a version that this entry has not listed yet
+	if stored.record == nil || !o.isCurrent(now, maxToldAge) {
+		answer.Complete = false // a stream may have begun at a version that this entry does not know yet
 	}
-	answer.RouteSettled = answer.RouteSettled && stored.record != nil && stored.record.Complete && contains(stored.record.Routes, ids.Route(q.Route))
+	answer.RouteSettled = answer.RouteSettled && answer.Complete && stored.record.Complete && contains(stored.record.Routes, ids.Route(q.Route))
 	if q.Key != (Key{}) {
 		answer.Origin = o.recorded(Stream{Key: q.Key, HasKey: true})
 	}
--- a/pkg/streams/origins.go
+++ b/pkg/streams/origins.go
@@ -60,6 +60,7 @@
 	records  *recordView
 	filter   *versionFilter
 	writer   recordWriter
+	reads    freshReads
 	// adopting is held from when records have been read until what they tell is known, and while it is decided what they
 	// should say.
 	adopting sync.Mutex
@@ -70,7 +71,7 @@
 	o := &Origins{
 		Common: p.Common, peers: p.Peers, link: p.Link, store: p.Store, firstStart: p.FirstStart, startedAt: p.Clock.Now(), streams: p.Streams,
 		versions: newVersions(), routes: newRoutes(), own: &records{}, held: &records{}, copies: newCopies(p.Random.Fork().Uint64()),
-		lookups: lookups{number: p.Random.Fork().Uint64(), waiting: make(map[uint64]chan reply)}, records: &recordView{}, writer: newRecordWriter(),
+		lookups: lookups{number: p.Random.Fork().Uint64(), waiting: make(map[uint64]chan reply)}, records: &recordView{}, writer: newRecordWriter(), reads: freshReads{services: make(map[ids.Service]*freshRead)},
 		faults: follow.NewFaults(p.Common, "records of streams"),
 	}
 	o.filter = newVersionFilter(p.Clock, o.records, o.mayHaveStreams)
@@ -340,7 +341,7 @@
 
 // begunAtOne reports whether all streams of a route that may still be taken up again began at one version of a service.
 func (o *Origins) begunAtOne(now clock.Millis, route string, service ids.Service) bool {
-	return o.onlyOrigin(now, Stream{Route: route, Service: service}) != nil
+	return o.onlyOrigin(now, Stream{Route: route, Service: service}) != nil && (o.peers == nil || o.isCurrent(now, maxViewAge))
 }
 
 // Forget drops the origin of a stream that its caller has in full.
--- a/pkg/streams/record_view.go
+++ b/pkg/streams/record_view.go
@@ -9,9 +9,13 @@
 	"quaydock/pkg/ids"
 )
 
-// maxViewAge is how old the records may be, as read here, to be relied on without asking other entries. The feed reader
-// reads them once a second at least.
-const maxViewAge = 1500 * clock.Millisecond
+const (
+	// maxViewAge is how old the records may be, as read here, for copies of origins to be needless where there is only one
+	// version. The feed reader reads them once a second at least.
+	maxViewAge = 1500 * clock.Millisecond
+	// maxToldAge is how old they may be to be told to other entries that can't read the store.
+	maxToldAge = 300 * clock.Millisecond
+)
 
 // recordView is the records as this entry has read them. The zero value has read nothing.
 type recordView struct {
@@ -36,9 +40,8 @@
 	return s.at == other.at && (s.record == nil) == (other.record == nil)
 }
 
-// settles reports whether the record says that all streams of a route began at a version.
-func (s storedRecord) settles(version ids.Version, route ids.Route) bool {
-	r := s.record
+// settles reports whether a record, if there is one, says that all streams of a route began at a version.
+func (r *Record) settles(version ids.Version, route ids.Route) bool {
 	return r != nil && r.Complete && len(r.Versions) == 1 && r.Versions[0] == version && contains(r.Routes, route)
 }
 
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/follow"
 	"quaydock/pkg/history"
 	"quaydock/pkg/ids"
 )
@@ -36,8 +37,10 @@
 // ErrRecordChanged means that the stored record was another one than the write expected; nothing was written.
 var ErrRecordChanged = errors.New("the record has changed since it was read")
 
-// Store writes the records.
+// Store holds the records.
 type Store interface {
+	// Read returns the row of a service's record, Gone if there is none, and the position at which it was read.
+	Read(ctx context.Context, service ids.Service) (follow.Row, history.Position, error)
 	// Write replaces the value of a service's record, if it is still the one that was written at a position, or there is none
 	// if that is not Known. It returns ErrRecordChanged otherwise. After any other error it may still be written.
 	Write(ctx context.Context, service ids.Service, value []byte, over history.Position) error
@@ -107,8 +110,16 @@
 func (o *Origins) keepRecords(ctx context.Context) {
 	askPause := minAskPause
 	askAt := clock.Millis(0)
+	current := true
 	for ctx.Err() == nil {
 		now := o.Clock.Now()
+		if before := current; before {
+			if current = o.isCurrent(now, maxViewAge); !current {
+				o.sendOwn(o.versions.names()) // nobody may be able to tell that there is only one version
+			}
+		} else {
+			current = o.isCurrent(now, maxViewAge)
+		}
 		ask := now >= askAt
 		complete, pause := true, keepInterval
 		for _, service := range o.versions.names() {
