forward: the connection of a question is kept

Cause: a question's connection was kept only if writing it was known to have ended when its answer had come, which a race decided: one connection more. Change: the end of writing is waited for. Result: TestConnectionThatConfirmsAnEndIsUsedAgain, with -race, failed 19 times of 2000 before ("10 requests were sent on 11 connections"), and passes 2000 of 2000.

--- a/pkg/forward/question.go
+++ b/pkg/forward/question.go
@@ -149,7 +149,9 @@
 		return "", reused, err
 	}
 	metadata := p.readMetadata(response.Header)
-	e.finish(response, e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun) == nil)
+	complete := e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun) == nil
+	<-e.writeEnd // the connection is kept only then; the end of ctx ends write, too
+	e.finish(response, complete)
 	p.account.DropIncoming(&e.incoming)
 	switch {
 	case metadata.ID != "": // an answer to a request, sent before this
