--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -24,9 +24,10 @@
 	// storeTimeout limits a call to the store.
 	storeTimeout = 600 * clock.Millisecond
 	// rewriteAfter is when an entry writes a record again that it has not read as written since; each time after twice that,
-	// up to maxRewritePause.
-	rewriteAfter    = 250 * clock.Millisecond
-	maxRewritePause = 4 * clock.Second
+	// up to ownerRewritePause, or standInRewritePause if it does not own the service.
+	rewriteAfter        = 250 * clock.Millisecond
+	ownerRewritePause   = 2 * clock.Second
+	standInRewritePause = 8 * clock.Second
 	// maxRewriteDoublings keeps the pause within its type.
 	maxRewriteDoublings = 8
 	// standInAfter is when another entry than the owner writes what streams wait for, as the owner may not reach the store:
@@ -194,7 +195,11 @@
 		o.writer.settled(service)
 		return true
 	}
-	if o.writer.due(now, service, stored.at, func() clock.Millis { return o.firstPause(service, owned) }) {
+	maxPause := standInRewritePause
+	if owned {
+		maxPause = ownerRewritePause
+	}
+	if o.writer.due(now, service, stored.at, maxPause, func() clock.Millis { return o.firstPause(service, owned) }) {
 		o.writeRecord(ctx, service, next, stored.at)
 	}
 	return false
@@ -210,7 +215,7 @@
 }
 
 // due reports whether a record is to be written now over the one at a position, and if so, counts a try.
-func (w *recordWriter) due(now clock.Millis, service ids.Service, at history.Position, firstPause func() clock.Millis) bool {
+func (w *recordWriter) due(now clock.Millis, service ids.Service, at history.Position, maxPause clock.Millis, firstPause func() clock.Millis) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.services[service]
@@ -224,7 +229,7 @@
 	if now < s.nextAt {
 		return false
 	}
-	s.nextAt = now + min(rewriteAfter<<s.tries, maxRewritePause) + firstPause()
+	s.nextAt = now + min(rewriteAfter<<s.tries, maxPause) + firstPause()
 	s.tries = min(s.tries+1, maxRewriteDoublings)
 	return true
 }
