--- a/pkg/streams/records.go
+++ b/pkg/streams/origin_set.go
@@ -7,16 +7,16 @@
 )
 
 const (
-	// retention is for how long an origin is kept at least, as long as there are not maxRecords of them.
+	// retention is for how long an origin is kept at least, as long as there are not maxOrigins of them.
 	retention = 2 * clock.Minute
 	// generationLength is the time within which the origins of one generation were added.
 	generationLength = 15 * clock.Second
-	// maxRecords limits the origins that are kept in one set of records; the oldest generation gives way.
-	maxRecords = 1 << 16
+	// maxOrigins limits the origins that are kept in one set; the oldest generation gives way.
+	maxOrigins = 1 << 16
 )
 
-// records keeps the origins of streams by key, in generations by the time at which they were added.
-type records struct {
+// originSet keeps the origins of streams by key, in generations by the time at which they were added.
+type originSet struct {
 	mu          sync.Mutex
 	generations []generation // the newest last
 	count       int          // of origins in all generations
@@ -30,11 +30,11 @@
 }
 
 // add keeps the origin of a stream, in place of an earlier one.
-func (r *records) add(now clock.Millis, key Key, origin Origin) {
+func (r *originSet) add(now clock.Millis, key Key, origin Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.prune(now)
-	if n := len(r.generations); n == 0 || now-r.generations[n-1].began >= generationLength || len(r.generations[n-1].origins) >= maxRecords/2 {
+	if n := len(r.generations); n == 0 || now-r.generations[n-1].began >= generationLength || len(r.generations[n-1].origins) >= maxOrigins/2 {
 		r.generations = append(r.generations, generation{began: now, origins: make(map[Key]*Origin), shared: make(map[Origin]*Origin)})
 	}
 	g := &r.generations[len(r.generations)-1]
@@ -49,15 +49,15 @@
 }
 
 // prune drops the generations that are too old, and the oldest ones while there are too many origins. The lock is held.
-func (r *records) prune(now clock.Millis) {
-	for len(r.generations) > 0 && (now-r.generations[0].began > retention+generationLength || r.count >= maxRecords) {
+func (r *originSet) prune(now clock.Millis) {
+	for len(r.generations) > 0 && (now-r.generations[0].began > retention+generationLength || r.count >= maxOrigins) {
 		r.count -= len(r.generations[0].origins)
 		r.generations = r.generations[1:]
 	}
 }
 
 // get returns the origin of a stream, or nil.
-func (r *records) get(key Key) *Origin {
+func (r *originSet) get(key Key) *Origin {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := len(r.generations) - 1; i >= 0; i-- {
@@ -69,7 +69,7 @@
 }
 
 // remove drops the origin of a stream.
-func (r *records) remove(key Key) {
+func (r *originSet) remove(key Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, g := range r.generations {
@@ -80,7 +80,7 @@
 }
 
 // newest returns up to a number of origins for which a condition holds, those of the newest generations first.
-func (r *records) newest(most int, holds func(Key, *Origin) bool) []keyedOrigin {
+func (r *originSet) newest(most int, holds func(Key, *Origin) bool) []keyedOrigin {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []keyedOrigin
@@ -98,7 +98,7 @@
 }
 
 // len returns the number of origins.
-func (r *records) len() int {
+func (r *originSet) len() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.count
--- a/pkg/streams/record.go
+++ b/pkg/streams/record.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
 	"quaydock/pkg/history"
 	"quaydock/pkg/ids"
 )
@@ -79,3 +81,8 @@
 	}
 	return size
 }
+
+// fields returns what the log says of a record.
+func (r *Record) fields(service ids.Service) logrus.Fields {
+	return logrus.Fields{"service": string(service), "era": int64(r.Era), "versions": r.Versions, "complete": r.Complete, "routes": len(r.Routes), "announced": len(r.Announced)}
+}
