--- a/pkg/app/rollout_entries_test.go
+++ b/pkg/app/rollout_entries_test.go
@@ -20,6 +20,7 @@
 	"quaydock/pkg/quarantine"
 	"quaydock/pkg/random"
 	"quaydock/pkg/schedule"
+	"quaydock/pkg/streams"
 	"quaydock/pkg/view"
 	"quaydock/platform"
 )
@@ -62,6 +63,7 @@
 	p.rollouts = newRollouts(c, p.view)
 	p.domains = domains.NewFilter(c, p.rollouts.filter.SetDirectory)
 	p.guard = quarantine.New(quarantine.Dependencies{Common: c, Address: entryAddress(i), Peers: p.members, Link: link, Store: p.store.Quarantine()})
+	p.origins = streams.New(streams.Dependencies{Common: c}) // there are no streams
 	p.dispatcher = dispatch.New(dispatch.Dependencies{
 		Common: c, Address: entryAddress(i), Domain: "d", View: p.view, Members: p.members, Link: link, Estimates: p.store.Table(platform.TableEstimates),
 		Local: schedule.NewLocal(c, p.view, nil), Rollouts: p.rollouts.dependencies(p.exposure, p.store.Rollouts(), p.guard),
