--- a/pkg/streams/record.go
+++ b/pkg/streams/record.go
@@ -74,6 +74,11 @@
 	return contains(r.Routes, route) || contains(r.Announced, route)
 }
 
+// settles reports whether a record, if there is one, says that all streams of a route began at a version.
+func (r *Record) settles(version ids.Version, route ids.Route) bool {
+	return r != nil && r.Complete && len(r.Versions) == 1 && r.Versions[0] == version && contains(r.Routes, route)
+}
+
 // routeBytes returns the size of the names of the routes.
 func (r *Record) routeBytes() (size int) {
 	for _, route := range slices.Concat(r.Routes, r.Announced) {
--- a/pkg/streams/record_view.go
+++ b/pkg/streams/record_view.go
@@ -40,11 +40,6 @@
 	return s.at == other.at && (s.record == nil) == (other.record == nil)
 }
 
-// settles reports whether a record, if there is one, says that all streams of a route began at a version.
-func (r *Record) settles(version ids.Version, route ids.Route) bool {
-	return r != nil && r.Complete && len(r.Versions) == 1 && r.Versions[0] == version && contains(r.Routes, route)
-}
-
 // recordChange is a record that was read with another content than before.
 type recordChange struct {
 	service ids.Service
@@ -136,9 +131,10 @@
 
 // hasUnconfirmed reports whether a record is not complete, or has announced routes.
 func (v *recordView) hasUnconfirmed() bool {
-	list, _ := v.all()
-	for _, stored := range list {
-		if !stored.record.Complete || len(stored.record.Announced) > 0 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, stored := range v.services {
+		if r := stored.record; r != nil && (!r.Complete || len(r.Announced) > 0) {
 			return true
 		}
 	}
--- a/pkg/streams/record_writer.go
+++ b/pkg/streams/record_writer.go
@@ -39,15 +39,14 @@
 	mu sync.Mutex
 	// targets and configuration are the positions up to which this entry has read and applied them.
 	targets, configuration history.Position
-	services               map[ids.Service]*recordWrites
+	services               map[ids.Service]*recordWrites // that are due
 }
 
 // recordWrites are the writes of one record.
 type recordWrites struct {
-	dueSince clock.Millis     // 0 if nothing is due
-	over     history.Position // where the record stands that is to be replaced
-	tries    int              // to replace it
-	nextAt   clock.Millis     // when the next one is due
+	over   history.Position // where the record stands that is to be replaced
+	tries  int              // to replace it
+	nextAt clock.Millis     // when the next one is due
 }
 
 func newRecordWriter() recordWriter {
@@ -93,13 +92,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.services[service]
-	if s == nil {
-		s = &recordWrites{}
+	if s == nil || s.over != at {
+		s = &recordWrites{over: at, nextAt: now + firstPause()}
 		w.services[service] = s
 	}
-	if s.dueSince == 0 || s.over != at {
-		*s = recordWrites{dueSince: now, over: at, nextAt: now + firstPause()}
-	}
 	if now < s.nextAt {
 		return false
 	}
--- a/pkg/streams/versions.go
+++ b/pkg/streams/versions.go
@@ -125,9 +125,8 @@
 	s := v.service(service)
 	before := len(s.recent(now))
 	for _, version := range all {
-		// Other entries may have listed it until now.
-		if _, gone := s.goneAt[version]; !gone && !s.listed[version] && !slices.Contains(s.recorded, version) {
-			s.goneAt[version] = now
+		if !slices.Contains(s.recorded, version) {
+			s.tell(now, version)
 		}
 	}
 	s.recorded = all
@@ -192,9 +191,14 @@
 	}
 	s.complete = true
 	for _, version := range told {
-		if _, gone := s.goneAt[version]; !gone && !s.listed[version] {
-			s.goneAt[version] = now
-		}
+		s.tell(now, version)
+	}
+}
+
+// tell adds a version that this entry has not listed itself: others may have listed it until now.
+func (s *serviceVersions) tell(now clock.Millis, version ids.Version) {
+	if _, gone := s.goneAt[version]; !gone && !s.listed[version] {
+		s.goneAt[version] = now
 	}
 }
 
