--- a/review/testdata/harness2/bed.go
+++ b/review/testdata/harness2/bed.go
@@ -252,6 +252,8 @@
 	slots                chan struct{} // of requests and health checks at work; nil for no limit
 	// unframed, if set, reports whether the answer to a request has no length and ends with its connection.
 	unframed func() bool
+	// closes, if set, reports whether the connection is closed after an answer, which says so.
+	closes func() bool
 	// extra, if set, returns what is sent after the answer to a request, in the place where the next one is expected; nil for
 	// nothing.
 	extra func(e *engine, answer []byte) []byte
@@ -325,6 +327,10 @@
 			_, _ = c.Write(withoutLength(answer))
 			return
 		}
+		if ran && e.closes != nil && e.closes() {
+			_, _ = c.Write(bytes.Replace(answer, []byte("\r\n"), []byte("\r\nConnection: close\r\n"), 1))
+			return
+		}
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
--- a/review/testdata/harness2/late.go
+++ b/review/testdata/harness2/late.go
@@ -8,12 +8,15 @@
 	"time"
 )
 
-// Doses of the wrong bytes, within those of the pages' days: at half of the engines, for 5 s at a time, 5 in 100 answers lack
-// a length and end with their connections, and 3 in 100 are followed by a second answer, which comes late.
+// Doses of the wrong bytes, within those of the pages' days: at 0.6 of the engines, for 5 s at a time, 5 in 100 answers lack
+// a length and end with their connections, and 3 in 100 are followed by a second answer, which comes late. All engines close
+// the connection after an answer now and then, and say so, as sound ones do.
 const (
 	unframedShare  = 0.05
 	secondShare    = 0.03
-	garbledEngines = 2 // of 4
+	closeShare     = 0.1
+	lateEngines    = 5
+	garbledEngines = 3
 	garbledFor     = 5 * time.Second
 	garbledPause   = time.Second
 	lateFor        = 90 * time.Second
@@ -25,12 +28,13 @@
 // late: some engines give answers without a length, and second answers that come late, in the place where the next one is
 // expected; all name their requests. Callers must get nothing but whole answers of engines to their own requests.
 func late(b *bed, trouble bool) (int, error) {
-	for i := range 4 {
+	for i := range lateEngines {
 		e, err := b.startEngine("lookup", i)
 		if err != nil {
 			return 0, err
 		}
 		e.slots = make(chan struct{}, lateSlots)
+		e.closes = func() bool { return rand.Float64() < closeShare }
 		if trouble && i < garbledEngines {
 			e.unframed = func() bool { return isGarbled(b) && rand.Float64() < unframedShare }
 			e.extra = secondAnswer
