forward: show whose answer a target has sent

Neither a line nor a count said whose answer had been taken: stray_answers counts those that name another request, to requests only.

Change: an answer that does not name the request that waits for it is logged (whose it is, status, local address of the connection, whether it was taken) and counted by quaydock_answers_not_named_total. A question to the target has no request id, so its own answer names none.

--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -174,7 +174,9 @@
 		if metadata.LoadMalformed {
 			e.pool.Metrics.Links.Add("load_reports_malformed", 1)
 		}
-		if metadata.ID != "" && metadata.ID != e.request.ID {
+		owner := e.ownerOf(&metadata)
+		e.recordOwner(response, &metadata, owner != OwnerOther)
+		if owner == OwnerOther {
 			if err := e.skip(response); err != nil {
 				return e.failed(err)
 			}
--- a/pkg/forward/question.go
+++ b/pkg/forward/question.go
@@ -149,6 +149,7 @@
 		return "", reused, err
 	}
 	metadata := p.readMetadata(response.Header)
+	e.recordOwner(response, &metadata, true)
 	complete := e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun) == nil
 	<-e.writeEnd // the connection is kept only then; the end of ctx ends write, too
 	e.finish(response, complete)
