forward: an answer to another request is no answer to a question

Cause: to judge the end of an answer without a length, the entry asks the target who it is, on an idle connection. Where a late second answer of an earlier request came first there, askOnce took it for the answer to the question and put the connection back, with the true answer yet to come. The next request on it read that.

Change: an exchange can be finished with its own answer only; claim makes that type, and passes nothing that names another request. Its connection is kept only if the answer names the process that sent it: other bytes may not be the answer either.

Why this works: no connection returns to the pool on which the answer to what was sent last has not been read, whoever calls finish.

Weighed: skipping on the same connection, as requests do, needs the second answer in time (the end of the caller's answer waits for it); a new connection for each question is reset by targets whose queues are long.

Result: TestAnswerToQuestionReachesNoCaller failed before (a caller got the answer to the question, "200 " in place of "200 a").

--- a/pkg/forward/answer_owner.go
+++ b/pkg/forward/answer_owner.go
@@ -23,7 +23,24 @@
 	OwnerOther
 )
 
-// ownerOf returns whose answer a head belongs to, where the request waits for one.
+// ownAnswer is the head of the answer to the exchange's own request. Only claim makes one, so that no exchange ends with
+// another answer, and no connection is kept on which its own is yet to come.
+type ownAnswer struct {
+	*http.Response
+	metadata AnswerMetadata
+}
+
+// claim returns the answer to the exchange's own request, or nil if the head names another one.
+func (e *exchange) claim(response *http.Response) *ownAnswer {
+	own := &ownAnswer{response, e.pool.readMetadata(response.Header)}
+	if owner := e.ownerOf(&own.metadata); owner == OwnerOther {
+		e.recordStray(response, &own.metadata, owner)
+		return nil
+	}
+	return own
+}
+
+// ownerOf returns whose answer a head belongs to.
 func (e *exchange) ownerOf(metadata *AnswerMetadata) Owner {
 	switch metadata.ID {
 	case e.request.ID:
@@ -35,19 +52,15 @@
 	}
 }
 
-// recordOwner logs and counts an answer that does not name the request that waits for it, and whether it was taken for the
-// answer to that request all the same.
-func (e *exchange) recordOwner(response *http.Response, metadata *AnswerMetadata, taken bool) {
-	owner := e.ownerOf(metadata)
-	if owner == OwnerThis {
-		return
-	}
+// recordStray logs and counts an answer that does not belong to the exchange's own request.
+func (e *exchange) recordStray(response *http.Response, metadata *AnswerMetadata, owner Owner) {
 	p := e.pool
+	p.Metrics.Links.Add("stray_answers", 1)
 	p.Metrics.Prometheus.Add("answers_not_named", "owner", owner.String())
 	if p.sampler.Allow("not named") {
 		p.Log.WithFields(logrus.Fields{
 			telemetry.FieldRequest: e.request.ID, "target": string(e.target.ID), "owner": owner.String(), "named": metadata.ID,
-			"status": response.StatusCode, "process": string(metadata.Target), "local": e.conn.LocalAddr().String(), "reused": e.conn.reused, "taken": taken,
+			"status": response.StatusCode, "process": string(metadata.Target), "local": e.conn.LocalAddr().String(), "reused": e.conn.reused,
 		}).Info("a target's answer does not name the request that waits for it")
 	}
 }
--- /dev/null
+++ b/pkg/forward/answer_owner_test.go
@@ -0,0 +1,121 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quaydock/pkg/commontest"
+	"quaydock/pkg/forward"
+	"quaydock/pkg/network"
+)
+
+// call is a request that a repeater has read.
+type call struct {
+	connection int // its number, from 1
+	number     int // of the call on its connection, from 1
+	id         string
+	path       string
+}
+
+// repeater is a target that sends two answers to a call: one at once, and one late, in the place where the next one on that
+// connection is expected. An empty late one is not sent. It closes the connection behind an answer that has no length.
+type repeater struct {
+	answer func(c call) (atOnce, late string)
+	wait   time.Duration // before the answer to a call that a late answer has gone before
+}
+
+// serve runs the target until the test ends.
+func (r *repeater) serve(t *testing.T, at network.Network) {
+	t.Helper()
+	listener, err := at.Listen(target.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.converse(c, n)
+		}
+	}()
+}
+
+// converse serves one connection.
+func (r *repeater) converse(c net.Conn, connection int) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	late := ""
+	for number := 1; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if late != "" {
+			_, _ = io.WriteString(c, late)
+			time.Sleep(r.wait)
+		}
+		var atOnce string
+		atOnce, late = r.answer(call{connection, number, request.Header.Get("Id"), request.URL.Path})
+		if _, err := io.WriteString(c, atOnce); err != nil || atOnce == "" || late == hangUp {
+			return
+		}
+	}
+}
+
+// hangUp is what a repeater returns as the late answer to close the connection.
+const hangUp = "hang up"
+
+// unframed returns the bytes of an answer that ends with its connection.
+func unframed(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", id, body)
+}
+
+// TestAnswerToQuestionReachesNoCaller guards against a caller who gets the answer to a question, which comes behind a late
+// second answer.
+func TestAnswerToQuestionReachesNoCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		r := &repeater{wait: 5 * time.Millisecond, answer: func(c call) (string, string) {
+			switch {
+			case c.path == pathWho:
+				return says(200, "Target: t\r\n"), ""
+			case c.id == "slow":
+				time.Sleep(100 * time.Millisecond)
+				return unframed(c.id, c.id), hangUp
+			case c.id == "twice":
+				return answer(c.id, c.id), answer(c.id, c.id)
+			default:
+				return answer(c.id, c.id), ""
+			}
+		}}
+		r.serve(t, memory)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
+		defer pool.Close()
+		slow := make(chan string)
+		go func() { slow <- outcome(pool.Send(context.Background(), target, request("slow"))) }()
+		time.Sleep(50 * time.Millisecond)
+		if got := outcome(pool.Send(context.Background(), target, request("twice"))); got != "200 twice" {
+			t.Error(got)
+		}
+		if got := <-slow; got != "200 slow" {
+			t.Errorf("the answer without a length: %s", got)
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			if got := outcome(pool.Send(context.Background(), target, request(id))); got != "200 "+id {
+				t.Errorf("%s: %s", id, got)
+			}
+		}
+		time.Sleep(time.Second) // until the target has ended
+	})
+}
--- a/pkg/forward/body.go
+++ b/pkg/forward/body.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -15,7 +14,7 @@
 // body is the body of an answer. It is not safe for concurrent use.
 type body struct {
 	exchange *exchange
-	response *http.Response
+	own      *ownAnswer
 	size     int   // bytes that were read
 	limited  bool  // there is a limit of time; see Answer.LimitRest
 	ended    bool  // the exchange has been finished
@@ -28,7 +27,7 @@
 		return 0, b.end
 	}
 	b.exchange.readRest()
-	n, err := b.response.Body.Read(p)
+	n, err := b.own.Body.Read(p)
 	b.size += n
 	if err == nil || b.ended {
 		return n, err
@@ -38,7 +37,7 @@
 	if b.limited {
 		_ = b.exchange.conn.SetReadDeadline(time.Time{}) // finish may keep the connection
 	}
-	b.exchange.finish(b.response, errors.Is(b.end, io.EOF))
+	b.exchange.finish(b.own, errors.Is(b.end, io.EOF))
 	return n, b.end
 }
 
@@ -60,7 +59,7 @@
 		return b.exchange.giveUp(LimitRest, b.size)
 	case !errors.Is(err, io.EOF):
 		return b.exchange.cause(err)
-	case network.FramingOf(b.response) != network.FramedByClose:
+	case network.FramingOf(b.own.Response) != network.FramedByClose:
 		return err
 	}
 	if closed := b.exchange.checkClose(); closed != nil {
@@ -86,6 +85,6 @@
 	defer b.exchange.pool.account.DropIncoming(&b.exchange.incoming)
 	if !b.ended {
 		b.ended = true
-		b.exchange.finish(b.response, false)
+		b.exchange.finish(b.own, false)
 	}
 }
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -162,7 +162,7 @@
 	return int(written), err
 }
 
-// read returns the result of a request that is being sent. It skips answers of other requests,
+// read returns the result of a request that is being sent. It skips answers that do not belong to it,
 // and fails at the maxStrayAnswers-th of them.
 func (e *exchange) read() Result {
 	for range maxStrayAnswers {
@@ -170,23 +170,21 @@
 		if err != nil {
 			return e.failed(err)
 		}
-		metadata := e.pool.readMetadata(response.Header)
-		if metadata.LoadMalformed {
-			e.pool.Metrics.Links.Add("load_reports_malformed", 1)
-		}
-		owner := e.ownerOf(&metadata)
-		e.recordOwner(response, &metadata, owner != OwnerOther)
-		if owner == OwnerOther {
+		own := e.claim(response)
+		if own == nil {
 			if err := e.skip(response); err != nil {
 				return e.failed(err)
 			}
 			continue
 		}
-		e.recordAdvice(response, &metadata)
-		if metadata.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
-			return e.declined(response, metadata)
+		if own.metadata.LoadMalformed {
+			e.pool.Metrics.Links.Add("load_reports_malformed", 1)
+		}
+		e.recordAdvice(own)
+		if own.metadata.NotRun || own.StatusCode == http.StatusMisdirectedRequest {
+			return e.declined(own)
 		}
-		return e.answer(response, metadata)
+		return e.answer(own)
 	}
 	return e.failed(errStray)
 }
@@ -194,30 +192,30 @@
 // recordAdvice passes on the advice in an answer's head. An answer of another process at the address (status 421)
 // contains none about the target, and a back-off is read only from answers that reject a request with status 503:
 // elsewhere the header field has other meanings.
-func (e *exchange) recordAdvice(response *http.Response, metadata *AnswerMetadata) {
-	if response.StatusCode == http.StatusMisdirectedRequest {
+func (e *exchange) recordAdvice(own *ownAnswer) {
+	metadata := &own.metadata
+	if own.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	advice := advisory.Advice{Leaving: metadata.Leaving, Limit: metadata.Limit, RequestedAt: e.sentAt}
-	if response.StatusCode == http.StatusServiceUnavailable {
+	if own.StatusCode == http.StatusServiceUnavailable {
 		advice.Backoff = metadata.Backoff
 	}
 	if !advice.Empty() {
-		advice.SentAt = advisory.ReadDate(response.Header)
+		advice.SentAt = advisory.ReadDate(own.Header)
 	}
 	e.pool.advice.Observe(e.target.Incarnation(), e.conn.madeAt, e.request.ID, advice)
 }
 
-// An answer to another request was complete before this one was sent, or nearly so. Its rest is skipped within these
-// limits.
+// An answer that does not belong to the request was complete before this one was sent, or nearly so. Its rest is skipped
+// within these limits.
 const (
 	maxStrayBytes = 1 << 20
 	strayTime     = 500 * clock.Millisecond
 )
 
-// skip discards an answer that belongs to another request. It fails if the connection has no further answer.
+// skip discards an answer that does not belong to the request. It fails if the connection has no further answer.
 func (e *exchange) skip(response *http.Response) error {
-	e.pool.Metrics.Links.Add("stray_answers", 1)
 	if network.FramingOf(response) == network.FramedByClose {
 		return errStray
 	}
@@ -250,29 +248,29 @@
 )
 
 // declined ends an exchange whose target reported that it did not run the request.
-func (e *exchange) declined(response *http.Response, metadata AnswerMetadata) Result {
-	complete := reusable(response) && e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun) == nil
-	e.finish(response, complete)
+func (e *exchange) declined(own *ownAnswer) Result {
+	complete := reusable(own.Response) && e.discardBody(own.Response, maxNotRunBytes, notRunTime, LimitNotRun) == nil
+	e.finish(own, complete)
 	e.pool.account.DropIncoming(&e.incoming)
-	return Declined{Status: response.StatusCode, Load: metadata.Load}
+	return Declined{Status: own.StatusCode, Load: own.metadata.Load}
 }
 
 // answer returns the answer, whose body is still to be read. The exchange goes on until that ends.
-func (e *exchange) answer(response *http.Response, metadata AnswerMetadata) Result {
+func (e *exchange) answer(own *ownAnswer) Result {
 	return &Answer{
-		Status:      response.StatusCode,
-		Header:      response.Header,
-		Length:      response.ContentLength,
-		Framing:     network.FramingOf(response),
-		Load:        metadata.Load,
+		Status:      own.StatusCode,
+		Header:      own.Header,
+		Length:      own.ContentLength,
+		Framing:     network.FramingOf(own.Response),
+		Load:        own.metadata.Load,
 		ConnectedAt: e.conn.madeAt,
-		body:        &body{exchange: e, response: response},
+		body:        &body{exchange: e, own: own},
 	}
 }
 
-// finish ends an exchange whose answer has been read, completely or in part. The connection is kept if both directions
+// finish ends an exchange whose own answer has been read, completely or in part. The connection is kept if both directions
 // are done with it and the target keeps it open.
-func (e *exchange) finish(response *http.Response, complete bool) {
+func (e *exchange) finish(own *ownAnswer, complete bool) {
 	stopped := e.stop()
 	e.unregister()
 	written := false
@@ -281,8 +279,8 @@
 		written = e.writeErr == nil
 	default: // part of the request's body has yet to be written
 	}
-	keep := keepFor(response.Header)
-	if complete && stopped && written && reusable(response) && keep > 0 {
+	keep := keepFor(own.Header)
+	if complete && stopped && written && reusable(own.Response) && keep > 0 {
 		e.pool.keepIdle(e.target.Incarnation(), e.conn, keep)
 		return
 	}
--- a/pkg/forward/question.go
+++ b/pkg/forward/question.go
@@ -148,18 +148,19 @@
 		e.failed(err)
 		return "", reused, err
 	}
-	metadata := p.readMetadata(response.Header)
-	e.recordOwner(response, &metadata, true)
+	own := e.claim(response)
+	if own == nil { // of a request that was sent before, so that the answer to the question is yet to come
+		e.failed(errStray)
+		return "", reused, errStray
+	}
+	answerer = own.metadata.Target
 	complete := e.discardBody(response, maxNotRunBytes, notRunTime, LimitNotRun) == nil
 	<-e.writeEnd // the connection is kept only then; the end of ctx ends write, too
-	e.finish(response, complete)
+	// Bytes that name neither a request nor a process may not be the answer to the question.
+	e.finish(own, complete && answerer != "")
 	p.account.DropIncoming(&e.incoming)
-	switch {
-	case metadata.ID != "": // an answer to a request, sent before this
-		return "", reused, errNoAnswerer
-	case response.StatusCode == http.StatusMisdirectedRequest, metadata.Target != "":
-		return metadata.Target, reused, nil
-	default:
+	if answerer == "" && response.StatusCode != http.StatusMisdirectedRequest {
 		return "", reused, errNoAnswerer
 	}
+	return answerer, reused, nil
 }
