forward: an answer that names no request belongs to none

Cause: a request took an answer that names no request for its own.

Change: only an answer that names the request is its own; any other is passed over, within the limits of stray answers, and counted.

Why this is safe for sound answers: targets echo the id in all their answers.

Tests: a scripted 421 and the answers of one test named no request, which no target does that got an id; they name theirs now, and a 421, a success and a report of not run without an id have become cases of their own: six cases of TestExchange failed before.

--- a/pkg/forward/answer_owner.go
+++ b/pkg/forward/answer_owner.go
@@ -30,10 +30,11 @@
 	metadata AnswerMetadata
 }
 
-// claim returns the answer to the exchange's own request, or nil if the head names another one.
+// claim returns the answer to the exchange's own request, or nil if the head does not name it: what a target sends beside
+// its answers, also a refusal, says nothing of the request.
 func (e *exchange) claim(response *http.Response) *ownAnswer {
 	own := &ownAnswer{response, e.pool.readMetadata(response.Header)}
-	if owner := e.ownerOf(&own.metadata); owner == OwnerOther {
+	if owner := e.ownerOf(&own.metadata); owner != OwnerThis {
 		e.recordStray(response, &own.metadata, owner)
 		return nil
 	}
--- a/pkg/forward/close_test.go
+++ b/pkg/forward/close_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -131,7 +132,7 @@
 		defer pool.Close()
 		const requests = 10
 		for range requests {
-			result := pool.Send(context.Background(), &routing.Target{ID: "t", Service: "s", Address: at}, &forward.Request{ID: "r1", Method: "GET", Path: "/", Host: "h"})
+			result := pool.Send(context.Background(), &routing.Target{ID: "t", Service: "s", Address: at}, &forward.Request{ID: "r1", Method: "GET", Path: "/", Host: "h", Header: http.Header{"Id": {"r1"}}})
 			answer, ok := result.(*forward.Answer)
 			if !ok {
 				t.Fatalf("%T: %v", result, result)
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -94,6 +94,11 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// nameless returns the bytes of a complete answer that names no request. The status may be followed by header fields.
+func nameless(status, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
 // request returns a request with a body, whose id is also in the header field Id.
 func request(id string) *forward.Request {
 	return &forward.Request{ID: id, Method: "POST", Path: "/p/q?x=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("question")}
@@ -150,7 +155,13 @@
 		{"answers to other requests only", writeAndClose(answer("other", "no")), "broken"},
 		{"an unframed answer to another request", writeAndClose("HTTP/1.1 200 OK\r\nId: other\r\n\r\nno"), "broken"},
 		{"a refusal that reports the request as not run", write("HTTP/1.1 503 Full\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), "declined 503"},
-		{"another target at the address", write("HTTP/1.1 421 Moved\r\nContent-Length: 0\r\n\r\n"), "declined 421"},
+		{"an answer that names no request first", write(nameless("200 OK", "no") + answer("{id}", "yes")), "200 yes"},
+		{"answers that name no request only", writeAndClose(nameless("200 OK", "no")), "broken"},
+		{"an unframed answer that names no request", writeAndClose("HTTP/1.1 200 OK\r\n\r\nno"), "broken"},
+		{"a report of not run that names no request", writeAndClose(nameless("503 Full\r\nNot-Run: 1", "")), "broken"},
+		{"the same before the answer", write(nameless("503 Full\r\nNot-Run: 1", "") + answer("{id}", "yes")), "200 yes"},
+		{"a 421 that names no request", writeAndClose(nameless("421 Moved", "")), "broken"},
+		{"another target at the address", write("HTTP/1.1 421 Moved\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"), "declined 421"},
 		{"a refusal without that report", write("HTTP/1.1 503 Full\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"), "503 "},
 		{"a closed connection", writeAndClose(""), "broken"},
 		{"bytes that are no answer", writeAndClose("\x00\x01garbage\r\n\r\n"), "broken"},
