forward: no exchange where its answer cannot be told from an earlier one's

Cause: an answer is known by the request's id alone. A second answer may come late, in the place of the next one; where the next exchange on the connection has the same id (a declined request that is sent to the target again, two questions, a request without an id), it is taken for that one's.

Change: a connection knows the id of its latest exchange and is not taken for another one with that id; a request without an id gets a new connection.

Tests: TestSecondRefusalIsNotTheAnswerToARepeat ("declined 503" for a request that ran), TestSecondAnswerToAQuestionJudgesNoLaterEnd ("200 yes" for a part) and TestAnswerToARequestWithoutAnID ("200 no") failed before.

--- a/pkg/forward/answer_owner_test.go
+++ b/pkg/forward/answer_owner_test.go
@@ -119,3 +119,90 @@
 		time.Sleep(time.Second) // until the target has ended
 	})
 }
+
+// TestSecondRefusalIsNotTheAnswerToARepeat guards against a request that counts as not run, and is run again elsewhere, as the
+// refusal of its former try at the target comes twice.
+func TestSecondRefusalIsNotTheAnswerToARepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		const refusal = "HTTP/1.1 503 Full\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		calls := 0
+		r := &repeater{answer: func(c call) (string, string) {
+			if calls++; calls == 1 {
+				return refusal, refusal
+			}
+			return answer(c.id, "yes"), ""
+		}}
+		r.serve(t, memory)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
+		defer pool.Close()
+		for _, want := range []string{"declined 503", "200 yes"} {
+			if got := outcome(pool.Send(context.Background(), target, request("r1"))); got != want {
+				t.Errorf("%s, want %s", got, want)
+			}
+		}
+	})
+}
+
+// TestSecondAnswerToAQuestionJudgesNoLaterEnd guards against a part of an answer that looks whole, as the answer to an
+// earlier question comes twice.
+func TestSecondAnswerToAQuestionJudgesNoLaterEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		questions := 0
+		r := &repeater{answer: func(c call) (string, string) {
+			if c.path != pathWho {
+				if c.id == "late" {
+					time.Sleep(time.Second)
+				}
+				return unframed(c.id, "yes"), hangUp
+			}
+			questions++
+			switch {
+			case questions == 1:
+				return says(200, "Target: t\r\n"), says(200, "Target: t\r\n")
+			case c.number == 1:
+				return says(200, "Target: next\r\n"), ""
+			default:
+				return "", ""
+			}
+		}}
+		r.serve(t, memory)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
+		defer pool.Close()
+		late := make(chan string)
+		go func() { late <- outcome(pool.Send(context.Background(), target, request("late"))) }()
+		if got := outcome(pool.Send(context.Background(), target, request("early"))); got != "200 yes" {
+			t.Errorf("before the process ended: %s", got)
+		}
+		if got := <-late; got != "broken off" {
+			t.Errorf("after the process had ended: %s", got)
+		}
+	})
+}
+
+// TestAnswerToARequestWithoutAnID guards against a caller without an id who gets bytes behind another answer.
+func TestAnswerToARequestWithoutAnID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.NewMemory(nil)
+		r := &repeater{answer: func(c call) (string, string) {
+			if c.id == "" {
+				return nameless("400 No id\r\nNot-Run: 1", ""), ""
+			}
+			return answer(c.id, "yes"), nameless("200 OK", "no")
+		}}
+		r.serve(t, memory)
+		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
+		defer pool.Close()
+		unnamed := request("")
+		delete(unnamed.Header, "Id")
+		for _, s := range []struct {
+			request *forward.Request
+			want    string
+		}{{request("r1"), "200 yes"}, {unnamed, "declined 400"}, {request("r2"), "200 yes"}} {
+			if got := outcome(pool.Send(context.Background(), target, s.request)); got != s.want {
+				t.Errorf("request %q: %s, want %s", s.request.ID, got, s.want)
+			}
+		}
+	})
+}
--- a/pkg/forward/connection.go
+++ b/pkg/forward/connection.go
@@ -23,6 +23,7 @@
 	source     *source
 	reader     *bufio.Reader // of source
 	reused     bool          // taken from the idle connections at least once
+	latest     string        // the request id of the latest exchange on it, of which a second answer may still come
 	reuseUntil clock.Millis  // when an idle connection is too old to be used again
 	// madeAt is the Unix millisecond at which the connection was made, to be compared with starts of targets.
 	madeAt ids.Start
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -26,6 +26,7 @@
 	target    *routing.Target
 	conn      *connection // nil until there is one
 	request   *Request
+	question  bool                    // the request asks which process answers, and has no id
 	ctx       context.Context         // the context of Send, which AbortReplaced may end too
 	cancel    context.CancelCauseFunc // with ErrReplaced if the target has started again
 	sentAt    clock.Millis            // when the request began to be written
@@ -74,6 +75,7 @@
 func (e *exchange) begin() {
 	e.stop = context.AfterFunc(e.ctx, e.breakOff)
 	e.sentAt = e.pool.Clock.Now()
+	e.conn.latest = e.request.ID
 	go e.write()
 }
 
@@ -89,10 +91,13 @@
 	return true
 }
 
-// connect takes an idle connection or makes one. One that was made while the target started again may lead to its
+// connect takes an idle connection or makes one. A request without an id gets a new one: what else comes on it could not be
+// told from its answer. One that was made while the target started again may lead to its
 // new incarnation, which must not run what was counted for the former one: then it is closed and connect fails.
 func (e *exchange) connect() error {
-	e.conn = e.pool.takeIdle(e.target.Incarnation())
+	if e.question || e.request.ID != "" {
+		e.conn = e.pool.takeIdle(e.target.Incarnation(), e.request.ID)
+	}
 	if e.conn == nil {
 		var err error
 		if e.conn, err = e.pool.dial(e.ctx, e.target); err != nil {
--- a/pkg/forward/pool.go
+++ b/pkg/forward/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -146,11 +147,12 @@
 	}
 }
 
-// takeIdle returns a usable idle connection to a target, or nil.
-func (p *Pool) takeIdle(incarnation ids.TargetIncarnation) *connection {
+// takeIdle returns a usable idle connection to a target for an exchange with a request id, or nil. The latest exchange on it
+// had another id, so that a second answer to that is not taken for the answer to this one.
+func (p *Pool) takeIdle(incarnation ids.TargetIncarnation, request string) *connection {
 	now := p.Clock.Now()
 	for {
-		c := p.pop(incarnation)
+		c := p.pop(incarnation, request)
 		if c == nil {
 			return nil
 		}
@@ -162,17 +164,18 @@
 	}
 }
 
-// pop removes and returns the idle connection to a target that was used last, or returns nil.
-func (p *Pool) pop(incarnation ids.TargetIncarnation) *connection {
+// pop removes and returns the idle connection to a target that was used last, but not for the given request, or returns nil.
+func (p *Pool) pop(incarnation ids.TargetIncarnation, request string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[incarnation]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.latest != request {
+			p.idle[incarnation] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[incarnation] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // dial makes a connection to a target within dialTimeout.
--- a/pkg/forward/question.go
+++ b/pkg/forward/question.go
@@ -131,6 +131,7 @@
 // name itself. It also reports whether the question went over an idle connection.
 func (p *Pool) askOnce(ctx context.Context, t *routing.Target, r *Request) (answerer ids.Target, reused bool, err error) {
 	e := p.newExchange(ctx, t, r)
+	e.question = true
 	if !p.register(t.Incarnation(), e) {
 		e.cancel(nil)
 		return "", false, ErrReplaced
