agent: each call to the target has a connection of its own

Cause: the agent keeps connections to its target, and net/http takes the next bytes on one for the answer to the next call. Targets there need not echo the request id, so that a second answer, which comes late, cannot be told from it.

Change: a connection is closed behind its call. The target is on the agent's own VM, so that a new one costs little.

Weighed: comparing an echoed id, where there is one, protects only calls to targets that echo it.

--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -41,8 +41,6 @@
 	// pathStreams is where a target that supports resuming keeps its answers: GET with a Range resumes one, DELETE
 	// cancels it.
 	pathStreams = "/streams/"
-	// targetConns is how many idle connections to the target are kept.
-	targetConns = 1024
 	// targetDial limits the time for making a connection to the target.
 	targetDial = clock.Second
 	// cancelTimeout limits the call that cancels a request at the target.
@@ -67,7 +65,7 @@
 	t.transport = network.NewTransport(c.Network, network.TransportOptions{
 		DialTimeout: targetDial,
 		DialError:   errNotReached,
-		IdlePerHost: targetConns,
+		SingleUse:   true, // answers do not name their requests; the target is on the same VM
 		Wrap:        func(conn net.Conn) net.Conn { return &countingConn{Conn: conn} },
 	})
 	return t
--- a/pkg/network/transport.go
+++ b/pkg/network/transport.go
@@ -20,6 +20,9 @@
 	// IdleAfter the time after which they are closed; 0 means net/http's default number and no limit of time.
 	IdlePerHost int
 	IdleAfter   clock.Millis
+	// SingleUse has each connection closed behind its first call, so that nothing that comes late on it is taken for the
+	// answer to another one.
+	SingleUse bool
 	// Wrap, if set, may replace a new connection.
 	Wrap func(net.Conn) net.Conn
 }
@@ -36,6 +39,7 @@
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     o.IdleAfter.Duration(),
 		DisableCompression:  true,
+		DisableKeepAlives:   o.SingleUse,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
