app: say whether a configuration that comes into force asks for keys

The line of a configuration that comes into force told its revision only, so that one that was not read could not be told from one that is read as asking for no keys.

Change: the line says how many client accounts there are, and whether requests need a key.

--- a/pkg/app/configuration_handler.go
+++ b/pkg/app/configuration_handler.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"quaydock/pkg/common"
 	"quaydock/pkg/domains"
 	"quaydock/pkg/follow"
@@ -95,7 +97,9 @@
 	inForce := h.view.Catalog()
 	h.lost = inForce != nil && catalog.Revision < inForce.Revision
 	if h.view.SetCatalog(catalog) {
-		h.Log.WithField("revision", int64(catalog.Revision)).Info("configuration in force")
+		h.Log.WithFields(logrus.Fields{
+			"revision": int64(catalog.Revision), "accounts": len(catalog.Accounts()), "requires_key": catalog.RequiresKey(),
+		}).Info("configuration in force")
 		h.onApplied(catalog)
 	}
 }
