routing: an empty list of client accounts admits nobody

Cause: a catalog asked for keys if it had accounts. The decoder saw whether the configuration has a list and forgot it, so that an empty one was taken for none.

Change: the catalog is told whether the configuration has a list (routing.Accounts); without being told it asks for keys.

Why this works: what opens an entry to all is now a value of its own, set in one place, and no length of a list.

TestKeyRemovedWhileRequestWaits has the case of an empty list too; a request that waits was held back before as well.

--- a/pkg/app/entry_drain_test.go
+++ b/pkg/app/entry_drain_test.go
@@ -118,7 +118,7 @@
 	p.members = membership.New(c, membership.Self{Name: "entry-0", Address: address, Weight: 1, Domain: "d"}, commontest.NoRows{}, p.link)
 	p.members.Snapshot(drainListing(4), follow.Freshness{})
 	p.view.SetDirectory(routing.NewDirectory([]*routing.Target{drainAssignment{}.Target()}))
-	p.view.SetCatalog(routing.NewCatalog(1, routing.Limits{BodyBytes: 1 << 16}, drainRoutes(), nil, nil))
+	p.view.SetCatalog(routing.NewCatalog(1, routing.Limits{BodyBytes: 1 << 16}, drainRoutes(), nil, routing.Accounts{Open: true}))
 	p.view.Confirmed(c.Clock.Now())
 	p.pool = forward.NewPool(c, func(h map[string][]string) forward.AnswerMetadata { return drainHeaderCodec{}.AnswerMetadata(h) }, nil, nil)
 	p.controller = ingress.NewController(ingress.Dependencies{
--- a/pkg/dispatch/gauges_test.go
+++ b/pkg/dispatch/gauges_test.go
@@ -19,7 +19,7 @@
 		b := newCluster(t)
 		accounts := []*routing.Account{{Name: "a"}, {Name: "b"}}
 		for _, v := range b.views {
-			v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, accounts))
+			v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, routing.Accounts{List: accounts}))
 		}
 		for _, a := range accounts {
 			request := b.urgentRequest()
--- a/pkg/ingress/descriptors_test.go
+++ b/pkg/ingress/descriptors_test.go
@@ -108,7 +108,7 @@
 		{Name: "call", Host: "h", Prefix: "/call/", Kind: routing.Safe, Timeout: 5000, Objective: 500, Attempts: 1, Split: []routing.WeightedService{{Service: "s", Weight: 1}}},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routing.Stream, Timeout: 10_000, Objective: 500, Attempts: 1, Split: []routing.WeightedService{{Service: "s", Weight: 1}}},
 	}
-	v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, routes, nil, []*routing.Account{{Name: "acme", Keys: []string{"key"}}}))
+	v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, routes, nil, routing.Accounts{List: []*routing.Account{{Name: "acme", Keys: []string{"key"}}}}))
 	v.Confirmed(c.Clock.Now())
 	scheduler := &orderedScheduler{b: &testbed{targets: []*routing.Target{target}}, redispatched: ids.Target("none")}
 	return ingress.NewController(ingress.Dependencies{
--- a/pkg/ingress/endings_table_test.go
+++ b/pkg/ingress/endings_table_test.go
@@ -217,7 +217,7 @@
 		}
 	}, alwaysComplete},
 	{"its body would be too long now", nil, func(b *testbed) {
-		b.view.SetCatalog(routing.NewCatalog(2, routing.Limits{BodyBytes: 1}, b.routes, nil, b.accounts))
+		b.view.SetCatalog(routing.NewCatalog(2, routing.Limits{BodyBytes: 1}, b.routes, nil, routing.Accounts{List: b.accounts}))
 	}, alwaysComplete},
 	{"its target is removed from the list", nil, func(b *testbed) { b.expireFirst() }, alwaysComplete},
 	{"all targets are removed from the list", nil, func(b *testbed) { b.view.SetDirectory(routing.NewDirectory(nil)) }, alwaysComplete},
--- a/pkg/ingress/keys_test.go
+++ b/pkg/ingress/keys_test.go
@@ -29,19 +29,30 @@
 // TestKeyRemovedWhileRequestWaits guards against a request that is sent although its key was removed after its
 // admission.
 func TestKeyRemovedWhileRequestWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		b := newTestbed(t, fakeMeter{}, replies(200, "", "yes"))
-		b.scheduler.delay = time.Second
-		time.AfterFunc(500*time.Millisecond, func() {
-			b.accounts = []*routing.Account{{Name: "acme", Keys: []string{"another"}}}
-			b.configure(2)
-			b.view.Confirmed(b.clock.Now())
+	for _, s := range []struct {
+		name string
+		left []*routing.Account
+	}{
+		{"the account has another key", []*routing.Account{{Name: "acme", Keys: []string{"another"}}}},
+		{"the account has no key", []*routing.Account{{Name: "acme"}}},
+		{"no account is left", nil},
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(t, fakeMeter{}, replies(200, "", "yes"))
+				b.scheduler.delay = time.Second
+				time.AfterFunc(500*time.Millisecond, func() {
+					b.accounts = s.left
+					b.configure(2)
+					b.view.Confirmed(b.clock.Now())
+				})
+				got := b.call(context.Background(), "/unsafe/a", nil)
+				if got.status != http.StatusServiceUnavailable || len(b.arrived()) != 0 {
+					t.Errorf("status %d, %d arrivals", got.status, len(b.arrived()))
+				}
+			})
 		})
-		got := b.call(context.Background(), "/unsafe/a", nil)
-		if got.status != http.StatusServiceUnavailable || len(b.arrived()) != 0 {
-			t.Errorf("status %d, %d arrivals", got.status, len(b.arrived()))
-		}
-	})
+	}
 }
 
 // A request waits 4.5 s at an entry whose configuration is not confirmed meanwhile, as when the entry is suspended,
--- a/pkg/ingress/testbed_test.go
+++ b/pkg/ingress/testbed_test.go
@@ -323,7 +323,7 @@
 
 // configure puts the testbed's routes and accounts into force, if the revision is above the present one.
 func (b *testbed) configure(revision routing.Revision) {
-	b.view.SetCatalog(routing.NewCatalog(revision, routing.Limits{BodyBytes: 1 << 16}, b.routes, nil, b.accounts))
+	b.view.SetCatalog(routing.NewCatalog(revision, routing.Limits{BodyBytes: 1 << 16}, b.routes, nil, routing.Accounts{List: b.accounts}))
 }
 
 // serve lists the target with index i, and lets it answer by its script, if it has one.
--- a/pkg/metering/deployment_test.go
+++ b/pkg/metering/deployment_test.go
@@ -92,7 +92,7 @@
 		link := packets.NewLink(d.Common, d.net.Socket(address(i)))
 		m := membership.New(d.Common, membership.Self{Name: ids.Process(fmt.Sprint("entry-", i)), Address: address(i), Weight: 1}, commontest.NoRows{}, link)
 		v := view.New(d.Check)
-		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, []*routing.Account{d.account}))
+		v.SetCatalog(routing.NewCatalog(1, routing.Limits{}, nil, nil, routing.Accounts{List: []*routing.Account{d.account}}))
 		d.meters = append(d.meters, metering.New(d.Common, bounds, v, m, link))
 		d.members = append(d.members, m)
 		d.views = append(d.views, v)
--- a/pkg/metering/owner_changes_test.go
+++ b/pkg/metering/owner_changes_test.go
@@ -79,7 +79,7 @@
 				owner, _ := d.members[0].Owner("account/a")
 				for i, v := range d.views {
 					if address(i) == owner {
-						v.SetCatalog(routing.NewCatalog(2, routing.Limits{}, nil, nil, s.accounts))
+						v.SetCatalog(routing.NewCatalog(2, routing.Limits{}, nil, nil, routing.Accounts{List: s.accounts}))
 						d.meters = slices.Delete(d.meters, i, i+1) // callers come to the others
 					}
 				}
--- a/pkg/metering/series_deployment_test.go
+++ b/pkg/metering/series_deployment_test.go
@@ -208,7 +208,7 @@
 
 // catalogOf returns a catalog of the next revision with one account.
 func (s *series) catalogOf(account *routing.Account) *routing.Catalog {
-	return routing.NewCatalog(routing.Revision(s.revision.Add(1)), routing.Limits{}, nil, nil, []*routing.Account{account})
+	return routing.NewCatalog(routing.Revision(s.revision.Add(1)), routing.Limits{}, nil, nil, routing.Accounts{List: []*routing.Account{account}})
 }
 
 // notifyEntries reports a changed row to the entries that reach the store.
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// Accounts are the client accounts of a configuration. The zero value admits only requests to anonymous routes.
+type Accounts struct {
+	// Open means that requests need no key, as the configuration has no list of accounts. An empty list is one.
+	Open bool
+	List []*Account
+}
+
 // Service is a set of interchangeable targets.
 type Service struct {
 	Name ids.Service
@@ -81,13 +88,13 @@
 	hosts    map[string][]*Route // by host, the longest prefix first
 	routes   map[string]*Route   // by name
 	keys     map[string]*Account // by key
-	accounts []*Account
+	accounts Accounts
 	byName   map[ids.Account]*Account
 	weights  map[ids.Account]float64 // of the accounts' shares of scarce capacity
 }
 
 // NewCatalog builds a catalog, with the routes of each host sorted for Route.
-func NewCatalog(revision Revision, limits Limits, routes []*Route, services []*Service, accounts []*Account) *Catalog {
+func NewCatalog(revision Revision, limits Limits, routes []*Route, services []*Service, accounts Accounts) *Catalog {
 	c := &Catalog{
 		Revision: revision,
 		Limits:   limits,
@@ -96,8 +103,8 @@
 		routes:   make(map[string]*Route, len(routes)),
 		keys:     make(map[string]*Account),
 		accounts: accounts,
-		byName:   make(map[ids.Account]*Account, len(accounts)),
-		weights:  shareWeights(accounts),
+		byName:   make(map[ids.Account]*Account, len(accounts.List)),
+		weights:  shareWeights(accounts.List),
 	}
 	for _, s := range services {
 		c.services[s.Name] = s
@@ -109,7 +116,7 @@
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	for _, a := range accounts {
+	for _, a := range accounts.List {
 		if c.byName[a.Name] == nil {
 			c.byName[a.Name] = a
 		}
@@ -171,12 +178,12 @@
 
 // Accounts returns all client accounts.
 func (c *Catalog) Accounts() []*Account {
-	return c.accounts
+	return c.accounts.List
 }
 
-// RequiresKey reports whether requests need a key: they do once there is a client account.
+// RequiresKey reports whether requests need a key, except to anonymous routes. They do even if no account is left.
 func (c *Catalog) RequiresKey() bool {
-	return len(c.accounts) > 0
+	return !c.accounts.Open
 }
 
 // Service returns a service, or nil. The catalog may be nil, as it is before the first one was read.
--- a/pkg/routing/example_test.go
+++ b/pkg/routing/example_test.go
@@ -12,7 +12,7 @@
 	c := routing.NewCatalog(1, routing.Limits{}, []*routing.Route{
 		{Name: "all", Host: "a.example", Prefix: "/", Split: split},
 		{Name: "notices", Host: "a.example", Prefix: "/notices/", Split: split},
-	}, nil, nil)
+	}, nil, routing.Accounts{Open: true})
 	fmt.Println(c.Route("a.example", "/notices/7").Name, c.Route("a.example", "/else").Name, c.Route("b.example", "/") == nil)
 	// Output: notices all true
 }
