routing: an empty key belongs to no client account

Cause: a request without a key is looked up by the empty text.

Change: the catalog knows no empty key.

Test: the case of an empty key in TestEmptyListOfAccountsAdmitsNobody failed before ("key \"\" belongs to an account: true").

--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -124,6 +124,7 @@
 			c.keys[key] = a
 		}
 	}
+	delete(c.keys, "") // that of callers who send none
 	return c
 }
 
