routing: a route without a service leads nowhere

Cause: a route without a service was left out, so that its requests went by a shorter prefix; one whose services all have weight 0 led to the last of them.

Change: such a route stays, and its requests are told that there is no route. PickService passes over services without a weight, also where rounding leaves a rest.

--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -128,12 +128,16 @@
 	return c
 }
 
-// Route returns the host's route with the longest prefix of path, or nil.
+// Route returns the host's route with the longest prefix of path, or nil if there is none or it leads nowhere.
 func (c *Catalog) Route(host, path string) *Route {
 	for _, r := range c.hosts[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+		if !strings.HasPrefix(path, r.Prefix) {
+			continue
 		}
+		if !r.leadsSomewhere() {
+			return nil
+		}
+		return r
 	}
 	return nil
 }
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -4,6 +4,8 @@
 package routing
 
 import (
+	"slices"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -45,7 +47,7 @@
 	// there is no such objective.
 	EventGap clock.Millis
 	Tier     ids.TierRank
-	// Split holds the services that requests go to; at least one.
+	// Split holds the services that requests go to. Without one that has a weight the route leads nowhere.
 	Split []WeightedService
 	// Attempts is how many targets one request may be sent to, one after the other.
 	Attempts int
@@ -61,20 +63,31 @@
 	return r.Kind == Safe || r.Kind == Stream && r.Resumable
 }
 
-// PickService returns the service for a random number from [0, 1), by the weights of the split.
+// PickService returns the service for a random number from [0, 1), by the weights of the split. It is empty if no service
+// has a weight.
 func (r *Route) PickService(draw float64) ids.Service {
 	total := 0
 	for _, s := range r.Split {
 		total += s.Weight
 	}
+	var picked ids.Service
 	left := draw * float64(total)
 	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
+		picked = s.Service
 		left -= float64(s.Weight)
 		if left < 0 {
-			return s.Service
+			break
 		}
 	}
-	return r.Split[len(r.Split)-1].Service
+	return picked // the last one if rounding has left a rest
+}
+
+// leadsSomewhere reports whether a service of the split has a weight.
+func (r *Route) leadsSomewhere() bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Weight > 0 })
 }
 
 // LeadsTo reports whether the route may send requests to a service.
