forward, agent: a head whose status no answer has is none

Here, on the platform, a caller did not get 000 itself, but worse: a status below 200 was taken for that of an interim answer, so that the body of such an answer was read as the next head. A success in it was taken for the engine's, and a report of not run was believed; anything else held the request until its deadline. By own settings the entry panicked over it, and passed 101, 600 and 999 on.

Cause: net/http takes any three digits for a status, and any version, and nothing here asked further.

Change: network.CheckFinal takes 200 to 599 of HTTP/1 for an answer; interim are 100 to 199 but 101, which nobody asks for. A head that is neither breaks the exchange at once, as other bytes that are no answer, without a word on whether the request ran. The agent asks the same, and the entry of the status that an agent names.

Tests: TestStatusThatNoAnswerHas failed before in 14 of 17 cases ("200 no", "declined 503", or 8 s until the deadline), and TestStatusThatNoAnswerHasReachesNoCaller in 10 of 10 ("invalid WriteHeader code 0", 101, 600 and 999 passed on).

--- a/pkg/agent/target_client.go
+++ b/pkg/agent/target_client.go
@@ -169,8 +169,7 @@
 	response, err := t.transport.RoundTrip(request)
 	switch {
 	case err == nil:
-		t.reportBackoff(response)
-		return response, nil
+		return t.checkAnswer(response)
 	case errors.Is(err, errNotReached), ctx.Err() == nil && tried.untouched():
 		return nil, fmt.Errorf("calling the target: %w: %w", errNotReached, err)
 	default:
@@ -178,6 +177,16 @@
 	}
 }
 
+// checkAnswer returns the response to a call, or an error if it is no answer.
+func (t *targetClient) checkAnswer(response *http.Response) (*http.Response, error) {
+	if err := network.CheckFinal(response); err != nil {
+		_ = response.Body.Close() // nothing of it is used
+		return nil, fmt.Errorf("calling the target: %w", err)
+	}
+	t.reportBackoff(response)
+	return response, nil
+}
+
 // hasEnded reports whether the target's process has ended: its address refuses connections. A target that can't be
 // reached for another reason counts as running.
 func (t *targetClient) hasEnded(ctx context.Context, target *declaration.Target) bool {
--- a/pkg/entry/answer_writer.go
+++ b/pkg/entry/answer_writer.go
@@ -8,8 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
+	"quaydock/pkg/network"
 	"quaydock/pkg/refusal"
 )
 
@@ -59,6 +62,9 @@
 	if err != nil {
 		return fmt.Errorf("reading the status of the answer: %w", err)
 	}
+	if !network.IsFinalStatus(status) {
+		return errors.NotValidf("status %d of the answer", status)
+	}
 	h := a.response.Header()
 	for name, values := range header {
 		if passed, own := strings.CutPrefix(name, control.PassPrefix); own {
--- a/pkg/forward/head.go
+++ b/pkg/forward/head.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+
+	"quaydock/pkg/network"
 )
 
 // maxHeadBytes limits the heads of an exchange, by headSize. It has room for some hundred fields, more than
@@ -19,7 +21,8 @@
 // size anyway.
 const freeHeadBytes = readBuffer
 
-// readHead reads the head of the next answer that is not an interim one.
+// readHead reads the head of the next answer that is not an interim one. A head that is none ends the exchange: where its
+// body ends, and an answer begins, is not known.
 func (e *exchange) readHead() (*http.Response, error) {
 	e.conn.source.countHead(e.countHead)
 	defer e.conn.source.countHead(nil)
@@ -28,9 +31,13 @@
 		if err != nil {
 			return nil, fmt.Errorf("reading the head of the answer: %w", shortened(err))
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if network.IsInterimStatus(response.StatusCode) {
+			continue
+		}
+		if err := network.CheckFinal(response); err != nil {
+			return nil, fmt.Errorf("reading the head of the answer: %w", err)
 		}
+		return response, nil
 	}
 }
 
