--- a/pkg/agent/answer_end_test.go
+++ b/pkg/agent/answer_end_test.go
@@ -72,6 +72,20 @@
 // runOnce sends a call to a target that answers with the given bytes and closes the connection, and its listener too if
 // it ends. It returns the answer, and the error of run.
 func runOnce(t *testing.T, answer string, model, ends bool) (*answerLog, error) {
+	t.Helper()
+	client := clientOf(t, func(c net.Conn, listener net.Listener) {
+		answerOnce(c, answer, func() {
+			if ends {
+				_ = listener.Close()
+			}
+		})
+	})
+	log := newAnswerLog(1 << 20)
+	return log, client.run(context.Background(), call{request: "r1", method: http.MethodPost, path: "/", header: make(http.Header), model: model}, log)
+}
+
+// clientOf returns a client of a target that serves each connection with a function, until the test ends.
+func clientOf(t *testing.T, serve func(c net.Conn, listener net.Listener)) *targetClient {
 	t.Helper()
 	const address = "10.0.0.9:80"
 	memory := network.NewMemory(nil)
@@ -79,25 +93,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
 			c, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go answerOnce(c, answer, func() {
-				if ends {
-					_ = listener.Close()
-				}
-			})
+			go serve(c, listener)
 		}
 	}()
 	client := newTargetClient(commontest.New(memory), func(clock.Millis) {})
-	defer client.close()
+	t.Cleanup(client.close)
 	client.set(declaration.Target{Name: "t", Address: "http://" + address})
-	log := newAnswerLog(1 << 20)
-	return log, client.run(context.Background(), call{request: "r1", method: http.MethodPost, path: "/", header: make(http.Header), model: model}, log)
+	return client
 }
 
 // answerOnce answers one request, if there is one, and closes the connection.
--- a/pkg/agent/second_answer_test.go
+++ b/pkg/agent/second_answer_test.go
@@ -10,36 +10,14 @@
 	"testing"
 	"testing/synctest"
 
-	"quaydock/pkg/clock"
-	"quaydock/pkg/commontest"
-	"quaydock/pkg/declaration"
 	"quaydock/pkg/ids"
-	"quaydock/pkg/network"
 )
 
 // TestSecondAnswerReachesNoOtherCaller guards against a caller who gets the answer to another one's request, which its target
 // sends a second time in the place of the next one.
 func TestSecondAnswerReachesNoOtherCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const address = "10.0.0.9:80"
-		memory := network.NewMemory(nil)
-		listener, err := memory.Listen(address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = listener.Close() }()
-		go func() {
-			for {
-				c, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go answerTwice(c)
-			}
-		}()
-		client := newTargetClient(commontest.New(memory), func(clock.Millis) {})
-		defer client.close()
-		client.set(declaration.Target{Name: "t", Address: "http://" + address})
+		client := clientOf(t, func(c net.Conn, _ net.Listener) { answerTwice(c) })
 		for _, id := range []ids.Request{"r1", "r2", "r3"} {
 			log := newAnswerLog(1 << 20)
 			if err := client.run(context.Background(), call{request: id, method: http.MethodPost, path: "/", header: make(http.Header)}, log); err != nil {
--- a/pkg/forward/answer_owner_test.go
+++ b/pkg/forward/answer_owner_test.go
@@ -31,25 +31,6 @@
 	wait   time.Duration // before the answer to a call that a late answer has gone before
 }
 
-// serve runs the target until the test ends.
-func (r *repeater) serve(t *testing.T, at network.Network) {
-	t.Helper()
-	listener, err := at.Listen(target.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for n := 1; ; n++ {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.converse(c, n)
-		}
-	}()
-}
-
 // converse serves one connection.
 func (r *repeater) converse(c net.Conn, connection int) {
 	defer func() { _ = c.Close() }()
@@ -99,7 +80,7 @@
 				return answer(c.id, c.id), ""
 			}
 		}}
-		r.serve(t, memory)
+		accept(t, memory, r.converse)
 		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		slow := make(chan string)
@@ -133,7 +114,7 @@
 			}
 			return answer(c.id, "yes"), ""
 		}}
-		r.serve(t, memory)
+		accept(t, memory, r.converse)
 		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		for _, want := range []string{"declined 503", "200 yes"} {
@@ -167,7 +148,7 @@
 				return "", ""
 			}
 		}}
-		r.serve(t, memory)
+		accept(t, memory, r.converse)
 		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		late := make(chan string)
@@ -191,7 +172,7 @@
 			}
 			return answer(c.id, "yes"), nameless("200 OK", "no")
 		}}
-		r.serve(t, memory)
+		accept(t, memory, r.converse)
 		pool := forward.NewPool(commontest.New(memory), readMetadata, askWho, nil)
 		defer pool.Close()
 		unnamed := request("")
--- a/pkg/forward/exchange.go
+++ b/pkg/forward/exchange.go
@@ -91,9 +91,9 @@
 	return true
 }
 
-// connect takes an idle connection or makes one. A request without an id gets a new one: what else comes on it could not be
-// told from its answer. One that was made while the target started again may lead to its
-// new incarnation, which must not run what was counted for the former one: then it is closed and connect fails.
+// connect takes an idle connection or makes one. A request without an id gets a new one, as nothing would tell its answer from
+// another that comes late on a used one. One that was made while the target started again may lead to its new incarnation,
+// which must not run what was counted for the former one: then it is closed and connect fails.
 func (e *exchange) connect() error {
 	if e.question || e.request.ID != "" {
 		e.conn = e.pool.takeIdle(e.target.Incarnation(), e.request.ID)
--- a/pkg/forward/exchange_test.go
+++ b/pkg/forward/exchange_test.go
@@ -31,6 +31,12 @@
 
 // serve runs an engine at the address until the test ends.
 func serve(t *testing.T, memory network.Network, e engine) {
+	t.Helper()
+	accept(t, memory, func(c net.Conn, n int) { converse(c, n, e) })
+}
+
+// accept serves the connections to the address, which are counted from 1, until the test ends.
+func accept(t testing.TB, memory network.Network, serve func(c net.Conn, n int)) {
 	t.Helper()
 	listener, err := memory.Listen(at)
 	if err != nil {
@@ -43,7 +49,7 @@
 			if err != nil {
 				return
 			}
-			go converse(c, n, e)
+			go serve(c, n)
 		}
 	}()
 }
--- a/pkg/forward/limit.go
+++ b/pkg/forward/limit.go
@@ -23,7 +23,7 @@
 	LimitMemory
 	// LimitNotRun is that of the rest of an answer that says that the request was not run, in bytes and in time.
 	LimitNotRun
-	// LimitStray is that of an answer to another request, in bytes and in time.
+	// LimitStray is that of an answer that does not belong to the request, in bytes and in time.
 	LimitStray
 	// LimitEvent is that of one event of a stream.
 	LimitEvent
--- a/pkg/forward/question_test.go
+++ b/pkg/forward/question_test.go
@@ -30,21 +30,10 @@
 // serve runs the target until the test ends.
 func (a *asked) serve(t testing.TB, at network.Network) {
 	t.Helper()
-	listener, err := at.Listen(target.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			a.conns.Add(1)
-			go a.converse(c)
-		}
-	}()
+	accept(t, at, func(c net.Conn, _ int) {
+		a.conns.Add(1)
+		a.converse(c)
+	})
 }
 
 // converse serves one connection.
--- a/pkg/routing/catalog.go
+++ b/pkg/routing/catalog.go
@@ -124,17 +124,17 @@
 			c.keys[key] = a
 		}
 	}
-	delete(c.keys, "") // that of callers who send none
+	delete(c.keys, "") // what callers without a key send
 	return c
 }
 
-// Route returns the host's route with the longest prefix of path, or nil if there is none or it leads nowhere.
+// Route returns the host's route with the longest prefix of path, or nil if there is none or it has no service.
 func (c *Catalog) Route(host, path string) *Route {
 	for _, r := range c.hosts[host] {
 		if !strings.HasPrefix(path, r.Prefix) {
 			continue
 		}
-		if !r.leadsSomewhere() {
+		if !r.hasService() {
 			return nil
 		}
 		return r
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -85,8 +85,8 @@
 	return picked // the last one if rounding has left a rest
 }
 
-// leadsSomewhere reports whether a service of the split has a weight.
-func (r *Route) leadsSomewhere() bool {
+// hasService reports whether a service of the split has a weight.
+func (r *Route) hasService() bool {
 	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Weight > 0 })
 }
 
