planner: tell how many slots are used, why no more, and what call times rest on

Cause: callers of a plain service are refused while most slots run nothing, and no line or metric tells how many slots of a target are used at most, by which limit, or how old the times are on which the limit of calls at once rests.

Change: the line of a planner gives the usable slots, up to ten targets with unused ones and why, and the times of calls by level of fill with their weight and age. A refusal while half of the slots or more run nothing is logged (sampled) and counted. Gauges slots_present, slots_usable and refusals_with_free_slots by service. No decision changes.

--- a/pkg/dispatch/gauges_test.go
+++ b/pkg/dispatch/gauges_test.go
@@ -41,6 +41,25 @@
 	})
 }
 
+// TestGaugesOfSlots checks that the entry that plans for a service tells how many of its slots are used at most.
+func TestGaugesOfSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newCluster(t)
+		assignment, refused, err := b.entries[0].Acquire(context.Background(), b.urgentRequest())
+		if assignment == nil {
+			t.Fatalf("refused %+v, %v", refused, err)
+		}
+		defer assignment.Done(planner.Served, planner.StreamStats{})
+		for _, want := range []string{
+			`quaydock_slots_present{service="s"} 8`, `quaydock_slots_usable{service="s"} 8`, `quaydock_refusals_with_free_slots{service="s"} 0`,
+		} {
+			if lines := b.gauges(); !slices.Contains(lines, want) {
+				t.Errorf("no %q in %q", want, lines)
+			}
+		}
+	})
+}
+
 // gauges returns the lines of the metrics of all entries.
 func (b *cluster) gauges() []string {
 	recorder := httptest.NewRecorder()
--- a/pkg/dispatch/owner.go
+++ b/pkg/dispatch/owner.go
@@ -56,7 +56,7 @@
 	// coldBounds returns the current bounds for requests to cold targets.
 	coldBounds func() planner.ColdBounds
 
-	sampler         *telemetry.Sampler // limits the lines of logLimit and logOverShare
+	sampler         *telemetry.Sampler // limits the lines of logLimit, logOverShare and logFreeSlots
 	slownessSampler *telemetry.Sampler // limits the lines of logSlowness
 	// stalls records when this process was stalled, whether or not it is an owner: what it reports of its own
 	// requests includes them.
--- a/pkg/dispatch/owner_gauges.go
+++ b/pkg/dispatch/owner_gauges.go
@@ -18,6 +18,9 @@
 		add("accounts_over_share", accounts.OverShare)
 		add("refusals_over_share", accounts.Refusals)
 		add("targets_slowed", g.planner.SlowedTargets(now))
+		add("slots_present", g.planner.Slots())
+		add("slots_usable", g.planner.UsableSlots(now))
+		add("refusals_with_free_slots", g.planner.RefusalsWhileFree())
 	}
 	return values
 }
--- a/pkg/dispatch/owner_messages.go
+++ b/pkg/dispatch/owner_messages.go
@@ -94,6 +94,7 @@
 				kind = backedOff
 			}
 			owner.logOverShare(&d)
+			owner.logFreeSlots(&d)
 			owner.sendDecision(d.ID, decisionMessage{Kind: kind, RetryAfter: d.RetryAfter, Ahead: d.Ahead, Wait: d.Wait})
 		case planner.Move:
 			owner.sendDecision(d.ID, decisionMessage{Kind: redispatch})
--- a/pkg/dispatch/owner_summary.go
+++ b/pkg/dispatch/owner_summary.go
@@ -19,7 +19,7 @@
 	}
 	g.lastLogged = now
 	s := g.planner.Summary(now)
-	owner.Log.WithFields(accountFields(&s.Accounts)).WithFields(logrus.Fields{
+	owner.Log.WithFields(accountFields(&s.Accounts)).WithFields(slotFields(&s)).WithFields(logrus.Fields{
 		"service": string(service), "targets": s.Targets, "aside": s.Ejected, "slots": s.Slots, "running": s.Running,
 		"waiting": s.Waiting, "per_second": roundToTenth(s.PerSecond),
 		"slowed": s.Slowed, "limited": s.Limited, "limited_per_second": roundToTenth(s.LimitedPerSecond),
--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -26,6 +26,7 @@
 	// short estimates the time in ms that shortQuantile of the calls stay below. Calls that run long see full targets
 	// more often, so that the mean of a level says little on what a full target takes longer.
 	short float64
+	at    clock.Millis // time of the newest observation
 }
 
 const (
@@ -41,8 +42,9 @@
 }
 
 // add adds an observation.
-func (c *callTimes) add(level int, ms float64) {
+func (c *callTimes) add(now clock.Millis, level int, ms float64) {
 	m := &c[level]
+	m.at = now
 	m.sum = m.sum*levelDecay + ms
 	m.n = m.n*levelDecay + 1
 	switch {
@@ -55,6 +57,28 @@
 	}
 }
 
+// CallLevel holds what is estimated of calls at one level of fill, for logs.
+type CallLevel struct {
+	// Eighths is the fill of a target at most, in eighths of its slots.
+	Eighths int
+	// Mean is the mean time of calls in ms, and Short the time that a quarter of them stay below, both for a target of factor 1.
+	Mean, Short float64
+	// Observations is the weight of the observations, and Age the age of the newest one.
+	Observations float64
+	Age          clock.Millis
+}
+
+// report returns the levels that were observed.
+func (c *callTimes) report(now clock.Millis) []CallLevel {
+	var levels []CallLevel
+	for i := range c {
+		if m := &c[i]; m.n > 0 {
+			levels = append(levels, CallLevel{Eighths: i + 1, Mean: m.sum / m.n, Short: m.short, Observations: m.n, Age: now - m.at})
+		}
+	}
+	return levels
+}
+
 // get returns the estimate for a level, and whether there are enough observations. It never falls with the level: a
 // level without many observations has about that of the levels below.
 func (c *callTimes) get(level int) (ms float64, known bool) {
@@ -168,6 +192,6 @@
 	if expected, known := p.callTimes.get(level); known {
 		t.factor.learn(took/max(1, expected), p.callTimes.factorWeight(level))
 	}
-	p.callTimes.add(level, took/t.factor.get())
+	p.callTimes.add(now, level, took/t.factor.get())
 	p.timings.firstEvent.add(0, took/t.factor.get())
 }
--- a/pkg/planner/job.go
+++ b/pkg/planner/job.go
@@ -114,6 +114,8 @@
 	BackedOff bool
 	// OverShare is the standing of the job's account if that asks for more than its share, nil otherwise.
 	OverShare *fairshare.Standing
+	// WhileFree tells of the slots if half of them or more ran nothing, nil otherwise.
+	WhileFree *FreeSlots
 }
 
 // Move reports that the target of a job does not respond and that the job should be sent to another one.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -39,6 +39,8 @@
 	shares       accountShares
 	decisions    []Decision // made since the last call of Decisions
 	off          ablation.Set
+
+	refusalsWhileFree int // refusals while half of the slots or more ran nothing
 }
 
 // New returns a planner without targets.
--- a/pkg/planner/refusal.go
+++ b/pkg/planner/refusal.go
@@ -117,7 +117,7 @@
 		p.addDecision(Refusal{ID: w.ID, RetryAfter: max(retry, AfterBackoff(backoff, p.random.Float64())), Ahead: ahead, Wait: backoff, BackedOff: true})
 		return
 	}
-	p.addDecision(Refusal{ID: w.ID, RetryAfter: retry, Ahead: ahead, Wait: wait, OverShare: p.shares.countRefusal(w)})
+	p.addDecision(Refusal{ID: w.ID, RetryAfter: retry, Ahead: ahead, Wait: wait, OverShare: p.shares.countRefusal(w), WhileFree: p.countFreeSlots(now)})
 	p.floorFor(&w.Job).raise(now, w, p.holdAfterRefusal(now))
 }
 
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -10,6 +10,13 @@
 	// Targets is the number of eligible targets, Ejected the number of those that are ejected, and Slots what they have
 	// together. Running and Waiting count jobs.
 	Targets, Ejected, Slots, Running, Waiting int
+	// Usable is how many of the slots are used at most, and Limits are the targets that do not use all of theirs.
+	Usable int
+	Limits []SlotUse
+	// CallTimes holds the estimated times of calls by level of fill, without levels that nothing was observed on.
+	CallTimes []CallLevel
+	// RefusalsWhileFree counts the refusals while half of the slots or more ran nothing.
+	RefusalsWhileFree int
 	// PerSecond is the rate at which jobs end, without those at canary targets.
 	PerSecond float64
 	// Limited is the number of targets that report a rate limit, and LimitedPerSecond the total rate of jobs that
@@ -34,8 +41,15 @@
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
 		Accounts: p.AccountSummary(), PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now),
+		RefusalsWhileFree: p.refusalsWhileFree, CallTimes: p.callTimes.report(now),
 		Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
+	for _, u := range p.slotsUsed(now) {
+		s.Usable += u.Usable
+		if u.Limit != Unlimited {
+			s.Limits = append(s.Limits, u)
+		}
+	}
 	s.FirstEventBase, s.FirstEventPerThousand = p.timings.firstEvent.fit()
 	s.FirstEventPerThousand *= 1000
 	s.IntervalBase, s.IntervalPerRun = p.timings.interval.fit()
