--- a/pkg/loadmodel/caller.go
+++ b/pkg/loadmodel/caller.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// firstEvent returns the time in ms to the first event of a caller's request without a prompt, at a target of speed factor
+// 1 that runs nothing else.
+func (l *Load) firstEvent(c *caller) float64 {
+	if c.kind.Work == 0 {
+		return l.Speed.FirstEvent
+	}
+	return c.kind.Work * c.size
+}
+
 // deadline returns the time from which an answer is useless.
 func (c *caller) deadline() clock.Millis { return c.firstTryAt + c.kind.Deadline }
 
--- a/pkg/loadmodel/load.go
+++ b/pkg/loadmodel/load.go
@@ -25,8 +25,10 @@
 	// PerSecond is the rate of new callers.
 	PerSecond float64 `json:"per_second"`
 	// Prompt and Events are the median size, in tokens and in events of the answer; Spread is the standard
-	// deviation of the size's logarithm.
+	// deviation of the size's logarithm. Work, if set, is the median time to the first event in ms at a target of speed
+	// factor 1 in place of Speed.FirstEvent; it grows with the size, too.
 	Prompt ids.Tokens `json:"prompt_tokens"`
+	Work   float64    `json:"work_ms,omitempty"`
 	Events int        `json:"events"`
 	Spread float64    `json:"spread"`
 	// Objective is the time limit for the first event, from the caller's first try on.
--- a/pkg/loadmodel/targets.go
+++ b/pkg/loadmodel/targets.go
@@ -45,7 +45,7 @@
 	t.running[c.id] = c
 	t.prefilling += c.prompt
 	const thousand = 1000
-	first := t.factor * t.crowding() * (s.load.Speed.FirstEvent + s.load.Speed.PerThousandTokens*float64(t.prefilling)/thousand)
+	first := t.factor * t.crowding() * (s.load.firstEvent(c) + s.load.Speed.PerThousandTokens*float64(t.prefilling)/thousand)
 	id := c.id
 	s.schedule(s.workEnd(now, t, first), func(now clock.Millis) { s.firstEvent(now, c, id) })
 }
--- a/pkg/loadmodel/upper_bound.go
+++ b/pkg/loadmodel/upper_bound.go
@@ -62,7 +62,7 @@
 func (s *simulation) runTime(c *caller) float64 {
 	speed := s.load.Speed
 	const thousand = 1000
-	return speed.FirstEvent + speed.PerThousandTokens*float64(c.prompt)/thousand + speed.Event*float64(c.events)
+	return s.load.firstEvent(c) + speed.PerThousandTokens*float64(c.prompt)/thousand + speed.Event*float64(c.events)
 }
 
 // slots returns the number of slots, in slots of targets of speed factor 1, in the window that begins at from;
