planner: compare calls at once by the fill at their grant, and by means

Cause: the limit of calls at once compared the time that a quarter of the calls at a level of fill stay below, a call counting at the mean of what ran at its grant and at its end. Calls that end soon stay at low levels, those that last see others come: of the calls at level one 45 in 100 were such that take some 4 ms, of those at levels three to five 18 to 20, while the others take 60. The quarter lay among the short ones in one and among the long ones in the other, so that one call at a time looked several times as fast.

Change: a call counts at the level at which it was granted, which does not depend on its length, and levels are compared by means, with a margin for what calls of unlike lengths explain. Times of a level are of one stretch of time. Targets that are always full are granted nothing at lower levels, so that one of them gets half as many calls for up to 2 s, at most each 10 s, while all are full.

--- a/pkg/dispatch/owner_slots.go
+++ b/pkg/dispatch/owner_slots.go
@@ -20,7 +20,7 @@
 	}
 	levels := make([]string, 0, len(s.CallTimes))
 	for _, l := range s.CallTimes {
-		levels = append(levels, fmt.Sprintf("%d/8: mean %.1f ms, short %.1f ms, n %.0f, age %d ms", l.Eighths, l.Mean, l.Short, l.Observations, l.Age))
+		levels = append(levels, fmt.Sprintf("%d/8: mean %.1f ms, n %.0f, age %d ms", l.Eighths, l.Mean, l.Observations, l.Age))
 	}
 	return logrus.Fields{
 		"slots_usable": s.Usable, "targets_with_unused_slots": len(s.Limits), "unused_slots": limits, "call_times": levels,
--- /dev/null
+++ b/pkg/planner/call_limit.go
@@ -0,0 +1,151 @@
+package planner
+
+import (
+	"math"
+
+	"quaydock/pkg/ablation"
+	"quaydock/pkg/clock"
+)
+
+// callLimit decides how many calls without a prompt and without events a target runs at once: fewer than it has slots if it
+// then completes more of them per second, as targets do that slow down when they are nearly full. A call counts at the level
+// of fill at which it was granted: what runs beside it later depends on how long it lasts.
+type callLimit [fillLevels]callLevel
+
+// callLevel holds the times of calls that were granted at one level.
+type callLevel struct {
+	// known is the newest sample of minObservations calls or more, the zero value before the first.
+	known callSample
+	// collecting is the sample that calls are added to.
+	collecting callSample
+}
+
+// callSample holds the times in ms of calls that came without a long pause, for a target of factor 1; newer ones count more.
+type callSample struct {
+	sum, n float64
+	at     clock.Millis // time of the newest one
+}
+
+// mean returns the mean time in ms.
+func (s *callSample) mean() float64 { return s.sum / s.n }
+
+const (
+	// notablyFewer is the fraction of the highest rate below which the rate of a full target counts as notably lower.
+	notablyFewer = 0.85
+	// maxSamplePause is the longest time between two calls of a sample: after it others may come.
+	maxSamplePause = clock.Second
+	// beyondLimitInterval is how often a target gets one call more than the limit, which shows whether that has become too
+	// low.
+	beyondLimitInterval = 3 * clock.Second
+)
+
+// add adds the time of a call that was granted at a level. After maxSamplePause without any, a new sample begins.
+func (c *callLimit) add(now clock.Millis, level int, ms float64) {
+	l := &c[level]
+	s := &l.collecting
+	if now-s.at > maxSamplePause {
+		*s = callSample{}
+	}
+	s.sum = s.sum*levelDecay + ms
+	s.n = s.n*levelDecay + 1
+	s.at = now
+	if s.n >= minObservations {
+		l.known = *s
+	}
+}
+
+// slots returns how many calls a target of a capacity runs at once. That is less than the capacity only if a full target
+// completes notably fewer.
+func (c *callLimit) slots(capacity int) int {
+	best, full := -1, -1
+	for level := range c {
+		if n := mostOfLevel(level, capacity); c[level].known.n == 0 || n == 0 || fillLevel(n, capacity) != level {
+			continue
+		}
+		full = level
+		if best < 0 || c.rate(level, capacity) > c.rate(best, capacity) {
+			best = level
+		}
+	}
+	if best == full || !c.notablyLower(full, best, capacity) {
+		return capacity
+	}
+	return mostOfLevel(best, capacity)
+}
+
+// rate returns how many calls a target of factor 1 completes in a ms at a level.
+func (c *callLimit) rate(level, capacity int) float64 {
+	return float64(mostOfLevel(level, capacity)) / max(1, c[level].known.mean())
+}
+
+// notablyLower reports whether the rate at a level is lower than at another one, by more than calls of unlike lengths explain
+// that came by chance.
+func (c *callLimit) notablyLower(level, other, capacity int) bool {
+	chance := math.Sqrt(1/c[level].known.n + 1/c[other].known.n)
+	return c.rate(level, capacity) < min(notablyFewer, math.Exp(-chance))*c.rate(other, capacity)
+}
+
+// slotsForCalls returns how many of a target's slots are used. It is fewer than the target has only as long as the service
+// has not had a stream.
+func (p *Planner) slotsForCalls(t *target) int {
+	if !p.limitsCalls() {
+		return t.capacity()
+	}
+	slots := p.callLimit.slots(t.capacity())
+	if p.fewerCalls.target == t {
+		return min(slots, halfOf(t.capacity()))
+	}
+	return slots
+}
+
+// limitsCalls reports whether targets may get fewer calls at once than they have slots.
+func (p *Planner) limitsCalls() bool {
+	return p.timings.interval.n == 0 && !p.off.Off(ablation.CallTimes)
+}
+
+// halfOf returns half of a target's slots, 1 at least.
+func halfOf(capacity int) int { return max(1, capacity/2) }
+
+// crowded reports whether a target has a free slot that is better left unused.
+func (p *Planner) crowded(now clock.Millis, t *target) bool {
+	limit := p.slotsForCalls(t)
+	if len(t.runs) < limit {
+		return false
+	}
+	return len(t.runs) > limit || limit < t.capacity() && now-t.beyondLimitAt < beyondLimitInterval
+}
+
+// fewerCallsTrial gives one target half as many calls as it has slots while all targets are full: nothing else would show
+// then that fewer calls at once end sooner.
+type fewerCallsTrial struct {
+	target *target // nil if none is under way
+	ended  clock.Millis
+	until  clock.Millis
+}
+
+const (
+	// fewerCallsInterval is the time between two trials with fewer calls. A trial takes half of the slots of one target.
+	fewerCallsInterval = 10 * clock.Second
+	// fewerCallsTime is the longest time of a trial.
+	fewerCallsTime = 2 * clock.Second
+)
+
+// tryFewerCalls begins a trial with fewer calls if all targets have been full for a while and nothing is known of half full
+// ones, and ends one that has shown enough.
+func (p *Planner) tryFewerCalls(now clock.Millis) {
+	f := &p.fewerCalls
+	if t := f.target; t != nil {
+		half := &p.callLimit[fillLevel(halfOf(t.capacity()), t.capacity())].collecting
+		if now >= f.until || half.at > f.until-fewerCallsTime && half.n >= 2*minObservations {
+			*f = fewerCallsTrial{ended: now}
+		}
+		return
+	}
+	if p.fullSince == 0 || now-p.fullSince < fullWindow || now-f.ended < fewerCallsInterval || !p.limitsCalls() || len(p.eligible) == 0 {
+		return
+	}
+	t := p.eligible[p.random.IntN(len(p.eligible))]
+	if p.callLimit.slots(t.capacity()) == t.capacity() && t.capacity() > 1 {
+		*f = fewerCallsTrial{target: t, until: now + fewerCallsTime}
+	}
+}
--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -23,60 +23,22 @@
 // levelMean is the mean time of the calls of one level in ms, in which newer ones count more.
 type levelMean struct {
 	sum, n float64
-	// short estimates the time in ms that shortQuantile of the calls stay below. Calls that run long see full targets
-	// more often, so that the mean of a level says little on what a full target takes longer.
-	short float64
-	at    clock.Millis // time of the newest observation
 }
 
-const (
-	shortQuantile = 0.25
-	// shortGain is the step of the estimate of short, as a fraction.
-	shortGain = 0.1
-)
-
 // fillLevel returns the level of a target that runs so many requests.
 func fillLevel(running, capacity int) int {
 	running = min(max(running, 1), capacity)
 	return (running*fillLevels+capacity-1)/capacity - 1
 }
 
+// mostOfLevel returns the most requests that a target runs on a level.
+func mostOfLevel(level, capacity int) int { return (level + 1) * capacity / fillLevels }
+
 // add adds an observation.
-func (c *callTimes) add(now clock.Millis, level int, ms float64) {
+func (c *callTimes) add(level int, ms float64) {
 	m := &c[level]
-	m.at = now
 	m.sum = m.sum*levelDecay + ms
 	m.n = m.n*levelDecay + 1
-	switch {
-	case m.short == 0:
-		m.short = ms
-	case ms < m.short:
-		m.short *= 1 - shortGain*(1-shortQuantile)
-	default:
-		m.short *= 1 + shortGain*shortQuantile
-	}
-}
-
-// CallLevel holds what is estimated of calls at one level of fill, for logs.
-type CallLevel struct {
-	// Eighths is the fill of a target at most, in eighths of its slots.
-	Eighths int
-	// Mean is the mean time of calls in ms, and Short the time that a quarter of them stay below, both for a target of factor 1.
-	Mean, Short float64
-	// Observations is the weight of the observations, and Age the age of the newest one.
-	Observations float64
-	Age          clock.Millis
-}
-
-// report returns the levels that were observed.
-func (c *callTimes) report(now clock.Millis) []CallLevel {
-	var levels []CallLevel
-	for i := range c {
-		if m := &c[i]; m.n > 0 {
-			levels = append(levels, CallLevel{Eighths: i + 1, Mean: m.sum / m.n, Short: m.short, Observations: m.n, Age: now - m.at})
-		}
-	}
-	return levels
 }
 
 // get returns the estimate for a level, and whether there are enough observations. It never falls with the level: a
@@ -108,51 +70,6 @@
 	return 1
 }
 
-// limit returns how many calls a target of a capacity runs at once so that it completes the most of them per second. It
-// is less than the capacity only if a full target completes notably fewer.
-func (c *callTimes) limit(capacity int) int {
-	best, bestRate, rate := capacity, 0.0, 0.0
-	for level := range fillLevels {
-		n := (level + 1) * capacity / fillLevels // the most that are on this level
-		if c[level].n < minObservations || n == 0 || fillLevel(n, capacity) != level {
-			continue
-		}
-		if rate = float64(n) / max(1, c[level].short); rate > bestRate {
-			best, bestRate = n, rate
-		}
-	}
-	if rate >= notablyFewer*bestRate {
-		return capacity
-	}
-	return best
-}
-
-const (
-	// notablyFewer is the fraction of the highest rate below which the rate of a full target counts as notably lower.
-	notablyFewer = 0.85
-	// beyondLimitInterval is how often a target gets one call more than the limit, which shows whether that has become too
-	// low.
-	beyondLimitInterval = 3 * clock.Second
-)
-
-// slotsForCalls returns how many of a target's slots are used. It is fewer than the target has only as long as the service
-// has not had a stream, and if targets then complete more calls.
-func (p *Planner) slotsForCalls(t *target) int {
-	if p.timings.interval.n > 0 || p.off.Off(ablation.CallTimes) {
-		return t.capacity()
-	}
-	return p.callTimes.limit(t.capacity())
-}
-
-// crowded reports whether a target has a free slot that is better left unused.
-func (p *Planner) crowded(now clock.Millis, t *target) bool {
-	limit := p.slotsForCalls(t)
-	if len(t.runs) < limit {
-		return false
-	}
-	return len(t.runs) > limit || now-t.beyondLimitAt < beyondLimitInterval
-}
-
 // isCall reports whether a job has neither a prompt nor events, so that its first event is its whole answer.
 func (j *Job) isCall() bool { return j.Prompt == 0 && j.Events == 0 }
 
@@ -188,10 +105,12 @@
 		p.timings.learnFirstEvent(&t.factor, r.promptAhead, took)
 		return
 	}
-	level := fillLevel((r.concurrency+len(t.runs)+1)/2, t.capacity())
+	level := fillLevel(r.concurrency, t.capacity())
 	if expected, known := p.callTimes.get(level); known {
 		t.factor.learn(took/max(1, expected), p.callTimes.factorWeight(level))
 	}
-	p.callTimes.add(now, level, took/t.factor.get())
-	p.timings.firstEvent.add(0, took/t.factor.get())
+	normal := took / t.factor.get()
+	p.callTimes.add(level, normal)
+	p.callLimit.add(now, level, normal)
+	p.timings.firstEvent.add(0, normal)
 }
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -25,6 +25,8 @@
 	runs         map[JobID]*run
 	timings      timings
 	callTimes    callTimes
+	callLimit    callLimit
+	fewerCalls   fewerCallsTrial
 	expected     expectedRate
 	persistence  slowdown.Persistence // of the slowness that the targets report
 	releases     rate                 // slots that became free, without those of canary targets
@@ -128,6 +130,7 @@
 	p.pruneBackoffs(now)
 	p.updateRateLimited(now)
 	p.place(now)
+	p.tryFewerCalls(now)
 	p.queue.removeIf(func(w *queuedJob) bool { return now >= w.Deadline || now-w.lastPoll > pollTimeout })
 	p.reviewQueue(now)
 }
--- a/pkg/planner/slots.go
+++ b/pkg/planner/slots.go
@@ -74,6 +74,28 @@
 	Slots, Free, Usable int
 }
 
+// CallLevel holds what is known of calls at one level of fill, for logs.
+type CallLevel struct {
+	// Eighths is the fill of a target at most, in eighths of its slots.
+	Eighths int
+	// Mean is the mean time in ms of calls that were granted at the level, for a target of factor 1.
+	Mean float64
+	// Observations is the weight of the observations, and Age the age of the newest one.
+	Observations float64
+	Age          clock.Millis
+}
+
+// report returns the levels that were observed.
+func (c *callLimit) report(now clock.Millis) []CallLevel {
+	var levels []CallLevel
+	for i := range c {
+		if s := &c[i].known; s.n > 0 {
+			levels = append(levels, CallLevel{Eighths: i + 1, Mean: s.mean(), Observations: s.n, Age: now - s.at})
+		}
+	}
+	return levels
+}
+
 // Slots returns how many slots the eligible targets have.
 func (p *Planner) Slots() int { return p.slots }
 
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -41,7 +41,7 @@
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
 		Accounts: p.AccountSummary(), PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now),
-		RefusalsWhileFree: p.refusalsWhileFree, CallTimes: p.callTimes.report(now),
+		RefusalsWhileFree: p.refusalsWhileFree, CallTimes: p.callLimit.report(now),
 		Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
 	for _, u := range p.slotsUsed(now) {
