planner: a limit of calls at once holds only while the level above it is slower

What callers saw: a plain service goes on being refused long after its targets could take more calls at once.

Cause: a limit excludes the levels above it, so that nothing is measured there any more, and what was measured stays as it was. One call of each target in 3 s was let through beyond it: it takes some 30 s until a single level is measured anew, and the levels beyond that were not reached.

Change: a sample of the level above the limit keeps the limit in force for a second. After that targets get as many calls as that level has, until ten or so have shown that they take longer, or the limit rises by this level, and the next one is asked at once. The single calls in 3 s are gone.

--- a/pkg/planner/call_limit.go
+++ b/pkg/planner/call_limit.go
@@ -9,7 +9,8 @@
 
 // callLimit decides how many calls without a prompt and without events a target runs at once: fewer than it has slots if it
 // then completes more of them per second, as targets do that slow down when they are nearly full. A call counts at the level
-// of fill at which it was granted: what runs beside it later depends on how long it lasts.
+// of fill at which it was granted: what runs beside it later depends on how long it lasts. The level above the limit is tried
+// again and again, since nothing else would show that the limit has become too low.
 type callLimit [fillLevels]callLevel
 
 // callLevel holds the times of calls that were granted at one level.
@@ -32,18 +33,16 @@
 const (
 	// notablyFewer is the fraction of the highest rate below which the rate of a full target counts as notably lower.
 	notablyFewer = 0.85
-	// maxSamplePause is the longest time between two calls of a sample: after it others may come.
-	maxSamplePause = clock.Second
-	// beyondLimitInterval is how often a target gets one call more than the limit, which shows whether that has become too
-	// low.
-	beyondLimitInterval = 3 * clock.Second
+	// confirmInterval is for how long a sample of the level above keeps the limit in force: callers may be refused meanwhile
+	// though slots are free. After as long a pause a new sample begins, as other calls may come then.
+	confirmInterval = clock.Second
 )
 
-// add adds the time of a call that was granted at a level. After maxSamplePause without any, a new sample begins.
+// add adds the time of a call that was granted at a level. After confirmInterval without any, a new sample begins.
 func (c *callLimit) add(now clock.Millis, level int, ms float64) {
 	l := &c[level]
 	s := &l.collecting
-	if now-s.at > maxSamplePause {
+	if now-s.at > confirmInterval {
 		*s = callSample{}
 	}
 	s.sum = s.sum*levelDecay + ms
@@ -55,8 +54,8 @@
 }
 
 // slots returns how many calls a target of a capacity runs at once. That is less than the capacity only if a full target
-// completes notably fewer.
-func (c *callLimit) slots(capacity int) int {
+// completes notably fewer, and only while the level above shows that more calls at once take longer; else it is that level.
+func (c *callLimit) slots(now clock.Millis, capacity int) int {
 	best, full := -1, -1
 	for level := range c {
 		if n := mostOfLevel(level, capacity); c[level].known.n == 0 || n == 0 || fillLevel(n, capacity) != level {
@@ -70,7 +69,12 @@
 	if best == full || !c.notablyLower(full, best, capacity) {
 		return capacity
 	}
-	return mostOfLevel(best, capacity)
+	most := mostOfLevel(best, capacity)
+	above := fillLevel(most+1, capacity)
+	if known := &c[above].known; known.n > 0 && now-known.at <= confirmInterval {
+		return most
+	}
+	return mostOfLevel(above, capacity)
 }
 
 // rate returns how many calls a target of factor 1 completes in a ms at a level.
@@ -87,11 +91,11 @@
 
 // slotsForCalls returns how many of a target's slots are used. It is fewer than the target has only as long as the service
 // has not had a stream.
-func (p *Planner) slotsForCalls(t *target) int {
+func (p *Planner) slotsForCalls(now clock.Millis, t *target) int {
 	if !p.limitsCalls() {
 		return t.capacity()
 	}
-	slots := p.callLimit.slots(t.capacity())
+	slots := p.callLimit.slots(now, t.capacity())
 	if p.fewerCalls.target == t {
 		return min(slots, halfOf(t.capacity()))
 	}
@@ -108,11 +112,7 @@
 
 // crowded reports whether a target has a free slot that is better left unused.
 func (p *Planner) crowded(now clock.Millis, t *target) bool {
-	limit := p.slotsForCalls(t)
-	if len(t.runs) < limit {
-		return false
-	}
-	return len(t.runs) > limit || limit < t.capacity() && now-t.beyondLimitAt < beyondLimitInterval
+	return len(t.runs) >= p.slotsForCalls(now, t)
 }
 
 // fewerCallsTrial gives one target half as many calls as it has slots while all targets are full: nothing else would show
@@ -145,7 +145,7 @@
 		return
 	}
 	t := p.eligible[p.random.IntN(len(p.eligible))]
-	if p.callLimit.slots(t.capacity()) == t.capacity() && t.capacity() > 1 {
+	if p.callLimit.slots(now, t.capacity()) == t.capacity() && t.capacity() > 1 {
 		*f = fewerCallsTrial{target: t, until: now + fewerCallsTime}
 	}
 }
--- a/pkg/planner/limit.go
+++ b/pkg/planner/limit.go
@@ -132,7 +132,7 @@
 	perSlot := float64(clock.Second) / p.runTime.get()
 	sum := float64(p.slots) * perSlot
 	for _, t := range p.eligible {
-		used := float64(p.slotsForCalls(t))
+		used := float64(p.slotsForCalls(now, t))
 		sum -= (float64(t.capacity()) - used) * perSlot
 		if c := t.slowdown.Forecast(now); c.Slowed() {
 			sum -= used * perSlot * (1 - 1/c.Excess())
--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -70,9 +70,6 @@
 // grant assigns a job to a target and takes the tokens that hasFreeSlot found in its buckets. The caller removes the
 // job from the queue.
 func (p *Planner) grant(now clock.Millis, w *queuedJob, t *target) *run {
-	if len(t.runs) >= p.slotsForCalls(t) {
-		t.beyondLimitAt = now
-	}
 	r := t.addRun(now, w.Job)
 	r.counted = t.limitBucket != nil
 	t.coldBucket.take()
--- a/pkg/planner/slots.go
+++ b/pkg/planner/slots.go
@@ -37,7 +37,7 @@
 // they don't limit what runs at once.
 func (p *Planner) slotUse(now clock.Millis, t *target, avoidFailing bool) SlotUse {
 	u := SlotUse{Target: t.ID, Slots: t.capacity(), Usable: t.capacity(), Running: len(t.runs)}
-	switch limit := p.slotsForCalls(t); {
+	switch limit := p.slotsForCalls(now, t); {
 	case avoidFailing && t.health.Ejected(now):
 		u.Usable, u.Limit = 0, Ejected
 	case avoidFailing && t.probing:
--- a/pkg/planner/slots_test.go
+++ b/pkg/planner/slots_test.go
@@ -1,10 +1,15 @@
 package planner_test
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"quaydock/pkg/clock"
+	"quaydock/pkg/ids"
 	"quaydock/pkg/loadmodel"
+	"quaydock/pkg/planner"
 )
 
 // mixedCalls is a load of calls of which some end far sooner than the others, with bursts that fill the targets for a
@@ -35,3 +40,101 @@
 		}
 	}
 }
+
+// fullTargets has callers that keep targets busy with calls of unlike lengths, each of whom sends one call after another.
+// Beside several others a call takes longer, until a moment.
+type fullTargets struct {
+	planner *planner.Planner
+	random  *rand.Rand
+	even    clock.Millis // from when on calls take no longer beside others
+	running map[ids.Target]int
+	calls   map[planner.JobID]fullTargetsCall
+	number  uint64
+	ended   int
+}
+
+// fullTargetsCall is a call that runs.
+type fullTargetsCall struct {
+	target ids.Target
+	ends   clock.Millis
+}
+
+// step lets a ms pass: calls end, and each of so many callers that has none sends the next one.
+func (f *fullTargets) step(now clock.Millis, callers int) {
+	for _, id := range f.ending(now) {
+		f.running[f.calls[id].target]--
+		delete(f.calls, id)
+		f.ended++
+		f.planner.RecordFirstEvent(now, id, nil)
+		f.planner.Finish(now, id, planner.Served, planner.StreamStats{})
+	}
+	for range callers - f.planner.Running() - f.planner.Waiting() {
+		f.number++
+		j := job(f.number, 0)
+		j.Prompt, j.Events, j.Arrived, j.Deadline = 0, 0, now, now+4*clock.Second
+		f.planner.Submit(now, j)
+		f.begin(now)
+	}
+	f.planner.Tick(now)
+	f.begin(now)
+}
+
+// ending returns the calls that end now, in the order in which they were sent.
+func (f *fullTargets) ending(now clock.Millis) []planner.JobID {
+	var ended []planner.JobID
+	for id, c := range f.calls {
+		if now >= c.ends {
+			ended = append(ended, id)
+		}
+	}
+	slices.SortFunc(ended, func(a, b planner.JobID) int { return cmp.Compare(a.Number, b.Number) })
+	return ended
+}
+
+// begin has the granted calls run: half of them some 15 ms, the others three times as long, and four times as long as that
+// beside more than two others.
+func (f *fullTargets) begin(now clock.Millis) {
+	for _, d := range f.planner.Decisions() {
+		g, granted := d.(planner.Grant)
+		if !granted {
+			continue
+		}
+		at := g.Incarnation.Target
+		f.running[at]++
+		length := 10 + f.random.IntN(10)
+		if f.random.IntN(2) == 0 {
+			length *= 3
+		}
+		if now < f.even && f.running[at] > 3 {
+			length *= 4
+		}
+		f.calls[g.ID] = fullTargetsCall{target: at, ends: now + clock.Millis(length)}
+	}
+}
+
+// TestCallsGetAllSlotsWithinASecondOnceTargetsSlowDownNoMore guards against a limit on calls at once that stays although
+// nothing has shown for long that more at once would take longer.
+func TestCallsGetAllSlotsWithinASecondOnceTargetsSlowDownNoMore(t *testing.T) {
+	const slots, targetSlots, callers = 6, 24, 36
+	even := start + 10*clock.Second
+	for seed := range uint64(8) {
+		f := &fullTargets{
+			planner: newPlanner(slots, slots, slots, slots), random: rand.New(rand.NewPCG(seed, 1)), even: even,
+			running: make(map[ids.Target]int), calls: make(map[planner.JobID]fullTargetsCall),
+		}
+		limited, usable := 0, 0.0
+		for now := start; now < even+3*clock.Second; now++ {
+			f.step(now, min(callers, 4+int((now-start)/(100*clock.Millisecond))))
+			if now == even-1 {
+				limited = f.planner.UsableSlots(now)
+			}
+			if now >= even+clock.Second {
+				usable += float64(f.planner.UsableSlots(now)) / (targetSlots * 2 * float64(clock.Second))
+			}
+		}
+		t.Logf("seed %d: %d of %d slots usable while targets slow down, %.3f of them from 1 s after they do no more", seed, limited, targetSlots, usable)
+		if limited > targetSlots/2 || usable < 0.9 {
+			t.Errorf("seed %d: %d of %d slots usable while targets slow down, then %.3f of them, want half and at least 0.9", seed, limited, targetSlots, usable)
+		}
+	}
+}
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -20,7 +20,6 @@
 	visitedSlowed  bool // as VisitSlownessChanges has last told
 	health         Health
 	lastFirstEvent clock.Millis // time of the most recent first event
-	beyondLimitAt  clock.Millis // time of the most recent grant beyond slotsForCalls
 	probing        bool         // was ejected and has served nothing since: gets one job at a time (see hasFreeSlot)
 	externalLoad   externalLoad
 	fillCount      int                     // how often it was chosen as trial.filling
