planner: estimates of calls learn by the factor that held before the call

Cause: a call's time was divided by a factor that had just learned from the same call. A long call counted for less, a short one for more; the estimate was too low, the ratio to it too high, the factor rose, and so on.

Change: the time counts by the factor from before, and an estimate is the sum of times by the sum of factors, since the mean of quotients is too high where factors vary.

--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -22,7 +22,8 @@
 
 // levelMean is the mean time of the calls of one level in ms, in which newer ones count more.
 type levelMean struct {
-	sum, n float64
+	sum float64 // ms, as measured
+	n   float64 // factors of the targets: one observation is 1 in the mean
 }
 
 // fillLevel returns the level of a target that runs so many requests.
@@ -34,11 +35,12 @@
 // mostOfLevel returns the most requests that a target runs on a level.
 func mostOfLevel(level, capacity int) int { return (level + 1) * capacity / fillLevels }
 
-// add adds an observation.
-func (c *callTimes) add(level int, ms float64) {
+// add adds the time in ms of a call at a target that had a factor. The factor must not have learned from this call yet: a
+// long one would count for less than a short one, so that the estimate would be too low.
+func (c *callTimes) add(level int, took, f float64) {
 	m := &c[level]
-	m.sum = m.sum*levelDecay + ms
-	m.n = m.n*levelDecay + 1
+	m.sum = m.sum*levelDecay + took
+	m.n = m.n*levelDecay + f
 }
 
 // get returns the estimate for a level, and whether there are enough observations. It never falls with the level: a
@@ -106,11 +108,11 @@
 		return
 	}
 	level := fillLevel(r.concurrency, t.capacity())
+	before := t.factor.get()
 	if expected, known := p.callTimes.get(level); known {
 		t.factor.learn(took/max(1, expected), p.callTimes.factorWeight(level))
 	}
-	normal := took / t.factor.get()
-	p.callTimes.add(level, normal)
-	p.callLimit.add(now, level, normal)
-	p.timings.firstEvent.add(0, normal)
+	p.callTimes.add(level, took, before)
+	p.callLimit.add(now, level, took/before)
+	p.timings.firstEvent.add(0, took/before)
 }
--- a/pkg/planner/slots_test.go
+++ b/pkg/planner/slots_test.go
@@ -138,3 +138,22 @@
 		}
 	}
 }
+
+// TestEstimatesOfUnlikeCallsKeepTheirScale guards against factors of targets that all rise, and estimates that fall in
+// return, so that times learned earlier cannot be compared with those of now.
+func TestEstimatesOfUnlikeCallsKeepTheirScale(t *testing.T) {
+	for seed := range uint64(8) {
+		load := mixedCalls(seed + 1)
+		load.Targets = []loadmodel.TargetGroup{{Count: 6, Slots: 6, Factor: 1}}
+		var last planner.Summary
+		loadmodel.Simulate(load, loadmodel.Observer{Submitted: func(now clock.Millis, p *planner.Planner, _ planner.JobID) { last = p.Summary(now) }})
+		mean := 0.0
+		for _, f := range last.Factors {
+			mean += f / float64(len(last.Factors))
+		}
+		t.Logf("seed %d: mean factor %.2f", seed+1, mean)
+		if mean < 0.5 || mean > 2 {
+			t.Errorf("seed %d: targets of factor 1 have the mean factor %.2f", seed+1, mean)
+		}
+	}
+}
