planner: center the factors of services of calls, too

What callers saw: nothing by itself; first answers of new processes are slow, and the factors of all targets of a plain service fell to .15 for good, near the limit at which targets of different speeds look alike.

Cause: the factors of services without streams were left out, since one estimate was all that they are used with. There is one for each level of fill.

Change: they are centered as all others are, and the times of calls multiplied by what the factors are divided by, so that what is expected does not change.

--- a/pkg/planner/call_limit.go
+++ b/pkg/planner/call_limit.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// scale multiplies all times.
+func (c *callLimit) scale(x float64) {
+	for i := range c {
+		c[i].known.sum *= x
+		c[i].collecting.sum *= x
+	}
+}
+
 // slots returns how many calls a target of a capacity runs at once. That is less than the capacity only if a full target
 // completes notably fewer, and only while the level above shows that more calls at once take longer; else it is that level.
 func (c *callLimit) slots(now clock.Millis, capacity int) int {
--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -43,6 +43,13 @@
 	m.n = m.n*levelDecay + f
 }
 
+// scale multiplies all estimates.
+func (c *callTimes) scale(x float64) {
+	for i := range c {
+		c[i].sum *= x
+	}
+}
+
 // get returns the estimate for a level, and whether there are enough observations. It never falls with the level: a
 // level without many observations has about that of the levels below.
 func (c *callTimes) get(level int) (ms float64, known bool) {
--- a/pkg/planner/call_times_test.go
+++ b/pkg/planner/call_times_test.go
@@ -27,6 +27,7 @@
 type closedLoop struct {
 	planner  *planner.Planner
 	random   *rand.Rand
+	streams  int // of a hundred requests
 	callers  [loopCallers]loopCaller
 	byNumber map[uint64]*loopCaller
 	sent     uint64
@@ -70,7 +71,7 @@
 		l.sent++
 		j := job(l.sent, 0)
 		j.Prompt, j.Events, j.Arrived, j.Deadline = 0, 0, now, now+4*clock.Second
-		*c = loopCaller{id: j.ID, stream: l.random.IntN(2) == 0, waits: true}
+		*c = loopCaller{id: j.ID, stream: l.random.IntN(100) < l.streams, waits: true}
 		l.byNumber[l.sent] = c
 		l.planner.Submit(now, j)
 	case c.ends > 0 && !c.begun && now >= c.begins:
@@ -103,18 +104,20 @@
 // TestEstimatesKeepTheirScale guards against factors of equal targets that all fall, and estimates that rise in return.
 // Estimates may be wrong by a factor of two, which the planner allows for; a factor also differs by what its target got.
 func TestEstimatesKeepTheirScale(t *testing.T) {
-	for seed := range uint64(8) {
-		const slots = 4
-		l := closedLoop{planner: newPlanner(slots, slots, slots, slots), random: rand.New(rand.NewPCG(seed, 1)), byNumber: make(map[uint64]*loopCaller)}
-		l.play()
-		s := l.planner.Summary(start + loopLength)
-		for id, f := range s.Factors {
-			if f < 0.25 || f > 4 {
-				t.Errorf("seed %d: target %s has the factor %.2f, want about 1", seed, id, f)
+	const slots = 4
+	for _, streams := range []int{50, 0} {
+		for seed := range uint64(8) {
+			l := closedLoop{planner: newPlanner(slots, slots, slots, slots), random: rand.New(rand.NewPCG(seed, 1)), streams: streams, byNumber: make(map[uint64]*loopCaller)}
+			l.play()
+			s := l.planner.Summary(start + loopLength)
+			for id, f := range s.Factors {
+				if f < 0.25 || f > 4 {
+					t.Errorf("%d streams in a hundred, seed %d: target %s has the factor %.2f, want about 1", streams, seed, id, f)
+				}
+			}
+			if got := s.IntervalBase + slots*s.IntervalPerRun; streams > 0 && (got < 0.5*float64(loopPause) || got > 2*float64(loopPause)) {
+				t.Errorf("seed %d: %.1f ms expected between events on a full target, want about %d", seed, got, loopPause)
 			}
-		}
-		if got := s.IntervalBase + slots*s.IntervalPerRun; got < 0.5*float64(loopPause) || got > 2*float64(loopPause) {
-			t.Errorf("seed %d: %.1f ms expected between events on a full target, want about %d", seed, got, loopPause)
 		}
 	}
 }
--- a/pkg/planner/factors.go
+++ b/pkg/planner/factors.go
@@ -10,12 +10,9 @@
 // centerFactors divides the known factors of the targets by their mean once that has drifted far from one. Factors are
 // learned from times divided by estimates, and estimates from times divided by factors: if an estimate is too high at
 // first, the factors fall, these raise the other estimates, and so on, until the factors reach their limit and targets of
-// different speeds seem alike. It answers services with streams; without any, one estimate is all that the factors are used
-// with.
+// different speeds seem alike. The times of calls are multiplied by the mean: those of levels that are not used now would
+// otherwise be of another scale than those to come.
 func (p *Planner) centerFactors() {
-	if p.timings.interval.n == 0 {
-		return
-	}
 	sum, known := 0.0, 0.0
 	for _, t := range p.eligible {
 		if t.factor.known {
@@ -30,4 +27,6 @@
 	for _, t := range p.eligible {
 		t.factor.value /= mean
 	}
+	p.callTimes.scale(mean)
+	p.callLimit.scale(mean)
 }
