planner: a call that would wait gets an idle target that was not heard of

What callers saw: a plain service lacks the slots of a target for good, once calls were slow there for some seconds; callers wait or are refused while it is idle.

Cause: a target on which a call would be late by its factor gets none as long as another one is fast enough, and a factor learns from calls alone: after a slow spell it stays at 5 or more.

Change: a call that would otherwise wait gets a free target that runs nothing and has not answered for a second, one at a time. No call is sent there while others have room.

--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -124,14 +124,21 @@
 }
 
 // cheapest returns the candidate target that serves a job at the lowest cost, or nil. If the job would be in time on
-// the fastest target when that is idle, only targets count on which it is in time and stalls no streams.
+// the fastest target when that is idle, only targets count on which it is in time and stalls no streams; but a call that
+// would have to wait gets an idle target that nothing has been heard of, as only that shows whether it is still so slow.
 func (p *Planner) cheapest(now clock.Millis, c *candidates, w *queuedJob) *target {
 	fastest, known := p.fastest(now, c, &w.Job)
 	inTimeOnly := known && !p.off.Off(ablation.InTime) && p.wouldBeInTime(now, w, fastest, idle())
-	var best *target
+	var best, unheard *target
 	var minCost float64
 	for _, t := range c.available {
-		if !t.mayGet(now, &w.Job) || p.heldForVersion(now, w, t) || !t.admits(now, w.ID.Entry) || inTimeOnly && (!p.wouldBeInTime(now, w, p.pace(now, t), t.occupancyWith()) || p.stallsStreams(now, t, w)) {
+		if !t.mayGet(now, &w.Job) || p.heldForVersion(now, w, t) || !t.admits(now, w.ID.Entry) {
+			continue
+		}
+		if inTimeOnly && (!p.wouldBeInTime(now, w, p.pace(now, t), t.occupancyWith()) || p.stallsStreams(now, t, w)) {
+			if t.unheard(now) && w.isCall() {
+				unheard = t
+			}
 			continue
 		}
 		// Random jitter spreads jobs over targets of equal cost.
@@ -140,6 +147,9 @@
 			best, minCost = t, cost
 		}
 	}
+	if best == nil {
+		return unheard
+	}
 	return best
 }
 
--- a/pkg/planner/slots_test.go
+++ b/pkg/planner/slots_test.go
@@ -47,12 +47,30 @@
 	planner *planner.Planner
 	random  *rand.Rand
 	even    clock.Millis // from when on calls take no longer beside others
+	slow    spell
 	running map[ids.Target]int
 	calls   map[planner.JobID]fullTargetsCall
 	number  uint64
+	granted map[ids.Target]int
 	ended   int
 }
 
+// newFullTargets returns four targets of six slots without calls.
+func newFullTargets(seed uint64) *fullTargets {
+	const slots = 6
+	return &fullTargets{
+		planner: newPlanner(slots, slots, slots, slots), random: rand.New(rand.NewPCG(seed, 1)),
+		running: make(map[ids.Target]int), calls: make(map[planner.JobID]fullTargetsCall), granted: make(map[ids.Target]int),
+	}
+}
+
+// spell is a time in which calls that begin at a target take so many times as long.
+type spell struct {
+	target      ids.Target
+	from, until clock.Millis
+	times       int
+}
+
 // fullTargetsCall is a call that runs.
 type fullTargetsCall struct {
 	target ids.Target
@@ -71,7 +89,7 @@
 	for range callers - f.planner.Running() - f.planner.Waiting() {
 		f.number++
 		j := job(f.number, 0)
-		j.Prompt, j.Events, j.Arrived, j.Deadline = 0, 0, now, now+4*clock.Second
+		j.Prompt, j.Events, j.Arrived, j.Objective, j.Deadline = 0, 0, now, 300, now+4*clock.Second
 		f.planner.Submit(now, j)
 		f.begin(now)
 	}
@@ -108,6 +126,10 @@
 		if now < f.even && f.running[at] > 3 {
 			length *= 4
 		}
+		if at == f.slow.target && now >= f.slow.from && now < f.slow.until {
+			length *= f.slow.times
+		}
+		f.granted[at]++
 		f.calls[g.ID] = fullTargetsCall{target: at, ends: now + clock.Millis(length)}
 	}
 }
@@ -115,13 +137,11 @@
 // TestCallsGetAllSlotsWithinASecondOnceTargetsSlowDownNoMore guards against a limit on calls at once that stays although
 // nothing has shown for long that more at once would take longer.
 func TestCallsGetAllSlotsWithinASecondOnceTargetsSlowDownNoMore(t *testing.T) {
-	const slots, targetSlots, callers = 6, 24, 36
+	const targetSlots, callers = 24, 36
 	even := start + 10*clock.Second
 	for seed := range uint64(8) {
-		f := &fullTargets{
-			planner: newPlanner(slots, slots, slots, slots), random: rand.New(rand.NewPCG(seed, 1)), even: even,
-			running: make(map[ids.Target]int), calls: make(map[planner.JobID]fullTargetsCall),
-		}
+		f := newFullTargets(seed)
+		f.even = even
 		limited, usable := 0, 0.0
 		for now := start; now < even+3*clock.Second; now++ {
 			f.step(now, min(callers, 4+int((now-start)/(100*clock.Millisecond))))
@@ -139,6 +159,27 @@
 	}
 }
 
+// TestTargetThatWasSlowGetsItsPartAgain guards against a target that gets nothing for good, as calls were slow there for a
+// while and nothing shows that they are no more, while callers wait for the others.
+func TestTargetThatWasSlowGetsItsPartAgain(t *testing.T) {
+	const callers = 21
+	for seed := range uint64(8) {
+		f := newFullTargets(seed)
+		f.slow = spell{target: "t0", from: start + 4*clock.Second, until: start + 7*clock.Second, times: 20}
+		for now := start; now < f.slow.until+8*clock.Second; now++ {
+			if now == f.slow.until+3*clock.Second {
+				clear(f.granted)
+			}
+			f.step(now, callers)
+		}
+		others := float64(f.granted["t1"]+f.granted["t2"]+f.granted["t3"]) / 3
+		t.Logf("seed %d: %d calls at the target that was slow, %.0f at each of the others", seed, f.granted["t0"], others)
+		if float64(f.granted["t0"]) < others/4 {
+			t.Errorf("seed %d: %d calls at the target that was slow, %.0f at each of the others", seed, f.granted["t0"], others)
+		}
+	}
+}
+
 // TestEstimatesOfUnlikeCallsKeepTheirScale guards against factors of targets that all rise, and estimates that fall in
 // return, so that times learned earlier cannot be compared with those of now.
 func TestEstimatesOfUnlikeCallsKeepTheirScale(t *testing.T) {
