--- a/pkg/dispatch/owner_slots.go
+++ b/pkg/dispatch/owner_slots.go
@@ -16,7 +16,7 @@
 func slotFields(s *planner.Summary) logrus.Fields {
 	limits := make(map[string]string)
 	for _, u := range s.Limits[:min(len(s.Limits), maxLoggedLimits)] {
-		limits[string(u.Target)] = fmt.Sprintf("%d of %d: %s", u.Usable, u.Slots, u.Limit)
+		limits[string(u.Target)] = fmt.Sprintf("%d of %d usable, %d running: %s", u.Usable, u.Slots, u.Running, u.Limit)
 	}
 	levels := make([]string, 0, len(s.CallTimes))
 	for _, l := range s.CallTimes {
--- a/pkg/planner/call_limit.go
+++ b/pkg/planner/call_limit.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// scale multiplies all times.
+// scale multiplies all times by a factor.
 func (c *callLimit) scale(x float64) {
 	for i := range c {
 		c[i].known.sum *= x
@@ -90,8 +90,8 @@
 	return float64(mostOfLevel(level, capacity)) / max(1, c[level].known.mean())
 }
 
-// notablyLower reports whether the rate at a level is lower than at another one, by more than calls of unlike lengths explain
-// that came by chance.
+// notablyLower reports whether the rate at a level is lower than at another one, by more than chance explains: calls differ
+// in length by about as much as they take in the mean.
 func (c *callLimit) notablyLower(level, other, capacity int) bool {
 	chance := math.Sqrt(1/c[level].known.n + 1/c[other].known.n)
 	return c.rate(level, capacity) < min(notablyFewer, math.Exp(-chance))*c.rate(other, capacity)
@@ -115,45 +115,7 @@
 	return p.timings.interval.n == 0 && !p.off.Off(ablation.CallTimes)
 }
 
-// halfOf returns half of a target's slots, 1 at least.
-func halfOf(capacity int) int { return max(1, capacity/2) }
-
 // crowded reports whether a target has a free slot that is better left unused.
 func (p *Planner) crowded(now clock.Millis, t *target) bool {
 	return len(t.runs) >= p.slotsForCalls(now, t)
 }
-
-// fewerCallsTrial gives one target half as many calls as it has slots while all targets are full: nothing else would show
-// then that fewer calls at once end sooner.
-type fewerCallsTrial struct {
-	target *target // nil if none is under way
-	ended  clock.Millis
-	until  clock.Millis
-}
-
-const (
-	// fewerCallsInterval is the time between two trials with fewer calls. A trial takes half of the slots of one target.
-	fewerCallsInterval = 10 * clock.Second
-	// fewerCallsTime is the longest time of a trial.
-	fewerCallsTime = 2 * clock.Second
-)
-
-// tryFewerCalls begins a trial with fewer calls if all targets have been full for a while and nothing is known of half full
-// ones, and ends one that has shown enough.
-func (p *Planner) tryFewerCalls(now clock.Millis) {
-	f := &p.fewerCalls
-	if t := f.target; t != nil {
-		half := &p.callLimit[fillLevel(halfOf(t.capacity()), t.capacity())].collecting
-		if now >= f.until || half.at > f.until-fewerCallsTime && half.n >= 2*minObservations {
-			*f = fewerCallsTrial{ended: now}
-		}
-		return
-	}
-	if p.fullSince == 0 || now-p.fullSince < fullWindow || now-f.ended < fewerCallsInterval || !p.limitsCalls() || len(p.eligible) == 0 {
-		return
-	}
-	t := p.eligible[p.random.IntN(len(p.eligible))]
-	if p.callLimit.slots(now, t.capacity()) == t.capacity() && t.capacity() > 1 {
-		*f = fewerCallsTrial{target: t, until: now + fewerCallsTime}
-	}
-}
--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -43,7 +43,7 @@
 	m.n = m.n*levelDecay + f
 }
 
-// scale multiplies all estimates.
+// scale multiplies all estimates by a factor.
 func (c *callTimes) scale(x float64) {
 	for i := range c {
 		c[i].sum *= x
--- a/pkg/planner/slots.go
+++ b/pkg/planner/slots.go
@@ -48,8 +48,8 @@
 	return u
 }
 
-// slotsUsed returns the use of the slots of all eligible targets, in the order of their ids.
-func (p *Planner) slotsUsed(now clock.Millis) []SlotUse {
+// slotUses returns the use of the slots of all eligible targets, in the order of their ids.
+func (p *Planner) slotUses(now clock.Millis) []SlotUse {
 	avoidFailing := p.halfHealthy(now)
 	uses := make([]SlotUse, 0, len(p.eligible))
 	for _, t := range p.eligible {
@@ -105,7 +105,7 @@
 // UsableSlots returns how many of the slots of the eligible targets are used at most.
 func (p *Planner) UsableSlots(now clock.Millis) int {
 	n := 0
-	for _, u := range p.slotsUsed(now) {
+	for _, u := range p.slotUses(now) {
 		n += u.Usable
 	}
 	return n
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -44,7 +44,7 @@
 		RefusalsWhileFree: p.refusalsWhileFree, CallTimes: p.callLimit.report(now),
 		Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
-	for _, u := range p.slotsUsed(now) {
+	for _, u := range p.slotUses(now) {
 		s.Usable += u.Usable
 		if u.Limit != Unlimited {
 			s.Limits = append(s.Limits, u)
