--- a/pkg/planner/place.go
+++ b/pkg/planner/place.go
@@ -125,19 +125,19 @@
 
 // cheapest returns the candidate target that serves a job at the lowest cost, or nil. If the job would be in time on
 // the fastest target when that is idle, only targets count on which it is in time and stalls no streams; but a call that
-// would have to wait gets an idle target that nothing has been heard of, as only that shows whether it is still so slow.
+// would have to wait gets an idle target whose factor may be out of date, as only a call shows whether it is still so slow.
 func (p *Planner) cheapest(now clock.Millis, c *candidates, w *queuedJob) *target {
 	fastest, known := p.fastest(now, c, &w.Job)
 	inTimeOnly := known && !p.off.Off(ablation.InTime) && p.wouldBeInTime(now, w, fastest, idle())
-	var best, unheard *target
+	var best, outdated *target
 	var minCost float64
 	for _, t := range c.available {
 		if !t.mayGet(now, &w.Job) || p.heldForVersion(now, w, t) || !t.admits(now, w.ID.Entry) {
 			continue
 		}
 		if inTimeOnly && (!p.wouldBeInTime(now, w, p.pace(now, t), t.occupancyWith()) || p.stallsStreams(now, t, w)) {
-			if t.unheard(now) && w.isCall() {
-				unheard = t
+			if t.factorOutdated(now) && w.isCall() {
+				outdated = t
 			}
 			continue
 		}
@@ -148,7 +148,7 @@
 		}
 	}
 	if best == nil {
-		return unheard
+		return outdated
 	}
 	return best
 }
--- a/pkg/planner/slots_test.go
+++ b/pkg/planner/slots_test.go
@@ -10,6 +10,7 @@
 	"quaydock/pkg/ids"
 	"quaydock/pkg/loadmodel"
 	"quaydock/pkg/planner"
+	"quaydock/pkg/ratelimit"
 )
 
 // mixedCalls is a load of calls of which some end far sooner than the others, with bursts that fill the targets for a
@@ -41,26 +42,25 @@
 	}
 }
 
-// fullTargets has callers that keep targets busy with calls of unlike lengths, each of whom sends one call after another.
+// busyTargets has callers that keep targets busy with calls of unlike lengths, each of whom sends one call after another.
 // Beside several others a call takes longer, until a moment.
-type fullTargets struct {
+type busyTargets struct {
 	planner *planner.Planner
 	random  *rand.Rand
 	even    clock.Millis // from when on calls take no longer beside others
 	slow    spell
 	running map[ids.Target]int
-	calls   map[planner.JobID]fullTargetsCall
+	calls   map[planner.JobID]busyCall
 	number  uint64
 	granted map[ids.Target]int
-	ended   int
 }
 
-// newFullTargets returns four targets of six slots without calls.
-func newFullTargets(seed uint64) *fullTargets {
+// newBusyTargets returns four targets of six slots without calls.
+func newBusyTargets(seed uint64) *busyTargets {
 	const slots = 6
-	return &fullTargets{
+	return &busyTargets{
 		planner: newPlanner(slots, slots, slots, slots), random: rand.New(rand.NewPCG(seed, 1)),
-		running: make(map[ids.Target]int), calls: make(map[planner.JobID]fullTargetsCall), granted: make(map[ids.Target]int),
+		running: make(map[ids.Target]int), calls: make(map[planner.JobID]busyCall), granted: make(map[ids.Target]int),
 	}
 }
 
@@ -71,18 +71,17 @@
 	times       int
 }
 
-// fullTargetsCall is a call that runs.
-type fullTargetsCall struct {
+// busyCall is a call that runs.
+type busyCall struct {
 	target ids.Target
 	ends   clock.Millis
 }
 
 // step lets a ms pass: calls end, and each of so many callers that has none sends the next one.
-func (f *fullTargets) step(now clock.Millis, callers int) {
+func (f *busyTargets) step(now clock.Millis, callers int) {
 	for _, id := range f.ending(now) {
 		f.running[f.calls[id].target]--
 		delete(f.calls, id)
-		f.ended++
 		f.planner.RecordFirstEvent(now, id, nil)
 		f.planner.Finish(now, id, planner.Served, planner.StreamStats{})
 	}
@@ -98,7 +97,7 @@
 }
 
 // ending returns the calls that end now, in the order in which they were sent.
-func (f *fullTargets) ending(now clock.Millis) []planner.JobID {
+func (f *busyTargets) ending(now clock.Millis) []planner.JobID {
 	var ended []planner.JobID
 	for id, c := range f.calls {
 		if now >= c.ends {
@@ -111,7 +110,7 @@
 
 // begin has the granted calls run: half of them some 15 ms, the others three times as long, and four times as long as that
 // beside more than two others.
-func (f *fullTargets) begin(now clock.Millis) {
+func (f *busyTargets) begin(now clock.Millis) {
 	for _, d := range f.planner.Decisions() {
 		g, granted := d.(planner.Grant)
 		if !granted {
@@ -130,7 +129,7 @@
 			length *= f.slow.times
 		}
 		f.granted[at]++
-		f.calls[g.ID] = fullTargetsCall{target: at, ends: now + clock.Millis(length)}
+		f.calls[g.ID] = busyCall{target: at, ends: now + clock.Millis(length)}
 	}
 }
 
@@ -140,7 +139,7 @@
 	const targetSlots, callers = 24, 36
 	even := start + 10*clock.Second
 	for seed := range uint64(8) {
-		f := newFullTargets(seed)
+		f := newBusyTargets(seed)
 		f.even = even
 		limited, usable := 0, 0.0
 		for now := start; now < even+3*clock.Second; now++ {
@@ -164,7 +163,7 @@
 func TestTargetThatWasSlowGetsItsPartAgain(t *testing.T) {
 	const callers = 21
 	for seed := range uint64(8) {
-		f := newFullTargets(seed)
+		f := newBusyTargets(seed)
 		f.slow = spell{target: "t0", from: start + 4*clock.Second, until: start + 7*clock.Second, times: 20}
 		for now := start; now < f.slow.until+8*clock.Second; now++ {
 			if now == f.slow.until+3*clock.Second {
@@ -180,6 +179,28 @@
 	}
 }
 
+// TestRefusalTellsOfFreeSlots guards against refusals beside free slots that nobody can see.
+func TestRefusalTellsOfFreeSlots(t *testing.T) {
+	const slots = 6
+	p := newPlanner(slots)
+	p.SetLimit(start, ids.TargetIncarnation{Target: "t0"}, ratelimit.Report{Known: true, Rate: 1, From: start, To: start})
+	var refusal planner.Refusal
+	for number := range uint64(40) {
+		p.Submit(start, job(number, 0))
+		for _, d := range p.Decisions() {
+			if r, refused := d.(planner.Refusal); refused {
+				refusal = r
+			}
+		}
+	}
+	if f := refusal.WhileFree; f == nil || f.Slots != slots || f.Usable != slots || f.Free != slots-p.Running() {
+		t.Errorf("got a refusal with %+v while %d of %d slots are taken by a rate limit", f, p.Running(), slots)
+	}
+	if p.RefusalsWhileFree() == 0 || p.RefusalsWhileFree() != p.Summary(start).RefusalsWhileFree {
+		t.Errorf("%d refusals with free slots, %d in the summary", p.RefusalsWhileFree(), p.Summary(start).RefusalsWhileFree)
+	}
+}
+
 // TestEstimatesOfUnlikeCallsKeepTheirScale guards against factors of targets that all rise, and estimates that fall in
 // return, so that times learned earlier cannot be compared with those of now.
 func TestEstimatesOfUnlikeCallsKeepTheirScale(t *testing.T) {
--- a/pkg/planner/target.go
+++ b/pkg/planner/target.go
@@ -78,12 +78,12 @@
 	return !avoidFailing || !t.probing || len(t.runs) == 0
 }
 
-// unheardAfter is the time without a first event after which the factor of a target may be out of date.
-const unheardAfter = clock.Second
+// factorLifetime is the time without a first event after which the factor of a target may be out of date.
+const factorLifetime = clock.Second
 
-// unheard reports whether the target runs nothing and has not answered for a while.
-func (t *target) unheard(now clock.Millis) bool {
-	return len(t.runs) == 0 && now-t.lastFirstEvent > unheardAfter
+// factorOutdated reports whether the target runs nothing and has not answered for a while, so that it may be faster by now.
+func (t *target) factorOutdated(now clock.Millis) bool {
+	return len(t.runs) == 0 && now-t.lastFirstEvent > factorLifetime
 }
 
 // capacity returns how many jobs the target may run at once, 1 if it declares no slots.
