planner: usable slots are counted without a sorted list; a trial's end follows from its start

Cause: each refusal while half of the slots are free, and each reading of the gauges, built and sorted a list of all targets only to sum it; a trial with fewer calls kept an end that is its start and a constant; a comment of a test told figures that stand in its code.

Change: UsableSlots sums, limitedTargets lists for the line alone; until is gone; the comment says what the load is for. No decision changes.

--- a/pkg/planner/fewer_calls.go
+++ b/pkg/planner/fewer_calls.go
@@ -5,9 +5,9 @@
 // fewerCallsTrial gives one target half as many calls as it has slots while all targets are full: nothing else would show
 // then that calls end sooner beside fewer others.
 type fewerCallsTrial struct {
-	target         *target // nil if no trial is under way
-	started, until clock.Millis
-	ended          clock.Millis // of the trial before
+	target  *target // nil if no trial is under way
+	started clock.Millis
+	ended   clock.Millis // of the trial before
 }
 
 const (
@@ -33,7 +33,7 @@
 	}
 	capacity := f.target.capacity()
 	half := &p.callLimit[fillLevel(halfOf(capacity), capacity)].collecting
-	if now >= f.until || half.at > f.started && half.n >= fewerCallsObservations {
+	if now-f.started >= fewerCallsTime || half.at > f.started && half.n >= fewerCallsObservations {
 		*f = fewerCallsTrial{ended: now}
 	}
 }
@@ -49,6 +49,6 @@
 func (p *Planner) beginFewerCalls(now clock.Millis) {
 	t := p.eligible[p.random.IntN(len(p.eligible))]
 	if t.capacity() > 1 && p.slotsForCalls(now, t) == t.capacity() {
-		p.fewerCalls = fewerCallsTrial{target: t, started: now, until: now + fewerCallsTime}
+		p.fewerCalls = fewerCallsTrial{target: t, started: now}
 	}
 }
--- a/pkg/planner/slots.go
+++ b/pkg/planner/slots.go
@@ -48,15 +48,17 @@
 	return u
 }
 
-// slotUses returns the use of the slots of all eligible targets, in the order of their ids.
-func (p *Planner) slotUses(now clock.Millis) []SlotUse {
+// limitedTargets returns the eligible targets that do not use all of their slots, in the order of their ids.
+func (p *Planner) limitedTargets(now clock.Millis) []SlotUse {
 	avoidFailing := p.halfHealthy(now)
-	uses := make([]SlotUse, 0, len(p.eligible))
+	var limited []SlotUse
 	for _, t := range p.eligible {
-		uses = append(uses, p.slotUse(now, t, avoidFailing))
+		if u := p.slotUse(now, t, avoidFailing); u.Limit != Unlimited {
+			limited = append(limited, u)
+		}
 	}
-	slices.SortFunc(uses, func(a, b SlotUse) int { return cmp.Compare(a.Target, b.Target) })
-	return uses
+	slices.SortFunc(limited, func(a, b SlotUse) int { return cmp.Compare(a.Target, b.Target) })
+	return limited
 }
 
 // freeSlots returns how many slots of the eligible targets run nothing, whether or not they are used.
@@ -104,9 +106,10 @@
 
 // UsableSlots returns how many of the slots of the eligible targets are used at most.
 func (p *Planner) UsableSlots(now clock.Millis) int {
+	avoidFailing := p.halfHealthy(now)
 	n := 0
-	for _, u := range p.slotUses(now) {
-		n += u.Usable
+	for _, t := range p.eligible {
+		n += p.slotUse(now, t, avoidFailing).Usable
 	}
 	return n
 }
--- a/pkg/planner/slots_test.go
+++ b/pkg/planner/slots_test.go
@@ -108,8 +108,7 @@
 	return ended
 }
 
-// begin has the granted calls run: half of them some 15 ms, the others three times as long, and four times as long as that
-// beside more than two others.
+// begin has the granted calls run: some of them take longer than others, and all take longer beside several others.
 func (f *busyTargets) begin(now clock.Millis) {
 	for _, d := range f.planner.Decisions() {
 		g, granted := d.(planner.Grant)
--- a/pkg/planner/summary.go
+++ b/pkg/planner/summary.go
@@ -41,15 +41,9 @@
 	s := Summary{
 		Targets: len(p.eligible), Slots: p.slots, Running: len(p.runs), Waiting: len(p.queue.jobs),
 		Accounts: p.AccountSummary(), PerSecond: p.releases.perSecond(now), Slowed: p.SlowedTargets(now),
-		RefusalsWhileFree: p.refusalsWhileFree, CallTimes: p.callLimit.report(now),
+		Usable: p.UsableSlots(now), Limits: p.limitedTargets(now), RefusalsWhileFree: p.refusalsWhileFree, CallTimes: p.callLimit.report(now),
 		Factors: make(map[ids.Target]float64, len(p.eligible)),
 	}
-	for _, u := range p.slotUses(now) {
-		s.Usable += u.Usable
-		if u.Limit != Unlimited {
-			s.Limits = append(s.Limits, u)
-		}
-	}
 	s.FirstEventBase, s.FirstEventPerThousand = p.timings.firstEvent.fit()
 	s.FirstEventPerThousand *= 1000
 	s.IntervalBase, s.IntervalPerRun = p.timings.interval.fit()
