clock: timers that no receiver runs, as the race detector crashes on those in virtual time

Cause: Go 1.26 (runtime/time.go, maybeRunChan and modify). A goroutine of a testing/synctest bubble that selects on a timer's channel runs the timer itself if it is due and not in the heap, and uses the one race context of the bubble's timers for it, without a lock. Two goroutines on two threads then write one ThreadState of ThreadSanitizer. Timers of zero length, for which guard.go and storetest had a line each, are the same.

Ruled out: memory of ours (no unsafe code there); the C library (no cgo). Shown by 40 goroutines that select on a ticker and on a channel closed at the same moment: SIGSEGV in SlotLock in 2 of 3 runs of 4 s; by timers that fall due while their goroutines sleep: CHECK failed in tsan_rtl.cpp in 3 of 3 runs.

Change: clock.Timer and clock.Ticker, which are fed by time.AfterFunc: such timers are always in the heap and run by the bubble alone.

--- a/pkg/agent/control_session.go
+++ b/pkg/agent/control_session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/control"
@@ -37,7 +36,7 @@
 
 // Notices waits for later verdicts. The reply has none if none comes within the time that the entry requested.
 func (s *controlSession) Notices(args *control.NoticeArgs, reply *control.NoticeReply) error {
-	timer := time.NewTimer(min(args.Wait, maxNoticeWait).Duration())
+	timer := clock.NewTimer(min(args.Wait, maxNoticeWait))
 	defer timer.Stop()
 	select {
 	case <-s.arrived:
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -70,7 +70,7 @@
 	if wait <= 0 {
 		return
 	}
-	timer := time.NewTimer(wait.Duration())
+	timer := NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/pkg/dispatch/pending.go
+++ b/pkg/dispatch/pending.go
@@ -4,8 +4,8 @@
 	"context"
 	"net/netip"
 	"slices"
-	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 	"quaydock/pkg/packets"
 	"quaydock/pkg/planner"
@@ -71,7 +71,7 @@
 		wait = pollInterval
 	}
 	p.unanswered++
-	timer := time.NewTimer(wait.Duration())
+	timer := clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		select {
--- a/pkg/entry/ticketing.go
+++ b/pkg/entry/ticketing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"quaydock/pkg/balance"
 	"quaydock/pkg/clock"
@@ -135,9 +134,9 @@
 // lost.
 func (t *ticketing) waitRound(ctx context.Context, r *request, current *round) waitResult {
 	defer t.withdrawPlaced(r, current)
-	var hedge <-chan time.Time // never ready if the usual number is placed at once
+	var hedge <-chan struct{} // never ready if the usual number is placed at once
 	if current.concurrent < t.ticketsPerRequest {
-		timer := time.NewTimer(hedgeAfter.Duration())
+		timer := clock.NewTimer(hedgeAfter)
 		defer timer.Stop()
 		hedge = timer.C
 	}
--- a/pkg/feedrelay/cluster_test.go
+++ b/pkg/feedrelay/cluster_test.go
@@ -131,7 +131,7 @@
 	if err := c.call(ctx); err != nil {
 		return follow.Batch{}, err
 	}
-	timer := time.NewTimer(wait.Duration())
+	timer := clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		c.mu.Lock()
--- a/pkg/feedrelay/fetch.go
+++ b/pkg/feedrelay/fetch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/follow"
@@ -97,7 +96,7 @@
 
 // waitOrFailure waits until the time is over, failed is closed or ctx ends.
 func waitOrFailure(ctx context.Context, wait clock.Millis, failed <-chan struct{}) {
-	timer := time.NewTimer(wait.Duration())
+	timer := clock.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/pkg/feedrelay/listen.go
+++ b/pkg/feedrelay/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/follow"
@@ -29,7 +28,7 @@
 // there has been no feed state to rely on for storeLostAfter. The batch is set with newState, and names the era with newEra.
 func (s *Source) listen(ctx context.Context, after history.Position) (follow.Batch, listenResult) {
 	relay := s.relay
-	again := time.NewTicker(minReadPause.Duration())
+	again := clock.NewTicker(minReadPause)
 	defer again.Stop()
 	for {
 		relay.mu.Lock()
--- a/pkg/feedrelay/peers.go
+++ b/pkg/feedrelay/peers.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"slices"
-	"time"
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
@@ -75,7 +74,7 @@
 	peers := s.candidatePeers(round)
 	answers := make(chan peerAnswer, len(peers))
 	failed := errNoPeer
-	next := time.NewTicker(nextPeerDelay.Duration())
+	next := clock.NewTicker(nextPeerDelay)
 	defer next.Stop()
 	query := func(peer netip.AddrPort) {
 		batch, err := s.requestChanges(ctx, peer, after)
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -114,7 +114,7 @@
 		return
 	default:
 	}
-	timer := time.NewTimer(startupWait.Duration())
+	timer := clock.NewTimer(startupWait)
 	defer timer.Stop()
 	select {
 	case <-a.view.Known():
--- a/pkg/ingress/caller_conns.go
+++ b/pkg/ingress/caller_conns.go
@@ -5,8 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
+	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
 	"quaydock/pkg/descriptors"
 )
@@ -189,11 +189,11 @@
 }
 
 // shortageCheckInterval is how often the end of a shortage is checked for.
-const shortageCheckInterval = 500 * time.Millisecond
+const shortageCheckInterval = 500 * clock.Millisecond
 
 // watchShortage checks periodically whether a shortage has ended, until closed.
 func (cc *callerConns) watchShortage(closed <-chan struct{}) {
-	ticker := time.NewTicker(shortageCheckInterval)
+	ticker := clock.NewTicker(shortageCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/pkg/membership/heartbeats.go
+++ b/pkg/membership/heartbeats.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"time"
 
 	"quaydock/pkg/ablation"
 	"quaydock/pkg/clock"
@@ -55,7 +54,7 @@
 
 // await waits until the time is over, ctx ends or the set of listed or alive entries changes.
 func (m *Members) await(ctx context.Context, wait clock.Millis) {
-	timer := time.NewTimer(wait.Duration())
+	timer := clock.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-m.wake:
--- a/pkg/quarantine/exclusive_runs.go
+++ b/pkg/quarantine/exclusive_runs.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/common"
@@ -117,7 +116,7 @@
 	x.waiting[run.number] = run
 	x.mu.Unlock()
 	x.link.Send(owner, packets.KindRunAsk, runRequest{Digest: run.digest, Number: run.number})
-	timer := time.NewTimer(ownerTimeout.Duration())
+	timer := clock.NewTimer(ownerTimeout)
 	defer timer.Stop()
 	select {
 	case granted := <-run.answers:
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -424,9 +423,8 @@
 		return
 	}
 	go g.persist(ctx)
-	// Not 0: selecting on a timer of zero length crashes the race detector in virtual time.
-	timer := time.NewTimer(time.Nanosecond)
-	defer timer.Stop()
+	timer := clock.NewTimer(0)
+	defer func() { timer.Stop() }()
 	for ctx.Err() == nil {
 		select {
 		case <-g.reports.wake:
@@ -435,7 +433,8 @@
 			return
 		}
 		if g.sendReports() {
-			timer.Reset(reportInterval.Duration())
+			timer.Stop()
+			timer = clock.NewTimer(reportInterval)
 		}
 	}
 }
--- a/pkg/streams/lookup.go
+++ b/pkg/streams/lookup.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"time"
 
 	"quaydock/pkg/clock"
 	"quaydock/pkg/history"
@@ -232,7 +231,7 @@
 		query.Key = s.Key
 	}
 	began := o.Clock.Now()
-	again := time.NewTicker(askAgainAfter.Duration())
+	again := clock.NewTicker(askAgainAfter)
 	defer again.Stop()
 	o.query(silent, &query)
 	owner, _ := o.peers.Owner(versionsShard(s.Service))
