quota: what was used is carried over to a window of another length

After retry_window_s has grown, retries were allowed for all requests since then, not for those of a window.

Cause: Ledger and RetryBudget number their steps by the time divided by the length of a step, which comes from the window in force. With longer steps the number of now is lower than that of the newest step, so that no step was ever cleared again and all amounts were added up for ever. With shorter steps all was dropped.

Change: steps, one type for both, know their length. If it changes, each amount moves to the step that holds the end of its old one, so that usage and retries are never understated, or its start, so that the requests that allow retries are never overstated.

Not mended: while entries differ in their window, an owner with the shorter one takes what others report of their longer one in full, and refuses more than it should until all have the same.

--- a/pkg/metering/deployment_test.go
+++ b/pkg/metering/deployment_test.go
@@ -48,8 +48,11 @@
 
 // deploy runs the default number of entries, all of which have read the list of entries.
 func deploy(ctx context.Context) *deployment {
-	account := &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: perSecond, Burst: burst, CountsTokens: true}
-	return deployMany(ctx, entries, account, bounds)
+	return deployMany(ctx, entries, defaultAccount(), bounds)
+}
+
+func defaultAccount() *routing.Account {
+	return &routing.Account{Name: "a", Keys: []string{"k"}, PerSecond: perSecond, Burst: burst, CountsTokens: true}
 }
 
 // deployMany runs entries that have read the list of entries, and lets them exchange heartbeats for a second.
@@ -107,6 +110,12 @@
 	return d.demandUnits(ctx, length, func() float64 { return 100 })
 }
 
+// demandRate has all entries together ask for so many units a second.
+func (d *deployment) demandRate(ctx context.Context, length time.Duration, perSecond float64) []take {
+	const requests = 100 // of each entry, in a second
+	return d.demandUnits(ctx, length, func() float64 { return perSecond / requests / float64(len(d.meters)) })
+}
+
 // demandUnits is demand with requests of drawn sizes.
 func (d *deployment) demandUnits(ctx context.Context, length time.Duration, draw func() float64) []take {
 	results := make(chan take, 100_000) // room for all: it is read only after the last
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -14,27 +14,20 @@
 // Ledger records what accounts have used in the last window, in units. It is safe for concurrent use.
 type Ledger struct {
 	mu       sync.Mutex
-	accounts map[ids.Account]*accountUsage
-}
-
-// accountUsage is what one account has used in each of the last steps. A step is numbered by its start divided by the
-// length of a step.
-type accountUsage struct {
-	steps      [ledgerSteps + 1]float64 // a ring: the units of step n are at n modulo its length
-	newestStep clock.Millis             // the number of the newest step, not a time
+	accounts map[ids.Account]*steps // units
 }
 
 // NewLedger returns a ledger without usage.
 func NewLedger() *Ledger {
-	return &Ledger{accounts: make(map[ids.Account]*accountUsage)}
+	return &Ledger{accounts: make(map[ids.Account]*steps)}
 }
 
-// Add records units that an account has used. All calls must pass the same window, as it sets the length of a step.
+// Add records units that an account has used. If the window is another one than in the last call, what was used stays,
+// as far as the last window reached back.
 func (l *Ledger) Add(now clock.Millis, account ids.Account, window clock.Millis, units float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	usage := l.advance(now, account, window)
-	usage.steps[usage.newestStep%clock.Millis(len(usage.steps))] += units
+	l.advance(now, account, window).addNow(units)
 }
 
 // Refund records that an account has not used units that were recorded at an earlier time. They are subtracted from
@@ -42,23 +35,19 @@
 func (l *Ledger) Refund(now, recorded clock.Millis, account ids.Account, window clock.Millis, units float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	usage := l.advance(now, account, window)
-	step := recorded / stepOf(window)
-	n := clock.Millis(len(usage.steps))
-	if step > usage.newestStep || step <= usage.newestStep-n {
-		return // it no longer counts
+	if amount := l.advance(now, account, window).at(recorded); amount != nil {
+		*amount -= units
 	}
-	usage.steps[step%n] -= units
 }
 
 // advance returns an account's usage, brought up to now; the lock is held.
-func (l *Ledger) advance(now clock.Millis, account ids.Account, window clock.Millis) *accountUsage {
+func (l *Ledger) advance(now clock.Millis, account ids.Account, window clock.Millis) *steps {
 	usage := l.accounts[account]
 	if usage == nil {
-		usage = &accountUsage{}
+		usage = &steps{amounts: make([]float64, ledgerSteps+1), placing: atEnd}
 		l.accounts[account] = usage
 	}
-	usage.advanceTo(now / stepOf(window))
+	usage.advance(now, max(1, window/ledgerSteps))
 	return usage
 }
 
@@ -66,16 +55,10 @@
 func (l *Ledger) UsedInWindow(now clock.Millis, account ids.Account, window clock.Millis) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	usage := l.accounts[account]
-	if usage == nil {
+	if l.accounts[account] == nil {
 		return 0
 	}
-	usage.advanceTo(now / stepOf(window))
-	sum := 0.0
-	for _, units := range usage.steps {
-		sum += units
-	}
-	return max(0, sum)
+	return max(0, l.advance(now, account, window).sum())
 }
 
 // Forget drops the accounts that are no longer known.
@@ -88,23 +71,3 @@
 		}
 	}
 }
-
-// stepOf returns the length of a step, at least 1 ms.
-func stepOf(window clock.Millis) clock.Millis {
-	return max(1, window/ledgerSteps)
-}
-
-// advanceTo makes the step of a number the newest, and clears those that are new in the ring. It does nothing if the
-// step is not newer. The ledger's lock is held.
-func (l *accountUsage) advanceTo(to clock.Millis) {
-	n := clock.Millis(len(l.steps))
-	if to-l.newestStep >= n {
-		clear(l.steps[:])
-		l.newestStep = to
-		return
-	}
-	for l.newestStep < to {
-		l.newestStep++
-		l.steps[l.newestStep%n] = 0
-	}
-}
--- a/pkg/quota/ledger_test.go
+++ b/pkg/quota/ledger_test.go
@@ -70,3 +70,40 @@
 		})
 	}
 }
+
+// TestLedgerNeverUnderstatesUsageOfChangedWindow changes the window at random: what was used in the present one counts, as far as
+// the one before reached back, and nothing counts for longer than a window and the steps of both.
+func TestLedgerNeverUnderstatesUsageOfChangedWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			at    clock.Millis
+			units float64
+		}
+		var all []entry
+		l, now := quota.NewLedger(), start
+		window := 8 * clock.Second
+		changed, before := clock.Millis(0), window // when the window changed, and the one before
+		for range rapid.IntRange(1, 100).Draw(t, "entries") {
+			now += clock.Millis(rapid.IntRange(0, 2000).Draw(t, "pause"))
+			if now-changed > window && rapid.IntRange(0, 9).Draw(t, "change") == 0 {
+				before, changed = window, now
+				window = clock.Second * clock.Millis(rapid.IntRange(1, 100).Draw(t, "window"))
+			}
+			e := entry{at: now, units: rapid.Float64Range(1, 100).Draw(t, "units")}
+			l.Add(now, "a", window, e.units)
+			all = append(all, e)
+			lowest, highest := 0.0, 0.0
+			for _, e := range all {
+				if now-e.at < window && (e.at >= changed || changed-e.at < before) {
+					lowest += e.units
+				}
+				if now-e.at <= window+window/16+before/16 {
+					highest += e.units
+				}
+			}
+			if got := l.UsedInWindow(now, "a", window); got < lowest-1e-6 || got > highest+1e-6 {
+				t.Fatalf("sum %.3f, want between %.3f and %.3f", got, lowest, highest)
+			}
+		}
+	})
+}
--- a/pkg/quota/retry_budget.go
+++ b/pkg/quota/retry_budget.go
@@ -32,12 +32,14 @@
 	services map[ids.Service]*tally
 }
 
-// tally counts the requests and retries of one service in the steps of the last window. A step is numbered by its start
-// divided by the length of a step; the counts of step n are at n modulo windowSteps.
-type tally struct {
-	step     clock.Millis // the number of the newest step, not a time
-	requests [windowSteps]float64
-	retries  [windowSteps]float64
+// tally counts the requests and retries of one service.
+type tally struct{ requests, retries steps }
+
+func newTally() *tally {
+	return &tally{
+		requests: steps{amounts: make([]float64, windowSteps), placing: atStart},
+		retries:  steps{amounts: make([]float64, windowSteps), placing: atEnd},
+	}
 }
 
 // NewRetryBudget returns the budget of an entry that starts now.
@@ -56,8 +58,7 @@
 func (b *RetryBudget) CountRequest(now clock.Millis, service ids.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.tallyAt(now, service)
-	t.requests[t.step%windowSteps]++
+	b.tallyAt(now, service).requests.addNow(1)
 }
 
 // TakeRetry reports whether a request may be sent to one more target of a service,
@@ -66,11 +67,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.tallyAt(now, service)
-	allowed := usableFraction * (b.bounds.Ratio*sum(&t.requests) + b.availableSlack(now)*share)
-	if sum(&t.retries)+1 > allowed {
+	allowed := usableFraction * (b.bounds.Ratio*t.requests.sum() + b.availableSlack(now)*share)
+	if t.retries.sum()+1 > allowed {
 		return false
 	}
-	t.retries[t.step%windowSteps]++
+	t.retries.addNow(1)
 	return true
 }
 
@@ -80,9 +81,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.services[service]
-	step := counted / max(1, b.bounds.Window/windowSteps)
-	if t != nil && t.step-step < windowSteps && t.retries[step%windowSteps] > 0 {
-		t.retries[step%windowSteps]--
+	if t == nil {
+		return
+	}
+	if retries := t.retries.at(counted); retries != nil && *retries > 0 {
+		*retries--
 	}
 }
 
@@ -100,26 +103,12 @@
 // tallyAt returns a service's tally, brought up to now; the lock is held.
 func (b *RetryBudget) tallyAt(now clock.Millis, service ids.Service) *tally {
 	t := b.services[service]
-	step := now / max(1, b.bounds.Window/windowSteps)
 	if t == nil {
-		t = &tally{step: step}
+		t = newTally()
 		b.services[service] = t
 	}
-	if step-t.step >= windowSteps {
-		*t = tally{step: step}
-	}
-	for t.step < step {
-		t.step++
-		t.requests[t.step%windowSteps] = 0
-		t.retries[t.step%windowSteps] = 0
-	}
+	length := max(1, b.bounds.Window/windowSteps)
+	t.requests.advance(now, length)
+	t.retries.advance(now, length)
 	return t
 }
-
-func sum(list *[windowSteps]float64) float64 {
-	total := 0.0
-	for _, x := range list {
-		total += x
-	}
-	return total
-}
