feedrelay: a read of the store is not cut by what is left of the listening before it

Cause: a read, and a fetch of missed changes, ran within what was left of the time in which the entry had listened to others. If that is next to nothing, the read is cut at once ("took 0 ms"), and counts as a store that does not answer: the entry tells the others so, and reads again only much later. Only after a read that had failed did the next one have a time of its own.

Change: withLeastTime: both last for at least the time that a read of an unknown store has, unless the process stops. A longer deadline stays as it was.

Result: TestStoreIsNotTakenForAwayByOwnShortWait (a store that answers within 20 ms, 5 ms left): both cases failed before ("context deadline exceeded", answered false), both pass now.

--- a/pkg/feedrelay/fetch.go
+++ b/pkg/feedrelay/fetch.go
@@ -28,11 +28,11 @@
 // entry, and an entry that the store rejects keeps the newest configuration and its freshness. Without that it
 // would refuse keyed requests after each large change.
 func (s *Source) fetch(ctx context.Context, after history.Position) (follow.Batch, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	peersOnly := storeFetchDelay + s.storeDelay()
+	ctx, cancel := withLeastTime(ctx, peersOnly+minReadPause+probeTimeout)
 	defer cancel()
 	answers := make(chan fetchResult, 2)
 	peersFailed := make(chan struct{})
-	peersOnly := storeFetchDelay + s.storeDelay()
 	go func() {
 		a := s.changesFromPeers(ctx, after, peersOnly)
 		if a.err != nil {
--- a/pkg/feedrelay/source.go
+++ b/pkg/feedrelay/source.go
@@ -147,10 +147,10 @@
 
 // readStore reads changes from the store, which may hold the query if it answered the last one.
 func (s *Source) readStore(ctx context.Context, after history.Position, wait clock.Millis) (follow.Batch, error) {
+	ctx, cancel := withLeastTime(ctx, probeTimeout)
+	defer cancel()
 	if !s.answeredLast {
-		// The read has its own timeout: listening may have used up that of ctx, and a read cut
-		// short by it would count as a store that does not answer.
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout.Duration())
+		limited, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 		defer cancel()
 		ctx, wait = limited, 0
 	}
