ingress: routes go by the path as it was sent

Cause: prefixes were compared with the decoded path.

Change: they are compared with the path of the request line. Nothing is decoded and no dot segment resolved; a request target in absolute form has the escaped path of its URL. The engine gets the path as before, byte for byte.

--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -215,7 +216,7 @@
 	catalog := a.view.Catalog()
 	now := a.Clock.Now()
 	age := a.view.Age(now)
-	route := catalog.Route(host(q.http.Host), q.http.URL.Path)
+	route := catalog.Route(host(q.http.Host), sentPath(q.http))
 	if route == nil {
 		return a.notFound(http.StatusNotFound, CauseNoRoute, age)
 	}
@@ -289,6 +290,14 @@
 	return field
 }
 
+// sentPath returns the path of a request as it was sent: escaped as it was, and without dot segments resolved.
+func sentPath(r *http.Request) string {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		return path
+	}
+	return r.URL.EscapedPath() // a request target in absolute form, which begins with a scheme
+}
+
 // refund returns the allowance of a request that has not run. The account is the one that was charged, as a later
 // resolve may have put another into the request; nil if none was.
 func (a *admission) refund(q *request, account *routing.Account) {
