ingress: a body that takes too long is told as not run, while it is late

One whose body never ends got no answer at all.

Cause: the end of the time for a body counted as a body that can't be read. The answer was sent only once the rest had come, since net/http reads what is left of a body before it answers, and the deadline of the connection had been removed.

Change: 408, cause SlowSender, which promises that the request has not run. The deadline stays in place after it has passed, so that the answer is sent at once and the connection closes; a process that ends answers so too. The time for a body stays the least of the route's time and the caller's deadline, and a second at least: an entry must not hold a request longer than timeout_ms.

--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -266,7 +267,10 @@
 	// A writer without deadlines, as in tests, is limited only by the caller.
 	_ = control.SetReadDeadline(time.Now().Add(left.Duration()))
 	body, err := a.readBody(q, reader)
-	_ = control.SetReadDeadline(noDeadline)
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	if !late { // else the server would wait for the rest of the body before it sends the answer
+		_ = control.SetReadDeadline(noDeadline)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errBuffersFull):
@@ -275,6 +279,8 @@
 		return refuse(http.StatusRequestEntityTooLarge, CauseTooLarge)
 	case err != nil && errors.Is(context.Cause(q.http.Context()), errEnded):
 		return notRun(CauseLeaving, a.drain.retryAfter(a.Clock.Now()))
+	case late:
+		return &Refusal{Status: http.StatusRequestTimeout, Cause: CauseSlowSender, Err: err}
 	case err != nil:
 		return &Refusal{Status: http.StatusBadRequest, Cause: CauseBadBody, Err: err}
 	}
--- a/pkg/ingress/cause_string.go
+++ b/pkg/ingress/cause_string.go
@@ -33,11 +33,12 @@
 	_ = x[CauseSlowReader-22]
 	_ = x[CauseBuffersFull-23]
 	_ = x[CauseRouteMoved-24]
+	_ = x[CauseSlowSender-25]
 }
 
-const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeavingCrowdedHeldBackNoTurnRestingVersionGoneOriginUnknownSlowReaderBuffersFullRouteMoved"
+const _Cause_name = "NoneStartingNoRouteUnknownKeyStaleKeysTooLargeBadBodyOverQuotaUnlistedOverloadedNoTargetDeclinedDeadlineLostLeftLeavingCrowdedHeldBackNoTurnRestingVersionGoneOriginUnknownSlowReaderBuffersFullRouteMovedSlowSender"
 
-var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119, 126, 134, 140, 147, 158, 171, 181, 192, 202}
+var _Cause_index = [...]uint8{0, 4, 12, 19, 29, 38, 46, 53, 62, 70, 80, 88, 96, 104, 108, 112, 119, 126, 134, 140, 147, 158, 171, 181, 192, 202, 212}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/ingress/refusal.go
+++ b/pkg/ingress/refusal.go
@@ -41,6 +41,7 @@
 	CauseBuffersFull   // too much is held for callers and targets to take the request's body
 	// CauseRouteMoved: the store still says that the streams of its route have all begun at another service.
 	CauseRouteMoved
+	CauseSlowSender // the body did not arrive in time
 )
 
 // Refusal is an answer that the entry gives itself, instead of a target's.
