planner: estimates of streams learn by the factor that held before the stream

Cause: as with calls: the estimate learned from a time divided by a factor that had just learned from it.

Change: the time counts by the factor from before, with that as its weight, as the mean of quotients is too high where factors vary.

--- a/pkg/planner/call_times.go
+++ b/pkg/planner/call_times.go
@@ -121,5 +121,5 @@
 	}
 	p.callTimes.add(level, took, before)
 	p.callLimit.add(now, level, took/before)
-	p.timings.firstEvent.add(0, took/before)
+	p.timings.firstEvent.add(0, took, before)
 }
--- a/pkg/planner/timings.go
+++ b/pkg/planner/timings.go
@@ -5,9 +5,10 @@
 	"quaydock/pkg/ids"
 )
 
-// line is a linear regression over observations in which newer ones count more.
+// line is a linear regression over observations in which newer ones count more. They are times of targets that differ in
+// speed, and the fit holds for one of factor 1.
 type line struct {
-	// n is the sum of the weights; the others are the weighted sums of x, y, x*x and x*y.
+	// n is the sum of the weights, which are 1 in the mean; the others are the weighted sums of x, y, x*x and x*y.
 	n, x, y, xx, xy float64
 }
 
@@ -15,13 +16,15 @@
 // hundred count.
 const lineDecay = 0.995
 
-// add adds an observation.
-func (l *line) add(x, y float64) {
-	l.n = l.n*lineDecay + 1
-	l.x = l.x*lineDecay + x
-	l.y = l.y*lineDecay + y
-	l.xx = l.xx*lineDecay + x*x
-	l.xy = l.xy*lineDecay + x*y
+// add adds a time of a target that had a factor, by which the time is divided and weighted: the mean of quotients would be
+// too high where factors vary. The factor must not have learned from this time yet: a long one would count for less than a
+// short one, so that the fit would be too low.
+func (l *line) add(x, took, f float64) {
+	l.n = l.n*lineDecay + f
+	l.x = l.x*lineDecay + f*x
+	l.y = l.y*lineDecay + took
+	l.xx = l.xx*lineDecay + f*x*x
+	l.xy = l.xy*lineDecay + x*took
 }
 
 // fit returns the value at 0 and the slope, neither below zero: if the value would be, the line goes through the origin
@@ -165,19 +168,21 @@
 // learnFirstEvent learns from the time in ms to a first event, before which so many prompt tokens were read. The time is
 // given without the slowdown of the target.
 func (s *timings) learnFirstEvent(f *factor, tokens ids.Tokens, took float64) {
+	before := f.get()
 	if s.firstEvent.n >= minObservations {
 		f.learn(took/max(1, s.firstEventTime(tokens)), 1)
 	}
-	s.firstEvent.add(float64(tokens), took/f.get())
+	s.firstEvent.add(float64(tokens), took, before)
 }
 
 // learnInterval learns from the mean time in ms between the events of a stream on a target that ran so many requests. The
 // time is given without the slowdown of the target.
 func (s *timings) learnInterval(f *factor, running int, took float64) {
+	before := f.get()
 	if s.interval.n >= minObservations {
 		f.learn(took/max(0.1, s.eventInterval(running)), 1)
 	}
-	s.interval.add(float64(running), took/f.get())
+	s.interval.add(float64(running), took, before)
 }
 
 // minObservations is how many observations a fit needs before target factors are learned against it.
