quota: the steps of a ledger reach back a whole window of any length

What callers saw: nothing; an account's usage counted for up to 24 ms less than a window of 7 s, so that an owner that has just taken over could give out that much twice (QUOTA).

Cause: a step is the window divided by 32, rounded down; 32 of them are shorter than a window that 32 does not divide. The 8 s of the usual settings are 250 ms each, so that it never showed.

Change: rounded up.

--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -47,7 +47,7 @@
 		usage = &steps{amounts: make([]float64, ledgerSteps+1), placing: atEnd}
 		l.accounts[account] = usage
 	}
-	usage.advance(now, max(1, window/ledgerSteps))
+	usage.advance(now, max(1, (window+ledgerSteps-1)/ledgerSteps)) // rounded up: shorter steps would not reach back a window
 	return usage
 }
 
