--- a/pkg/planner/load_test.go
+++ b/pkg/planner/load_test.go
@@ -90,7 +90,7 @@
 }
 
 // TestLargestRequestsAreServed has the largest tenth of each kind be served at least half as often as the whole kind, in the
-// mean of some simulations: in one of them a tenth of a kind is some fifty callers.
+// mean of some simulations: in one alone a tenth of a kind is too few callers to tell.
 func TestLargestRequestsAreServed(t *testing.T) {
 	for _, x := range []float64{0.5, 1, 1.2, 1.5, 2} {
 		t.Run(fmt.Sprint(x, " times"), func(t *testing.T) {
