planner: the pause between events is not extrapolated from chance

Cause: the time between a stream's events is a linear regression over how many runs its target has. The slope is chance then (9.1 ms a run at a standard error as large), and as the value at 0 came out below zero, the line was put through the origin. Targets of the new version run fewer requests; beside one run a pause of 6 ms was expected where all take 16, so that their answers seemed 1.8 and 3.5 times as slow as those of the old ones. Not load: streams of the old version took .63 of what was expected with .69 at the most.

Change: the slope is shrunk by how little it exceeds two standard errors, with an assumed noise of a quarter of the mean; a slope that chance explains is 0. It holds for the time to a first event by prompt tokens, too, and so for placing. Nothing more is kept or sent.

--- a/pkg/planner/timings.go
+++ b/pkg/planner/timings.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"math"
+
 	"quaydock/pkg/clock"
 	"quaydock/pkg/ids"
 )
@@ -33,10 +35,7 @@
 	if l.n < 1 {
 		return 0, 0
 	}
-	variance := l.xx - l.x*l.x/l.n
-	if variance > 1e-9 { // else all x are equal, and the slope is 0
-		slope = max(0, (l.xy-l.x*l.y/l.n)/variance)
-	}
+	slope = l.slope()
 	base = (l.y - slope*l.x) / l.n
 	if base < 0 {
 		return 0, l.y / max(l.x, 1)
@@ -44,6 +43,28 @@
 	return base, slope
 }
 
+const (
+	// lineNoise is the assumed standard deviation of times with the same x, as a fraction of the mean time.
+	lineNoise = 0.25
+	// slopeSigmas is the number of standard errors up to which a slope counts as chance.
+	slopeSigmas = 2.0
+)
+
+// slope returns the slope of the line, not below zero: that of least squares, the closer to 0 the less it exceeds what
+// chance gives where nearly all x are alike. Else the line would tell of an x far from these whatever chance has drawn.
+func (l *line) slope() float64 {
+	variance := l.xx - l.x*l.x/l.n // times n
+	if variance <= 1e-9 {
+		return 0 // all x are equal
+	}
+	slope := (l.xy - l.x*l.y/l.n) / variance
+	if slope <= 0 {
+		return 0
+	}
+	byChance := slopeSigmas * lineNoise * l.y / l.n / math.Sqrt(variance)
+	return slope * max(0, 1-byChance*byChance/(slope*slope))
+}
+
 // timings are the estimates for a group of targets, in ms: the time to the first event by the prompt tokens to be read
 // before it, and the time between events by the number of running requests. All hold for a target of factor 1.
 type timings struct {
