ingress: routes go by the path as sent for targets in absolute form, too

What callers saw: a request whose target names scheme and host went by its path escaped anew, so that "http://h/a^b" was routed by "/a%5Eb".

Cause: url.EscapedPath returns what was sent only where that is the usual form of the path, and another one else.

--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -298,10 +298,22 @@
 
 // sentPath returns the path of a request as it was sent: escaped as it was, and without dot segments resolved.
 func sentPath(r *http.Request) string {
-	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") {
-		return path
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	switch {
+	case r.URL.Scheme == "":
+		return target
+	case r.URL.Opaque != "":
+		return "" // as in "host:80"
+	}
+	_, rest, _ := strings.Cut(target, ":")
+	authority, hasAuthority := strings.CutPrefix(rest, "//")
+	if !hasAuthority {
+		return rest
+	}
+	if i := strings.Index(authority, "/"); i >= 0 {
+		return authority[i:]
 	}
-	return r.URL.EscapedPath() // a request target in absolute form, which begins with a scheme
+	return ""
 }
 
 // refund returns the allowance of a request that has not run. The account is the one that was charged, as a later
--- a/pkg/ingress/export_test.go
+++ b/pkg/ingress/export_test.go
@@ -13,3 +13,6 @@
 	}
 	return newBufferedConn(c), nil
 }
+
+// SentPath is exported for tests.
+var SentPath = sentPath
--- a/pkg/ingress/paths_test.go
+++ b/pkg/ingress/paths_test.go
@@ -6,9 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strings"
 	"testing"
 	"testing/synctest"
 
+	"quaydock/pkg/ingress"
 	"quaydock/pkg/routing"
 )
 
@@ -78,3 +81,24 @@
 	answer, _ := io.ReadAll(response.Body)
 	return response.StatusCode, string(answer)
 }
+
+// FuzzSentPath checks that routes go by the path that the engine sees: a part of the request target as it was sent, and
+// the same path once it is unescaped.
+func FuzzSentPath(f *testing.F) {
+	for _, target := range []string{"/", "/v2/library%2Fnginx", "/v2//a/../b?c=/d", "/%76%32/%2e%2E", "http://h/a%2Fb?c", "http://h", "/a%", "/a^b[]", "http://h/a^b", "*", "h:80"} {
+		f.Add(target)
+	}
+	f.Fuzz(func(t *testing.T, target string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n")))
+		if err != nil {
+			return // the server refuses it before it reaches this package
+		}
+		path := ingress.SentPath(r)
+		if !strings.Contains(r.RequestURI, path) {
+			t.Errorf("the target %q is routed by %q, which was not sent", r.RequestURI, path)
+		}
+		if seen, err := url.PathUnescape(path); err != nil || seen != r.URL.Path {
+			t.Errorf("the target %q is routed by %q, and the engine sees %q", r.RequestURI, path, r.URL.Path)
+		}
+	})
+}
