--- a/pkg/app/settings_changes_test.go
+++ b/pkg/app/settings_changes_test.go
@@ -91,23 +91,23 @@
 	const away = counted + settingsCounted
 	var mu sync.Mutex
 	var called, served [3]float64 // in the order of settingsResult
-	callers := func(key string, place int) {
+	callers := func(key string, column int) {
 		var calls sync.WaitGroup
 		for at := b.now(); at < away+settingsAway; at = b.now() {
 			calls.Go(func() {
 				status, _ := b.call(b.draw(len(b.entries)), "/safe/q", key, b.uniqueBody())
 				mu.Lock()
 				defer mu.Unlock()
-				place := place
+				column := column
 				switch {
 				case at < counted:
 					return
 				case at >= away:
-					place = 2
+					column = 2
 				}
-				called[place]++
+				called[column]++
 				if status == http.StatusOK {
-					served[place]++
+					served[column]++
 				}
 			})
 			time.Sleep(time.Second / callsPerSecond)
--- a/pkg/planner/timings.go
+++ b/pkg/planner/timings.go
@@ -50,8 +50,8 @@
 	slopeSigmas = 2.0
 )
 
-// slope returns the slope of the line, not below zero: that of least squares, the closer to 0 the less it exceeds what
-// chance gives where nearly all x are alike. Else the line would tell of an x far from these whatever chance has drawn.
+// slope returns the slope of the line, not below zero: that of least squares, shrunk towards 0 the less it exceeds what
+// chance gives. Where nearly all x are alike, chance would otherwise decide what the line says of an x far from these.
 func (l *line) slope() float64 {
 	variance := l.xx - l.x*l.x/l.n // times n
 	if variance <= 1e-9 {
