feedrelay: those next in line read the store before the last feed state is two seconds old

What callers could see: an entry in touch goes on with an old configuration for more than 2 s (CONFIG) where the entries that read the store for all, and those next in line, are cut off from it: 2.0 s with three of four, 2.5 s with five of nine.

Cause: the waits add up: 1.3 s until the last feed state is too old, 250 ms for each in line, up to 100 ms until the next look.

Change: 75 ms for each in line, as a read takes some ms if the store answers at all, and a look when the step is due.

Result: TestStoreStopsAnsweringFirstReaders, which failed with 2.0 to 2.5 s, has 1.8 s at the most with eight of twelve. Steps of 150 ms (2.4 s) and shorter held queries (3.0 s, two thirds more reads) were tried and are worse.

--- a/pkg/feedrelay/listen.go
+++ b/pkg/feedrelay/listen.go
@@ -28,8 +28,6 @@
 // there has been no feed state to rely on for storeLostAfter. The batch is set with newState, and names the era with newEra.
 func (s *Source) listen(ctx context.Context, after history.Position) (follow.Batch, listenResult) {
 	relay := s.relay
-	again := clock.NewTicker(minReadPause)
-	defer again.Stop()
 	for {
 		relay.mu.Lock()
 		t := relay.table(s.name)
@@ -38,25 +36,40 @@
 		if received.Era > after.Era {
 			return follow.Batch{Position: history.At(received.Era, 0)}, newEra
 		}
+		again := minReadPause // the last feed state may have become too old
 		if silence <= 0 {
 			if batch, found := received.since(after, s.confirmedAt); found != nothingNew {
 				return batch, found
 			}
-		} else if s.readDecision(silence, freshnessAge).shouldRead() {
-			return follow.Batch{}, shouldReadStore
+		} else {
+			decision := s.readDecision(silence, freshnessAge)
+			if decision.shouldRead() {
+				return follow.Batch{}, shouldReadStore
+			}
+			again = decision.untilDue()
 		}
 		if silence > storeLostAfter {
 			return follow.Batch{}, nothingNew
 		}
-		select {
-		case <-updated:
-		case <-again.C: // the last feed state may have become too old
-		case <-ctx.Done():
+		if !waitForUpdate(ctx, updated, again) {
 			return follow.Batch{}, nothingNew
 		}
 	}
 }
 
+// waitForUpdate waits until there is a new feed state, or a time is over. It returns false if ctx ends before.
+func waitForUpdate(ctx context.Context, updated <-chan struct{}, atMost clock.Millis) bool {
+	timer := clock.NewTimer(atMost)
+	defer timer.Stop()
+	select {
+	case <-updated:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // readDecision gathers the inputs of the decision whether this entry reads the store itself.
 func (s *Source) readDecision(silence, freshnessAge clock.Millis) readDecision {
 	entries, _ := s.relay.members.Entries()
--- a/pkg/feedrelay/read_decision.go
+++ b/pkg/feedrelay/read_decision.go
@@ -5,8 +5,9 @@
 const (
 	// backupStep is how much longer each next entry waits without a feed state before it acts
 	// as backup reader. The one before it may have begun: its first read is answered within some
-	// ms if the store answers at all.
-	backupStep = 250 * clock.Millisecond
+	// ms if the store answers at all. All backups have begun before the last feed state is two seconds
+	// old, the shortest limit on the age of configurations.
+	backupStep = 75 * clock.Millisecond
 	// maxBackups is how many entries act as backup readers, by their rank among the living. If
 	// the store rejects a third of all entries, it rejects all of them and the feed reader in
 	// one of 20,000 outages.
@@ -68,6 +69,15 @@
 	return t.answeredLast || t.sinceRead >= min(maxBackupPause, backupInterval*order*order)
 }
 
+// untilDue returns after what time the decision is to be made again, at the latest: once this entry may act as a backup
+// reader, or after minReadPause.
+func (t readDecision) untilDue() clock.Millis {
+	if due := clock.Millis(t.aliveRank)*backupStep - t.unreliableFor; due > 0 {
+		return min(minReadPause, due)
+	}
+	return minReadPause
+}
+
 // fallbackSpan is the time in which each entry makes one fallback read, so that all of them together keep to
 // fallbackSpacing.
 func fallbackSpan(entries int) clock.Millis {
--- a/pkg/feedrelay/size_test.go
+++ b/pkg/feedrelay/size_test.go
@@ -204,3 +204,31 @@
 		}
 	}
 }
+
+// TestStoreStopsAnsweringFirstReaders is TestStoreStopsAnsweringFeedReader for the feed reader and those who would read next.
+func TestStoreStopsAnsweringFirstReaders(t *testing.T) {
+	for _, s := range []struct{ entries, cutOff int }{{4, 2}, {4, 3}, {9, 5}, {12, 8}} {
+		for at := range 5 {
+			t.Run(fmt.Sprintf("%d of %d entries, %d", s.cutOff, s.entries, at), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newClusterOf(t, s.entries)
+					time.Sleep(time.Duration(5000+200*at) * time.Millisecond)
+					cutOff := make(map[int]bool)
+					for i, m := range b.members {
+						if rank, _ := m.FeedReaderRank("store"); rank < s.cutOff {
+							cutOff[i] = true
+							b.leaveUnanswered(i)
+							b.leaveHeldUnanswered(i)
+						}
+					}
+					began := time.Now()
+					b.store.put("change", "v")
+					time.Sleep(5 * time.Second)
+					if took := b.slowest("change", began, func(i int) bool { return !cutOff[i] }); took > 1800*time.Millisecond {
+						t.Errorf("reached all other entries after %v", took)
+					}
+				})
+			})
+		}
+	}
+}
