clock: Await, in place of six copies of a wait for a channel, a time or the end of a context

Change: clock.Await is that select, and clock.Pause is it without a channel. Behaviour is as before.

Result: the tests of clock, feedrelay, membership, ingress, agent and streams pass with the race detector.

--- a/pkg/agent/control_session.go
+++ b/pkg/agent/control_session.go
@@ -36,13 +36,7 @@
 
 // Notices waits for later verdicts. The reply has none if none comes within the time that the entry requested.
 func (s *controlSession) Notices(args *control.NoticeArgs, reply *control.NoticeReply) error {
-	timer := clock.NewTimer(min(args.Wait, maxNoticeWait))
-	defer timer.Stop()
-	select {
-	case <-s.arrived:
-	case <-timer.C:
-	case <-s.ctx.Done():
-	}
+	clock.Await(s.ctx, min(args.Wait, maxNoticeWait), s.arrived)
 	reply.Verdicts = s.takeVerdicts()
 	reply.Load = s.agent.load()
 	return nil
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -70,10 +70,16 @@
 	if wait <= 0 {
 		return
 	}
-	timer := NewTimer(wait)
+	Await(ctx, wait, nil)
+}
+
+// Await waits until it can receive from a channel, for a duration at most, or returns early when ctx ends.
+func Await(ctx context.Context, atMost Millis, from <-chan struct{}) {
+	timer := NewTimer(atMost)
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
+	case <-from:
 	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
--- a/pkg/feedrelay/fetch.go
+++ b/pkg/feedrelay/fetch.go
@@ -41,7 +41,7 @@
 		answers <- a
 	}()
 	go func() {
-		waitOrFailure(ctx, peersOnly+minReadPause, peersFailed)
+		clock.Await(ctx, peersOnly+minReadPause, peersFailed)
 		answers <- s.changesFromStore(ctx, after)
 	}()
 	var failed error
@@ -93,14 +93,3 @@
 		clock.Pause(ctx, s.random.Jitter(roundPause))
 	}
 }
-
-// waitOrFailure waits until the time is over, failed is closed or ctx ends.
-func waitOrFailure(ctx context.Context, wait clock.Millis, failed <-chan struct{}) {
-	timer := clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-failed:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/feedrelay/listen.go
+++ b/pkg/feedrelay/listen.go
@@ -51,25 +51,13 @@
 		if silence > storeLostAfter {
 			return follow.Batch{}, nothingNew
 		}
-		if !waitForUpdate(ctx, updated, again) {
+		clock.Await(ctx, again, updated)
+		if ctx.Err() != nil {
 			return follow.Batch{}, nothingNew
 		}
 	}
 }
 
-// waitForUpdate waits until there is a new feed state, or a time is over. It returns false if ctx ends before.
-func waitForUpdate(ctx context.Context, updated <-chan struct{}, atMost clock.Millis) bool {
-	timer := clock.NewTimer(atMost)
-	defer timer.Stop()
-	select {
-	case <-updated:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // readDecision gathers the inputs of the decision whether this entry reads the store itself.
 func (s *Source) readDecision(silence, freshnessAge clock.Millis) readDecision {
 	entries, _ := s.relay.members.Entries()
--- a/pkg/feedrelay/snapshot.go
+++ b/pkg/feedrelay/snapshot.go
@@ -74,7 +74,7 @@
 		answers <- fetchResult{batch: batch, err: err, fromStore: true, requestedAt: requestedAt}
 	}()
 	go func() {
-		waitOrFailure(ctx, snapshotPeersDelay, storeFailed)
+		clock.Await(ctx, snapshotPeersDelay, storeFailed)
 		if err := ctx.Err(); err != nil {
 			answers <- fetchResult{err: err} // the store has answered, or the time is over: no peer need be queried
 			return
--- a/pkg/ingress/admission.go
+++ b/pkg/ingress/admission.go
@@ -116,13 +116,7 @@
 		return
 	default:
 	}
-	timer := clock.NewTimer(startupWait)
-	defer timer.Stop()
-	select {
-	case <-a.view.Known():
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Await(ctx, startupWait, a.view.Known())
 }
 
 // newRequest returns a request that has just arrived.
--- a/pkg/membership/heartbeats.go
+++ b/pkg/membership/heartbeats.go
@@ -48,18 +48,7 @@
 		interval := m.interval()
 		minPause := min(interval, minHeartbeatGap*interval/heartbeatInterval)
 		clock.Pause(ctx, minPause)
-		m.await(ctx, interval-minPause)
-	}
-}
-
-// await waits until the time is over, ctx ends or the set of listed or alive entries changes.
-func (m *Members) await(ctx context.Context, wait clock.Millis) {
-	timer := clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-m.wake:
-	case <-timer.C:
-	case <-ctx.Done():
+		clock.Await(ctx, interval-minPause, m.wake)
 	}
 }
 
--- a/pkg/streams/record_keeper.go
+++ b/pkg/streams/record_keeper.go
@@ -62,7 +62,7 @@
 		if !complete {
 			pause = min(pause, max(askAt-now, 1))
 		}
-		o.awaitChange(ctx, pause)
+		clock.Await(ctx, pause, o.writer.wake)
 	}
 }
 
@@ -72,16 +72,6 @@
 	return o.routes.known() && (o.streams(service) || stored.record != nil)
 }
 
-// awaitChange waits until something changes that records depend on, or a time is over.
-func (o *Origins) awaitChange(ctx context.Context, pause clock.Millis) {
-	ctx, cancel := context.WithTimeout(ctx, pause.Duration())
-	defer cancel()
-	select {
-	case <-o.writer.wake:
-	case <-ctx.Done():
-	}
-}
-
 // askVersions asks the owner of a service for its versions if this entry may not know them all and ask is set. It reports
 // whether it knows them, and the routes.
 func (o *Origins) askVersions(service ids.Service, ask bool) bool {
