feedrelay: two tests of silent readers share their play

Cause: TestStoreStopsAnsweringFirstReaders was TestStoreStopsAnsweringFeedReader written again with another number of entries.

Change: both call one play with their numbers. Moments, limit and assertions are as before; it also checks now that the feed reader is among those that are cut off.

--- a/pkg/feedrelay/size_test.go
+++ b/pkg/feedrelay/size_test.go
@@ -185,50 +185,44 @@
 // age of configurations, at whatever moment of the feed reader's held query the store stops.
 func TestStoreStopsAnsweringFeedReader(t *testing.T) {
 	for _, n := range []int{4, 30} {
-		for at := range 5 {
-			t.Run(fmt.Sprint(n, " entries, ", at), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					b := newClusterOf(t, n)
-					time.Sleep(time.Duration(5000+200*at) * time.Millisecond)
-					reader := b.feedReader()
-					b.leaveUnanswered(reader)
-					b.leaveHeldUnanswered(reader)
-					began := time.Now()
-					b.store.put("change", "v")
-					time.Sleep(5 * time.Second)
-					if took := b.slowest("change", began, func(i int) bool { return i != reader }); took > 1800*time.Millisecond {
-						t.Errorf("reached all entries after %v", took)
-					}
-				})
-			})
-		}
+		checkChangeBesideSilentReaders(t, n, 1)
 	}
 }
 
 // TestStoreStopsAnsweringFirstReaders is TestStoreStopsAnsweringFeedReader for the feed reader and those who would read next.
 func TestStoreStopsAnsweringFirstReaders(t *testing.T) {
 	for _, s := range []struct{ entries, cutOff int }{{4, 2}, {4, 3}, {9, 5}, {12, 8}} {
-		for at := range 5 {
-			t.Run(fmt.Sprintf("%d of %d entries, %d", s.cutOff, s.entries, at), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					b := newClusterOf(t, s.entries)
-					time.Sleep(time.Duration(5000+200*at) * time.Millisecond)
-					cutOff := make(map[int]bool)
-					for i, m := range b.members {
-						if rank, _ := m.FeedReaderRank("store"); rank < s.cutOff {
-							cutOff[i] = true
-							b.leaveUnanswered(i)
-							b.leaveHeldUnanswered(i)
-						}
-					}
-					began := time.Now()
-					b.store.put("change", "v")
-					time.Sleep(5 * time.Second)
-					if took := b.slowest("change", began, func(i int) bool { return !cutOff[i] }); took > 1800*time.Millisecond {
-						t.Errorf("reached all other entries after %v", took)
+		checkChangeBesideSilentReaders(t, s.entries, s.cutOff)
+	}
+}
+
+// checkChangeBesideSilentReaders has the store stop answering the first readers at some moments of a held query, and checks
+// when the other entries have a change.
+func checkChangeBesideSilentReaders(t *testing.T, entries, silent int) {
+	t.Helper()
+	for at := range 5 {
+		t.Run(fmt.Sprintf("%d of %d entries, %d", silent, entries, at), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newClusterOf(t, entries)
+				time.Sleep(time.Duration(5000+200*at) * time.Millisecond)
+				cutOff := make(map[int]bool)
+				for i, m := range b.members {
+					if rank, _ := m.FeedReaderRank("store"); rank < silent {
+						cutOff[i] = true
+						b.leaveUnanswered(i)
+						b.leaveHeldUnanswered(i)
 					}
-				})
+				}
+				if len(cutOff) != silent || !cutOff[b.feedReader()] {
+					t.Fatalf("%d entries are cut off, the feed reader among them: %t", len(cutOff), cutOff[b.feedReader()])
+				}
+				began := time.Now()
+				b.store.put("change", "v")
+				time.Sleep(5 * time.Second)
+				if took := b.slowest("change", began, func(i int) bool { return !cutOff[i] }); took > 1800*time.Millisecond {
+					t.Errorf("reached all other entries after %v", took)
+				}
 			})
-		}
+		})
 	}
 }
