app: three beds start their targets and entries in one way

Cause: the bed of changed settings wrote the end of newBed again, as the one of copies of the store had.

Change: crashBed.startTargetsAndEntries.

--- a/pkg/app/crash_bed_test.go
+++ b/pkg/app/crash_bed_test.go
@@ -136,15 +136,20 @@
 	if empty {
 		return b
 	}
-	for n := range targets {
+	b.startTargetsAndEntries(2 * time.Second)
+	return b
+}
+
+// startTargetsAndEntries starts all targets and entries and waits until they have settled, from when on the bed counts time.
+func (b *crashBed) startTargetsAndEntries(settling time.Duration) {
+	for n := range b.engines {
 		b.startEngine(n)
 	}
-	for i := range entries {
+	for i := range b.entries {
 		b.startEntry(i)
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(settling)
 	b.began = time.Now()
-	return b
 }
 
 // configure writes a version of the configuration to the store.
--- a/pkg/app/settings_changes_test.go
+++ b/pkg/app/settings_changes_test.go
@@ -58,14 +58,7 @@
 	c.Accounts = append(c.Accounts, wiretest.Account{Name: "limited", Keys: []string{limitedAccountKey}, PerSecond: limitedPerSecond, Burst: limitedPerSecond})
 	b.store.Put(platform.TableOperators, platform.KeyConfiguration, c.Row())
 	b.bounds = bounds
-	for n := range b.engines {
-		b.startEngine(n)
-	}
-	for i := range b.entries {
-		b.startEntry(i)
-	}
-	time.Sleep(2 * time.Second)
-	b.began = time.Now()
+	b.startTargetsAndEntries(2 * time.Second)
 	return b
 }
 
--- a/pkg/app/store_copy_bed_test.go
+++ b/pkg/app/store_copy_bed_test.go
@@ -60,14 +60,7 @@
 	b.store.ClockRestarts = seed%4 < 2
 	b.store.SetEra(int64(seed % 2)) // whether the first era is numbered 0 or 1, the next one differs
 	b.writeOthers(100)
-	for n := range copyTargets {
-		b.startEngine(n)
-	}
-	for i := range entries {
-		b.startEntry(i)
-	}
-	time.Sleep(4 * time.Second)
-	b.began = time.Now()
+	b.startTargetsAndEntries(4 * time.Second)
 	return b
 }
 
