feedrelay: a comment says what the steps are for without the figure

Cause: the limit on the age of configurations stands in the platform's settings, and the comment repeated its value.

Change and result: the comment only.

--- a/pkg/feedrelay/read_decision.go
+++ b/pkg/feedrelay/read_decision.go
@@ -5,8 +5,8 @@
 const (
 	// backupStep is how much longer each next entry waits without a feed state before it acts
 	// as backup reader. The one before it may have begun: its first read is answered within some
-	// ms if the store answers at all. All backups have begun before the last feed state is two seconds
-	// old, the shortest limit on the age of configurations.
+	// ms if the store answers at all. All backups have begun before the last feed state reaches the
+	// shortest limit on the age of configurations.
 	backupStep = 75 * clock.Millisecond
 	// maxBackups is how many entries act as backup readers, by their rank among the living. If
 	// the store rejects a third of all entries, it rejects all of them and the feed reader in
